--- a/state/command.hpp
+++ b/state/command.hpp
@@ -6,6 +6,7 @@
 #include "state/commit_rows.hpp"
 #include "state/config_changed.hpp"
 #include "state/job_recorded.hpp"
+#include "state/peers_changed.hpp"
 #include "state/read_rows.hpp"
 #include "state/shard_acquired.hpp"
 #include "state/shard_released.hpp"
@@ -18,7 +19,7 @@
 
 using command = std::variant<read_rows, commit_rows, shard_acquired,
                              shard_released, config_changed, allotments_changed,
-                             job_recorded, ticket_progress>;
+                             job_recorded, ticket_progress, peers_changed>;
 
 } // namespace fescuevane::state
 
