--- /dev/null
+++ b/entry/driver_table.hpp
@@ -0,0 +1,35 @@
+// Purpose: table of the shards that this process owns, one row a shard.
+#ifndef FESCUEVANE_ENTRY_DRIVER_TABLE_HPP
+#define FESCUEVANE_ENTRY_DRIVER_TABLE_HPP
+
+#include "core/column.hpp"
+#include "core/ids.hpp"
+#include "core/instant.hpp"
+#include "core/resources.hpp"
+#include "core/row_index.hpp"
+#include "core/shard_id.hpp"
+#include "decide/decide.hpp"
+
+#include <cstdint>
+#include <map>
+
+namespace fescuevane::entry
+{
+
+struct driver_table
+{
+    row_index<shard_id>                  index_;
+    column<epoch>                        epoch_;
+    column<decide::scheduler_ptr>        scheduler_;
+    column<std::map<team_id, resources>> allotments_; // of limited teams
+    column<std::uint8_t>                 dirty_;      // events were posted
+    column<std::uint8_t>                 ready_;      // takes work
+    column<std::uint8_t>                 complete_;   // every target attached
+    column<instant>                      acquired_;
+    column<instant>                      ready_deadline_; // takes work then
+    column<instant>                      load_deadline_;  // next load report
+};
+
+} // namespace fescuevane::entry
+
+#endif
--- a/entry/send_target.hpp
+++ b/entry/send_target.hpp
@@ -14,8 +14,9 @@
 
 struct send_target
 {
-    target_id const                    target_;
-    std::int64_t const                 lease_micros_ = 0; // renewed by it
+    target_id const    target_;
+    std::int64_t const echo_micros_ = 0;        // clock last heard from it
+    std::int64_t const lease_micros_ = 0;       // renewed by it
     std::vector<decide::command> const orders_; // starts, stops, throttles
     std::vector<task_key> const        acknowledged_ends_;
 
--- a/entry/target_reported.hpp
+++ b/entry/target_reported.hpp
@@ -14,10 +14,11 @@
 struct target_reported
 {
     target_id const     target_;
-    std::uint64_t const attachment_ = 0;  // of the link it came over
-    std::uint64_t const incarnation_ = 0; // of the target's process
-    epoch const         epoch_ = 0;       // highest that the target has seen
-    bool const          fenced_ = false;  // our epoch is too low
+    std::uint64_t const attachment_ = 0;   // of the link it came over
+    std::uint64_t const incarnation_ = 0;  // of the target's process
+    std::int64_t const  clock_micros_ = 0; // of the target, when it sent this
+    epoch const         epoch_ = 0;        // highest that the target has seen
+    bool const          fenced_ = false;   // our epoch is too low
     bool const          snapshot_ = false;
     bool const          leaving_ = false;
     std::vector<task_report> const tasks_;
