--- a/entry/node.cpp
+++ b/entry/node.cpp
@@ -99,23 +99,21 @@
     {
         return context.now_;
     }
-    instant earliest = std::min({state::next_deadline(*context.control_),
-                                 context.session_deadline_,
-                                 context.record_deadline_,
-                                 context.expire_deadline_,
-                                 context.heartbeat_deadline_,
-                                 context.snapshot_deadline_});
+    instant earliest = std::min(
+        {state::next_deadline(*context.control_), context.session_deadline_,
+         context.record_deadline_, context.expire_deadline_,
+         context.heartbeat_deadline_, context.snapshot_deadline_});
     driver_table const& drivers = context.drivers_;
     for (std::size_t row = 0; row < drivers.index_.size(); ++row)
     {
-        earliest = std::min(
-            {earliest,
-             drivers.dirty_[row] != 0
-                 ? context.now_
-                 : decide::next_deadline(*drivers.scheduler_[row]),
-             drivers.ready_[row] != 0 ? instant::never()
-                                      : drivers.ready_deadline_[row],
-             drivers.load_deadline_[row]});
+        earliest =
+            std::min({earliest,
+                      drivers.dirty_[row] != 0
+                          ? context.now_
+                          : decide::next_deadline(*drivers.scheduler_[row]),
+                      drivers.ready_[row] != 0 ? instant::never()
+                                               : drivers.ready_deadline_[row],
+                      drivers.load_deadline_[row]});
     }
     return earliest;
 }
@@ -159,9 +157,8 @@
     {
         listed_host const& host = context.hosts_.host_[row];
         auto const session = context.sessions_.index_.find(host.target_);
-        bool const attached =
-            session &&
-            context.sessions_.phase_[*session] == session_phase::attached;
+        bool const attached = session && context.sessions_.phase_[*session] ==
+                                             session_phase::attached;
         found.push_back({.target_ = host.target_,
                          .rack_ = host.rack_,
                          .shard_ = find_shard_of(context, host),
@@ -187,9 +184,8 @@
             found.push_back(
                 {.team_ = load.team_,
                  .shard_ = drivers.index_.key(row),
-                 .allotment_ = limited
-                                   ? std::optional<resources>(part->second)
-                                   : std::nullopt,
+                 .allotment_ = limited ? std::optional<resources>(part->second)
+                                       : std::nullopt,
                  .used_ = load.used_});
         }
     }
--- a/entry/node_calls.cpp
+++ b/entry/node_calls.cpp
@@ -8,6 +8,7 @@
 //   5. Answers
 //   6. Expiry
 #include "core/core.hpp"
+#include "entry/node.hpp"
 #include "entry/node_tables.hpp"
 #include "state/config.hpp"
 
@@ -24,6 +25,10 @@
 // of its owner, which covers a takeover.
 constexpr std::int64_t accept_wait_micros = 5 * micros_per_second;
 
+// Messages between processes are lost when a link breaks; the owner knows the
+// job by its id, so asking again is safe.
+constexpr std::int64_t resend_micros = 2 * micros_per_second;
+
 // Offered with refusals that are due to a missing owner; a takeover takes about
 // two seconds.
 constexpr std::int64_t retry_after_micros = 2 * micros_per_second;
@@ -53,34 +58,30 @@
 
 void tell_call(node& context, std::size_t row, job_result const& result)
 {
-    call_table& calls = context.calls_;
-    if (is_final(result.state_) && calls.kind_[row] == call_kind::submit)
+    routed_call_table& calls = context.calls_;
+    if (is_final(result.state_) && calls.kind_[row] == routed_call_kind::submit)
     {
         count(context, find_counter(result.state_));
     }
-    if (calls.kind_[row] != call_kind::transfer)
+    if (calls.kind_[row] != routed_call_kind::transfer)
     {
-        context.outbox_.push_back(
-            job_told{calls.index_.key(row), result});
+        context.outbox_.push_back(job_told{calls.index_.key(row), result});
     }
     if (!calls.traceparent_[row].empty())
     {
-        finish_span(context,
-                    "entry",
-                    {calls.parent_[row],
-                     calls.traceparent_[row],
-                     calls.opened_[row]},
-                    format_key(result.key_));
+        finish_span(
+            context, "entry",
+            {calls.parent_[row], calls.traceparent_[row], calls.opened_[row]},
+            format_key(result.key_));
     }
-    remove_call(calls, row);
+    remove_routed_call(calls, row);
 }
 
 void refuse_call(node& context, std::size_t row, std::string reason)
 {
     bool const clean = context.calls_.sent_to_[row].empty() &&
                        context.calls_.uncertain_[row] == 0;
-    tell_call(context,
-              row,
+    tell_call(context, row,
               {.key_ = context.calls_.job_[row],
                .state_ = clean ? job_state::not_run : job_state::unknown,
                .reason_ = std::move(reason),
@@ -88,10 +89,8 @@
                .owner_ = context.calls_.sent_to_[row]});
 }
 
-void reject_call(node&         context,
-                 std::uint64_t call,
-                 call_error    error,
-                 std::string   message)
+void reject_call(node& context, std::uint64_t call, call_error error,
+                 std::string message)
 {
     count(context, counter::calls_rejected);
     context.outbox_.push_back(call_rejected{call, error, std::move(message)});
@@ -99,7 +98,8 @@
 
 // 2. Access
 
-bool has_team_key(node const& context, team_id const& team, std::string const& key)
+bool has_team_key(node const& context, team_id const& team,
+                  std::string const& key)
 {
     auto const found = context.config_->teams_.find(team);
     return found != context.config_->teams_.end() &&
@@ -139,10 +139,8 @@
 }
 
 // The team whose jobs a look-up or cancellation may touch.
-std::optional<team_id> admit_team(node&              context,
-                                  std::uint64_t      call,
-                                  team_id const&     team,
-                                  std::string const& key)
+std::optional<team_id> admit_team(node& context, std::uint64_t call,
+                                  team_id const& team, std::string const& key)
 {
     if (!context.config_)
     {
@@ -165,8 +163,7 @@
 
 // 3. Opening
 
-job_spec with_identity(job_spec const&    spec,
-                       job_key const&     key,
+job_spec with_identity(job_spec const& spec, job_key const& key,
                        std::string const& traceparent)
 {
     return {.key_ = key,
@@ -185,9 +182,9 @@
 // chance, because reports of their load are some hundred milliseconds old.
 std::optional<shard_id> pick_shard(node& context)
 {
-    route_table const& routes = context.routes_;
-    std::optional<std::size_t> best;
-    std::pair<int, double>     best_score;
+    route_table const&                     routes = context.routes_;
+    std::optional<std::size_t>             best;
+    std::pair<int, double>                 best_score;
     std::uniform_real_distribution<double> chance(0.5, 1.0);
     for (std::size_t row = 0; row < routes.index_.size(); ++row)
     {
@@ -198,16 +195,14 @@
         }
         bool const has_room =
             routes.free_slots_[row] > routes.queued_tasks_[row];
-        bool const local =
-            shard.domain_ == context.settings_.state_.domain_;
+        bool const   local = shard.domain_ == context.settings_.state_.domain_;
         double const room =
-            has_room ? static_cast<double>(routes.free_slots_[row] -
-                                           routes.queued_tasks_[row])
-                     : 1.0 / (1.0 + static_cast<double>(
-                                        routes.queued_tasks_[row]));
-        std::pair<int, double> const score{
-            (has_room ? 2 : 0) + (local ? 1 : 0),
-            room * chance(context.random_)};
+            has_room
+                ? static_cast<double>(routes.free_slots_[row] -
+                                      routes.queued_tasks_[row])
+                : 1.0 / (1.0 + static_cast<double>(routes.queued_tasks_[row]));
+        std::pair<int, double> const score{(has_room ? 2 : 0) + (local ? 1 : 0),
+                                           room * chance(context.random_)};
         if (!best || score > best_score)
         {
             best = row;
@@ -230,16 +225,13 @@
     return job_id(home ? format_key(*home) + "~" + unique : unique);
 }
 
-void open_routed_call(node&                           context,
-                      std::uint64_t                   call,
-                      call_kind                       kind,
-                      job_key const&                  job,
-                      std::shared_ptr<job_spec const> spec,
-                      instant                         wait_deadline)
+void open_routed_call(node& context, std::uint64_t call, routed_call_kind kind,
+                      job_key const& job, std::shared_ptr<job_spec const> spec,
+                      instant wait_deadline)
 {
-    std::size_t const row = append_call(context.calls_, call, kind, job,
-                                        std::move(spec), context.now_,
-                                        wait_deadline);
+    std::size_t const row =
+        append_routed_call(context.calls_, call, kind, job, std::move(spec),
+                           context.now_, wait_deadline);
     context.calls_.order_.replace(row, order_shards(context, job));
     context.to_route_.push_back(call);
     context.expire_deadline_ =
@@ -255,15 +247,14 @@
         context.calls_.index_.size() >= context.settings_.max_open_calls_)
     {
         count(context, counter::calls_not_run);
-        context.outbox_.push_back(
-            job_told{input.call_,
-                     {.key_ = input.spec_.key_,
-                      .state_ = job_state::not_run,
-                      .reason_ = context.stopping_ ? "this process is stopping"
-                                 : context.config_
-                                     ? "too many open calls"
-                                     : "no configuration is known yet",
-                      .retry_after_micros_ = retry_after_micros}});
+        context.outbox_.push_back(job_told{
+            input.call_,
+            {.key_ = input.spec_.key_,
+             .state_ = job_state::not_run,
+             .reason_ = context.stopping_ ? "this process is stopping"
+                        : context.config_ ? "too many open calls"
+                                          : "no configuration is known yet",
+             .retry_after_micros_ = retry_after_micros}});
         return;
     }
     auto const team = admit_submit(context, input);
@@ -271,13 +262,12 @@
     {
         return;
     }
-    bool const fresh = input.spec_.key_.job_.empty();
-    job_key const key{*team,
-                      fresh ? make_job_id(context, pick_shard(context))
-                            : input.spec_.key_.job_};
+    bool const    fresh = input.spec_.key_.job_.empty();
+    job_key const key{*team, fresh ? make_job_id(context, pick_shard(context))
+                                   : input.spec_.key_.job_};
     std::string const traceparent =
         make_traceparent(context, input.spec_.traceparent_);
-    open_routed_call(context, input.call_, call_kind::submit, key,
+    open_routed_call(context, input.call_, routed_call_kind::submit, key,
                      std::make_shared<job_spec const>(
                          with_identity(input.spec_, key, traceparent)),
                      input.wait_deadline_);
@@ -294,7 +284,7 @@
         admit_team(context, input.call_, input.job_.team_, input.key_);
     if (team)
     {
-        open_routed_call(context, input.call_, call_kind::lookup,
+        open_routed_call(context, input.call_, routed_call_kind::lookup,
                          {*team, input.job_.job_}, nullptr,
                          input.wait_deadline_);
     }
@@ -304,8 +294,7 @@
 // whoever waits for it.
 void open_cancel(node& context, cancel_opened const& input)
 {
-    auto const team =
-        admit_team(context, input.call_, input.team_, input.key_);
+    auto const team = admit_team(context, input.call_, input.team_, input.key_);
     if (!team)
     {
         return;
@@ -321,9 +310,9 @@
     }
     for (auto const& [shard, jobs] : by_shard)
     {
-        auto const           row = context.routes_.index_.find(shard);
-        host_id const&       owner = context.routes_.host_[*row];
-        cancel_passed const  message{shard, *team, jobs};
+        auto const          row = context.routes_.index_.find(shard);
+        host_id const&      owner = context.routes_.host_[*row];
+        cancel_passed const message{shard, *team, jobs};
         if (owner == context.settings_.state_.host_)
         {
             take_cancel(context, message);
@@ -338,8 +327,8 @@
 
 void open_ticket(node& context, ticket_opened const& input)
 {
-    append_call(context.calls_, input.call_, call_kind::ticket, {}, nullptr,
-                context.now_, input.wait_deadline_);
+    append_routed_call(context.calls_, input.call_, routed_call_kind::ticket,
+                       {}, nullptr, context.now_, input.wait_deadline_);
     context.expire_deadline_ =
         std::min(context.expire_deadline_, input.wait_deadline_);
     state::post_event(*context.control_,
@@ -352,7 +341,7 @@
     if (auto const row = context.calls_.index_.find(call))
     {
         context.ticket_calls_.erase(call);
-        remove_call(context.calls_, *row);
+        remove_routed_call(context.calls_, *row);
     }
 }
 
@@ -361,7 +350,7 @@
 void open_transfer(node& context, shard_id const& from, job_spec const& spec)
 {
     std::uint64_t const call = own_call_bit | ++context.next_call_;
-    open_routed_call(context, call, call_kind::transfer, spec.key_,
+    open_routed_call(context, call, routed_call_kind::transfer, spec.key_,
                      std::make_shared<job_spec const>(spec),
                      context.now_.after(accept_wait_micros));
     std::size_t const row = *context.calls_.index_.find(call);
@@ -377,19 +366,32 @@
 namespace
 {
 
+// Doubles the interval each time, from the age of the call.
+void plan_resend(node& context, std::size_t row)
+{
+    routed_call_table& calls = context.calls_;
+    std::int64_t const age = calls.opened_[row].remaining_until(context.now_);
+    calls.resend_deadline_[row] =
+        context.now_.after(std::max(age, resend_micros));
+    context.expire_deadline_ =
+        std::min(context.expire_deadline_, calls.resend_deadline_[row]);
+}
+
 void pass_call(node& context, std::size_t row, std::size_t route)
 {
-    call_table&    calls = context.calls_;
-    shard_id const shard = context.routes_.index_.key(route);
-    host_id const  owner = context.routes_.host_[route];
-    std::uint64_t  call = calls.index_.key(row);
+    routed_call_table& calls = context.calls_;
+    shard_id const     shard = context.routes_.index_.key(route);
+    host_id const      owner = context.routes_.host_[route];
+    std::uint64_t      call = calls.index_.key(row);
     if (!calls.sent_to_[row].empty())
     {
-        calls.uncertain_[row] = 1;
         calls.may_be_known_[row] = 1;
+        calls.uncertain_[row] |=
+            calls.sent_epoch_[row] != context.routes_.epoch_[route] ? 1 : 0;
     }
     calls.sent_to_[row] = owner;
     calls.sent_epoch_[row] = context.routes_.epoch_[route];
+    plan_resend(context, row);
     bool const    local = owner == context.settings_.state_.host_;
     watcher const self{context.settings_.state_.host_, call, shard};
     if (!local)
@@ -416,7 +418,7 @@
     {
         return;
     }
-    call_table& calls = context.calls_;
+    routed_call_table& calls = context.calls_;
     if (calls.position_[*row] >= calls.order_[*row].size())
     {
         refuse_call(context, *row, "no failure domain in service takes it");
@@ -429,7 +431,8 @@
         ++context.parked_;
         return;
     }
-    if (calls.sent_to_[*row] != context.routes_.host_[*route] ||
+    if (calls.resend_deadline_[*row] <= context.now_ ||
+        calls.sent_to_[*row] != context.routes_.host_[*route] ||
         calls.sent_epoch_[*row] != context.routes_.epoch_[*route])
     {
         pass_call(context, *row, *route);
@@ -442,8 +445,8 @@
 {
     // An answer of this process may send a call on to the next shard, at most
     // once for each shard of the cell.
-    for (std::size_t round = 0; round <= context.routes_.index_.size() &&
-                                !context.to_route_.empty();
+    for (std::size_t round = 0;
+         round <= context.routes_.index_.size() && !context.to_route_.empty();
          ++round)
     {
         for (std::uint64_t const call : std::exchange(context.to_route_, {}))
@@ -460,7 +463,7 @@
 
 void ask_next_shard(node& context, std::size_t row)
 {
-    call_table& calls = context.calls_;
+    routed_call_table& calls = context.calls_;
     calls.sent_to_[row] = host_id();
     calls.sent_epoch_[row] = 0;
     ++calls.position_[row];
@@ -477,17 +480,16 @@
     }
     return {.key_ = result.key_,
             .state_ = job_state::unknown,
-            .reason_ = "an earlier owner may have run it; now: " +
-                       result.reason_,
+            .reason_ =
+                "an earlier owner may have run it; now: " + result.reason_,
             .owner_ = result.owner_};
 }
 
 void take_state(node& context, std::size_t row, job_result const& heard)
 {
-    call_table&      calls = context.calls_;
-    job_result const result =
-        qualify_result(heard, calls.uncertain_[row] != 0);
-    if (calls.kind_[row] == call_kind::transfer)
+    routed_call_table& calls = context.calls_;
+    job_result const result = qualify_result(heard, calls.uncertain_[row] != 0);
+    if (calls.kind_[row] == routed_call_kind::transfer)
     {
         if (result.state_ != job_state::not_run)
         {
@@ -528,9 +530,8 @@
         break;
     case answer_kind::no_record:
         reject_call(context, answer.call_, call_error::not_found,
-                    "no record of job " +
-                        format_key(answer.result_.key_));
-        remove_call(context.calls_, *row);
+                    "no record of job " + format_key(answer.result_.key_));
+        remove_routed_call(context.calls_, *row);
         break;
     }
 }
@@ -542,8 +543,9 @@
 
 instant find_expiry(node const& context, std::size_t row)
 {
-    call_table const& calls = context.calls_;
-    if (calls.last_[row] != nullptr || calls.kind_[row] == call_kind::ticket)
+    routed_call_table const& calls = context.calls_;
+    if (calls.last_[row] != nullptr ||
+        calls.kind_[row] == routed_call_kind::ticket)
     {
         return calls.wait_deadline_[row];
     }
@@ -569,18 +571,18 @@
             {.call_ = call,
              .number_ = last.number_,
              .stage_ = last.stage_,
-             .missing_ = state::list_missing_domains(*context.control_,
-                                                     last.number_),
+             .missing_ =
+                 state::list_missing_domains(*context.control_, last.number_),
              .reason_ = last.reason_}});
         context.ticket_calls_.erase(found);
     }
-    remove_call(context.calls_, row);
+    remove_routed_call(context.calls_, row);
 }
 
 void expire_call(node& context, std::size_t row)
 {
-    call_table& calls = context.calls_;
-    if (calls.kind_[row] == call_kind::ticket)
+    routed_call_table& calls = context.calls_;
+    if (calls.kind_[row] == routed_call_kind::ticket)
     {
         expire_ticket(context, row);
     }
@@ -591,10 +593,11 @@
     }
     else
     {
-        refuse_call(context, row,
-                    calls.sent_to_[row].empty()
-                        ? "no owner of the job's shard can be reached"
-                        : "the owner of the job's shard gave no answer in time");
+        refuse_call(
+            context, row,
+            calls.sent_to_[row].empty()
+                ? "no owner of the job's shard can be reached"
+                : "the owner of the job's shard gave no answer in time");
     }
 }
 
@@ -616,8 +619,14 @@
         }
         else
         {
+            instant const resend = context.calls_.resend_deadline_[row];
+            if (resend <= context.now_)
+            {
+                context.to_route_.push_back(context.calls_.index_.key(row));
+            }
             context.expire_deadline_ =
-                std::min(context.expire_deadline_, expiry);
+                std::min({context.expire_deadline_, expiry,
+                          std::max(resend, context.now_)});
         }
     }
 }
--- a/entry/node_inbox.cpp
+++ b/entry/node_inbox.cpp
@@ -141,8 +141,12 @@
     std::vector<event> const inbox = std::exchange(context.inbox_, {});
     for (event const& input : inbox)
     {
-        std::visit([&context](auto const& value) { apply(context, value); },
-                   input);
+        std::visit(
+            [&context](auto const& value)
+            {
+                apply(context, value);
+            },
+            input);
     }
 }
 
@@ -220,7 +224,7 @@
     }
     context.outbox_.push_back(ticket_told{order});
     context.ticket_calls_.erase(order.call_);
-    remove_call(context.calls_, *row);
+    remove_routed_call(context.calls_, *row);
 }
 
 } // namespace
@@ -235,8 +239,12 @@
         state::run_tick(*context.control_, context.now_, orders);
         for (state::command const& order : orders)
         {
-            std::visit([&context](auto const& value) { obey(context, value); },
-                       order);
+            std::visit(
+                [&context](auto const& value)
+                {
+                    obey(context, value);
+                },
+                order);
         }
         if (orders.empty())
         {
--- a/entry/node_owner.cpp
+++ b/entry/node_owner.cpp
@@ -63,9 +63,7 @@
     }
 }
 
-void answer_watchers(node&             context,
-                     job_key const&    job,
-                     answer_kind       kind,
+void answer_watchers(node& context, job_key const& job, answer_kind kind,
                      job_result const& result)
 {
     auto const found = context.watchers_.find(job);
@@ -86,9 +84,7 @@
 
 } // namespace
 
-void answer_watcher(node&             context,
-                    watcher const&    to,
-                    answer_kind       kind,
+void answer_watcher(node& context, watcher const& to, answer_kind kind,
                     job_result const& result)
 {
     answer_passed const answer{to.call_, kind, with_owner(context, result)};
@@ -120,8 +116,7 @@
 }
 
 // Puts a journal entry of an earlier owner into the tables.
-void restore_record(node&                    context,
-                    std::size_t              driver,
+void restore_record(node& context, std::size_t driver,
                     state::job_record const& entry)
 {
     shard_id const& shard = context.drivers_.index_.key(driver);
@@ -210,17 +205,19 @@
         }
     }
     // Entry processes ask the next owner by themselves.
-    std::erase_if(context.watchers_,
-                  [&shard](auto& waiting)
-                  {
-                      std::erase_if(waiting.second,
-                                    [&shard](watcher const& each)
-                                    { return each.shard_ == shard; });
-                      return waiting.second.empty();
-                  });
+    for (auto waiting = context.watchers_.begin();
+         waiting != context.watchers_.end();)
+    {
+        std::erase_if(waiting->second,
+                      [&shard](watcher const& each)
+                      {
+                          return each.shard_ == shard;
+                      });
+        waiting = waiting->second.empty() ? context.watchers_.erase(waiting)
+                                          : std::next(waiting);
+    }
     count(context, counter::shards_released);
-    context.outbox_.push_back(
-        state_noted{"shard released", format_key(shard)});
+    context.outbox_.push_back(state_noted{"shard released", format_key(shard)});
     context.routes_stale_ = true;
 }
 
@@ -235,7 +232,7 @@
     std::vector<decide::team_policy> teams;
     for (auto const& [id, team] : context.config_->teams_)
     {
-        auto const                part = parts.find(id);
+        auto const               part = parts.find(id);
         std::optional<resources> allotment;
         if (team.limit_)
         {
@@ -244,9 +241,9 @@
         teams.push_back({id, team.share_, allotment});
     }
     teams.push_back({team_id("open"), 1, std::nullopt});
-    post_to_shard(context, driver,
-                  decide::policy_set{teams,
-                                     is_in_service(context, shard.domain_)});
+    post_to_shard(
+        context, driver,
+        decide::policy_set{teams, is_in_service(context, shard.domain_)});
 }
 
 // 3. Work passed to a shard
@@ -269,9 +266,7 @@
 }
 
 // Answers from the journal. Returns true when the entry settles the call.
-bool answer_from_record(node&           context,
-                        watcher const&  from,
-                        job_key const&  job,
+bool answer_from_record(node& context, watcher const& from, job_key const& job,
                         job_spec const* asked)
 {
     auto const row = context.records_.index_.find(job);
@@ -295,8 +290,8 @@
     }
     if (records.result_[*row] != nullptr)
     {
-        answer_watcher(
-            context, from, answer_kind::state, *records.result_[*row]);
+        answer_watcher(context, from, answer_kind::state,
+                       *records.result_[*row]);
         return true;
     }
     watch_job(context, job, from);
@@ -312,10 +307,8 @@
 }
 
 // Answers from the scheduler. Returns true when it knows the job.
-bool answer_from_scheduler(node&           context,
-                           std::size_t     driver,
-                           watcher const&  from,
-                           job_key const&  job,
+bool answer_from_scheduler(node& context, std::size_t driver,
+                           watcher const& from, job_key const& job,
                            job_spec const* asked)
 {
     decide::scheduler const& scheduler = *context.drivers_.scheduler_[driver];
@@ -347,8 +340,13 @@
     return true;
 }
 
-void write_record(node&                             context,
-                  shard_id const&                   shard,
+std::shared_ptr<job_result const> make_moved_result(job_key const& job)
+{
+    return std::make_shared<job_result const>(job_result{
+        .key_ = job, .state_ = job_state::not_run, .reason_ = reason_moved});
+}
+
+void write_record(node& context, shard_id const& shard,
                   std::shared_ptr<job_spec const>   spec,
                   std::shared_ptr<job_result const> result)
 {
@@ -357,15 +355,14 @@
 
 // Sends a job away from a failure domain that is out of service and keeps the
 // id, so that it is found later.
-void decline_submit(node&                context,
-                    watcher const&       from,
+void decline_submit(node& context, watcher const& from,
                     submit_passed const& input)
 {
     auto const spec = std::make_shared<job_spec const>(input.spec_);
     if (!input.may_be_known_)
     {
-        answer_watcher(
-            context, from, answer_kind::not_here, {.key_ = spec->key_});
+        answer_watcher(context, from, answer_kind::not_here,
+                       {.key_ = spec->key_});
         return;
     }
     std::size_t const row = append_record(context.records_, input.shard_, spec);
@@ -374,11 +371,8 @@
     if (needs_journal(*spec))
     {
         records.keep_deadline_[row] = context.now_.after(moved_keep_micros);
-        write_record(context, input.shard_, spec,
-                     std::make_shared<job_result const>(
-                         job_result{.key_ = spec->key_,
-                                    .state_ = job_state::not_run,
-                                    .reason_ = reason_moved}));
+        records.result_[row] = make_moved_result(spec->key_);
+        write_record(context, input.shard_, spec, records.result_[row]);
         watch_job(context, spec->key_, from); // answered when recorded
         return;
     }
@@ -386,13 +380,10 @@
         context.now_.after(context.settings_.decide_.result_keep_micros_);
     context.record_deadline_ =
         std::min(context.record_deadline_, records.keep_deadline_[row]);
-    answer_watcher(
-        context, from, answer_kind::not_here, {.key_ = spec->key_});
+    answer_watcher(context, from, answer_kind::not_here, {.key_ = spec->key_});
 }
 
-void accept_submit(node&                context,
-                   std::size_t          driver,
-                   watcher const&       from,
+void accept_submit(node& context, std::size_t driver, watcher const& from,
                    submit_passed const& input)
 {
     job_key const& job = input.spec_.key_;
@@ -408,11 +399,11 @@
         write_record(context, input.shard_, spec, nullptr);
         return;
     }
-    bool const may_run = input.may_be_known_ &&
-                         context.drivers_.complete_[driver] == 0;
-    post_to_shard(context, driver,
-                  decide::job_submitted{.spec_ = input.spec_,
-                                        .may_run_ = may_run});
+    bool const may_run =
+        input.may_be_known_ && context.drivers_.complete_[driver] == 0;
+    post_to_shard(
+        context, driver,
+        decide::job_submitted{.spec_ = input.spec_, .may_run_ = may_run});
 }
 
 } // namespace
@@ -427,8 +418,7 @@
         return;
     }
     job_key const& job = input.spec_.key_;
-    if (!input.spec_.traceparent_.empty() &&
-        !context.job_spans_.contains(job))
+    if (!input.spec_.traceparent_.empty() && !context.job_spans_.contains(job))
     {
         context.job_spans_.emplace(
             job, open_span{input.spec_.traceparent_,
@@ -453,8 +443,8 @@
     auto const driver = context.drivers_.index_.find(input.shard_);
     if (!driver)
     {
-        answer_watcher(
-            context, from, answer_kind::not_owner, {.key_ = input.job_});
+        answer_watcher(context, from, answer_kind::not_owner,
+                       {.key_ = input.job_});
         return;
     }
     if (answer_from_record(context, from, input.job_, nullptr) ||
@@ -480,8 +470,7 @@
     {
         job_key const job{input.team_, id};
         auto const    record = context.records_.index_.find(job);
-        if (record &&
-            context.records_.phase_[*record] == record_phase::writing)
+        if (record && context.records_.phase_[*record] == record_phase::writing)
         {
             context.records_.canceled_[*record] = 1;
         }
@@ -510,9 +499,8 @@
     record_table& records = context.records_;
     records.phase_[row] = record_phase::recorded;
     job_spec const& spec = *records.spec_[row];
-    post_to_shard(
-        context, driver,
-        decide::job_submitted{.spec_ = spec, .recorded_ = true});
+    post_to_shard(context, driver,
+                  decide::job_submitted{.spec_ = spec, .recorded_ = true});
     if (records.canceled_[row] != 0)
     {
         post_to_shard(context, driver, decide::jobs_canceled{{spec.key_}});
@@ -520,18 +508,17 @@
 }
 
 // The acceptance was not written: nothing was dispatched, nothing will be.
-void refuse_unrecorded(node&                      context,
-                       std::size_t                row,
+void refuse_unrecorded(node& context, std::size_t row,
                        state::job_recorded const& input)
 {
     remove_record(context.records_, row);
     bool const uncertain = context.uncertain_jobs_.erase(input.job_) > 0;
-    answer_watchers(context, input.job_, answer_kind::state,
-                    {.key_ = input.job_,
-                     .state_ = uncertain ? job_state::unknown
-                                         : job_state::not_run,
-                     .reason_ = input.reason_,
-                     .retry_after_micros_ = 2 * micros_per_second});
+    answer_watchers(
+        context, input.job_, answer_kind::state,
+        {.key_ = input.job_,
+         .state_ = uncertain ? job_state::unknown : job_state::not_run,
+         .reason_ = input.reason_,
+         .retry_after_micros_ = 2 * micros_per_second});
 }
 
 void close_recorded(node& context, std::size_t row)
@@ -615,11 +602,9 @@
     record_table& records = context.records_;
     records.phase_[*row] = record_phase::moved;
     records.keep_deadline_[*row] = context.now_.after(moved_keep_micros);
+    records.result_[*row] = make_moved_result(job);
     write_record(context, records.shard_[*row], records.spec_[*row],
-                 std::make_shared<job_result const>(
-                     job_result{.key_ = job,
-                                .state_ = job_state::not_run,
-                                .reason_ = reason_moved}));
+                 records.result_[*row]);
     acknowledge_ends(context, *row);
 }
 
@@ -677,9 +662,7 @@
                                   result.reason_});
 }
 
-void obey(node&                     context,
-          std::size_t               driver,
-          decide::job_changed const& order)
+void obey(node& context, std::size_t driver, decide::job_changed const& order)
 {
     if (order.result_.state_ == job_state::not_run &&
         order.result_.reason_ == decide::reason_domain_out)
@@ -695,16 +678,15 @@
         return;
     }
     // Callers of requests wait for the answer only; fewer messages.
-    auto const spec = decide::find_spec(
-        *context.drivers_.scheduler_[driver], result.key_);
+    auto const spec =
+        decide::find_spec(*context.drivers_.scheduler_[driver], result.key_);
     if (spec != nullptr && spec->kind_ != work_kind::request)
     {
         answer_watchers(context, result.key_, answer_kind::state, result);
     }
 }
 
-void obey(node&                     context,
-          std::size_t               /*driver*/,
+void obey(node&                     context, std::size_t /*driver*/,
           decide::start_task const& order)
 {
     count(context, counter::tasks_started);
@@ -731,10 +713,9 @@
                       .declared_run_micros_ = spec.declared_run_micros_,
                       .payload_ = spec.payload_,
                       .traceparent_ = own});
-    send_order(
-        context, order.target_,
-        decide::start_task{
-            order.task_, order.target_, traced, order.reservation_});
+    send_order(context, order.target_,
+               decide::start_task{order.task_, order.target_, traced,
+                                  order.reservation_});
 }
 
 void obey(node& context, std::size_t /*driver*/, decide::stop_task const& order)
@@ -742,8 +723,7 @@
     send_order(context, order.target_, order);
 }
 
-void obey(node&                        context,
-          std::size_t                  /*driver*/,
+void obey(node&                        context, std::size_t /*driver*/,
           decide::throttle_task const& order)
 {
     send_order(context, order.target_, order);
@@ -753,13 +733,16 @@
 {
     context.drivers_.dirty_[driver] = 0;
     std::vector<decide::command> orders;
-    decide::run_tick(
-        *context.drivers_.scheduler_[driver], context.now_, orders);
+    decide::run_tick(*context.drivers_.scheduler_[driver], context.now_,
+                     orders);
     for (decide::command const& order : orders)
     {
-        std::visit([&context, driver](auto const& value)
-                   { obey(context, driver, value); },
-                   order);
+        std::visit(
+            [&context, driver](auto const& value)
+            {
+                obey(context, driver, value);
+            },
+            order);
     }
 }
 
@@ -773,9 +756,8 @@
     {
         teams.push_back({load.team_, load.used_, load.waiting_});
     }
-    post_to_control(context,
-                    state::load_noted{
-                        context.drivers_.index_.key(driver), teams});
+    post_to_control(
+        context, state::load_noted{context.drivers_.index_.key(driver), teams});
 }
 
 } // namespace
@@ -820,15 +802,13 @@
         instant const keep = records.keep_deadline_[row];
         if (keep > context.now_)
         {
-            context.record_deadline_ =
-                std::min(context.record_deadline_, keep);
+            context.record_deadline_ = std::min(context.record_deadline_, keep);
             continue;
         }
         if (needs_journal(*records.spec_[row]))
         {
-            post_to_control(context,
-                            state::job_record_expired{records.shard_[row],
-                                                      records.index_.key(row)});
+            write_record(context, records.shard_[row], nullptr,
+                         records.result_[row]);
         }
         remove_record(records, row);
     }
--- a/entry/node_peers.cpp
+++ b/entry/node_peers.cpp
@@ -2,8 +2,9 @@
 #include "entry/node_tables.hpp"
 
 #include "decide/shard_load.hpp"
+#include "state/config.hpp"
 
-#include <algorithm>
+#include <set>
 #include <utility>
 
 namespace fescuevane::entry
@@ -74,7 +75,8 @@
     }
 }
 
-void take(node& context, host_id const& /*from*/, snapshot_passed const& message)
+void take(node&                  context, host_id const& /*from*/,
+          snapshot_passed const& message)
 {
     state::post_event(*context.control_,
                       state::state_received{message.snapshot_});
@@ -110,9 +112,8 @@
         return;
     }
     context.snapshot_deadline_ =
-        context.store_was_read_
-            ? instant::never()
-            : context.now_.after(snapshot_interval_micros);
+        context.store_was_read_ ? instant::never()
+                                : context.now_.after(snapshot_interval_micros);
     if (context.store_was_read_ || context.config_)
     {
         return;
@@ -127,27 +128,28 @@
 
 void take_peer(node& context, peer_received const& input)
 {
-    std::visit([&context, &input](auto const& message)
-               { take(context, input.host_, message); },
-               input.message_);
+    std::visit(
+        [&context, &input](auto const& message)
+        {
+            take(context, input.host_, message);
+        },
+        input.message_);
 }
 
 void set_peers(node& context, state::peers_changed const& input)
 {
-    std::vector<state::peer_address> wanted = input.peers_;
-    for (state::peer_address const& seed : context.settings_.seed_peers_)
+    std::vector<state::peer_address> wanted;
+    std::set<host_id>                hosts{context.settings_.state_.host_};
+    for (auto const* list : {&input.peers_, &context.settings_.seed_peers_})
     {
-        bool const known =
-            std::any_of(wanted.begin(), wanted.end(),
-                        [&seed](state::peer_address const& peer)
-                        { return peer.host_ == seed.host_; });
-        if (!known)
+        for (state::peer_address const& peer : *list)
         {
-            wanted.push_back(seed);
+            if (hosts.insert(peer.host_).second)
+            {
+                wanted.push_back(peer);
+            }
         }
     }
-    std::erase_if(wanted, [&context](state::peer_address const& peer)
-                  { return peer.host_ == context.settings_.state_.host_; });
     for (state::peer_address const& peer : wanted)
     {
         std::size_t const row = find_or_append_peer(context, peer.host_);
@@ -156,10 +158,7 @@
     }
     for (std::size_t row = context.peers_.index_.size(); row-- > 0;)
     {
-        bool const kept =
-            std::any_of(wanted.begin(), wanted.end(),
-                        [&](state::peer_address const& peer)
-                        { return peer.host_ == context.peers_.index_.key(row); });
+        bool const kept = hosts.contains(context.peers_.index_.key(row));
         if (!kept && context.peers_.alive_deadline_[row] <= context.now_)
         {
             remove_peer(context.peers_, row);
--- a/entry/node_sessions.cpp
+++ b/entry/node_sessions.cpp
@@ -44,14 +44,13 @@
     host_table const&  hosts = context.hosts_;
     listed_host const& listed = hosts.host_[host];
     shard_id const     shard = find_shard_of(context, listed);
-    std::size_t const  row =
-        append_session(context.sessions_, listed, shard);
+    std::size_t const  row = append_session(context.sessions_, listed, shard);
     // An earlier owner may have renewed its leases until it left the list.
     instant const lapse = hosts.gone_deadline_[host];
     context.sessions_.lapse_deadline_[row] = lapse;
-    post_to_owner(context, row,
-                  decide::target_unreached{
-                      listed.target_, listed.capacity_, lapse});
+    post_to_owner(
+        context, row,
+        decide::target_unreached{listed.target_, listed.capacity_, lapse});
     context.session_deadline_ = context.now_;
 }
 
@@ -59,8 +58,8 @@
 {
     listed_host const& host = context.sessions_.host_[row];
     post_to_owner(context, row,
-                  decide::target_joined{
-                      host.target_, host.rack_, host.capacity_, host.slots_});
+                  decide::target_joined{host.target_, host.rack_,
+                                        host.capacity_, host.slots_});
     if (host.leaving_)
     {
         post_to_owner(context, row, decide::target_leaving{host.target_});
@@ -99,8 +98,7 @@
     {
         if (sessions.shard_[row] == shard)
         {
-            context.outbox_.push_back(
-                detach_target{sessions.index_.key(row)});
+            context.outbox_.push_back(detach_target{sessions.index_.key(row)});
             remove_session(sessions, row);
         }
     }
@@ -111,23 +109,22 @@
 namespace
 {
 
-void keep_end(node& context, std::size_t row, task_report const& report)
+void keep_end(node& context, std::size_t row, task_key const& task)
 {
     target_id const& target = context.sessions_.index_.key(row);
-    auto const       record =
-        context.records_.index_.find(report.task_.job_);
-    bool const needed =
+    auto const       record = context.records_.index_.find(task.job_);
+    bool const       needed =
         record &&
         context.records_.spec_[*record]->kind_ != work_kind::service &&
         (context.records_.phase_[*record] == record_phase::recorded ||
          context.records_.phase_[*record] == record_phase::closing);
     if (needed)
     {
-        context.records_.ends_[*record].emplace_back(target, report.task_);
+        context.records_.ends_[*record].emplace_back(target, task);
     }
     else
     {
-        acknowledge_end(context, target, report.task_);
+        acknowledge_end(context, target, task);
     }
 }
 
@@ -141,77 +138,90 @@
     }
 }
 
-void take_running(node& context, std::size_t row, task_report const& report)
+void note(node& context, std::size_t row, decide::task_started const& input)
 {
-    target_id const& target = context.sessions_.index_.key(row);
-    context.sessions_.tasks_[row].insert(report.task_);
-    post_to_owner(context, row, decide::task_started{report.task_, target});
-    if (!report.usage_.is_zero())
-    {
-        post_to_owner(
-            context, row, decide::usage_reported{report.task_, report.usage_});
-    }
+    context.sessions_.tasks_[row].insert(input.task_);
+}
+
+void note(node& context, std::size_t row, decide::task_recovered const& input)
+{
+    context.sessions_.tasks_[row].insert(input.task_);
 }
 
-void take_ended(node& context, std::size_t row, task_report const& report)
+void note(node& context, std::size_t row, decide::task_ended const& input)
 {
     count(context, counter::tasks_ended);
-    context.sessions_.tasks_[row].erase(report.task_);
-    finish_task_span(context, report.task_);
-    post_to_owner(context, row,
-                  decide::task_ended{
-                      .task_ = report.task_,
-                      .target_ = context.sessions_.index_.key(row),
-                      .outcome_ = report.outcome_,
-                      .body_ = report.body_,
-                      .reason_ = report.reason_,
-                      .checkpointed_ = report.checkpointed_});
-    keep_end(context, row, report);
+    context.sessions_.tasks_[row].erase(input.task_);
+    finish_task_span(context, input.task_);
+    keep_end(context, row, input.task_);
 }
 
-void take_rejected(node& context, std::size_t row, task_report const& report)
+void note(node& context, std::size_t row, decide::task_rejected const& input)
 {
     count(context, counter::tasks_rejected);
-    context.sessions_.tasks_[row].erase(report.task_);
-    finish_task_span(context, report.task_);
-    post_to_owner(context, row,
-                  decide::task_rejected{report.task_,
-                                        context.sessions_.index_.key(row),
-                                        report.reason_});
-    keep_end(context, row, report);
+    context.sessions_.tasks_[row].erase(input.task_);
+    finish_task_span(context, input.task_);
+    keep_end(context, row, input.task_);
+}
+
+// Other events need no step of the session.
+template <typename Event>
+void note(node& /*context*/, std::size_t /*row*/, Event const& /*input*/)
+{
 }
 
-void take_task(node& context, std::size_t row, task_report const& report)
+void take_event(node& context, std::size_t row, decide::event const& input)
 {
-    using taker = void (*)(node&, std::size_t, task_report const&);
-    constexpr taker takers[] = {&take_running, &take_ended, &take_rejected};
-    takers[static_cast<std::size_t>(report.kind_)](context, row, report);
+    post_to_owner(context, row, input);
+    std::visit(
+        [&context, row](auto const& value)
+        {
+            note(context, row, value);
+        },
+        input);
 }
 
-// A start that the snapshot does not know was lost on the way. The target no
+// Keys of the tasks that a snapshot lists.
+std::set<task_key> list_tasks(std::vector<decide::event> const& events)
+{
+    std::set<task_key> found;
+    for (decide::event const& each : events)
+    {
+        std::visit(
+            [&found](auto const& value)
+            {
+                if constexpr (requires { value.task_; })
+                {
+                    found.insert(value.task_);
+                }
+            },
+            each);
+    }
+    return found;
+}
+
+// A start that the snapshot does not list was lost on the way. The target no
 // longer takes batches of the earlier link, so it can't arrive any more.
-void reject_missing(node&                  context,
-                    std::size_t            row,
+void reject_missing(node& context, std::size_t row,
                     target_reported const& input)
 {
-    std::set<task_key> missing = context.sessions_.tasks_[row];
-    for (task_report const& report : input.tasks_)
-    {
-        missing.erase(report.task_);
-    }
-    for (task_key const& task : missing)
+    std::set<task_key> const listed = list_tasks(input.events_);
+    std::set<task_key> const sent = context.sessions_.tasks_[row];
+    for (task_key const& task : sent)
     {
+        if (listed.contains(task))
+        {
+            continue;
+        }
         context.sessions_.tasks_[row].erase(task);
         finish_task_span(context, task);
-        post_to_owner(context, row,
-                      decide::task_rejected{
-                          task, input.target_, "the start was lost"});
+        post_to_owner(
+            context, row,
+            decide::task_rejected{task, input.target_, "the start was lost"});
     }
 }
 
-void take_snapshot(node&                  context,
-                   std::size_t            row,
-                   target_reported const& input)
+void take_snapshot(node& context, std::size_t row, target_reported const& input)
 {
     session_table& sessions = context.sessions_;
     bool const     restarted = sessions.incarnation_[row] != 0 &&
@@ -224,16 +234,6 @@
     sessions.phase_[row] = session_phase::attached;
     sessions.renew_deadline_[row] = context.now_;
     post_joined(context, row);
-    for (task_report const& report : input.tasks_)
-    {
-        if (report.spec_ != nullptr && report.kind_ != report_kind::rejected)
-        {
-            post_to_owner(context, row,
-                          decide::task_recovered{*report.spec_, report.task_,
-                                                 input.target_,
-                                                 report.reservation_});
-        }
-    }
     reject_missing(context, row, input);
     context.session_deadline_ = context.now_;
 }
@@ -251,9 +251,9 @@
     if (input.fenced_)
     {
         count(context, counter::batches_fenced);
-        state::post_event(*context.control_,
-                          state::shard_fenced{
-                              sessions.shard_[*row], input.epoch_});
+        state::post_event(
+            *context.control_,
+            state::shard_fenced{sessions.shard_[*row], input.epoch_});
         context.control_dirty_ = true;
         return;
     }
@@ -267,9 +267,9 @@
     {
         post_to_owner(context, *row, decide::target_leaving{input.target_});
     }
-    for (task_report const& report : input.tasks_)
+    for (decide::event const& each : input.events_)
     {
-        take_task(context, *row, report);
+        take_event(context, *row, each);
     }
 }
 
@@ -313,13 +313,12 @@
 {
     session_table&     sessions = context.sessions_;
     std::int64_t const lease = context.settings_.lease_micros_;
-    context.outbox_.push_back(
-        send_target{.target_ = sessions.index_.key(row),
-                    .echo_micros_ = sessions.clock_micros_[row],
-                    .lease_micros_ = lease,
-                    .orders_ = std::exchange(sessions.orders_[row], {}),
-                    .acknowledged_ends_ =
-                        std::exchange(sessions.acknowledged_[row], {})});
+    context.outbox_.push_back(send_target{
+        .target_ = sessions.index_.key(row),
+        .echo_micros_ = sessions.clock_micros_[row],
+        .lease_micros_ = lease,
+        .orders_ = std::exchange(sessions.orders_[row], {}),
+        .acknowledged_ends_ = std::exchange(sessions.acknowledged_[row], {})});
     sessions.lapse_deadline_[row] = sessions.heard_[row].after(lease);
     sessions.renew_deadline_[row] =
         context.now_.after(context.settings_.lease_renew_micros_);
@@ -342,9 +341,8 @@
     context.sessions_.orders_[*row].push_back(std::move(order));
 }
 
-void acknowledge_end(node&            context,
-                     target_id const& target,
-                     task_key const&  task)
+void acknowledge_end(node& context, target_id const& target,
+                     task_key const& task)
 {
     if (auto const row = context.sessions_.index_.find(target))
     {
@@ -361,12 +359,10 @@
 void connect_session(node& context, std::size_t row)
 {
     session_table& sessions = context.sessions_;
-    auto const     driver =
-        context.drivers_.index_.find(sessions.shard_[row]);
+    auto const     driver = context.drivers_.index_.find(sessions.shard_[row]);
     sessions.phase_[row] = session_phase::connecting;
     sessions.attachment_[row] = ++context.next_attachment_;
-    sessions.connect_deadline_[row] =
-        context.now_.after(4 * reconnect_micros);
+    sessions.connect_deadline_[row] = context.now_.after(4 * reconnect_micros);
     context.outbox_.push_back(
         attach_target{.target_ = sessions.index_.key(row),
                       .address_ = sessions.host_[row].address_,
@@ -382,8 +378,8 @@
     if (find_silence_deadline(context, row) <= context.now_)
     {
         context.outbox_.push_back(detach_target{sessions.index_.key(row)});
-        take_disconnect(context, {sessions.index_.key(row),
-                                  sessions.attachment_[row]});
+        take_disconnect(context,
+                        {sessions.index_.key(row), sessions.attachment_[row]});
         return;
     }
     if (sessions.renew_deadline_[row] <= context.now_)
@@ -411,9 +407,9 @@
 void check_session(node& context, std::size_t row)
 {
     using checker = void (*)(node&, std::size_t);
-    constexpr checker checkers[] = {
-        &check_connecting, &check_attached, &check_unreached};
-    session_table& sessions = context.sessions_;
+    constexpr checker checkers[] = {&check_connecting, &check_attached,
+                                    &check_unreached};
+    session_table&    sessions = context.sessions_;
     checkers[static_cast<std::size_t>(sessions.phase_[row])](context, row);
     if (sessions.phase_[row] != session_phase::attached &&
         sessions.lapse_deadline_[row] <= context.now_)
@@ -479,10 +475,9 @@
     for (std::size_t row = hosts.index_.size(); row-- > 0;)
     {
         listed_host const listed = hosts.host_[row];
-        auto const        session =
-            context.sessions_.index_.find(listed.target_);
-        bool const owned = context.drivers_.index_.contains(
-            find_shard_of(context, listed));
+        auto const session = context.sessions_.index_.find(listed.target_);
+        bool const owned =
+            context.drivers_.index_.contains(find_shard_of(context, listed));
         if (!session && owned)
         {
             open_session(context, row);
@@ -500,8 +495,8 @@
             continue;
         }
         // Off the list and all leases lapsed, unless the link still stands.
-        if (session && context.sessions_.phase_[*session] ==
-                           session_phase::attached)
+        if (session &&
+            context.sessions_.phase_[*session] == session_phase::attached)
         {
             continue;
         }
@@ -525,17 +520,15 @@
         for (std::size_t row = 0; row < context.sessions_.index_.size(); ++row)
         {
             check_session(context, row);
-            context.session_deadline_ =
-                std::min(context.session_deadline_,
-                         find_session_deadline(context, row));
+            context.session_deadline_ = std::min(
+                context.session_deadline_, find_session_deadline(context, row));
         }
         note_complete_shards(context);
     }
     for (target_id const& target : std::exchange(context.to_send_, {}))
     {
         auto const row = context.sessions_.index_.find(target);
-        if (row &&
-            context.sessions_.phase_[*row] == session_phase::attached)
+        if (row && context.sessions_.phase_[*row] == session_phase::attached)
         {
             send_batch(context, *row);
         }
--- a/entry/node_shards.cpp
+++ b/entry/node_shards.cpp
@@ -1,6 +1,7 @@
 // Purpose: which shard a target or a job belongs to, and which process takes
 // the work of a shard.
 #include "core/core.hpp"
+#include "decide/shard_load.hpp"
 #include "entry/node_tables.hpp"
 #include "state/config.hpp"
 
@@ -15,10 +16,7 @@
 constexpr char home_separator = '~';
 
 // True when the route changed.
-bool set_route(node&               context,
-               std::size_t         row,
-               host_id const&      host,
-               epoch               term,
+bool set_route(node& context, std::size_t row, host_id const& host, epoch term,
                shard_report const& load)
 {
     route_table& routes = context.routes_;
@@ -79,8 +77,8 @@
     {
         return set_route(context, row, host, term, load);
     }
-    return set_route(
-        context, row, host, term, report_own_shard(context, *driver));
+    return set_route(context, row, host, term,
+                     report_own_shard(context, *driver));
 }
 
 } // namespace
@@ -103,11 +101,15 @@
     std::vector<shard_id> const& all = context.routes_.index_.keys();
     std::string const            name = format_key(job);
     auto const                   weigh = [&name](shard_id const& shard)
-    { return compute_stable_hash(name + "@" + format_key(shard)); };
+    {
+        return compute_stable_hash(name + "@" + format_key(shard));
+    };
     std::vector<shard_id> order = all;
     std::sort(order.begin(), order.end(),
               [&weigh](shard_id const& a, shard_id const& b)
-              { return weigh(a) > weigh(b); });
+              {
+                  return weigh(a) > weigh(b);
+              });
     std::size_t const separator = job.job_.str().find(home_separator);
     if (separator != std::string::npos)
     {
@@ -152,7 +154,7 @@
     context.parked_ = 0;
     for (std::size_t row = 0; row < context.calls_.index_.size(); ++row)
     {
-        if (context.calls_.kind_[row] != call_kind::ticket)
+        if (context.calls_.kind_[row] != routed_call_kind::ticket)
         {
             context.to_route_.push_back(context.calls_.index_.key(row));
         }
--- a/entry/node_tables.hpp
+++ b/entry/node_tables.hpp
@@ -10,7 +10,6 @@
 
 #include "core/instant.hpp"
 #include "entry/answer_kind.hpp"
-#include "entry/call_table.hpp"
 #include "entry/command.hpp"
 #include "entry/counter.hpp"
 #include "entry/driver_table.hpp"
@@ -20,6 +19,7 @@
 #include "entry/peer_table.hpp"
 #include "entry/record_table.hpp"
 #include "entry/route_table.hpp"
+#include "entry/routed_call_table.hpp"
 #include "entry/session_table.hpp"
 #include "entry/settings.hpp"
 #include "entry/watcher.hpp"
@@ -62,7 +62,7 @@
     instant                              stop_deadline_ = instant::never();
 
     // Calls of local callers
-    call_table                 calls_;
+    routed_call_table          calls_;
     std::vector<std::uint64_t> to_route_;   // calls to send or send again
     std::uint64_t              parked_ = 0; // calls without an owner to ask
     std::unordered_map<std::uint64_t, state::ticket_progress> ticket_calls_;
--- a/entry/node_traces.cpp
+++ b/entry/node_traces.cpp
@@ -27,16 +27,14 @@
 {
     bool const        has_parent = parent.size() == traceparent_size;
     std::string const trace =
-        has_parent ? parent.substr(trace_id_begin, trace_id_size)
-                   : format_hex(context.random_()) +
-                         format_hex(context.random_());
+        has_parent
+            ? parent.substr(trace_id_begin, trace_id_size)
+            : format_hex(context.random_()) + format_hex(context.random_());
     return "00-" + trace + "-" + format_hex(context.random_()) + "-01";
 }
 
-void finish_span(node&            context,
-                 std::string_view name,
-                 open_span const& span,
-                 std::string      subject)
+void finish_span(node& context, std::string_view name, open_span const& span,
+                 std::string subject)
 {
     if (!context.settings_.trace_file_.empty())
     {
--- /dev/null
+++ b/entry/peer_service.hpp
@@ -0,0 +1,35 @@
+// Purpose: the server of streams from other entry processes.
+#ifndef FESCUEVANE_ENTRY_PEER_SERVICE_HPP
+#define FESCUEVANE_ENTRY_PEER_SERVICE_HPP
+
+#include "peer.grpc.pb.h"
+
+#include <memory>
+#include <string>
+
+namespace fescuevane::entry
+{
+
+class event_queue;
+
+class peer_service : public v1::Peer::CallbackService
+{
+public:
+    // Throws `link_error` when the address can't be listened on.
+    peer_service(std::string const&           address,
+                 std::shared_ptr<event_queue> events);
+    ~peer_service() override;
+    peer_service(peer_service const&) = delete;
+    peer_service& operator=(peer_service const&) = delete;
+
+    grpc::ServerBidiReactor<v1::PeerBatch, v1::PeerBatch>*
+    Exchange(grpc::CallbackServerContext* context) override;
+
+private:
+    std::shared_ptr<event_queue> const events_;
+    std::unique_ptr<grpc::Server>      server_;
+};
+
+} // namespace fescuevane::entry
+
+#endif
--- a/entry/call_kind.hpp
+++ b/entry/routed_call_kind.hpp
@@ -1,13 +1,13 @@
 // Purpose: what an open call waits for.
-#ifndef FESCUEVANE_ENTRY_CALL_KIND_HPP
-#define FESCUEVANE_ENTRY_CALL_KIND_HPP
+#ifndef FESCUEVANE_ENTRY_ROUTED_CALL_KIND_HPP
+#define FESCUEVANE_ENTRY_ROUTED_CALL_KIND_HPP
 
 #include <cstdint>
 
 namespace fescuevane::entry
 {
 
-enum class call_kind : std::uint8_t
+enum class routed_call_kind : std::uint8_t
 {
     submit,  // a caller's job
     lookup,  // the state of a job
--- a/entry/call_table.cpp
+++ b/entry/routed_call_table.cpp
@@ -1,15 +1,15 @@
 // Purpose: rows of the table of open calls.
-#include "entry/call_table.hpp"
+#include "entry/routed_call_table.hpp"
 
 #include <utility>
 
 namespace fescuevane::entry
 {
 
-std::size_t append_call(call_table& table, std::uint64_t call, call_kind kind,
-                        job_key const&                  job,
-                        std::shared_ptr<job_spec const> spec, instant opened,
-                        instant wait_deadline)
+std::size_t append_routed_call(routed_call_table& table, std::uint64_t call,
+                               routed_call_kind kind, job_key const& job,
+                               std::shared_ptr<job_spec const> spec,
+                               instant opened, instant wait_deadline)
 {
     std::size_t const row = table.index_.append(call);
     table.kind_.append(kind);
@@ -23,6 +23,7 @@
     table.may_be_known_.append(0);
     table.uncertain_.append(0);
     table.opened_.append(opened);
+    table.resend_deadline_.append(instant::never());
     table.wait_deadline_.append(wait_deadline);
     table.last_.append(nullptr);
     table.parent_.append({});
@@ -30,7 +31,7 @@
     return row;
 }
 
-void remove_call(call_table& table, std::size_t row)
+void remove_routed_call(routed_call_table& table, std::size_t row)
 {
     table.index_.remove_by_moving_last(row);
     table.kind_.remove_by_moving_last(row);
@@ -44,6 +45,7 @@
     table.may_be_known_.remove_by_moving_last(row);
     table.uncertain_.remove_by_moving_last(row);
     table.opened_.remove_by_moving_last(row);
+    table.resend_deadline_.remove_by_moving_last(row);
     table.wait_deadline_.remove_by_moving_last(row);
     table.last_.remove_by_moving_last(row);
     table.parent_.remove_by_moving_last(row);
--- a/entry/session_table.cpp
+++ b/entry/session_table.cpp
@@ -14,7 +14,8 @@
     table.attachment_.append(0);
     table.incarnation_.append(0);
     table.connect_deadline_.append(instant());
-    table.renew_deadline_.append(instant::never());    table.clock_micros_.append(0);
+    table.renew_deadline_.append(instant::never());
+    table.clock_micros_.append(0);
     table.heard_.append(instant());
     table.lapse_deadline_.append(instant::never());
     table.tasks_.append({});
@@ -32,7 +33,8 @@
     table.attachment_.remove_by_moving_last(row);
     table.incarnation_.remove_by_moving_last(row);
     table.connect_deadline_.remove_by_moving_last(row);
-    table.renew_deadline_.remove_by_moving_last(row);    table.clock_micros_.remove_by_moving_last(row);
+    table.renew_deadline_.remove_by_moving_last(row);
+    table.clock_micros_.remove_by_moving_last(row);
     table.heard_.remove_by_moving_last(row);
     table.lapse_deadline_.remove_by_moving_last(row);
     table.tasks_.remove_by_moving_last(row);
--- a/entry/target_reported.hpp
+++ b/entry/target_reported.hpp
@@ -3,7 +3,7 @@
 #define FESCUEVANE_ENTRY_TARGET_REPORTED_HPP
 
 #include "core/ids.hpp"
-#include "entry/task_report.hpp"
+#include "decide/event.hpp"
 
 #include <cstdint>
 #include <vector>
@@ -21,7 +21,7 @@
     bool const          fenced_ = false;   // our epoch is too low
     bool const          snapshot_ = false;
     bool const          leaving_ = false;
-    std::vector<task_report> const tasks_;
+    std::vector<decide::event> const events_; // of its tasks
 
     friend bool operator==(target_reported const&,
                            target_reported const&) = default;
