Schedule a shard with retries, allotments and drained domains

Cause: the scheduler only covers the path of one request.

Change: tables of teams and estimates, a timer queue, an index of free capacity, and systems that handle held jobs, allotments, drains and placement by a strategy of each kind of work. A team without a policy gets no starts, so the fixture sets one.

--- a/decide/scheduler.cpp
+++ b/decide/scheduler.cpp
@@ -39,9 +39,13 @@
 namespace
 {
 
-constexpr std::array<system_entry, 3> systems = {{
+constexpr std::array<system_entry, 7> systems = {{
     {"apply events", &apply_events},
     {"expire deadlines", &expire_deadlines},
+    {"release held jobs", &release_held_jobs},
+    {"update shares", &update_shares},
+    {"reclaim capacity", &reclaim_capacity},
+    {"drain targets", &drain_targets},
     {"place tasks", &place_tasks},
 }};
 
@@ -63,16 +67,8 @@
 
 instant next_deadline(scheduler const& context)
 {
-    instant earliest = instant::never();
-    for (std::size_t row = 0; row < context.jobs_.index_.size(); ++row)
-    {
-        job_state const state = context.jobs_.result_[row].state_;
-        instant const   due = is_final(state)
-                                  ? context.jobs_.keep_deadline_[row]
-                                  : context.jobs_.spec_[row]->start_deadline_;
-        earliest = std::min(earliest, due);
-    }
-    return earliest;
+    return context.place_needed_ ? context.now_
+                                 : find_earliest(context.timers_);
 }
 
 // 3. Queries
@@ -90,29 +86,45 @@
 
 shard_load summarize_load(scheduler const& context)
 {
-    resources     capacity;
-    resources     free;
-    std::uint64_t free_slots = 0;
-    for (std::size_t row = 0; row < context.targets_.index_.size(); ++row)
+    target_table const& targets = context.targets_;
+    resources           capacity;
+    resources           reserved;
+    std::uint64_t       free_slots = 0;
+    for (std::size_t row = 0; row < targets.index_.size(); ++row)
     {
-        capacity = capacity + context.targets_.capacity_[row];
-        free = free + context.targets_.free_[row];
-        free_slots += context.targets_.free_slots_[row];
+        if (takes_work(targets, row))
+        {
+            capacity = capacity + targets.capacity_[row];
+            reserved = reserved + targets.capacity_[row] - targets.free_[row];
+            free_slots += static_cast<std::uint64_t>(
+                std::max<std::int64_t>(targets.free_slots_[row], 0));
+        }
     }
-    auto const queued =
+    auto const waiting =
         std::count(context.tasks_.phase_.begin(), context.tasks_.phase_.end(),
                    task_phase::queued);
     return {.capacity_ = capacity,
-            .reserved_ = capacity - free,
-            .queued_tasks_ = static_cast<std::uint64_t>(queued),
+            .reserved_ = reserved,
+            .queued_tasks_ = static_cast<std::uint64_t>(waiting),
             .running_tasks_ = context.tasks_.index_.size() -
-                              static_cast<std::uint64_t>(queued),
+                              static_cast<std::uint64_t>(waiting),
             .free_slots_ = free_slots};
 }
 
-std::vector<team_load> list_team_loads(scheduler const& /*context*/)
+std::vector<team_load> list_team_loads(scheduler const& context)
 {
-    return {};
+    std::vector<team_load> loads;
+    team_table const&      teams = context.teams_;
+    for (std::size_t row = 0; row < teams.index_.size(); ++row)
+    {
+        resources const unproven = teams.allotment_[row]
+                                       ? context.targets_.total_charged_
+                                       : resources();
+        loads.push_back({.team_ = teams.index_.key(row),
+                         .used_ = teams.used_[row] + unproven,
+                         .waiting_ = teams.waiting_[row]});
+    }
+    return loads;
 }
 
 } // namespace fescuevane::decide
--- /dev/null
+++ b/decide/timer_queue.hpp
@@ -0,0 +1,31 @@
+// Purpose: deadlines of a shard, earliest first.
+#ifndef FESCUEVANE_DECIDE_TIMER_QUEUE_HPP
+#define FESCUEVANE_DECIDE_TIMER_QUEUE_HPP
+
+#include "decide/timer.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace fescuevane::decide
+{
+
+// A binary heap. Timers aren't withdrawn: whoever handles one checks that its
+// reason still holds. Timers of one instant keep the order of insertion.
+struct timer_queue
+{
+    std::vector<timer> heap_;
+    std::uint64_t      next_sequence_ = 0;
+};
+
+void add_timer(timer_queue& queue, instant due, timer_kind kind,
+               task_key const& task, target_id const& target = {});
+
+// Removes and returns the earliest timer that is due at `now`.
+std::optional<timer> take_due_timer(timer_queue& queue, instant now);
+instant              find_earliest(timer_queue const& queue);
+
+} // namespace fescuevane::decide
+
+#endif
--- a/tests/unit/decide_fixture.hpp
+++ b/tests/unit/decide_fixture.hpp
@@ -20,6 +20,16 @@
     instant              now_ = instant(micros_per_second);
     std::vector<command> commands_;
 
+    // A team without a policy gets no starts, so the usual ones have one.
+    decide_fixture() { set_policy(true); }
+
+    void set_policy(bool domain_in_service)
+    {
+        post(policy_set{
+            {{.team_ = team_id("team-1")}, {.team_ = team_id("team-2")}},
+            domain_in_service});
+    }
+
     void post(event input) { post_event(*scheduler_, std::move(input)); }
 
     void tick()
