--- a/ctl/api_call.cpp
+++ b/ctl/api_call.cpp
@@ -89,7 +89,7 @@
 std::string escape_path(std::string const& text)
 {
     char* const escaped = g_uri_escape_string(text.c_str(), nullptr, FALSE);
-    std::string const result = escaped;
+    std::string result = escaped;
     g_free(escaped);
     return result;
 }
--- a/ctl/command_entry.hpp
+++ b/ctl/command_entry.hpp
@@ -7,7 +7,7 @@
 #include <span>
 #include <string_view>
 
-namespace CLI
+namespace CLI // NOLINT(readability-identifier-naming): name of CLI11
 {
 class App;
 }
--- a/ctl/read_file.cpp
+++ b/ctl/read_file.cpp
@@ -24,7 +24,7 @@
 {
     try
     {
-        json const value = json::parse(read_file(path));
+        json value = json::parse(read_file(path));
         if (!value.is_object())
         {
             throw ctl_error(exit_code::usage, path + ": not a JSON object");
--- a/tests/unit/ctl_ticket_test.cpp
+++ b/tests/unit/ctl_ticket_test.cpp
@@ -50,7 +50,7 @@
     CHECK(run({"return", "amman-b"}) == 0);
     json const ticket = json::parse(calls_.at(1).body_);
     CHECK(ticket.at("failure_domains")[0].at("in_service") == true);
-    CHECK(output_.str().find("8") != std::string::npos);
+    CHECK(output_.str().find('8') != std::string::npos);
 }
 
 // Guards against a drain that is lost in a race of two operators.
