Answer unrecovered non-idempotent work as unknown

Change: its outcome is told as unknown. Callers of the scheduler can read a job's specification, to compare a repeated submission before it is told to others. Unit tests of core, decide, wire and ctl passed.

--- a/decide/apply_job_events.cpp
+++ b/decide/apply_job_events.cpp
@@ -74,7 +74,7 @@
         context.outbox_.push_back(
             job_changed{{.key_ = input.spec_.key_,
                          .state_ = job_state::not_run,
-                         .reason_ = "id used with other content"}});
+                         .reason_ = reason_other_content}});
         return;
     }
     if (context.jobs_.complete_[job] == 0)
--- a/decide/decide.hpp
+++ b/decide/decide.hpp
@@ -24,6 +24,7 @@
 {
 struct job_key;
 struct job_result;
+struct job_spec;
 } // namespace fescuevane
 
 namespace fescuevane::decide
@@ -53,10 +54,13 @@
 instant next_deadline(scheduler const& context); // next tick without events
 
 // 4. Queries
-std::optional<job_result> find_result(scheduler const& context,
-                                      job_key const&   job);
-shard_load                summarize_load(scheduler const& context);
-std::vector<team_load>    list_team_loads(scheduler const& context);
+// The specification of a job that the scheduler knows, else null.
+std::shared_ptr<job_spec const> find_spec(scheduler const& context,
+                                          job_key const&   job);
+std::optional<job_result>       find_result(scheduler const& context,
+                                            job_key const&   job);
+shard_load                      summarize_load(scheduler const& context);
+std::vector<team_load>          list_team_loads(scheduler const& context);
 
 } // namespace fescuevane::decide
 
--- a/decide/job_flow.hpp
+++ b/decide/job_flow.hpp
@@ -5,6 +5,7 @@
 #include "core/ids.hpp"
 #include "core/job_spec.hpp"
 #include "core/work_kind.hpp"
+#include "decide/reasons.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -22,10 +23,6 @@
 
 struct scheduler;
 
-// Reasons that callers may compare with.
-constexpr std::string_view reason_canceled = "canceled";
-constexpr std::string_view reason_domain_out = "failure domain out of service";
-
 // How one task of a job came to its end.
 struct task_close
 {
--- a/decide/release_held_jobs.cpp
+++ b/decide/release_held_jobs.cpp
@@ -13,8 +13,9 @@
 namespace
 {
 
-// A non-idempotent job starts only once. When a target was lost before it was
-// ever reached, the job may have run there, so "not run" can't be claimed.
+// A non-idempotent job starts only once. One that is found nowhere may have run
+// on a target that has restarted or left the fleet since, so "not run" can't be
+// claimed.
 void release_non_idempotent(scheduler& context, std::size_t job)
 {
     auto const& attempts = context.jobs_.attempts_[job];
@@ -26,14 +27,7 @@
         context.jobs_.open_tasks_[job] -= missing;
         return;
     }
-    if (context.unseen_lost_)
-    {
-        tell_unknown(context, job, "a target was lost before it was reached");
-        return;
-    }
-    refuse_job(context, context.jobs_.index_.key(job),
-               "not found on any target after a takeover",
-               context.settings_.retry_after_micros_);
+    tell_unknown(context, job, "not found on any target after a takeover");
 }
 
 // Tasks in flight end the job; otherwise nothing of it was found.
--- a/decide/scheduler.cpp
+++ b/decide/scheduler.cpp
@@ -73,6 +73,13 @@
 
 // 3. Queries
 
+std::shared_ptr<job_spec const> find_spec(scheduler const& context,
+                                          job_key const&   job)
+{
+    auto const row = context.jobs_.index_.find(job);
+    return row ? context.jobs_.spec_[*row] : nullptr;
+}
+
 std::optional<job_result> find_result(scheduler const& context,
                                       job_key const&   job)
 {
