--- a/state/job_record.hpp
+++ b/state/job_record.hpp
@@ -11,13 +11,14 @@
 namespace fescuevane::state
 {
 
-// The specification is written when the job is accepted; the result replaces
-// it when the job has ended. A row is removed when the result is no longer
-// kept.
+// Specification without result: the job was accepted. Both: it has ended, and
+// the row is overwritten. Result without specification: the result is no
+// longer kept, and the row of the result's key is removed. One of the two is
+// set. Start deadlines are stored as remaining time.
 struct job_record
 {
     shard_id const                          shard_;
-    std::shared_ptr<job_spec const> const   spec_;
+    std::shared_ptr<job_spec const> const   spec_;   // null: remove the row
     std::shared_ptr<job_result const> const result_; // null: not ended
 
     friend bool operator==(job_record const& a, job_record const& b)
--- a/state/load_noted.hpp
+++ b/state/load_noted.hpp
@@ -11,6 +11,9 @@
 namespace fescuevane::state
 {
 
+// Posted on changes and after each `allotments_changed`, once the scheduler of
+// the shard has applied it: parts of a limit are given back only when the
+// usage noted after a reduction is within it.
 struct load_noted
 {
     shard_id const                 shard_;
--- a/state/state.hpp
+++ b/state/state.hpp
@@ -65,12 +65,25 @@
 // place and what was expected.
 class ticket_error;
 
-std::string hash_key(std::string_view key); // as stored in team_config
-config      apply_ticket(config const& base, std::string_view text);
+// As stored in team_config: 128 bits of xxHash, in hexadecimal. It isn't a
+// cryptographic hash: whoever reads the rows can test guessed keys at full
+// speed, so keys must be long random strings (32 characters or more).
+std::string hash_key(std::string_view key);
+
+// The ticket's number must be that of `base` plus 1. An entry replaces the
+// whole state of its team, failure domain or service; left out are: "keys", no
+// key; "share", 1; "limit", no limit; "on_cut_off", "serve"; "open", false;
+// "teams" of a service, all teams. Throws `ticket_error`.
+config apply_ticket(config const& base, std::string_view text);
+
+// Restrictions of `committed` over `accepted`: what either of them forbids.
 config      restrict_config(config const& accepted, config const& committed);
-std::string write_config(config const& value); // JSON, no keys
-bool        accepts_key(config const& value, team_id const& team,
-                        service_id const& service, std::string_view key);
+std::string write_config(config const& value); // JSON, key hashes for keys
+
+// True when `key` admits work of `team` to `service`. Open services need no
+// key; a service that isn't configured takes no work.
+bool accepts_key(config const& value, team_id const& team,
+                 service_id const& service, std::string_view key);
 
 } // namespace fescuevane::state
 
