--- a/ctl/job_commands.cpp
+++ b/ctl/job_commands.cpp
@@ -3,14 +3,13 @@
 #include "ctl/api_call.hpp"
 #include "ctl/commands.hpp"
 #include "ctl/context.hpp"
+#include "ctl/ctl_error.hpp"
 #include "ctl/fields.hpp"
 #include "ctl/job_body.hpp"
 #include "ctl/options.hpp"
 #include "ctl/printer.hpp"
 #include "ctl/random_id.hpp"
 
-#include <ostream>
-
 namespace fescuevane::ctl
 {
 namespace
@@ -79,6 +78,18 @@
     return rate_status(reply.status_);
 }
 
+exit_code submit_body(context& context, std::string const& id,
+                      std::string const& body)
+{
+    api_reply const reply = call_api(
+        context, {.method_ = "POST", .path_ = "/v1/jobs", .body_ = body});
+    if (context.options_.wait_ && !has_ended(reply))
+    {
+        return follow_job(context, id);
+    }
+    return report_job(context, reply);
+}
+
 } // namespace
 
 exit_code submit_job(context& context)
@@ -86,20 +97,18 @@
     options const&    values = context.options_;
     std::string const id =
         values.ids_.empty() ? make_job_id() : values.ids_.front();
-    // The id comes first, so that a job whose reply is lost can be looked up.
-    if (values.verbose_)
+    std::string const body = build_job_body(values, id);
+    try
     {
-        context.errors_ << "job " << id << '\n';
+        return submit_body(context, id, body);
     }
-    api_reply const reply =
-        call_api(context, {.method_ = "POST",
-                           .path_ = "/v1/jobs",
-                           .body_ = build_job_body(values, id)});
-    if (values.wait_ && !has_ended(reply))
+    catch (ctl_error const& error)
     {
-        return follow_job(context, id);
+        // The job may run although its reply is lost; its id, which may have
+        // been made here, is the only way to look it up.
+        throw ctl_error(error.code(),
+                        std::string(error.what()) + "; job id " + id);
     }
-    return report_job(context, reply);
 }
 
 exit_code wait_for_job(context& context)
--- a/tests/unit/ctl_calls_test.cpp
+++ b/tests/unit/ctl_calls_test.cpp
@@ -24,6 +24,15 @@
     CHECK(first != second);
 }
 
+// Guards against a job that can't be looked up after its reply was lost.
+TEST_CASE_FIXTURE(ctl_fixture, "submit, reply can't be read, tells the id")
+{
+    replies_ = {{200, "cut o"}};
+    CHECK(run({"submit", "--service", "s"}) == 4);
+    auto const id = json::parse(calls_.at(0).body_).at("id");
+    CHECK(errors_.str().find(id.get<std::string>()) != std::string::npos);
+}
+
 // Guards against job fields that don't reach the server, and against defaults
 // that override those of the server.
 TEST_CASE_FIXTURE(ctl_fixture, "submit, some fields given, sends only those")
