Pass over queue entries without room at low cost

Cause: a full shard with long queues looked up the job of every entry that it tried, and timers of one burst came due in one tick.

Change: queue entries carry what decides whether they may fit, the timer heap holds references, and timers handled in a tick are bounded.

Ran: decide_tests pass.

--- a/decide/expire_deadlines.cpp
+++ b/decide/expire_deadlines.cpp
@@ -118,8 +118,11 @@
     std::string const obstacle = find_obstacle(context, *job);
     if (obstacle.empty())
     {
-        add_timer(context.timers_,
-                  context.now_.after(context.settings_.infeasible_hold_micros_),
+        // Spread, so that jobs of one burst don't share later ticks as well.
+        std::int64_t const hold = context.settings_.infeasible_hold_micros_;
+        auto const         part =
+            static_cast<std::int64_t>(context.timers_.next_sequence_ % 64);
+        add_timer(context.timers_, context.now_.after(hold + hold * part / 64),
                   timer_kind::feasibility, due.task_);
         return;
     }
@@ -191,8 +194,13 @@
 
 void expire_deadlines(scheduler& context)
 {
-    while (auto const due = take_due_timer(context.timers_, context.now_))
+    for (std::uint32_t i = 0; i < context.settings_.tick_timers_; ++i)
     {
+        auto const due = take_due_timer(context.timers_, context.now_);
+        if (!due)
+        {
+            return;
+        }
         handlers[static_cast<std::size_t>(due->kind_)](context, *due);
     }
 }
--- a/decide/place_tasks.cpp
+++ b/decide/place_tasks.cpp
@@ -13,7 +13,9 @@
 #include "decide/task_flow.hpp"
 
 #include <algorithm>
+#include <array>
 #include <functional>
+#include <iterator>
 #include <optional>
 #include <queue>
 #include <utility>
@@ -55,11 +57,11 @@
 // What a start reserves: what the class was seen to need, or what is declared
 // while too little is known. A learnt amount that fits no target or allotment
 // gives way to the declared one.
-resources compute_reservation(scheduler const& context, std::size_t job)
+resources compute_reservation(scheduler const& context, std::size_t team,
+                              queue_entry const& entry)
 {
-    resources const  demand = context.jobs_.spec_[job]->demand_;
-    resources const& learnt =
-        context.estimates_.usage_quantile_[context.jobs_.class_[job]];
+    resources const  demand = entry.demand_;
+    resources const& learnt = context.estimates_.usage_quantile_[entry.class_];
     if (learnt.is_zero())
     {
         return demand;
@@ -68,8 +70,8 @@
     resources const    amount(learnt.cpu_millis() * margin / 100,
                               learnt.memory_mib() * margin / 100,
                               demand.accelerators());
-    auto const& allotment = context.teams_.allotment_[context.jobs_.team_[job]];
-    bool const  fits = context.targets_.capacities_.find_fit(amount, 0) &&
+    auto const&        allotment = context.teams_.allotment_[team];
+    bool const fits = context.targets_.capacities_.find_fit(amount, 0) &&
                       (!allotment || amount.fits_in(*allotment));
     return fits ? amount : demand;
 }
@@ -194,17 +196,31 @@
                        });
 }
 
+// Keeps the smallest amounts, which rule out the most.
+void note_too_large(placement_round& round, resources const& amount)
+{
+    std::erase_if(round.too_large_,
+                  [&amount](resources const& other)
+                  {
+                      return amount.fits_in(other);
+                  });
+    if (round.too_large_.size() < too_large_kept)
+    {
+        round.too_large_.push_back(amount);
+    }
+}
+
 attempt_result place_single(scheduler& context, placement_round& round,
                             placement_policy const& policy, std::size_t job,
-                            task_key const& key, resources const& amount)
+                            task_key const key, resources const& amount)
 {
     std::optional<std::size_t> target;
     if (!is_too_large(round, amount))
     {
         target = choose_target(context, policy, job, key, amount);
-        if (!target && round.too_large_.size() < too_large_kept)
+        if (!target)
         {
-            round.too_large_.push_back(amount);
+            note_too_large(round, amount);
         }
     }
     if (!target && policy.backfills_)
@@ -285,25 +301,30 @@
 }
 
 attempt_result place_entry(scheduler& context, placement_round& round,
-                           std::size_t team, task_key const& key)
+                           std::size_t team, work_kind kind,
+                           queue_entry const& entry)
 {
-    std::size_t const       job = *context.jobs_.index_.find(key.job_);
-    job_spec const&         spec = *context.jobs_.spec_[job];
-    placement_policy const& policy = find_policy(spec.kind_);
-    resources const         amount = compute_reservation(context, job);
-    resources const whole = amount * (policy.whole_job_ ? spec.task_count_ : 1);
+    placement_policy const& policy = find_policy(kind);
+    resources const         amount = compute_reservation(context, team, entry);
+    resources const         whole = amount * entry.task_count_;
+    bool const may_backfill = policy.backfills_ && context.reservation_.active_;
     if (!fits_allotment(context, team, whole))
     {
         return attempt_result::not_allowed;
     }
+    if (!policy.whole_job_ && !may_backfill && is_too_large(round, amount))
+    {
+        return attempt_result::no_room;
+    }
     if (!fits_ramp(context, whole))
     {
         round.ramp_waits_ = true;
         return attempt_result::not_allowed;
     }
+    std::size_t const job = *context.jobs_.index_.find(entry.task_.job_);
     return policy.whole_job_
-               ? place_gang(context, round, policy, job, key, amount)
-               : place_single(context, round, policy, job, key, amount);
+               ? place_gang(context, round, policy, job, entry.task_, amount)
+               : place_single(context, round, policy, job, entry.task_, amount);
 }
 
 } // namespace
@@ -323,8 +344,14 @@
     attempt_result result = attempt_result::not_allowed;
     for (auto entry = queue.begin(); entry != queue.end() && left > 0; --left)
     {
-        task_key const key = (entry++)->task_;
-        auto const     tried = place_entry(context, round, team, key);
+        // A placement removes the entry from the queue.
+        auto const next = std::next(entry);
+        bool const late =
+            kind == work_kind::request && entry->deadline_ <= context.now_;
+        auto const tried =
+            late ? attempt_result::not_allowed
+                 : place_entry(context, round, team, kind, *entry);
+        entry = next;
         if (tried == attempt_result::placed)
         {
             return tried;
--- a/decide/placement_policy.cpp
+++ b/decide/placement_policy.cpp
@@ -7,7 +7,6 @@
 #include "decide/placement_policy.hpp"
 
 #include "core/hashing.hpp"
-#include "core/names.hpp"
 #include "decide/scheduler.hpp"
 #include "decide/shares.hpp"
 #include "decide/task_flow.hpp"
@@ -27,8 +26,11 @@
 // from task to task.
 std::size_t find_hashed_row(scheduler const& context, task_key const& task)
 {
-    return compute_stable_hash(format_key(task), context.settings_.seed_) %
-           std::max<std::size_t>(context.targets_.index_.size(), 1);
+    std::uint64_t const team =
+        compute_stable_hash(task.job_.team_.str(), context.settings_.seed_);
+    std::uint64_t const job = compute_stable_hash(
+        task.job_.job_.str(), team + task.index_ + task.attempt_);
+    return job % std::max<std::size_t>(context.targets_.index_.size(), 1);
 }
 
 // Packed work fills targets from the first one on.
--- a/decide/settings.hpp
+++ b/decide/settings.hpp
@@ -16,6 +16,7 @@
 
     // Ticks
     std::uint32_t tick_starts_ = 256; // more wait for the next tick
+    std::uint32_t tick_timers_ = 256; // same, of timers that are due
 
     // Retries
     std::uint32_t retry_percent_ = 10;          // of fresh starts
--- a/decide/task_flow.cpp
+++ b/decide/task_flow.cpp
@@ -35,12 +35,18 @@
                        std::size_t task)
 {
     job_spec const& spec = *context.jobs_.spec_[job];
+    bool const      gang = spec.kind_ == work_kind::gang;
     task_key        key = context.tasks_.index_.key(task);
-    if (spec.kind_ == work_kind::gang)
+    if (gang)
     {
         key = {key.job_, 0, context.jobs_.attempts_[job][0]};
     }
-    return {spec.start_deadline_, context.tasks_.sequence_[task], key};
+    return {.deadline_ = spec.start_deadline_,
+            .sequence_ = context.tasks_.sequence_[task],
+            .task_ = key,
+            .demand_ = spec.demand_,
+            .class_ = context.jobs_.class_[job],
+            .task_count_ = gang ? spec.task_count_ : 1};
 }
 
 void count_queued(scheduler& context, std::size_t job, std::size_t task,
--- a/decide/timer.hpp
+++ b/decide/timer.hpp
@@ -3,7 +3,6 @@
 #define FESCUEVANE_DECIDE_TIMER_HPP
 
 #include "core/ids.hpp"
-#include "core/instant.hpp"
 #include "core/task_key.hpp"
 
 #include <cstddef>
@@ -28,11 +27,9 @@
 
 struct timer
 {
-    instant       due_;
-    std::uint64_t sequence_ = 0; // order among timers of one instant
-    timer_kind    kind_ = timer_kind::wake;
-    task_key      task_;   // or its job alone
-    target_id     target_; // when about a target
+    timer_kind kind_ = timer_kind::wake;
+    task_key   task_;   // or its job alone
+    target_id  target_; // when about a target
 
     friend auto operator<=>(timer const&, timer const&) = default;
 };
--- a/decide/timer_queue.cpp
+++ b/decide/timer_queue.cpp
@@ -15,7 +15,18 @@
     {
         return;
     }
-    queue.heap_.push_back({due, queue.next_sequence_++, kind, task, target});
+    std::uint32_t slot = static_cast<std::uint32_t>(queue.slots_.size());
+    if (queue.free_slots_.empty())
+    {
+        queue.slots_.push_back({kind, task, target});
+    }
+    else
+    {
+        slot = queue.free_slots_.back();
+        queue.free_slots_.pop_back();
+        queue.slots_[slot] = {kind, task, target};
+    }
+    queue.heap_.push_back({due, queue.next_sequence_++, slot});
     std::push_heap(queue.heap_.begin(), queue.heap_.end(), std::greater<>());
 }
 
@@ -26,9 +37,10 @@
         return std::nullopt;
     }
     std::pop_heap(queue.heap_.begin(), queue.heap_.end(), std::greater<>());
-    timer due = std::move(queue.heap_.back());
+    std::uint32_t const slot = queue.heap_.back().slot_;
     queue.heap_.pop_back();
-    return due;
+    queue.free_slots_.push_back(slot);
+    return std::move(queue.slots_[slot]);
 }
 
 instant find_earliest(timer_queue const& queue)
--- a/decide/timer_queue.hpp
+++ b/decide/timer_queue.hpp
@@ -2,7 +2,9 @@
 #ifndef FESCUEVANE_DECIDE_TIMER_QUEUE_HPP
 #define FESCUEVANE_DECIDE_TIMER_QUEUE_HPP
 
+#include "core/instant.hpp"
 #include "decide/timer.hpp"
+#include "decide/timer_reference.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -11,12 +13,15 @@
 namespace fescuevane::decide
 {
 
-// A binary heap. Timers aren't withdrawn: whoever handles one checks that its
-// reason still holds. Timers of one instant keep the order of insertion.
+// A binary heap of references into slots, since timers are large to move.
+// Timers aren't withdrawn: whoever handles one checks that its reason still
+// holds. Timers of one instant keep the order of insertion.
 struct timer_queue
 {
-    std::vector<timer> heap_;
-    std::uint64_t      next_sequence_ = 0;
+    std::vector<timer_reference> heap_;
+    std::vector<timer>           slots_;
+    std::vector<std::uint32_t>   free_slots_;
+    std::uint64_t                next_sequence_ = 0;
 };
 
 void add_timer(timer_queue& queue, instant due, timer_kind kind,
