--- /dev/null
+++ b/entry/main.cpp
@@ -0,0 +1,74 @@
+// Purpose: main function of fescuevane, the entry process.
+#include "entry/front_error.hpp"
+#include "entry/link_error.hpp"
+#include "entry/process.hpp"
+#include "entry/settings.hpp"
+#include "entry/settings_error.hpp"
+#include "entry/settings_file.hpp"
+
+#include <CLI/CLI.hpp>
+#include <glib.h>
+#include <iostream>
+#include <string>
+
+namespace
+{
+
+constexpr int exit_settings = 2; // the settings are not usable
+constexpr int exit_failure = 1;  // the process can't start
+
+int run(std::string const& file, bool check_only)
+{
+    using namespace fescuevane::entry;
+    settings values = load_settings(file);
+    if (check_only)
+    {
+        std::cout << print_settings(values);
+        return 0;
+    }
+    // New at each start, so that no commit id of an earlier process recurs.
+    values.state_.incarnation_ =
+        static_cast<std::uint64_t>(g_get_real_time());
+    process entry(values);
+    entry.run();
+    return 0;
+}
+
+} // namespace
+
+int main(int count, char** values)
+{
+    CLI::App    app("fescuevane, an entry process of the cluster scheduler");
+    std::string file;
+    bool        check_only = false;
+    app.add_option("--settings", file, "YAML file of settings")
+        ->required()
+        ->type_name("FILE");
+    app.add_flag("--check", check_only,
+                 "check the settings, print them in full and exit");
+    app.set_version_flag("--version", FESCUEVANE_VERSION);
+    app.footer("Exit status: 0 after a graceful stop, 1 when the process can't "
+               "start,\n2 for wrong options or settings.");
+    try
+    {
+        app.parse(count, values);
+    }
+    catch (CLI::ParseError const& error)
+    {
+        return app.exit(error) == 0 ? 0 : exit_settings;
+    }
+    try
+    {
+        return run(file, check_only);
+    }
+    catch (fescuevane::entry::settings_error const& error)
+    {
+        std::cerr << error.what() << '\n';
+        return exit_settings;
+    }
+    catch (std::exception const& error)
+    {
+        std::cerr << "fescuevane: " << error.what() << '\n';
+        return exit_failure;
+    }
+}
