--- a/tests/stand_ins/row_table.cpp
+++ b/tests/stand_ins/row_table.cpp
@@ -105,7 +105,7 @@
             write_row(table, write);
         }
     }
-    state::commit_ended const result{.applied_ = applied,
+    state::commit_ended result{.applied_ = applied,
                                      .revision_ = applied ? table.revision_ : 0,
                                      .conflicting_keys_ = std::move(conflicts)};
     table.commits_.emplace(commit.commit_id_, result);
