--- a/state/control.hpp
+++ b/state/control.hpp
@@ -57,7 +57,8 @@
     store_client    store_;
 
     // Configuration
-    std::shared_ptr<config const> accepted_ = std::make_shared<config const>();
+    std::shared_ptr<config const> accepted_ =
+        std::make_shared<config const>(config{});
     std::shared_ptr<config const> committed_ = accepted_; // by known tickets
     std::shared_ptr<config const> effective_ = accepted_;
     instant foreign_contact_; // last heartbeat of another domain's host
