--- a/ctl/check_settings.cpp
+++ b/ctl/check_settings.cpp
@@ -1,21 +1,17 @@
 // Purpose: the check of a settings file by the loader of the entry package.
-// Builds without that package report that the check is missing.
 #include "ctl/commands.hpp"
 #include "ctl/context.hpp"
 #include "ctl/ctl_error.hpp"
 #include "ctl/options.hpp"
-
-#ifdef FESCUEVANE_WITH_SETTINGS_FILE
-#    include "entry/settings_file.hpp"
-#endif
+#include "entry/settings.hpp"
+#include "entry/settings_error.hpp"
+#include "entry/settings_file.hpp"
 
 #include <ostream>
 
 namespace fescuevane::ctl
 {
 
-#ifdef FESCUEVANE_WITH_SETTINGS_FILE
-
 exit_code check_settings(context& context)
 {
     try
@@ -30,14 +26,4 @@
     return exit_code::done;
 }
 
-#else
-
-exit_code check_settings(context& /*context*/)
-{
-    throw ctl_error(exit_code::usage,
-                    "this build has no loader of settings files");
-}
-
-#endif
-
 } // namespace fescuevane::ctl
--- a/entry/process.cpp
+++ b/entry/process.cpp
@@ -10,13 +10,13 @@
 #include "entry/channel.hpp"
 #include "entry/event_queue.hpp"
 #include "entry/http_front.hpp"
+#include "entry/logging.hpp"
 #include "entry/node.hpp"
 #include "entry/peer_link.hpp"
 #include "entry/peer_service.hpp"
 #include "entry/platform_link.hpp"
-#include "entry/state_log.hpp"
 #include "entry/target_link.hpp"
-#include "entry/trace_writer.hpp"
+#include "entry/tracing.hpp"
 #include "state/config.hpp"
 #include "state/state.hpp"
 
@@ -139,8 +139,9 @@
             g_source_set_ready_time(source, 0);
         });
 
-    log_ = std::make_unique<state_log>(values);
-    traces_ = std::make_unique<trace_writer>(values);
+    log_ = std::make_unique<state_logger>(make_state_logger(values));
+    traces_ = std::make_unique<span_tracer>(values.trace_file_,
+                                            values.state_.host_.str());
     platform_ = std::make_unique<platform_link>(
         values.platform_address_, values.store_timeout_micros_, events_);
     peers_ = std::make_unique<peer_link>(values, events_);
@@ -172,11 +173,13 @@
         static_cast<guint>(settings_.host_list_micros_ / micros_per_milli),
         &process::on_host_list, this);
     platform_->list_hosts();
-    log_->write("started", settings_.state_.host_.str() + " in " +
-                               settings_.state_.domain_.str());
+    log_state_change(*log_, "started",
+                     {{"host", settings_.state_.host_.str()},
+                      {"failure_domain", settings_.state_.domain_.str()}});
     arm_tick();
     g_main_loop_run(loop_);
-    log_->write("stopped", settings_.state_.host_.str());
+    log_state_change(*log_, "stopped",
+                     {{"host", settings_.state_.host_.str()}});
 }
 
 // 2. Ticks
@@ -267,11 +270,12 @@
         }
         void operator()(state_noted const& value) const
         {
-            self_.log_->write(value.event_, value.detail_);
+            log_state_change(*self_.log_, value.event_,
+                             {{"subject", value.detail_}});
         }
         void operator()(span_finished const& value) const
         {
-            self_.traces_->write(value);
+            self_.traces_->record_span(value);
         }
     };
     std::visit(visitor{*this}, order);
--- a/entry/process.hpp
+++ b/entry/process.hpp
@@ -4,6 +4,7 @@
 #define FESCUEVANE_ENTRY_PROCESS_HPP
 
 #include "entry/command.hpp"
+#include "entry/node.hpp"
 #include "entry/settings.hpp"
 
 #include <glib.h>
@@ -20,11 +21,9 @@
 class peer_link;
 class peer_service;
 class platform_link;
-class state_log;
 class target_link;
-class trace_writer;
-struct node;
-struct node_deleter;
+class span_tracer;
+struct state_logger;
 
 // Runs on the default main context. Links push events from their own threads;
 // everything else happens in ticks of the node on the main loop.
@@ -51,7 +50,7 @@
     static gboolean on_host_list(gpointer self);
 
     settings const                      settings_;
-    std::unique_ptr<node, node_deleter> node_;
+    node_ptr                            node_;
     GSource*                            tick_source_ = nullptr;
     GMainLoop*                          loop_ = nullptr;
     std::shared_ptr<event_queue>        events_;
@@ -60,8 +59,8 @@
     std::unique_ptr<target_link>        targets_;
     std::unique_ptr<peer_service>       service_;
     std::unique_ptr<http_front>         front_;
-    std::unique_ptr<state_log>          log_;
-    std::unique_ptr<trace_writer>       traces_;
+    std::unique_ptr<state_logger>          log_;
+    std::unique_ptr<span_tracer>       traces_;
     std::vector<command>                commands_;
 };
 
