--- a/tests/stand_ins/link_relay.cpp
+++ b/tests/stand_ins/link_relay.cpp
@@ -50,7 +50,7 @@
 
 std::string take_message(GError* error)
 {
-    std::string const message = error->message;
+    std::string message = error->message;
     g_error_free(error);
     return message;
 }
--- a/tests/stand_ins/relay_control.cpp
+++ b/tests/stand_ins/relay_control.cpp
@@ -52,7 +52,7 @@
         g_data_input_stream_new(g_io_stream_get_input_stream(connection)));
     char* const answer =
         g_data_input_stream_read_line(input.get(), nullptr, nullptr, nullptr);
-    std::string const text = answer == nullptr ? "error no reply" : answer;
+    std::string text = answer == nullptr ? "error no reply" : answer;
     g_free(answer);
     return text;
 }
--- a/tests/stand_ins/row_table.cpp
+++ b/tests/stand_ins/row_table.cpp
@@ -106,8 +106,8 @@
         }
     }
     state::commit_ended result{.applied_ = applied,
-                                     .revision_ = applied ? table.revision_ : 0,
-                                     .conflicting_keys_ = std::move(conflicts)};
+                               .revision_ = applied ? table.revision_ : 0,
+                               .conflicting_keys_ = std::move(conflicts)};
     table.commits_.emplace(commit.commit_id_, result);
     return result;
 }
--- a/tests/unit/wire_target_test.cpp
+++ b/tests/unit/wire_target_test.cpp
@@ -124,10 +124,10 @@
     CHECK(rc::check(
         [this]
         {
-            decide::start_task const start{
-                make_task(), target_,
-                std::make_shared<job_spec const>(make_spec()),
-                make_resources()};
+            auto const     spec = std::make_shared<job_spec const>(make_spec());
+            task_key const task{spec->key_, spec->task_count_ - 1, 2};
+            decide::start_task const    start{task, target_, spec,
+                                           make_resources()};
             decide::stop_task const     stop{make_task(), target_,
                                          *rc::gen::arbitrary<bool>()};
             decide::throttle_task const throttle{make_task(), target_,
@@ -392,6 +392,33 @@
     }
 }
 
+// Guards against work that runs under the key of another team's job.
+TEST_CASE_FIXTURE(target_fixture,
+                  "start, specification of another job, is a decode_error")
+{
+    v1::StartTask start;
+    *start.mutable_spec() = make_message();
+    *start.mutable_task() = make_status().task();
+    CHECK(find_bad_field(
+              [&]
+              {
+                  decode_start_task(start, target_, now_);
+              }) == "none");
+    start.mutable_task()->set_team("team-2");
+    CHECK(find_bad_field(
+              [&]
+              {
+                  decode_start_task(start, target_, now_);
+              }) == "task");
+    start.mutable_task()->set_team("team-1");
+    start.mutable_task()->set_index(1);
+    CHECK(find_bad_field(
+              [&]
+              {
+                  decode_start_task(start, target_, now_);
+              }) == "task.index");
+}
+
 // Guards against a start without the work that is to be done.
 TEST_CASE_FIXTURE(target_fixture,
                   "commands, bad message, name the field in decode_error")
--- a/wire/target_codec.cpp
+++ b/wire/target_codec.cpp
@@ -9,6 +9,7 @@
 #include "core/job_spec.hpp"
 #include "core/resources.hpp"
 #include "core/task_key.hpp"
+#include "wire/decode_error.hpp"
 #include "wire/fields.hpp"
 
 #include <target.pb.h>
@@ -81,6 +82,17 @@
     return remaining == 0 ? instant::never() : now.after(remaining);
 }
 
+// A specification of another job would run under the wrong team's key.
+void check_task_of_spec(task_key const& task, job_spec const& spec)
+{
+    if (task.job_ != spec.key_)
+    {
+        throw decode_error("task", "the specification is of another job");
+    }
+    check_range(task.index_, 0, std::int64_t{spec.task_count_} - 1,
+                "task.index");
+}
+
 work_kind decode_kind(v1::WorkKind kind)
 {
     check_enumerator(v1::WorkKind_IsValid(kind), "spec.kind");
@@ -159,10 +171,13 @@
                                      target_id const& target, instant now)
 {
     check_present(message.has_spec(), "spec");
-    return {.task_ = decode_task_key(message.task()),
+    task_key const task = decode_task_key(message.task());
+    auto const     spec =
+        std::make_shared<job_spec const>(decode_job_spec(message.spec(), now));
+    check_task_of_spec(task, *spec);
+    return {.task_ = task,
             .target_ = target,
-            .spec_ = std::make_shared<job_spec const>(
-                decode_job_spec(message.spec(), now)),
+            .spec_ = spec,
             .reservation_ =
                 decode_resources(message.reservation(), "reservation")};
 }
@@ -193,7 +208,9 @@
                                         task_key const&       task,
                                         target_id const& target, instant now)
 {
-    return {.spec_ = decode_job_spec(message.spec(), now),
+    job_spec const spec = decode_job_spec(message.spec(), now);
+    check_task_of_spec(task, spec);
+    return {.spec_ = spec,
             .task_ = task,
             .target_ = target,
             .reservation_ =
