--- a/tests/stand_ins/task_work.cpp
+++ b/tests/stand_ins/task_work.cpp
@@ -15,7 +15,7 @@
 
 task_work read_work(nlohmann::json const& json)
 {
-    task_work const work{
+    task_work work{
         .run_micros_ = json.value("run_ms", std::int64_t{0}) * micros_per_milli,
         .answer_bytes_ = json.value("answer_bytes", std::int64_t{0}),
         .fail_reason_ =
