--- a/entry/metrics.cpp
+++ b/entry/metrics.cpp
@@ -68,9 +68,22 @@
     acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum,
                                             acc::tag::extended_p_square>>;
 
+// Quantiles that the estimate tracks. Neighbours of the written ones keep the
+// parabola between markers short: with the three written ones alone, p99 of
+// 20,000 log-normal samples was off by up to 7%.
+constexpr std::array<double, 11> tracked_quantiles = {
+    0.1, 0.3, 0.5, 0.7, 0.8, 0.9, 0.95, 0.98, 0.99, 0.995, 0.999};
+
+// Where each written quantile stands among the tracked ones.
+constexpr std::array<std::size_t, latency_quantiles.size()> tracked_rows = {
+    2, 5, 8};
+static_assert(tracked_quantiles[tracked_rows[0]] == latency_quantiles[0] &&
+              tracked_quantiles[tracked_rows[1]] == latency_quantiles[1] &&
+              tracked_quantiles[tracked_rows[2]] == latency_quantiles[2]);
+
 // The algorithm has 2n+3 markers for n quantiles and estimates nothing before
 // each has a sample.
-constexpr std::size_t min_samples = 2 * latency_quantiles.size() + 3;
+constexpr std::size_t min_samples = 2 * tracked_quantiles.size() + 3;
 
 } // namespace
 
@@ -84,7 +97,7 @@
     for (std::size_t row = 0; row < call_kind_count; ++row)
     {
         table_->seconds_.emplace_back(acc::extended_p_square_probabilities =
-                                          latency_quantiles);
+                                          tracked_quantiles);
     }
 }
 
@@ -103,7 +116,7 @@
     return acc::count(set) < min_samples
                ? std::numeric_limits<double>::quiet_NaN()
                : acc::extended_p_square(
-                     set)[static_cast<std::ptrdiff_t>(index)];
+                     set)[static_cast<std::ptrdiff_t>(tracked_rows.at(index))];
 }
 
 // 3. Text
