Record one span per held call, with W3C identifiers

Cause: a request could not be followed from its caller through this process. The front end passes a child traceparent on. The front end's own deadline is 2 s after the wait deadline.

--- a/entry/call_table.cpp
+++ b/entry/call_table.cpp
@@ -18,6 +18,7 @@
     table.job_.append(std::move(row.job_));
     table.key_.append(std::move(row.key_));
     table.opened_.append(row.opened_);
+    table.span_.append(std::move(row.span_));
 }
 
 void remove_call(call_table& table, std::size_t row)
@@ -32,6 +33,7 @@
     table.job_.remove_by_moving_last(row);
     table.key_.remove_by_moving_last(row);
     table.opened_.remove_by_moving_last(row);
+    table.span_.remove_by_moving_last(row);
 }
 
 } // namespace fescuevane::entry
--- a/entry/call_table.hpp
+++ b/entry/call_table.hpp
@@ -7,6 +7,7 @@
 #include "core/job_key.hpp"
 #include "core/row_index.hpp"
 #include "entry/call_kind.hpp"
+#include "entry/tracing_span.hpp"
 
 #include <libsoup/soup.h>
 #include <cstdint>
@@ -50,6 +51,7 @@
     column<job_key>          job_;    // empty id: none or not known
     column<std::string>      key_;    // of the team
     column<instant>          opened_; // for the latency
+    column<trace_span>       span_;   // from the arrival to the answer
 
     // Deadlines in order, so that arming the timer needs no scan.
     std::set<std::pair<instant, std::uint64_t>> by_deadline_;
--- a/entry/http_front.cpp
+++ b/entry/http_front.cpp
@@ -29,7 +29,7 @@
 
 // The node tells a state by the wait deadline; the front end gives it this much
 // longer before it answers "unknown" itself.
-constexpr std::int64_t answer_grace_micros = 10 * micros_per_second;
+constexpr std::int64_t answer_grace_micros = 2 * micros_per_second;
 
 instant read_clock()
 {
@@ -49,10 +49,11 @@
 // 1. Life
 
 http_front::http_front(settings const& values, event_sink sink,
-                       front_queries queries)
+                       front_queries queries, span_tracer& tracer)
     : settings_(values)
     , sink_(std::move(sink))
     , queries_(std::move(queries))
+    , tracer_(tracer)
     , server_(soup_server_new("raw-paths", TRUE, nullptr))
 {
     soup_server_add_early_handler(server_, "/", &http_front::on_early, this,
@@ -232,8 +233,8 @@
 }
 
 std::uint64_t http_front::open(SoupServerMessage* message, call_kind kind,
-                               instant wait_deadline, job_key const& job,
-                               std::string const& key)
+                               instant wait_deadline, trace_span span,
+                               job_key const& job, std::string const& key)
 {
     std::uint64_t const id = ++last_call_;
     gulong const        handler = g_signal_connect_data(
@@ -248,7 +249,8 @@
                          .kind_ = kind,
                          .job_ = job,
                          .key_ = key,
-                         .opened_ = read_clock()});
+                         .opened_ = read_clock(),
+                         .span_ = std::move(span)});
     soup_server_message_pause(message);
     arm_timer();
     return id;
--- a/entry/http_front.hpp
+++ b/entry/http_front.hpp
@@ -20,6 +20,7 @@
 {
 
 struct http_call;
+class span_tracer;
 
 // Serves on the default GLib main context and is used on its thread only.
 // Instants are those of g_get_monotonic_time. Each call is answered once: at
@@ -34,7 +35,9 @@
     using handler = handled (http_front::*)(SoupServerMessage*,
                                             http_call const&);
 
-    http_front(settings const& values, event_sink sink, front_queries queries);
+    // `tracer` outlives the front end.
+    http_front(settings const& values, event_sink sink, front_queries queries,
+               span_tracer& tracer);
     ~http_front();
     http_front(http_front const&) = delete;
     http_front& operator=(http_front const&) = delete;
@@ -66,8 +69,8 @@
 
     // Open calls
     std::uint64_t open(SoupServerMessage* message, call_kind kind,
-                       instant wait_deadline, job_key const& job = {},
-                       std::string const& key = {});
+                       instant wait_deadline, trace_span span,
+                       job_key const& job = {}, std::string const& key = {});
     source_ptr    watch_socket(SoupServerMessage* message, std::uint64_t call);
     void          answer(std::uint64_t call, http_reply const& reply);
     void          expire_calls();
@@ -106,6 +109,7 @@
     settings const      settings_;
     event_sink const    sink_;
     front_queries const queries_;
+    span_tracer&        tracer_;
     SoupServer*         server_;
     call_table          calls_;
     std::uint64_t       last_call_ = 0;
--- a/entry/http_handlers.cpp
+++ b/entry/http_handlers.cpp
@@ -12,6 +12,7 @@
 #include "entry/http_message.hpp"
 #include "entry/http_reply.hpp"
 #include "entry/http_submission.hpp"
+#include "entry/tracing.hpp"
 #include "state/config.hpp"
 #include "state/ticket_error.hpp"
 
@@ -98,8 +99,9 @@
 {
     check_content_type(message);
     check_team(call);
+    trace_span span = tracer_.start_span("submit", call.traceparent_);
     http_submission const body =
-        parse_job(call.body_, call.team_, call.traceparent_,
+        parse_job(call.body_, call.team_, span.traceparent(),
                   instant(g_get_monotonic_time()));
     if (is_full())
     {
@@ -110,7 +112,8 @@
                          settings_.state_.host_);
     }
     std::uint64_t const id =
-        open(message, call_kind::submit, body.wait_deadline_, body.spec_.key_);
+        open(message, call_kind::submit, body.wait_deadline_, std::move(span),
+             body.spec_.key_);
     sink_(submit_opened{.call_ = id,
                         .spec_ = body.spec_,
                         .key_ = call.key_,
@@ -124,7 +127,9 @@
     job_key const job = read_job_key(call);
     check_room();
     instant const       deadline = find_deadline(call, 0);
-    std::uint64_t const id = open(message, call_kind::lookup, deadline, job);
+    std::uint64_t const id =
+        open(message, call_kind::lookup, deadline,
+             tracer_.start_span("lookup", call.traceparent_), job);
     sink_(lookup_opened{.call_ = id,
                         .job_ = job,
                         .key_ = call.key_,
@@ -143,7 +148,8 @@
     check_room();
     std::uint64_t const id =
         open(message, call_kind::cancel,
-             find_deadline(call, default_cancel_wait_micros), job, call.key_);
+             find_deadline(call, default_cancel_wait_micros),
+             tracer_.start_span("cancel", call.traceparent_), job, call.key_);
     sink_(cancel_opened{.call_ = id,
                         .team_ = job.team_,
                         .jobs_ = {job.job_},
@@ -159,7 +165,8 @@
     std::vector<job_id> ids = parse_ids(call.body_);
     check_room();
     std::uint64_t const id =
-        open(message, call_kind::bulk_cancel, find_deadline(call, 0));
+        open(message, call_kind::bulk_cancel, find_deadline(call, 0),
+             tracer_.start_span("bulk_cancel", call.traceparent_));
     sink_(cancel_opened{.call_ = id,
                         .team_ = call.team_,
                         .jobs_ = std::move(ids),
@@ -177,7 +184,9 @@
     check_ticket_syntax(call.body_);
     check_room();
     instant const deadline = find_deadline(call, default_ticket_wait_micros);
-    std::uint64_t const id = open(message, call_kind::ticket, deadline);
+    std::uint64_t const id =
+        open(message, call_kind::ticket, deadline,
+             tracer_.start_span("ticket", call.traceparent_));
     sink_(ticket_opened{
         .call_ = id, .text_ = call.body_, .wait_deadline_ = deadline});
     return std::nullopt;
--- a/entry/open_call.hpp
+++ b/entry/open_call.hpp
@@ -19,6 +19,7 @@
     job_key       job_;
     std::string   key_;
     instant       opened_;
+    trace_span    span_;
 };
 
 } // namespace fescuevane::entry
--- a/tests/unit/entry_http_test.cpp
+++ b/tests/unit/entry_http_test.cpp
@@ -117,6 +117,11 @@
     oversized.resize(9'000'000, ' ');
     http_answer const body = call(make_submit(oversized));
     CHECK(body.status_ == 413);
+    http_answer const chunked = call({.method_ = "POST",
+                                      .path_ = "/v1/jobs",
+                                      .body_ = oversized,
+                                      .chunked_ = true});
+    CHECK(chunked.status_ == 413);
     http_answer const headers =
         call({.method_ = "GET",
               .path_ = "/healthz",
@@ -240,6 +245,33 @@
     CHECK(many.json()["accepted"] == 2);
 }
 
+// Guards against a trace that ends at the entry process.
+TEST_CASE_FIXTURE(http_fixture, "submit, traceparent, is passed to the node")
+{
+    std::string const trace = "0af7651916cd43dd8448eb211c80319c";
+    answer_jobs(make_result(job_state::answered));
+    call({.method_ = "POST",
+          .path_ = "/v1/jobs",
+          .body_ = R"({"service":"refills"})",
+          .headers_ = {
+              {"X-Team", "cafes"},
+              {"traceparent", "00-" + trace + "-b7ad6b7169203331-01"}}});
+    call(make_submit());
+    auto const opened = list<submit_opened>();
+    CHECK(opened.at(0).spec_.traceparent_.substr(3, 32) == trace);
+    CHECK(opened.at(1).spec_.traceparent_.size() == 55);
+}
+
+// Guards against a call that stays open forever when the node tells nothing.
+TEST_CASE_FIXTURE(http_fixture, "submit, node tells nothing, is unknown")
+{
+    http_answer const answer =
+        call(make_submit(R"({"service":"refills","wait_ms":1})"));
+    CHECK(answer.status_ == 504);
+    CHECK(answer.json()["state"] == "unknown");
+    CHECK(list<call_abandoned>().size() == 1);
+}
+
 // Guards against a ticket whose stage gets the wrong status, and against keys
 // in what is read back.
 TEST_CASE_FIXTURE(http_fixture, "tickets, filed and read, show stage, no keys")
--- a/tests/unit/http_fixture.hpp
+++ b/tests/unit/http_fixture.hpp
@@ -4,6 +4,7 @@
 
 #include "core/job_result.hpp"
 #include "entry/http_front.hpp"
+#include "entry/tracing.hpp"
 #include "state/config.hpp"
 #include "state/ticket_error.hpp"
 
@@ -33,12 +34,14 @@
     std::string const                        type_ = "application/json";
     std::map<std::string, std::string> const headers_ = {{"X-Team", "cafes"},
                                                          {"X-Key", "k1"}};
+    bool const chunked_ = false; // without a declared length
 };
 
 // A front end with a sink that records, and a session that calls it.
 struct http_fixture
 {
-    http_fixture() : front_(make_settings(), make_sink(), make_queries())
+    http_fixture()
+        : front_(make_settings(), make_sink(), make_queries(), tracer_)
     {
         front_.listen();
         session_ = soup_session_new_with_options("max-conns-per-host", 64,
@@ -184,8 +187,12 @@
         {
             GBytes* const bytes =
                 g_bytes_new(request.body_.data(), request.body_.size());
-            soup_message_set_request_body_from_bytes(
-                message, request.type_.c_str(), bytes);
+            GInputStream* const stream =
+                g_memory_input_stream_new_from_bytes(bytes);
+            soup_message_set_request_body(
+                message, request.type_.c_str(), stream,
+                request.chunked_ ? -1 : gssize(request.body_.size()));
+            g_object_unref(stream);
             g_bytes_unref(bytes);
         }
         slot = answers_.size();
@@ -296,6 +303,7 @@
     std::vector<front_event>                        events_;
     std::function<void(front_event const&)>         react_;
     std::vector<std::shared_ptr<http_answer const>> answers_;
+    span_tracer                                     tracer_{"", "entry-a-1"};
     http_front                                      front_;
     SoupSession*                                    session_ = nullptr;
 };
