--- a/tests/unit/entry_api_test.cpp
+++ b/tests/unit/entry_api_test.cpp
@@ -35,7 +35,7 @@
                                {
                                    return std::toupper(c);
                                });
-                names.insert(verb + " " + text);
+                names.insert(verb.append(" ").append(text));
             }
         }
         return names;
