--- a/decide/reasons.hpp
+++ b/decide/reasons.hpp
@@ -10,7 +10,8 @@
 
 // The id belongs to another job; asking again with the same content never
 // succeeds.
-constexpr char const* reason_other_content = "id used with other content";
+constexpr char const* reason_other_content =
+    "conflicting content for a known id";
 
 constexpr char const* reason_canceled = "canceled";
 
--- a/entry/counter.hpp
+++ b/entry/counter.hpp
@@ -28,11 +28,11 @@
     store_commits,    // commits sent to the platform
     store_failures,   // reads and commits without a reply
     tickets_accepted, // seen to be accepted
-    ticks,            // of the node
-    count_            // number of counters
+    ticks             // of the node, the last one
 };
 
-constexpr std::size_t counter_count = static_cast<std::size_t>(counter::count_);
+constexpr std::size_t counter_count =
+    static_cast<std::size_t>(counter::ticks) + 1;
 
 using counter_values = std::array<std::uint64_t, counter_count>;
 
--- a/entry/http_handlers.cpp
+++ b/entry/http_handlers.cpp
@@ -50,8 +50,13 @@
     return difference == 0;
 }
 
+// Callers of open services have neither team nor key.
 void check_team(http_call const& call)
 {
+    if (call.team_.empty() && call.key_.empty())
+    {
+        return;
+    }
     if (call.team_.empty())
     {
         throw http_error(400, "X-Team: is required");
--- a/entry/main.cpp
+++ b/entry/main.cpp
@@ -27,8 +27,7 @@
         return 0;
     }
     // New at each start, so that no commit id of an earlier process recurs.
-    values.state_.incarnation_ =
-        static_cast<std::uint64_t>(g_get_real_time());
+    values.state_.incarnation_ = static_cast<std::uint64_t>(g_get_real_time());
     process entry(values);
     entry.run();
     return 0;
--- a/entry/node_calls.cpp
+++ b/entry/node_calls.cpp
@@ -67,13 +67,6 @@
     {
         context.outbox_.push_back(job_told{calls.index_.key(row), result});
     }
-    if (!calls.traceparent_[row].empty())
-    {
-        finish_span(
-            context, "entry",
-            {calls.parent_[row], calls.traceparent_[row], calls.opened_[row]},
-            format_key(result.key_));
-    }
     remove_routed_call(calls, row);
 }
 
@@ -148,7 +141,7 @@
                     "no configuration is known yet");
         return std::nullopt;
     }
-    if (key.empty() && (team.empty() || team == team_id(open_team)))
+    if (key.empty())
     {
         return team_id(open_team);
     }
@@ -163,8 +156,7 @@
 
 // 3. Opening
 
-job_spec with_identity(job_spec const& spec, job_key const& key,
-                       std::string const& traceparent)
+job_spec with_identity(job_spec const& spec, job_key const& key)
 {
     return {.key_ = key,
             .service_ = spec.service_,
@@ -175,7 +167,7 @@
             .start_deadline_ = spec.start_deadline_,
             .declared_run_micros_ = spec.declared_run_micros_,
             .payload_ = spec.payload_,
-            .traceparent_ = traceparent};
+            .traceparent_ = spec.traceparent_};
 }
 
 // Own failure domain first, then the most room; equal shards take turns by
@@ -265,17 +257,13 @@
     bool const    fresh = input.spec_.key_.job_.empty();
     job_key const key{*team, fresh ? make_job_id(context, pick_shard(context))
                                    : input.spec_.key_.job_};
-    std::string const traceparent =
-        make_traceparent(context, input.spec_.traceparent_);
-    open_routed_call(context, input.call_, routed_call_kind::submit, key,
-                     std::make_shared<job_spec const>(
-                         with_identity(input.spec_, key, traceparent)),
-                     input.wait_deadline_);
+    open_routed_call(
+        context, input.call_, routed_call_kind::submit, key,
+        std::make_shared<job_spec const>(with_identity(input.spec_, key)),
+        input.wait_deadline_);
     std::size_t const row = *context.calls_.index_.find(input.call_);
     context.calls_.fresh_id_[row] = fresh ? 1 : 0;
     context.calls_.may_be_known_[row] = fresh ? 0 : 1;
-    context.calls_.parent_[row] = input.spec_.traceparent_;
-    context.calls_.traceparent_[row] = traceparent;
 }
 
 void open_lookup(node& context, lookup_opened const& input)
--- a/entry/process.cpp
+++ b/entry/process.cpp
@@ -154,7 +154,7 @@
             post_event(*node_, widen(input));
             g_source_set_ready_time(tick_source_, 0);
         },
-        make_queries(*node_));
+        make_queries(*node_), *traces_);
     front_->listen();
 }
 
--- a/entry/routed_call_table.cpp
+++ b/entry/routed_call_table.cpp
@@ -26,8 +26,6 @@
     table.resend_deadline_.append(instant::never());
     table.wait_deadline_.append(wait_deadline);
     table.last_.append(nullptr);
-    table.parent_.append({});
-    table.traceparent_.append({});
     return row;
 }
 
@@ -48,8 +46,6 @@
     table.resend_deadline_.remove_by_moving_last(row);
     table.wait_deadline_.remove_by_moving_last(row);
     table.last_.remove_by_moving_last(row);
-    table.parent_.remove_by_moving_last(row);
-    table.traceparent_.remove_by_moving_last(row);
 }
 
 } // namespace fescuevane::entry
--- a/entry/routed_call_table.hpp
+++ b/entry/routed_call_table.hpp
@@ -38,8 +38,6 @@
     column<instant>      resend_deadline_; // asks again, messages may get lost
     column<instant>      wait_deadline_;
     column<std::shared_ptr<job_result const>> last_; // last state heard
-    column<std::string> parent_;                     // traceparent, from caller
-    column<std::string> traceparent_;                // of the call's span
 };
 
 // Appends a call that was not sent; its id must have no row. Returns the row.
--- a/entry/tracing.cpp
+++ b/entry/tracing.cpp
@@ -159,8 +159,8 @@
     recorded->SetTag(parent_tag, parent ? parent->span_id_ : std::string());
     recorded->SetTag(subject_tag, span.subject_);
     opentracing::FinishSpanOptions finish;
-    finish.finish_steady_timestamp = steady::time_point(
-        std::chrono::microseconds(span.end_.micros()));
+    finish.finish_steady_timestamp =
+        steady::time_point(std::chrono::microseconds(span.end_.micros()));
     recorded->FinishWithOptions(finish);
 }
 
