Keep limits when a late commit grows a part after acknowledgements

Change: an owner doesn't acknowledge while such a commit is open, and a ticket is accepted only when the sum of the parts is within its limits.

--- a/state/acknowledge_tickets.cpp
+++ b/state/acknowledge_tickets.cpp
@@ -91,6 +91,22 @@
     return value;
 }
 
+// An owner that acknowledged late may have grown its part by an earlier commit
+// after others had acknowledged: then these have to shrink once more.
+bool fits_limits(control const& context, config const& value)
+{
+    for (auto const& [id, team] : value.teams_)
+    {
+        auto const row = context.allotments_.index_.find(id);
+        if (row && team.limit_ &&
+            !sum_parts(context.allotments_.parts_[*row]).fits_in(*team.limit_))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
 void accept_tickets(control& context, ticket_number number)
 {
     std::vector<row_write> writes = {
@@ -106,7 +122,8 @@
 {
     commit_key const    key{.purpose_ = commit_purpose::accept};
     ticket_number const number = find_lowest_ack(context);
-    if (number <= context.accepted_->number_ || has_commit(context, key))
+    if (number <= context.accepted_->number_ || has_commit(context, key) ||
+        !fits_limits(context, *build_config(context, number)))
     {
         context.accept_due_ = instant::never();
         return instant::never();
--- a/state/adjust_allotments.cpp
+++ b/state/adjust_allotments.cpp
@@ -445,6 +445,7 @@
     part_map const parts = plan_parts(context, team, *limit, present);
     if (parts != present)
     {
+        context.allotments_.limit_[row] = *limit;
         commit_parts(context, team, parts);
     }
     return instant::never();
@@ -573,29 +574,52 @@
     }
 }
 
+namespace
+{
+
+// An open commit that was planned for a higher limit may still take effect and
+// grow a part beyond the present one.
+bool has_outdated_commit(control const& context, team_id const& team,
+                         resources const& limit)
+{
+    auto const row = context.allotments_.index_.find(team);
+    return row &&
+           has_commit(context,
+                      {.purpose_ = commit_purpose::allotment, .team_ = team}) &&
+           !context.allotments_.limit_[*row].fits_in(limit);
+}
+
+bool holds_limit(control const& context, std::size_t shard, team_id const& team,
+                 resources const& limit)
+{
+    shard_id const       id = context.shards_.index_.key(shard);
+    auto const           row = context.allotments_.index_.find(team);
+    part_map const       none;
+    part_map const&      parts = row ? context.allotments_.parts_[*row] : none;
+    allotment_part const part = find_part(parts, id);
+    auto const           load = context.loads_.index_.find({id, team});
+    bool const           known =
+        parts.contains(id) || find_limit(*context.accepted_, team).has_value();
+    bool const within =
+        !load || context.loads_.used_[*load].fits_in(part.part_);
+    return known && within && !part.cap_ &&
+           sum_ceilings(parts).fits_in(limit) &&
+           !has_outdated_commit(context, team, limit);
+}
+
+} // namespace
+
 bool holds_limits(control const& context, std::size_t shard)
 {
-    shard_id const id = context.shards_.index_.key(shard);
-    for (auto const& [team, entry] : context.effective_->teams_)
-    {
-        if (!entry.limit_)
+    auto const& teams = context.effective_->teams_;
+    return std::all_of(
+        teams.begin(), teams.end(),
+        [&context, shard](auto const& entry)
         {
-            continue;
-        }
-        auto const      row = context.allotments_.index_.find(team);
-        part_map const  none;
-        part_map const& parts = row ? context.allotments_.parts_[*row] : none;
-        allotment_part const part = find_part(parts, id);
-        auto const           load = context.loads_.index_.find({id, team});
-        if (context.shards_.load_number_[shard] == 0 || part.cap_ ||
-            !sum_ceilings(parts).fits_in(*entry.limit_) ||
-            (!parts.contains(id) && !find_limit(*context.accepted_, team)) ||
-            (load && !context.loads_.used_[*load].fits_in(part.part_)))
-        {
-            return false;
-        }
-    }
-    return true;
+            auto const& limit = entry.second.limit_;
+            return !limit || (context.shards_.load_number_[shard] != 0 &&
+                              holds_limit(context, shard, entry.first, *limit));
+        });
 }
 
 // 6. System
--- a/state/allotment_table.cpp
+++ b/state/allotment_table.cpp
@@ -38,6 +38,7 @@
     std::size_t const row = table.index_.append(team);
     table.parts_.append({});
     table.due_.append(instant());
+    table.limit_.append({});
     return row;
 }
 
--- a/state/allotment_table.hpp
+++ b/state/allotment_table.hpp
@@ -22,6 +22,7 @@
     row_index<team_id> index_;
     column<part_map>   parts_; // as in the row; empty: no row
     column<instant>    due_;   // no commit before
+    column<resources>  limit_; // that the open commit was planned for
 };
 
 std::size_t ensure_allotment(allotment_table& table, team_id const& team);
--- a/state/exchange_rows.cpp
+++ b/state/exchange_rows.cpp
@@ -125,6 +125,7 @@
                          std::tie(urgent_b, due_b, key_b.get());
               });
     std::vector<commit_key> keys;
+    keys.reserve(rows.size());
     for (std::size_t const row : rows)
     {
         keys.push_back(commits.index_.key(row));
--- a/state/json_reader.cpp
+++ b/state/json_reader.cpp
@@ -111,7 +111,7 @@
 
 std::string json_reader::read_id() const
 {
-    std::string const text = read_text(max_id_bytes);
+    std::string text = read_text(max_id_bytes);
     if (text.empty() || !std::all_of(text.begin(), text.end(), is_id_character))
     {
         fail("1 to 64 characters of A-Z, a-z, 0-9, \"_\", \"-\" and \".\"");
