--- a/decide/apply_task_events.cpp
+++ b/decide/apply_task_events.cpp
@@ -224,7 +224,7 @@
     auto const target =
         context.targets_.index_.find(context.tasks_.target_[*task]);
     auto const job = context.jobs_.index_.find(input.task_.job_);
-    if (!target || !job)
+    if (!target || !job || context.tasks_.phase_[*task] == task_phase::stopping)
     {
         return;
     }
--- a/decide/enforce_allotments.cpp
+++ b/decide/enforce_allotments.cpp
@@ -34,24 +34,6 @@
     }
 }
 
-// What a team keeps when every stop that was sent has taken effect.
-resources compute_kept(scheduler const& context, std::size_t team)
-{
-    resources kept = context.teams_.used_[team];
-    for (auto const& running : context.teams_.running_[team])
-    {
-        for (auto const& [sequence, key] : running)
-        {
-            auto const task = context.tasks_.index_.find(key);
-            if (context.tasks_.phase_[*task] == task_phase::stopping)
-            {
-                kept = kept - context.tasks_.reservation_[*task];
-            }
-        }
-    }
-    return kept;
-}
-
 } // namespace
 
 void enforce_allotments(scheduler& context)
@@ -63,7 +45,9 @@
         {
             continue;
         }
-        resources kept = compute_kept(context, team);
+        // What remains when every stop that was sent has taken effect.
+        resources kept =
+            context.teams_.used_[team] - context.teams_.stopping_[team];
         for (work_kind const kind : stop_order)
         {
             stop_newest(context, team, kind, kept);
--- a/decide/place_tasks.cpp
+++ b/decide/place_tasks.cpp
@@ -44,7 +44,7 @@
 };
 
 // Searching room for a gang costs as much as for all its tasks.
-constexpr std::uint32_t gang_tries_a_round = 4;
+constexpr std::uint32_t gang_tries_a_round = 32;
 constexpr std::size_t   too_large_kept = 8;
 
 } // namespace
@@ -212,7 +212,7 @@
 
 attempt_result place_single(scheduler& context, placement_round& round,
                             placement_policy const& policy, std::size_t job,
-                            task_key const key, resources const& amount)
+                            task_key const& key, resources const& amount)
 {
     std::optional<std::size_t> target;
     if (!is_too_large(round, amount))
@@ -267,14 +267,14 @@
                           placement_policy const& policy, std::size_t job,
                           task_key const& key, resources const& amount)
 {
-    if (round.gang_tries_ >= gang_tries_a_round)
+    bool const reserves =
+        context.reservation_.active_ && context.reservation_.job_ == key.job_;
+    if (round.gang_tries_ >= gang_tries_a_round ||
+        (!reserves && is_too_large(round, amount)))
     {
-        context.place_needed_ = true;
         return attempt_result::no_room;
     }
     ++round.gang_tries_;
-    bool const reserves =
-        context.reservation_.active_ && context.reservation_.job_ == key.job_;
     if (reserves)
     {
         set_held(context, false);
--- a/decide/probation.cpp
+++ b/decide/probation.cpp
@@ -3,6 +3,8 @@
 
 #include "decide/scheduler.hpp"
 
+#include <algorithm>
+
 namespace fescuevane::decide
 {
 namespace
@@ -37,8 +39,10 @@
 void begin_probation(scheduler& context, std::size_t target)
 {
     target_table&     targets = context.targets_;
-    std::size_t const bound =
-        targets.index_.size() * context.settings_.probation_max_percent_ / 100;
+    std::size_t const count = targets.index_.size();
+    std::size_t const bound = std::max<std::size_t>(
+        count * context.settings_.probation_max_percent_ / 100,
+        count > 1 ? 1 : 0);
     if (targets.probation_deadline_[target] != instant() ||
         targets.on_probation_ >= bound)
     {
--- a/decide/scheduler.hpp
+++ b/decide/scheduler.hpp
@@ -10,6 +10,7 @@
 #include "decide/event.hpp"
 #include "decide/gang_reservation.hpp"
 #include "decide/job_table.hpp"
+#include "decide/reclaim_entry.hpp"
 #include "decide/retry_budget.hpp"
 #include "decide/settings.hpp"
 #include "decide/target_table.hpp"
@@ -41,10 +42,11 @@
     gang_reservation reservation_;
     retry_budget     budget_;
 
-    std::set<job_key> held_jobs_;         // an unreached target may run them
-    std::uint64_t     next_sequence_ = 1; // of queue entries and starts
-    std::uint32_t     queued_tasks_ = 0;  // of all teams
-    instant           shares_updated_;
+    std::vector<reclaim_entry> reclaims_;  // lent capacity, before the stops
+    std::set<job_key>          held_jobs_; // an unreached target may run them
+    std::uint64_t next_sequence_ = 1;      // of queue entries and starts
+    std::uint32_t queued_tasks_ = 0;       // of all teams
+    instant       shares_updated_;
     bool unseen_lost_ = false;  // a target was lost before it was ever reached
     bool place_needed_ = false; // room, work or policy changed
     bool drain_needed_ = false; // a target or the domain began to leave
--- a/decide/task_flow.cpp
+++ b/decide/task_flow.cpp
@@ -209,6 +209,13 @@
     {
         context.tasks_.stop_cause_[task] = cause;
     }
+    if (!repeated)
+    {
+        auto const job = context.jobs_.index_.find(key.job_);
+        resources& stopping =
+            context.teams_.stopping_[context.jobs_.team_[*job]];
+        stopping = stopping + context.tasks_.reservation_[task];
+    }
     context.tasks_.phase_[task] = task_phase::stopping;
     context.outbox_.push_back(
         stop_task{key, context.tasks_.target_[task], checkpoint});
@@ -374,7 +381,11 @@
     {
         return;
     }
-    retry_budget&      budget = context.budget_;
+    retry_budget& budget = context.budget_;
+    if (budget.refilled_ == instant())
+    {
+        budget.refilled_ = context.now_; // the initial budget covers the start
+    }
     std::int64_t const idle = budget.refilled_.remaining_until(context.now_);
     std::int64_t const refill = std::min(idle, micros_per_second) *
                                 context.settings_.retry_floor_a_second_ * 100 /
@@ -409,10 +420,11 @@
 
 past_attempt release_task(scheduler& context, std::size_t task)
 {
-    past_attempt const past{
+    past_attempt past{
         context.tasks_.index_.key(task), context.tasks_.target_[task],
         context.tasks_.failures_[task], context.tasks_.stop_cause_[task]};
     resources const amount = context.tasks_.reservation_[task];
+    bool const stopping = context.tasks_.phase_[task] == task_phase::stopping;
     if (auto const target = context.targets_.index_.find(past.target_))
     {
         release_on_target(context.targets_, *target, amount);
@@ -424,6 +436,11 @@
     auto const        job = context.jobs_.index_.find(past.key_.job_);
     std::size_t const team = context.jobs_.team_[*job];
     context.teams_.used_[team] = context.teams_.used_[team] - amount;
+    if (stopping)
+    {
+        context.teams_.stopping_[team] =
+            context.teams_.stopping_[team] - amount;
+    }
     --context.teams_.running_count_[team];
     context.teams_.running_[team][kind_index(*context.jobs_.spec_[*job])].erase(
         context.tasks_.sequence_[task]);
--- a/decide/team_table.cpp
+++ b/decide/team_table.cpp
@@ -14,6 +14,7 @@
     table.share_.append(1);
     table.allotment_.append(std::nullopt);
     table.used_.append(resources());
+    table.stopping_.append(resources());
     table.waiting_.append(resources());
     table.queued_.append(0);
     table.running_count_.append(0);
--- a/decide/team_table.hpp
+++ b/decide/team_table.hpp
@@ -33,6 +33,7 @@
     column<std::int64_t>             share_;      // weight
     column<std::optional<resources>> allotment_;  // none: no limit
     column<resources>                used_;       // reserved by its tasks
+    column<resources>                stopping_;   // of it, by tasks that stop
     column<resources>                waiting_;    // demand of queued tasks
     column<std::uint32_t>            queued_;     // queued tasks
     column<std::uint32_t>            running_count_;
--- a/tests/unit/decide_fleet_model.hpp
+++ b/tests/unit/decide_fleet_model.hpp
@@ -343,6 +343,7 @@
         for (std::size_t row = 0; row < teams.index_.size(); ++row)
         {
             RC_ASSERT(teams.used_[row].is_zero());
+            RC_ASSERT(teams.stopping_[row].is_zero());
             RC_ASSERT(teams.waiting_[row].is_zero());
             RC_ASSERT(teams.running_count_[row] == 0);
         }
