Extend the random events by takeovers

Cause: the fleet model had no work of an earlier owner. A refusal told a may_run job as not run although a target that was lost unseen may have run it.

--- a/decide/apply_job_events.cpp
+++ b/decide/apply_job_events.cpp
@@ -180,14 +180,14 @@
 // Tells a refusal without a row: nothing was accepted, and a later attempt
 // with the same id starts afresh.
 void tell_refusal(scheduler& context, job_key const& key, std::size_t team,
-                  std::string const& reason)
+                  std::string const& reason, job_state state)
 {
     std::int64_t const retry_after =
         std::max(context.settings_.retry_after_micros_,
                  estimate_wait(context.teams_, team));
     context.outbox_.push_back(
         job_changed{{.key_ = key,
-                     .state_ = job_state::not_run,
+                     .state_ = state,
                      .reason_ = reason,
                      .retry_after_micros_ = retry_after}});
 }
@@ -221,7 +221,10 @@
     std::string const refusal = find_refusal(context, input, team);
     if (!refusal.empty())
     {
-        tell_refusal(context, spec.key_, team, refusal);
+        // A target that was lost unseen may have run it.
+        bool const ran = may_run && context.unseen_lost_;
+        tell_refusal(context, spec.key_, team, refusal,
+                     ran ? job_state::unknown : job_state::not_run);
         return;
     }
     std::size_t const job = append_submitted(context, spec, team);
--- a/tests/unit/decide_fleet_model.hpp
+++ b/tests/unit/decide_fleet_model.hpp
@@ -31,16 +31,16 @@
     {
         using action = void (fleet_model::*)(std::uint32_t);
         static constexpr action actions[] = {
-            &fleet_model::submit,     &fleet_model::submit,
-            &fleet_model::submit,     &fleet_model::join,
-            &fleet_model::join,       &fleet_model::start,
-            &fleet_model::start,      &fleet_model::end,
-            &fleet_model::end,        &fleet_model::end,
-            &fleet_model::reject,     &fleet_model::lose,
-            &fleet_model::leave,      &fleet_model::unreach,
-            &fleet_model::cancel,     &fleet_model::repeat_event,
-            &fleet_model::report,     &fleet_model::change_policy,
-            &fleet_model::let_time_go};
+            &fleet_model::submit,        &fleet_model::submit,
+            &fleet_model::submit,        &fleet_model::join,
+            &fleet_model::join,          &fleet_model::start,
+            &fleet_model::start,         &fleet_model::end,
+            &fleet_model::end,           &fleet_model::end,
+            &fleet_model::reject,        &fleet_model::lose,
+            &fleet_model::leave,         &fleet_model::unreach,
+            &fleet_model::cancel,        &fleet_model::repeat_event,
+            &fleet_model::report,        &fleet_model::change_policy,
+            &fleet_model::submit_unseen, &fleet_model::let_time_go};
         (this->*actions[step.first % std::size(actions)])(step.second);
         if (step.second % 3 != 0)
         {
@@ -72,6 +72,9 @@
         check_empty();
     }
 
+    // Every command of the run, in order.
+    std::vector<command> const& history() const { return history_; }
+
     // Tasks that were started at least once.
     std::size_t count_starts() const { return starts_.size(); }
 
@@ -121,10 +124,47 @@
 
     void join(std::uint32_t pick)
     {
-        target_id const target(name_of(pick, 6));
+        target_id const target(name_of(pick, 8));
         post(target_joined{target, rack_id(name_of(pick, 3)), capacity_,
                            slots_});
-        lost_.erase(target);
+        for (task_key const& task : std::exchange(unseen_[target], {}))
+        {
+            job_spec const& spec = specs_.at(task.job_);
+            post(task_recovered{spec, task, target, spec.demand_});
+            running_.emplace(task, target);
+            started_.insert(task); // it runs, so a start can't be rejected
+        }
+    }
+
+    // An earlier owner has started a request at a target that this one has not
+    // reached yet.
+    void add_unseen(target_id const& target, std::uint32_t pick)
+    {
+        job_key const key{team_id(name_of(pick, 2)),
+                          job_id(std::to_string(next_job_++))};
+        specs_.emplace(key, job_spec{.key_ = key,
+                                     .service_ = service_id("0"),
+                                     .demand_ = {1000, 256, 0},
+                                     .idempotent_ = pick % 2 == 0});
+        unseen_[target].push_back({key, 0, 1});
+        ran_unseen_.insert(key);
+        starts_[{key, 0}] = 1;
+    }
+
+    // Its caller asks again after the change of owner.
+    void submit_unseen(std::uint32_t pick)
+    {
+        if (ran_unseen_.empty())
+        {
+            return;
+        }
+        job_key const key =
+            *std::next(ran_unseen_.begin(), pick % ran_unseen_.size());
+        if (!finals_.contains(key))
+        {
+            submitted_.insert(key);
+            post(job_submitted{specs_.at(key), true, true});
+        }
     }
 
     std::optional<std::pair<task_key, target_id>>
@@ -169,12 +209,13 @@
 
     void lose(std::uint32_t pick)
     {
-        target_id const target(name_of(pick, 6));
+        target_id const target(name_of(pick, 8));
         std::erase_if(running_,
                       [&target](auto const& task)
                       {
                           return task.second == target;
                       });
+        unseen_.erase(target);
         post(target_lost{target});
     }
 
@@ -185,9 +226,15 @@
 
     void unreach(std::uint32_t pick)
     {
+        tick(); // applies joins first, so that what is known is certain
         target_id const target(name_of(pick, 8));
-        lapses_[target] = now_.after(5 * micros_per_second);
-        post(target_unreached{target, capacity_, lapses_[target]});
+        bool const      known = scheduler_->targets_.index_.contains(target);
+        if (!known && unseen_[target].empty())
+        {
+            add_unseen(target, pick);
+        }
+        post(target_unreached{target, capacity_,
+                              now_.after(5 * micros_per_second)});
     }
 
     void cancel(std::uint32_t pick)
@@ -234,6 +281,10 @@
     {
         commands_.clear();
         run_tick(*scheduler_, now_, commands_);
+        for (command const& each : commands_)
+        {
+            history_.push_back(each);
+        }
         drop_lapsed();
         gang_starts_.clear();
         started_teams_.clear();
@@ -252,6 +303,12 @@
     // What ran on a target whose leases have lapsed has ended.
     void drop_lapsed()
     {
+        std::erase_if(unseen_,
+                      [this](auto const& target)
+                      {
+                          return !scheduler_->targets_.index_.contains(
+                              target.first);
+                      });
         std::erase_if(running_,
                       [this](auto const& task)
                       {
@@ -263,6 +320,13 @@
     void carry_out(start_task const& value)
     {
         task_key const& key = value.task_;
+        for (auto const& [target, tasks] : unseen_)
+        {
+            for (task_key const& task : tasks)
+            {
+                RC_ASSERT(task.job_ != key.job_);
+            }
+        }
         for (auto const& [task, target] : running_)
         {
             RC_ASSERT(!(task.job_ == key.job_ && task.index_ == key.index_));
@@ -278,8 +342,7 @@
         }
     }
 
-    void carry_out(stop_task const& value) { stopped_.insert(value.task_); }
-
+    void carry_out(stop_task const& /*value*/) {}
     void carry_out(throttle_task const& /*value*/) {}
 
     void carry_out(job_changed const& value)
@@ -287,6 +350,8 @@
         if (is_final(value.result_.state_))
         {
             RC_ASSERT(finals_.insert(value.result_.key_).second);
+            RC_ASSERT(value.result_.state_ != job_state::not_run ||
+                      !ran_unseen_.contains(value.result_.key_));
         }
     }
 
@@ -355,6 +420,7 @@
     scheduler_ptr                 scheduler_ = make_scheduler(settings());
     instant                       now_ = instant(micros_per_second);
     std::vector<command>          commands_;
+    std::vector<command>          history_;
     std::vector<event>            sent_;
     std::uint32_t                 next_job_ = 0;
     std::set<job_key>             submitted_;
@@ -362,11 +428,10 @@
     std::map<job_key, job_spec>   specs_;
     std::map<task_key, target_id> running_; // at targets, not ended
     std::set<task_key>            started_;
-    std::set<task_key>            stopped_;
-    std::set<target_id>           lost_;
-    std::map<target_id, instant>  lapses_;
-    std::map<job_key, int>        gang_starts_;   // of this tick
-    std::set<team_id>             started_teams_; // in this tick
+    std::map<target_id, std::vector<task_key>> unseen_; // not reached yet
+    std::set<job_key>                          ran_unseen_;
+    std::map<job_key, int>                     gang_starts_;   // of this tick
+    std::set<team_id>                          started_teams_; // in this tick
     std::map<std::pair<job_key, std::uint32_t>, int> starts_;
 };
 
