Give a canceled job its final state after a takeover

Cause: a recovered job that was canceled after its target was lost, while other targets were unreached, was taken as in flight and never told.

--- a/decide/release_held_jobs.cpp
+++ b/decide/release_held_jobs.cpp
@@ -36,14 +36,10 @@
                context.settings_.retry_after_micros_);
 }
 
-// Tasks in flight end the job; otherwise nothing of it was found.
+// Tasks in flight end the job; otherwise nothing of it runs any more.
 void release_canceled(scheduler& context, std::size_t job)
 {
-    if (context.jobs_.dispatched_[job] != 0)
-    {
-        return;
-    }
-    if (context.unseen_lost_)
+    if (context.unseen_lost_ && context.jobs_.dispatched_[job] == 0)
     {
         tell_unknown(context, job, reason_canceled);
         return;
