Hold the target stand-in to leases by echoed clocks

Cause: target.proto now has leases that end by the target's own clock, and attachments. The stand-in still renewed leases at receipt and ordered links by stream, so a delayed batch could start or keep alive work that its owner had counted as ended.

Change: a lease ends lease_micros after the highest echo accepted. A batch with echo 0, an echo ahead of the clock or a lease already past renews nothing and has its starts rejected as "lease expired". Within an epoch, lower attachments are ignored. Batches carry the target's clock. Tests that relied on leases at receipt echo the clock instead.

No run with processes under SIGSTOP.

--- a/tests/stand_ins/status_entry.hpp
+++ b/tests/stand_ins/status_entry.hpp
@@ -19,6 +19,7 @@
     std::variant<decide::task_started, decide::task_ended,
                  decide::task_rejected, decide::usage_reported> const event_;
     std::optional<decide::start_task> const start_; // in snapshots
+    bool const omits_payload_ = false; // of start_, in large snapshots
 
     friend bool operator==(status_entry const&, status_entry const&) = default;
 };
--- a/tests/stand_ins/target_context.cpp
+++ b/tests/stand_ins/target_context.cpp
@@ -78,6 +78,7 @@
     context.ended_ = {};
     context.seen_.clear();
     context.stopped_.clear();
+    context.echo_ = {};
     context.lease_deadline_ = instant::never();
     ++context.incarnation_;
 }
@@ -164,6 +165,12 @@
                  std::string(format_name(result)));
 }
 
+std::size_t count_body(status_entry const& entry)
+{
+    auto const* end = std::get_if<decide::task_ended>(&entry.event_);
+    return end != nullptr && end->body_ ? end->body_->size() : 0;
+}
+
 // 4. Systems
 
 void expire_lease(target_context& context)
@@ -229,15 +236,6 @@
 namespace
 {
 
-// Reports stay well below the limit of a message.
-constexpr std::size_t report_body_bytes = 8 * 1024 * 1024;
-
-std::size_t count_body(status_entry const& entry)
-{
-    auto const* end = std::get_if<decide::task_ended>(&entry.event_);
-    return end != nullptr && end->body_ ? end->body_->size() : 0;
-}
-
 void emit_report(target_context& context, std::vector<status_entry> entries)
 {
     context.reports_.push_back({.stream_ = context.stream_,
--- a/tests/stand_ins/target_context.hpp
+++ b/tests/stand_ins/target_context.hpp
@@ -18,6 +18,7 @@
 #include "tests/stand_ins/target_report.hpp"
 #include "tests/stand_ins/target_switches.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <unordered_set>
@@ -42,9 +43,11 @@
     std::uint64_t incarnation_ = 1; // new at each start
     epoch         epoch_ = 0;       // highest seen, kept over crashes
     std::string   shard_;
-    std::uint64_t stream_ = 0;   // that the owner speaks on; 0: none
-    std::uint64_t attached_ = 0; // latest stream that attached
-    bool          owes_ = false; // a report is due though nothing changed
+    std::uint64_t stream_ = 0;     // that the owner speaks on; 0: none
+    std::uint64_t attached_ = 0;   // latest stream that attached
+    bool          owes_ = false;   // a report is due though nothing changed
+    std::uint64_t attachment_ = 0; // highest of the epoch, kept over crashes
+    instant       echo_;           // highest accepted
     instant       lease_deadline_ = instant::never();
     instant       usage_deadline_ = instant::never();
 
@@ -88,6 +91,11 @@
 void emit_reports(target_context& context); // changes to the owner's stream
 
 // Helpers of the systems
+
+// Reports stay well below the limit of a message.
+constexpr std::size_t report_body_bytes = 8 * 1024 * 1024;
+std::size_t           count_body(status_entry const& entry); // of an end
+
 void note_history(target_context& context, std::string const& event,
                   decide::start_task const* task = nullptr,
                   std::string const&        reason = {},
--- a/tests/unit/stand_ins_target_test.cpp
+++ b/tests/unit/stand_ins_target_test.cpp
@@ -1,7 +1,11 @@
 // Purpose: tests of the target stand-in's logic.
 #include "core/core.hpp"
+#include "tests/stand_ins/batch_codec.hpp"
 #include "tests/stand_ins/history_log.hpp"
 #include "tests/stand_ins/target_context.hpp"
+#include "wire/decode_error.hpp"
+
+#include <target.pb.h>
 
 #include <doctest/doctest.h>
 
@@ -60,6 +64,8 @@
     {
         send({.stream_ = stream,
               .epoch_ = term,
+              .attachment_ = stream,
+              .echo_ = now_,
               .lease_micros_ = 10'000'000,
               .starts_ = std::move(starts)});
     }
@@ -68,10 +74,29 @@
     {
         send({.stream_ = 1,
               .epoch_ = 1,
+              .attachment_ = 1,
+              .echo_ = now_,
               .lease_micros_ = 10'000'000,
               .stops_ = {{make_key(job), target_id("worker-1"), checkpoint}}});
     }
 
+    static owner_batch make_batch(std::string const& job, instant echo,
+                                  std::int64_t lease, std::uint64_t link)
+    {
+        return {.stream_ = link,
+                .epoch_ = 1,
+                .attachment_ = link,
+                .echo_ = echo,
+                .lease_micros_ = lease,
+                .starts_ = {make_start(job, R"({"run_ms": 5000})")}};
+    }
+
+    void start_echoing(std::string const& job, instant echo, std::int64_t lease,
+                       std::uint64_t link = 1)
+    {
+        send(make_batch(job, echo, lease, link));
+    }
+
     void advance(std::int64_t micros)
     {
         now_ = now_.after(micros);
@@ -164,6 +189,8 @@
 {
     send({.stream_ = 1,
           .epoch_ = 1,
+          .attachment_ = 1,
+          .echo_ = now_,
           .lease_micros_ = 2000,
           .starts_ = {make_start("a", long_run), make_start("b", long_run)}});
     CHECK(next_deadline(target_) == now_.after(2000));
@@ -182,6 +209,8 @@
 {
     send({.stream_ = 1,
           .epoch_ = 1,
+          .attachment_ = 1,
+          .echo_ = now_,
           .lease_micros_ = 2000,
           .starts_ = {make_start("a", long_run)}});
     now_ = now_.after(2500);
@@ -213,6 +242,8 @@
     advance(1000);
     send({.stream_ = 1,
           .epoch_ = 1,
+          .attachment_ = 1,
+          .echo_ = now_,
           .lease_micros_ = 10'000'000,
           .acknowledged_ends_ = {make_key("a")}});
     start({make_start("a", R"({"run_ms": 1})")});
@@ -246,6 +277,8 @@
     REQUIRE(list<decide::task_ended>().size() == 1);
     send({.stream_ = 2,
           .epoch_ = 1,
+          .attachment_ = 2,
+          .echo_ = now_,
           .lease_micros_ = 10'000'000,
           .acknowledged_ends_ = {make_key("a")}});
     close_stream(target_, 2);
@@ -273,6 +306,8 @@
     now_ = now_.after(4000);
     send({.stream_ = 1,
           .epoch_ = 1,
+          .attachment_ = 1,
+          .echo_ = now_,
           .lease_micros_ = 10'000'000,
           .throttles_ = {{make_key("a"), target_id("worker-1"), 500}}});
     CHECK(next_deadline(target_) == now_.after(12'000));
@@ -302,6 +337,165 @@
     CHECK(running() == 0);
 }
 
+// Guards against leases that outlast the time at which the owner ends them,
+// because the batch that renewed them was delayed.
+TEST_CASE_FIXTURE(target_fixture,
+                  "lease, batch delayed, ends after the echo, not the receipt")
+{
+    start_echoing("a", now_.after(-3000), 5000);
+    CHECK(running() == 1);
+    CHECK(next_deadline(target_) == now_.after(2000));
+    advance(2000);
+    CHECK(running() == 0);
+}
+
+// Guards against a reordered echo that shortens or extends the lease.
+TEST_CASE_FIXTURE(target_fixture, "lease, lower echo later, keeps the highest")
+{
+    instant const first = now_;
+    start_echoing("a", first, 5000);
+    now_ = now_.after(1000);
+    start_echoing("b", first.after(-2000), 5000);
+    CHECK(running() == 2);
+    CHECK(next_deadline(target_) == first.after(5000));
+}
+
+// Guards against the first batch of a link that keeps tasks alive or starts
+// some before the owner has heard the target's clock.
+TEST_CASE_FIXTURE(target_fixture,
+                  "lease, echo 0, renews nothing and rejects starts")
+{
+    start_echoing("a", now_, 5000);
+    instant const end = now_.after(5000);
+    now_ = now_.after(1000);
+    start_echoing("b", instant(), 10'000'000, 2);
+    CHECK(next_deadline(target_) == end);
+    REQUIRE(list<decide::task_rejected>().size() == 1);
+    CHECK(list<decide::task_rejected>()[0].reason_ == "lease expired");
+    CHECK(running() == 1);
+}
+
+// Guards against work that starts after its owner has counted it as ended.
+TEST_CASE_FIXTURE(target_fixture,
+                  "lease, expired in the batch, rejects starts for good")
+{
+    start_echoing("a", now_.after(-5000), 5000);
+    REQUIRE(list<decide::task_rejected>().size() == 1);
+    CHECK(list<decide::task_rejected>()[0].reason_ == "lease expired");
+    start_echoing("a", now_, 5000);
+    CHECK(running() == 0);
+}
+
+// Guards against an echo of another clock that grants an endless lease.
+TEST_CASE_FIXTURE(target_fixture, "lease, echo ahead of the clock, is refused")
+{
+    start_echoing("a", now_.after(1), 5000);
+    CHECK(list<decide::task_rejected>().size() == 1);
+    CHECK(running() == 0);
+}
+
+// Guards against a target that continues after a freeze, or a stop of its
+// process, and runs what was sent to it meanwhile.
+TEST_CASE_FIXTURE(target_fixture,
+                  "lease, expired while frozen, ends before waiting batches")
+{
+    start_echoing("a", now_, 5000);
+    post_batch(target_, make_batch("b", now_, 5000, 1));
+    now_ = now_.after(5000);
+    tick();
+    CHECK(running() == 0);
+    CHECK(target_.counters_.starts_ == 1);
+    CHECK(target_.counters_.lapses_ == 1);
+    CHECK(target_.history_.at(0).event_ == "lapse");
+    REQUIRE(list<decide::task_rejected>().size() == 1);
+    CHECK(list<decide::task_rejected>()[0].task_ == make_key("b"));
+}
+
+// Guards against a start, delayed on an earlier link, that follows a snapshot
+// which does not list it. The later link's stream may have opened first.
+TEST_CASE_FIXTURE(target_fixture,
+                  "attachment, lower than the highest, is ignored")
+{
+    send({.stream_ = 1, .epoch_ = 1, .attachment_ = 2, .lease_micros_ = 5000});
+    CHECK(target_.reports_.at(0).snapshot_);
+    send({.stream_ = 2,
+          .epoch_ = 1,
+          .attachment_ = 1,
+          .echo_ = now_,
+          .lease_micros_ = 5000,
+          .starts_ = {make_start("a", long_run)}});
+    CHECK(target_.reports_.empty());
+    CHECK(target_.counters_.fenced_ == 0);
+    CHECK(running() == 0);
+}
+
+// Guards against a new link that is ignored because its stream opened early.
+TEST_CASE_FIXTURE(target_fixture,
+                  "attachment, higher on an earlier stream, takes over")
+{
+    send({.stream_ = 2, .epoch_ = 1, .attachment_ = 1, .lease_micros_ = 5000});
+    send({.stream_ = 1, .epoch_ = 1, .attachment_ = 2, .lease_micros_ = 5000});
+    CHECK(target_.dropped_ == std::vector<std::uint64_t>{2});
+    CHECK(target_.reports_.at(0).stream_ == 1);
+    CHECK(target_.reports_.at(0).snapshot_);
+}
+
+// Guards against a new owner that is ignored because it counts from 1.
+TEST_CASE_FIXTURE(target_fixture, "attachment, new epoch, starts anew")
+{
+    send({.stream_ = 1, .epoch_ = 1, .attachment_ = 9, .lease_micros_ = 5000});
+    send({.stream_ = 2, .epoch_ = 2, .attachment_ = 1, .lease_micros_ = 5000});
+    REQUIRE(target_.reports_.size() == 3);
+    CHECK(target_.reports_[1].stream_ == 2);
+    CHECK(target_.reports_[1].snapshot_);
+}
+
+// Guards against a new owner that can't start idempotent work again.
+TEST_CASE_FIXTURE(target_fixture,
+                  "snapshot, encoded, has the payloads and the clock")
+{
+    start({make_start("a", long_run)});
+    start({}, 1, 2);
+    v1::TargetBatch message;
+    encode_report(target_.reports_.at(0), target_.host_, now_, message);
+    CHECK(message.clock_micros() == now_.micros());
+    REQUIRE(message.tasks_size() == 1);
+    CHECK(message.tasks(0).spec().payload() == long_run);
+}
+
+// Guards against a snapshot that exceeds the limit of a message.
+TEST_CASE_FIXTURE(target_fixture,
+                  "snapshot, above 8 MiB, leaves out the largest payloads")
+{
+    std::string const small(3 * 1024 * 1024, ' ');
+    std::string const large(6 * 1024 * 1024, ' ');
+    start(
+        {make_start("a", large + long_run), make_start("b", small + long_run)});
+    start({}, 1, 2);
+    v1::TargetBatch message;
+    encode_report(target_.reports_.at(0), target_.host_, now_, message);
+    CHECK(message.snapshot());
+    REQUIRE(message.tasks_size() == 2);
+    CHECK(message.tasks(0).spec().payload().empty());
+    CHECK(message.tasks(1).spec().payload() == small + long_run);
+}
+
+// Guards against fields of a batch that the codec drops.
+TEST_CASE_FIXTURE(target_fixture, "batch, decoded, has attachment and echo")
+{
+    v1::OwnerBatch message;
+    message.set_epoch(1);
+    message.set_lease_micros(1);
+    message.set_attachment(7);
+    message.set_echo_micros(8);
+    owner_batch const batch = decode_batch(message, target_.host_, 1, now_);
+    CHECK(batch.attachment_ == 7);
+    CHECK(batch.echo_ == instant(8));
+    message.set_echo_micros(-1);
+    CHECK_THROWS_AS(decode_batch(message, target_.host_, 1, now_),
+                    wire::decode_error);
+}
+
 // Guards against a failing worker that hides its failures.
 TEST_CASE_FIXTURE(target_fixture,
                   "target, set to fail tasks, fails each start at once")
--- a/wire/target_codec.cpp
+++ b/wire/target_codec.cpp
@@ -315,10 +315,9 @@
 }
 
 void add_recovery(decide::task_recovered const& value, instant now,
-                  v1::TaskStatus& message)
+                  payload_mode mode, v1::TaskStatus& message)
 {
-    encode_job_spec(value.spec_, now, payload_mode::omit,
-                    *message.mutable_spec());
+    encode_job_spec(value.spec_, now, mode, *message.mutable_spec());
     encode_resources(value.reservation_, *message.mutable_reservation());
 }
 
--- a/wire/target_codec.hpp
+++ b/wire/target_codec.hpp
@@ -27,7 +27,7 @@
 namespace fescuevane::wire
 {
 
-// Whether a specification carries its payload. Snapshots leave it out.
+// Whether a specification carries its payload. Large snapshots leave some out.
 enum class payload_mode
 {
     include,
@@ -76,7 +76,7 @@
                    v1::TaskStatus&               message);
 // Adds specification and reservation to the status of the same task.
 void add_recovery(decide::task_recovered const& value, instant now,
-                  v1::TaskStatus& message);
+                  payload_mode mode, v1::TaskStatus& message);
 
 } // namespace fescuevane::wire
 
