Sum reclaimed capacity once a tick

Cause: the sum was made for each team anew. A trial with 1,800 targets, 160 teams and 9,000 queued tasks had a p99 of 54 ms a tick.

Change: one pass over the tasks that are being reclaimed gives the sums of all teams.

Ran: ctest passes; the same trial on a shared host has a p99 of 2.4 ms.

--- a/decide/reclaim_lent_capacity.cpp
+++ b/decide/reclaim_lent_capacity.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <array>
+#include <numeric>
 #include <optional>
 #include <vector>
 
@@ -163,17 +164,22 @@
            context.jobs_.spec_[*job]->idempotent_;
 }
 
-// Part of the shard that a team is about to give back.
-double compute_coming(scheduler const& context, std::size_t team)
+// Part of the shard that each team is about to give back.
+std::vector<double> compute_coming(scheduler const& context)
 {
-    double coming = compute_fraction(context.teams_.stopping_[team],
-                                     context.targets_.total_);
+    std::vector<double> coming;
+    for (resources const& stopping : context.teams_.stopping_)
+    {
+        coming.push_back(compute_fraction(stopping, context.targets_.total_));
+    }
     for (reclaim_entry const& entry : context.reclaims_)
     {
-        auto const task = find_throttled(context, entry);
-        bool const own =
-            entry.task_.job_.team_ == context.teams_.index_.key(team);
-        coming += task && own ? compute_task_part(context, *task) : 0.0;
+        if (auto const task = find_throttled(context, entry))
+        {
+            auto const team =
+                context.teams_.index_.find(entry.task_.job_.team_);
+            coming[*team] += compute_task_part(context, *task);
+        }
     }
     return coming;
 }
@@ -222,10 +228,12 @@
     double     deficit = lacking ? compute_deficit(context, entitled) : 0.0;
     advance_steps(context, deficit > 0);
     std::size_t left = victims_a_tick;
-    for (std::size_t team = 0; team < entitled.size(); ++team)
+    if (deficit <= 0)
     {
-        deficit -= deficit > 0 ? compute_coming(context, team) : 0.0;
+        return;
     }
+    std::vector<double> const coming = compute_coming(context);
+    deficit -= std::accumulate(coming.begin(), coming.end(), 0.0);
     for (std::size_t team = 0; deficit > 0 && team < entitled.size(); ++team)
     {
         double const share = compute_dominant_share(context, team);
@@ -233,7 +241,7 @@
         {
             continue;
         }
-        double excess = share - entitled[team] - compute_coming(context, team);
+        double excess = share - entitled[team] - coming[team];
         for (work_kind const kind : reclaim_order)
         {
             pick_victims(context, team, kind, excess, deficit, left);
