--- a/entry/process.cpp
+++ b/entry/process.cpp
@@ -130,14 +130,13 @@
     tick_source_ = g_source_new(&functions, sizeof(tick_source));
     reinterpret_cast<tick_source*>(tick_source_)->owner_ = this;
     g_source_attach(tick_source_, nullptr);
-    GSource* const source = tick_source_;
     // Streams that gRPC has not finished yet may push until the process exits,
-    // so they share the queue; setting the time of a source is thread-safe.
+    // so they share the queue and the source; setting the time of a source is
+    // thread-safe.
+    std::shared_ptr<GSource> const source(g_source_ref(tick_source_),
+                                          &g_source_unref);
     events_ = std::make_shared<event_queue>(
-        [source]
-        {
-            g_source_set_ready_time(source, 0);
-        });
+        [source] { g_source_set_ready_time(source.get(), 0); });
 
     log_ = std::make_unique<state_logger>(make_state_logger(values));
     traces_ = std::make_unique<span_tracer>(values.trace_file_,
