--- a/entry/target_link.cpp
+++ b/entry/target_link.cpp
@@ -79,7 +79,9 @@
         v1::Target::NewStub(to.stream_->channel());
     stub->async()->Attach(&to.stream_->context(), to.stream_.get());
     to.stream_->start();
-    to.stream_->write(make_batch(to)); // asks for the snapshot
+    v1::OwnerBatch first = make_batch(to); // asks for the snapshot
+    first.set_lease_micros(order.lease_micros_);
+    to.stream_->write(std::move(first));
     connections_.insert_or_assign(target, to);
 }
 
