--- a/entry/node_owner.cpp
+++ b/entry/node_owner.cpp
@@ -347,8 +347,8 @@
 }
 
 void write_record(node& context, shard_id const& shard,
-                  std::shared_ptr<job_spec const>   spec,
-                  std::shared_ptr<job_result const> result)
+                  std::shared_ptr<job_spec const> const&   spec,
+                  std::shared_ptr<job_result const> const& result)
 {
     post_to_control(context, state::job_record{shard, spec, result});
 }
--- a/entry/process.cpp
+++ b/entry/process.cpp
@@ -136,7 +136,10 @@
     std::shared_ptr<GSource> const source(g_source_ref(tick_source_),
                                           &g_source_unref);
     events_ = std::make_shared<event_queue>(
-        [source] { g_source_set_ready_time(source.get(), 0); });
+        [source]
+        {
+            g_source_set_ready_time(source.get(), 0);
+        });
 
     log_ = std::make_unique<state_logger>(make_state_logger(values));
     traces_ = std::make_unique<span_tracer>(values.trace_file_,
