Keep the parts of a limit within each accepted limit

Cause: with tickets 6 (limit 287), 7 (184) and 8 (399) pending over an accepted 271, a process that had seen ticket 8 restricted the accepted limit only by the latest ticket: the 184 of ticket 7 no longer applied to it. The accept commit was conditional on no allotment row, and the growing commit on no ticket row, so neither conflicted.

Ruled out: caps that don't add up (sums of ceilings fit in each row of the trace), a takeover (both shards keep epoch 1 in the trace).

Change: - The effective configuration is the accepted one restricted by each later ticket in turn, kept up incrementally as tickets are read. - The accept commit is conditional on the allotment rows of the teams whose limit is new or lower. Rows of other teams fit already and may change. - A commit that raises a part or removes the row is conditional on the accepted and head rows. Reductions aren't, so they never wait for a read.

The three new tests fail with the former state/ and pass now.

--- a/state/acknowledge_tickets.cpp
+++ b/state/acknowledge_tickets.cpp
@@ -43,8 +43,19 @@
     return lowest;
 }
 
-// A takeover or a lower acknowledgement in between conflicts.
-std::vector<row_condition> list_conditions(control const& context)
+bool is_lowered(config const& accepted, team_config const& team)
+{
+    auto const before = accepted.teams_.find(team.team_);
+    return team.limit_ &&
+           (before == accepted.teams_.end() || !before->second.limit_ ||
+            !before->second.limit_->fits_in(*team.limit_));
+}
+
+// A takeover or a lower acknowledgement in between conflicts, and so does a
+// part that changed after `fits_limits` looked at it. Parts of other teams fit
+// already: their limits in `value` are no lower than the accepted ones.
+std::vector<row_condition> list_conditions(control const& context,
+                                           config const&  value)
 {
     std::vector<row_condition> conditions = {
         make_condition(context.rows_, std::string(accepted_key))};
@@ -55,6 +66,14 @@
         conditions.push_back(
             make_condition(context.rows_, format_ack_key(shard)));
     }
+    for (auto const& [id, team] : value.teams_)
+    {
+        if (is_lowered(*context.accepted_, team))
+        {
+            conditions.push_back(
+                make_condition(context.rows_, format_allotment_key(id)));
+        }
+    }
     return conditions;
 }
 
@@ -107,14 +126,13 @@
     return true;
 }
 
-void accept_tickets(control& context, ticket_number number)
+void accept_tickets(control& context, config const& value)
 {
     std::vector<row_write> writes = {
-        {std::string(accepted_key),
-         write_config(*build_config(context, number))}};
-    remove_old_tickets(context, number, writes);
+        {std::string(accepted_key), write_config(value)}};
+    remove_old_tickets(context, value.number_, writes);
     open_commit(context, {.purpose_ = commit_purpose::accept},
-                list_conditions(context), std::move(writes));
+                list_conditions(context, value), std::move(writes));
 }
 
 // Any process may accept. They take turns, so that usually one of them writes.
@@ -138,7 +156,7 @@
     {
         return context.accept_due_;
     }
-    accept_tickets(context, number);
+    accept_tickets(context, *build_config(context, number));
     context.accept_due_ = instant::never();
     return instant::never();
 }
--- a/state/adjust_allotments.cpp
+++ b/state/adjust_allotments.cpp
@@ -379,13 +379,32 @@
     return false;
 }
 
+// Not met when a ticket was committed or accepted that this process doesn't
+// know yet: its limit may be lower, or there may be one.
+std::vector<row_condition> list_ticket_conditions(control const& context)
+{
+    return {make_condition(context.rows_, std::string(accepted_key)),
+            make_condition(context.rows_, std::string(head_key))};
+}
+
+bool has_grown(part_map const& before, part_map const& after)
+{
+    return std::any_of(after.begin(), after.end(),
+                       [&before](auto const& entry)
+                       {
+                           return !entry.second.part_.fits_in(
+                               find_part(before, entry.first).part_);
+                       });
+}
+
 // Conditional on the rows of the owned shards as well: the part of a shard that
-// was taken over belongs to its new owner.
-std::vector<row_condition> list_part_conditions(control const&     context,
-                                                std::string const& key)
+// was taken over belongs to its new owner. Reductions don't depend on tickets.
+std::vector<row_condition>
+list_part_conditions(control const& context, std::string const& key, bool grows)
 {
-    std::vector<row_condition> conditions = {
-        make_condition(context.rows_, key)};
+    std::vector<row_condition> conditions =
+        grows ? list_ticket_conditions(context) : std::vector<row_condition>();
+    conditions.push_back(make_condition(context.rows_, key));
     for (std::size_t row = 0; row < context.shards_.index_.size(); ++row)
     {
         if (context.shards_.phase_[row] == shard_phase::owned)
@@ -398,11 +417,12 @@
     return conditions;
 }
 
-void commit_parts(control& context, team_id const& team, part_map const& parts)
+void commit_parts(control& context, team_id const& team, part_map const& before,
+                  part_map const& parts)
 {
     std::string const key = format_allotment_key(team);
     open_commit(context, {.purpose_ = commit_purpose::allotment, .team_ = team},
-                list_part_conditions(context, key),
+                list_part_conditions(context, key, has_grown(before, parts)),
                 {{key, write_parts(parts, context.committed_->number_)}});
 }
 
@@ -412,9 +432,11 @@
     row_condition const condition = make_condition(context.rows_, key);
     if (condition.revision_ != 0 && rank_self(context, key) == 0)
     {
+        std::vector<row_condition> conditions = list_ticket_conditions(context);
+        conditions.push_back(condition);
         open_commit(context,
                     {.purpose_ = commit_purpose::allotment, .team_ = team},
-                    {condition}, {{key, "", true}});
+                    std::move(conditions), {{key, "", true}});
     }
 }
 
@@ -446,7 +468,7 @@
     if (parts != present)
     {
         context.allotments_.limit_[row] = *limit;
-        commit_parts(context, team, parts);
+        commit_parts(context, team, present, parts);
     }
     return instant::never();
 }
--- a/state/advance_tickets.cpp
+++ b/state/advance_tickets.cpp
@@ -177,11 +177,10 @@
     {
         return;
     }
-    config const restricted =
-        restrict_config(*context.accepted_, *context.committed_);
     config const effective =
-        context.cut_off_ ? stop_domain(restricted, context.settings_.domain_)
-                         : restricted;
+        context.cut_off_
+            ? stop_domain(*context.restricted_, context.settings_.domain_)
+            : *context.restricted_;
     context.acks_changed_ = true;
     if (effective == *context.effective_)
     {
--- a/state/control.hpp
+++ b/state/control.hpp
@@ -59,7 +59,8 @@
     // Configuration
     std::shared_ptr<config const> accepted_ =
         std::make_shared<config const>(config{});
-    std::shared_ptr<config const> committed_ = accepted_; // by known tickets
+    std::shared_ptr<config const> committed_ = accepted_;  // by known tickets
+    std::shared_ptr<config const> restricted_ = accepted_; // by all of these
     std::shared_ptr<config const> effective_ = accepted_;
     instant foreign_contact_; // last heartbeat of another domain's host
     bool    cut_off_ = false; // and the domain's policy is to stop
--- a/state/merge_row.cpp
+++ b/state/merge_row.cpp
@@ -67,6 +67,15 @@
     context.acks_changed_ = true;
 }
 
+// What a ticket forbids stays forbidden until a number that contains it is
+// accepted, even when a later ticket permits it again: an acknowledgement of
+// the later number counts for the earlier one too.
+void restrict_further(control& context, config const& committed)
+{
+    context.restricted_ = std::make_shared<config const>(
+        restrict_config(*context.restricted_, committed));
+}
+
 // Committed tickets apply in the order of their numbers.
 void extend_committed(control& context)
 {
@@ -78,10 +87,27 @@
     {
         context.committed_ = std::make_shared<config const>(apply_stored_ticket(
             *context.committed_, context.tickets_.text_[*next]));
+        restrict_further(context, *context.committed_);
         context.config_changed_ = true;
     }
 }
 
+// Starts again from a newly accepted configuration. The rows of the tickets
+// after it are known: they are removed only once they are accepted.
+void restrict_accepted(control& context)
+{
+    context.restricted_ = context.accepted_;
+    std::shared_ptr<config const> committed = context.accepted_;
+    while (committed->number_ < context.committed_->number_)
+    {
+        std::size_t const row =
+            *context.tickets_.index_.find(committed->number_ + 1);
+        committed = std::make_shared<config const>(
+            apply_stored_ticket(*committed, context.tickets_.text_[row]));
+        restrict_further(context, *committed);
+    }
+}
+
 void merge_ticket(control& context, std::string_view suffix,
                   table_row const& row)
 {
@@ -118,6 +144,7 @@
     {
         context.committed_ = context.accepted_;
     }
+    restrict_accepted(context);
     context.config_changed_ = true;
     context.acks_changed_ = true;
     extend_committed(context);
--- a/tests/unit/state_allotments_test.cpp
+++ b/tests/unit/state_allotments_test.cpp
@@ -6,6 +6,7 @@
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
+#include <algorithm>
 
 namespace fescuevane::state
 {
@@ -105,6 +106,38 @@
     {
         return accepted_config(*processes_.at("e1").control_)->number_;
     }
+
+    static bool accepts(commit_rows const& commit, ticket_number number)
+    {
+        row_write const& write = commit.writes_.at(0);
+        return write.key_ == "control/accepted" &&
+               read_config(write.value_).number_ == number;
+    }
+
+    // True when all commits that accept the number, at least one, are
+    // conditional on the row of the team's parts.
+    bool depends_on_parts(ticket_number number) const
+    {
+        std::size_t accepting = 0;
+        std::size_t dependent = 0;
+        for (auto const& [name, process] : processes_)
+        {
+            for (commit_rows const& commit : process.list<commit_rows>())
+            {
+                if (accepts(commit, number))
+                {
+                    ++accepting;
+                    dependent += static_cast<std::size_t>(std::count_if(
+                        commit.conditions_.begin(), commit.conditions_.end(),
+                        [](row_condition const& condition)
+                        {
+                            return condition.key_ == "control/allotment/cafes";
+                        }));
+                }
+            }
+        }
+        return accepting > 0 && dependent == accepting;
+    }
 };
 
 // Guards against an owner that has to ask the store before its first start.
@@ -218,6 +251,62 @@
     CHECK(find_accepted() == 2);
 }
 
+// Guards against a lower limit that a later ticket lifts on the shards that
+// have seen both, while the lower one can still be accepted.
+TEST_CASE_FIXTURE(allotment_fixture,
+                  "limit, lowered and raised before acceptance, stays lowered")
+{
+    accept_limit(800);
+    processes_.at("w1").cut_ = true;
+    file_limit(200);
+    run_loaded(500);
+    file_limit(900);
+    run_loaded(500);
+    REQUIRE(committed_number(*processes_.at("e1").control_) == 3);
+    demand(east_, 0, 700);
+    run_loaded(1000);
+    CHECK(find_told(east_) <= 200);
+    CHECK(sum_parts(read_row()).cpu_millis() <= 200);
+    processes_.at("w1").cut_ = false;
+    run_loaded(4000);
+    CHECK(find_accepted() == 3);
+    CHECK(find_told(east_) == 900 - 900 / 8); // all but the other's minimum
+}
+
+// Guards against a part that grows under a limit which a ticket has lowered in
+// the meantime.
+TEST_CASE_FIXTURE(allotment_fixture,
+                  "part, grows while a ticket is committed, gets a conflict")
+{
+    accept_limit(800);
+    demand(west_, 100, 500);
+    processes_.at("w1").post(
+        load_noted{west_, {{team_, used_[west_], waiting_[west_]}}});
+    file_limit(300);
+    run(20); // the store decides on the ticket of e1 first
+    CHECK(store_.cells_.at("control/head").value_ == "2");
+    CHECK(sum_parts(read_row()).cpu_millis() == 200);
+    run_loaded(2000);
+    CHECK(find_accepted() == 2);
+    CHECK(sum_parts(read_row()).cpu_millis() <= 300);
+}
+
+// Guards against an acceptance that a part outgrows after it was checked, and
+// against one that each change of an unconcerned team delays.
+TEST_CASE_FIXTURE(allotment_fixture,
+                  "acceptance, limit lowered, depends on the team's parts")
+{
+    accept_limit(800);
+    file_limit(900);
+    run_loaded(2000);
+    file_limit(300);
+    run_loaded(2000);
+    REQUIRE(find_accepted() == 3);
+    CHECK(depends_on_parts(1)); // the limit is new
+    CHECK_FALSE(depends_on_parts(2));
+    CHECK(depends_on_parts(3));
+}
+
 // Guards against rows of teams that no longer exist.
 TEST_CASE_FIXTURE(allotment_fixture,
                   "allotment, team removed, row goes after acceptance")
