Acknowledge tickets only for shards that are ready

Cause: `shard_ready` was posted by the node and ignored. A new owner could acknowledge a ticket right after its claim, while an earlier owner that is cut off still started work on the targets under the old configuration; "accepted" was then false.

Ruled out: posting the event without an epoch. One that was posted for an earlier acquisition would count for the present one.

Change: `shard_ready` carries the epoch of `shard_acquired`. An owner writes its ack row only after the event of its present epoch; the mark is reset at each acquisition. The node passes the epoch of the driver. The fixture posts the event after `shard_acquired`, unless the process doesn't attach; no assertion is changed.

Of the node only node_sessions.cpp was compiled; no test of the running node was made.

Conclusion: a ticket names the failure domain of a shard as missing until its owner is ready.

--- a/entry/node_sessions.cpp
+++ b/entry/node_sessions.cpp
@@ -457,7 +457,8 @@
             drivers.complete_[row] = 1;
             drivers.ready_deadline_[row] = context.now_;
             state::post_event(*context.control_,
-                              state::shard_ready{drivers.index_.key(row)});
+                              state::shard_ready{drivers.index_.key(row),
+                                                 drivers.epoch_[row]});
             context.control_dirty_ = true;
         }
     }
--- a/state/acknowledge_tickets.cpp
+++ b/state/acknowledge_tickets.cpp
@@ -21,8 +21,8 @@
     commit_key const    key{.purpose_ = commit_purpose::ack, .shard_ = id};
     ticket_number const number = context.committed_->number_;
     if (shards.phase_[shard] != shard_phase::owned ||
-        find_ack(shards, shard) >= number || has_commit(context, key) ||
-        !holds_limits(context, shard))
+        !is_ready(shards, shard) || find_ack(shards, shard) >= number ||
+        has_commit(context, key) || !holds_limits(context, shard))
     {
         return;
     }
--- a/state/apply_events.cpp
+++ b/state/apply_events.cpp
@@ -106,7 +106,17 @@
     queue_record(context, input);
 }
 
-void apply(control& /*context*/, shard_ready const& /*input*/) {}
+void apply(control& context, shard_ready const& input)
+{
+    shard_table& shards = context.shards_;
+    auto const   row = shards.index_.find(input.shard_);
+    if (row && is_serving(shards, *row) &&
+        input.epoch_ == shards.served_epoch_[*row])
+    {
+        shards.ready_epoch_[*row] = input.epoch_;
+        context.acks_changed_ = true;
+    }
+}
 
 void apply(control& context, shard_fenced const& input)
 {
--- a/state/claim_shards.cpp
+++ b/state/claim_shards.cpp
@@ -51,6 +51,7 @@
     {
         shards.phase_[shard] = shard_phase::loading;
         shards.served_epoch_[shard] = present;
+        shards.ready_epoch_[shard] = 0;
     }
 }
 
--- a/state/shard_table.cpp
+++ b/state/shard_table.cpp
@@ -17,6 +17,7 @@
     table.ack_epoch_.append(0);
     table.phase_.append(shard_phase::foreign);
     table.served_epoch_.append(0);
+    table.ready_epoch_.append(0);
     table.lost_epoch_.append(0);
     table.lost_at_.append(instant());
     table.successor_.append(host_id());
@@ -32,6 +33,12 @@
            table.phase_[row] == shard_phase::handing_over;
 }
 
+bool is_ready(shard_table const& table, std::size_t row)
+{
+    return is_serving(table, row) &&
+           table.ready_epoch_[row] == table.served_epoch_[row];
+}
+
 ticket_number find_ack(shard_table const& table, std::size_t row)
 {
     bool const present = table.owner_[row].epoch_ != 0 &&
--- a/state/shard_table.hpp
+++ b/state/shard_table.hpp
@@ -30,6 +30,7 @@
     // Of this process
     column<shard_phase>   phase_;
     column<epoch>         served_epoch_; // when not foreign
+    column<epoch>         ready_epoch_;  // of the last valid `shard_ready`
     column<epoch>         lost_epoch_;   // never served again, nor a lower one
     column<instant>       lost_at_;      // time of the last release
     column<host_id>       successor_;    // when handing over
@@ -44,6 +45,9 @@
 // True for an owner that has to write its acknowledgements and allotments.
 bool is_serving(shard_table const& table, std::size_t row);
 
+// True when no earlier owner can start work on the shard's targets.
+bool is_ready(shard_table const& table, std::size_t row);
+
 // Highest ticket that the present owner has acknowledged.
 ticket_number find_ack(shard_table const& table, std::size_t row);
 
--- a/tests/unit/state_fixture.hpp
+++ b/tests/unit/state_fixture.hpp
@@ -55,6 +55,7 @@
     bool                      paused_ = false;
     bool                      cut_ = false;      // from the table service
     bool                      isolated_ = false; // from its peers
+    bool                      attaches_ = true;  // to the targets of its shards
     std::map<shard_id, epoch> serves_;           // by acquired and released
     std::map<shard_id, std::map<team_id, resources>> allotments_;
 
--- a/tests/unit/state_fixture_test.cpp
+++ b/tests/unit/state_fixture_test.cpp
@@ -135,6 +135,10 @@
     if (auto const* acquired = std::get_if<shard_acquired>(&told))
     {
         process.serves_[acquired->shard_] = acquired->epoch_;
+        if (process.attaches_)
+        {
+            process.post(shard_ready{acquired->shard_, acquired->epoch_});
+        }
     }
     if (auto const* released = std::get_if<shard_released>(&told))
     {
--- a/tests/unit/state_tickets_test.cpp
+++ b/tests/unit/state_tickets_test.cpp
@@ -2,6 +2,7 @@
 #include "tests/unit/state_fixture.hpp"
 
 #include <doctest/doctest.h>
+#include <set>
 
 namespace fescuevane::state
 {
@@ -26,6 +27,23 @@
                R"("],"share":3}],"services":[{"id":"refills","open":false}]})";
     }
 
+    // Keys of the acknowledgements that a process has sent.
+    static std::set<std::string> list_acks(process_fake const& process)
+    {
+        std::set<std::string> keys;
+        for (commit_rows const& commit : process.list<commit_rows>())
+        {
+            for (row_write const& write : commit.writes_)
+            {
+                if (write.key_.starts_with("control/ack/"))
+                {
+                    keys.insert(write.key_);
+                }
+            }
+        }
+        return keys;
+    }
+
     bool accepts(std::string const& process, std::string const& key) const
     {
         return accepts_key(*effective_config(*processes_.at(process).control_),
@@ -134,6 +152,67 @@
     CHECK(list_stages(processes_.at("e1"), 1).back() == ticket_stage::accepted);
 }
 
+// Guards against a ticket that is accepted while an earlier owner, cut off from
+// the store, still starts work under the old configuration.
+TEST_CASE_FIXTURE(ticket_fixture,
+                  "ticket, new owner not ready, waits and names the domain")
+{
+    kill("w1");
+    process_fake& next = start("w2", "west");
+    next.attaches_ = false;
+    run(6000);
+    REQUIRE(next.serves_.size() == 2);
+    processes_.at("e1").post(ticket_filed{1, write_ticket(1)});
+    run(10000);
+    CHECK(list_acks(next).empty());
+    CHECK(list_stages(processes_.at("e1"), 1) ==
+          stages{ticket_stage::committed});
+    CHECK(list_missing_domains(*processes_.at("e1").control_, 1) ==
+          std::vector<domain_id>{domain_id("west")});
+    for (auto const& [shard, epoch] : next.serves_)
+    {
+        next.post(shard_ready{shard, epoch - 1});
+    }
+    run(2000);
+    CHECK(list_acks(next).empty()); // ready under the epoch of another owner
+    auto const& [first, epoch] = *next.serves_.begin();
+    next.post(shard_ready{first, epoch});
+    run(2000);
+    CHECK(list_acks(next).size() == 1); // the other shard still waits
+    CHECK(list_stages(processes_.at("e1"), 1) ==
+          stages{ticket_stage::committed});
+    next.post(shard_ready{next.serves_.rbegin()->first,
+                          next.serves_.rbegin()->second});
+    run(2000);
+    CHECK(list_acks(next).size() == 2);
+    CHECK(list_stages(processes_.at("e1"), 1).back() == ticket_stage::accepted);
+}
+
+// Guards against an owner that counts as ready because it was under an earlier
+// epoch.
+TEST_CASE_FIXTURE(ticket_fixture,
+                  "ticket, shard acquired again, waits for shard_ready again")
+{
+    process_fake&  west = processes_.at("w1");
+    shard_id const shard{domain_id("west"), 0};
+    REQUIRE(west.serves_.contains(shard));
+    epoch const before = west.serves_.at(shard);
+    west.attaches_ = false;
+    west.post(shard_fenced{shard, before + 1});
+    run(6000);
+    REQUIRE(list_servers(shard) == std::vector<std::string>{"w1"});
+    REQUIRE(west.serves_.at(shard) > before);
+    processes_.at("e1").post(ticket_filed{1, write_ticket(1)});
+    run(4000);
+    CHECK(list_missing_domains(*processes_.at("e1").control_, 1) ==
+          std::vector<domain_id>{domain_id("west")});
+    CHECK(list_acks(west).size() == 1); // of the shard that stayed
+    west.post(shard_ready{shard, west.serves_.at(shard)});
+    run(2000);
+    CHECK(list_acks(west).size() == 2);
+    CHECK(list_stages(processes_.at("e1"), 1).back() == ticket_stage::accepted);
+}
+
 // Guards against a configuration that goes back after a stale read.
 TEST_CASE_FIXTURE(ticket_fixture,
                   "config, stale and repeated reads, never reverts")
