Add the bench program with the decision and packing measures

Cause: the measures of the design page had no program. Change: bench/ with a table of measures, a model of targets that ends tasks and obeys stops and throttles, first-fit and best-fit over arrays as baselines, and scripts/bench.

--- /dev/null
+++ b/bench/measure.hpp
@@ -0,0 +1,31 @@
+// Purpose: the table of measures. Each runs from a seed, with its baseline in
+// the same run.
+#ifndef FESCUEVANE_BENCH_MEASURE_HPP
+#define FESCUEVANE_BENCH_MEASURE_HPP
+
+#include "bench/figure.hpp"
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace fescuevane::bench
+{
+
+struct measure
+{
+    std::string_view const name_;
+    std::string_view const help_;
+    void (*const run_)(std::uint64_t seed, std::vector<figure>& output);
+};
+
+std::span<measure const> list_measures(); // in the order of the runs
+
+// Measures
+void measure_decision(std::uint64_t seed, std::vector<figure>& output);
+void measure_packing(std::uint64_t seed, std::vector<figure>& output);
+
+} // namespace fescuevane::bench
+
+#endif
