Measure shares, a moving failure domain and overload

Change: measures share, move and overload; the model of targets counts the work of stopped tasks as lost.

--- a/bench/array_fleet.cpp
+++ b/bench/array_fleet.cpp
@@ -51,6 +51,7 @@
     : fit_(fit)
     , room_{std::vector<resources>(size.targets_, size.capacity_),
             std::vector<std::int64_t>(size.targets_, size.slots_)}
+    , all_free_slots_(std::int64_t{size.targets_} * size.slots_)
 {
 }
 
@@ -66,22 +67,29 @@
 
 tick_sample array_fleet::tick()
 {
+    started_.clear();
     double const before = read_processor_micros();
     end_due();
-    std::uint32_t        starts = 0;
-    std::deque<job_spec> waiting;
-    for (job_spec const& spec : queue_)
+    std::uint32_t         starts = 0;
+    std::vector<job_spec> skipped;
+    while (!queue_.empty() && all_free_slots_ > 0)
     {
+        job_spec const& spec = queue_.front();
         if (place(spec))
         {
             starts += spec.task_count_;
+            started_.push_back(spec.key_);
         }
         else
         {
-            waiting.push_back(spec);
+            skipped.push_back(spec);
         }
+        queue_.pop_front();
+    }
+    for (auto spec = skipped.rbegin(); spec != skipped.rend(); ++spec)
+    {
+        queue_.push_front(*spec);
     }
-    queue_.swap(waiting);
     return {read_processor_micros() - before, starts};
 }
 
@@ -97,6 +105,7 @@
         }
         room_.free_[*row] = room_.free_[*row] - spec.demand_;
         --room_.free_slots_[*row];
+        --all_free_slots_;
         rows.push_back(*row);
     }
     bool const whole = rows.size() == spec.task_count_;
@@ -112,6 +121,7 @@
         {
             room_.free_[row] = room_.free_[row] + spec.demand_;
             ++room_.free_slots_[row];
+            ++all_free_slots_;
         }
     }
     return whole;
@@ -124,6 +134,7 @@
         ending const& ended = ends_.begin()->second;
         room_.free_[ended.row_] = room_.free_[ended.row_] + ended.demand_;
         ++room_.free_slots_[ended.row_];
+        ++all_free_slots_;
         used_ = used_ - ended.demand_;
         ends_.erase(ends_.begin());
     }
--- a/bench/array_fleet.hpp
+++ b/bench/array_fleet.hpp
@@ -41,8 +41,12 @@
     void        submit(job_spec const& spec) { queue_.push_back(spec); }
     tick_sample tick(); // counts the time of ends and placements
 
-    resources     used() const { return used_; }
-    std::uint64_t queued_tasks() const;
+    resources                   used() const { return used_; }
+    std::uint64_t               queued_tasks() const;
+    std::vector<job_key> const& started() const
+    {
+        return started_;
+    } // last tick
 
 private:
     struct ending
@@ -59,6 +63,8 @@
     std::deque<job_spec>           queue_;
     std::multimap<instant, ending> ends_;
     resources                      used_;
+    std::int64_t                   all_free_slots_ = 0;
+    std::vector<job_key>           started_; // in the last tick
     instant                        now_ = instant(micros_per_second);
 };
 
--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -70,8 +70,8 @@
 void fleet::obey(decide::start_task const& value)
 {
     instant const end = now_.after(value.spec_->declared_run_micros_);
-    running_.emplace(value.task_,
-                     running_task{value.target_, value.reservation_, end});
+    running_.emplace(value.task_, running_task{value.target_,
+                                               value.reservation_, now_, end});
     ends_.emplace(end, value.task_);
     used_ = used_ + value.reservation_;
     auto& of_team = team_used_[value.task_.job_.team_];
@@ -82,6 +82,12 @@
 
 void fleet::obey(decide::stop_task const& value)
 {
+    auto const found = running_.find(value.task_);
+    if (found != running_.end())
+    {
+        lost_work_ += found->second.start_.remaining_until(now_) *
+                      found->second.reservation_.cpu_millis();
+    }
     end_task(value.task_, outcome::canceled, value.checkpoint_);
 }
 
@@ -102,8 +108,8 @@
     ends_.erase({task.end_, value.task_});
     ends_.emplace(end, value.task_);
     running_.erase(found);
-    running_.emplace(value.task_,
-                     running_task{task.target_, task.reservation_, end});
+    running_.emplace(value.task_, running_task{task.target_, task.reservation_,
+                                               task.start_, end});
 }
 
 void fleet::obey(decide::job_changed const& /*value*/) {}
--- a/bench/fleet.hpp
+++ b/bench/fleet.hpp
@@ -31,6 +31,9 @@
     // Of the last tick
     std::vector<decide::command> const& commands() const { return commands_; }
 
+    // Of stopped tasks, also of checkpointed ones, in 1/1000 core us
+    std::int64_t lost_work() const { return lost_work_; }
+
     resources                           used() const { return used_; }
     std::map<team_id, resources> const& team_used() const { return team_used_; }
     std::map<task_key, running_task> const& running() const { return running_; }
@@ -50,6 +53,7 @@
     std::map<task_key, running_task>       running_;
     std::set<std::pair<instant, task_key>> ends_;
     resources                              used_;
+    std::int64_t                           lost_work_ = 0;
     std::map<team_id, resources>           team_used_;
 };
 
--- a/bench/measure.cpp
+++ b/bench/measure.cpp
@@ -9,7 +9,11 @@
     static constexpr measure measures[] = {
         {"decision", "processor time of ticks and placements",
          measure_decision},
-        {"packing", "reserved capacity at saturation", measure_packing}};
+        {"packing", "reserved capacity at saturation", measure_packing},
+        {"share", "shares of backlogged teams over a minute", measure_share},
+        {"move", "work done while a failure domain goes out and returns",
+         measure_move},
+        {"overload", "goodput and waiting above capacity", measure_overload}};
     return measures;
 }
 
--- a/bench/measure.hpp
+++ b/bench/measure.hpp
@@ -25,6 +25,9 @@
 // Measures
 void measure_decision(std::uint64_t seed, std::vector<figure>& output);
 void measure_packing(std::uint64_t seed, std::vector<figure>& output);
+void measure_share(std::uint64_t seed, std::vector<figure>& output);
+void measure_move(std::uint64_t seed, std::vector<figure>& output);
+void measure_overload(std::uint64_t seed, std::vector<figure>& output);
 
 } // namespace fescuevane::bench
 
--- a/bench/running_task.hpp
+++ b/bench/running_task.hpp
@@ -11,6 +11,7 @@
 {
     target_id const target_;
     resources const reservation_;
+    instant const   start_;
     instant const   end_;
 
     friend bool operator==(running_task const&, running_task const&) = default;
