Measure memory, the cost of control state and message sizes

Change: measure memory: allocated bytes of targets, teams and jobs, processor time of state::control over a table service in memory, and sizes of serialized messages, each at three sizes. Job ids are as long as those of the entry process, since short ones made hashing and memory look cheaper.

--- a/bench/measure.cpp
+++ b/bench/measure.cpp
@@ -13,7 +13,9 @@
         {"share", "shares of backlogged teams over a minute", measure_share},
         {"move", "work done while a failure domain goes out and returns",
          measure_move},
-        {"overload", "goodput and waiting above capacity", measure_overload}};
+        {"overload", "goodput and waiting above capacity", measure_overload},
+        {"memory", "memory, control cost and message sizes by entity",
+         measure_memory}};
     return measures;
 }
 
--- a/bench/workload.cpp
+++ b/bench/workload.cpp
@@ -24,7 +24,12 @@
                             std::int64_t run_micros, instant deadline)
 {
     std::uint64_t const number = next_job_++;
-    return {.key_ = {team, job_id("job-" + std::to_string(number))},
+    std::string const   digits = std::to_string(number);
+    // As long as the ids that the entry makes, so that memory, hashing and
+    // messages cost what they do there.
+    std::string const id =
+        "domain-8.0~" + std::string(22 - digits.size(), '0') + digits;
+    return {.key_ = {team, job_id(id)},
             .service_ = service_id("class-" + std::to_string(number % 8)),
             .kind_ = kind,
             .task_count_ = tasks,
