--- a/tests/prove/call_checkers.cpp
+++ b/tests/prove/call_checkers.cpp
@@ -45,6 +45,18 @@
            !is_refused(call) && !is_rejected(call);
 }
 
+// True when callers were told "not run" and nothing else, so that they must
+// take the job as not run, also after a call that was lost.
+bool is_finally_refused(std::vector<call_event const*> const& calls)
+{
+    return std::none_of(calls.begin(), calls.end(),
+                        [](call_event const* call)
+                        {
+                            return call->end_ == call_end::replied &&
+                                   !call->state_.empty() && !is_refused(*call);
+                        });
+}
+
 // A refused submission is false when a start has no other cause. A refusal told
 // by a look-up or a cancellation covers all submissions that ended before it.
 bool is_contradicted(call_event const&                     refusal,
@@ -95,15 +107,16 @@
         {
             continue;
         }
+        bool const final = is_finally_refused(group);
         for (call_event const* const call : group)
         {
-            auto const start =
-                std::find_if(started->second.begin(), started->second.end(),
-                             [&](run_event const* run)
-                             {
-                                 return is_refused(*call) &&
-                                        is_contradicted(*call, group, *run);
-                             });
+            auto const start = std::find_if(
+                started->second.begin(), started->second.end(),
+                [&](run_event const* run)
+                {
+                    return is_refused(*call) &&
+                           (final || is_contradicted(*call, group, *run));
+                });
             if (start != started->second.end())
             {
                 found.push_back({"a job answered as not run has started",
