--- a/tests/prove/http_client.cpp
+++ b/tests/prove/http_client.cpp
@@ -60,7 +60,7 @@
 {
     std::string const  url = "http://" + request.address_ + request.path_;
     SoupMessage* const message =
-        soup_message_new(request.body_.empty() ? "GET" : "POST", url.c_str());
+        soup_message_new(request.post_ ? "POST" : "GET", url.c_str());
     set_header(message, "X-Team", request.team_);
     set_header(message, "X-Key", request.key_);
     if (!request.body_.empty())
--- a/tests/prove/http_client.hpp
+++ b/tests/prove/http_client.hpp
@@ -17,7 +17,8 @@
 {
     std::string const  address_; // IP and port
     std::string const  path_;
-    std::string const  body_; // empty: GET, otherwise POST
+    bool const         post_ = false; // otherwise GET
+    std::string const  body_;
     std::string const  team_; // empty: no header
     std::string const  key_;
     std::int64_t const timeout_ms_ = 0;
--- a/tests/prove/operator.cpp
+++ b/tests/prove/operator.cpp
@@ -132,6 +132,7 @@
     context.http_.send(
         {.address_ = context.cell_.entries_.http_[entry],
          .path_ = "/v1/tickets?wait_ms=" + std::to_string(wait_ms),
+         .post_ = true,
          .body_ = ticket.dump(),
          .key_ = operator_key,
          .timeout_ms_ = timeout_ms},
--- a/tests/prove/workload.cpp
+++ b/tests/prove/workload.cpp
@@ -23,6 +23,7 @@
 constexpr std::int64_t submit_interval_micros = 25 * micros_per_milli;
 constexpr std::int64_t wait_ms = 6000;
 constexpr std::int64_t call_timeout_ms = 12'000;
+constexpr char const*  open_team = "open"; // of callers without a key
 constexpr std::size_t  remembered_jobs = 400;
 constexpr int          max_look_ups = 4;
 
@@ -268,7 +269,7 @@
      },
      [](job_plan const& /*job*/)
      {
-         return std::string("{}");
+         return std::string();
      }},
 }};
 
@@ -286,7 +287,7 @@
                            .action_ = made.action_,
                            .entry_ = entries.name_[entry],
                            .incarnation_ = entries.incarnation_[entry],
-                           .team_ = job.team_,
+                           .team_ = job.open_ ? open_team : job.team_,
                            .key_ = job.key_,
                            .open_service_ = job.open_,
                            .asked_id_ = job.id_,
@@ -296,6 +297,7 @@
                            .completions_ = 0});
     context.http_.send({.address_ = entries.http_[entry],
                         .path_ = action.path_(job),
+                        .post_ = made.action_ != call_action::look_up,
                         .body_ = action.body_(job),
                         .team_ = job.team_,
                         .key_ = job.key_,
