Skip the allotments when a load note changes nothing

Cause: each load note marked every team that it named, each marked team planned the parts of all owned shards, and any marked team rebuilt the told allotments of all served shards, with a copy of each team's parts for each shard. The cut-off check copied the configuration on every tick.

Ruled out: superfluous commands.

Change: a load marks a team only when its values differ, are the first, or a reduction waits for a load to show that it is reached. A team marks a shard only when the shard was told another value for it. What relied on the next load to look again marks the teams itself: the first read of the store, and a handover that was not written. The cut-off check reads the restricted configuration, which also keeps a stop policy that a pending ticket sets and a later one lifts.

The two new tests also pass with the former code: they guard the shortcut, they don't show the cost.

--- a/state/adjust_allotments.cpp
+++ b/state/adjust_allotments.cpp
@@ -28,19 +28,34 @@
 namespace
 {
 
+// Marks the team only when its parts may have to change: a load with the same
+// values matters only to a goal, which it may show to be reached.
+void replace_load(control& context, std::size_t row, resources const& used,
+                  resources const& waiting, std::uint64_t number)
+{
+    load_table& loads = context.loads_;
+    bool const  noted = loads.load_number_[row] != 0;
+    if (!noted || loads.goal_[row] || loads.used_[row] != used ||
+        loads.waiting_[row] != waiting)
+    {
+        context.changed_teams_.insert(loads.index_.key(row).team_);
+    }
+    loads.used_[row] = used;
+    loads.waiting_[row] = waiting;
+    loads.load_number_[row] = number;
+}
+
+// Teams that the present load doesn't name use nothing.
 void clear_stale_loads(control& context, shard_id const& shard,
                        std::uint64_t present)
 {
-    load_table& loads = context.loads_;
+    load_table const& loads = context.loads_;
     for (std::size_t row = 0; row < loads.index_.size(); ++row)
     {
-        if (loads.index_.key(row).shard_ == shard &&
-            loads.load_number_[row] != present)
+        if (loads.load_number_[row] != present &&
+            loads.index_.key(row).shard_ == shard)
         {
-            loads.used_[row] = {};
-            loads.waiting_[row] = {};
-            loads.load_number_[row] = present;
-            context.changed_teams_.insert(loads.index_.key(row).team_);
+            replace_load(context, row, {}, {}, present);
         }
     }
 }
@@ -59,13 +74,13 @@
     {
         std::size_t const row =
             ensure_load(context.loads_, {load.shard_, team.team_});
-        context.loads_.used_[row] = team.used_;
-        context.loads_.waiting_[row] = team.waiting_;
-        context.loads_.load_number_[row] = number;
-        context.changed_teams_.insert(team.team_);
+        replace_load(context, row, team.used_, team.waiting_, number);
     }
     clear_stale_loads(context, load.shard_, number);
-    context.acks_changed_ = true;
+    if (number == 1)
+    {
+        context.acks_changed_ = true; // no ack comes before the first load
+    }
 }
 
 void drop_loads(control& context, shard_id const& shard)
@@ -475,13 +490,20 @@
 
 // 5. Telling the schedulers
 
+part_map list_capped_parts(control const& context, team_id const& team,
+                           resources const& limit)
+{
+    auto const row = context.allotments_.index_.find(team);
+    return row ? cap_parts(context.allotments_.parts_[*row], limit)
+               : part_map();
+}
+
 // What a scheduler may use: the part in the row, less reductions on their way.
+// `parts` are those of the team, capped to the limit.
 resources find_allotment(control const& context, shard_id const& shard,
-                         team_id const& team, resources const& limit)
+                         team_id const& team, resources const& limit,
+                         part_map const& parts)
 {
-    auto const     row = context.allotments_.index_.find(team);
-    part_map const parts =
-        cap_parts(row ? context.allotments_.parts_[*row] : part_map(), limit);
     auto const load = context.loads_.index_.find({shard, team});
     if (!parts.contains(shard) && !find_limit(*context.accepted_, team))
     {
@@ -507,7 +529,9 @@
         if (entry.limit_)
         {
             teams.emplace(team,
-                          find_allotment(context, id, team, *entry.limit_));
+                          find_allotment(
+                              context, id, team, *entry.limit_,
+                              list_capped_parts(context, team, *entry.limit_)));
         }
     }
     if (context.shards_.told_once_[shard] != 0 &&
@@ -520,13 +544,29 @@
     context.outbox_.push_back(allotments_changed{id, std::move(teams)});
 }
 
-void mark_served_shards(control& context)
+// Marks the served shards whose scheduler was told another value for the team.
+void mark_shards_of_team(control& context, team_id const& team)
 {
+    auto const     limit = find_limit(*context.effective_, team);
+    part_map const parts =
+        limit ? list_capped_parts(context, team, *limit) : part_map();
     for (std::size_t row = 0; row < context.shards_.index_.size(); ++row)
     {
-        if (is_serving(context.shards_, row))
+        if (!is_serving(context.shards_, row))
+        {
+            continue;
+        }
+        shard_id const& id = context.shards_.index_.key(row);
+        auto const&     told = context.shards_.told_[row];
+        auto const      found = told.find(team);
+        bool const      same =
+            limit ? found != told.end() &&
+                        found->second ==
+                            find_allotment(context, id, team, *limit, parts)
+                       : found == told.end();
+        if (!same)
         {
-            context.changed_shards_.insert(context.shards_.index_.key(row));
+            context.changed_shards_.insert(id);
         }
     }
 }
@@ -656,10 +696,10 @@
     }
     if (!context.changed_teams_.empty())
     {
-        mark_served_shards(context);
         for (team_id const& team : std::exchange(context.changed_teams_, {}))
         {
             instant const due = adjust_team(context, team);
+            mark_shards_of_team(context, team);
             if (due != instant::never())
             {
                 context.changed_teams_.insert(team);
--- a/state/apply_events.cpp
+++ b/state/apply_events.cpp
@@ -32,7 +32,10 @@
         return;
     }
     store.revision_ = std::max(store.revision_, input.revision_);
-    store.loaded_ = true;
+    if (!std::exchange(store.loaded_, true))
+    {
+        mark_limited_teams(context, *context.effective_);
+    }
     ++store.reads_ended_;
     context.shards_changed_ = true;
 }
--- a/state/check_peers.cpp
+++ b/state/check_peers.cpp
@@ -65,10 +65,9 @@
 // Time at which this domain counts as cut off; `never` when it goes on serving.
 instant find_cut_off_deadline(control const& context)
 {
-    config const restricted =
-        restrict_config(*context.accepted_, *context.committed_);
-    auto const own = restricted.domains_.find(context.settings_.domain_);
-    if (own == restricted.domains_.end() || own->second.serves_when_cut_off_)
+    auto const& domains = context.restricted_->domains_;
+    auto const  own = domains.find(context.settings_.domain_);
+    if (own == domains.end() || own->second.serves_when_cut_off_)
     {
         return instant::never();
     }
--- a/state/end_commit.cpp
+++ b/state/end_commit.cpp
@@ -41,6 +41,7 @@
     if (row && context.shards_.phase_[*row] == shard_phase::handing_over)
     {
         context.shards_.phase_[*row] = shard_phase::owned;
+        mark_limited_teams(context, *context.effective_); // parts stood still
     }
     request_read(context);
 }
--- a/tests/unit/state_allotments_test.cpp
+++ b/tests/unit/state_allotments_test.cpp
@@ -251,6 +251,39 @@
     CHECK(find_accepted() == 2);
 }
 
+// Guards against schedulers that set up their policies again at each load.
+TEST_CASE_FIXTURE(allotment_fixture,
+                  "loads, repeated without a change, tell nothing")
+{
+    accept_limit(800);
+    demand(east_, 100, 300);
+    run_loaded(1000);
+    std::size_t const writes = store_.commits_;
+    process_fake&     owner = find_server(east_);
+    owner.told_.clear();
+    run_loaded(8000); // longer than the idle time
+    CHECK(owner.list<allotments_changed>().empty());
+    CHECK(store_.commits_ == writes);
+}
+
+// Guards against a load that is taken for an unchanged one because only its
+// team went away.
+TEST_CASE_FIXTURE(allotment_fixture,
+                  "loads, team no longer named, gives its part back")
+{
+    accept_limit(800);
+    demand(east_, 100, 300);
+    run_loaded(1000);
+    REQUIRE(find_told(east_) == 500);
+    used_.clear();
+    for (int i = 0; i < 80; ++i)
+    {
+        find_server(east_).post(load_noted{east_, {}});
+        run(100);
+    }
+    CHECK(find_told(east_) == 100);
+}
+
 // Guards against a lower limit that a later ticket lifts on the shards that
 // have seen both, while the lower one can still be accepted.
 TEST_CASE_FIXTURE(allotment_fixture,
