Stop no task for a start that passes the team's share

Cause: a waiting team was owed capacity as soon as it lacked 1% of its share. On targets of 16 cores one task is more than that, so tasks of other teams were throttled, stopped and started again although the freed part was too small for the waiting task, or only exchanged the two teams. Change: a team with running tasks is owed capacity only when its next start stays within its share. The new test fails without the change.

--- a/decide/reclaim_lent_capacity.cpp
+++ b/decide/reclaim_lent_capacity.cpp
@@ -56,6 +56,35 @@
     return entitled;
 }
 
+// Part of the shard that the smallest of the first waiting entries needs.
+double compute_next_part(scheduler const& context, std::size_t team)
+{
+    double smallest = 1.0;
+    for (auto const& queue : context.teams_.queues_[team])
+    {
+        if (!queue.empty())
+        {
+            queue_entry const& entry = *queue.begin();
+            smallest = std::min(
+                smallest, compute_fraction(entry.demand_ * entry.task_count_,
+                                           context.targets_.total_));
+        }
+    }
+    return smallest;
+}
+
+// A team that would pass its share with its next start is not owed capacity:
+// stopping a task for it only exchanges the two teams, and the work of the
+// stopped task is lost. A team without any running task always is.
+double compute_least_deficit(scheduler const& context, std::size_t team,
+                             double entitled)
+{
+    return context.teams_.running_count_[team] > 0
+               ? std::max(tolerance * entitled,
+                          compute_next_part(context, team) - rounding)
+               : tolerance * entitled;
+}
+
 // Part of the shard that teams below their share wait for.
 double compute_deficit(scheduler const&           context,
                        std::vector<double> const& entitled)
@@ -72,9 +101,10 @@
             entitled[team] - compute_dominant_share(context, team);
         double const wanted = compute_fraction(context.teams_.waiting_[team],
                                                context.targets_.total_);
-        deficit += missing > tolerance * entitled[team]
-                       ? std::min(missing, wanted)
-                       : 0.0;
+        deficit +=
+            missing > compute_least_deficit(context, team, entitled[team])
+                ? std::min(missing, wanted)
+                : 0.0;
     }
     return deficit;
 }
--- a/tests/unit/decide_shares_test.cpp
+++ b/tests/unit/decide_shares_test.cpp
@@ -162,6 +162,32 @@
     CHECK(count_starts("team-1") == 0);
 }
 
+// Guards against stops that only exchange two teams: the freed part was too
+// small for the waiting task, so the stopped ones started again.
+TEST_CASE_FIXTURE(shares_fixture,
+                  "shares, next task passes the share, stops nothing for it")
+{
+    join_target("target-1", {5000, 65536, 0}, 60);
+    submit_batch("team-2", 2);
+    tick();
+    post(job_submitted{{.key_ = {team_id("team-1"), job_id("small")},
+                        .service_ = service_id("small"),
+                        .kind_ = work_kind::batch,
+                        .task_count_ = 14,
+                        .demand_ = {250, 128, 0}}});
+    tick();
+    REQUIRE(count_starts("team-1") == 12); // half a core above its share
+    post(job_submitted{
+        make_job("more", work_kind::batch, 1, "team-2")}); // wants a core
+    for (int step = 0; step < 3; ++step)
+    {
+        tick();
+        CHECK(list<throttle_task>().empty());
+        CHECK(list<stop_task>().empty());
+        advance(settings_.reclaim_grace_micros_);
+    }
+}
+
 // Guards against targets that run idle because sizes are declared too large.
 TEST_CASE_FIXTURE(shares_fixture,
                   "estimates, usage below the declared size, reserve less")
