--- a/bench/measure_decision.cpp
+++ b/bench/measure_decision.cpp
@@ -205,7 +205,7 @@
                           1e6 / micros_a_start(of_base),
                           {aim_kind::at_least, 50'000}});
     }
-    // Flat within a quarter, which is the spread between repeated runs.
+    // The design asks for a constant cost; a quarter is left for caches.
     output.push_back({"decision",
                       "burst, 1,800 to 50 targets",
                       "cost of a placement, times",
