--- a/tests/prove/call_checkers.cpp
+++ b/tests/prove/call_checkers.cpp
@@ -3,9 +3,10 @@
 // Index of sections
 //   1. Refusals
 //   2. Answers
-//   3. Keys
-//   4. Graceful stops
-//   5. Configuration
+//   3. Lost work
+//   4. Keys
+//   5. Graceful stops
+//   6. Configuration
 #include "tests/prove/checkers.hpp"
 #include "tests/prove/history.hpp"
 
@@ -100,9 +101,10 @@
         }
     }
     std::vector<violation> found;
-    for (auto const& [job, group] : calls)
+    for (auto const& entry : calls)
     {
-        auto const started = starts.find(job);
+        auto const& group = entry.second;
+        auto const  started = starts.find(entry.first);
         if (started == starts.end())
         {
             continue;
@@ -172,7 +174,45 @@
     return found;
 }
 
-// 3. Keys
+// 3. Lost work
+
+namespace
+{
+
+bool tells_record(call_event const& call)
+{
+    return call.end_ == call_end::replied && call.durable_ &&
+           (call.state_ == "queued" || call.state_ == "dispatched" ||
+            call.state_ == "running" || call.state_ == "answered");
+}
+
+} // namespace
+
+// Work that must be durable and was told as accepted has a record later on.
+std::vector<violation> check_no_loss(history const& past)
+{
+    constexpr unsigned                    not_found = 404;
+    std::map<job_name, call_event const*> told; // the first of each job
+    std::vector<violation>                found;
+    for (call_event const& call : past.calls_)
+    {
+        if (tells_record(call))
+        {
+            told.emplace(make_job_name(call), &call);
+        }
+        auto const before = told.find(make_job_name(call));
+        if (call.end_ == call_end::replied && call.status_ == not_found &&
+            before != told.end() && before->second->ended_ < call.began_)
+        {
+            found.push_back(
+                {"accepted work has no record",
+                 {format_call(*before->second), format_call(call)}});
+        }
+    }
+    return found;
+}
+
+// 4. Keys
 
 // Granted by a ticket from its filing on, until 5 s after the acceptance of a
 // ticket of the team without it.
@@ -226,7 +266,7 @@
     return found;
 }
 
-// 4. Graceful stops
+// 5. Graceful stops
 
 std::vector<violation> check_graceful_stop(history const& past)
 {
@@ -261,7 +301,7 @@
     return found;
 }
 
-// 5. Configuration
+// 6. Configuration
 
 namespace
 {
--- a/tests/prove/call_event.hpp
+++ b/tests/prove/call_event.hpp
@@ -36,6 +36,7 @@
     std::string const  team_;
     std::string const  key_;
     bool const         open_service_ = false; // needs no key
+    bool const         durable_ = false;      // written before it is dispatched
     std::string const  asked_id_;             // empty: assigned by the process
     std::string const  expected_;            // answer that the payload asks for
     bool const         checks_body_ = false; // one task with a known answer
--- a/tests/prove/cell.cpp
+++ b/tests/prove/cell.cpp
@@ -286,6 +286,7 @@
                          std::vector<std::string> const& arguments)
 {
     std::vector<char const*> words;
+    words.reserve(arguments.size() + 1);
     for (std::string const& each : arguments)
     {
         words.push_back(each.c_str());
--- a/tests/prove/checkers.cpp
+++ b/tests/prove/checkers.cpp
@@ -123,6 +123,17 @@
                       });
 }
 
+long long count_durable_look_ups(history const& past)
+{
+    return count_rows(past.calls_,
+                      [](call_event const& call)
+                      {
+                          return call.durable_ &&
+                                 call.action_ == call_action::look_up &&
+                                 call.end_ == call_end::replied;
+                      });
+}
+
 long long count_leaving(history const& past)
 {
     return count_rows(past.runs_,
@@ -146,10 +157,12 @@
     return static_cast<long long>(past.reads_.size());
 }
 
-constexpr std::array<checker, 11> checkers = {{
+constexpr std::array<checker, 12> checkers = {{
     {"no_overcommit", &check_no_overcommit, "starts", &count_starts, 200},
     {"single_run", &check_single_run, "starts of further attempts",
      &count_retries, 5},
+    {"no_loss", &check_no_loss, "look-ups of work that must be durable",
+     &count_durable_look_ups, 5},
     {"team_key", &check_team_key, "submissions without a valid key",
      &count_refused_keys, 20},
     {"team_limit", &check_team_limit, "accepted lower limits",
--- a/tests/prove/checkers.hpp
+++ b/tests/prove/checkers.hpp
@@ -45,6 +45,7 @@
 // Calls
 std::vector<violation> check_true_refusal(history const& past);
 std::vector<violation> check_whole_answer(history const& past);
+std::vector<violation> check_no_loss(history const& past);
 std::vector<violation> check_team_key(history const& past);
 std::vector<violation> check_graceful_stop(history const& past);
 
--- a/tests/prove/faults.cpp
+++ b/tests/prove/faults.cpp
@@ -64,7 +64,7 @@
 
 std::string begin_kill(driver& context, std::uint64_t choice)
 {
-    std::string const subject = pick_entry(context, choice);
+    std::string subject = pick_entry(context, choice);
     if (!subject.empty())
     {
         std::size_t const row = find_entry(context, subject);
@@ -76,7 +76,7 @@
 
 std::string begin_stop(driver& context, std::uint64_t choice)
 {
-    std::string const subject = pick_entry(context, choice);
+    std::string subject = pick_entry(context, choice);
     if (!subject.empty())
     {
         std::size_t const row = find_entry(context, subject);
@@ -107,7 +107,7 @@
 
 std::string begin_pause(driver& context, std::uint64_t choice)
 {
-    std::string const subject = pick_entry(context, choice);
+    std::string subject = pick_entry(context, choice);
     if (!subject.empty())
     {
         context.cell_.signal_entry(find_entry(context, subject), SIGSTOP);
@@ -195,7 +195,7 @@
 
 std::string begin_crash(driver& context, std::uint64_t choice)
 {
-    std::string const target = pick_target(context, choice);
+    std::string target = pick_target(context, choice);
     if (!target.empty())
     {
         context.cell_.targets_of(context.cell_.target_domains_.at(target))
@@ -212,7 +212,7 @@
 std::string switch_target(driver& context, std::uint64_t choice,
                           stand_ins::target_switches const& value)
 {
-    std::string const target = pick_target(context, choice);
+    std::string target = pick_target(context, choice);
     if (!target.empty())
     {
         set_switches(context, target, value);
@@ -232,8 +232,7 @@
 
 std::string begin_leaving(driver& context, std::uint64_t choice)
 {
-    std::string const target =
-        switch_target(context, choice, {.leaving_ = true});
+    std::string target = switch_target(context, choice, {.leaving_ = true});
     if (!target.empty())
     {
         context.cell_.platform().mark_leaving({target_id(target)}, true);
--- a/tests/prove/history.cpp
+++ b/tests/prove/history.cpp
@@ -59,6 +59,7 @@
         }
     }
     std::vector<run_event const*> order;
+    order.reserve(lines.size());
     for (run_event const& line : lines)
     {
         order.push_back(&line);
--- a/tests/prove/http_client.cpp
+++ b/tests/prove/http_client.cpp
@@ -51,8 +51,15 @@
 {
 }
 
+// What the handlers refer to may be gone after a failure of the run.
 http_client::~http_client()
 {
+    closing_ = true;
+    soup_session_abort(session_);
+    while (open_ > 0)
+    {
+        g_main_context_iteration(nullptr, TRUE);
+    }
     g_object_unref(session_);
 }
 
--- a/tests/prove/http_client.hpp
+++ b/tests/prove/http_client.hpp
@@ -30,7 +30,7 @@
     using reply_handler = std::function<void(http_reply const&)>;
 
     http_client();
-    ~http_client();
+    ~http_client(); // ends open calls without telling them
     http_client(http_client const&) = delete;
     http_client& operator=(http_client const&) = delete;
 
@@ -46,6 +46,7 @@
 
     SoupSession* session_;
     std::int64_t open_ = 0;
+    bool         closing_ = false;
 };
 
 } // namespace fescuevane::prove
--- a/tests/prove/run_checkers.cpp
+++ b/tests/prove/run_checkers.cpp
@@ -282,9 +282,10 @@
     std::vector<violation> found;
     for (ticket_event const& out : past.tickets_)
     {
-        for (auto const& [domain, in_service] : out.domains_)
+        for (auto const& entry : out.domains_)
         {
-            if (in_service || out.accepted_ < 0)
+            std::string const& domain = entry.first;
+            if (entry.second || out.accepted_ < 0)
             {
                 continue;
             }
--- a/tests/unit/prove_calls_test.cpp
+++ b/tests/unit/prove_calls_test.cpp
@@ -131,6 +131,36 @@
     CHECK(check_whole_answer(past_).size() == 2);
 }
 
+// no_loss
+
+TEST_CASE_FIXTURE(prove_fixture,
+                  "no_loss, no record of a job that was never told, accepts")
+{
+    add_call(1, 2, "job-1", "", call_action::submit, call_end::broken);
+    past_.calls_.push_back({.began_ = seconds(3),
+                            .ended_ = seconds(4),
+                            .action_ = call_action::look_up,
+                            .team_ = "team-1",
+                            .durable_ = true,
+                            .asked_id_ = "job-1",
+                            .status_ = 404});
+    CHECK(check_no_loss(past_).empty());
+}
+
+TEST_CASE_FIXTURE(prove_fixture,
+                  "no_loss, no record of a job told as queued, rejects")
+{
+    add_call(1, 2, "job-1", "queued");
+    past_.calls_.push_back({.began_ = seconds(3),
+                            .ended_ = seconds(4),
+                            .action_ = call_action::look_up,
+                            .team_ = "team-1",
+                            .durable_ = true,
+                            .asked_id_ = "job-1",
+                            .status_ = 404});
+    CHECK(check_no_loss(past_).size() == 1);
+}
+
 // team_key
 
 TEST_CASE_FIXTURE(prove_fixture,
--- a/tests/unit/prove_fixture.hpp
+++ b/tests/unit/prove_fixture.hpp
@@ -54,6 +54,7 @@
              .incarnation_ = 1,
              .team_ = "team-1",
              .key_ = "key-1",
+             .durable_ = true,
              .asked_id_ = job,
              .expected_ = "text",
              .checks_body_ = true,
