Remember refused calls and wait for replies that are being written

Change: owners remember refused calls for as long as they keep results, and take a submission only for the ownership epoch it was sent for; the front end counts replies until they are written.

--- a/entry/http_front.cpp
+++ b/entry/http_front.cpp
@@ -200,6 +200,11 @@
     delete static_cast<call_place*>(place);
 }
 
+void free_writing(void* writing, GClosure* /*closure*/)
+{
+    delete static_cast<std::shared_ptr<std::size_t>*>(writing);
+}
+
 void free_closure(void* place, GClosure* /*closure*/)
 {
     free_place(place);
@@ -295,6 +300,11 @@
     }
 }
 
+void http_front::on_written(SoupServerMessage* /*message*/, void* writing)
+{
+    --**static_cast<std::shared_ptr<std::size_t>*>(writing);
+}
+
 // The row goes first, so that no callback can answer the message again.
 void http_front::answer(std::uint64_t call, http_reply const& reply)
 {
@@ -305,6 +315,12 @@
     }
     message_ptr const message = std::move(calls_.message_[*row]);
     g_signal_handler_disconnect(message.get(), calls_.finished_handler_[*row]);
+    // The process stays until the reply is written.
+    ++*writing_;
+    g_signal_connect_data(message.get(), "finished",
+                          G_CALLBACK(&http_front::on_written),
+                          new std::shared_ptr<std::size_t>(writing_),
+                          &free_writing, GConnectFlags(0));
     metrics_.observe(calls_.kind_[*row],
                      calls_.opened_[*row].remaining_until(read_clock()));
     remove_call(calls_, *row);
--- a/entry/http_front.hpp
+++ b/entry/http_front.hpp
@@ -12,8 +12,10 @@
 #include "entry/metrics.hpp"
 #include "entry/settings.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 
 namespace fescuevane::entry
@@ -48,8 +50,9 @@
 
     // Answers the call that the command names. A command for a call that is
     // no longer open changes nothing.
-    void        deliver(front_command const& output);
-    std::size_t open_calls() const { return calls_.index_.size(); }
+    void deliver(front_command const& output);
+    // Calls without an answer and answers that are being written.
+    std::size_t open_calls() const { return calls_.index_.size() + *writing_; }
 
 private:
     friend struct http_routes; // table of the handlers below
@@ -63,6 +66,7 @@
     static gboolean on_socket(GSocket* socket, GIOCondition condition,
                               void* place);
     static void     on_finished(SoupServerMessage* message, void* place);
+    static void     on_written(SoupServerMessage* message, void* writing);
     void            check_headers(SoupServerMessage* message) const;
     handled         handle(SoupServerMessage* message);
     handled         dispatch(SoupServerMessage* message);
@@ -106,16 +110,17 @@
     void tell(cancel_told const& told);
     void tell(ticket_told const& told);
 
-    settings const      settings_;
-    event_sink const    sink_;
-    front_queries const queries_;
-    span_tracer&        tracer_;
-    SoupServer*         server_;
-    call_table          calls_;
-    std::uint64_t       last_call_ = 0;
-    call_metrics        metrics_;
-    source_ptr          timer_; // of the earliest deadline
-    instant             timer_due_;
+    settings const               settings_;
+    event_sink const             sink_;
+    front_queries const          queries_;
+    span_tracer&                 tracer_;
+    SoupServer*                  server_;
+    call_table                   calls_;
+    std::uint64_t                last_call_ = 0;
+    std::shared_ptr<std::size_t> writing_ = std::make_shared<std::size_t>(0);
+    call_metrics                 metrics_;
+    source_ptr                   timer_; // of the earliest deadline
+    instant                      timer_due_;
 };
 
 } // namespace fescuevane::entry
--- a/entry/link_codec.cpp
+++ b/entry/link_codec.cpp
@@ -40,6 +40,7 @@
     v1::Submit& submit = *batch.add_submits();
     submit.set_call(message.call_);
     submit.set_shard(format_key(message.shard_));
+    submit.set_epoch(message.epoch_);
     submit.set_may_be_known(message.may_be_known_);
     wire::encode_job_spec(message.spec_, now, wire::payload_mode::include,
                           *submit.mutable_spec());
@@ -152,7 +153,8 @@
     {
         found.emplace_back(submit_passed{
             submit.call(), wire::decode_shard(submit.shard(), "shard"),
-            wire::decode_job_spec(submit.spec(), now), submit.may_be_known()});
+            submit.epoch(), wire::decode_job_spec(submit.spec(), now),
+            submit.may_be_known()});
     }
     for (v1::Lookup const& lookup : batch.lookups())
     {
--- a/entry/node_calls.cpp
+++ b/entry/node_calls.cpp
@@ -393,7 +393,8 @@
               : context.outbox_.push_back(send_peer{owner, message});
         return;
     }
-    submit_passed const message{call, shard, *calls.spec_[row],
+    submit_passed const message{call, shard, calls.sent_epoch_[row],
+                                *calls.spec_[row],
                                 calls.may_be_known_[row] != 0};
     local ? take_submit(context, self, message)
           : context.outbox_.push_back(send_peer{owner, message});
@@ -514,6 +515,8 @@
         ++context.parked_;
         break;
     case answer_kind::not_here:
+        // A job that was moved may have run before.
+        context.calls_.uncertain_[*row] |= answer.result_.attempt_ > 0 ? 1 : 0;
         ask_next_shard(context, *row);
         break;
     case answer_kind::no_record:
--- a/entry/node_owner.cpp
+++ b/entry/node_owner.cpp
@@ -87,6 +87,15 @@
 void answer_watcher(node& context, watcher const& to, answer_kind kind,
                     job_result const& result)
 {
+    bool const refused =
+        kind == answer_kind::not_here ||
+        (kind == answer_kind::state && result.state_ == job_state::not_run);
+    if (refused)
+    {
+        append_refusal(
+            context.refusals_, to, result.key_, kind,
+            context.now_.after(context.settings_.decide_.result_keep_micros_));
+    }
     answer_passed const answer{to.call_, kind, with_owner(context, result)};
     if (to.host_ == context.settings_.state_.host_)
     {
@@ -411,13 +420,21 @@
 void take_submit(node& context, watcher const& from, submit_passed const& input)
 {
     auto const driver = context.drivers_.index_.find(input.shard_);
-    if (!driver)
+    if (!driver || context.drivers_.epoch_[*driver] != input.epoch_)
     {
         answer_watcher(context, from, answer_kind::not_owner,
                        {.key_ = input.spec_.key_});
         return;
     }
     job_key const& job = input.spec_.key_;
+    if (auto const kind = find_refusal(context.refusals_, from, job))
+    {
+        answer_watcher(context, from, *kind,
+                       {.key_ = job,
+                        .state_ = job_state::not_run,
+                        .reason_ = "the call was refused before"});
+        return;
+    }
     if (!input.spec_.traceparent_.empty() && !context.job_spans_.contains(job))
     {
         context.job_spans_.emplace(
@@ -643,8 +660,7 @@
         open_transfer(context, shard, spec);
         return; // watchers are told once the transfer has succeeded
     }
-    answer_watchers(context, result.key_, answer_kind::not_here,
-                    {.key_ = result.key_});
+    answer_watchers(context, result.key_, answer_kind::not_here, result);
 }
 
 job_result qualify_result(node& context, job_result const& result)
@@ -791,6 +807,7 @@
 
 void expire_records(node& context)
 {
+    expire_refusals(context.refusals_, context.now_);
     if (context.now_ < context.record_deadline_)
     {
         return;
--- a/entry/node_tables.hpp
+++ b/entry/node_tables.hpp
@@ -18,6 +18,7 @@
 #include "entry/open_span.hpp"
 #include "entry/peer_table.hpp"
 #include "entry/record_table.hpp"
+#include "entry/refusal_table.hpp"
 #include "entry/route_table.hpp"
 #include "entry/routed_call_table.hpp"
 #include "entry/session_table.hpp"
@@ -87,6 +88,7 @@
     std::uint64_t          next_attachment_ = 0;
     record_table           records_;
     instant                record_deadline_ = instant::never();
+    refusal_table          refusals_;
     std::unordered_map<job_key, std::vector<watcher>> watchers_;
     std::unordered_set<job_key>
         uncertain_jobs_; // an earlier owner may have run
--- a/entry/submit_passed.hpp
+++ b/entry/submit_passed.hpp
@@ -2,6 +2,7 @@
 #ifndef FESCUEVANE_ENTRY_SUBMIT_PASSED_HPP
 #define FESCUEVANE_ENTRY_SUBMIT_PASSED_HPP
 
+#include "core/ids.hpp"
 #include "core/job_spec.hpp"
 #include "core/shard_id.hpp"
 
@@ -14,6 +15,7 @@
 {
     std::uint64_t const call_ = 0; // unique at the sender
     shard_id const      shard_;
+    epoch const         epoch_ = 0; // of the ownership it is meant for
     job_spec const      spec_;
     bool const          may_be_known_ = false; // an owner may have seen the id
 
