Tell schedulers the journaled jobs after the targets that may run them

Change: journaled jobs are submitted once the host list is read and sessions exist; a job that is being moved is told as queued.

--- a/entry/driver_table.hpp
+++ b/entry/driver_table.hpp
@@ -5,6 +5,7 @@
 #include "core/column.hpp"
 #include "core/ids.hpp"
 #include "core/instant.hpp"
+#include "core/job_key.hpp"
 #include "core/resources.hpp"
 #include "core/row_index.hpp"
 #include "core/shard_id.hpp"
@@ -12,6 +13,7 @@
 
 #include <cstdint>
 #include <map>
+#include <vector>
 
 namespace fescuevane::entry
 {
@@ -22,12 +24,14 @@
     column<epoch>                        epoch_;
     column<decide::scheduler_ptr>        scheduler_;
     column<std::map<team_id, resources>> allotments_; // of limited teams
-    column<std::uint8_t>                 dirty_;      // events were posted
-    column<std::uint8_t>                 ready_;      // takes work
-    column<std::uint8_t>                 complete_;   // every target attached
-    column<instant>                      acquired_;
-    column<instant>                      ready_deadline_; // takes work then
-    column<instant>                      load_deadline_;  // next load report
+    // Journaled jobs that the scheduler has not been told yet.
+    column<std::vector<job_key>> restored_;
+    column<std::uint8_t>         dirty_;    // events were posted
+    column<std::uint8_t>         ready_;    // takes work
+    column<std::uint8_t>         complete_; // every target attached
+    column<instant>              acquired_;
+    column<instant>              ready_deadline_; // takes work then
+    column<instant>              load_deadline_;  // next load report
 };
 
 } // namespace fescuevane::entry
--- a/entry/node_owner.cpp
+++ b/entry/node_owner.cpp
@@ -138,10 +138,7 @@
     if (entry.result_ == nullptr)
     {
         records.phase_[row] = record_phase::recorded;
-        post_to_shard(context, driver,
-                      decide::job_submitted{.spec_ = *entry.spec_,
-                                            .may_run_ = true,
-                                            .recorded_ = true});
+        context.drivers_.restored_[driver].push_back(entry.spec_->key_);
         return;
     }
     bool const moved = entry.result_->reason_ == reason_moved;
@@ -168,6 +165,7 @@
     drivers.scheduler_.append(
         decide::make_scheduler(context.settings_.decide_));
     drivers.allotments_.append({});
+    drivers.restored_.append({});
     drivers.dirty_.append(1);
     drivers.ready_.append(0);
     drivers.complete_.append(0);
@@ -200,6 +198,7 @@
     drivers.epoch_.remove_by_moving_last(*row);
     drivers.scheduler_.remove_by_moving_last(*row);
     drivers.allotments_.remove_by_moving_last(*row);
+    drivers.restored_.remove_by_moving_last(*row);
     drivers.dirty_.remove_by_moving_last(*row);
     drivers.ready_.remove_by_moving_last(*row);
     drivers.complete_.remove_by_moving_last(*row);
@@ -309,8 +308,10 @@
         auto const driver = context.drivers_.index_.find(from.shard_);
         auto const known =
             decide::find_result(*context.drivers_.scheduler_[*driver], job);
+        // While the job is moved away it is neither refused nor ended.
+        bool const told = known && known->state_ != job_state::not_run;
         answer_watcher(context, from, answer_kind::state,
-                       known ? *known : job_result{.key_ = job});
+                       told ? *known : job_result{.key_ = job});
     }
     return true;
 }
@@ -745,6 +746,29 @@
     send_order(context, order.target_, order);
 }
 
+// Tells the scheduler the journaled jobs after every target that may run them:
+// one that it doesn't know of can't hold a job back.
+void submit_restored(node& context, std::size_t driver)
+{
+    if (context.hosts_read_ == instant())
+    {
+        return;
+    }
+    for (job_key const& job :
+         std::exchange(context.drivers_.restored_[driver], {}))
+    {
+        auto const row = context.records_.index_.find(job);
+        if (row && context.records_.phase_[*row] == record_phase::recorded)
+        {
+            post_to_shard(
+                context, driver,
+                decide::job_submitted{.spec_ = *context.records_.spec_[*row],
+                                      .may_run_ = true,
+                                      .recorded_ = true});
+        }
+    }
+}
+
 void run_scheduler(node& context, std::size_t driver)
 {
     context.drivers_.dirty_[driver] = 0;
@@ -791,6 +815,7 @@
             context.routes_stale_ = true;
             context.heartbeat_deadline_ = context.now_;
         }
+        submit_restored(context, row);
         if (drivers.dirty_[row] != 0 ||
             decide::next_deadline(*drivers.scheduler_[row]) <= context.now_)
         {
