--- a/tests/prove/driver.cpp
+++ b/tests/prove/driver.cpp
@@ -36,6 +36,12 @@
 {
 }
 
+// The cell outlives the tables, and its processes end while it is destroyed.
+driver::~driver()
+{
+    cell_.on_exit_ = nullptr;
+}
+
 // 1. Choices
 
 std::uint64_t choose(driver& context, std::uint64_t count)
--- a/tests/prove/driver.hpp
+++ b/tests/prove/driver.hpp
@@ -28,6 +28,9 @@
 struct driver
 {
     explicit driver(run_options const& options);
+    ~driver(); // exits of processes are no longer noted
+    driver(driver const&) = delete;
+    driver& operator=(driver const&) = delete;
 
     run_options const options_;
     std::mt19937_64   random_;
