Check the ids of cancellations from peers

Cause: the codec of the links took job and team ids of a Cancel message as they came, while all other ids from peers are checked. Change: it uses wire::decode_job_keys. Ran: node_tests, "peer batch, malformed" failed before in the rows of the cancellation's team and job and passes after.

--- a/entry/link_codec.cpp
+++ b/entry/link_codec.cpp
@@ -107,9 +107,9 @@
 cancel_passed decode_cancel(v1::Cancel const& cancel)
 {
     std::vector<job_id> jobs;
-    for (std::string const& job : cancel.jobs())
+    for (job_key const& job : wire::decode_job_keys(cancel))
     {
-        jobs.emplace_back(job);
+        jobs.push_back(job.job_);
     }
     return {.shard_ = wire::decode_shard(cancel.shard(), "shard"),
             .team_ = team_id(cancel.team()),
