--- a/tests/unit/node_fixture.hpp
+++ b/tests/unit/node_fixture.hpp
@@ -177,7 +177,8 @@
     void    tick(std::string const& name, node_member& member);
     void    end_tasks(std::string const& name, target_fake& target);
     void    send(std::int64_t delay, delivery mail);
-    void send_event(std::string const& node, std::int64_t delay, event input);
+    void    send_event(std::string const& node, std::int64_t delay,
+                       event const& input);
 
     void obey(std::string const& from, command const& order);
     void pass(std::string const& from, send_peer const& order);
--- a/tests/unit/node_fixture_test.cpp
+++ b/tests/unit/node_fixture_test.cpp
@@ -253,7 +253,7 @@
 }
 
 void node_fixture::send_event(std::string const& node, std::int64_t delay,
-                              event input)
+                              event const& input)
 {
     auto const receiver = nodes_.find(node);
     if (receiver != nodes_.end())
