--- a/entry/node_tables.hpp
+++ b/entry/node_tables.hpp
@@ -90,7 +90,7 @@
     instant                record_deadline_ = instant::never();
     refusal_table          refusals_;
     std::unordered_map<job_key, std::vector<watcher>> watchers_;
-    std::unordered_set<job_key>
+    std::unordered_map<job_key, shard_id>
         uncertain_jobs_; // an earlier owner may have run
     std::unordered_map<job_key, open_span>  job_spans_;
     std::unordered_map<task_key, open_span> task_spans_;
