--- a/entry/link_codec.cpp
+++ b/entry/link_codec.cpp
@@ -71,6 +71,11 @@
     v1::Answer& answer = *batch.add_answers();
     answer.set_call(message.call_);
     answer.set_kind(static_cast<v1::AnswerKind>(message.kind_));
+    answer.set_shard(format_key(message.shard_));
+    if (!message.moved_to_.domain_.empty())
+    {
+        answer.set_moved_to(format_key(message.moved_to_));
+    }
     wire::encode_job_result(message.result_, *answer.mutable_result());
 }
 
@@ -125,6 +130,11 @@
     }
     return {.call_ = answer.call(),
             .kind_ = static_cast<answer_kind>(answer.kind()),
+            .shard_ = wire::decode_shard(answer.shard(), "shard"),
+            .moved_to_ =
+                answer.moved_to().empty()
+                    ? shard_id()
+                    : wire::decode_shard(answer.moved_to(), "moved_to"),
             .result_ = wire::decode_job_result(answer.result())};
 }
 
--- a/entry/node_calls.cpp
+++ b/entry/node_calls.cpp
@@ -72,6 +72,13 @@
 
 void refuse_call(node& context, std::size_t row, std::string reason)
 {
+    if (context.calls_.kind_[row] == routed_call_kind::transfer)
+    {
+        job_key const job = context.calls_.job_[row];
+        remove_routed_call(context.calls_, row);
+        retry_transfer(context, job);
+        return;
+    }
     bool const clean = context.calls_.sent_to_[row].empty() &&
                        context.calls_.uncertain_[row] == 0;
     tell_call(context, row,
@@ -450,12 +457,16 @@
 namespace
 {
 
-void ask_next_shard(node& context, std::size_t row)
+void ask_next_shard(node& context, std::size_t row, shard_id const& moved_to)
 {
     routed_call_table& calls = context.calls_;
     calls.sent_to_[row] = host_id();
     calls.sent_epoch_[row] = 0;
-    ++calls.position_[row];
+    auto const& order = calls.order_[row];
+    auto const  next = std::find(order.begin(), order.end(), moved_to);
+    calls.position_[row] = next == order.end()
+                               ? calls.position_[row] + 1
+                               : static_cast<std::size_t>(next - order.begin());
     context.to_route_.push_back(calls.index_.key(row));
 }
 
@@ -480,11 +491,11 @@
     job_result const result = qualify_result(heard, calls.uncertain_[row] != 0);
     if (calls.kind_[row] == routed_call_kind::transfer)
     {
-        if (result.state_ != job_state::not_run)
-        {
-            finish_transfer(context, result.key_);
-        }
+        shard_id const to = calls.order_[row][calls.position_[row]];
         tell_call(context, row, result);
+        result.state_ == job_state::not_run
+            ? retry_transfer(context, result.key_)
+            : finish_transfer(context, result.key_, to);
         return;
     }
     if (is_final(result.state_) || calls.wait_deadline_[row] <= context.now_)
@@ -504,6 +515,17 @@
     {
         return; // late, the call has ended
     }
+    // A shard that is no longer asked can still give the answer of the job, but
+    // what it refuses says nothing about the shard that is asked now.
+    bool const asked =
+        context.calls_.position_[*row] < context.calls_.order_[*row].size() &&
+        context.calls_.order_[*row][context.calls_.position_[*row]] ==
+            answer.shard_;
+    if (!asked && (answer.kind_ != answer_kind::state ||
+                   answer.result_.state_ != job_state::answered))
+    {
+        return;
+    }
     switch (answer.kind_)
     {
     case answer_kind::state:
@@ -517,7 +539,7 @@
     case answer_kind::not_here:
         // A job that was moved may have run before.
         context.calls_.uncertain_[*row] |= answer.result_.attempt_ > 0 ? 1 : 0;
-        ask_next_shard(context, *row);
+        ask_next_shard(context, *row, answer.moved_to_);
         break;
     case answer_kind::no_record:
         reject_call(context, answer.call_, call_error::not_found,
--- a/entry/node_owner.cpp
+++ b/entry/node_owner.cpp
@@ -27,6 +27,8 @@
 // targets were not reached by then.
 constexpr std::int64_t ready_wait_micros = micros_per_second;
 
+constexpr std::int64_t transfer_retry_micros = 2 * micros_per_second;
+
 constexpr std::int64_t load_interval_micros = 200 * micros_per_milli;
 
 // An id that another shard took over stays known to its home shard, so that
@@ -41,7 +43,8 @@
 // queue refuses at once, and so would an immediate second attempt.
 constexpr std::int64_t rewrite_micros = 500 * micros_per_milli;
 
-constexpr char const* reason_moved = "moved to another shard";
+// Followed by the shard that took the job.
+constexpr char const* reason_moved = "moved to shard ";
 
 // 1. Answers
 
@@ -68,7 +71,7 @@
 }
 
 void answer_watchers(node& context, job_key const& job, answer_kind kind,
-                     job_result const& result)
+                     job_result const& result, shard_id const& moved_to = {})
 {
     auto const found = context.watchers_.find(job);
     if (found == context.watchers_.end())
@@ -82,14 +85,14 @@
     }
     for (watcher const& each : waiting)
     {
-        answer_watcher(context, each, kind, result);
+        answer_watcher(context, each, kind, result, moved_to);
     }
 }
 
 } // namespace
 
 void answer_watcher(node& context, watcher const& to, answer_kind kind,
-                    job_result const& result)
+                    job_result const& result, shard_id const& moved_to)
 {
     bool const refused =
         kind == answer_kind::not_here ||
@@ -100,7 +103,8 @@
             context.refusals_, to, result.key_, kind,
             context.now_.after(context.settings_.decide_.result_keep_micros_));
     }
-    answer_passed const answer{to.call_, kind, with_owner(context, result)};
+    answer_passed const answer{to.call_, kind, to.shard_, moved_to,
+                               with_owner(context, result)};
     if (to.host_ == context.settings_.state_.host_)
     {
         take_answer(context, answer);
@@ -145,7 +149,14 @@
         context.drivers_.restored_[driver].push_back(entry.spec_->key_);
         return;
     }
-    bool const moved = entry.result_->reason_ == reason_moved;
+    bool const moved = entry.result_->reason_.starts_with(reason_moved);
+    if (moved)
+    {
+        records.moved_to_.replace(
+            row, parse_shard_id(entry.result_->reason_.substr(
+                                    std::string_view(reason_moved).size()))
+                     .value_or(shard_id()));
+    }
     records.phase_[row] = moved ? record_phase::moved : record_phase::closed;
     records.result_[row] = entry.result_;
     records.keep_deadline_[row] = context.now_.after(
@@ -306,7 +317,8 @@
     if (records.phase_[*row] == record_phase::moved ||
         records.phase_[*row] == record_phase::moving)
     {
-        answer_watcher(context, from, answer_kind::not_here, {.key_ = job});
+        answer_watcher(context, from, answer_kind::not_here, {.key_ = job},
+                       records.moved_to_[*row]);
         return true;
     }
     if (asked != nullptr && !records.spec_[*row]->has_same_content(*asked))
@@ -317,6 +329,13 @@
                         .reason_ = decide::reason_other_content});
         return true;
     }
+    bool const refused = records.result_[*row] != nullptr &&
+                         records.result_[*row]->state_ == job_state::not_run;
+    if (refused && records.phase_[*row] == record_phase::closing)
+    {
+        watch_job(context, job, from); // answered when it is written
+        return true;
+    }
     if (records.result_[*row] != nullptr)
     {
         answer_watcher(context, from, answer_kind::state,
@@ -372,10 +391,13 @@
     return true;
 }
 
-std::shared_ptr<job_result const> make_moved_result(job_key const& job)
+std::shared_ptr<job_result const> make_moved_result(job_key const&  job,
+                                                    shard_id const& to)
 {
-    return std::make_shared<job_result const>(job_result{
-        .key_ = job, .state_ = job_state::not_run, .reason_ = reason_moved});
+    return std::make_shared<job_result const>(
+        job_result{.key_ = job,
+                   .state_ = job_state::not_run,
+                   .reason_ = reason_moved + format_key(to)});
 }
 
 void write_record(node& context, shard_id const& shard,
@@ -385,34 +407,29 @@
     post_to_control(context, state::job_record{shard, spec, result});
 }
 
-// Sends a job away from a failure domain that is out of service and keeps the
-// id, so that it is found later.
-void decline_submit(node& context, watcher const& from,
-                    submit_passed const& input)
+// Sends an idempotent request away from a failure domain that is out of service
+// and keeps its id, so that a repeated submission goes the same way.
+void decline_request(node& context, std::size_t driver, watcher const& from,
+                     submit_passed const& input)
 {
-    auto const spec = std::make_shared<job_spec const>(input.spec_);
+    job_key const& job = input.spec_.key_;
     if (!input.may_be_known_)
     {
-        answer_watcher(context, from, answer_kind::not_here,
-                       {.key_ = spec->key_});
+        answer_watcher(context, from, answer_kind::not_here, {.key_ = job});
         return;
     }
-    std::size_t const row = append_record(context.records_, input.shard_, spec);
-    record_table&     records = context.records_;
-    records.phase_[row] = record_phase::moved;
-    if (needs_journal(*spec))
+    if (context.drivers_.complete_[driver] == 0)
     {
-        plan_record(context, row, context.now_.after(moved_keep_micros));
-        records.result_[row] = make_moved_result(spec->key_);
-        write_record(context, input.shard_, spec, records.result_[row]);
-        watch_job(context, spec->key_, from); // answered when recorded
-        return;
+        return; // may run on an unreached target; the call is passed again
     }
-    records.keep_deadline_[row] =
-        context.now_.after(context.settings_.decide_.result_keep_micros_);
-    context.record_deadline_ =
-        std::min(context.record_deadline_, records.keep_deadline_[row]);
-    answer_watcher(context, from, answer_kind::not_here, {.key_ = spec->key_});
+    std::size_t const row =
+        append_record(context.records_, input.shard_,
+                      std::make_shared<job_spec const>(input.spec_));
+    context.records_.phase_[row] = record_phase::moved;
+    plan_record(
+        context, row,
+        context.now_.after(context.settings_.decide_.result_keep_micros_));
+    answer_watcher(context, from, answer_kind::not_here, {.key_ = job});
 }
 
 void accept_submit(node& context, std::size_t driver, watcher const& from,
@@ -470,9 +487,12 @@
     {
         return;
     }
-    if (!is_in_service(context, input.shard_.domain_))
+    // Journaled work is accepted and then passed on by its scheduler, so that
+    // its home shard always knows where it is.
+    if (!is_in_service(context, input.shard_.domain_) &&
+        !needs_journal(input.spec_))
     {
-        decline_submit(context, from, input);
+        decline_request(context, *driver, from, input);
         return;
     }
     accept_submit(context, *driver, from, input);
@@ -581,6 +601,11 @@
     context.record_deadline_ =
         std::min(context.record_deadline_, records.keep_deadline_[row]);
     acknowledge_ends(context, row);
+    job_result const result = *records.result_[row];
+    if (result.state_ == job_state::not_run)
+    {
+        answer_watchers(context, result.key_, answer_kind::state, result);
+    }
 }
 
 std::shared_ptr<job_result const> without_large_body(job_result const& result)
@@ -631,7 +656,8 @@
             context.records_.phase_[*row] = record_phase::moved;
             plan_record(context, *row, context.now_.after(moved_keep_micros));
             answer_watchers(context, input.job_, answer_kind::not_here,
-                            {.key_ = input.job_});
+                            {.key_ = input.job_},
+                            context.records_.moved_to_[*row]);
         }
         else // another shard has the job: "not run" would be false
         {
@@ -655,7 +681,7 @@
     }
 }
 
-void finish_transfer(node& context, job_key const& job)
+void finish_transfer(node& context, job_key const& job, shard_id const& to)
 {
     auto const row = context.records_.index_.find(job);
     if (!row || context.records_.phase_[*row] != record_phase::recorded)
@@ -664,7 +690,8 @@
     }
     record_table& records = context.records_;
     records.phase_[*row] = record_phase::moving;
-    records.result_[*row] = make_moved_result(job);
+    records.moved_to_.replace(*row, to);
+    records.result_[*row] = make_moved_result(job, to);
     write_record(context, records.shard_[*row], records.spec_[*row],
                  records.result_[*row]);
     acknowledge_ends(context, *row);
@@ -672,6 +699,16 @@
     finish_job_span(context, job);
 }
 
+// No shard took the job; it stays with its own until one does.
+void retry_transfer(node& context, job_key const& job)
+{
+    auto const row = context.records_.index_.find(job);
+    if (row && context.records_.phase_[*row] == record_phase::recorded)
+    {
+        plan_record(context, *row, context.now_.after(transfer_retry_micros));
+    }
+}
+
 // 5. Schedulers
 
 namespace
@@ -734,6 +771,13 @@
     if (is_final(result.state_))
     {
         finish_job(context, result);
+        // A refusal that is not written could be followed by a start under the
+        // next owner, which finds the job accepted.
+        if (result.state_ == job_state::not_run &&
+            context.records_.index_.contains(result.key_))
+        {
+            return;
+        }
         answer_watchers(context, result.key_, answer_kind::state, result);
         return;
     }
@@ -891,6 +935,13 @@
             context.record_deadline_ = std::min(context.record_deadline_, keep);
             continue;
         }
+        if (records.phase_[row] == record_phase::recorded)
+        {
+            records.keep_deadline_[row] = instant::never();
+            open_transfer(context, records.shard_[row],
+                          job_spec(*records.spec_[row]));
+            continue;
+        }
         if (records.phase_[row] == record_phase::closing ||
             records.phase_[row] == record_phase::moving)
         {
--- a/entry/node_peers.cpp
+++ b/entry/node_peers.cpp
@@ -138,9 +138,10 @@
 
 void set_peers(node& context, state::peers_changed const& input)
 {
+    // Settings go before rows: they may name another way to the same peer.
     std::vector<state::peer_address> wanted;
     std::set<host_id>                hosts{context.settings_.state_.host_};
-    for (auto const* list : {&input.peers_, &context.settings_.seed_peers_})
+    for (auto const* list : {&context.settings_.seed_peers_, &input.peers_})
     {
         for (state::peer_address const& peer : *list)
         {
--- a/entry/node_tables.hpp
+++ b/entry/node_tables.hpp
@@ -138,8 +138,9 @@
 void set_policy(node& context, std::size_t driver);
 void post_to_shard(node& context, std::size_t driver, decide::event input);
 void answer_watcher(node& context, watcher const& to, answer_kind kind,
-                    job_result const& result);
-void finish_transfer(node& context, job_key const& job);
+                    job_result const& result, shard_id const& moved_to = {});
+void finish_transfer(node& context, job_key const& job, shard_id const& to);
+void retry_transfer(node& context, job_key const& job);
 
 // Targets (node_sessions.cpp)
 void open_sessions(node& context, shard_id const& shard);
--- a/entry/record_table.hpp
+++ b/entry/record_table.hpp
@@ -22,12 +22,13 @@
 
 struct record_table
 {
-    row_index<job_key>                        index_;
-    column<shard_id>                          shard_;
-    column<std::shared_ptr<job_spec const>>   spec_;
-    column<record_phase>                      phase_;
-    column<std::uint8_t>                      canceled_; // while being written
-    column<std::shared_ptr<job_result const>> result_;   // final, null before
+    row_index<job_key>                      index_;
+    column<shard_id>                        shard_;
+    column<std::shared_ptr<job_spec const>> spec_;
+    column<record_phase>                    phase_;
+    column<shard_id>     moved_to_; // that took the job; empty: not known
+    column<std::uint8_t> canceled_; // while being written
+    column<std::shared_ptr<job_result const>> result_; // final, null before
     column<instant>                           keep_deadline_; // of a closed row
     // Ends that a target keeps until the final state is recorded.
     column<std::vector<std::pair<target_id, task_key>>> ends_;
--- a/tests/unit/node_link_codec_test.cpp
+++ b/tests/unit/node_link_codec_test.cpp
@@ -56,14 +56,15 @@
     {
         auto const call = *rc::gen::arbitrary<std::uint64_t>();
         return {make_heartbeat(),
-                submit_passed{call, shard_, make_request(),
-                              *rc::gen::arbitrary<bool>()},
+                submit_passed{call, shard_, *rc::gen::arbitrary<epoch>(),
+                              make_request(), *rc::gen::arbitrary<bool>()},
                 lookup_passed{call, shard_, make_key()},
                 cancel_passed{shard_,
                               team_id(make_id()),
                               {job_id(make_id()), job_id(make_id())}},
                 answer_passed{call,
                               static_cast<answer_kind>(*rc::gen::inRange(0, 4)),
+                              shard_, *rc::gen::element(shard_, shard_id()),
                               make_result()},
                 snapshot_wanted{},
                 snapshot_passed{make_id()}};
@@ -147,6 +148,16 @@
          {
              m.mutable_answers(0)->set_kind(static_cast<v1::AnswerKind>(9));
          }},
+        {"answer shard",
+         [](v1::PeerBatch& m)
+         {
+             m.mutable_answers(0)->set_shard("a");
+         }},
+        {"answer moved_to",
+         [](v1::PeerBatch& m)
+         {
+             m.mutable_answers(0)->set_moved_to("a");
+         }},
         {"answer result",
          [](v1::PeerBatch& m)
          {
@@ -160,12 +171,14 @@
         submit_passed{
             1,
             shard_,
+            1,
             {.key_ = job, .service_ = service_id("s"), .demand_ = {1, 1, 0}}},
         now_, good);
     append_message(lookup_passed{1, shard_, job}, now_, good);
     append_message(cancel_passed{shard_, job.team_, {job.job_}}, now_, good);
-    append_message(answer_passed{1, answer_kind::state, {.key_ = job}}, now_,
-                   good);
+    append_message(
+        answer_passed{1, answer_kind::state, shard_, {}, {.key_ = job}}, now_,
+        good);
     REQUIRE(decode_messages(good, now_).size() == 5);
     for (bad_batch const& row : table)
     {
