--- a/entry/node_calls.cpp
+++ b/entry/node_calls.cpp
@@ -493,9 +493,7 @@
     {
         shard_id const to = calls.order_[row][calls.position_[row]];
         tell_call(context, row, result);
-        result.state_ == job_state::not_run
-            ? retry_transfer(context, result.key_)
-            : finish_transfer(context, result.key_, to);
+        end_transfer(context, result, to);
         return;
     }
     if (is_final(result.state_) || calls.wait_deadline_[row] <= context.now_)
--- a/entry/node_owner.cpp
+++ b/entry/node_owner.cpp
@@ -681,24 +681,6 @@
     }
 }
 
-void finish_transfer(node& context, job_key const& job, shard_id const& to)
-{
-    auto const row = context.records_.index_.find(job);
-    if (!row || context.records_.phase_[*row] != record_phase::recorded)
-    {
-        return;
-    }
-    record_table& records = context.records_;
-    records.phase_[*row] = record_phase::moving;
-    records.moved_to_.replace(*row, to);
-    records.result_[*row] = make_moved_result(job, to);
-    write_record(context, records.shard_[*row], records.spec_[*row],
-                 records.result_[*row]);
-    acknowledge_ends(context, *row);
-    context.uncertain_jobs_.erase(job);
-    finish_job_span(context, job);
-}
-
 // No shard took the job; it stays with its own until one does.
 void retry_transfer(node& context, job_key const& job)
 {
@@ -744,6 +726,55 @@
     answer_watchers(context, result.key_, answer_kind::not_here, result);
 }
 
+void finish_transfer(node& context, job_key const& job, shard_id const& to)
+{
+    auto const row = context.records_.index_.find(job);
+    if (!row || context.records_.phase_[*row] != record_phase::recorded)
+    {
+        return;
+    }
+    record_table& records = context.records_;
+    records.phase_[*row] = record_phase::moving;
+    records.moved_to_.replace(*row, to);
+    records.result_[*row] = make_moved_result(job, to);
+    write_record(context, records.shard_[*row], records.spec_[*row],
+                 records.result_[*row]);
+    acknowledge_ends(context, *row);
+    context.uncertain_jobs_.erase(job);
+    finish_job_span(context, job);
+}
+
+} // namespace
+
+// An unknown outcome leaves no record at the other shard. Idempotent work is
+// passed on again, and the other shard knows it by its id; other work ends
+// here.
+void end_transfer(node& context, job_result const& result, shard_id const& to)
+{
+    auto const row = context.records_.index_.find(result.key_);
+    if (!row)
+    {
+        return;
+    }
+    bool const unknown = result.state_ == job_state::unknown;
+    if (result.state_ == job_state::not_run ||
+        (unknown && context.records_.spec_[*row]->idempotent_))
+    {
+        retry_transfer(context, result.key_);
+        return;
+    }
+    if (unknown)
+    {
+        finish_job(context, result);
+        answer_watchers(context, result.key_, answer_kind::state, result);
+        return;
+    }
+    finish_transfer(context, result.key_, to);
+}
+
+namespace
+{
+
 job_result qualify_result(node& context, job_result const& result)
 {
     bool const uncertain = is_final(result.state_) &&
--- a/entry/node_tables.hpp
+++ b/entry/node_tables.hpp
@@ -139,7 +139,7 @@
 void post_to_shard(node& context, std::size_t driver, decide::event input);
 void answer_watcher(node& context, watcher const& to, answer_kind kind,
                     job_result const& result, shard_id const& moved_to = {});
-void finish_transfer(node& context, job_key const& job, shard_id const& to);
+void end_transfer(node& context, job_result const& result, shard_id const& to);
 void retry_transfer(node& context, job_key const& job);
 
 // Targets (node_sessions.cpp)
