Start accepted work at its own shard when its domain is back

Cause: a job that no other shard took before its failure domain came back was only ever offered to the shards after its own. Change: it is submitted to its own scheduler again; a job that was dispatched before is still offered to others only. The proof program names what keeps a run from settling and no longer calls handlers of a run that has failed (AddressSanitizer: use after free).

--- a/decide/apply_job_events.cpp
+++ b/decide/apply_job_events.cpp
@@ -239,13 +239,35 @@
 
 // 3. Events
 
+namespace
+{
+
+// Accepted work that was to go to another failure domain, but found no place
+// before its own came back. A job that was dispatched keeps its result, because
+// a target ignores attempts that it has seen.
+bool may_start_anew(scheduler const& context, std::size_t job,
+                    job_submitted const& input)
+{
+    job_result const& result = context.jobs_.result_[job];
+    return input.recorded_ && result.state_ == job_state::not_run &&
+           result.reason_ == reason_domain_out &&
+           context.jobs_.dispatched_[job] == 0 && context.domain_.in_service_;
+}
+
+} // namespace
+
 void apply_event(scheduler& context, job_submitted const& input)
 {
-    if (auto const job = context.jobs_.index_.find(input.spec_.key_))
+    auto const job = context.jobs_.index_.find(input.spec_.key_);
+    if (job && !may_start_anew(context, *job, input))
     {
         repeat_job(context, *job, input);
         return;
     }
+    if (job)
+    {
+        remove_job(context.jobs_, *job);
+    }
     admit_job(context, input);
 }
 
--- a/entry/node_owner.cpp
+++ b/entry/node_owner.cpp
@@ -949,6 +949,29 @@
 
 // 6. Expiry of journal entries
 
+namespace
+{
+
+// The job's own failure domain may have come back meanwhile.
+void repeat_transfer(node& context, std::size_t row)
+{
+    record_table&  records = context.records_;
+    job_spec const spec = *records.spec_[row];
+    shard_id const shard = records.shard_[row];
+    auto const     driver = context.drivers_.index_.find(shard);
+    records.keep_deadline_[row] = instant::never();
+    if (driver && is_in_service(context, shard.domain_))
+    {
+        post_to_shard(context, *driver,
+                      decide::job_submitted{.spec_ = spec, .recorded_ = true});
+        // Told again as to be moved when it was dispatched before.
+        return;
+    }
+    open_transfer(context, shard, spec);
+}
+
+} // namespace
+
 void expire_records(node& context)
 {
     expire_refusals(context.refusals_, context.now_);
@@ -968,9 +991,7 @@
         }
         if (records.phase_[row] == record_phase::recorded)
         {
-            records.keep_deadline_[row] = instant::never();
-            open_transfer(context, records.shard_[row],
-                          job_spec(*records.spec_[row]));
+            repeat_transfer(context, row);
             continue;
         }
         if (records.phase_[row] == record_phase::closing ||
--- a/tests/prove/driver.cpp
+++ b/tests/prove/driver.cpp
@@ -204,6 +204,21 @@
            context.active_.empty();
 }
 
+// What keeps a run from settling.
+std::string describe_unsettled(driver const& context)
+{
+    std::string text =
+        std::to_string(context.open_calls_.size()) + " open calls, " +
+        std::to_string(context.planned_calls_.size()) + " planned calls, " +
+        std::to_string(context.open_filings_) + " open filings, " +
+        std::to_string(context.active_.size()) + " faults";
+    for (planned_call const& call : context.planned_calls_)
+    {
+        text += "\n  planned for " + call.job_.team_ + "/" + call.job_.id_;
+    }
+    return text;
+}
+
 history collect(driver const& context)
 {
     history past{.targets_ = context.cell_.targets_,
@@ -249,13 +264,21 @@
     context.end_ = context.begin_ + load;
     context.next_submit_ = context.begin_;
     plan_faults(context);
-    wait_until(
-        [&context]
-        {
-            run_tick(context);
-            return is_settled(context);
-        },
-        load + settle_limit_micros, "the run settles");
+    try
+    {
+        wait_until(
+            [&context]
+            {
+                run_tick(context);
+                return is_settled(context);
+            },
+            load + settle_limit_micros, "the run settles");
+    }
+    catch (std::runtime_error const& error)
+    {
+        throw std::runtime_error(std::string(error.what()) + "; " +
+                                 describe_unsettled(context));
+    }
     await_pages(context, "/v1/shards", &shows_ready_shards);
     resolve_tickets(context);
     stop_entries(context);
--- a/tests/prove/http_client.cpp
+++ b/tests/prove/http_client.cpp
@@ -120,6 +120,10 @@
     g_object_unref(call->message_);
     g_object_unref(call->cancellable_);
     --call->client_->open_;
+    if (call->client_->closing_)
+    {
+        return;
+    }
     call->done_(
         {end, status, json.is_object() ? std::move(json) : nlohmann::json()});
 }
