--- a/entry/node_calls.cpp
+++ b/entry/node_calls.cpp
@@ -269,7 +269,6 @@
         std::make_shared<job_spec const>(with_identity(input.spec_, key)),
         input.wait_deadline_);
     std::size_t const row = *context.calls_.index_.find(input.call_);
-    context.calls_.fresh_id_[row] = fresh ? 1 : 0;
     context.calls_.may_be_known_[row] = fresh ? 0 : 1;
 }
 
--- a/entry/node_peers.cpp
+++ b/entry/node_peers.cpp
@@ -168,12 +168,6 @@
     context.outbox_.push_back(connect_peers{std::move(wanted)});
 }
 
-bool is_alive(node const& context, host_id const& host)
-{
-    auto const row = context.peers_.index_.find(host);
-    return row && context.peers_.alive_deadline_[*row] > context.now_;
-}
-
 void greet_peers(node& context)
 {
     request_snapshot(context);
--- a/entry/node_tables.hpp
+++ b/entry/node_tables.hpp
@@ -154,7 +154,6 @@
 // Peers (node_peers.cpp)
 void take_peer(node& context, peer_received const& input);
 void set_peers(node& context, state::peers_changed const& input);
-bool is_alive(node const& context, host_id const& host);
 
 // Shards and ids (node_shards.cpp)
 shard_id find_shard_of(node const& context, listed_host const& host);
--- a/entry/routed_call_table.cpp
+++ b/entry/routed_call_table.cpp
@@ -15,7 +15,6 @@
     table.kind_.append(kind);
     table.spec_.append(std::move(spec));
     table.job_.append(job);
-    table.fresh_id_.append(0);
     table.order_.append({});
     table.position_.append(0);
     table.sent_to_.append(host_id());
@@ -35,7 +34,6 @@
     table.kind_.remove_by_moving_last(row);
     table.spec_.remove_by_moving_last(row);
     table.job_.remove_by_moving_last(row);
-    table.fresh_id_.remove_by_moving_last(row);
     table.order_.remove_by_moving_last(row);
     table.position_.remove_by_moving_last(row);
     table.sent_to_.remove_by_moving_last(row);
--- a/entry/routed_call_table.hpp
+++ b/entry/routed_call_table.hpp
@@ -27,7 +27,6 @@
     column<routed_call_kind>                kind_;
     column<std::shared_ptr<job_spec const>> spec_; // null for look-ups
     column<job_key>                         job_;
-    column<std::uint8_t>                    fresh_id_; // 1: assigned here
     column<std::vector<shard_id>>           order_;    // shards to ask
     column<std::size_t>                     position_; // in `order_`
     column<host_id>                         sent_to_;  // empty: not sent
