Destroy the front end before the tracer and leave without static destructors

Seen: one of the demo's runs ended with an entry process killed by SIGSEGV after its graceful stop, when everything was answered. Two causes were found by reading, neither confirmed by a trace: the tracer was destroyed before the front end whose spans end in it, and gRPC's threads can outlive main. Change: the members are ordered, and main ends by quick_exit after the stop.

--- a/entry/main.cpp
+++ b/entry/main.cpp
@@ -8,6 +8,7 @@
 
 #include <CLI/CLI.hpp>
 #include <glib.h>
+#include <cstdlib>
 #include <iostream>
 #include <string>
 
@@ -33,6 +34,15 @@
     return 0;
 }
 
+// Ends without destroying static objects: gRPC's own threads may still finish
+// streams that were canceled, and crash in the library's destroyed state.
+[[noreturn]] void leave(int status)
+{
+    std::cout.flush();
+    std::cerr.flush();
+    std::quick_exit(status);
+}
+
 } // namespace
 
 int main(int count, char** values)
@@ -58,7 +68,7 @@
     }
     try
     {
-        return run(file, check_only);
+        leave(run(file, check_only));
     }
     catch (fescuevane::entry::settings_error const& error)
     {
--- a/entry/process.hpp
+++ b/entry/process.hpp
@@ -49,18 +49,19 @@
     static gboolean on_stop(gpointer self);
     static gboolean on_host_list(gpointer self);
 
-    settings const                 settings_;
-    node_ptr                       node_;
-    GSource*                       tick_source_ = nullptr;
-    GMainLoop*                     loop_ = nullptr;
+    settings const settings_;
+    node_ptr       node_;
+    GSource*       tick_source_ = nullptr;
+    GMainLoop*     loop_ = nullptr;
+    // Before the front end, whose open spans end in the tracer.
+    std::unique_ptr<state_logger>  log_;
+    std::unique_ptr<span_tracer>   traces_;
     std::shared_ptr<event_queue>   events_;
     std::unique_ptr<platform_link> platform_;
     std::unique_ptr<peer_link>     peers_;
     std::unique_ptr<target_link>   targets_;
     std::unique_ptr<peer_service>  service_;
     std::unique_ptr<http_front>    front_;
-    std::unique_ptr<state_logger>  log_;
-    std::unique_ptr<span_tracer>   traces_;
     std::vector<command>           commands_;
 };
 
