Let one function each copy a specification, report a shard and plan a record

Cause: found in the read-through. Two functions copied a job specification field by field, the heartbeat and the route built the same report of an owned shard, and two places repeated plan_record.

--- a/entry/node_calls.cpp
+++ b/entry/node_calls.cpp
@@ -163,20 +163,6 @@
 
 // 3. Opening
 
-job_spec with_identity(job_spec const& spec, job_key const& key)
-{
-    return {.key_ = key,
-            .service_ = spec.service_,
-            .kind_ = spec.kind_,
-            .task_count_ = spec.task_count_,
-            .demand_ = spec.demand_,
-            .idempotent_ = spec.idempotent_,
-            .start_deadline_ = spec.start_deadline_,
-            .declared_run_micros_ = spec.declared_run_micros_,
-            .payload_ = spec.payload_,
-            .traceparent_ = spec.traceparent_};
-}
-
 // Own failure domain first, then the most room; equal shards take turns by
 // chance, because reports of their load are some hundred milliseconds old.
 std::optional<shard_id> pick_shard(node& context)
@@ -239,6 +225,21 @@
 
 } // namespace
 
+job_spec copy_spec(job_spec const& spec, job_key const& key,
+                   std::string const& traceparent)
+{
+    return {.key_ = key,
+            .service_ = spec.service_,
+            .kind_ = spec.kind_,
+            .task_count_ = spec.task_count_,
+            .demand_ = spec.demand_,
+            .idempotent_ = spec.idempotent_,
+            .start_deadline_ = spec.start_deadline_,
+            .declared_run_micros_ = spec.declared_run_micros_,
+            .payload_ = spec.payload_,
+            .traceparent_ = traceparent};
+}
+
 void open_submit(node& context, submit_opened const& input)
 {
     count(context, counter::calls_opened);
@@ -264,10 +265,10 @@
     bool const    fresh = input.spec_.key_.job_.empty();
     job_key const key{*team, fresh ? make_job_id(context, pick_shard(context))
                                    : input.spec_.key_.job_};
-    open_routed_call(
-        context, input.call_, routed_call_kind::submit, key,
-        std::make_shared<job_spec const>(with_identity(input.spec_, key)),
-        input.wait_deadline_);
+    open_routed_call(context, input.call_, routed_call_kind::submit, key,
+                     std::make_shared<job_spec const>(
+                         copy_spec(input.spec_, key, input.spec_.traceparent_)),
+                     input.wait_deadline_);
     std::size_t const row = *context.calls_.index_.find(input.call_);
     context.calls_.may_be_known_[row] = fresh ? 0 : 1;
 }
--- a/entry/node_owner.cpp
+++ b/entry/node_owner.cpp
@@ -132,6 +132,12 @@
     context.control_dirty_ = true;
 }
 
+void plan_record(node& context, std::size_t row, instant deadline)
+{
+    context.records_.keep_deadline_[row] = deadline;
+    context.record_deadline_ = std::min(context.record_deadline_, deadline);
+}
+
 // Puts a journal entry of an earlier owner into the tables.
 void restore_record(node& context, std::size_t driver,
                     state::job_record const& entry)
@@ -159,11 +165,10 @@
     }
     records.phase_[row] = moved ? record_phase::moved : record_phase::closed;
     records.result_[row] = entry.result_;
-    records.keep_deadline_[row] = context.now_.after(
-        moved ? moved_keep_micros
-              : context.settings_.decide_.result_keep_micros_);
-    context.record_deadline_ =
-        std::min(context.record_deadline_, records.keep_deadline_[row]);
+    plan_record(context, row,
+                context.now_.after(
+                    moved ? moved_keep_micros
+                          : context.settings_.decide_.result_keep_micros_));
 }
 
 } // namespace
@@ -298,12 +303,6 @@
     return spec.kind_ != work_kind::request || !spec.idempotent_;
 }
 
-void plan_record(node& context, std::size_t row, instant deadline)
-{
-    context.records_.keep_deadline_[row] = deadline;
-    context.record_deadline_ = std::min(context.record_deadline_, deadline);
-}
-
 // Answers from the journal. Returns true when the entry settles the call.
 bool answer_from_record(node& context, watcher const& from, job_key const& job,
                         job_spec const* asked)
@@ -596,10 +595,9 @@
 {
     record_table& records = context.records_;
     records.phase_[row] = record_phase::closed;
-    records.keep_deadline_[row] =
-        context.now_.after(context.settings_.decide_.result_keep_micros_);
-    context.record_deadline_ =
-        std::min(context.record_deadline_, records.keep_deadline_[row]);
+    plan_record(
+        context, row,
+        context.now_.after(context.settings_.decide_.result_keep_micros_));
     acknowledge_ends(context, row);
     job_result const result = *records.result_[row];
     if (result.state_ == job_state::not_run)
@@ -837,18 +835,8 @@
     context.task_spans_.emplace(
         order.task_,
         open_span{parent, own, context.now_, job_span->second.shard_});
-    job_spec const& spec = *order.spec_;
-    auto const      traced = std::make_shared<job_spec const>(
-        job_spec{.key_ = spec.key_,
-                      .service_ = spec.service_,
-                      .kind_ = spec.kind_,
-                      .task_count_ = spec.task_count_,
-                      .demand_ = spec.demand_,
-                      .idempotent_ = spec.idempotent_,
-                      .start_deadline_ = spec.start_deadline_,
-                      .declared_run_micros_ = spec.declared_run_micros_,
-                      .payload_ = spec.payload_,
-                      .traceparent_ = own});
+    auto const traced = std::make_shared<job_spec const>(
+        copy_spec(*order.spec_, order.spec_->key_, own));
     send_order(context, order.target_,
                decide::start_task{order.task_, order.target_, traced,
                                   order.reservation_});
--- a/entry/node_peers.cpp
+++ b/entry/node_peers.cpp
@@ -1,7 +1,6 @@
 // Purpose: the other entry processes: heartbeats and messages.
 #include "entry/node_tables.hpp"
 
-#include "decide/shard_load.hpp"
 #include "state/config.hpp"
 
 #include <set>
@@ -89,13 +88,7 @@
     driver_table const&       drivers = context.drivers_;
     for (std::size_t row = 0; row < drivers.index_.size(); ++row)
     {
-        decide::shard_load const load =
-            decide::summarize_load(*drivers.scheduler_[row]);
-        reports.push_back({.shard_ = drivers.index_.key(row),
-                           .epoch_ = drivers.epoch_[row],
-                           .ready_ = drivers.ready_[row] != 0,
-                           .queued_tasks_ = load.queued_tasks_,
-                           .free_slots_ = load.free_slots_});
+        reports.push_back(report_own_shard(context, row));
     }
     auto const accepted = state::accepted_config(*context.control_);
     return {.committed_ = state::committed_number(*context.control_),
--- a/entry/node_shards.cpp
+++ b/entry/node_shards.cpp
@@ -31,17 +31,6 @@
     return true;
 }
 
-shard_report report_own_shard(node const& context, std::size_t driver)
-{
-    decide::shard_load const load =
-        decide::summarize_load(*context.drivers_.scheduler_[driver]);
-    return {.shard_ = context.drivers_.index_.key(driver),
-            .epoch_ = context.drivers_.epoch_[driver],
-            .ready_ = context.drivers_.ready_[driver] != 0,
-            .queued_tasks_ = load.queued_tasks_,
-            .free_slots_ = load.free_slots_};
-}
-
 // Of all processes that say they own the shard, the highest epoch counts.
 bool refresh_route(node& context, std::size_t row)
 {
@@ -83,6 +72,17 @@
 
 } // namespace
 
+shard_report report_own_shard(node const& context, std::size_t driver)
+{
+    decide::shard_load const load =
+        decide::summarize_load(*context.drivers_.scheduler_[driver]);
+    return {.shard_ = context.drivers_.index_.key(driver),
+            .epoch_ = context.drivers_.epoch_[driver],
+            .ready_ = context.drivers_.ready_[driver] != 0,
+            .queued_tasks_ = load.queued_tasks_,
+            .free_slots_ = load.free_slots_};
+}
+
 shard_id find_shard_of(node const& context, listed_host const& host)
 {
     auto const found =
--- a/entry/node_tables.hpp
+++ b/entry/node_tables.hpp
@@ -118,11 +118,14 @@
 // 3. Steps that several systems share
 
 // Calls (node_calls.cpp)
-void open_submit(node& context, submit_opened const& input);
-void open_lookup(node& context, lookup_opened const& input);
-void open_cancel(node& context, cancel_opened const& input);
-void open_ticket(node& context, ticket_opened const& input);
-void abandon_call(node& context, std::uint64_t call);
+// The same work under another key and trace context.
+job_spec copy_spec(job_spec const& spec, job_key const& key,
+                   std::string const& traceparent);
+void     open_submit(node& context, submit_opened const& input);
+void     open_lookup(node& context, lookup_opened const& input);
+void     open_cancel(node& context, cancel_opened const& input);
+void     open_ticket(node& context, ticket_opened const& input);
+void     abandon_call(node& context, std::uint64_t call);
 void open_transfer(node& context, shard_id const& from, job_spec const& spec);
 void take_answer(node& context, answer_passed const& answer);
 
@@ -160,6 +163,8 @@
 std::vector<shard_id> order_shards(node const& context, job_key const& job);
 bool is_in_service(node const& context, domain_id const& domain);
 
+shard_report report_own_shard(node const& context, std::size_t driver);
+
 // Traces (node_traces.cpp)
 std::string make_traceparent(node& context, std::string const& parent);
 void finish_span(node& context, std::string_view name, open_span const& span,
