--- /dev/null
+++ b/cell/call_row.hpp
@@ -0,0 +1,37 @@
+// Purpose: row of a caller's open call.
+#ifndef FESCUEVANE_CELL_CALL_ROW_HPP
+#define FESCUEVANE_CELL_CALL_ROW_HPP
+
+#include "cell/call_kind.hpp"
+#include "cell/job_answer.hpp"
+#include "core/ids.hpp"
+#include "core/instant.hpp"
+#include "core/shard_id.hpp"
+#include "core/staged_job.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <set>
+
+namespace fescuevane::cell
+{
+
+struct call_row
+{
+    call_kind                         kind_ = call_kind::lookup;
+    job_id                            id_;
+    std::shared_ptr<staged_job const> job_;
+    instant                           deadline_;
+    std::optional<shard_id>           shard_; // asked now
+    std::uint64_t                     request_ = 0; // in flight, 0: none
+    instant                           retry_at_;
+    std::set<shard_id>                tried_; // gave no answer
+    bool maybe_done_ = false; // an attempt got no answer
+    bool located_ = false;    // the store named the shard
+    job_answer refusal_; // last one
+};
+
+} // namespace fescuevane::cell
+
+#endif
--- /dev/null
+++ b/cell/cell.hpp
@@ -0,0 +1,70 @@
+// Purpose: one entry process's part in running a cell on leased targets:
+// membership, ownership of shards, the journal of jobs, leases and calls. The
+// caller owns a `node`, posts events, runs ticks and carries out the commands.
+// No I/O, clock or threads.
+//
+// Index of sections
+//   1. Context
+//   2. Input and output
+//   3. Ticks
+//   4. Queries
+#ifndef FESCUEVANE_CELL_CELL_HPP
+#define FESCUEVANE_CELL_CELL_HPP
+
+#include "cell/command.hpp"
+#include "cell/event.hpp"
+#include "cell/heartbeat.hpp"
+#include "cell/settings.hpp"
+#include "core/ids.hpp"
+#include "core/instant.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace fescuevane::cell
+{
+
+// 1. Context
+struct node; // all tables of one process, see node.hpp
+
+// Destroys the context; a functor, so that callers need not see its tables.
+struct node_deleter
+{
+    void operator()(node* context) const;
+};
+using node_ptr = std::unique_ptr<node, node_deleter>;
+
+node_ptr make_node(settings const& values, instant now);
+
+// 2. Input and output
+void post_event(node& context, event input); // applied by the next tick
+
+// 3. Ticks
+// Appends the commands in the order in which they have to be carried out.
+// `now` never goes back; `unix_ms` is the time of day, for timed jobs.
+void    run_tick(node& context, instant now, std::int64_t unix_ms,
+                 std::vector<command>& output);
+instant next_deadline(node const& context); // next tick without events
+
+// 4. Queries
+// The route of a call, null without a configuration or for unknown paths.
+queue_route const* find_route(node const& context, std::string const& host,
+                              std::string const& path);
+// The organisation of a key, nothing when no organisation holds it.
+std::optional<organisation_id> find_organisation(node const&        context,
+                                                 std::string const& key);
+bool          has_config(node const& context);
+bool          is_ready(node const& context); // takes calls
+bool          is_stopped(node const& context); // nothing left to hand over
+std::uint64_t config_version(node const& context);
+std::uint32_t max_body_bytes(node const& context);
+std::uint32_t count_waiting(node const& context, queue_id const& queue);
+heartbeat     make_heartbeat(node const& context); // for other hosts
+std::size_t   count_open_calls(node const& context);
+
+} // namespace fescuevane::cell
+
+#endif
--- /dev/null
+++ b/cell/claim_shards.cpp
@@ -0,0 +1,563 @@
+// Purpose: system: takes over shards that have no owner.
+//
+// Index of sections
+//   1. Vacancy
+//   2. Candidates
+//   3. Claims
+//   4. Handing over
+#include "cell/node.hpp"
+
+#include "cell/records.hpp"
+
+#include <algorithm>
+#include <optional>
+
+namespace fescuevane::cell
+{
+
+// 1. Vacancy
+
+namespace
+{
+
+bool is_silent(node const& context, instant word)
+{
+    return word.remaining_until(context.now_) >
+           context.settings_.suspect_micros_;
+}
+
+// Since when a shard has had no working owner; nothing while it has one.
+std::optional<instant> find_vacancy(node& context, shard_row& shard)
+{
+    settings const& values = context.settings_;
+    if (shard.epoch_ == 0)
+    {
+        return context.started_.after(values.first_claim_micros_);
+    }
+    if (shard.released_ || shard.owner_ == values.host_)
+    {
+        // A row of an earlier process of this host, or of a claim that failed.
+        return shard.confirmed_at_;
+    }
+    instant word = shard.confirmed_at_;
+    if (host_row const* const host = context.hosts_.find(shard.owner_))
+    {
+        word = std::max(word, host->listed_at_);
+    }
+    if (!is_silent(context, word))
+    {
+        shard.suspected_at_ = instant::never();
+        wake_at(context, word.after(values.suspect_micros_ + 1));
+        return std::nullopt;
+    }
+    shard.suspected_at_ = std::min(shard.suspected_at_, context.now_);
+    return shard.suspected_at_;
+}
+
+// A host that hears nobody is more likely cut off itself.
+bool hears_others(node const& context)
+{
+    instant latest = context.started_;
+    for (host_row const& host : context.hosts_)
+    {
+        if (host.heard_ && !is_silent(context, host.heard_at_))
+        {
+            return true;
+        }
+        latest = std::max(latest, host.heard_at_);
+    }
+    return context.hosts_.size() <= 1 ||
+           latest.remaining_until(context.now_) >
+               context.settings_.alone_micros_;
+}
+
+} // namespace
+
+// 2. Candidates
+
+namespace
+{
+
+// Place of this host among those that may claim, 0: first. Large hosts of the
+// shard's own failure domain go first.
+std::int64_t rank_candidate(node const& context, shard_id const& shard,
+                            shard_row const& row)
+{
+    settings const& values = context.settings_;
+    if (row.released_ && row.successor_ == values.host_)
+    {
+        return 0;
+    }
+    bool const   own_domain = shard.domain_ == values.domain_;
+    std::int64_t ahead = row.released_ ? 1 : 0;
+    for (std::size_t index = 0; index < context.hosts_.size(); ++index)
+    {
+        host_row const& host = context.hosts_[index];
+        host_id const&  id = context.hosts_.key(index);
+        bool const      lost = host.heard_ && is_silent(context, host.heard_at_);
+        if (id == values.host_ || id == row.owner_ || lost ||
+            host.stopping_ ||
+            (host.domain_ == shard.domain_) != own_domain)
+        {
+            continue;
+        }
+        if (host.cpu_share_ > values.cpu_share_ ||
+            (host.cpu_share_ == values.cpu_share_ && id < values.host_))
+        {
+            ++ahead;
+        }
+    }
+    return ahead + static_cast<std::int64_t>(context.owned_.size());
+}
+
+target_id const* find_target_in(node const& context, domain_id const& domain)
+{
+    for (std::size_t row = 0; row < context.sessions_.size(); ++row)
+    {
+        if (context.sessions_[row].info_ &&
+            context.sessions_[row].info_->domain_ == domain)
+        {
+            return &context.sessions_.key(row);
+        }
+    }
+    return nullptr;
+}
+
+// True when a target of the domain answered lately. Otherwise the silence of
+// its hosts may come from a cut between the domains, and the owner is well.
+bool reaches_domain(node& context, shard_id const& shard, shard_row& row)
+{
+    settings const& values = context.settings_;
+    if (!is_silent(context, row.reached_at_))
+    {
+        return true;
+    }
+    target_id const* const target = find_target_in(context, shard.domain_);
+    if (target != nullptr && row.probe_after_ <= context.now_)
+    {
+        row.probe_after_ = context.now_.after(values.suspect_micros_ / 2);
+        std::uint64_t const request = next_request(context);
+        context.probes_[request] = shard;
+        context.outbox_.push_back(hold_target{
+            .request_ = request,
+            .target_ = *target,
+            .address_ = context.sessions_.find(*target)->info_->address_,
+            .deadline_ = context.now_.after(values.hold_slack_micros_)});
+    }
+    wake_at(context, row.probe_after_);
+    return false;
+}
+
+bool may_claim(node& context, shard_id const& shard, shard_row& row)
+{
+    std::optional<instant> const vacant = find_vacancy(context, row);
+    if (!vacant)
+    {
+        return false;
+    }
+    settings const& values = context.settings_;
+    bool const      foreign = shard.domain_ != values.domain_;
+    bool const      own_row = row.owner_ == values.host_;
+    std::int64_t const delay =
+        own_row ? 0
+                : rank_candidate(context, shard, row) *
+                          values.claim_step_micros_ +
+                      (foreign ? values.foreign_claim_micros_ : 0);
+    instant const due = vacant->after(delay);
+    if (due > context.now_)
+    {
+        wake_at(context, due);
+        return false;
+    }
+    bool const free = row.epoch_ == 0 || own_row || row.released_;
+    if (!free && !hears_others(context))
+    {
+        wake_at(context, context.now_.after(values.suspect_micros_));
+        return false;
+    }
+    return !foreign || reaches_domain(context, shard, row);
+}
+
+} // namespace
+
+// 3. Claims
+
+namespace
+{
+
+std::string owner_text(node const& context, owned_row const& own, bool released,
+                       host_id const& successor)
+{
+    return write_owner({context.settings_.host_,
+                        context.settings_.incarnation_,
+                        context.settings_.address_, own.epoch_, released,
+                        successor});
+}
+
+// Writes the row of a shard in one part, when it is still as it was seen.
+std::uint64_t write_owner_row(node& context, shard_id const& shard,
+                              std::uint32_t part, request_kind kind,
+                              bool released, host_id const& successor)
+{
+    owned_row const&    own = *context.owned_.find(shard);
+    revision const      seen =
+        own.parts_[part].fenced_
+                 ? own.parts_[part].fence_
+                 : context.shards_.find(shard)->revisions_[part];
+    row_key const       key{"member", std::to_string(part),
+                      "shard/" + write_shard_name(shard)};
+    std::uint64_t const request = next_request(context);
+    context.requests_.ensure(request) = {.kind_ = kind,
+                                         .shard_ = shard,
+                                         .part_ = part,
+                                         .sent_ = context.now_};
+    context.outbox_.push_back(store_transact{
+        .request_ = request,
+        .conditions_ = {{key, seen}},
+        .writes_ = {{key, owner_text(context, own, released, successor)}},
+        .deadline_ = store_deadline(context)});
+    return request;
+}
+
+void claim_shard(node& context, shard_id const& shard, shard_row const& row)
+{
+    owned_row& own = context.owned_.ensure(shard);
+    own.epoch_ = row.epoch_ + 1;
+    for (epoch const known : row.epochs_)
+    {
+        own.epoch_ = std::max(own.epoch_, known + 1);
+    }
+    own.parts_.resize(context.settings_.job_parts_);
+    log_event(context, "claim",
+              {{"shard", write_shard_name(shard)},
+               {"epoch", std::to_string(own.epoch_)},
+               {"previous", row.owner_.str()},
+               {"released", row.released_ ? "true" : "false"}});
+    own.request_ =
+        write_owner_row(context, shard, 0, request_kind::claim, false, {});
+}
+
+} // namespace
+
+void claim_shards(node& context)
+{
+    if (!context.members_known_ || !context.announced_ ||
+        !context.store_ok_ || context.stopping_)
+    {
+        return;
+    }
+    for (std::size_t index = 0; index < context.shards_.size(); ++index)
+    {
+        shard_id const shard = context.shards_.key(index);
+        shard_row&     row = context.shards_[index];
+        if (!context.owned_.contains(shard) && may_claim(context, shard, row))
+        {
+            claim_shard(context, shard, row);
+        }
+    }
+}
+
+namespace
+{
+
+bool is_mine(node const& context, owned_row const& own,
+             stored_row const& row)
+{
+    owner_record const record = read_owner(row.value_);
+    return record.host_ == context.settings_.host_ &&
+           record.incarnation_ == context.settings_.incarnation_ &&
+           record.epoch_ == own.epoch_;
+}
+
+// The row that contradicted a condition: ours when an earlier write did happen.
+std::optional<revision> find_own_row(node& context, owned_row const& own,
+                                     store_reply const& reply)
+{
+    for (stored_row const& row : reply.rows_)
+    {
+        if (row.revision_ != 0 && is_mine(context, own, row))
+        {
+            return row.revision_;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+void end_claim(node& context, request_row const& request,
+               store_reply const& reply)
+{
+    owned_row* own = context.owned_.find(request.shard_);
+    if (own == nullptr)
+    {
+        return;
+    }
+    journal_part& part = own->parts_[request.part_];
+    part.request_ = 0;
+    own->request_ = 0;
+    std::optional<revision> taken;
+    if (reply.outcome_ == store_outcome::done)
+    {
+        taken = reply.revision_;
+    }
+    else if (reply.outcome_ == store_outcome::conflict)
+    {
+        taken = find_own_row(context, *own, reply);
+    }
+    if (request.kind_ == request_kind::release)
+    {
+        if (taken)
+        {
+            drop_shard(context, request.shard_, "handed over");
+        }
+        else if (reply.outcome_ == store_outcome::conflict)
+        {
+            drop_shard(context, request.shard_, "another host took it over");
+        }
+        return;
+    }
+    if (taken)
+    {
+        part.fenced_ = true;
+        part.fence_ = *taken;
+        shard_row& row = *context.shards_.find(request.shard_);
+        row.revisions_[request.part_] = *taken;
+        row.epochs_[request.part_] = own->epoch_;
+        if (own->phase_ == owned_phase::claiming)
+        {
+            own->phase_ = owned_phase::fencing;
+            row.owner_ = context.settings_.host_;
+            row.owner_incarnation_ = context.settings_.incarnation_;
+            row.epoch_ = own->epoch_;
+            row.released_ = false;
+            row.confirmed_at_ = context.now_;
+        }
+        return;
+    }
+    part.retry_at_ = context.now_.after(
+        reply.outcome_ == store_outcome::conflict
+            ? 0
+            : context.settings_.store_retry_micros_);
+    if (request.kind_ == request_kind::claim &&
+        reply.outcome_ != store_outcome::unknown)
+    {
+        context.owned_.remove(request.shard_);
+        shard_row& row = *context.shards_.find(request.shard_);
+        row.confirmed_at_ = context.now_; // the winner gets time to show up
+    }
+    for (stored_row const& row : reply.rows_)
+    {
+        apply(context, member_row_changed{row});
+    }
+}
+
+void load_shards(node& context)
+{
+    std::vector<shard_id> const owned = context.owned_.keys();
+    for (shard_id const& shard : owned)
+    {
+        owned_row& own = *context.owned_.find(shard);
+        if (own.phase_ == owned_phase::claiming && own.request_ == 0)
+        {
+            if (own.parts_[0].retry_at_ > context.now_)
+            {
+                wake_at(context, own.parts_[0].retry_at_);
+                continue;
+            }
+            own.request_ = write_owner_row(context, shard, 0,
+                                           request_kind::claim, false, {});
+        }
+        if (own.phase_ == owned_phase::fencing)
+        {
+            bool all = true;
+            for (std::uint32_t index = 1; index < own.parts_.size(); ++index)
+            {
+                journal_part& part = own.parts_[index];
+                all = all && part.fenced_;
+                if (part.fenced_ || part.request_ != 0)
+                {
+                    continue;
+                }
+                if (part.retry_at_ > context.now_)
+                {
+                    wake_at(context, part.retry_at_);
+                    continue;
+                }
+                part.request_ = write_owner_row(
+                    context, shard, index, request_kind::fence, false, {});
+            }
+            if (all)
+            {
+                own.phase_ = owned_phase::loading;
+                own.taken_at_ = context.now_;
+                // A run number is never given twice, so numbers start above
+                // those of earlier owners, which aren't all known.
+                constexpr std::uint32_t runs_per_epoch = 1000;
+                plan::settings values = context.settings_.plan_;
+                own.planner_ = plan::make_planner(
+                    {.run_base_ = static_cast<std::uint32_t>(own.epoch_ - 1) *
+                                  runs_per_epoch,
+                     .early_start_ms_ = values.early_start_ms_,
+                     .rack_penalty_ = values.rack_penalty_});
+                set_policies(context, own);
+            }
+        }
+        if (own.phase_ != owned_phase::loading)
+        {
+            continue;
+        }
+        for (std::uint32_t index = 0; index < own.parts_.size(); ++index)
+        {
+            journal_part& part = own.parts_[index];
+            if (part.loaded_ || part.request_ != 0)
+            {
+                continue;
+            }
+            if (part.retry_at_ > context.now_)
+            {
+                wake_at(context, part.retry_at_);
+                continue;
+            }
+            part.request_ = next_request(context);
+            context.requests_.ensure(part.request_) = {
+                .kind_ = request_kind::load,
+                .shard_ = shard,
+                .part_ = index,
+                .sent_ = context.now_};
+            context.outbox_.push_back(
+                store_read{.request_ = part.request_,
+                           .table_ = "job",
+                           .part_ = std::to_string(index),
+                           .from_ = part.load_from_,
+                           .deadline_ = store_deadline(context)});
+        }
+    }
+}
+
+void drop_shard(node& context, shard_id const& shard, std::string const& why)
+{
+    if (!context.owned_.contains(shard))
+    {
+        return;
+    }
+    log_event(context, "shard_dropped",
+              {{"shard", write_shard_name(shard)},
+               {"epoch", std::to_string(context.owned_.find(shard)->epoch_)},
+               {"reason", why}});
+    close_sessions(context, shard);
+    std::vector<job_id> jobs;
+    for (std::size_t row = 0; row < context.records_.size(); ++row)
+    {
+        if (context.records_[row].shard_ == shard)
+        {
+            jobs.push_back(context.records_.key(row));
+        }
+    }
+    for (job_id const& job : jobs)
+    {
+        record_row const record = std::move(*context.records_.find(job));
+        context.records_.remove(job);
+        for (waiting_call const& call : record.waiting_)
+        {
+            // A write may be on its way, so nothing can be said for sure.
+            answer_origin(context, call.origin_,
+                          {.outcome_ = job_outcome::uncertain});
+        }
+    }
+    context.owned_.remove(shard);
+    std::vector<parked_call> parked;
+    parked.swap(context.parked_);
+    for (parked_call const& call : parked)
+    {
+        if (call.call_.shard_ == shard)
+        {
+            answer_origin(context, call.origin_,
+                          {.outcome_ = job_outcome::not_owner});
+        }
+        else
+        {
+            context.parked_.push_back(call);
+        }
+    }
+}
+
+// 4. Handing over
+
+namespace
+{
+
+host_id choose_successor(node const& context, shard_id const& shard)
+{
+    host_id best;
+    double  best_rank = -1;
+    for (std::size_t row = 0; row < context.hosts_.size(); ++row)
+    {
+        host_row const& host = context.hosts_[row];
+        if (context.hosts_.key(row) == context.settings_.host_ ||
+            host.stopping_ || !host.heard_ || !host.store_ok_ ||
+            is_silent(context, host.heard_at_))
+        {
+            continue;
+        }
+        constexpr double own_domain_bonus = 1000;
+        double const     rank =
+            host.cpu_share_ +
+            (host.domain_ == shard.domain_ ? own_domain_bonus : 0);
+        if (rank > best_rank)
+        {
+            best = context.hosts_.key(row);
+            best_rank = rank;
+        }
+    }
+    return best;
+}
+
+bool is_journal_clean(owned_row const& own)
+{
+    return std::all_of(own.parts_.begin(), own.parts_.end(),
+                       [](journal_part const& part)
+                       {
+                           return part.dirty_.empty() && part.request_ == 0;
+                       });
+}
+
+} // namespace
+
+void release_shards(node& context)
+{
+    if (!context.stopping_)
+    {
+        return;
+    }
+    std::vector<shard_id> const owned = context.owned_.keys();
+    for (shard_id const& shard : owned)
+    {
+        owned_row& own = *context.owned_.find(shard);
+        if (own.phase_ != owned_phase::serving)
+        {
+            drop_shard(context, shard, "stopping before it was loaded");
+            continue;
+        }
+        own.releasing_ = true;
+        if (own.request_ == 0 && is_journal_clean(own))
+        {
+            own.request_ =
+                write_owner_row(context, shard, 0, request_kind::release, true,
+                                choose_successor(context, shard));
+        }
+    }
+}
+
+void apply(node& context, stop_requested const& input)
+{
+    if (!context.stopping_)
+    {
+        context.stopping_ = true;
+        context.stop_deadline_ = input.deadline_;
+        log_event(context, "stopping", {});
+        context.beat_at_ = context.now_; // tell the others at once
+    }
+}
+
+} // namespace fescuevane::cell
--- /dev/null
+++ b/cell/drive_planners.cpp
@@ -0,0 +1,289 @@
+// Purpose: system: runs the planners of owned shards, carries their orders to
+// sessions, journal and policy service; and loads their jobs.
+//
+// Index of sections
+//   1. Policies
+//   2. Loading
+//   3. Ticks
+//   4. Advice
+#include "cell/node.hpp"
+
+#include "cell/record_error.hpp"
+#include "cell/records.hpp"
+
+#include <algorithm>
+
+namespace fescuevane::cell
+{
+
+// 1. Policies
+
+void set_policies(node& context, owned_row& own)
+{
+    if (!own.planner_ || !context.config_)
+    {
+        return;
+    }
+    // Every shard gets an equal part of a limit. The sum of the parts is the
+    // limit, whatever fails, and no shard has to ask another one.
+    auto const shards = static_cast<std::int64_t>(context.shards_.size());
+    std::vector<queue_policy> queues;
+    for (queue_route const& route : context.config_->routes_)
+    {
+        queues.push_back(route.policy_);
+    }
+    std::vector<organisation_share> organisations;
+    for (organisation_entry const& entry : context.config_->organisations_)
+    {
+        // Callers of an organisation aren't spread evenly over the domains.
+        constexpr double uneven_factor = 1.5;
+        resources const& limit = entry.share_.limit_;
+        organisations.push_back(
+            {entry.share_.id_,
+             entry.share_.weight_ * uneven_factor /
+                 static_cast<double>(shards),
+             resources(limit.cpu_millis() / shards,
+                       limit.memory_mib() / shards,
+                       limit.accelerators() / shards)});
+    }
+    plan::post_event(*own.planner_, plan::queues_set{std::move(queues)});
+    plan::post_event(*own.planner_,
+                     plan::organisations_set{std::move(organisations)});
+    for (std::size_t row = 0; row < context.owned_.size(); ++row)
+    {
+        if (&context.owned_[row] == &own)
+        {
+            plan::post_event(*own.planner_,
+                             plan::domain_set{!context.out_.contains(
+                                 context.owned_.key(row).domain_)});
+        }
+    }
+    own.plan_needed_ = true;
+}
+
+// 2. Loading
+
+namespace
+{
+
+// The instant on this host's clock at which a job was accepted.
+instant accepted_at(node const& context, staged_job const& job)
+{
+    std::int64_t const age_ms =
+        std::max<std::int64_t>(0, context.unix_ms_ - job.accepted_unix_ms_);
+    return instant(context.now_.micros() - age_ms * micros_per_milli);
+}
+
+void load_job(node& context, request_row const& request, stored_row const& row)
+{
+    job_record const record = read_job(row.value_);
+    if (record.shard_ != request.shard_)
+    {
+        return;
+    }
+    owned_row&  own = *context.owned_.find(request.shard_);
+    record_row& known = context.records_.ensure(record.job_->id_);
+    known = record_row{.shard_ = record.shard_,
+                       .part_ = request.part_,
+                       .job_ = record.job_,
+                       .spec_text_ = record.spec_text_,
+                       .phase_ = record.progress_.phase_,
+                       .revision_ = row.revision_,
+                       .stored_ = true};
+    if (is_final(record.progress_.phase_))
+    {
+        known.expires_ =
+            context.now_.after(context.settings_.result_keep_micros_);
+        return;
+    }
+    plan::post_event(*own.planner_,
+                     plan::job_added{.job_ = record.job_,
+                                     .progress_ = record.progress_,
+                                     .accepted_at_ =
+                                         accepted_at(context, *record.job_),
+                                     .recovered_ = true});
+}
+
+void finish_loading(node& context, shard_id const& shard)
+{
+    owned_row& own = *context.owned_.find(shard);
+    if (!std::all_of(own.parts_.begin(), own.parts_.end(),
+                     [](journal_part const& part)
+                     {
+                         return part.loaded_;
+                     }))
+    {
+        return;
+    }
+    own.phase_ = owned_phase::serving;
+    own.plan_needed_ = true;
+    context.shards_.find(shard)->serving_ = true;
+    log_event(context, "shard_serving",
+              {{"shard", write_shard_name(shard)},
+               {"epoch", std::to_string(own.epoch_)},
+               {"jobs", std::to_string(context.records_.size())}});
+    open_sessions(context, shard);
+    context.beat_at_ = context.now_; // callers wait for it
+    std::vector<parked_call> parked;
+    parked.swap(context.parked_);
+    for (parked_call const& call : parked)
+    {
+        serve_call(context, call.origin_, call.call_); // may park it again
+    }
+}
+
+} // namespace
+
+void end_load(node& context, request_row const& request,
+              store_reply const& reply)
+{
+    owned_row* const own = context.owned_.find(request.shard_);
+    if (own == nullptr || own->phase_ != owned_phase::loading)
+    {
+        return;
+    }
+    journal_part& part = own->parts_[request.part_];
+    part.request_ = 0;
+    if (reply.outcome_ != store_outcome::done)
+    {
+        part.retry_at_ =
+            context.now_.after(context.settings_.store_retry_micros_);
+        return;
+    }
+    for (stored_row const& row : reply.rows_)
+    {
+        try
+        {
+            load_job(context, request, row);
+        }
+        catch (record_error const& error)
+        {
+            log_event(context, "row_unreadable",
+                      {{"key", row.key_.key_}, {"error", error.what()}});
+        }
+        part.load_from_ = row.key_.key_ + '!'; // after this key
+    }
+    part.loaded_ = !reply.truncated_ || reply.rows_.empty();
+    finish_loading(context, request.shard_);
+}
+
+// 3. Ticks
+
+namespace
+{
+
+// Carries out one order of a planner.
+struct carry
+{
+    node&           context_;
+    shard_id const& shard_;
+
+    void operator()(plan::start_run const& order) const
+    {
+        queue_order(context_, shard_, order);
+    }
+
+    void operator()(plan::stop_run const& order) const
+    {
+        queue_order(context_, shard_, order);
+    }
+
+    void operator()(plan::pace_run const& order) const
+    {
+        queue_order(context_, shard_, order);
+    }
+
+    void operator()(plan::ask_advice const& order) const
+    {
+        // Answers about many targets take seconds, and wait for their turn.
+        constexpr std::int64_t question_micros = 3'000'000;
+        std::uint64_t const    request = next_request(context_);
+        context_.questions_.ensure(request) = {
+            shard_, std::make_shared<plan::ask_advice const>(order),
+            context_.now_};
+        context_.outbox_.push_back(send_question{
+            request, order, context_.now_.after(question_micros)});
+    }
+
+    void operator()(plan::job_changed const& order) const
+    {
+        mark_changed(context_, order.id_, false);
+    }
+
+    void operator()(plan::note const& order) const
+    {
+        log_event(context_, order.what_,
+                  {{"job", order.run_.stage_.job_.str()},
+                   {"step", std::to_string(order.run_.stage_.step_)},
+                   {"index", std::to_string(order.run_.index_)},
+                   {"run", std::to_string(order.run_.run_)},
+                   {"target", order.target_.str()},
+                   {"reason", order.why_}});
+    }
+};
+
+} // namespace
+
+void drive_planners(node& context)
+{
+    for (std::size_t row = 0; row < context.owned_.size(); ++row)
+    {
+        owned_row& own = context.owned_[row];
+        if (own.phase_ != owned_phase::serving)
+        {
+            continue;
+        }
+        if (own.plan_needed_ ||
+            plan::next_deadline(*own.planner_) <= context.now_)
+        {
+            own.plan_needed_ = false;
+            std::vector<plan::command> orders;
+            plan::run_tick(*own.planner_, context.now_, context.unix_ms_,
+                           orders);
+            shard_id const shard = context.owned_.key(row);
+            for (plan::command const& order : orders)
+            {
+                std::visit(carry{context, shard}, order);
+            }
+        }
+        wake_at(context, plan::next_deadline(*own.planner_));
+    }
+}
+
+// 4. Advice
+
+void apply(node& context, advice_reply const& input)
+{
+    question_row const* const found = context.questions_.find(input.request_);
+    if (found == nullptr)
+    {
+        return;
+    }
+    question_row const asked = *found;
+    context.questions_.remove(input.request_);
+    owned_row* const own = context.owned_.find(asked.shard_);
+    if (own == nullptr || !own->planner_)
+    {
+        return;
+    }
+    own->plan_needed_ = true;
+    if (!input.answered_)
+    {
+        log_event(context, "advice_failed",
+                  {{"job", asked.question_->stage_.job_.str()},
+                   {"error", input.error_}});
+        plan::post_event(*own->planner_,
+                         plan::advice_failed{asked.question_->stage_});
+        return;
+    }
+    plan::post_event(
+        *own->planner_,
+        plan::advice_given{
+            .stage_ = asked.question_->stage_,
+            .asked_ = asked.question_->targets_,
+            .good_ = input.good_,
+            .valid_until_ = context.now_.after(asked.question_->validity_ms_ *
+                                               micros_per_milli)});
+}
+
+} // namespace fescuevane::cell
--- /dev/null
+++ b/cell/heartbeat.hpp
@@ -0,0 +1,27 @@
+// Purpose: what hosts tell each other.
+#ifndef FESCUEVANE_CELL_HEARTBEAT_HPP
+#define FESCUEVANE_CELL_HEARTBEAT_HPP
+
+#include "cell/shard_load.hpp"
+#include "core/ids.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace fescuevane::cell
+{
+
+struct heartbeat
+{
+    host_id                 host_;
+    std::uint64_t           incarnation_ = 0;
+    bool                    store_ok_ = true; // reaches the store
+    bool                    stopping_ = false;
+    std::vector<shard_load> shards_; // owned by the sender
+
+    friend bool operator==(heartbeat const&, heartbeat const&) = default;
+};
+
+} // namespace fescuevane::cell
+
+#endif
--- /dev/null
+++ b/cell/job_answer.hpp
@@ -0,0 +1,24 @@
+// Purpose: the answer to a call about one job.
+#ifndef FESCUEVANE_CELL_JOB_ANSWER_HPP
+#define FESCUEVANE_CELL_JOB_ANSWER_HPP
+
+#include "cell/job_outcome.hpp"
+#include "core/job_phase.hpp"
+
+#include <cstdint>
+
+namespace fescuevane::cell
+{
+
+struct job_answer
+{
+    job_outcome  outcome_ = job_outcome::unavailable;
+    job_phase    phase_ = job_phase::pending; // when known
+    std::int64_t retry_after_ms_ = 0;         // 0: not said
+
+    friend bool operator==(job_answer const&, job_answer const&) = default;
+};
+
+} // namespace fescuevane::cell
+
+#endif
--- /dev/null
+++ b/cell/job_record.hpp
@@ -0,0 +1,25 @@
+// Purpose: what a row of the table of jobs says.
+#ifndef FESCUEVANE_CELL_JOB_RECORD_HPP
+#define FESCUEVANE_CELL_JOB_RECORD_HPP
+
+#include "core/job_progress.hpp"
+#include "core/shard_id.hpp"
+#include "core/staged_job.hpp"
+
+#include <memory>
+#include <string>
+
+namespace fescuevane::cell
+{
+
+struct job_record
+{
+    shard_id                          shard_;
+    std::shared_ptr<staged_job const> job_;
+    std::string                       spec_text_; // the job as stored
+    job_progress                      progress_;
+};
+
+} // namespace fescuevane::cell
+
+#endif
--- /dev/null
+++ b/cell/journal_part.hpp
@@ -0,0 +1,29 @@
+// Purpose: jobs of an owned shard in one part of the store.
+#ifndef FESCUEVANE_CELL_JOURNAL_PART_HPP
+#define FESCUEVANE_CELL_JOURNAL_PART_HPP
+
+#include "core/ids.hpp"
+#include "core/instant.hpp"
+
+#include <cstdint>
+#include <set>
+#include <string>
+
+namespace fescuevane::cell
+{
+
+struct journal_part
+{
+    bool             fenced_ = false; // the fence row is ours
+    revision         fence_ = 0;      // its revision
+    bool             loaded_ = false;
+    std::string      load_from_;   // next key to read
+    std::uint64_t    request_ = 0; // in flight, 0: none
+    instant          retry_at_;
+    std::set<job_id> dirty_;     // to be written
+    instant          flush_at_ = instant::never();
+};
+
+} // namespace fescuevane::cell
+
+#endif
--- /dev/null
+++ b/cell/keep_sessions.cpp
@@ -0,0 +1,802 @@
+// Purpose: system and events: leases, orders and reports of the targets of owned
+// shards.
+//
+// Index of sections
+//   1. List of targets
+//   2. Clocks and leases
+//   3. Reports
+//   4. Orders
+//   5. Ticks
+#include "cell/node.hpp"
+
+#include "cell/records.hpp"
+
+#include <algorithm>
+#include <array>
+#include <set>
+
+namespace fescuevane::cell
+{
+namespace
+{
+
+owned_row* find_owner(node& context, session_row const& session)
+{
+    owned_row* const own = context.owned_.find(session.shard_);
+    return own != nullptr && own->planner_ ? own : nullptr;
+}
+
+void tell(node& context, session_row const& session, plan::event input)
+{
+    if (owned_row* const own = find_owner(context, session))
+    {
+        plan::post_event(*own->planner_, std::move(input));
+        own->plan_needed_ = true;
+    }
+}
+
+constexpr std::array<plan::target_phase, 3> planner_phases = {
+    plan::target_phase::attaching, plan::target_phase::usable,
+    plan::target_phase::silent};
+
+} // namespace
+
+void tell_planner(node& context, target_id const& id)
+{
+    session_row const& session = *context.sessions_.find(id);
+    plan::target_phase phase =
+        planner_phases.at(static_cast<std::size_t>(session.phase_));
+    if (phase == plan::target_phase::usable &&
+        (!session.listed_ || session.info_->leaving_))
+    {
+        phase = plan::target_phase::draining;
+    }
+    tell(context, session,
+         plan::target_set{.id_ = id,
+                          .service_ = session.info_->service_,
+                          .rack_ = session.info_->rack_,
+                          .labels_ = session.info_->labels_,
+                          .capacity_ = session.info_->capacity_,
+                          .phase_ = phase});
+}
+
+// 1. List of targets
+
+namespace
+{
+
+// Longest time for which work that nobody reported may go on.
+std::int64_t longest_lease_micros(settings const& values)
+{
+    return static_cast<std::int64_t>(
+               static_cast<double>(values.lease_ms_) *
+               (1 + values.clock_drift_) * micros_per_milli) +
+           values.clock_slack_ms_ * micros_per_milli;
+}
+
+void open_session(node& context, target_id const& id)
+{
+    session_row& session = *context.sessions_.find(id);
+    session_row  fresh;
+    fresh.info_ = session.info_;
+    fresh.listed_ = session.listed_;
+    fresh.shard_ = session.shard_;
+    fresh.open_ = true;
+    fresh.hold_at_ = context.now_;
+    fresh.contact_at_ = context.now_;
+    fresh.wait_out_ =
+        context.now_.after(longest_lease_micros(context.settings_));
+    session = std::move(fresh);
+    tell_planner(context, id);
+}
+
+// The life of a target that was reached is over: what ran there has ended.
+void end_life(node& context, target_id const& id, std::string const& why)
+{
+    session_row& session = *context.sessions_.find(id);
+    if (session.born_unix_ms_ != 0 || !session.runs_.empty())
+    {
+        log_event(context, "target_life_ended",
+                  {{"target", id.str()},
+                   {"runs", std::to_string(session.runs_.size())},
+                   {"reason", why}});
+    }
+    tell(context, session, plan::target_gone{id});
+    session.runs_.clear();
+    session.orders_.clear();
+    session.unstored_.clear();
+    session.last_seen_ = 0;
+    session.processed_ = 0;
+    session.granted_ms_ = 0;
+    session.clock_ms_ = 0;
+    session.born_unix_ms_ = 0;
+    session.phase_ = session_phase::silent;
+}
+
+} // namespace
+
+void open_sessions(node& context, shard_id const& shard)
+{
+    for (std::size_t row = 0; row < context.sessions_.size(); ++row)
+    {
+        if (context.sessions_[row].shard_ == shard)
+        {
+            open_session(context, context.sessions_.key(row));
+        }
+    }
+}
+
+void close_sessions(node& context, shard_id const& shard)
+{
+    for (std::size_t row = 0; row < context.sessions_.size(); ++row)
+    {
+        session_row& session = context.sessions_[row];
+        if (session.shard_ != shard || !session.open_)
+        {
+            continue;
+        }
+        session.open_ = false;
+        session.runs_.clear();
+        session.orders_.clear();
+        session.unstored_.clear();
+        session.hold_ = 0;
+        context.outbox_.push_back(forget_target{context.sessions_.key(row)});
+    }
+}
+
+void apply(node& context, target_listed const& input)
+{
+    target_id const& id = input.target_.id_;
+    session_row& session = context.sessions_.ensure(id);
+    if (session.info_ && session.listed_ && *session.info_ == input.target_)
+    {
+        return;
+    }
+    bool const moved = session.info_ &&
+                       session.info_->address_ != input.target_.address_;
+    session.info_ = std::make_shared<listed_target const>(input.target_);
+    session.listed_ = true;
+    session.shard_ = shard_of(input.target_.domain_);
+    if (!owns(context, session.shard_, owned_phase::serving))
+    {
+        return;
+    }
+    if (!session.open_)
+    {
+        open_session(context, id);
+        return;
+    }
+    if (moved)
+    {
+        context.outbox_.push_back(forget_target{id});
+        session.hold_ = 0;
+        session.hold_at_ = context.now_;
+    }
+    tell_planner(context, id);
+}
+
+void apply(node& context, target_unlisted const& input)
+{
+    session_row* const session = context.sessions_.find(input.id_);
+    if (session == nullptr)
+    {
+        return;
+    }
+    session->listed_ = false;
+    if (!session->open_)
+    {
+        context.sessions_.remove(input.id_);
+        return;
+    }
+    tell_planner(context, input.id_);
+}
+
+// 2. Clocks and leases
+
+namespace
+{
+
+double elapsed_ms(instant since, instant now)
+{
+    return static_cast<double>(since.remaining_until(now)) / micros_per_milli;
+}
+
+// The target's clock now, as far as its last answer tells.
+std::int64_t target_clock(session_row const& session, instant now)
+{
+    return session.clock_ms_ +
+           static_cast<std::int64_t>(elapsed_ms(session.clock_at_, now));
+}
+
+// True when no lease that was ever granted can still be running, even on a
+// clock that is slow.
+bool has_lapsed(node const& context, session_row const& session)
+{
+    settings const& values = context.settings_;
+    if (session.clock_ms_ == 0)
+    {
+        return session.wait_out_ <= context.now_;
+    }
+    double const passed = elapsed_ms(session.clock_at_, context.now_) *
+                          (1 - values.clock_drift_);
+    return static_cast<double>(session.clock_ms_) + passed >
+           static_cast<double>(session.granted_ms_ + values.clock_slack_ms_);
+}
+
+// Wakes when the leases on a silent target may have lapsed.
+void wake_for_lapse(node& context, session_row const& session)
+{
+    settings const&    values = context.settings_;
+    double const       wait_ms =
+        static_cast<double>(session.granted_ms_ + values.clock_slack_ms_ -
+                            session.clock_ms_) /
+        (1 - values.clock_drift_);
+    instant const lapse = session.clock_at_.after(
+        static_cast<std::int64_t>(wait_ms * micros_per_milli) +
+        micros_per_milli);
+    wake_at(context, session.clock_ms_ == 0 ? session.wait_out_ : lapse);
+}
+
+void send_hold(node& context, target_id const& id, session_row& session)
+{
+    settings const& values = context.settings_;
+    std::int64_t    lease = 0;
+    if (session.clock_ms_ != 0)
+    {
+        lease = target_clock(session, context.now_) + values.lease_ms_;
+        session.granted_ms_ = std::max(session.granted_ms_, lease);
+    }
+    bool const waits = session.phase_ == session_phase::attached &&
+                       session.unstored_.empty();
+    std::int64_t const wait_ms = waits ? values.hold_wait_ms_ : 0;
+    session.hold_ = next_request(context);
+    session.hold_sent_ = context.now_;
+    context.outbox_.push_back(hold_target{
+        .request_ = session.hold_,
+        .target_ = id,
+        .address_ = session.info_->address_,
+        .fence_ = context.owned_.find(session.shard_)->epoch_,
+        .last_seen_ = session.last_seen_,
+        .lease_clock_ms_ = lease,
+        .wait_ms_ = wait_ms,
+        .deadline_ = context.now_.after(wait_ms * micros_per_milli +
+                                        values.hold_slack_micros_)});
+}
+
+} // namespace
+
+// 3. Reports
+
+namespace
+{
+
+void apply_ends(node& context, session_row& session, target_id const& id,
+                hold_reply const& reply)
+{
+    std::vector<reported_end const*> ends;
+    for (reported_end const& end : reply.ends_)
+    {
+        if (end.number_ > session.processed_)
+        {
+            ends.push_back(&end);
+        }
+    }
+    std::sort(ends.begin(), ends.end(),
+              [](reported_end const* a, reported_end const* b)
+              {
+                  return a->number_ < b->number_;
+              });
+    for (reported_end const* end : ends)
+    {
+        session.processed_ = end->number_;
+        session.runs_.erase(end->run_);
+        session.unstored_.push_back({end->number_, end->run_.stage_.job_, 0});
+        tell(context, session,
+             plan::run_ended{end->run_, id, end->end_, end->checkpoint_});
+    }
+}
+
+// Runs that the target should have and doesn't report are over.
+void apply_missing(node& context, session_row& session, target_id const& id,
+                   std::set<run_key> const& seen)
+{
+    std::vector<run_key> gone;
+    for (auto& [key, run] : session.runs_)
+    {
+        if (seen.contains(key))
+        {
+            continue;
+        }
+        bool const was_there = run.confirmed_at_ < session.hold_sent_;
+        bool const stopped = run.stopped_at_ < session.hold_sent_;
+        if (was_there || stopped)
+        {
+            gone.push_back(key);
+        }
+        else if (run.uncertain_at_ < session.hold_sent_)
+        {
+            // A stop also turns down a start that is still on its way.
+            run.stop_wanted_ = true;
+        }
+    }
+    for (run_key const& key : gone)
+    {
+        session.runs_.erase(key);
+        tell(context, session, plan::run_ended{key, id, run_end::lost, ""});
+    }
+}
+
+void apply_report(node& context, session_row& session, target_id const& id,
+                  hold_reply const& reply)
+{
+    apply_ends(context, session, id, reply);
+    std::set<run_key> seen;
+    for (reported_run const& run : reply.runs_)
+    {
+        seen.insert(run.run_);
+        session_run& known = session.runs_[run.run_];
+        known.confirmed_at_ = std::min(known.confirmed_at_, context.now_);
+        known.uncertain_at_ = instant::never();
+        tell(context, session,
+             plan::run_seen{run.run_, id, run.checkpoint_, run.percent_,
+                            run.load_});
+    }
+    constexpr std::size_t ends_per_reply = 500;
+    if (reply.ends_.size() < ends_per_reply)
+    {
+        apply_missing(context, session, id, seen);
+    }
+}
+
+// A reply that shows another epoch or another life. True when it ends here.
+bool apply_mismatch(node& context, session_row& session, target_id const& id,
+                    target_outcome outcome)
+{
+    if (outcome == target_outcome::superseded)
+    {
+        drop_shard(context, session.shard_, "a target obeys a higher epoch");
+        return true;
+    }
+    if (outcome == target_outcome::replaced)
+    {
+        end_life(context, id, "another life answers at its address");
+        constexpr std::int64_t replaced_micros = 500'000;
+        session.hold_at_ = context.now_.after(replaced_micros);
+        return true;
+    }
+    return false;
+}
+
+} // namespace
+
+void apply(node& context, hold_reply const& input)
+{
+    auto const probe = context.probes_.find(input.request_);
+    if (probe != context.probes_.end())
+    {
+        if (input.outcome_ != target_outcome::unknown)
+        {
+            context.shards_.find(probe->second)->reached_at_ = context.now_;
+        }
+        context.probes_.erase(probe);
+        return;
+    }
+    session_row* const session = context.sessions_.find(input.target_);
+    if (session == nullptr || !session->open_ ||
+        session->hold_ != input.request_)
+    {
+        return;
+    }
+    settings const& values = context.settings_;
+    session->hold_ = 0;
+    session->hold_at_ = context.now_.after(values.hold_retry_micros_);
+    if (apply_mismatch(context, *session, input.target_, input.outcome_))
+    {
+        return;
+    }
+    if (input.outcome_ != target_outcome::done)
+    {
+        if (session->phase_ == session_phase::attached &&
+            session->contact_at_.remaining_until(context.now_) >
+                values.silent_micros_)
+        {
+            session->phase_ = session_phase::silent;
+            log_event(context, "target_silent",
+                      {{"target", input.target_.str()},
+                       {"error", input.error_}});
+            tell_planner(context, input.target_);
+        }
+        return;
+    }
+    if (session->born_unix_ms_ != 0 && input.born_unix_ms_ != 0 &&
+        session->born_unix_ms_ != input.born_unix_ms_)
+    {
+        end_life(context, input.target_, "started again");
+    }
+    bool const first = session->phase_ != session_phase::attached;
+    bool const leased = session->clock_ms_ != 0;
+    session->born_unix_ms_ = input.born_unix_ms_;
+    session->clock_ms_ = input.clock_ms_;
+    session->clock_at_ = context.now_;
+    session->contact_at_ = context.now_;
+    session->contact_sent_ = session->hold_sent_;
+    if (first)
+    {
+        session->phase_ = session_phase::attached;
+        tell_planner(context, input.target_);
+    }
+    apply_report(context, *session, input.target_, input);
+    bool const stored = session->unstored_.empty();
+    session->hold_at_ =
+        !leased || stored
+            ? context.now_
+            : context.now_.after(context.store_ok_ ? values.journal_micros_
+                                                   : values.hold_retry_micros_);
+}
+
+// 4. Orders
+
+namespace
+{
+
+struct enqueue
+{
+    node&        context_;
+    session_row* session_;
+
+    void operator()(plan::start_run const& order) const
+    {
+        session_->runs_[order.run_] = session_run();
+        session_->orders_.push_back(order);
+    }
+
+    void operator()(plan::stop_run const& order) const
+    {
+        auto const waiting = std::find_if(
+            session_->orders_.begin(), session_->orders_.end(),
+            [&order](plan::command const& other)
+            {
+                auto const* const start = std::get_if<plan::start_run>(&other);
+                return start != nullptr && start->run_ == order.run_;
+            });
+        if (waiting != session_->orders_.end())
+        {
+            // It was never sent, so there is nothing to stop.
+            std::deque<plan::command> kept;
+            for (auto it = session_->orders_.begin();
+                 it != session_->orders_.end(); ++it)
+            {
+                if (it != waiting)
+                {
+                    kept.push_back(std::move(*it));
+                }
+            }
+            session_->orders_ = std::move(kept);
+            session_->runs_.erase(order.run_);
+            tell(context_, *session_,
+                 plan::run_ended{order.run_, order.target_, run_end::lost, ""});
+            return;
+        }
+        session_->runs_[order.run_].stop_wanted_ = true;
+    }
+
+    void operator()(plan::pace_run const& order) const
+    {
+        session_->orders_.push_back(order);
+    }
+
+    template <typename Other>
+    void operator()(Other const& /*order*/) const
+    {
+    }
+};
+
+target_id const& target_of(plan::command const& order)
+{
+    if (auto const* const start = std::get_if<plan::start_run>(&order))
+    {
+        return start->target_;
+    }
+    if (auto const* const stop = std::get_if<plan::stop_run>(&order))
+    {
+        return stop->target_;
+    }
+    return std::get<plan::pace_run>(order).target_;
+}
+
+} // namespace
+
+void queue_order(node& context, shard_id const& shard,
+                 plan::command const& order)
+{
+    session_row* const session = context.sessions_.find(target_of(order));
+    if (session == nullptr || !session->open_ || session->shard_ != shard)
+    {
+        return;
+    }
+    std::visit(enqueue{context, session}, order);
+}
+
+namespace
+{
+
+std::uint64_t open_order(node& context, session_row& session,
+                         order_row const& order)
+{
+    std::uint64_t const request = next_request(context);
+    context.orders_.ensure(request) = order;
+    ++session.open_orders_;
+    return request;
+}
+
+void send_order(node& context, target_id const& id, session_row& session,
+                plan::command const& order)
+{
+    settings const& values = context.settings_;
+    epoch const     fence = context.owned_.find(session.shard_)->epoch_;
+    instant const   deadline = context.now_.after(values.order_micros_);
+    if (auto const* const start = std::get_if<plan::start_run>(&order))
+    {
+        std::int64_t const useless =
+            target_clock(session, context.now_) + values.start_valid_ms_;
+        session.granted_ms_ = std::max(session.granted_ms_, useless);
+        std::uint64_t const request =
+            open_order(context, session, {order_kind::start, id, start->run_});
+        context.outbox_.push_back(send_start{.request_ = request,
+                                             .address_ =
+                                                 session.info_->address_,
+                                             .start_ = *start,
+                                             .fence_ = fence,
+                                             .lease_clock_ms_ = useless,
+                                             .deadline_ = deadline});
+        return;
+    }
+    auto const& pace = std::get<plan::pace_run>(order);
+    context.outbox_.push_back(send_pace{
+        .request_ =
+            open_order(context, session, {order_kind::pace, id, pace.run_}),
+        .address_ = session.info_->address_,
+        .pace_ = pace,
+        .fence_ = fence,
+        .deadline_ = deadline});
+}
+
+void send_stops(node& context, target_id const& id, session_row& session)
+{
+    for (auto& [key, run] : session.runs_)
+    {
+        if (!run.stop_wanted_ || run.stop_open_ ||
+            run.stopped_at_ != instant::never())
+        {
+            continue;
+        }
+        if (run.stop_after_ > context.now_)
+        {
+            wake_at(context, run.stop_after_);
+            continue;
+        }
+        run.stop_open_ = true;
+        context.outbox_.push_back(send_stop{
+            .request_ =
+                open_order(context, session, {order_kind::stop, id, key}),
+            .address_ = session.info_->address_,
+            .stop_ = {key, id},
+            .fence_ = context.owned_.find(session.shard_)->epoch_,
+            .deadline_ =
+                context.now_.after(context.settings_.order_micros_)});
+    }
+}
+
+void end_start(node& context, session_row& session, order_row const& order,
+               order_reply const& reply)
+{
+    auto const run = session.runs_.find(order.run_);
+    switch (reply.outcome_)
+    {
+    case target_outcome::done:
+        if (run != session.runs_.end())
+        {
+            run->second.confirmed_at_ = context.now_;
+        }
+        tell(context, session, plan::run_confirmed{order.run_, order.target_});
+        break;
+    case target_outcome::refused:
+        if (run != session.runs_.end())
+        {
+            session.runs_.erase(run);
+        }
+        log_event(context, "start_refused",
+                  {{"job", order.run_.stage_.job_.str()},
+                   {"run", std::to_string(order.run_.run_)},
+                   {"target", order.target_.str()},
+                   {"reason",
+                    std::to_string(static_cast<int>(reply.reason_))}});
+        tell(context, session,
+             plan::run_refused{order.run_, order.target_, reply.reason_});
+        break;
+    default:
+        if (run != session.runs_.end())
+        {
+            run->second.uncertain_at_ = context.now_;
+        }
+        log_event(context, "start_uncertain",
+                  {{"job", order.run_.stage_.job_.str()},
+                   {"run", std::to_string(order.run_.run_)},
+                   {"target", order.target_.str()},
+                   {"error", reply.error_}});
+        break;
+    }
+}
+
+void end_stop(node& context, session_row& session, order_row const& order,
+              order_reply const& reply)
+{
+    auto const run = session.runs_.find(order.run_);
+    if (run == session.runs_.end())
+    {
+        return;
+    }
+    run->second.stop_open_ = false;
+    if (reply.outcome_ == target_outcome::done)
+    {
+        run->second.stopped_at_ = context.now_;
+        return;
+    }
+    run->second.stop_after_ =
+        context.now_.after(context.settings_.hold_retry_micros_);
+}
+
+void end_pace(node& context, session_row& /*session*/, order_row const& order,
+              order_reply const& reply)
+{
+    if (reply.outcome_ != target_outcome::done)
+    {
+        log_event(context, "pace_failed",
+                  {{"target", order.target_.str()}, {"error", reply.error_}});
+    }
+}
+
+// In the order of `order_kind`.
+constexpr std::array<void (*)(node&, session_row&, order_row const&,
+                              order_reply const&),
+                     3>
+    order_ends = {&end_start, &end_stop, &end_pace};
+
+} // namespace
+
+void apply(node& context, order_reply const& input)
+{
+    order_row const* const found = context.orders_.find(input.request_);
+    if (found == nullptr)
+    {
+        return;
+    }
+    order_row const order = *found;
+    context.orders_.remove(input.request_);
+    session_row* const session = context.sessions_.find(order.target_);
+    if (session == nullptr || !session->open_)
+    {
+        return;
+    }
+    session->open_orders_ -= session->open_orders_ > 0 ? 1 : 0;
+    if (!apply_mismatch(context, *session, order.target_, input.outcome_))
+    {
+        order_ends.at(static_cast<std::size_t>(order.kind_))(context, *session,
+                                                             order, input);
+    }
+}
+
+// 5. Ticks
+
+namespace
+{
+
+// Ends whose effect is stored may be forgotten by the target.
+void advance_last_seen(node& context, session_row& session)
+{
+    bool const had = !session.unstored_.empty();
+    while (!session.unstored_.empty())
+    {
+        unstored_end&     end = session.unstored_.front();
+        record_row const* record = context.records_.find(end.job_);
+        if (record != nullptr && record->saved_ < end.sequence_)
+        {
+            break;
+        }
+        session.last_seen_ = end.number_;
+        session.unstored_.pop_front();
+    }
+    if (had && session.unstored_.empty())
+    {
+        session.hold_at_ = context.now_;
+    }
+}
+
+// The planners have run, so the changes that hold the effects of new ends are
+// known now.
+void number_ends(node& context, session_row& session)
+{
+    for (unstored_end& end : session.unstored_)
+    {
+        record_row const* const record = context.records_.find(end.job_);
+        if (end.sequence_ == 0 && record != nullptr)
+        {
+            end.sequence_ = record->changed_;
+        }
+    }
+}
+
+// False when the session was removed.
+bool settle_silent_target(node& context, target_id const& id)
+{
+    session_row& session = *context.sessions_.find(id);
+    if (session.phase_ == session_phase::attached)
+    {
+        return true;
+    }
+    if (!has_lapsed(context, session))
+    {
+        wake_for_lapse(context, session);
+        return true;
+    }
+    if (session.phase_ == session_phase::attaching)
+    {
+        session.phase_ = session_phase::silent;
+        tell_planner(context, id);
+    }
+    if (!session.runs_.empty())
+    {
+        end_life(context, id, "its leases have lapsed");
+    }
+    if (!session.listed_)
+    {
+        tell(context, session, plan::target_gone{id});
+        context.outbox_.push_back(forget_target{id});
+        context.sessions_.remove(id);
+        return false;
+    }
+    return true;
+}
+
+} // namespace
+
+void keep_sessions(node& context)
+{
+    std::vector<target_id> const ids = context.sessions_.keys();
+    for (target_id const& id : ids)
+    {
+        session_row* session = context.sessions_.find(id);
+        if (session == nullptr || !session->open_)
+        {
+            continue;
+        }
+        number_ends(context, *session);
+        advance_last_seen(context, *session);
+        if (!settle_silent_target(context, id))
+        {
+            continue;
+        }
+        send_stops(context, id, *session);
+        while (session->phase_ == session_phase::attached &&
+               session->open_orders_ < context.settings_.orders_open_ &&
+               !session->orders_.empty())
+        {
+            plan::command const order = std::move(session->orders_.front());
+            session->orders_.pop_front();
+            send_order(context, id, *session, order);
+        }
+        if (session->hold_ == 0)
+        {
+            if (session->hold_at_ <= context.now_)
+            {
+                send_hold(context, id, *session);
+            }
+            else
+            {
+                wake_at(context, session->hold_at_);
+            }
+        }
+    }
+}
+
+} // namespace fescuevane::cell
--- /dev/null
+++ b/cell/node.cpp
@@ -0,0 +1,252 @@
+// Purpose: the context of a node, its tick and its queries.
+//
+// Index of sections
+//   1. Context
+//   2. Ticks
+//   3. Queries
+//   4. Shared by the systems
+#include "cell/node.hpp"
+
+#include "cell/cell.hpp"
+#include "core/hashing.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace fescuevane::cell
+{
+
+// 1. Context
+
+void node_deleter::operator()(node* context) const
+{
+    delete context;
+}
+
+node_ptr make_node(settings const& values, instant now)
+{
+    node_ptr context(new node{.settings_ = values});
+    context->now_ = now;
+    context->started_ = now;
+    context->store_word_ = now;
+    context->store_micros_ = values.store_min_micros_;
+    for (domain_id const& domain : values.domains_)
+    {
+        shard_row& row = context->shards_.ensure(shard_of(domain));
+        row.revisions_.resize(values.job_parts_);
+        row.epochs_.resize(values.job_parts_);
+    }
+    return context;
+}
+
+// 2. Ticks
+
+namespace
+{
+
+constexpr std::array<system_entry, 9> list_systems = {{
+    {"apply_events", &apply_events},
+    {"follow_members", &follow_members},
+    {"claim_shards", &claim_shards},
+    {"load_shards", &load_shards},
+    {"drive_planners", &drive_planners},
+    {"keep_sessions", &keep_sessions},
+    {"write_journal", &write_journal},
+    {"route_calls", &route_calls},
+    {"release_shards", &release_shards},
+}};
+
+// Places of jobs that this host remembers; older ones are read again.
+constexpr std::size_t max_places = 20000;
+
+} // namespace
+
+void post_event(node& context, event input)
+{
+    context.inbox_.push_back(std::move(input));
+}
+
+void run_tick(node& context, instant now, std::int64_t unix_ms,
+              std::vector<command>& output)
+{
+    context.now_ = now;
+    context.unix_ms_ = unix_ms;
+    context.wake_ = instant::never();
+    for (system_entry const& system : list_systems)
+    {
+        system.run_(context);
+    }
+    for (command& order : context.outbox_)
+    {
+        output.push_back(std::move(order));
+    }
+    context.outbox_.clear();
+}
+
+instant next_deadline(node const& context)
+{
+    return context.inbox_.empty() ? context.wake_ : context.now_;
+}
+
+void apply_events(node& context)
+{
+    std::vector<event> inbox;
+    inbox.swap(context.inbox_);
+    for (event const& input : inbox)
+    {
+        std::visit(
+            [&context](auto const& value)
+            {
+                apply(context, value);
+            },
+            input);
+    }
+}
+
+// 3. Queries
+
+queue_route const* find_route(node const& context, std::string const& host,
+                              std::string const& path)
+{
+    if (!context.config_)
+    {
+        return nullptr;
+    }
+    queue_route const* best = nullptr;
+    for (queue_route const& route : context.config_->routes_)
+    {
+        if (route.host_ == host && path.starts_with(route.prefix_) &&
+            (best == nullptr || route.prefix_.size() > best->prefix_.size()))
+        {
+            best = &route;
+        }
+    }
+    return best;
+}
+
+std::optional<organisation_id> find_organisation(node const&        context,
+                                                 std::string const& key)
+{
+    if (!context.config_ || key.empty())
+    {
+        return std::nullopt;
+    }
+    for (organisation_entry const& entry : context.config_->organisations_)
+    {
+        if (std::find(entry.keys_.begin(), entry.keys_.end(), key) !=
+            entry.keys_.end())
+        {
+            return entry.share_.id_;
+        }
+    }
+    return std::nullopt;
+}
+
+bool has_config(node const& context)
+{
+    return context.config_ != nullptr;
+}
+
+bool is_ready(node const& context)
+{
+    return context.config_ != nullptr && context.members_known_ &&
+           !context.stopping_;
+}
+
+bool is_stopped(node const& context)
+{
+    return context.stopping_ && context.owned_.empty() &&
+           context.calls_.empty();
+}
+
+std::uint64_t config_version(node const& context)
+{
+    return context.config_ ? context.config_->version_ : 0;
+}
+
+std::uint32_t max_body_bytes(node const& context)
+{
+    return context.config_ ? context.config_->max_body_bytes_
+                           : cell_config().max_body_bytes_;
+}
+
+std::uint32_t count_waiting(node const& context, queue_id const& queue)
+{
+    std::uint32_t waiting = 0;
+    for (std::size_t row = 0; row < context.shards_.size(); ++row)
+    {
+        plan::load_summary load = context.shards_[row].load_;
+        owned_row const* const own =
+            context.owned_.find(context.shards_.key(row));
+        if (own != nullptr && own->planner_)
+        {
+            load = plan::summarize_load(*own->planner_);
+        }
+        for (plan::queue_load const& entry : load.queues_)
+        {
+            waiting += entry.queue_ == queue ? entry.waiting_ : 0;
+        }
+    }
+    return waiting;
+}
+
+std::size_t count_open_calls(node const& context)
+{
+    return context.calls_.size();
+}
+
+// 4. Shared by the systems
+
+std::uint64_t next_request(node& context)
+{
+    return ++context.last_request_;
+}
+
+void wake_at(node& context, instant due)
+{
+    context.wake_ = std::min(context.wake_, due);
+}
+
+void log_event(node& context, std::string event,
+               std::vector<std::pair<std::string, std::string>> fields)
+{
+    context.outbox_.push_back(log_line{std::move(event), std::move(fields)});
+}
+
+instant store_deadline(node const& context)
+{
+    return context.now_.after(context.store_micros_);
+}
+
+bool owns(node const& context, shard_id const& shard, owned_phase at_least)
+{
+    owned_row const* const row = context.owned_.find(shard);
+    return row != nullptr && row->phase_ >= at_least;
+}
+
+shard_id shard_of(domain_id const& domain)
+{
+    return {domain, 0};
+}
+
+std::uint32_t part_of(node const& context, job_id const& job)
+{
+    return static_cast<std::uint32_t>(compute_stable_hash(job.str()) %
+                                      context.settings_.job_parts_);
+}
+
+void note_place(node& context, job_id const& job, shard_id const& shard)
+{
+    if (context.places_.insert_or_assign(job, shard).second)
+    {
+        context.place_order_.push_back(job);
+    }
+    while (context.place_order_.size() > max_places)
+    {
+        context.places_.erase(context.place_order_.front());
+        context.place_order_.pop_front();
+    }
+}
+
+} // namespace fescuevane::cell
--- /dev/null
+++ b/cell/node.hpp
@@ -0,0 +1,157 @@
+// Purpose: the context of a node and the systems that run over it. Internal to the package; callers include cell.hpp.
+#ifndef FESCUEVANE_CELL_NODE_HPP
+#define FESCUEVANE_CELL_NODE_HPP
+
+#include "cell/call_row.hpp"
+#include "cell/cell_config.hpp"
+#include "cell/command.hpp"
+#include "cell/event.hpp"
+#include "cell/host_row.hpp"
+#include "cell/order_row.hpp"
+#include "cell/owned_row.hpp"
+#include "cell/parked_call.hpp"
+#include "cell/question_row.hpp"
+#include "cell/record_row.hpp"
+#include "cell/request_row.hpp"
+#include "cell/session_row.hpp"
+#include "cell/settings.hpp"
+#include "cell/shard_row.hpp"
+#include "core/table.hpp"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string_view>
+#include <vector>
+
+namespace fescuevane::cell
+{
+
+struct node
+{
+    settings             settings_;
+    std::vector<event>   inbox_;  // posted since the last tick
+    std::vector<command> outbox_; // of the current tick
+    instant              now_;    // of the current tick
+    std::int64_t         unix_ms_ = 0;
+    instant              started_;
+    instant              wake_ = instant::never();
+    std::uint64_t        last_request_ = 0;
+
+    std::shared_ptr<cell_config const> config_; // null: none yet
+    std::set<domain_id>                out_;    // taken out by operators
+
+    table<host_id, host_row>           hosts_;
+    table<shard_id, shard_row>         shards_;
+    table<shard_id, owned_row>         owned_;
+    table<target_id, session_row>      sessions_;
+    table<job_id, record_row>          records_;
+    table<std::uint64_t, call_row>     calls_;
+    table<std::uint64_t, request_row>  requests_;  // to the store
+    table<std::uint64_t, order_row>    orders_;    // to targets
+    table<std::uint64_t, question_row> questions_; // to the policy service
+    std::map<std::uint64_t, std::uint64_t>   passed_; // request to call
+    std::vector<parked_call>                 parked_;
+    std::map<job_id, shard_id>               places_; // where jobs are
+    std::deque<job_id>                       place_order_; // oldest first
+    std::set<target_id>                      relisted_; // of a list being read
+    std::map<std::uint64_t, shard_id>        probes_;   // request to shard
+
+    // Store
+    bool          store_ok_ = true;
+    instant       store_word_;       // latest answer
+    std::int64_t  store_micros_ = 0; // present deadline of a call
+    std::uint64_t next_change_ = 1;  // sequence of journal changes
+    bool          announced_ = false;
+    bool          members_known_ = false; // their list was read once
+    bool          targets_known_ = false;
+    instant       announce_at_;
+
+    instant beat_at_;
+    bool    stopping_ = false;
+    instant stop_deadline_ = instant::never();
+};
+
+struct system_entry
+{
+    std::string_view const name_;
+    void (*const run_)(node&);
+};
+
+// Systems, in order
+void apply_events(node& context);    // inbox to tables
+void follow_members(node& context);  // announce, heartbeats
+void claim_shards(node& context);    // without an owner
+void load_shards(node& context);     // fence and read
+void drive_planners(node& context);  // plan ticks, their orders
+void keep_sessions(node& context);   // leases and orders to targets
+void write_journal(node& context);   // jobs to the store
+void route_calls(node& context);     // callers to owners
+void release_shards(node& context);  // on a stop
+
+// Shared by the systems
+std::uint64_t next_request(node& context);
+void          wake_at(node& context, instant due);
+void          log_event(node& context, std::string event,
+                        std::vector<std::pair<std::string, std::string>> fields);
+instant       store_deadline(node const& context);
+void          drop_shard(node& context, shard_id const& shard,
+                         std::string const& why);
+bool          owns(node const& context, shard_id const& shard,
+                   owned_phase at_least);
+shard_id      shard_of(domain_id const& domain);
+std::uint32_t part_of(node const& context, job_id const& job);
+void          note_place(node& context, job_id const& job,
+                         shard_id const& shard);
+void          note_store(node& context, store_reply const& reply,
+                         instant sent);
+
+// Handlers of events, one for each kind
+void apply(node& context, advice_reply const& input);
+void apply(node& context, call_closed const& input);
+void apply(node& context, call_opened const& input);
+void apply(node& context, config_changed const& input);
+void apply(node& context, domain_withdrawn const& input);
+void apply(node& context, heartbeat_received const& input);
+void apply(node& context, hold_reply const& input);
+void apply(node& context, list_complete const& input);
+void apply(node& context, member_row_changed const& input);
+void apply(node& context, order_reply const& input);
+void apply(node& context, peer_called const& input);
+void apply(node& context, peer_replied const& input);
+void apply(node& context, stop_requested const& input);
+void apply(node& context, store_reply const& input);
+void apply(node& context, target_listed const& input);
+void apply(node& context, target_unlisted const& input);
+
+// Replies of the store, by what was asked
+void end_claim(node& context, request_row const& request,
+               store_reply const& reply);
+void end_load(node& context, request_row const& request,
+              store_reply const& reply);
+void end_journal(node& context, request_row const& request,
+                 store_reply const& reply);
+void end_locate(node& context, request_row const& request,
+                store_reply const& reply);
+
+// Sessions
+void open_sessions(node& context, shard_id const& shard);
+void close_sessions(node& context, shard_id const& shard);
+void tell_planner(node& context, target_id const& target);
+void queue_order(node& context, shard_id const& shard,
+                 plan::command const& order);
+
+// Calls
+void       serve_call(node& context, origin const& from, job_call const& call);
+void       answer_origin(node& context, origin const& to,
+                         job_answer const& answer);
+void       apply_answer(node& context, std::uint64_t call,
+                        job_answer const& answer);
+void       set_policies(node& context, owned_row& owned);
+void       mark_changed(node& context, job_id const& job, bool urgent);
+heartbeat  make_heartbeat(node const& context);
+
+} // namespace fescuevane::cell
+
+#endif
--- /dev/null
+++ b/cell/order_row.hpp
@@ -0,0 +1,30 @@
+// Purpose: row of an order in flight to a target.
+#ifndef FESCUEVANE_CELL_ORDER_ROW_HPP
+#define FESCUEVANE_CELL_ORDER_ROW_HPP
+
+#include "core/ids.hpp"
+#include "core/instant.hpp"
+#include "core/run_key.hpp"
+
+#include <cstdint>
+
+namespace fescuevane::cell
+{
+
+enum class order_kind : std::uint8_t
+{
+    start,
+    stop,
+    pace
+};
+
+struct order_row
+{
+    order_kind kind_ = order_kind::start;
+    target_id  target_;
+    run_key    run_;
+};
+
+} // namespace fescuevane::cell
+
+#endif
--- /dev/null
+++ b/cell/owned_row.hpp
@@ -0,0 +1,31 @@
+// Purpose: row of a shard that this host owns or takes over.
+#ifndef FESCUEVANE_CELL_OWNED_ROW_HPP
+#define FESCUEVANE_CELL_OWNED_ROW_HPP
+
+#include "cell/journal_part.hpp"
+#include "cell/owned_phase.hpp"
+#include "core/ids.hpp"
+#include "core/instant.hpp"
+#include "plan/plan.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace fescuevane::cell
+{
+
+struct owned_row
+{
+    owned_phase               phase_ = owned_phase::claiming;
+    epoch                     epoch_ = 0;
+    instant                   taken_at_; // fenced everywhere
+    plan::planner_ptr         planner_;
+    std::vector<journal_part> parts_;
+    std::uint64_t             request_ = 0; // of the claim, 0: none
+    bool                      plan_needed_ = false;
+    bool                      releasing_ = false;
+};
+
+} // namespace fescuevane::cell
+
+#endif
--- /dev/null
+++ b/cell/owner_record.hpp
@@ -0,0 +1,27 @@
+// Purpose: what the row of a shard says.
+#ifndef FESCUEVANE_CELL_OWNER_RECORD_HPP
+#define FESCUEVANE_CELL_OWNER_RECORD_HPP
+
+#include "core/ids.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace fescuevane::cell
+{
+
+struct owner_record
+{
+    host_id       host_;
+    std::uint64_t incarnation_ = 0;
+    std::string   address_;
+    epoch         epoch_ = 0;
+    bool          released_ = false;
+    host_id       successor_;
+
+    friend bool operator==(owner_record const&, owner_record const&) = default;
+};
+
+} // namespace fescuevane::cell
+
+#endif
--- /dev/null
+++ b/cell/question_row.hpp
@@ -0,0 +1,24 @@
+// Purpose: row of a question to the policy service in flight.
+#ifndef FESCUEVANE_CELL_QUESTION_ROW_HPP
+#define FESCUEVANE_CELL_QUESTION_ROW_HPP
+
+#include "core/ids.hpp"
+#include "core/instant.hpp"
+#include "core/shard_id.hpp"
+#include "plan/ask_advice.hpp"
+
+#include <memory>
+
+namespace fescuevane::cell
+{
+
+struct question_row
+{
+    shard_id                                shard_;
+    std::shared_ptr<plan::ask_advice const> question_;
+    instant                                 sent_;
+};
+
+} // namespace fescuevane::cell
+
+#endif
--- /dev/null
+++ b/cell/records.hpp
@@ -0,0 +1,34 @@
+// Purpose: text of the rows that a cell keeps in the store.
+#ifndef FESCUEVANE_CELL_RECORDS_HPP
+#define FESCUEVANE_CELL_RECORDS_HPP
+
+#include "cell/host_record.hpp"
+#include "cell/job_record.hpp"
+#include "cell/owner_record.hpp"
+
+#include <string>
+#include <string_view>
+
+namespace fescuevane::cell
+{
+
+// Reading throws `record_error` when the text isn't what writing makes.
+std::string  write_host(host_record const& record);
+host_record  read_host(std::string const& text);
+std::string  write_owner(owner_record const& record);
+owner_record read_owner(std::string const& text);
+
+// The specification never changes, so its text is kept and joined with the
+// progress, which does.
+std::string write_spec(staged_job const& job);
+std::string write_job(shard_id const& shard, std::string const& spec_text,
+                      job_progress const& progress);
+job_record  read_job(std::string const& text);
+std::shared_ptr<staged_job const> read_spec(std::string const& text);
+
+std::string write_shard_name(shard_id const& shard); // domain.index
+shard_id    read_shard_name(std::string const& text);
+
+} // namespace fescuevane::cell
+
+#endif
--- /dev/null
+++ b/cell/route_calls.cpp
@@ -0,0 +1,416 @@
+// Purpose: system and events: passes callers' calls to the owners of shards.
+//
+// A submission may be tried at several shards: the row of a job exists once, so
+// the second attempt finds the first one. A refusal is final only when no
+// attempt can have been stored.
+//
+// Index of sections
+//   1. Choice of a shard
+//   2. Answers
+//   3. Ticks
+#include "cell/node.hpp"
+
+#include "cell/record_error.hpp"
+#include "cell/records.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <optional>
+
+namespace fescuevane::cell
+{
+
+// 1. Choice of a shard
+
+namespace
+{
+
+bool has_owner(node const& context, shard_id const& id, shard_row const& shard)
+{
+    if (owns(context, id, owned_phase::fencing))
+    {
+        return true;
+    }
+    return shard.epoch_ > 0 && !shard.address_.empty() &&
+           shard.owner_ != context.settings_.host_ && !shard.released_ &&
+           shard.confirmed_at_.remaining_until(context.now_) <=
+               context.settings_.suspect_micros_;
+}
+
+bool takes_jobs(node const& context, shard_id const& id,
+                shard_row const& shard)
+{
+    if (!has_owner(context, id, shard) || context.out_.contains(id.domain_))
+    {
+        return false;
+    }
+    if (owns(context, id, owned_phase::serving))
+    {
+        return context.store_ok_ && !context.owned_.find(id)->releasing_;
+    }
+    host_row const* const host = context.hosts_.find(shard.owner_);
+    return shard.serving_ &&
+           (host == nullptr || (host->store_ok_ && !host->stopping_));
+}
+
+double load_of(node const& context, shard_id const& id, shard_row const& shard)
+{
+    double const capacity =
+        static_cast<double>(shard.load_.capacity_.cpu_millis());
+    double const wanted =
+        static_cast<double>(shard.load_.used_.cpu_millis() +
+                            shard.load_.queued_.cpu_millis());
+    // A shard that was just taken over has reported nothing yet.
+    double const load = capacity > 0 ? wanted / capacity : 1;
+    return load + (id.domain_ == context.settings_.domain_
+                       ? 0
+                       : context.settings_.remote_cost_);
+}
+
+std::optional<shard_id> choose_shard(node const& context, call_row const& call)
+{
+    std::optional<shard_id> best;
+    double                  best_load = std::numeric_limits<double>::max();
+    for (std::size_t row = 0; row < context.shards_.size(); ++row)
+    {
+        shard_id const&  id = context.shards_.key(row);
+        shard_row const& shard = context.shards_[row];
+        if (call.tried_.contains(id) || !takes_jobs(context, id, shard))
+        {
+            continue;
+        }
+        double const load = load_of(context, id, shard);
+        if (load < best_load)
+        {
+            best = id;
+            best_load = load;
+        }
+    }
+    return best;
+}
+
+// Where a job is, or where its caller most likely submitted it.
+std::optional<shard_id> find_place(node const& context, call_row const& call)
+{
+    if (context.records_.contains(call.id_))
+    {
+        return context.records_.find(call.id_)->shard_;
+    }
+    auto const place = context.places_.find(call.id_);
+    if (place != context.places_.end())
+    {
+        return place->second;
+    }
+    shard_id const          own = shard_of(context.settings_.domain_);
+    shard_row const* const  row = context.shards_.find(own);
+    if (!call.tried_.contains(own) && row != nullptr &&
+        has_owner(context, own, *row))
+    {
+        return own;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+// 2. Answers
+
+namespace
+{
+
+void finish_call(node& context, std::uint64_t id, job_answer const& answer)
+{
+    if (context.calls_.remove(id))
+    {
+        context.outbox_.push_back(answer_call{id, answer});
+    }
+}
+
+// Nothing more can be tried in time: a refusal that is true.
+void give_up(node& context, std::uint64_t id)
+{
+    call_row const& call = *context.calls_.find(id);
+    job_answer      answer = call.refusal_;
+    if (call.maybe_done_)
+    {
+        answer = {.outcome_ = job_outcome::uncertain};
+    }
+    else if (answer.outcome_ != job_outcome::overloaded)
+    {
+        answer = {.outcome_ = job_outcome::unavailable,
+                  .retry_after_ms_ = context.settings_.retry_after_ms_};
+    }
+    log_event(context, "call_refused",
+              {{"job", call.id_.str()},
+               {"kind", std::to_string(static_cast<int>(call.kind_))},
+               {"outcome", std::to_string(static_cast<int>(answer.outcome_))},
+               {"tried", std::to_string(call.tried_.size())},
+               {"store", context.store_ok_ ? "ok" : "lost"}});
+    finish_call(context, id, answer);
+}
+
+void retry_call(node& context, call_row& call)
+{
+    call.request_ = 0;
+    call.retry_at_ =
+        context.now_.after(context.settings_.route_retry_micros_);
+}
+
+void locate_job(node& context, std::uint64_t id, call_row& call)
+{
+    std::uint64_t const request = next_request(context);
+    call.request_ = request;
+    context.requests_.ensure(request) = {.kind_ = request_kind::locate,
+                                         .call_ = id,
+                                         .sent_ = context.now_};
+    context.outbox_.push_back(store_read{
+        .request_ = request,
+        .table_ = "job",
+        .part_ = std::to_string(part_of(context, call.id_)),
+        .from_ = call.id_.str(),
+        .to_ = call.id_.str() + "!",
+        .deadline_ = std::min(store_deadline(context), call.deadline_)});
+}
+
+} // namespace
+
+void apply_answer(node& context, std::uint64_t id, job_answer const& answer)
+{
+    call_row* const call = context.calls_.find(id);
+    if (call == nullptr)
+    {
+        return;
+    }
+    shard_id const asked = *call->shard_;
+    switch (answer.outcome_)
+    {
+    case job_outcome::accepted:
+    case job_outcome::known:
+    case job_outcome::canceled:
+        note_place(context, call->id_, asked);
+        finish_call(context, id, answer);
+        break;
+    case job_outcome::absent:
+        context.places_.erase(call->id_);
+        call->tried_.insert(asked);
+        retry_call(context, *call);
+        if (call->located_)
+        {
+            break; // its owner is just changing
+        }
+        locate_job(context, id, *call);
+        break;
+    case job_outcome::uncertain:
+        call->maybe_done_ = true;
+        call->tried_.insert(asked);
+        retry_call(context, *call);
+        break;
+    case job_outcome::unavailable:
+    case job_outcome::overloaded:
+        call->refusal_ = answer;
+        call->tried_.insert(asked);
+        retry_call(context, *call);
+        if (call->kind_ == call_kind::submit)
+        {
+            call->retry_at_ = context.now_; // another shard may take it
+        }
+        break;
+    case job_outcome::not_owner:
+        context.shards_.find(asked)->serving_ = false;
+        retry_call(context, *call);
+        break;
+    }
+    wake_at(context, context.now_);
+}
+
+void end_locate(node& context, request_row const& request,
+                store_reply const& reply)
+{
+    call_row* const call = context.calls_.find(request.call_);
+    if (call == nullptr)
+    {
+        return;
+    }
+    if (reply.outcome_ != store_outcome::done)
+    {
+        retry_call(context, *call);
+        if (reply.outcome_ == store_outcome::not_done)
+        {
+            give_up(context, request.call_);
+        }
+        return;
+    }
+    if (reply.rows_.empty())
+    {
+        finish_call(context, request.call_, {.outcome_ = job_outcome::absent});
+        return;
+    }
+    try
+    {
+        job_record const record = read_job(reply.rows_.front().value_);
+        if (is_final(record.progress_.phase_))
+        {
+            finish_call(context, request.call_,
+                        {.outcome_ = call->kind_ == call_kind::lookup
+                                         ? job_outcome::known
+                                         : job_outcome::canceled,
+                         .phase_ = record.progress_.phase_});
+            return;
+        }
+        note_place(context, call->id_, record.shard_);
+        call->located_ = true;
+        call->request_ = 0;
+        call->retry_at_ = context.now_;
+    }
+    catch (record_error const& error)
+    {
+        log_event(context, "row_unreadable",
+                  {{"key", call->id_.str()}, {"error", error.what()}});
+        give_up(context, request.call_);
+    }
+}
+
+void apply(node& context, peer_replied const& input)
+{
+    auto const passed = context.passed_.find(input.request_);
+    if (passed == context.passed_.end())
+    {
+        return;
+    }
+    std::uint64_t const id = passed->second;
+    context.passed_.erase(passed);
+    call_row const* const call = context.calls_.find(id);
+    if (call != nullptr && call->request_ == input.request_)
+    {
+        apply_answer(context, id, input.answer_);
+    }
+}
+
+void apply(node& context, call_opened const& input)
+{
+    context.calls_.ensure(input.call_) = call_row{
+        .kind_ = input.kind_,
+        .id_ = input.id_,
+        .job_ = input.job_,
+        .deadline_ =
+            instant(input.deadline_.micros() -
+                    context.settings_.answer_margin_micros_),
+        .retry_at_ = context.now_};
+}
+
+void apply(node& context, call_closed const& input)
+{
+    context.calls_.remove(input.call_);
+}
+
+// 3. Ticks
+
+namespace
+{
+
+void pass_call(node& context, std::uint64_t id, shard_id const& shard)
+{
+    call_row&      call = *context.calls_.find(id);
+    // An owner that doesn't answer in this time is given up for another one.
+    constexpr std::int64_t pass_micros = 1'500'000;
+    job_call const passed{.kind_ = call.kind_,
+                          .id_ = call.id_,
+                          .shard_ = shard,
+                          .job_ = call.job_,
+                          .deadline_ = std::min(
+                              call.deadline_, context.now_.after(pass_micros))};
+    call.shard_ = shard;
+    call.request_ = next_request(context);
+    if (context.owned_.contains(shard))
+    {
+        serve_call(context, {false, id}, passed);
+        return;
+    }
+    context.passed_[call.request_] = id;
+    context.outbox_.push_back(call_peer{
+        call.request_, context.shards_.find(shard)->address_, passed});
+}
+
+void route_submit(node& context, std::uint64_t id)
+{
+    call_row& call = *context.calls_.find(id);
+    auto const place = context.places_.find(call.id_);
+    std::optional<shard_id> const shard =
+        place != context.places_.end() && !call.tried_.contains(place->second)
+            ? place->second
+            : choose_shard(context, call);
+    if (shard)
+    {
+        pass_call(context, id, *shard);
+        return;
+    }
+    bool const refused = call.refusal_.retry_after_ms_ > 0;
+    if (refused || !context.store_ok_)
+    {
+        give_up(context, id);
+        return;
+    }
+    call.tried_.clear();
+    retry_call(context, call);
+    wake_at(context, call.retry_at_);
+}
+
+void route_query(node& context, std::uint64_t id)
+{
+    call_row&                     call = *context.calls_.find(id);
+    std::optional<shard_id> const place = find_place(context, call);
+    if (!place)
+    {
+        locate_job(context, id, call);
+        return;
+    }
+    shard_row const& shard = *context.shards_.find(*place);
+    if (has_owner(context, *place, shard))
+    {
+        pass_call(context, id, *place);
+        return;
+    }
+    retry_call(context, call);
+    wake_at(context, call.retry_at_);
+}
+
+} // namespace
+
+void route_calls(node& context)
+{
+    std::vector<std::uint64_t> const ids = context.calls_.keys();
+    for (std::uint64_t const id : ids)
+    {
+        call_row* const call = context.calls_.find(id);
+        if (call == nullptr)
+        {
+            continue;
+        }
+        if (call->deadline_ <= context.now_)
+        {
+            call->maybe_done_ = call->maybe_done_ || call->request_ != 0;
+            give_up(context, id);
+            continue;
+        }
+        wake_at(context, call->deadline_);
+        if (call->request_ != 0)
+        {
+            continue;
+        }
+        if (call->retry_at_ > context.now_)
+        {
+            wake_at(context, call->retry_at_);
+            continue;
+        }
+        if (call->kind_ == call_kind::submit)
+        {
+            route_submit(context, id);
+        }
+        else
+        {
+            route_query(context, id);
+        }
+    }
+}
+
+} // namespace fescuevane::cell
--- /dev/null
+++ b/cell/row_condition.hpp
@@ -0,0 +1,21 @@
+// Purpose: a condition of a transaction.
+#ifndef FESCUEVANE_CELL_ROW_CONDITION_HPP
+#define FESCUEVANE_CELL_ROW_CONDITION_HPP
+
+#include "cell/row_key.hpp"
+#include "core/ids.hpp"
+
+namespace fescuevane::cell
+{
+
+struct row_condition
+{
+    row_key  key_;
+    revision revision_ = 0; // that the row must have, 0: no such row
+
+    friend bool operator==(row_condition const&, row_condition const&) = default;
+};
+
+} // namespace fescuevane::cell
+
+#endif
--- /dev/null
+++ b/cell/send_question.hpp
@@ -0,0 +1,24 @@
+// Purpose: command: ask the policy service.
+#ifndef FESCUEVANE_CELL_SEND_QUESTION_HPP
+#define FESCUEVANE_CELL_SEND_QUESTION_HPP
+
+#include "core/instant.hpp"
+#include "plan/ask_advice.hpp"
+
+#include <cstdint>
+
+namespace fescuevane::cell
+{
+
+struct send_question
+{
+    std::uint64_t const    request_ = 0;
+    plan::ask_advice const question_;
+    instant const          deadline_;
+
+    friend bool operator==(send_question const&, send_question const&) = default;
+};
+
+} // namespace fescuevane::cell
+
+#endif
--- /dev/null
+++ b/cell/serve_calls.cpp
@@ -0,0 +1,170 @@
+// Purpose: calls about jobs of owned shards.
+//
+// Index of sections
+//   1. Answers
+//   2. Submissions
+//   3. Look-ups and cancellations
+#include "cell/node.hpp"
+
+#include "cell/records.hpp"
+
+#include <array>
+
+namespace fescuevane::cell
+{
+
+// 1. Answers
+
+void answer_origin(node& context, origin const& to, job_answer const& answer)
+{
+    if (to.remote_)
+    {
+        context.outbox_.push_back(reply_peer{to.call_, answer});
+    }
+    else
+    {
+        apply_answer(context, to.call_, answer);
+    }
+}
+
+namespace
+{
+
+job_answer refuse(node const& context, job_outcome outcome)
+{
+    return {.outcome_ = outcome,
+            .retry_after_ms_ = context.settings_.retry_after_ms_};
+}
+
+} // namespace
+
+// 2. Submissions
+
+namespace
+{
+
+void serve_submit(node& context, origin const& from, job_call const& call)
+{
+    record_row* const known = context.records_.find(call.id_);
+    if (known != nullptr && known->stored_)
+    {
+        answer_origin(context, from, {.outcome_ = job_outcome::accepted});
+        return;
+    }
+    if (known != nullptr)
+    {
+        known->waiting_.push_back(
+            {from, call_kind::submit, call.deadline_});
+        return;
+    }
+    if (!context.store_ok_)
+    {
+        answer_origin(context, from,
+                      refuse(context, job_outcome::unavailable));
+        return;
+    }
+    record_row& record = context.records_.ensure(call.id_);
+    record = record_row{.shard_ = call.shard_,
+                        .part_ = part_of(context, call.id_),
+                        .job_ = call.job_,
+                        .spec_text_ = write_spec(*call.job_)};
+    record.waiting_.push_back({from, call_kind::submit, call.deadline_});
+    mark_changed(context, call.id_, true);
+}
+
+// 3. Look-ups and cancellations
+
+job_phase phase_of(node const& context, record_row const& record)
+{
+    if (record.canceled_)
+    {
+        return job_phase::canceled;
+    }
+    owned_row const& own = *context.owned_.find(record.shard_);
+    return plan::find_phase(*own.planner_, record.job_->id_)
+        .value_or(record.phase_);
+}
+
+void serve_lookup(node& context, origin const& from, job_call const& call)
+{
+    record_row const* const record = context.records_.find(call.id_);
+    if (record == nullptr)
+    {
+        answer_origin(context, from, {.outcome_ = job_outcome::absent});
+        return;
+    }
+    if (!record->stored_)
+    {
+        answer_origin(context, from,
+                      refuse(context, job_outcome::unavailable));
+        return;
+    }
+    answer_origin(context, from,
+                  {.outcome_ = job_outcome::known,
+                   .phase_ = phase_of(context, *record)});
+}
+
+void serve_cancel(node& context, origin const& from, job_call const& call)
+{
+    record_row* const record = context.records_.find(call.id_);
+    if (record == nullptr)
+    {
+        answer_origin(context, from, {.outcome_ = job_outcome::absent});
+        return;
+    }
+    if (!record->stored_)
+    {
+        answer_origin(context, from,
+                      refuse(context, job_outcome::unavailable));
+        return;
+    }
+    bool const ended = is_final(phase_of(context, *record));
+    if (ended && (!record->canceled_ || record->saved_ >= record->changed_))
+    {
+        answer_origin(context, from, {.outcome_ = job_outcome::canceled});
+        return;
+    }
+    record->waiting_.push_back({from, call_kind::cancel, call.deadline_});
+    if (record->canceled_)
+    {
+        return;
+    }
+    record->canceled_ = true;
+    owned_row& own = *context.owned_.find(record->shard_);
+    plan::post_event(*own.planner_, plan::job_canceled{call.id_});
+    own.plan_needed_ = true;
+    wake_at(context, context.now_);
+    log_event(context, "job_canceled", {{"job", call.id_.str()}});
+    mark_changed(context, call.id_, true);
+}
+
+// In the order of `call_kind`.
+constexpr std::array<void (*)(node&, origin const&, job_call const&), 3>
+    call_handlers = {&serve_submit, &serve_lookup, &serve_cancel};
+
+} // namespace
+
+void serve_call(node& context, origin const& from, job_call const& call)
+{
+    owned_row const* const own = context.owned_.find(call.shard_);
+    if (own == nullptr || own->phase_ == owned_phase::claiming ||
+        own->releasing_)
+    {
+        answer_origin(context, from, {.outcome_ = job_outcome::not_owner});
+        return;
+    }
+    if (own->phase_ != owned_phase::serving)
+    {
+        context.parked_.push_back({from, call});
+        return;
+    }
+    call_handlers.at(static_cast<std::size_t>(call.kind_))(context, from,
+                                                           call);
+}
+
+void apply(node& context, peer_called const& input)
+{
+    serve_call(context, {true, input.call_}, input.request_);
+}
+
+} // namespace fescuevane::cell
--- /dev/null
+++ b/cell/session_row.hpp
@@ -0,0 +1,56 @@
+// Purpose: row of a target and of the contact with it.
+#ifndef FESCUEVANE_CELL_SESSION_ROW_HPP
+#define FESCUEVANE_CELL_SESSION_ROW_HPP
+
+#include "cell/listed_target.hpp"
+#include "cell/session_phase.hpp"
+#include "cell/session_run.hpp"
+#include "cell/unstored_end.hpp"
+#include "core/ids.hpp"
+#include "core/instant.hpp"
+#include "core/run_key.hpp"
+#include "core/shard_id.hpp"
+#include "plan/command.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace fescuevane::cell
+{
+
+struct session_row
+{
+    // From the list
+    std::shared_ptr<listed_target const> info_;
+    bool                                 listed_ = true;
+    shard_id                             shard_;
+
+    // Contact; only while the shard is owned
+    bool          open_ = false;
+    session_phase phase_ = session_phase::attaching;
+    std::int64_t  born_unix_ms_ = 0; // life that was reached, 0: none yet
+    std::int64_t  clock_ms_ = 0;     // of the target, at `clock_at_`
+    instant       clock_at_;
+    std::int64_t  granted_ms_ = 0; // latest end of a lease, its clock
+    instant       contact_at_;     // latest answer
+    instant       contact_sent_;   // when its question was sent
+    std::uint64_t hold_ = 0;       // request in flight, 0: none
+    instant       hold_sent_;
+    instant       hold_at_;        // next question
+    instant       wait_out_;       // attaching: unseen runs have lapsed
+
+    // Runs and ends
+    std::map<run_key, session_run>  runs_;
+    std::uint64_t                   last_seen_ = 0; // forgotten by the target
+    std::uint64_t                   processed_ = 0; // highest end applied
+    std::deque<unstored_end>        unstored_;
+    std::deque<plan::command>       orders_; // waiting
+    std::uint32_t                   open_orders_ = 0;
+};
+
+} // namespace fescuevane::cell
+
+#endif
--- /dev/null
+++ b/cell/session_run.hpp
@@ -0,0 +1,24 @@
+// Purpose: a run as the session with its target knows it.
+#ifndef FESCUEVANE_CELL_SESSION_RUN_HPP
+#define FESCUEVANE_CELL_SESSION_RUN_HPP
+
+#include "core/instant.hpp"
+
+#include <cstdint>
+
+namespace fescuevane::cell
+{
+
+struct session_run
+{
+    instant confirmed_at_ = instant::never(); // the target has it
+    instant uncertain_at_ = instant::never(); // the start got no answer
+    instant stopped_at_ = instant::never();   // the target took the stop
+    bool    stop_wanted_ = false;
+    bool    stop_open_ = false; // an order to stop is in flight
+    instant stop_after_;        // next order to stop
+};
+
+} // namespace fescuevane::cell
+
+#endif
--- /dev/null
+++ b/cell/settings.hpp
@@ -0,0 +1,65 @@
+// Purpose: settings of a node.
+#ifndef FESCUEVANE_CELL_SETTINGS_HPP
+#define FESCUEVANE_CELL_SETTINGS_HPP
+
+#include "core/ids.hpp"
+#include "plan/settings.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace fescuevane::cell
+{
+
+// Intervals stand here only; tables store deadlines.
+struct settings
+{
+    host_id                host_;
+    std::string            address_; // for other hosts, IP:port
+    domain_id              domain_;
+    std::vector<domain_id> domains_; // all of the cell
+    double                 cpu_share_ = 1; // of a core; larger hosts own first
+    std::uint64_t          incarnation_ = 0; // higher at each start
+
+    // Store
+    std::uint32_t job_parts_ = 4; // parts of the table of jobs, never changed
+    std::int64_t  store_min_micros_ = 500'000;   // deadline of a call, least
+    std::int64_t  store_max_micros_ = 2'500'000; // and most
+    std::int64_t  store_retry_micros_ = 150'000;
+    std::int64_t  journal_micros_ = 30'000; // progress is gathered so long
+    std::uint32_t journal_jobs_ = 30;       // in one transaction
+    std::int64_t  result_keep_micros_ = 180'000'000; // of ended jobs
+
+    // Heartbeats and ownership
+    std::int64_t heartbeat_micros_ = 300'000;
+    std::int64_t suspect_micros_ = 1'000'000; // without word from an owner
+    std::int64_t claim_step_micros_ = 300'000; // between candidates
+    std::int64_t first_claim_micros_ = 500'000; // after the start of a host
+    std::int64_t foreign_claim_micros_ = 1'200'000; // later in other domains
+    std::int64_t alone_micros_ = 8'000'000; // without word from any host
+
+    // Leases; clocks of targets may run slow by `clock_drift_`
+    std::int64_t lease_ms_ = 4000;
+    std::int64_t start_valid_ms_ = 1500; // a start that comes later is useless
+    std::int64_t hold_wait_ms_ = 800;    // for an end
+    std::int64_t hold_slack_micros_ = 500'000; // answer after the wait
+    std::int64_t hold_retry_micros_ = 150'000;
+    std::int64_t order_micros_ = 500'000; // deadline of an order
+    std::int64_t silent_micros_ = 1'500'000; // without word from a target
+    std::uint32_t orders_open_ = 4; // to one target
+    double       clock_drift_ = 0.02;
+    std::int64_t clock_slack_ms_ = 300;
+
+    // Calls
+    std::int64_t answer_margin_micros_ = 200'000; // before a caller's deadline
+    std::int64_t route_retry_micros_ = 60'000;
+    std::int64_t retry_after_ms_ = 1000; // told with a refusal
+    double       remote_cost_ = 0.25; // of another domain, in shard loads
+
+    plan::settings plan_;
+};
+
+} // namespace fescuevane::cell
+
+#endif
--- /dev/null
+++ b/cell/shard_load.hpp
@@ -0,0 +1,24 @@
+// Purpose: what a heartbeat says about an owned shard.
+#ifndef FESCUEVANE_CELL_SHARD_LOAD_HPP
+#define FESCUEVANE_CELL_SHARD_LOAD_HPP
+
+#include "core/ids.hpp"
+#include "core/shard_id.hpp"
+#include "plan/load_summary.hpp"
+
+namespace fescuevane::cell
+{
+
+struct shard_load
+{
+    shard_id           shard_;
+    epoch              epoch_ = 0;
+    bool               serving_ = false; // its jobs are loaded
+    plan::load_summary load_;
+
+    friend bool operator==(shard_load const&, shard_load const&) = default;
+};
+
+} // namespace fescuevane::cell
+
+#endif
--- /dev/null
+++ b/cell/target_listed.hpp
@@ -0,0 +1,19 @@
+// Purpose: event: a target was listed, or its entry changed.
+#ifndef FESCUEVANE_CELL_TARGET_LISTED_HPP
+#define FESCUEVANE_CELL_TARGET_LISTED_HPP
+
+#include "cell/listed_target.hpp"
+
+namespace fescuevane::cell
+{
+
+struct target_listed
+{
+    listed_target const target_;
+
+    friend bool operator==(target_listed const&, target_listed const&) = default;
+};
+
+} // namespace fescuevane::cell
+
+#endif
--- /dev/null
+++ b/cell/target_unlisted.hpp
@@ -0,0 +1,19 @@
+// Purpose: event: a target is not on the list any more.
+#ifndef FESCUEVANE_CELL_TARGET_UNLISTED_HPP
+#define FESCUEVANE_CELL_TARGET_UNLISTED_HPP
+
+#include "core/ids.hpp"
+
+namespace fescuevane::cell
+{
+
+struct target_unlisted
+{
+    target_id const id_;
+
+    friend bool operator==(target_unlisted const&, target_unlisted const&) = default;
+};
+
+} // namespace fescuevane::cell
+
+#endif
--- /dev/null
+++ b/cell/write_journal.cpp
@@ -0,0 +1,422 @@
+// Purpose: system and events: keeps the jobs of owned shards in the store.
+//
+// A transaction holds on the fence row of its part, so that only the present
+// owner of a shard changes its jobs, and on the revision of each row, so that a
+// write that is performed late can't undo a later one.
+//
+// Index of sections
+//   1. Changes
+//   2. Transactions
+//   3. Replies
+#include "cell/node.hpp"
+
+#include "cell/record_error.hpp"
+#include "cell/records.hpp"
+
+#include <algorithm>
+
+namespace fescuevane::cell
+{
+
+// 1. Changes
+
+void mark_changed(node& context, job_id const& job, bool urgent)
+{
+    record_row* const record = context.records_.find(job);
+    if (record == nullptr)
+    {
+        return;
+    }
+    record->changed_ = context.next_change_++;
+    owned_row* const own = context.owned_.find(record->shard_);
+    if (own == nullptr)
+    {
+        return;
+    }
+    journal_part& part = own->parts_[record->part_];
+    part.dirty_.insert(job);
+    part.flush_at_ = std::min(
+        part.flush_at_,
+        urgent ? context.now_
+               : context.now_.after(context.settings_.journal_micros_));
+}
+
+// 2. Transactions
+
+namespace
+{
+
+job_progress progress_of(node const& context, record_row const& record)
+{
+    owned_row const& own = *context.owned_.find(record.shard_);
+    job_id const&    id = record.job_->id_;
+    if (record.canceled_)
+    {
+        return {.phase_ = job_phase::canceled};
+    }
+    if (!plan::find_phase(*own.planner_, id))
+    {
+        return {.phase_ = record.phase_};
+    }
+    return plan::write_progress(*own.planner_, id);
+}
+
+row_key key_of(record_row const& record)
+{
+    return {"job", std::to_string(record.part_), record.job_->id_.str()};
+}
+
+// Jobs of the next transaction: those that callers wait for go first.
+std::vector<job_id> choose_jobs(node const& context, journal_part const& part)
+{
+    std::vector<job_id> jobs;
+    for (bool const waited : {true, false})
+    {
+        for (job_id const& job : part.dirty_)
+        {
+            record_row const* const record = context.records_.find(job);
+            if (record != nullptr && record->waiting_.empty() != waited &&
+                jobs.size() < context.settings_.journal_jobs_)
+            {
+                jobs.push_back(job);
+            }
+        }
+    }
+    return jobs;
+}
+
+void write_part(node& context, shard_id const& shard, std::uint32_t index)
+{
+    owned_row&                own = *context.owned_.find(shard);
+    journal_part&             part = own.parts_[index];
+    std::vector<job_id> const jobs = choose_jobs(context, part);
+    if (jobs.empty())
+    {
+        part.dirty_.clear(); // their records are gone
+        part.flush_at_ = instant::never();
+        return;
+    }
+    std::vector<row_condition> conditions = {
+        {{"member", std::to_string(index), "shard/" + write_shard_name(shard)},
+         part.fence_}};
+    std::vector<row_write> writes;
+    for (job_id const& job : jobs)
+    {
+        record_row&   record = *context.records_.find(job);
+        row_key const key = key_of(record);
+        bool const    expired = record.expires_ <= context.now_;
+        record.written_ = record.changed_;
+        conditions.push_back({key, record.revision_});
+        writes.push_back({key,
+                          expired ? std::string()
+                                  : write_job(shard, record.spec_text_,
+                                              progress_of(context, record)),
+                          expired});
+    }
+    part.request_ = next_request(context);
+    part.flush_at_ = instant::never();
+    context.requests_.ensure(part.request_) = {.kind_ = request_kind::journal,
+                                               .shard_ = shard,
+                                               .part_ = index,
+                                               .jobs_ = jobs,
+                                               .sent_ = context.now_};
+    context.outbox_.push_back(
+        store_transact{.request_ = part.request_,
+                       .conditions_ = std::move(conditions),
+                       .writes_ = std::move(writes),
+                       .deadline_ = store_deadline(context)});
+}
+
+// Callers whose time is up get an answer that promises nothing.
+void expire_waiting_calls(node& context)
+{
+    for (record_row& record : context.records_)
+    {
+        std::erase_if(record.waiting_,
+                      [&context](waiting_call const& call)
+                      {
+                          if (call.deadline_ > context.now_)
+                          {
+                              wake_at(context, call.deadline_);
+                              return false;
+                          }
+                          answer_origin(context, call.origin_,
+                                        {.outcome_ = job_outcome::uncertain});
+                          return true;
+                      });
+        if (record.expires_ <= context.now_ && record.saved_ >= record.changed_)
+        {
+            mark_changed(context, record.job_->id_, false);
+        }
+    }
+}
+
+} // namespace
+
+void write_journal(node& context)
+{
+    expire_waiting_calls(context);
+    for (std::size_t row = 0; row < context.owned_.size(); ++row)
+    {
+        shard_id const shard = context.owned_.key(row);
+        if (!owns(context, shard, owned_phase::serving))
+        {
+            continue;
+        }
+        auto const parts =
+            static_cast<std::uint32_t>(context.owned_[row].parts_.size());
+        for (std::uint32_t index = 0; index < parts; ++index)
+        {
+            journal_part const& part = context.owned_[row].parts_[index];
+            if (part.request_ != 0 || part.dirty_.empty())
+            {
+                continue;
+            }
+            instant const due = std::max(part.flush_at_, part.retry_at_);
+            if (due > context.now_)
+            {
+                wake_at(context, due);
+                continue;
+            }
+            write_part(context, shard, index);
+        }
+    }
+}
+
+// 3. Replies
+
+namespace
+{
+
+void answer_waiting(node& context, record_row& record, call_kind kind,
+                    job_outcome outcome)
+{
+    std::erase_if(record.waiting_,
+                  [&](waiting_call const& call)
+                  {
+                      if (call.kind_ != kind)
+                      {
+                          return false;
+                      }
+                      answer_origin(context, call.origin_,
+                                    {.outcome_ = outcome});
+                      return true;
+                  });
+}
+
+// The job stands in the store: it is accepted.
+void accept_job(node& context, record_row& record)
+{
+    record.stored_ = true;
+    record.uncertain_ = false;
+    note_place(context, record.job_->id_, record.shard_);
+    owned_row& own = *context.owned_.find(record.shard_);
+    std::int64_t const age_ms = std::max<std::int64_t>(
+        0, context.unix_ms_ - record.job_->accepted_unix_ms_);
+    plan::post_event(
+        *own.planner_,
+        plan::job_added{.job_ = record.job_,
+                        .accepted_at_ = instant(context.now_.micros() -
+                                                age_ms * micros_per_milli)});
+    own.plan_needed_ = true;
+    wake_at(context, context.now_);
+    log_event(context, "job_accepted",
+              {{"job", record.job_->id_.str()},
+               {"organisation", record.job_->organisation_.str()},
+               {"queue", record.job_->queue_.str()},
+               {"shard", write_shard_name(record.shard_)}});
+    answer_waiting(context, record, call_kind::submit, job_outcome::accepted);
+}
+
+void note_saved(node& context, journal_part& part, job_id const& job)
+{
+    record_row* const record = context.records_.find(job);
+    owned_row&        own = *context.owned_.find(record->shard_);
+    if (record->expires_ <= context.now_)
+    {
+        plan::post_event(*own.planner_, plan::job_dropped{job});
+        part.dirty_.erase(job);
+        context.records_.remove(job);
+        return;
+    }
+    record->saved_ = record->written_;
+    if (!record->stored_)
+    {
+        accept_job(context, *record);
+    }
+    if (record->canceled_)
+    {
+        answer_waiting(context, *record, call_kind::cancel,
+                       job_outcome::canceled);
+    }
+    if (record->changed_ > record->saved_)
+    {
+        part.flush_at_ = std::min(
+            part.flush_at_,
+            context.now_.after(context.settings_.journal_micros_));
+    }
+    else
+    {
+        part.dirty_.erase(job);
+    }
+    auto const phase = plan::find_phase(*own.planner_, job);
+    if (phase && is_final(*phase) && record->expires_ == instant::never())
+    {
+        record->phase_ = *phase;
+        record->expires_ =
+            context.now_.after(context.settings_.result_keep_micros_);
+        log_event(context, "job_ended",
+                  {{"job", job.str()},
+                   {"phase", std::to_string(static_cast<int>(*phase))}});
+    }
+}
+
+// A row of a job that isn't as it was expected: an earlier write did happen, or
+// the job was accepted by another shard.
+void settle_conflict(node& context, journal_part& part, record_row& record,
+                     stored_row const& row)
+{
+    job_id const id = record.job_->id_;
+    if (record.stored_ || row.revision_ == 0)
+    {
+        record.revision_ = row.revision_;
+        return;
+    }
+    try
+    {
+        job_record const stored = read_job(row.value_);
+        if (stored.shard_ == record.shard_)
+        {
+            record.revision_ = row.revision_;
+            record.saved_ = record.written_;
+            part.dirty_.erase(id);
+            accept_job(context, record);
+            return;
+        }
+        note_place(context, id, stored.shard_);
+        answer_waiting(context, record, call_kind::submit,
+                       job_outcome::accepted);
+    }
+    catch (record_error const& error)
+    {
+        log_event(context, "row_unreadable",
+                  {{"key", id.str()}, {"error", error.what()}});
+        answer_waiting(context, record, call_kind::submit,
+                       job_outcome::uncertain);
+    }
+    part.dirty_.erase(id);
+    context.records_.remove(id);
+}
+
+revision expected_revision(node const& context, journal_part const& part,
+                           stored_row const& row)
+{
+    if (row.key_.table_ == "member")
+    {
+        return part.fence_;
+    }
+    record_row const* const record =
+        context.records_.find(job_id(row.key_.key_));
+    return record == nullptr ? row.revision_ : record->revision_;
+}
+
+// Refused by the store: jobs that were never written for sure are turned down.
+void refuse_unwritten(node& context, journal_part& part,
+                      std::vector<job_id> const& jobs)
+{
+    for (job_id const& job : jobs)
+    {
+        record_row* const record = context.records_.find(job);
+        if (record == nullptr || record->stored_ || record->uncertain_)
+        {
+            continue;
+        }
+        answer_waiting(context, *record, call_kind::submit,
+                       job_outcome::unavailable);
+        part.dirty_.erase(job);
+        context.records_.remove(job);
+    }
+}
+
+void mark_uncertain(node& context, std::vector<job_id> const& jobs)
+{
+    for (job_id const& job : jobs)
+    {
+        record_row* const record = context.records_.find(job);
+        if (record != nullptr && !record->stored_)
+        {
+            record->uncertain_ = true;
+        }
+    }
+}
+
+} // namespace
+
+void end_journal(node& context, request_row const& request,
+                 store_reply const& reply)
+{
+    owned_row* const own = context.owned_.find(request.shard_);
+    if (own == nullptr)
+    {
+        return;
+    }
+    journal_part& part = own->parts_[request.part_];
+    if (!part.fenced_)
+    {
+        return;
+    }
+    part.request_ = 0;
+    part.flush_at_ = context.now_;
+    switch (reply.outcome_)
+    {
+    case store_outcome::done:
+        part.flush_at_ = instant::never();
+        for (job_id const& job : request.jobs_)
+        {
+            record_row* const record = context.records_.find(job);
+            if (record != nullptr)
+            {
+                record->revision_ = reply.revision_;
+                note_saved(context, part, job);
+            }
+        }
+        if (!part.dirty_.empty())
+        {
+            part.flush_at_ = std::min(
+                part.flush_at_,
+                context.now_.after(context.settings_.journal_micros_));
+        }
+        break;
+    case store_outcome::conflict:
+        for (stored_row const& row : reply.rows_)
+        {
+            if (row.revision_ == expected_revision(context, part, row))
+            {
+                continue;
+            }
+            if (row.key_.table_ == "member")
+            {
+                apply(context, member_row_changed{row});
+                drop_shard(context, request.shard_,
+                           "its fence row was changed");
+                return;
+            }
+            settle_conflict(context, part,
+                            *context.records_.find(job_id(row.key_.key_)),
+                            row);
+        }
+        break;
+    case store_outcome::not_done:
+        part.retry_at_ =
+            context.now_.after(context.settings_.store_retry_micros_);
+        refuse_unwritten(context, part, request.jobs_);
+        break;
+    case store_outcome::unknown:
+        part.retry_at_ =
+            context.now_.after(context.settings_.store_retry_micros_ / 2);
+        mark_uncertain(context, request.jobs_);
+        break;
+    }
+}
+
+} // namespace fescuevane::cell
--- a/entry/main.cpp
+++ b/entry/main.cpp
@@ -5,6 +5,7 @@
 #include "entry/settings.hpp"
 #include "entry/settings_error.hpp"
 #include "entry/settings_file.hpp"
+#include "platform/process.hpp"
 
 #include <CLI/CLI.hpp>
 #include <glib.h>
@@ -51,16 +52,25 @@
     std::string file;
     bool        check_only = false;
     app.add_option("--settings", file, "YAML file of settings")
-        ->required()
         ->type_name("FILE");
     app.add_flag("--check", check_only,
                  "check the settings, print them in full and exit");
+    CLI::App* const cell = app.add_subcommand(
+        "cell", "run a cell on leased targets, on the users' platform");
+    cell->add_option("--settings", file, "YAML file of settings")
+        ->required()
+        ->type_name("FILE");
+    cell->add_flag("--check", check_only, "check the settings and exit");
     app.set_version_flag("--version", FESCUEVANE_VERSION);
     app.footer("Exit status: 0 after a graceful stop, 1 when the process can't "
                "start,\n2 for wrong options or settings.");
     try
     {
         app.parse(count, values);
+        if (file.empty())
+        {
+            throw CLI::RequiredError("--settings");
+        }
     }
     catch (CLI::ParseError const& error)
     {
@@ -68,6 +78,11 @@
     }
     try
     {
+        if (cell->parsed())
+        {
+            leave(check_only ? fescuevane::platform::check_settings(file)
+                             : fescuevane::platform::run_process(file));
+        }
         leave(run(file, check_only));
     }
     catch (fescuevane::entry::settings_error const& error)
--- /dev/null
+++ b/io/http_client.cpp
@@ -0,0 +1,135 @@
+// Purpose: HTTP requests with deadlines, over connections that are kept.
+#include "io/http_client.hpp"
+
+#include "io/http_request.hpp"
+#include "io/http_response.hpp"
+#include "io/main_loop.hpp"
+
+#include <libsoup/soup.h>
+#include <utility>
+
+namespace fescuevane::io
+{
+namespace
+{
+
+constexpr int max_connections = 800;
+constexpr int idle_seconds = 20;
+
+// One request in flight; freed by `on_reply`.
+struct flight
+{
+    http_client::reply_function reply_;
+    std::shared_ptr<bool>       alive_;
+    SoupMessage*                message_ = nullptr;
+    GCancellable*               cancel_ = nullptr;
+    guint                       deadline_ = 0; // source, 0: fired
+};
+
+gboolean on_deadline(void* data)
+{
+    auto* const own = static_cast<flight*>(data);
+    own->deadline_ = 0;
+    g_cancellable_cancel(own->cancel_);
+    return G_SOURCE_REMOVE;
+}
+
+void on_reply(GObject* session, GAsyncResult* result, void* data)
+{
+    std::unique_ptr<flight> const own(static_cast<flight*>(data));
+    GError*                       error = nullptr;
+    GBytes* const                 bytes = soup_session_send_and_read_finish(
+        SOUP_SESSION(session), result, &error);
+    http_response response;
+    if (bytes == nullptr)
+    {
+        response.error_ = own->deadline_ == 0 ? "no answer by the deadline"
+                          : error != nullptr  ? error->message
+                                              : "no response";
+    }
+    else
+    {
+        gsize       size = 0;
+        auto* const data_of_body =
+            static_cast<char const*>(g_bytes_get_data(bytes, &size));
+        response.status_ = soup_message_get_status(own->message_);
+        response.body_.assign(data_of_body == nullptr ? "" : data_of_body,
+                              size);
+        g_bytes_unref(bytes);
+    }
+    g_clear_error(&error);
+    if (own->deadline_ != 0)
+    {
+        g_source_remove(own->deadline_);
+    }
+    g_object_unref(own->message_);
+    g_object_unref(own->cancel_);
+    if (*own->alive_)
+    {
+        own->reply_(response);
+    }
+}
+
+} // namespace
+
+http_client::http_client(int connections)
+    : session_(soup_session_new_with_options(
+          "max-conns", max_connections, "max-conns-per-host", connections,
+          "timeout", 0, "idle-timeout", idle_seconds, "proxy-resolver", nullptr,
+          nullptr))
+    , alive_(std::make_shared<bool>(true))
+{
+    soup_session_set_proxy_resolver(session_, nullptr);
+    soup_session_remove_feature_by_type(session_, SOUP_TYPE_CONTENT_DECODER);
+}
+
+http_client::~http_client()
+{
+    *alive_ = false;
+    soup_session_abort(session_);
+    g_object_unref(session_);
+}
+
+void http_client::send(http_request const& request, reply_function reply)
+{
+    std::string const uri = "http://" + request.address_ + request.path_;
+    auto*             own = new flight{std::move(reply), alive_};
+    own->message_ = soup_message_new(request.method_.c_str(), uri.c_str());
+    if (own->message_ == nullptr)
+    {
+        run_in_main_loop(
+            [own, alive = alive_, uri]
+            {
+                std::unique_ptr<flight> const freed(own);
+                if (*alive)
+                {
+                    freed->reply_({.error_ = "malformed address " + uri});
+                }
+            });
+        return;
+    }
+    own->cancel_ = g_cancellable_new();
+    SoupMessageHeaders* const headers =
+        soup_message_get_request_headers(own->message_);
+    for (auto const& [name, value] : request.headers_)
+    {
+        soup_message_headers_replace(headers, name.c_str(), value.c_str());
+    }
+    if (!request.body_.empty())
+    {
+        GBytes* const body =
+            g_bytes_new(request.body_.data(), request.body_.size());
+        soup_message_set_request_body_from_bytes(
+            own->message_, request.content_type_.c_str(), body);
+        g_bytes_unref(body);
+    }
+    std::int64_t const wait_ms =
+        read_clock().remaining_until(request.deadline_) / micros_per_milli + 1;
+    own->deadline_ =
+        g_timeout_add(static_cast<guint>(wait_ms), &on_deadline, own);
+    soup_session_send_and_read_async(session_, own->message_,
+                                     G_PRIORITY_DEFAULT, own->cancel_,
+                                     &on_reply, own);
+}
+
+} // namespace fescuevane::io
--- /dev/null
+++ b/peer/peer_codec.cpp
@@ -0,0 +1,156 @@
+// Purpose: values of a cell to and from messages between hosts.
+#include "peer/peer_codec.hpp"
+
+#include "cell.pb.h"
+#include "cell/heartbeat.hpp"
+#include "cell/job_answer.hpp"
+#include "cell/job_call.hpp"
+#include "cell/record_error.hpp"
+#include "cell/records.hpp"
+#include "peer/peer_error.hpp"
+
+namespace fescuevane::peer
+{
+namespace
+{
+
+void write_amounts(resources const& from, cell::v1::Amounts& to)
+{
+    to.set_cpu_millis(from.cpu_millis());
+    to.set_memory_mib(from.memory_mib());
+    to.set_accelerators(from.accelerators());
+}
+
+resources read_amounts(cell::v1::Amounts const& from)
+{
+    return {from.cpu_millis(), from.memory_mib(), from.accelerators()};
+}
+
+shard_id read_shard(std::string const& name)
+{
+    try
+    {
+        return cell::read_shard_name(name);
+    }
+    catch (cell::record_error const& error)
+    {
+        throw peer_error(error.what());
+    }
+}
+
+} // namespace
+
+cell::v1::Heartbeat encode_heartbeat(cell::heartbeat const& beat)
+{
+    cell::v1::Heartbeat message;
+    message.set_host(beat.host_.str());
+    message.set_incarnation(beat.incarnation_);
+    message.set_store_ok(beat.store_ok_);
+    message.set_stopping(beat.stopping_);
+    for (cell::shard_load const& shard : beat.shards_)
+    {
+        cell::v1::ShardLoad& row = *message.add_shards();
+        row.set_shard(cell::write_shard_name(shard.shard_));
+        row.set_epoch(shard.epoch_);
+        row.set_serving(shard.serving_);
+        write_amounts(shard.load_.capacity_, *row.mutable_capacity());
+        write_amounts(shard.load_.used_, *row.mutable_used());
+        write_amounts(shard.load_.queued_, *row.mutable_queued());
+        for (plan::queue_load const& queue : shard.load_.queues_)
+        {
+            cell::v1::QueueLoad& entry = *row.add_queues();
+            entry.set_queue(queue.queue_.str());
+            entry.set_waiting(queue.waiting_);
+        }
+    }
+    return message;
+}
+
+cell::heartbeat decode_heartbeat(cell::v1::Heartbeat const& message)
+{
+    cell::heartbeat beat{.host_ = host_id(message.host()),
+                         .incarnation_ = message.incarnation(),
+                         .store_ok_ = message.store_ok(),
+                         .stopping_ = message.stopping()};
+    for (cell::v1::ShardLoad const& row : message.shards())
+    {
+        cell::shard_load shard{.shard_ = read_shard(row.shard()),
+                               .epoch_ = row.epoch(),
+                               .serving_ = row.serving()};
+        shard.load_.capacity_ = read_amounts(row.capacity());
+        shard.load_.used_ = read_amounts(row.used());
+        shard.load_.queued_ = read_amounts(row.queued());
+        for (cell::v1::QueueLoad const& entry : row.queues())
+        {
+            shard.load_.queues_.push_back(
+                {queue_id(entry.queue()), entry.waiting()});
+        }
+        beat.shards_.push_back(std::move(shard));
+    }
+    return beat;
+}
+
+cell::v1::JobCall encode_call(cell::job_call const& call, instant now)
+{
+    cell::v1::JobCall message;
+    message.set_kind(static_cast<cell::v1::CallKind>(call.kind_));
+    message.set_job(call.id_.str());
+    message.set_shard(cell::write_shard_name(call.shard_));
+    if (call.job_)
+    {
+        message.set_specification(cell::write_spec(*call.job_));
+    }
+    message.set_remaining_micros(now.remaining_until(call.deadline_));
+    return message;
+}
+
+cell::job_call decode_call(cell::v1::JobCall const& message, instant now)
+{
+    if (message.kind() < 0 || message.kind() > cell::v1::CANCEL)
+    {
+        throw peer_error("kind of a call: " + std::to_string(message.kind()));
+    }
+    auto const kind = static_cast<cell::call_kind>(message.kind());
+    std::shared_ptr<staged_job const> job;
+    if (kind == cell::call_kind::submit)
+    {
+        try
+        {
+            job = cell::read_spec(message.specification());
+        }
+        catch (cell::record_error const& error)
+        {
+            throw peer_error(error.what());
+        }
+    }
+    return {.kind_ = kind,
+            .id_ = job_id(message.job()),
+            .shard_ = read_shard(message.shard()),
+            .job_ = std::move(job),
+            .deadline_ = now.after(message.remaining_micros())};
+}
+
+cell::v1::JobAnswer encode_answer(cell::job_answer const& answer)
+{
+    cell::v1::JobAnswer message;
+    message.set_outcome(static_cast<std::uint32_t>(answer.outcome_));
+    message.set_phase(static_cast<std::uint32_t>(answer.phase_));
+    message.set_retry_after_ms(answer.retry_after_ms_);
+    return message;
+}
+
+cell::job_answer decode_answer(cell::v1::JobAnswer const& message)
+{
+    if (message.outcome() >
+            static_cast<std::uint32_t>(cell::job_outcome::uncertain) ||
+        message.phase() > static_cast<std::uint32_t>(job_phase::canceled))
+    {
+        throw peer_error("outcome of a call: " +
+                         std::to_string(message.outcome()));
+    }
+    return {.outcome_ = static_cast<cell::job_outcome>(message.outcome()),
+            .phase_ = static_cast<job_phase>(message.phase()),
+            .retry_after_ms_ = message.retry_after_ms()};
+}
+
+} // namespace fescuevane::peer
--- /dev/null
+++ b/peer/peer_link.cpp
@@ -0,0 +1,368 @@
+// Purpose: gRPC between the hosts of a cell, both ways.
+//
+// Index of sections
+//   1. Completions
+//   2. Calls that come in
+//   3. Calls that go out
+//   4. Link
+#include "peer/peer_link.hpp"
+
+#include "cell.grpc.pb.h"
+#include "cell/heartbeat.hpp"
+#include "cell/job_answer.hpp"
+#include "cell/job_call.hpp"
+#include "io/main_loop.hpp"
+#include "peer/peer_codec.hpp"
+#include "peer/peer_error.hpp"
+
+#include <grpcpp/grpcpp.h>
+#include <chrono>
+#include <map>
+#include <thread>
+#include <utility>
+
+namespace fescuevane::peer
+{
+namespace
+{
+
+using cell::v1::Cell;
+
+// A host that is back is reached again within this time.
+constexpr int reconnect_min_ms = 100;
+constexpr int reconnect_max_ms = 400;
+
+// Detects connections that went silent while no call is open.
+constexpr int keepalive_ms = 2000;
+constexpr int min_ping_ms = 1000;
+
+// Added to the deadline of a call, so that the owner's own answer comes first.
+constexpr std::int64_t call_slack_micros = 100'000;
+
+// 1. Completions
+
+// Tag of an operation; `complete` runs in the main loop.
+class completion
+{
+public:
+    virtual ~completion() = default;
+    virtual void complete(bool ok) = 0;
+};
+
+std::chrono::system_clock::time_point to_time_point(instant deadline)
+{
+    return std::chrono::system_clock::now() +
+           std::chrono::microseconds(
+               io::read_clock().remaining_until(deadline));
+}
+
+} // namespace
+
+struct peer_link::state
+{
+    peer_handlers                                handlers_;
+    Cell::AsyncService                           service_;
+    std::unique_ptr<grpc::ServerCompletionQueue> queue_;
+    std::unique_ptr<grpc::Server>                server_;
+    std::thread                                  thread_;
+    std::map<std::string, std::unique_ptr<Cell::Stub>> stubs_;
+    std::map<std::uint64_t, std::function<void(cell::job_answer const&)>>
+                          open_; // calls of other hosts that wait
+    std::uint64_t         last_call_ = 0;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+
+    Cell::Stub& find_stub(std::string const& address);
+    void        wait_for_completions();
+};
+
+// 2. Calls that come in
+
+namespace
+{
+
+class incoming_beat : public completion
+{
+public:
+    incoming_beat(Cell::AsyncService&          service,
+                  grpc::ServerCompletionQueue& queue, peer_handlers& handlers)
+        : service_(service)
+        , queue_(queue)
+        , handlers_(handlers)
+        , responder_(&context_)
+    {
+        service_.RequestBeat(&context_, &request_, &responder_, &queue_,
+                             &queue_, this);
+    }
+
+    void complete(bool ok) override
+    {
+        if (!ok || answered_)
+        {
+            delete this;
+            return;
+        }
+        answered_ = true;
+        new incoming_beat(service_, queue_, handlers_);
+        try
+        {
+            handlers_.beat_(decode_heartbeat(request_));
+            responder_.Finish(encode_heartbeat(handlers_.answer_beat_()),
+                              grpc::Status::OK, this);
+        }
+        catch (peer_error const& error)
+        {
+            responder_.FinishWithError(
+                {grpc::StatusCode::INVALID_ARGUMENT, error.what()}, this);
+        }
+    }
+
+private:
+    Cell::AsyncService&                                    service_;
+    grpc::ServerCompletionQueue&                           queue_;
+    peer_handlers&                                         handlers_;
+    grpc::ServerContext                                    context_;
+    cell::v1::Heartbeat                                    request_;
+    grpc::ServerAsyncResponseWriter<cell::v1::Heartbeat>   responder_;
+    bool                                                   answered_ = false;
+};
+
+class incoming_call : public completion
+{
+public:
+    using open_calls =
+        std::map<std::uint64_t, std::function<void(cell::job_answer const&)>>;
+
+    incoming_call(Cell::AsyncService&          service,
+                  grpc::ServerCompletionQueue& queue, peer_handlers& handlers,
+                  open_calls& open, std::uint64_t& last_call)
+        : service_(service)
+        , queue_(queue)
+        , handlers_(handlers)
+        , open_(open)
+        , last_call_(last_call)
+        , responder_(&context_)
+    {
+        service_.RequestRoute(&context_, &request_, &responder_, &queue_,
+                              &queue_, this);
+    }
+
+    void complete(bool ok) override
+    {
+        if (!ok || answered_)
+        {
+            delete this;
+            return;
+        }
+        new incoming_call(service_, queue_, handlers_, open_, last_call_);
+        answered_ = true;
+        try
+        {
+            cell::job_call const call =
+                decode_call(request_, io::read_clock());
+            std::uint64_t const id = ++last_call_;
+            open_[id] = [this](cell::job_answer const& answer)
+            {
+                responder_.Finish(encode_answer(answer), grpc::Status::OK,
+                                  this);
+            };
+            handlers_.called_(id, call);
+        }
+        catch (peer_error const& error)
+        {
+            responder_.FinishWithError(
+                {grpc::StatusCode::INVALID_ARGUMENT, error.what()}, this);
+        }
+    }
+
+private:
+    Cell::AsyncService&                                  service_;
+    grpc::ServerCompletionQueue&                         queue_;
+    peer_handlers&                                       handlers_;
+    open_calls&                                          open_;
+    std::uint64_t&                                       last_call_;
+    grpc::ServerContext                                  context_;
+    cell::v1::JobCall                                    request_;
+    grpc::ServerAsyncResponseWriter<cell::v1::JobAnswer> responder_;
+    bool                                                 answered_ = false;
+};
+
+// 3. Calls that go out
+
+template <typename Reply>
+class outgoing : public completion
+{
+public:
+    using done_function = std::function<void(grpc::Status const&, Reply const&)>;
+
+    outgoing(instant deadline, done_function done) : done_(std::move(done))
+    {
+        context_.set_deadline(to_time_point(deadline));
+    }
+
+    grpc::ClientContext& context() { return context_; }
+
+    void read(std::unique_ptr<grpc::ClientAsyncResponseReader<Reply>> reader)
+    {
+        reader_ = std::move(reader);
+        reader_->Finish(&reply_, &status_, this);
+    }
+
+    void complete(bool /*ok*/) override
+    {
+        done_(status_, reply_);
+        delete this;
+    }
+
+private:
+    grpc::ClientContext                                     context_;
+    Reply                                                   reply_;
+    grpc::Status                                            status_;
+    std::unique_ptr<grpc::ClientAsyncResponseReader<Reply>> reader_;
+    done_function                                           done_;
+};
+
+} // namespace
+
+Cell::Stub& peer_link::state::find_stub(std::string const& address)
+{
+    std::unique_ptr<Cell::Stub>& stub = stubs_[address];
+    if (stub == nullptr)
+    {
+        grpc::ChannelArguments arguments;
+        arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+        arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+        arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS,
+                         reconnect_min_ms);
+        arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, reconnect_min_ms);
+        arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, reconnect_max_ms);
+        arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, keepalive_ms);
+        arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, keepalive_ms / 2);
+        arguments.SetInt(GRPC_ARG_KEEPALIVE_PERMIT_WITHOUT_CALLS, 1);
+        arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
+        stub = Cell::NewStub(grpc::CreateCustomChannel(
+            address, grpc::InsecureChannelCredentials(), arguments));
+    }
+    return *stub;
+}
+
+void peer_link::state::wait_for_completions()
+{
+    void* tag = nullptr;
+    bool  ok = false;
+    while (queue_->Next(&tag, &ok))
+    {
+        auto* const done = static_cast<completion*>(tag);
+        io::run_in_main_loop(
+            [done, ok, alive = alive_]
+            {
+                if (*alive)
+                {
+                    done->complete(ok);
+                }
+            });
+    }
+}
+
+// 4. Link
+
+peer_link::peer_link(std::string const& address, peer_handlers handlers)
+    : state_(std::make_unique<state>())
+{
+    state_->handlers_ = std::move(handlers);
+    grpc::ServerBuilder builder;
+    int                 port = 0;
+    builder.AddListeningPort(address, grpc::InsecureServerCredentials(), &port);
+    builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+    builder.AddChannelArgument(
+        GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, min_ping_ms);
+    builder.RegisterService(&state_->service_);
+    state_->queue_ = builder.AddCompletionQueue();
+    state_->server_ = builder.BuildAndStart();
+    if (state_->server_ == nullptr || port == 0)
+    {
+        throw peer_error("can't listen on " + address);
+    }
+    new incoming_beat(state_->service_, *state_->queue_, state_->handlers_);
+    new incoming_call(state_->service_, *state_->queue_, state_->handlers_,
+                      state_->open_, state_->last_call_);
+    state_->thread_ = std::thread(
+        [own = state_.get()]
+        {
+            own->wait_for_completions();
+        });
+}
+
+// Completions that are still queued in the main loop are dropped; the process
+// is about to leave.
+peer_link::~peer_link()
+{
+    *state_->alive_ = false;
+    state_->server_->Shutdown(std::chrono::system_clock::now());
+    state_->queue_->Shutdown();
+    state_->thread_.join();
+}
+
+void peer_link::beat(std::string const& address, cell::heartbeat const& beat,
+                     instant deadline)
+{
+    auto* const call = new outgoing<cell::v1::Heartbeat>(
+        deadline,
+        [this](grpc::Status const& status, cell::v1::Heartbeat const& reply)
+        {
+            if (!status.ok())
+            {
+                return; // silence is what the node notices
+            }
+            try
+            {
+                state_->handlers_.beat_(decode_heartbeat(reply));
+            }
+            catch (peer_error const&)
+            {
+                // A host with another version of the messages counts as
+                // silent.
+            }
+        });
+    call->read(state_->find_stub(address).AsyncBeat(
+        &call->context(), encode_heartbeat(beat), state_->queue_.get()));
+}
+
+void peer_link::call(std::uint64_t request, std::string const& address,
+                     cell::job_call const& call)
+{
+    auto* const out = new outgoing<cell::v1::JobAnswer>(
+        call.deadline_.after(call_slack_micros),
+        [this, request](grpc::Status const&         status,
+                        cell::v1::JobAnswer const& reply)
+        {
+            cell::job_answer answer{.outcome_ = cell::job_outcome::uncertain};
+            try
+            {
+                if (status.ok())
+                {
+                    answer = decode_answer(reply);
+                }
+            }
+            catch (peer_error const&)
+            {
+                // stays uncertain
+            }
+            state_->handlers_.replied_(request, answer);
+        });
+    out->read(state_->find_stub(address).AsyncRoute(
+        &out->context(), encode_call(call, io::read_clock()),
+        state_->queue_.get()));
+}
+
+void peer_link::reply(std::uint64_t call, cell::job_answer const& answer)
+{
+    auto const open = state_->open_.find(call);
+    if (open != state_->open_.end())
+    {
+        auto const finish = std::move(open->second);
+        state_->open_.erase(open);
+        finish(answer);
+    }
+}
+
+} // namespace fescuevane::peer
--- /dev/null
+++ b/plan/apply_events.cpp
@@ -0,0 +1,345 @@
+// Purpose: system: moves posted events into the tables.
+//
+// Index of sections
+//   1. Configuration
+//   2. Targets
+//   3. Jobs
+//   4. Runs
+//   5. Advice
+#include "core/job_progress.hpp"
+#include "plan/job_flow.hpp"
+#include "plan/planner.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace fescuevane::plan
+{
+namespace
+{
+
+// Jobs that an organisation may submit at once before its rate counts.
+constexpr double credit_seconds = 3;
+constexpr double credit_floor = 3;
+
+// 1. Configuration
+
+void apply(planner& context, queues_set const& input)
+{
+    for (queue_policy const& queue : input.queues_)
+    {
+        context.queues_.ensure(queue.id_) = queue;
+    }
+    context.place_needed_ = true;
+}
+
+void apply(planner& context, organisations_set const& input)
+{
+    for (organisation_row& row : context.organisations_)
+    {
+        row.weight_ = 0;
+    }
+    for (organisation_share const& share : input.organisations_)
+    {
+        organisation_row& row = context.organisations_.ensure(share.id_);
+        row.weight_ = share.weight_;
+        row.limit_ = share.limit_;
+    }
+    context.place_needed_ = true;
+}
+
+void apply(planner& context, domain_set const& input)
+{
+    context.in_service_ = input.in_service_;
+    context.place_needed_ = true;
+}
+
+// 2. Targets
+
+void apply(planner& context, target_set const& input)
+{
+    bool const  is_new = !context.targets_.contains(input.id_);
+    target_row& row = context.targets_.ensure(input.id_);
+    if (is_new)
+    {
+        // Runs of a target that was gone may still be charged elsewhere.
+        row = target_row();
+    }
+    row.service_ = input.service_;
+    row.rack_ = input.rack_;
+    row.labels_ = input.labels_;
+    row.capacity_ = input.capacity_;
+    row.phase_ = input.phase_;
+    context.place_needed_ = true;
+}
+
+void apply(planner& context, target_gone const& input)
+{
+    std::vector<run_key> runs;
+    for (std::size_t row = 0; row < context.runs_.size(); ++row)
+    {
+        if (context.runs_[row].target_ == input.id_)
+        {
+            runs.push_back(context.runs_.key(row));
+        }
+    }
+    for (run_key const& run : runs)
+    {
+        end_run(context, run, input.id_, run_end::lost, "");
+    }
+    context.targets_.remove(input.id_);
+    context.place_needed_ = true;
+}
+
+// 3. Jobs
+
+// An organisation's jobs beyond its weight, in jobs a second, step behind
+// everything else, so that a flood slows the flooding organisation only.
+bool exceeds_rate(planner& context, organisation_id const& id)
+{
+    organisation_row& row = context.organisations_.ensure(id);
+    if (row.weight_ <= 0)
+    {
+        return false;
+    }
+    double const seconds =
+        static_cast<double>(row.credit_at_.remaining_until(context.now_)) /
+        micros_per_second;
+    row.credit_at_ = context.now_;
+    row.credit_ = std::min(row.credit_ + seconds * row.weight_,
+                           credit_floor + credit_seconds * row.weight_);
+    if (row.credit_ < 1)
+    {
+        return true;
+    }
+    row.credit_ -= 1;
+    return false;
+}
+
+void apply(planner& context, job_added const& input)
+{
+    if (context.jobs_.contains(input.job_->id_))
+    {
+        return;
+    }
+    job_row job;
+    job.spec_ = input.job_;
+    job.phase_ = input.progress_.phase_;
+    job.accepted_at_ = input.accepted_at_;
+    job.recovered_ = input.recovered_;
+    job.excess_ = !input.recovered_ &&
+                  exceeds_rate(context, input.job_->organisation_);
+    for (task_progress const& task : input.progress_.tasks_)
+    {
+        job.closed_[{task.occurrence_, task.step_}].push_back(task);
+    }
+    bool const open = !is_final(job.phase_);
+    bool const timed = input.job_->repeat_count_ > 0;
+    context.jobs_.ensure(input.job_->id_) = std::move(job);
+    if (open && !timed)
+    {
+        open_occurrence(context, input.job_->id_);
+    }
+    if (open && timed)
+    {
+        context.timed_.insert(input.job_->id_);
+    }
+    context.place_needed_ = true;
+}
+
+void apply(planner& context, job_canceled const& input)
+{
+    if (context.jobs_.contains(input.id_))
+    {
+        close_job(context, input.id_, job_phase::canceled);
+    }
+}
+
+void apply(planner& context, job_dropped const& input)
+{
+    job_row* const job = context.jobs_.find(input.id_);
+    if (job == nullptr)
+    {
+        return;
+    }
+    if (!is_final(job->phase_))
+    {
+        close_job(context, input.id_, job_phase::canceled);
+    }
+    context.jobs_.remove(input.id_);
+}
+
+// 4. Runs
+
+void apply(planner& context, run_confirmed const& input)
+{
+    run_row* const run = context.runs_.find(input.run_);
+    if (run != nullptr && run->target_ == input.target_ &&
+        run->phase_ == run_phase::starting)
+    {
+        run->phase_ = run_phase::running;
+        run->started_at_ = context.now_;
+        run->progressed_at_ = context.now_;
+    }
+}
+
+void apply(planner& context, run_refused const& input)
+{
+    if (target_row* const target = context.targets_.find(input.target_))
+    {
+        if (input.reason_ == refusal::room ||
+            input.reason_ == refusal::unhealthy)
+        {
+            target->paused_until_ =
+                context.now_.after(context.settings_.refusal_pause_micros_);
+        }
+    }
+    if (stage_row* const stage = context.stages_.find(input.run_.stage_))
+    {
+        if (input.reason_ == refusal::ticket)
+        {
+            auto const ticket = stage->tickets_.find(input.target_);
+            if (ticket != stage->tickets_.end())
+            {
+                ticket->second.valid_until_ = instant();
+            }
+        }
+        if (input.run_.index_ < stage->tasks_.size())
+        {
+            stage->tasks_[input.run_.index_].ready_at_ =
+                context.now_.after(context.settings_.refusal_pause_micros_);
+        }
+    }
+    forget_run(context, input.run_);
+}
+
+void apply(planner& context, run_ended const& input)
+{
+    end_run(context, input.run_, input.target_, input.end_,
+            input.checkpoint_);
+}
+
+// A report of a run that no open stage knows: of a job that has ended, or is
+// not this shard's. It must not go on.
+void reject_run(planner& context, run_seen const& input)
+{
+    if (target_row* const target = context.targets_.find(input.target_))
+    {
+        target->foreign_.insert(input.run_);
+    }
+    context.outbox_.push_back(stop_run{input.run_, input.target_});
+}
+
+bool belongs_to_stage(planner const& context, run_seen const& input)
+{
+    stage_row const* const stage = context.stages_.find(input.run_.stage_);
+    if (stage == nullptr || input.run_.index_ >= stage->tasks_.size())
+    {
+        return false;
+    }
+    task_cell const& task = stage->tasks_[input.run_.index_];
+    bool const       copies =
+        find_step(context, input.run_.stage_).speculative_;
+    return !task.done_ && (task.runs_ == 0 || copies);
+}
+
+void note_progress(planner& context, run_row& run, run_seen const& input)
+{
+    if (run.phase_ == run_phase::starting)
+    {
+        run.phase_ = run_phase::running;
+        run.started_at_ = context.now_;
+        run.progressed_at_ = context.now_;
+    }
+    if (run.first_percent_ < 0)
+    {
+        run.first_percent_ = input.percent_;
+    }
+    if (input.percent_ > run.percent_)
+    {
+        run.percent_ = input.percent_;
+        run.progressed_at_ = context.now_;
+    }
+    run.load_ = input.load_;
+}
+
+void apply(planner& context, run_seen const& input)
+{
+    run_row* run = context.runs_.find(input.run_);
+    if (run != nullptr && run->target_ != input.target_)
+    {
+        reject_run(context, input);
+        return;
+    }
+    if (run == nullptr)
+    {
+        if (!belongs_to_stage(context, input))
+        {
+            reject_run(context, input);
+            return;
+        }
+        adopt_run(context, input.run_, input.target_, input.percent_);
+        run = context.runs_.find(input.run_);
+    }
+    note_progress(context, *run, input);
+    stage_row* const stage = context.stages_.find(input.run_.stage_);
+    if (stage != nullptr && !input.checkpoint_.empty())
+    {
+        stage->tasks_[input.run_.index_].checkpoint_ = input.checkpoint_;
+    }
+}
+
+// 5. Advice
+
+void apply(planner& context, advice_given const& input)
+{
+    stage_row* const stage = context.stages_.find(input.stage_);
+    if (stage == nullptr || !stage->asked_)
+    {
+        return;
+    }
+    stage->asked_ = false;
+    --context.open_questions_;
+    for (target_id const& target : input.asked_)
+    {
+        stage->tickets_[target] = ticket_cell();
+    }
+    for (target_ticket const& good : input.good_)
+    {
+        stage->tickets_[good.target_] = {true, good.ticket_,
+                                         input.valid_until_};
+    }
+    context.place_needed_ = true;
+}
+
+void apply(planner& context, advice_failed const& input)
+{
+    stage_row* const stage = context.stages_.find(input.stage_);
+    if (stage == nullptr || !stage->asked_)
+    {
+        return;
+    }
+    stage->asked_ = false;
+    --context.open_questions_;
+    stage->ask_after_ =
+        context.now_.after(context.settings_.advice_retry_micros_);
+}
+
+} // namespace
+
+void apply_events(planner& context)
+{
+    std::vector<event> inbox;
+    inbox.swap(context.inbox_);
+    for (event const& input : inbox)
+    {
+        std::visit(
+            [&context](auto const& value)
+            {
+                apply(context, value);
+            },
+            input);
+    }
+}
+
+} // namespace fescuevane::plan
--- /dev/null
+++ b/plan/command.hpp
@@ -0,0 +1,21 @@
+// Purpose: what a planner orders.
+#ifndef FESCUEVANE_PLAN_COMMAND_HPP
+#define FESCUEVANE_PLAN_COMMAND_HPP
+
+#include "plan/ask_advice.hpp"
+#include "plan/job_changed.hpp"
+#include "plan/note.hpp"
+#include "plan/pace_run.hpp"
+#include "plan/start_run.hpp"
+#include "plan/stop_run.hpp"
+
+#include <variant>
+
+namespace fescuevane::plan
+{
+
+using command = std::variant<start_run, stop_run, pace_run, ask_advice, job_changed, note>;
+
+} // namespace fescuevane::plan
+
+#endif
--- /dev/null
+++ b/plan/event.hpp
@@ -0,0 +1,29 @@
+// Purpose: what a planner is told.
+#ifndef FESCUEVANE_PLAN_EVENT_HPP
+#define FESCUEVANE_PLAN_EVENT_HPP
+
+#include "plan/advice_failed.hpp"
+#include "plan/advice_given.hpp"
+#include "plan/domain_set.hpp"
+#include "plan/job_added.hpp"
+#include "plan/job_canceled.hpp"
+#include "plan/job_dropped.hpp"
+#include "plan/organisations_set.hpp"
+#include "plan/queues_set.hpp"
+#include "plan/run_confirmed.hpp"
+#include "plan/run_ended.hpp"
+#include "plan/run_refused.hpp"
+#include "plan/run_seen.hpp"
+#include "plan/target_gone.hpp"
+#include "plan/target_set.hpp"
+
+#include <variant>
+
+namespace fescuevane::plan
+{
+
+using event = std::variant<queues_set, organisations_set, target_set, target_gone, domain_set, job_added, job_canceled, job_dropped, run_confirmed, run_refused, run_ended, run_seen, advice_given, advice_failed>;
+
+} // namespace fescuevane::plan
+
+#endif
--- /dev/null
+++ b/plan/job_flow.cpp
@@ -0,0 +1,577 @@
+// Purpose: changes of state of jobs, stages and runs.
+//
+// Index of sections
+//   1. Jobs and stages
+//   2. Runs
+//   3. Ends of runs
+//   4. Estimates and strikes
+#include "plan/job_flow.hpp"
+
+#include "plan/planner.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace fescuevane::plan
+{
+namespace
+{
+
+// Declared estimates of zero still need a time to order work by.
+constexpr double default_run_ms = 1000;
+
+// Weight of the newest sample of a run time.
+constexpr double newest_weight = 0.3;
+
+// A target's learnt speed stays in this range, so that a single odd sample
+// can't rule it out.
+constexpr double min_speed = 0.1;
+constexpr double max_speed = 4;
+
+// Share of targets that may be on probation at once: beyond it, jobs rather
+// than targets are at fault.
+constexpr std::size_t probation_divisor = 3;
+
+void log_note(planner& context, std::string what, run_key const& run,
+              target_id const& target, std::string why)
+{
+    context.outbox_.push_back(
+        note{std::move(what), run, target, std::move(why)});
+}
+
+} // namespace
+
+// 1. Jobs and stages
+
+std::uint32_t count_occurrences(job_row const& job)
+{
+    return std::max<std::uint32_t>(1, job.spec_->repeat_count_);
+}
+
+step_spec const& find_step(planner const& context, stage_key const& key)
+{
+    return context.jobs_.find(key.job_)->spec_->steps_[key.step_];
+}
+
+void append_stage_progress(stage_key const& key, stage_row const& stage,
+                           std::vector<task_progress>& output)
+{
+    for (std::uint32_t index = 0; index < stage.tasks_.size(); ++index)
+    {
+        task_cell const& task = stage.tasks_[index];
+        auto const&      failed =
+            stage.gang_failures_.empty() || index != 0 ? task.failed_runs_
+                                                            : stage.gang_failures_;
+        if (task.done_ || !failed.empty() || !task.checkpoint_.empty())
+        {
+            output.push_back({.occurrence_ = key.occurrence_,
+                              .step_ = key.step_,
+                              .index_ = index,
+                              .done_ = task.done_,
+                              .last_run_ = task.last_run_,
+                              .failed_runs_ = failed,
+                              .checkpoint_ =
+                                  task.done_ ? "" : task.checkpoint_});
+        }
+    }
+}
+
+void open_occurrence(planner& context, job_id const& id)
+{
+    job_row*            job = context.jobs_.find(id);
+    std::uint32_t const occurrence = job->next_occurrence_++;
+    for (std::uint32_t step = 0; step < job->spec_->steps_.size(); ++step)
+    {
+        step_spec const& spec = job->spec_->steps_[step];
+        stage_row        stage;
+        stage.tasks_.resize(spec.count_);
+        for (task_cell& task : stage.tasks_)
+        {
+            task.last_run_ = context.settings_.run_base_;
+        }
+        auto const stored = job->closed_.find({occurrence, step});
+        if (stored != job->closed_.end())
+        {
+            for (task_progress const& known : stored->second)
+            {
+                if (known.index_ >= spec.count_)
+                {
+                    continue;
+                }
+                task_cell& task = stage.tasks_[known.index_];
+                task.done_ = known.done_;
+                task.last_run_ = std::max(task.last_run_, known.last_run_);
+                task.checkpoint_ = known.checkpoint_;
+                (spec.gang_ ? stage.gang_failures_ : task.failed_runs_) =
+                    known.failed_runs_;
+                stage.done_ += known.done_ ? 1 : 0;
+            }
+        }
+        if (stage.done_ == spec.count_)
+        {
+            continue; // stays in `closed_`
+        }
+        job->closed_.erase({occurrence, step});
+        context.stages_.ensure({id, occurrence, step}) = std::move(stage);
+        ++job->open_stages_;
+    }
+    start_successors(context, id);
+}
+
+void start_successors(planner& context, job_id const& id)
+{
+    job_row const& job = *context.jobs_.find(id);
+    for (std::uint32_t occurrence = 0; occurrence < job.next_occurrence_;
+         ++occurrence)
+    {
+        for (std::uint32_t step = 0; step < job.spec_->steps_.size(); ++step)
+        {
+            stage_row* const stage =
+                context.stages_.find({id, occurrence, step});
+            if (stage == nullptr || stage->startable_)
+            {
+                continue;
+            }
+            auto const& after = job.spec_->steps_[step].after_;
+            stage->startable_ =
+                std::none_of(after.begin(), after.end(),
+                             [&](std::uint32_t before)
+                             {
+                                 return context.stages_.contains(
+                                     {id, occurrence, before});
+                             });
+        }
+    }
+    context.place_needed_ = true;
+}
+
+namespace
+{
+
+// A job is complete when every occurrence was opened and no stage is open.
+void finish_job_if_complete(planner& context, job_id const& id)
+{
+    job_row& job = *context.jobs_.find(id);
+    if (job.open_stages_ == 0 &&
+        job.next_occurrence_ == count_occurrences(job))
+    {
+        close_job(context, id, job_phase::completed);
+    }
+}
+
+void close_stage(planner& context, stage_key const& key)
+{
+    job_row&                   job = *context.jobs_.find(key.job_);
+    std::vector<task_progress> tasks;
+    append_stage_progress(key, *context.stages_.find(key), tasks);
+    job.closed_[{key.occurrence_, key.step_}] = std::move(tasks);
+    if (context.stages_.find(key)->asked_)
+    {
+        --context.open_questions_;
+    }
+    context.stages_.remove(key);
+    --job.open_stages_;
+    start_successors(context, key.job_);
+    finish_job_if_complete(context, key.job_);
+}
+
+std::vector<run_key> list_runs(planner const& context, job_id const& job)
+{
+    std::vector<run_key> runs;
+    for (run_key const& key : context.runs_.keys())
+    {
+        if (key.stage_.job_ == job)
+        {
+            runs.push_back(key);
+        }
+    }
+    return runs;
+}
+
+} // namespace
+
+void close_job(planner& context, job_id const& id, job_phase phase)
+{
+    job_row& job = *context.jobs_.find(id);
+    if (is_final(job.phase_))
+    {
+        return;
+    }
+    job.phase_ = phase;
+    for (std::uint32_t occurrence = 0; occurrence < job.next_occurrence_;
+         ++occurrence)
+    {
+        for (std::uint32_t step = 0; step < job.spec_->steps_.size(); ++step)
+        {
+            stage_key const        key{id, occurrence, step};
+            stage_row const* const stage = context.stages_.find(key);
+            if (stage != nullptr && stage->asked_)
+            {
+                --context.open_questions_;
+            }
+            context.stages_.remove(key);
+        }
+    }
+    job.open_stages_ = 0;
+    job.closed_.clear();
+    for (run_key const& run : list_runs(context, id))
+    {
+        order_stop(context, run, "job ended");
+    }
+    context.outbox_.push_back(job_changed{id});
+    context.place_needed_ = true;
+}
+
+// 2. Runs
+
+namespace
+{
+
+// What a target's capacity is charged: fillers use processors that the others
+// leave, but their memory is theirs.
+resources charge_of(run_row const& run)
+{
+    return run.filler_ ? resources(0, run.demand_.memory_mib(),
+                                   run.demand_.accelerators())
+                       : run.demand_;
+}
+
+void charge_run(planner& context, run_row const& run, int sign)
+{
+    if (target_row* const target = context.targets_.find(run.target_))
+    {
+        target->used_ = target->used_ + charge_of(run) * sign;
+        target->serving_ += run.latency_target_ms_ > 0 ? sign : 0;
+        target->fillers_ += run.filler_ ? sign : 0;
+    }
+    organisation_row& owner = context.organisations_.ensure(run.organisation_);
+    owner.used_ = owner.used_ + run.demand_ * sign;
+}
+
+run_row& append_run(planner& context, run_key const& key,
+                    target_id const& target)
+{
+    job_row&         job = *context.jobs_.find(key.stage_.job_);
+    step_spec const& step = job.spec_->steps_[key.stage_.step_];
+    stage_row&       stage = *context.stages_.find(key.stage_);
+    task_cell&       task = stage.tasks_[key.index_];
+    run_row&         run = context.runs_.ensure(key);
+    run = run_row{.target_ = target,
+                  .organisation_ = job.spec_->organisation_,
+                  .demand_ = step.demand_,
+                  .filler_ = step.filler_,
+                  .latency_target_ms_ = step.latency_target_ms_,
+                  .image_ = image_of(job, step),
+                  .started_at_ = context.now_,
+                  .progressed_at_ = context.now_};
+    charge_run(context, run, 1);
+    ++task.runs_;
+    task.last_run_ = std::max(task.last_run_, key.run_);
+    if (step.gang_)
+    {
+        stage.gang_run_ = std::max(stage.gang_run_, key.run_);
+    }
+    ++job.runs_;
+    if (job.phase_ == job_phase::pending)
+    {
+        job.phase_ = job_phase::running;
+    }
+    return run;
+}
+
+// Takes the row of a run out of the tables. False when there was none.
+bool remove_run(planner& context, run_key const& key)
+{
+    run_row const* const run = context.runs_.find(key);
+    if (run == nullptr)
+    {
+        return false;
+    }
+    charge_run(context, *run, -1);
+    context.runs_.remove(key);
+    if (job_row* const job = context.jobs_.find(key.stage_.job_))
+    {
+        --job->runs_;
+    }
+    if (stage_row* const stage = context.stages_.find(key.stage_))
+    {
+        --stage->tasks_[key.index_].runs_;
+    }
+    context.place_needed_ = true;
+    return true;
+}
+
+void stop_stage_runs(planner& context, stage_key const& stage,
+                     char const* why)
+{
+    for (run_key const& run : list_runs(context, stage.job_))
+    {
+        if (run.stage_ == stage)
+        {
+            order_stop(context, run, why);
+        }
+    }
+}
+
+} // namespace
+
+void begin_run(planner& context, run_key const& key, target_id const& target,
+               std::string const& ticket)
+{
+    append_run(context, key, target);
+    job_row const&   job = *context.jobs_.find(key.stage_.job_);
+    task_cell const& task =
+        context.stages_.find(key.stage_)->tasks_[key.index_];
+    context.outbox_.push_back(start_run{.run_ = key,
+                                        .target_ = target,
+                                        .job_ = job.spec_,
+                                        .checkpoint_ = task.checkpoint_,
+                                        .ticket_ = ticket});
+}
+
+void adopt_run(planner& context, run_key const& key, target_id const& target,
+               std::int32_t percent)
+{
+    run_row& run = append_run(context, key, target);
+    run.phase_ = run_phase::running;
+    run.first_percent_ = percent;
+    run.percent_ = percent;
+}
+
+void order_stop(planner& context, run_key const& key, char const* why)
+{
+    run_row* const run = context.runs_.find(key);
+    if (run == nullptr || run->phase_ == run_phase::stopping)
+    {
+        return;
+    }
+    run->phase_ = run_phase::stopping;
+    context.outbox_.push_back(stop_run{key, run->target_});
+    log_note(context, "stop", key, run->target_, why);
+}
+
+void forget_run(planner& context, run_key const& key)
+{
+    if (!remove_run(context, key))
+    {
+        return;
+    }
+    job_row const* const job = context.jobs_.find(key.stage_.job_);
+    if (job != nullptr && context.stages_.contains(key.stage_) &&
+        find_step(context, key.stage_).gang_)
+    {
+        stop_stage_runs(context, key.stage_, "gang incomplete");
+    }
+}
+
+// 3. Ends of runs
+
+namespace
+{
+
+// What an end of a run does to an open stage; in the order of `run_end`.
+struct end_context
+{
+    run_key const&   key_;
+    step_spec const& step_;
+    target_id const& target_;
+};
+
+void mark_done(planner& context, end_context const& at)
+{
+    stage_row& stage = *context.stages_.find(at.key_.stage_);
+    if (at.step_.perpetual_)
+    {
+        return; // started again
+    }
+    if (at.step_.gang_)
+    {
+        for (task_cell& task : stage.tasks_)
+        {
+            task.done_ = true;
+        }
+        stage.done_ = at.step_.count_;
+    }
+    else
+    {
+        task_cell& task = stage.tasks_[at.key_.index_];
+        if (task.done_)
+        {
+            return;
+        }
+        task.done_ = true;
+        ++stage.done_;
+        for (run_key const& run : list_runs(context, at.key_.stage_.job_))
+        {
+            if (run.stage_ == at.key_.stage_ && run.index_ == at.key_.index_)
+            {
+                order_stop(context, run, "a copy is done");
+            }
+        }
+    }
+    context.outbox_.push_back(job_changed{at.key_.stage_.job_});
+    if (stage.done_ == at.step_.count_)
+    {
+        close_stage(context, at.key_.stage_);
+    }
+}
+
+void mark_failed(planner& context, end_context const& at)
+{
+    stage_row& stage = *context.stages_.find(at.key_.stage_);
+    task_cell& task = stage.tasks_[at.key_.index_];
+    auto&      failed =
+        at.step_.gang_ ? stage.gang_failures_ : task.failed_runs_;
+    strike_target(context, at.target_, at.key_.stage_.job_);
+    task.failed_on_ = at.target_;
+    if (std::find(failed.begin(), failed.end(), at.key_.run_) != failed.end())
+    {
+        return;
+    }
+    failed.push_back(at.key_.run_);
+    context.outbox_.push_back(job_changed{at.key_.stage_.job_});
+    job_row const&            job = *context.jobs_.find(at.key_.stage_.job_);
+    queue_policy const* const queue =
+        context.queues_.find(job.spec_->queue_);
+    std::uint32_t const attempts =
+        queue == nullptr ? 1 : std::max<std::uint32_t>(1, queue->max_attempts_);
+    if (!at.step_.perpetual_ && !task.done_ && failed.size() >= attempts)
+    {
+        log_note(context, "give up", at.key_, at.target_,
+                 std::to_string(failed.size()) + " runs failed");
+        close_job(context, at.key_.stage_.job_, job_phase::failed);
+    }
+}
+
+void mark_interrupted(planner& /*context*/, end_context const& /*at*/) {}
+
+constexpr std::array<void (*)(planner&, end_context const&), 7> end_effects = {
+    &mark_done,        &mark_failed,      &mark_interrupted, &mark_interrupted,
+    &mark_interrupted, &mark_interrupted, &mark_interrupted};
+
+void learn_run_time(planner& context, run_row const& run,
+                    step_spec const& step)
+{
+    bool const whole = run.first_percent_ <= 0 && step.estimate_ms_ > 0;
+    if (!whole || step.perpetual_ || run.filler_)
+    {
+        return;
+    }
+    double const ran_ms = static_cast<double>(run.started_at_.remaining_until(
+                              context.now_)) /
+                          micros_per_milli;
+    double const factor = ran_ms / static_cast<double>(step.estimate_ms_);
+    image_row&   image = context.images_.ensure(run.image_);
+    if (image.samples_ >= 3)
+    {
+        if (target_row* const target = context.targets_.find(run.target_))
+        {
+            double const speed =
+                std::clamp(image.factor_ / std::max(factor, 0.01), min_speed,
+                           max_speed);
+            target->speed_ += newest_weight * (speed - target->speed_);
+        }
+    }
+    double const weight =
+        std::max(newest_weight, 1 / (image.samples_ + 1));
+    image.factor_ += weight * (factor - image.factor_);
+    image.samples_ += 1;
+}
+
+} // namespace
+
+void end_run(planner& context, run_key const& key, target_id const& target,
+             run_end end, std::string const& checkpoint)
+{
+    if (target_row* const row = context.targets_.find(target))
+    {
+        row->foreign_.erase(key);
+        if (end == run_end::done)
+        {
+            row->strikes_.clear();
+        }
+    }
+    run_row const* const run = context.runs_.find(key);
+    if (run != nullptr && run->target_ != target)
+    {
+        return;
+    }
+    job_row const* const   job = context.jobs_.find(key.stage_.job_);
+    stage_row const* const open = context.stages_.find(key.stage_);
+    bool const             known = job != nullptr && open != nullptr &&
+                       key.index_ < open->tasks_.size();
+    if (known && run != nullptr && end == run_end::done)
+    {
+        learn_run_time(context, *run, find_step(context, key.stage_));
+    }
+    remove_run(context, key);
+    if (!known || is_final(job->phase_))
+    {
+        return;
+    }
+    step_spec const& step = find_step(context, key.stage_);
+    stage_row&       stage = *context.stages_.find(key.stage_);
+    if (!checkpoint.empty())
+    {
+        for (std::uint32_t index = 0; index < stage.tasks_.size(); ++index)
+        {
+            if (step.gang_ || index == key.index_)
+            {
+                stage.tasks_[index].checkpoint_ = checkpoint;
+            }
+        }
+    }
+    stage.tasks_[key.index_].last_run_ =
+        std::max(stage.tasks_[key.index_].last_run_, key.run_);
+    if (step.gang_ && end != run_end::done)
+    {
+        stop_stage_runs(context, key.stage_, "gang broken");
+    }
+    end_effects.at(static_cast<std::size_t>(end))(context,
+                                                  {key, step, target});
+    context.place_needed_ = true;
+}
+
+// 4. Estimates and strikes
+
+std::string image_of(job_row const& job, step_spec const& step)
+{
+    return step.image_.empty() ? job.spec_->queue_.str() : step.image_;
+}
+
+double expect_run_ms(planner const& context, job_row const& job,
+                     step_spec const& step)
+{
+    double const declared = step.estimate_ms_ > 0
+                                ? static_cast<double>(step.estimate_ms_)
+                                : default_run_ms;
+    image_row const* const image = context.images_.find(image_of(job, step));
+    return image == nullptr ? declared : declared * image->factor_;
+}
+
+void strike_target(planner& context, target_id const& id, job_id const& job)
+{
+    target_row* const target = context.targets_.find(id);
+    if (target == nullptr)
+    {
+        return;
+    }
+    target->strikes_.insert(job);
+    auto const held = static_cast<std::size_t>(
+        std::count_if(context.targets_.begin(), context.targets_.end(),
+                      [&](target_row const& row)
+                      {
+                          return row.probation_until_ > context.now_;
+                      }));
+    if (target->strikes_.size() >= context.settings_.strikes_ &&
+        held < context.targets_.size() / probation_divisor)
+    {
+        target->probation_until_ =
+            context.now_.after(context.settings_.probation_micros_);
+        log_note(context, "probation", {{job, 0, 0}, 0, 0}, id,
+                 std::to_string(target->strikes_.size()) +
+                     " jobs failed there without a success");
+    }
+}
+
+} // namespace fescuevane::plan
--- /dev/null
+++ b/plan/job_flow.hpp
@@ -0,0 +1,78 @@
+// Purpose: changes of state of jobs, stages and runs. Internal to the package.
+#ifndef FESCUEVANE_PLAN_JOB_FLOW_HPP
+#define FESCUEVANE_PLAN_JOB_FLOW_HPP
+
+#include "core/ids.hpp"
+#include "core/job_phase.hpp"
+#include "core/run_end.hpp"
+#include "core/run_key.hpp"
+#include "core/step_spec.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace fescuevane
+{
+struct task_progress;
+} // namespace fescuevane
+
+namespace fescuevane::plan
+{
+
+struct job_row;
+struct planner;
+struct run_row;
+struct stage_row;
+
+// Occurrences of a job, at least one.
+std::uint32_t count_occurrences(job_row const& job);
+
+// The step of an open stage; its job must have a row.
+step_spec const& find_step(planner const& context, stage_key const& key);
+
+// Appends the tasks of a stage that have something to tell.
+void append_stage_progress(stage_key const& key, stage_row const& stage,
+                           std::vector<task_progress>& output);
+
+// Opens the stages of the next occurrence of a job.
+void open_occurrence(planner& context, job_id const& job);
+
+// Marks stages whose predecessors have ended as startable.
+void start_successors(planner& context, job_id const& job);
+
+// Orders a run and charges it to target and organisation.
+void begin_run(planner& context, run_key const& run, target_id const& target,
+               std::string const& ticket);
+
+// Charges a run that a target reported, after a change of owner.
+void adopt_run(planner& context, run_key const& run, target_id const& target,
+               std::int32_t percent);
+
+// Orders the stop of a run that isn't stopping yet.
+void order_stop(planner& context, run_key const& run, char const* why);
+
+// Removes a run and applies its end to task, stage and job.
+void end_run(planner& context, run_key const& run, target_id const& target,
+             run_end end, std::string const& checkpoint);
+
+// Removes a run without an end: nothing of it has happened.
+void forget_run(planner& context, run_key const& run);
+
+// Ends a job: its stages are dropped, its runs are stopped.
+void close_job(planner& context, job_id const& job, job_phase phase);
+
+// Counts a failure or a stall against a target.
+void strike_target(planner& context, target_id const& target,
+                   job_id const& job);
+
+// Expected run time of one task in milliseconds, learnt where possible.
+double expect_run_ms(planner const& context, job_row const& job,
+                     step_spec const& step);
+
+// Name under which run times of a step are learnt.
+std::string image_of(job_row const& job, step_spec const& step);
+
+} // namespace fescuevane::plan
+
+#endif
--- /dev/null
+++ b/plan/job_row.hpp
@@ -0,0 +1,37 @@
+// Purpose: row of a staged job.
+#ifndef FESCUEVANE_PLAN_JOB_ROW_HPP
+#define FESCUEVANE_PLAN_JOB_ROW_HPP
+
+#include "core/instant.hpp"
+#include "core/job_phase.hpp"
+#include "core/job_progress.hpp"
+#include "core/staged_job.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <utility>
+
+namespace fescuevane::plan
+{
+
+struct job_row
+{
+    std::shared_ptr<staged_job const> spec_;
+    job_phase                         phase_ = job_phase::pending;
+    instant                           accepted_at_;
+    bool          recovered_ = false; // unseen runs may be on silent targets
+    bool          excess_ = false;    // beyond its organisation's rate
+    std::uint32_t runs_ = 0;          // rows of the run table
+    std::uint32_t next_occurrence_ = 0; // first one that wasn't opened
+    std::uint32_t open_stages_ = 0;     // rows of the stage table
+
+    // Progress of stages that aren't open: ended ones, and recovered ones.
+    std::map<std::pair<std::uint32_t, std::uint32_t>,
+             std::vector<task_progress>>
+        closed_;
+};
+
+} // namespace fescuevane::plan
+
+#endif
--- /dev/null
+++ b/plan/load_summary.hpp
@@ -0,0 +1,25 @@
+// Purpose: load of a shard, for routing.
+#ifndef FESCUEVANE_PLAN_LOAD_SUMMARY_HPP
+#define FESCUEVANE_PLAN_LOAD_SUMMARY_HPP
+
+#include "core/resources.hpp"
+#include "plan/queue_load.hpp"
+
+#include <vector>
+
+namespace fescuevane::plan
+{
+
+struct load_summary
+{
+    resources               capacity_; // of usable targets
+    resources               used_;     // by what runs
+    resources               queued_;   // by tasks that could start
+    std::vector<queue_load> queues_;
+
+    friend bool operator==(load_summary const&, load_summary const&) = default;
+};
+
+} // namespace fescuevane::plan
+
+#endif
--- /dev/null
+++ b/plan/place_tasks.cpp
@@ -0,0 +1,355 @@
+// Purpose: system: gives waiting tasks room, best-ranked stages first.
+//
+// Index of sections
+//   1. Choice of a target
+//   2. Single tasks
+//   3. Gangs
+//   4. Copies
+#include "plan/job_flow.hpp"
+#include "plan/planner.hpp"
+#include "plan/room.hpp"
+#include "plan/stage_rank.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace fescuevane::plan
+{
+namespace
+{
+
+// 1. Choice of a target
+
+// Weight of the share of a target that is left free: less free room goes
+// first, so that large tasks still find a target. Below the weight of speed.
+constexpr double packing_weight = 0.5;
+
+// A target where the task failed before is taken only when no other fits.
+constexpr double failed_before_cost = 10;
+
+// Fillers disturb tasks with a latency bound, so they keep apart.
+constexpr double disturbed_cost = 5;
+
+struct placement
+{
+    stage_key const&       key_;
+    step_spec const&       step_;
+    stage_row const&       stage_;
+    task_cell const&       task_;
+    std::set<target_id>    excluded_;
+    std::optional<rack_id> rack_; // the only one allowed
+};
+
+double cost_of(planner const& context, placement const& want,
+               target_id const& id, target_row const& target)
+{
+    double cost = 1 / std::max(target.speed_, 0.05);
+    if (!want.step_.near_rack_.empty() &&
+        target.rack_ != want.step_.near_rack_)
+    {
+        cost *= context.settings_.rack_penalty_;
+    }
+    double const capacity =
+        std::max<double>(1, static_cast<double>(target.capacity_.cpu_millis()));
+    double const free =
+        static_cast<double>(target.capacity_.cpu_millis() -
+                            target.used_.cpu_millis()) /
+        capacity;
+    if (want.step_.filler_)
+    {
+        // The opposite of packing: a filler lives on what is left.
+        cost += packing_weight * (1 - free);
+        cost += target.serving_ > 0 ? disturbed_cost : 0;
+        cost += target.fillers_;
+    }
+    else
+    {
+        cost += packing_weight * free;
+        cost += want.step_.latency_target_ms_ > 0 && target.fillers_ > 0
+                    ? disturbed_cost
+                    : 0;
+    }
+    cost += want.task_.failed_on_ == id ? failed_before_cost : 0;
+    return cost;
+}
+
+std::optional<target_id> choose_target(planner const&   context,
+                                       placement const& want)
+{
+    std::optional<target_id> best;
+    double                   best_cost = std::numeric_limits<double>::max();
+    for (std::size_t row = 0; row < context.targets_.size(); ++row)
+    {
+        target_row const& target = context.targets_[row];
+        target_id const&  id = context.targets_.key(row);
+        if (want.excluded_.contains(id) ||
+            (want.rack_ && target.rack_ != *want.rack_) ||
+            !accepts_stage(context, want.key_, target) ||
+            count_fitting(context, want.key_, target) == 0 ||
+            !has_ticket(context, want.key_, want.stage_, id))
+        {
+            continue;
+        }
+        if (want.step_.spread_limit_ > 0 &&
+            count_on_target(context, want.key_, id) >=
+                want.step_.spread_limit_)
+        {
+            continue;
+        }
+        double const cost = cost_of(context, want, id, target);
+        if (cost < best_cost)
+        {
+            best = id;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+std::string find_ticket(stage_row const& stage, target_id const& target)
+{
+    auto const ticket = stage.tickets_.find(target);
+    return ticket == stage.tickets_.end() ? "" : ticket->second.ticket_;
+}
+
+// 2. Single tasks
+
+// Starts one run of a task, if there is room. False when there is none.
+bool start_task(planner& context, stage_key const& key, std::uint32_t index,
+                std::set<target_id> excluded)
+{
+    stage_row const& stage = *context.stages_.find(key);
+    step_spec const& step = find_step(context, key);
+    job_row const&   job = *context.jobs_.find(key.job_);
+    if (!is_within_limit(context, job.spec_->organisation_, step.demand_))
+    {
+        return false;
+    }
+    auto const target = choose_target(
+        context,
+        {key, step, stage, stage.tasks_[index], std::move(excluded), {}});
+    if (!target)
+    {
+        return false;
+    }
+    begin_run(context, {key, index, stage.tasks_[index].last_run_ + 1},
+              *target, find_ticket(stage, *target));
+    return true;
+}
+
+void place_single_tasks(planner& context, stage_key const& key)
+{
+    auto const count =
+        static_cast<std::uint32_t>(context.stages_.find(key)->tasks_.size());
+    for (std::uint32_t index = 0; index < count; ++index)
+    {
+        task_cell const& task = context.stages_.find(key)->tasks_[index];
+        if (task.done_ || task.runs_ > 0)
+        {
+            continue;
+        }
+        if (task.ready_at_ > context.now_)
+        {
+            wake_at(context, task.ready_at_);
+            continue;
+        }
+        if (!start_task(context, key, index, {}))
+        {
+            return; // the other tasks of the stage need the same room
+        }
+    }
+}
+
+// 3. Gangs
+
+// Tries to start all tasks at once, on one rack when one is given. What was
+// begun is taken back when some tasks find no room.
+bool start_gang(planner& context, stage_key const& key,
+                std::optional<rack_id> const& rack)
+{
+    step_spec const&      step = find_step(context, key);
+    job_row const&        job = *context.jobs_.find(key.job_);
+    std::size_t const     orders = context.outbox_.size();
+    std::vector<run_key>  begun;
+    stage_row const&      first = *context.stages_.find(key);
+    std::uint32_t         run = first.gang_run_;
+    job_phase const       phase = job.phase_;
+    std::uint32_t const   gang_run = first.gang_run_;
+    std::vector<std::uint32_t> last_runs;
+    for (task_cell const& task : first.tasks_)
+    {
+        run = std::max(run, task.last_run_);
+        last_runs.push_back(task.last_run_);
+    }
+    ++run;
+    for (std::uint32_t index = 0; index < step.count_; ++index)
+    {
+        stage_row const& stage = *context.stages_.find(key);
+        std::optional<target_id> target;
+        if (is_within_limit(context, job.spec_->organisation_, step.demand_))
+        {
+            target = choose_target(
+                context, {key, step, stage, stage.tasks_[index], {}, rack});
+        }
+        if (!target)
+        {
+            break;
+        }
+        begun.push_back({key, index, run});
+        begin_run(context, begun.back(), *target, find_ticket(stage, *target));
+    }
+    if (begun.size() == step.count_)
+    {
+        return true;
+    }
+    for (run_key const& key_of_run : begun)
+    {
+        // Nothing was sent yet, so nothing has to be stopped.
+        end_run(context, key_of_run, context.runs_.find(key_of_run)->target_,
+                run_end::lost, "");
+    }
+    while (context.outbox_.size() > orders)
+    {
+        context.outbox_.pop_back();
+    }
+    stage_row& stage = *context.stages_.find(key);
+    stage.gang_run_ = gang_run;
+    for (std::uint32_t index = 0; index < step.count_; ++index)
+    {
+        stage.tasks_[index].last_run_ = last_runs[index];
+    }
+    context.jobs_.find(key.job_)->phase_ = phase;
+    return false;
+}
+
+void place_gang(planner& context, stage_key const& key)
+{
+    stage_row const& stage = *context.stages_.find(key);
+    for (task_cell const& task : stage.tasks_)
+    {
+        if (task.done_ || task.runs_ > 0)
+        {
+            return; // an earlier run of the gang has not ended everywhere
+        }
+        if (task.ready_at_ > context.now_)
+        {
+            wake_at(context, task.ready_at_);
+            return;
+        }
+    }
+    if (find_step(context, key).same_rack_)
+    {
+        std::set<rack_id> racks;
+        for (target_row const& target : context.targets_)
+        {
+            racks.insert(target.rack_);
+        }
+        for (rack_id const& rack : racks)
+        {
+            if (start_gang(context, key, rack))
+            {
+                return;
+            }
+        }
+    }
+    start_gang(context, key, {});
+}
+
+// 4. Copies
+
+// Runs that take far longer than others of their image and may have a copy.
+std::vector<run_key> list_stragglers(planner const& context)
+{
+    std::vector<run_key> slow;
+    for (std::size_t row = 0; row < context.runs_.size(); ++row)
+    {
+        run_row const& run = context.runs_[row];
+        run_key const& key = context.runs_.key(row);
+        stage_row const* const stage = context.stages_.find(key.stage_);
+        if (run.phase_ != run_phase::running || stage == nullptr ||
+            stage->tasks_[key.index_].runs_ != 1 ||
+            !find_step(context, key.stage_).speculative_)
+        {
+            continue;
+        }
+        double const ran =
+            static_cast<double>(run.started_at_.remaining_until(context.now_));
+        double const expected =
+            expect_run_ms(context, *context.jobs_.find(key.stage_.job_),
+                          find_step(context, key.stage_)) *
+            micros_per_milli;
+        double const bound =
+            std::max(context.settings_.copy_factor_ * expected,
+                     static_cast<double>(context.settings_.copy_min_micros_));
+        if (ran > bound)
+        {
+            slow.push_back(key);
+        }
+    }
+    return slow;
+}
+
+void place_copies(planner& context)
+{
+    for (run_key const& key : list_stragglers(context))
+    {
+        start_task(context, key.stage_, key.index_,
+                   {context.runs_.find(key)->target_});
+    }
+}
+
+} // namespace
+
+void place_tasks(planner& context)
+{
+    instant const soonest_pause = [&context]
+    {
+        instant due = instant::never();
+        for (target_row const& target : context.targets_)
+        {
+            for (instant const until :
+                 {target.paused_until_, target.probation_until_})
+            {
+                if (until > context.now_)
+                {
+                    due = std::min(due, until);
+                }
+            }
+        }
+        return due;
+    }();
+    std::vector<stage_rank> const ranks = rank_waiting_stages(context);
+    if (!ranks.empty())
+    {
+        wake_at(context, soonest_pause);
+    }
+    for (stage_rank const& rank : ranks)
+    {
+        if (find_step(context, rank.stage_).gang_)
+        {
+            place_gang(context, rank.stage_);
+        }
+        else
+        {
+            place_single_tasks(context, rank.stage_);
+        }
+    }
+    for (stage_row const& stage : context.stages_)
+    {
+        for (task_cell const& task : stage.tasks_)
+        {
+            if (task.ready_at_ > context.now_)
+            {
+                wake_at(context, task.ready_at_);
+            }
+        }
+    }
+    place_copies(context);
+    context.place_needed_ = false;
+}
+
+} // namespace fescuevane::plan
--- /dev/null
+++ b/plan/plan.hpp
@@ -0,0 +1,68 @@
+// Purpose: scheduling of staged jobs on the targets of one shard. The caller
+// owns a `planner`, posts events, runs ticks and carries out the commands. No
+// I/O, clock or threads: the same events at the same instants give the same
+// commands.
+//
+// Index of sections
+//   1. Context
+//   2. Input and output
+//   3. Ticks
+//   4. Queries
+#ifndef FESCUEVANE_PLAN_PLAN_HPP
+#define FESCUEVANE_PLAN_PLAN_HPP
+
+#include "core/ids.hpp"
+#include "core/instant.hpp"
+#include "core/job_phase.hpp"
+#include "plan/command.hpp"
+#include "plan/event.hpp"
+#include "plan/settings.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace fescuevane
+{
+struct job_progress;
+} // namespace fescuevane
+
+namespace fescuevane::plan
+{
+
+// 1. Context
+struct planner;      // all tables of one shard, see planner.hpp
+struct load_summary; // for routing
+
+// Destroys the context; a functor, so that callers need not see its tables.
+struct planner_deleter
+{
+    void operator()(planner* context) const;
+};
+using planner_ptr = std::unique_ptr<planner, planner_deleter>;
+
+planner_ptr make_planner(settings const& values);
+
+// 2. Input and output
+void post_event(planner& context, event input); // applied by the next tick
+
+// 3. Ticks
+// Appends the commands in the order in which they have to be carried out.
+// `now` never goes back; `unix_ms` is the time of day, for timed jobs.
+void    run_tick(planner& context, instant now, std::int64_t unix_ms,
+                 std::vector<command>& output);
+instant next_deadline(planner const& context); // next tick without events
+
+// 4. Queries
+std::optional<job_phase> find_phase(planner const& context, job_id const& job);
+std::shared_ptr<staged_job const> find_job(planner const& context,
+                                           job_id const&  job);
+job_progress write_progress(planner const& context, job_id const& job);
+bool has_runs(planner const& context, job_id const& job); // started, not ended
+load_summary summarize_load(planner const& context);
+std::vector<job_id> list_idle_jobs(planner const& context); // open, nothing runs
+
+} // namespace fescuevane::plan
+
+#endif
--- /dev/null
+++ b/plan/planner.hpp
@@ -0,0 +1,70 @@
+// Purpose: the context of a planner and the systems that run over it. Internal
+// to the package; callers include plan.hpp.
+#ifndef FESCUEVANE_PLAN_PLANNER_HPP
+#define FESCUEVANE_PLAN_PLANNER_HPP
+
+#include "core/instant.hpp"
+#include "core/queue_policy.hpp"
+#include "core/table.hpp"
+#include "plan/command.hpp"
+#include "plan/event.hpp"
+#include "plan/image_row.hpp"
+#include "plan/job_row.hpp"
+#include "plan/organisation_row.hpp"
+#include "plan/run_row.hpp"
+#include "plan/settings.hpp"
+#include "plan/stage_row.hpp"
+#include "plan/target_row.hpp"
+
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fescuevane::plan
+{
+
+struct planner
+{
+    settings const       settings_;
+    std::vector<event>   inbox_;  // posted since the last tick
+    std::vector<command> outbox_; // of the current tick
+    instant              now_;    // of the current tick
+    std::int64_t         unix_ms_ = 0;
+    instant              wake_ = instant::never(); // earliest timed action
+
+    table<queue_id, queue_policy>            queues_;
+    table<organisation_id, organisation_row> organisations_;
+    table<target_id, target_row>             targets_;
+    table<job_id, job_row>                   jobs_;
+    table<stage_key, stage_row>              stages_; // open ones only
+    table<run_key, run_row>                  runs_;
+    table<std::string, image_row>            images_; // learnt run times
+
+    std::set<job_id> timed_; // with occurrences that aren't due yet
+    bool             in_service_ = true; // of the failure domain
+    std::uint32_t open_questions_ = 0;
+    bool          place_needed_ = false; // room, work or policy changed
+};
+
+// A step of the tick. Steps run in the order of `list_systems`.
+struct system_entry
+{
+    std::string_view const name_;
+    void (*const run_)(planner&);
+};
+
+// Systems, in order
+void apply_events(planner& context);  // inbox to tables
+void open_stages(planner& context);   // whose predecessors ended, or are due
+void watch_runs(planner& context);    // stalled runs, slow runs
+void pace_fillers(planner& context);  // beside tasks with a latency bound
+void request_advice(planner& context); // tickets ahead of need
+void place_tasks(planner& context);   // waiting tasks to targets
+
+// Makes the next tick happen at `due` at the latest.
+void wake_at(planner& context, instant due);
+
+} // namespace fescuevane::plan
+
+#endif
--- /dev/null
+++ b/plan/room.cpp
@@ -0,0 +1,101 @@
+// Purpose: where a task fits.
+#include "plan/room.hpp"
+
+#include "plan/job_flow.hpp"
+#include "plan/planner.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace fescuevane::plan
+{
+namespace
+{
+
+constexpr std::int64_t unlimited = std::numeric_limits<std::int32_t>::max();
+
+std::int64_t divide(std::int64_t room, std::int64_t demand)
+{
+    return demand <= 0 ? unlimited : std::max<std::int64_t>(0, room) / demand;
+}
+
+bool fits_limit(std::int64_t used, std::int64_t demand, std::int64_t limit)
+{
+    return limit <= 0 || used + demand <= limit;
+}
+
+} // namespace
+
+bool accepts_stage(planner const& context, stage_key const& stage,
+                   target_row const& target)
+{
+    job_row const&     job = *context.jobs_.find(stage.job_);
+    std::string const& label = job.spec_->steps_[stage.step_].required_label_;
+    return context.in_service_ && target.phase_ == target_phase::usable &&
+           target.service_ == job.spec_->service_ && target.foreign_.empty() &&
+           target.paused_until_ <= context.now_ &&
+           target.probation_until_ <= context.now_ &&
+           (label.empty() ||
+            std::find(target.labels_.begin(), target.labels_.end(), label) !=
+                target.labels_.end());
+}
+
+std::int64_t count_fitting(planner const& context, stage_key const& stage,
+                           target_row const& target)
+{
+    step_spec const& step = find_step(context, stage);
+    resources const  room = target.capacity_ - target.used_;
+    resources const& demand = step.demand_;
+    // A filler may not be larger than the target, but needs no free processors.
+    std::int64_t const processors =
+        step.filler_
+            ? divide(target.capacity_.cpu_millis(), demand.cpu_millis())
+            : divide(room.cpu_millis(), demand.cpu_millis());
+    return std::min({processors,
+                     divide(room.memory_mib(), demand.memory_mib()),
+                     divide(room.accelerators(), demand.accelerators())});
+}
+
+bool has_ticket(planner const& context, stage_key const& key,
+                stage_row const& stage, target_id const& target)
+{
+    job_row const&            job = *context.jobs_.find(key.job_);
+    queue_policy const* const queue = context.queues_.find(job.spec_->queue_);
+    if (queue == nullptr || !queue->advice_)
+    {
+        return true;
+    }
+    auto const ticket = stage.tickets_.find(target);
+    return ticket != stage.tickets_.end() && ticket->second.good_ &&
+           ticket->second.valid_until_ >
+               context.now_.after(context.settings_.advice_margin_micros_);
+}
+
+bool is_within_limit(planner const& context, organisation_id const& id,
+                     resources const& demand)
+{
+    organisation_row const* const row = context.organisations_.find(id);
+    return row == nullptr ||
+           (fits_limit(row->used_.cpu_millis(), demand.cpu_millis(),
+                       row->limit_.cpu_millis()) &&
+            fits_limit(row->used_.memory_mib(), demand.memory_mib(),
+                       row->limit_.memory_mib()) &&
+            fits_limit(row->used_.accelerators(), demand.accelerators(),
+                       row->limit_.accelerators()));
+}
+
+std::uint32_t count_on_target(planner const& context, stage_key const& stage,
+                              target_id const& target)
+{
+    std::uint32_t count = 0;
+    for (std::size_t row = 0; row < context.runs_.size(); ++row)
+    {
+        count += context.runs_.key(row).stage_ == stage &&
+                         context.runs_[row].target_ == target
+                     ? 1
+                     : 0;
+    }
+    return count;
+}
+
+} // namespace fescuevane::plan
--- /dev/null
+++ b/plan/room.hpp
@@ -0,0 +1,41 @@
+// Purpose: where a task fits. Internal to the package.
+#ifndef FESCUEVANE_PLAN_ROOM_HPP
+#define FESCUEVANE_PLAN_ROOM_HPP
+
+#include "core/ids.hpp"
+#include "core/resources.hpp"
+#include "core/stage_key.hpp"
+
+#include <cstdint>
+
+namespace fescuevane::plan
+{
+
+struct planner;
+struct stage_row;
+struct target_row;
+struct task_cell;
+
+// True when the target takes new work of the stage at all, whatever its room.
+bool accepts_stage(planner const& context, stage_key const& stage,
+                   target_row const& target);
+
+// Tasks of the stage that fit beside what runs on the target.
+std::int64_t count_fitting(planner const& context, stage_key const& stage,
+                           target_row const& target);
+
+// True when the stage needs no ticket or holds a valid one for the target.
+bool has_ticket(planner const& context, stage_key const& key,
+                stage_row const& stage, target_id const& target);
+
+// True when the organisation may have `demand` more running.
+bool is_within_limit(planner const& context, organisation_id const& id,
+                     resources const& demand);
+
+// Runs of the stage on one target.
+std::uint32_t count_on_target(planner const& context, stage_key const& stage,
+                              target_id const& target);
+
+} // namespace fescuevane::plan
+
+#endif
--- /dev/null
+++ b/plan/run_phase.hpp
@@ -0,0 +1,19 @@
+// Purpose: phases of a run.
+#ifndef FESCUEVANE_PLAN_RUN_PHASE_HPP
+#define FESCUEVANE_PLAN_RUN_PHASE_HPP
+
+#include <cstdint>
+
+namespace fescuevane::plan
+{
+
+enum class run_phase : std::uint8_t
+{
+    starting, // ordered
+    running,  // confirmed by the target
+    stopping  // a stop was ordered
+};
+
+} // namespace fescuevane::plan
+
+#endif
--- /dev/null
+++ b/plan/run_row.hpp
@@ -0,0 +1,36 @@
+// Purpose: row of a run that was ordered and hasn't ended.
+#ifndef FESCUEVANE_PLAN_RUN_ROW_HPP
+#define FESCUEVANE_PLAN_RUN_ROW_HPP
+
+#include "core/ids.hpp"
+#include "core/instant.hpp"
+#include "core/resources.hpp"
+#include "plan/run_phase.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace fescuevane::plan
+{
+
+struct run_row
+{
+    target_id       target_;
+    organisation_id organisation_;
+    resources       demand_;      // charged to organisation and target
+    run_phase       phase_ = run_phase::starting;
+    bool            filler_ = false;
+    std::int64_t    latency_target_ms_ = 0;
+    std::string     image_;
+    instant         started_at_;
+    instant         progressed_at_; // percent last rose
+    std::int32_t    percent_ = 0;
+    std::int32_t    first_percent_ = -1; // first report, -1: none yet
+    std::int64_t    load_ = 0;           // latest report
+    std::int32_t    pace_ = 100;         // of a filler
+    instant         pace_after_;         // next raise of the pace
+};
+
+} // namespace fescuevane::plan
+
+#endif
--- /dev/null
+++ b/plan/settings.hpp
@@ -0,0 +1,42 @@
+// Purpose: settings of a planner.
+#ifndef FESCUEVANE_PLAN_SETTINGS_HPP
+#define FESCUEVANE_PLAN_SETTINGS_HPP
+
+#include <cstdint>
+
+namespace fescuevane::plan
+{
+
+// Intervals stand here only; tables store deadlines.
+struct settings
+{
+    std::uint32_t run_base_ = 0; // run numbers of this ownership are higher
+
+    // Advice
+    std::uint32_t advice_open_ = 3;      // questions in flight
+    std::uint32_t advice_targets_ = 30;  // named in one question
+    std::int64_t  advice_retry_micros_ = 200'000; // after a failed question
+    std::int64_t  advice_margin_micros_ = 150'000; // ticket unused before end
+
+    // Targets that fail, stall or refuse
+    std::uint32_t strikes_ = 2; // failures of different jobs without success
+    std::int64_t  probation_micros_ = 4'000'000;
+    std::int64_t  refusal_pause_micros_ = 150'000;
+    std::int64_t  stall_micros_ = 2'500'000; // without progress of a run
+
+    // Copies of slow tasks
+    double       copy_factor_ = 1.7; // of the learnt run time
+    std::int64_t copy_min_micros_ = 600'000;
+
+    // Fillers beside tasks with a latency bound
+    std::int64_t pace_step_micros_ = 1'000'000; // between raises
+
+    // Timed jobs
+    std::int64_t early_start_ms_ = 0; // before the due time
+
+    double rack_penalty_ = 2; // run time factor away from the data
+};
+
+} // namespace fescuevane::plan
+
+#endif
