--- /dev/null
+++ b/plan/stage_rank.cpp
@@ -0,0 +1,126 @@
+// Purpose: order in which stages get room.
+#include "plan/stage_rank.hpp"
+
+#include "plan/job_flow.hpp"
+#include "plan/planner.hpp"
+
+#include <algorithm>
+
+namespace fescuevane::plan
+{
+namespace
+{
+
+// A job that ends later than this many times its objective earns nothing.
+constexpr double worthless_factor = 3;
+
+// Jobs beyond their organisation's rate step behind late ones.
+constexpr std::int32_t excess_lateness = 2;
+
+double chain_from(planner const& context, job_row const& job,
+                  std::uint32_t step)
+{
+    double longest = 0;
+    for (std::uint32_t next = step + 1; next < job.spec_->steps_.size(); ++next)
+    {
+        auto const& after = job.spec_->steps_[next].after_;
+        if (std::find(after.begin(), after.end(), step) != after.end())
+        {
+            longest = std::max(longest, chain_from(context, job, next));
+        }
+    }
+    return longest + expect_run_ms(context, job, job.spec_->steps_[step]);
+}
+
+double whole_chain_ms(planner const& context, job_row const& job)
+{
+    double longest = 0;
+    for (std::uint32_t step = 0; step < job.spec_->steps_.size(); ++step)
+    {
+        if (job.spec_->steps_[step].after_.empty())
+        {
+            longest = std::max(longest, chain_from(context, job, step));
+        }
+    }
+    return longest;
+}
+
+bool has_waiting_task(planner const& context, stage_row const& stage)
+{
+    return std::any_of(stage.tasks_.begin(), stage.tasks_.end(),
+                       [&](task_cell const& task)
+                       {
+                           return !task.done_ && task.runs_ == 0 &&
+                                  task.ready_at_ <= context.now_;
+                       });
+}
+
+} // namespace
+
+double expect_chain_ms(planner const& context, stage_key const& stage)
+{
+    return chain_from(context, *context.jobs_.find(stage.job_), stage.step_);
+}
+
+stage_rank rank_stage(planner const& context, stage_key const& key)
+{
+    job_row const&            job = *context.jobs_.find(key.job_);
+    queue_policy const* const queue = context.queues_.find(job.spec_->queue_);
+    std::int32_t const priority = queue == nullptr ? 0 : queue->priority_;
+    if (job.spec_->steps_[key.step_].perpetual_)
+    {
+        return {0, priority, 0, key};
+    }
+    // A timed job is owed from its due time.
+    double const since_ms =
+        job.spec_->repeat_count_ > 0
+            ? static_cast<double>(context.unix_ms_ -
+                                  job.spec_->first_due_unix_ms_ -
+                                  job.spec_->interval_ms_ * key.occurrence_)
+            : static_cast<double>(
+                  job.accepted_at_.remaining_until(context.now_)) /
+                  micros_per_milli;
+    double const slack = queue == nullptr ? 1 : queue->slack_factor_;
+    double const objective =
+        slack * whole_chain_ms(context, job) +
+        static_cast<double>(queue == nullptr ? 0 : queue->objective_ms_);
+    double const end = since_ms + expect_chain_ms(context, key);
+    std::int32_t lateness = end <= objective                      ? 0
+                            : end <= objective * worthless_factor ? 1
+                                                                  : 2;
+    if (job.excess_)
+    {
+        lateness += excess_lateness;
+    }
+    return {lateness, priority, static_cast<std::int64_t>(objective - end),
+            key};
+}
+
+std::vector<stage_rank> rank_waiting_stages(planner const& context)
+{
+    bool const unseen = std::any_of(
+        context.targets_.begin(), context.targets_.end(),
+        [](target_row const& target)
+        {
+            return target.phase_ == target_phase::attaching;
+        });
+    std::vector<stage_rank> ranks;
+    for (std::size_t row = 0; row < context.stages_.size(); ++row)
+    {
+        stage_row const& stage = context.stages_[row];
+        if (!stage.startable_ || !has_waiting_task(context, stage))
+        {
+            continue;
+        }
+        stage_key const& key = context.stages_.key(row);
+        if (unseen && context.jobs_.find(key.job_)->recovered_)
+        {
+            continue; // an unseen run may still be at work
+        }
+        ranks.push_back(rank_stage(context, key));
+    }
+    std::sort(ranks.begin(), ranks.end());
+    return ranks;
+}
+
+} // namespace fescuevane::plan
--- /dev/null
+++ b/plan/stage_row.hpp
@@ -0,0 +1,32 @@
+// Purpose: row of an open stage: one step of one occurrence of a job.
+#ifndef FESCUEVANE_PLAN_STAGE_ROW_HPP
+#define FESCUEVANE_PLAN_STAGE_ROW_HPP
+
+#include "core/ids.hpp"
+#include "core/instant.hpp"
+#include "plan/task_cell.hpp"
+#include "plan/ticket_cell.hpp"
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace fescuevane::plan
+{
+
+struct stage_row
+{
+    std::vector<task_cell> tasks_;
+    std::uint32_t          done_ = 0;
+    bool                   startable_ = false; // predecessors have ended
+    std::uint32_t          gang_run_ = 0; // number of the gang's latest run
+    std::vector<std::uint32_t> gang_failures_; // run numbers
+
+    std::map<target_id, ticket_cell> tickets_;
+    bool                             asked_ = false; // a question is in flight
+    instant                          ask_after_;
+};
+
+} // namespace fescuevane::plan
+
+#endif
--- /dev/null
+++ b/plan/task_cell.hpp
@@ -0,0 +1,28 @@
+// Purpose: state of one task of an open stage.
+#ifndef FESCUEVANE_PLAN_TASK_CELL_HPP
+#define FESCUEVANE_PLAN_TASK_CELL_HPP
+
+#include "core/ids.hpp"
+#include "core/instant.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace fescuevane::plan
+{
+
+struct task_cell
+{
+    bool                       done_ = false;
+    std::uint32_t              runs_ = 0;     // rows of the run table
+    std::uint32_t              last_run_ = 0; // highest number given
+    std::vector<std::uint32_t> failed_runs_;
+    target_id                  failed_on_;  // latest failure or stall
+    std::string                checkpoint_; // latest, empty: none
+    instant                    ready_at_;   // not started before
+};
+
+} // namespace fescuevane::plan
+
+#endif
--- /dev/null
+++ b/plan/watch_runs.cpp
@@ -0,0 +1,110 @@
+// Purpose: system: finds runs that stand still or are far slower than others of
+// their image, and stops those that would end sooner elsewhere.
+#include "plan/job_flow.hpp"
+#include "plan/planner.hpp"
+
+#include <algorithm>
+#include <vector>
+
+namespace fescuevane::plan
+{
+namespace
+{
+
+// Reports come at least once a second, so a check more often finds nothing new.
+constexpr std::int64_t watch_micros = 500'000;
+
+// A stall shows only when at least this share of the run time passed without a
+// whole percent of progress.
+constexpr double stall_share = 0.25;
+
+// A run is moved when the rest of it would take this many times a fresh run.
+constexpr double slow_factor = 2;
+constexpr double restart_ms = 500;
+constexpr double min_samples = 3; // of an image's run time
+
+double elapsed_ms(planner const& context, instant since)
+{
+    return static_cast<double>(since.remaining_until(context.now_)) /
+           micros_per_milli;
+}
+
+bool is_stalled(planner const& context, run_row const& run, double expected_ms)
+{
+    double const still_ms = elapsed_ms(context, run.progressed_at_);
+    double const bound_ms =
+        std::max(static_cast<double>(context.settings_.stall_micros_) /
+                     micros_per_milli,
+                 stall_share * expected_ms);
+    return run.percent_ < 100 && still_ms > bound_ms;
+}
+
+bool is_slow(planner const& context, run_row const& run, double expected_ms)
+{
+    image_row const* const image = context.images_.find(run.image_);
+    int const done = run.percent_ - std::max(0, run.first_percent_);
+    if (image == nullptr || image->samples_ < min_samples || done < 3)
+    {
+        return false;
+    }
+    double const rest_ms = elapsed_ms(context, run.started_at_) *
+                           (100 - run.percent_) / done;
+    return rest_ms > slow_factor * expected_ms + restart_ms;
+}
+
+} // namespace
+
+void watch_runs(planner& context)
+{
+    std::vector<run_key> stalled;
+    std::vector<run_key> slow;
+    for (std::size_t row = 0; row < context.runs_.size(); ++row)
+    {
+        run_key const& key = context.runs_.key(row);
+        run_row const& run = context.runs_[row];
+        if (run.phase_ != run_phase::running || run.filler_ ||
+            !context.stages_.contains(key.stage_))
+        {
+            continue;
+        }
+        target_row const* const target = context.targets_.find(run.target_);
+        if (target == nullptr || target->phase_ == target_phase::silent)
+        {
+            continue; // no reports, so no progress to judge
+        }
+        step_spec const& step = find_step(context, key.stage_);
+        double const     expected_ms =
+            expect_run_ms(context, *context.jobs_.find(key.stage_.job_), step);
+        if (is_stalled(context, run, step.perpetual_ ? 0 : expected_ms))
+        {
+            stalled.push_back(key);
+        }
+        else if (!step.perpetual_ && !step.gang_ &&
+                 is_slow(context, run, expected_ms))
+        {
+            slow.push_back(key);
+        }
+    }
+    for (run_key const& key : stalled)
+    {
+        target_id const target = context.runs_.find(key)->target_;
+        strike_target(context, target, key.stage_.job_);
+        context.stages_.find(key.stage_)->tasks_[key.index_].failed_on_ =
+            target;
+        order_stop(context, key, "no progress");
+    }
+    for (run_key const& key : slow)
+    {
+        target_id const target = context.runs_.find(key)->target_;
+        context.targets_.find(target)->speed_ *= 0.5;
+        context.stages_.find(key.stage_)->tasks_[key.index_].failed_on_ =
+            target;
+        order_stop(context, key, "slow target");
+    }
+    if (!context.runs_.empty())
+    {
+        wake_at(context, context.now_.after(watch_micros));
+    }
+}
+
+} // namespace fescuevane::plan
