--- a/io/http_client.cpp
+++ b/io/http_client.cpp
@@ -108,6 +108,9 @@
             });
         return;
     }
+    // Otherwise the library opens a new connection for each POST. All calls of
+    // the product may be repeated: conditions and run numbers guard them.
+    soup_message_add_flags(own->message_, SOUP_MESSAGE_IDEMPOTENT);
     own->cancel_ = g_cancellable_new();
     SoupMessageHeaders* const headers =
         soup_message_get_request_headers(own->message_);
--- a/plan/watch_runs.cpp
+++ b/plan/watch_runs.cpp
@@ -47,8 +47,12 @@
     {
         return false;
     }
-    double const rest_ms = elapsed_ms(context, run.started_at_) *
-                           (100 - run.percent_) / done;
+    // Reports are up to a second old, so the rate counts until the latest one.
+    double const ran_ms =
+        static_cast<double>(
+            run.started_at_.remaining_until(run.progressed_at_)) /
+        micros_per_milli;
+    double const rest_ms = ran_ms * (100 - run.percent_) / done;
     return rest_ms > slow_factor * expected_ms + restart_ms;
 }
 
