Learn run times by regression and judge the rate of a run from its own base

Run times are now a regression on the declared estimate for each queue, and the mean of ended siblings within a stage.

--- a/cell/drive_planners.cpp
+++ b/cell/drive_planners.cpp
@@ -233,10 +233,18 @@
         {
             continue;
         }
-        if (own.plan_needed_ ||
-            plan::next_deadline(*own.planner_) <= context.now_)
+        bool const due = own.plan_needed_ ||
+                         plan::next_deadline(*own.planner_) <= context.now_;
+        if (due && own.plan_after_ > context.now_)
+        {
+            wake_at(context, own.plan_after_);
+            continue;
+        }
+        if (due)
         {
             own.plan_needed_ = false;
+            own.plan_after_ =
+                context.now_.after(context.settings_.plan_gap_micros_);
             std::vector<plan::command> orders;
             plan::run_tick(*own.planner_, context.now_, context.unix_ms_,
                            orders);
--- a/cell/owned_row.hpp
+++ b/cell/owned_row.hpp
@@ -23,6 +23,7 @@
     std::vector<journal_part> parts_;
     std::uint64_t             request_ = 0; // of the claim, 0: none
     bool                      plan_needed_ = false;
+    instant                   plan_after_; // next tick of the planner
     bool                      releasing_ = false;
 };
 
--- a/cell/settings.hpp
+++ b/cell/settings.hpp
@@ -23,11 +23,11 @@
     std::uint64_t          incarnation_ = 0; // higher at each start
 
     // Store
-    std::uint32_t job_parts_ = 4; // parts of the table of jobs, never changed
+    std::uint32_t job_parts_ = 1; // parts of the table of jobs, never changed
     std::int64_t  store_min_micros_ = 500'000;   // deadline of a call, least
     std::int64_t  store_max_micros_ = 2'500'000; // and most
     std::int64_t  store_retry_micros_ = 150'000;
-    std::int64_t  journal_micros_ = 30'000; // progress is gathered so long
+    std::int64_t  journal_micros_ = 35'000; // progress is gathered so long
     std::uint32_t journal_jobs_ = 30;       // in one transaction
     std::int64_t  result_keep_micros_ = 180'000'000; // of ended jobs
 
@@ -51,6 +51,9 @@
     double       clock_drift_ = 0.02;
     std::int64_t clock_slack_ms_ = 300;
 
+    // Ticks of planners; events in between go into one tick
+    std::int64_t plan_gap_micros_ = 4'000;
+
     // Calls
     std::int64_t answer_margin_micros_ = 200'000; // before a caller's deadline
     std::int64_t route_retry_micros_ = 60'000;
--- a/plan/apply_events.cpp
+++ b/plan/apply_events.cpp
@@ -180,6 +180,7 @@
         run->phase_ = run_phase::running;
         run->started_at_ = context.now_;
         run->progressed_at_ = context.now_;
+        run->base_at_ = context.now_;
     }
 }
 
@@ -251,9 +252,10 @@
         run.started_at_ = context.now_;
         run.progressed_at_ = context.now_;
     }
-    if (run.first_percent_ < 0)
+    if (run.base_percent_ < 0)
     {
-        run.first_percent_ = input.percent_;
+        run.base_percent_ = input.percent_;
+        run.base_at_ = context.now_;
     }
     if (input.percent_ > run.percent_)
     {
--- a/plan/image_row.hpp
+++ b/plan/image_row.hpp
@@ -1,18 +1,26 @@
-// Purpose: row of learnt run times of one image.
+// Purpose: row of learnt run times.
 #ifndef FESCUEVANE_PLAN_IMAGE_ROW_HPP
 #define FESCUEVANE_PLAN_IMAGE_ROW_HPP
 
 namespace fescuevane::plan
 {
 
-// Declared estimates are off by a factor that is the same for all tasks of an
-// image, so the factor is learnt.
+// Run times are learnt for each image, or queue where steps name none, as a
+// regression of the logarithm of the run time on that of the declared estimate:
+// the less a declaration tells, the closer the prediction is to the mean.
+// Sums are weighted, newer samples count more.
 struct image_row
 {
-    double factor_ = 1; // run time over declared estimate
-    double samples_ = 0;
+    double samples_ = 0; // sum of weights
+    double sum_x_ = 0;   // of ln(declared)
+    double sum_y_ = 0;   // of ln(run time)
+    double sum_xx_ = 0;
+    double sum_xy_ = 0;
 };
 
+void   learn_sample(image_row& row, double declared_ms, double ran_ms);
+double predict_ms(image_row const& row, double declared_ms);
+
 } // namespace fescuevane::plan
 
 #endif
--- a/plan/job_flow.cpp
+++ b/plan/job_flow.cpp
@@ -39,6 +39,12 @@
         note{std::move(what), run, target, std::move(why)});
 }
 
+double declared_ms(step_spec const& step)
+{
+    return step.estimate_ms_ > 0 ? static_cast<double>(step.estimate_ms_)
+                                 : default_run_ms;
+}
+
 } // namespace
 
 // 1. Jobs and stages
@@ -263,7 +269,10 @@
                   .latency_target_ms_ = step.latency_target_ms_,
                   .image_ = image_of(job, step),
                   .started_at_ = context.now_,
-                  .progressed_at_ = context.now_};
+                  .resumed_ = !task.checkpoint_.empty(),
+                  .progressed_at_ = context.now_,
+                  .base_percent_ = task.checkpoint_.empty() ? 0 : -1,
+                  .base_at_ = context.now_};
     charge_run(context, run, 1);
     ++task.runs_;
     task.last_run_ = std::max(task.last_run_, key.run_);
@@ -334,7 +343,8 @@
 {
     run_row& run = append_run(context, key, target);
     run.phase_ = run_phase::running;
-    run.first_percent_ = percent;
+    run.base_percent_ = percent;
+    run.base_at_ = context.now_;
     run.percent_ = percent;
 }
 
@@ -449,10 +459,10 @@
     &mark_done,        &mark_failed,      &mark_interrupted, &mark_interrupted,
     &mark_interrupted, &mark_interrupted, &mark_interrupted};
 
-void learn_run_time(planner& context, run_row const& run,
-                    step_spec const& step)
+void learn_run_time(planner& context, run_key const& key, run_row const& run)
 {
-    bool const whole = run.first_percent_ <= 0 && step.estimate_ms_ > 0;
+    step_spec const& step = find_step(context, key.stage_);
+    bool const       whole = run.base_percent_ == 0 && !run.resumed_;
     if (!whole || step.perpetual_ || run.filler_)
     {
         return;
@@ -460,22 +470,18 @@
     double const ran_ms = static_cast<double>(run.started_at_.remaining_until(
                               context.now_)) /
                           micros_per_milli;
-    double const factor = ran_ms / static_cast<double>(step.estimate_ms_);
-    image_row&   image = context.images_.ensure(run.image_);
-    if (image.samples_ >= 3)
-    {
-        if (target_row* const target = context.targets_.find(run.target_))
-        {
-            double const speed =
-                std::clamp(image.factor_ / std::max(factor, 0.01), min_speed,
-                           max_speed);
-            target->speed_ += newest_weight * (speed - target->speed_);
-        }
-    }
-    double const weight =
-        std::max(newest_weight, 1 / (image.samples_ + 1));
-    image.factor_ += weight * (factor - image.factor_);
-    image.samples_ += 1;
+    image_row& image = context.images_.ensure(run.image_);
+    stage_row&     stage = *context.stages_.find(key.stage_);
+    target_row* const target = context.targets_.find(run.target_);
+    if (target != nullptr && stage.samples_ > 0)
+    {
+        double const speed = std::clamp(
+            stage.ran_ms_ / std::max(ran_ms, 1.0), min_speed, max_speed);
+        target->speed_ += newest_weight * (speed - target->speed_);
+    }
+    stage.samples_ += 1;
+    stage.ran_ms_ += (ran_ms - stage.ran_ms_) / stage.samples_;
+    learn_sample(image, declared_ms(step), ran_ms);
 }
 
 } // namespace
@@ -502,7 +508,7 @@
                        key.index_ < open->tasks_.size();
     if (known && run != nullptr && end == run_end::done)
     {
-        learn_run_time(context, *run, find_step(context, key.stage_));
+        learn_run_time(context, key, *run);
     }
     remove_run(context, key);
     if (!known || is_final(job->phase_))
@@ -539,14 +545,23 @@
     return step.image_.empty() ? job.spec_->queue_.str() : step.image_;
 }
 
-double expect_run_ms(planner const& context, job_row const& job,
-                     step_spec const& step)
+double expect_run_ms(planner const& context, stage_key const& key)
+{
+    stage_row const* const stage = context.stages_.find(key);
+    if (stage != nullptr && stage->samples_ > 0)
+    {
+        return stage->ran_ms_;
+    }
+    return expect_step_ms(context, *context.jobs_.find(key.job_), key.step_);
+}
+
+double expect_step_ms(planner const& context, job_row const& job,
+                      std::uint32_t step)
 {
-    double const declared = step.estimate_ms_ > 0
-                                ? static_cast<double>(step.estimate_ms_)
-                                : default_run_ms;
-    image_row const* const image = context.images_.find(image_of(job, step));
-    return image == nullptr ? declared : declared * image->factor_;
+    step_spec const&       spec = job.spec_->steps_[step];
+    image_row const* const image = context.images_.find(image_of(job, spec));
+    return image == nullptr ? declared_ms(spec)
+                            : predict_ms(*image, declared_ms(spec));
 }
 
 void strike_target(planner& context, target_id const& id, job_id const& job)
--- a/plan/job_flow.hpp
+++ b/plan/job_flow.hpp
@@ -66,9 +66,11 @@
 void strike_target(planner& context, target_id const& target,
                    job_id const& job);
 
-// Expected run time of one task in milliseconds, learnt where possible.
-double expect_run_ms(planner const& context, job_row const& job,
-                     step_spec const& step);
+// Expected run time of one task in milliseconds: that of the ended tasks of its
+// stage, else what was learnt of its image.
+double expect_run_ms(planner const& context, stage_key const& key);
+double expect_step_ms(planner const& context, job_row const& job,
+                      std::uint32_t step);
 
 // Name under which run times of a step are learnt.
 std::string image_of(job_row const& job, step_spec const& step);
--- a/plan/place_tasks.cpp
+++ b/plan/place_tasks.cpp
@@ -270,8 +270,9 @@
         run_row const& run = context.runs_[row];
         run_key const& key = context.runs_.key(row);
         stage_row const* const stage = context.stages_.find(key.stage_);
+        // Without an ended task nothing tells a slow run from a long one.
         if (run.phase_ != run_phase::running || stage == nullptr ||
-            stage->tasks_[key.index_].runs_ != 1 ||
+            stage->samples_ == 0 || stage->tasks_[key.index_].runs_ != 1 ||
             !find_step(context, key.stage_).speculative_)
         {
             continue;
@@ -279,9 +280,7 @@
         double const ran =
             static_cast<double>(run.started_at_.remaining_until(context.now_));
         double const expected =
-            expect_run_ms(context, *context.jobs_.find(key.stage_.job_),
-                          find_step(context, key.stage_)) *
-            micros_per_milli;
+            expect_run_ms(context, key.stage_) * micros_per_milli;
         double const bound =
             std::max(context.settings_.copy_factor_ * expected,
                      static_cast<double>(context.settings_.copy_min_micros_));
--- a/plan/request_advice.cpp
+++ b/plan/request_advice.cpp
@@ -38,8 +38,7 @@
             return -1;
         }
     }
-    double const expected_ms = expect_run_ms(
-        context, *context.jobs_.find(key.job_), find_step(context, key));
+    double const expected_ms = expect_run_ms(context, key);
     double longest = 0;
     for (std::size_t row = 0; row < context.runs_.size(); ++row)
     {
--- a/plan/run_row.hpp
+++ b/plan/run_row.hpp
@@ -23,9 +23,11 @@
     std::int64_t    latency_target_ms_ = 0;
     std::string     image_;
     instant         started_at_;
-    instant         progressed_at_; // percent last rose
+    bool            resumed_ = false; // from a checkpoint
+    instant         progressed_at_;   // percent last rose
     std::int32_t    percent_ = 0;
-    std::int32_t    first_percent_ = -1; // first report, -1: none yet
+    std::int32_t    base_percent_ = -1; // progress at `base_at_`, -1: unknown
+    instant         base_at_;
     std::int64_t    load_ = 0;           // latest report
     std::int32_t    pace_ = 100;         // of a filler
     instant         pace_after_;         // next raise of the pace
--- a/plan/stage_rank.cpp
+++ b/plan/stage_rank.cpp
@@ -29,7 +29,7 @@
             longest = std::max(longest, chain_from(context, job, next));
         }
     }
-    return longest + expect_run_ms(context, job, job.spec_->steps_[step]);
+    return longest + expect_step_ms(context, job, step);
 }
 
 double whole_chain_ms(planner const& context, job_row const& job)
@@ -59,7 +59,10 @@
 
 double expect_chain_ms(planner const& context, stage_key const& stage)
 {
-    return chain_from(context, *context.jobs_.find(stage.job_), stage.step_);
+    job_row const& job = *context.jobs_.find(stage.job_);
+    return chain_from(context, job, stage.step_) -
+           expect_step_ms(context, job, stage.step_) +
+           expect_run_ms(context, stage);
 }
 
 stage_rank rank_stage(planner const& context, stage_key const& key)
--- a/plan/watch_runs.cpp
+++ b/plan/watch_runs.cpp
@@ -19,9 +19,12 @@
 constexpr double stall_share = 0.25;
 
 // A run is moved when the rest of it would take this many times a fresh run.
-constexpr double slow_factor = 2;
+// Tasks of one stage differ less than those of different jobs.
+constexpr double slow_in_stage = 2.5;
+constexpr double slow_in_queue = 5;
 constexpr double restart_ms = 500;
-constexpr double min_samples = 3; // of an image's run time
+constexpr double min_samples = 8; // of an image's run time
+constexpr int    min_percent = 3; // of progress, for a rate
 
 double elapsed_ms(planner const& context, instant since)
 {
@@ -39,21 +42,25 @@
     return run.percent_ < 100 && still_ms > bound_ms;
 }
 
-bool is_slow(planner const& context, run_row const& run, double expected_ms)
+bool is_slow(planner const& context, stage_key const& stage, run_row const& run,
+             double expected_ms)
 {
+    bool const             siblings = context.stages_.find(stage)->samples_ > 0;
     image_row const* const image = context.images_.find(run.image_);
-    int const done = run.percent_ - std::max(0, run.first_percent_);
-    if (image == nullptr || image->samples_ < min_samples || done < 3)
+    int const done = run.percent_ - run.base_percent_;
+    if ((!siblings && (image == nullptr || image->samples_ < min_samples)) ||
+        run.base_percent_ < 0 || done < min_percent)
     {
         return false;
     }
     // Reports are up to a second old, so the rate counts until the latest one.
     double const ran_ms =
         static_cast<double>(
-            run.started_at_.remaining_until(run.progressed_at_)) /
+            run.base_at_.remaining_until(run.progressed_at_)) /
         micros_per_milli;
     double const rest_ms = ran_ms * (100 - run.percent_) / done;
-    return rest_ms > slow_factor * expected_ms + restart_ms;
+    return rest_ms > (siblings ? slow_in_stage : slow_in_queue) * expected_ms +
+                         restart_ms;
 }
 
 } // namespace
@@ -77,14 +84,13 @@
             continue; // no reports, so no progress to judge
         }
         step_spec const& step = find_step(context, key.stage_);
-        double const     expected_ms =
-            expect_run_ms(context, *context.jobs_.find(key.stage_.job_), step);
+        double const     expected_ms = expect_run_ms(context, key.stage_);
         if (is_stalled(context, run, step.perpetual_ ? 0 : expected_ms))
         {
             stalled.push_back(key);
         }
         else if (!step.perpetual_ && !step.gang_ &&
-                 is_slow(context, run, expected_ms))
+                 is_slow(context, key.stage_, run, expected_ms))
         {
             slow.push_back(key);
         }
