--- a/cell/drive_planners.cpp
+++ b/cell/drive_planners.cpp
@@ -172,6 +172,95 @@
 namespace
 {
 
+// Time of an answer about a stage, without the wait for earlier ones.
+std::int64_t answer_micros(node const& context, shard_id const& shard,
+                           plan::ask_advice const& question)
+{
+    auto const job = plan::find_job(*context.owned_.find(shard)->planner_,
+                                    question.stage_.job_);
+    for (queue_route const& route : context.config_->routes_)
+    {
+        if (job && route.policy_.id_ == job->queue_ && route.policy_.advice_)
+        {
+            advice_policy const& advice = *route.policy_.advice_;
+            return static_cast<std::int64_t>(
+                (advice.decision_ms_ +
+                 advice.per_target_ms_ *
+                     static_cast<double>(question.targets_.size())) *
+                micros_per_milli);
+        }
+    }
+    return 0;
+}
+
+// The policy service serves the questions of one host in turn. So a question
+// goes to the host of the failure domain that gets the answer first.
+host_id choose_asker(node const& context, std::int64_t micros)
+{
+    settings const& values = context.settings_;
+    host_id         best = values.host_;
+    instant         best_end = instant::never();
+    auto const      consider = [&](host_id const& id, std::int64_t penalty)
+    {
+        auto const    busy = context.advice_busy_.find(id);
+        instant const from = busy == context.advice_busy_.end()
+                                 ? context.now_
+                                 : std::max(context.now_, busy->second);
+        instant const end = from.after(micros + penalty);
+        if (end < best_end)
+        {
+            best = id;
+            best_end = end;
+        }
+    };
+    // This host keeps its own turn free for short questions, if it can.
+    consider(values.host_, micros > values.advice_owner_micros_
+                               ? values.advice_owner_micros_
+                               : 0);
+    for (std::size_t row = 0; row < context.hosts_.size(); ++row)
+    {
+        host_row const& host = context.hosts_[row];
+        host_id const&  id = context.hosts_.key(row);
+        bool const      silent =
+            host.heard_at_.remaining_until(context.now_) >
+            values.suspect_micros_;
+        if (id == values.host_ || !host.heard_ || silent || host.stopping_)
+        {
+            continue;
+        }
+        bool owner = false;
+        for (shard_row const& shard : context.shards_)
+        {
+            owner = owner || shard.owner_ == id;
+        }
+        constexpr std::int64_t hop_micros = 5'000;
+        consider(id, (owner ? 2 * values.advice_owner_micros_ : hop_micros) +
+                         (host.domain_ == values.domain_ ? 0 : hop_micros));
+    }
+    return best;
+}
+
+void send_to_asker(node& context, shard_id const& shard,
+                   plan::ask_advice const& question)
+{
+    std::int64_t const  micros = answer_micros(context, shard, question);
+    host_id const       asker = choose_asker(context, micros);
+    instant&            busy = context.advice_busy_[asker];
+    std::uint64_t const request = next_request(context);
+    busy = std::max(busy, context.now_).after(micros);
+    context.questions_.ensure(request) = {
+        shard, std::make_shared<plan::ask_advice const>(question),
+        context.now_, asker};
+    context.outbox_.push_back(send_question{
+        .request_ = request,
+        .question_ = question,
+        .address_ = asker == context.settings_.host_
+                        ? std::string()
+                        : context.hosts_.find(asker)->address_,
+        .deadline_ =
+            busy.after(micros / 2 + context.settings_.advice_slack_micros_)});
+}
+
 // Carries out one order of a planner.
 struct carry
 {
@@ -195,14 +284,7 @@
 
     void operator()(plan::ask_advice const& order) const
     {
-        // Answers about many targets take seconds, and wait for their turn.
-        constexpr std::int64_t question_micros = 3'000'000;
-        std::uint64_t const    request = next_request(context_);
-        context_.questions_.ensure(request) = {
-            shard_, std::make_shared<plan::ask_advice const>(order),
-            context_.now_};
-        context_.outbox_.push_back(send_question{
-            request, order, context_.now_.after(question_micros)});
+        send_to_asker(context_, shard_, order);
     }
 
     void operator()(plan::job_changed const& order) const
@@ -269,6 +351,14 @@
     }
     question_row const asked = *found;
     context.questions_.remove(input.request_);
+    if (std::none_of(context.questions_.begin(), context.questions_.end(),
+                     [&asked](question_row const& other)
+                     {
+                         return other.asker_ == asked.asker_;
+                     }))
+    {
+        context.advice_busy_.erase(asked.asker_);
+    }
     owned_row* const own = context.owned_.find(asked.shard_);
     if (own == nullptr || !own->planner_)
     {
@@ -279,6 +369,7 @@
     {
         log_event(context, "advice_failed",
                   {{"job", asked.question_->stage_.job_.str()},
+                   {"asker", asked.asker_.str()},
                    {"error", input.error_}});
         plan::post_event(*own->planner_,
                          plan::advice_failed{asked.question_->stage_});
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -57,6 +57,7 @@
     std::deque<job_id>                       place_order_; // oldest first
     std::set<target_id>                      relisted_; // of a list being read
     std::map<std::uint64_t, shard_id>        probes_;   // request to shard
+    std::map<host_id, instant> advice_busy_; // when its questions are answered
 
     // Store
     bool          store_ok_ = true;
--- a/cell/question_row.hpp
+++ b/cell/question_row.hpp
@@ -17,6 +17,7 @@
     shard_id                                shard_;
     std::shared_ptr<plan::ask_advice const> question_;
     instant                                 sent_;
+    host_id                                 asker_; // host that asks
 };
 
 } // namespace fescuevane::cell
--- a/cell/send_question.hpp
+++ b/cell/send_question.hpp
@@ -6,6 +6,7 @@
 #include "plan/ask_advice.hpp"
 
 #include <cstdint>
+#include <string>
 
 namespace fescuevane::cell
 {
@@ -14,6 +15,7 @@
 {
     std::uint64_t const    request_ = 0;
     plan::ask_advice const question_;
+    std::string const      address_; // host that is to ask, empty: this one
     instant const          deadline_;
 
     friend bool operator==(send_question const&, send_question const&) = default;
--- a/cell/settings.hpp
+++ b/cell/settings.hpp
@@ -51,6 +51,10 @@
     double       clock_drift_ = 0.02;
     std::int64_t clock_slack_ms_ = 300;
 
+    // Questions to the policy service
+    std::int64_t advice_owner_micros_ = 150'000; // owners ask for themselves
+    std::int64_t advice_slack_micros_ = 700'000; // above the expected time
+
     // Ticks of planners; events in between go into one tick
     std::int64_t plan_gap_micros_ = 4'000;
 
--- a/peer/peer_codec.cpp
+++ b/peer/peer_codec.cpp
@@ -2,11 +2,13 @@
 #include "peer/peer_codec.hpp"
 
 #include "cell.pb.h"
+#include "cell/advice_reply.hpp"
 #include "cell/heartbeat.hpp"
 #include "cell/job_answer.hpp"
 #include "cell/job_call.hpp"
 #include "cell/record_error.hpp"
 #include "cell/records.hpp"
+#include "cell/send_question.hpp"
 #include "peer/peer_error.hpp"
 
 namespace fescuevane::peer
@@ -153,4 +155,61 @@
             .retry_after_ms_ = message.retry_after_ms()};
 }
 
+cell::v1::AdviceCall encode_question(cell::send_question const& question,
+                                     instant                    now)
+{
+    cell::v1::AdviceCall message;
+    stage_key const&     stage = question.question_.stage_;
+    message.set_job(stage.job_.str());
+    message.set_occurrence(stage.occurrence_);
+    message.set_step(stage.step_);
+    for (target_id const& target : question.question_.targets_)
+    {
+        message.add_targets(target.str());
+    }
+    message.set_remaining_micros(now.remaining_until(question.deadline_));
+    return message;
+}
+
+cell::send_question decode_question(cell::v1::AdviceCall const& message,
+                                    instant                     now)
+{
+    std::vector<target_id> targets;
+    for (std::string const& target : message.targets())
+    {
+        targets.emplace_back(target);
+    }
+    return {.question_ = {.stage_ = {job_id(message.job()),
+                                     message.occurrence(), message.step()},
+                          .targets_ = std::move(targets)},
+            .deadline_ = now.after(message.remaining_micros())};
+}
+
+cell::v1::AdviceAnswer encode_advice(cell::advice_reply const& answer)
+{
+    cell::v1::AdviceAnswer message;
+    message.set_answered(answer.answered_);
+    for (plan::target_ticket const& good : answer.good_)
+    {
+        cell::v1::Ticket& row = *message.add_good();
+        row.set_target(good.target_.str());
+        row.set_ticket(good.ticket_);
+    }
+    return message;
+}
+
+cell::advice_reply decode_advice(std::uint64_t                 request,
+                                 cell::v1::AdviceAnswer const& message)
+{
+    std::vector<plan::target_ticket> good;
+    for (cell::v1::Ticket const& row : message.good())
+    {
+        good.push_back({target_id(row.target()), row.ticket()});
+    }
+    return {.request_ = request,
+            .answered_ = message.answered(),
+            .good_ = std::move(good),
+            .error_ = message.answered() ? "" : "the asking host got none"};
+}
+
 } // namespace fescuevane::peer
--- a/peer/peer_link.cpp
+++ b/peer/peer_link.cpp
@@ -8,9 +8,11 @@
 #include "peer/peer_link.hpp"
 
 #include "cell.grpc.pb.h"
+#include "cell/advice_reply.hpp"
 #include "cell/heartbeat.hpp"
 #include "cell/job_answer.hpp"
 #include "cell/job_call.hpp"
+#include "cell/send_question.hpp"
 #include "io/main_loop.hpp"
 #include "peer/peer_codec.hpp"
 #include "peer/peer_error.hpp"
@@ -67,7 +69,9 @@
     std::thread                                  thread_;
     std::map<std::string, std::unique_ptr<Cell::Stub>> stubs_;
     std::map<std::uint64_t, std::function<void(cell::job_answer const&)>>
-                          open_; // calls of other hosts that wait
+        open_; // calls of other hosts that wait
+    std::map<std::uint64_t, std::function<void(cell::advice_reply const&)>>
+                          open_questions_; // the same
     std::uint64_t         last_call_ = 0;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 
@@ -126,11 +130,17 @@
     bool                                                   answered_ = false;
 };
 
+// A call that is answered later, under a number of its own. `Traits` names the
+// messages and how they are requested, decoded and told.
+template <typename Traits>
 class incoming_call : public completion
 {
 public:
+    using message = typename Traits::message;
+    using reply_message = typename Traits::reply_message;
+    using answer = typename Traits::answer;
     using open_calls =
-        std::map<std::uint64_t, std::function<void(cell::job_answer const&)>>;
+        std::map<std::uint64_t, std::function<void(answer const&)>>;
 
     incoming_call(Cell::AsyncService&          service,
                   grpc::ServerCompletionQueue& queue, peer_handlers& handlers,
@@ -142,8 +152,7 @@
         , last_call_(last_call)
         , responder_(&context_)
     {
-        service_.RequestRoute(&context_, &request_, &responder_, &queue_,
-                              &queue_, this);
+        Traits::request(service_, context_, request_, responder_, queue_, this);
     }
 
     void complete(bool ok) override
@@ -155,17 +164,16 @@
         }
         new incoming_call(service_, queue_, handlers_, open_, last_call_);
         answered_ = true;
+        std::uint64_t const id = ++last_call_;
         try
         {
-            cell::job_call const call =
-                decode_call(request_, io::read_clock());
-            std::uint64_t const id = ++last_call_;
-            open_[id] = [this](cell::job_answer const& answer)
+            auto const call = Traits::decode(request_);
+            open_[id] = [this](answer const& value)
             {
-                responder_.Finish(encode_answer(answer), grpc::Status::OK,
+                responder_.Finish(Traits::encode(value), grpc::Status::OK,
                                   this);
             };
-            handlers_.called_(id, call);
+            Traits::tell(handlers_, id, call);
         }
         catch (peer_error const& error)
         {
@@ -175,15 +183,73 @@
     }
 
 private:
-    Cell::AsyncService&                                  service_;
-    grpc::ServerCompletionQueue&                         queue_;
-    peer_handlers&                                       handlers_;
-    open_calls&                                          open_;
-    std::uint64_t&                                       last_call_;
-    grpc::ServerContext                                  context_;
-    cell::v1::JobCall                                    request_;
-    grpc::ServerAsyncResponseWriter<cell::v1::JobAnswer> responder_;
-    bool                                                 answered_ = false;
+    Cell::AsyncService&                            service_;
+    grpc::ServerCompletionQueue&                   queue_;
+    peer_handlers&                                 handlers_;
+    open_calls&                                    open_;
+    std::uint64_t&                                 last_call_;
+    grpc::ServerContext                            context_;
+    message                                        request_;
+    grpc::ServerAsyncResponseWriter<reply_message> responder_;
+    bool                                           answered_ = false;
+};
+
+struct route_traits
+{
+    using message = cell::v1::JobCall;
+    using reply_message = cell::v1::JobAnswer;
+    using answer = cell::job_answer;
+    using writer = grpc::ServerAsyncResponseWriter<reply_message>;
+
+    static void request(Cell::AsyncService& service,
+                        grpc::ServerContext& context, message& into,
+                        writer& responder, grpc::ServerCompletionQueue& queue,
+                        void* tag)
+    {
+        service.RequestRoute(&context, &into, &responder, &queue, &queue, tag);
+    }
+    static cell::job_call decode(message const& from)
+    {
+        return decode_call(from, io::read_clock());
+    }
+    static reply_message encode(answer const& value)
+    {
+        return encode_answer(value);
+    }
+    static void tell(peer_handlers& handlers, std::uint64_t id,
+                     cell::job_call const& call)
+    {
+        handlers.called_(id, call);
+    }
+};
+
+struct ask_traits
+{
+    using message = cell::v1::AdviceCall;
+    using reply_message = cell::v1::AdviceAnswer;
+    using answer = cell::advice_reply;
+    using writer = grpc::ServerAsyncResponseWriter<reply_message>;
+
+    static void request(Cell::AsyncService& service,
+                        grpc::ServerContext& context, message& into,
+                        writer& responder, grpc::ServerCompletionQueue& queue,
+                        void* tag)
+    {
+        service.RequestAsk(&context, &into, &responder, &queue, &queue, tag);
+    }
+    static cell::send_question decode(message const& from)
+    {
+        return decode_question(from, io::read_clock());
+    }
+    static reply_message encode(answer const& value)
+    {
+        return encode_advice(value);
+    }
+    static void tell(peer_handlers& handlers, std::uint64_t id,
+                     cell::send_question const& question)
+    {
+        handlers.asked_(id, question);
+    }
 };
 
 // 3. Calls that go out
@@ -283,8 +349,12 @@
         throw peer_error("can't listen on " + address);
     }
     new incoming_beat(state_->service_, *state_->queue_, state_->handlers_);
-    new incoming_call(state_->service_, *state_->queue_, state_->handlers_,
-                      state_->open_, state_->last_call_);
+    new incoming_call<route_traits>(state_->service_, *state_->queue_,
+                                    state_->handlers_, state_->open_,
+                                    state_->last_call_);
+    new incoming_call<ask_traits>(state_->service_, *state_->queue_,
+                                  state_->handlers_, state_->open_questions_,
+                                  state_->last_call_);
     state_->thread_ = std::thread(
         [own = state_.get()]
         {
@@ -354,15 +424,52 @@
         state_->queue_.get()));
 }
 
-void peer_link::reply(std::uint64_t call, cell::job_answer const& answer)
+namespace
+{
+
+template <typename Answer>
+void finish_call(
+    std::map<std::uint64_t, std::function<void(Answer const&)>>& open,
+    std::uint64_t call, Answer const& answer)
 {
-    auto const open = state_->open_.find(call);
-    if (open != state_->open_.end())
+    auto const found = open.find(call);
+    if (found != open.end())
     {
-        auto const finish = std::move(open->second);
-        state_->open_.erase(open);
+        auto const finish = std::move(found->second);
+        open.erase(found);
         finish(answer);
     }
 }
 
+} // namespace
+
+void peer_link::reply(std::uint64_t call, cell::job_answer const& answer)
+{
+    finish_call(state_->open_, call, answer);
+}
+
+void peer_link::ask(cell::send_question const& question)
+{
+    auto* const out = new outgoing<cell::v1::AdviceAnswer>(
+        question.deadline_.after(call_slack_micros),
+        [this, request = question.request_](
+            grpc::Status const& status, cell::v1::AdviceAnswer const& reply)
+        {
+            state_->handlers_.advised_(
+                status.ok() ? decode_advice(request, reply)
+                            : cell::advice_reply{
+                                  .request_ = request,
+                                  .error_ = status.error_message()});
+        });
+    out->read(state_->find_stub(question.address_)
+                  .AsyncAsk(&out->context(),
+                            encode_question(question, io::read_clock()),
+                            state_->queue_.get()));
+}
+
+void peer_link::advise(std::uint64_t call, cell::advice_reply const& answer)
+{
+    finish_call(state_->open_questions_, call, answer);
+}
+
 } // namespace fescuevane::peer
--- a/peer/peer_link.hpp
+++ b/peer/peer_link.hpp
@@ -11,9 +11,11 @@
 
 namespace fescuevane::cell
 {
+struct advice_reply;
 struct heartbeat;
 struct job_answer;
 struct job_call;
+struct send_question;
 } // namespace fescuevane::cell
 
 namespace fescuevane::peer
@@ -26,6 +28,8 @@
     std::function<cell::heartbeat()>            answer_beat_;
     std::function<void(std::uint64_t, cell::job_call const&)>   called_;
     std::function<void(std::uint64_t, cell::job_answer const&)> replied_;
+    std::function<void(std::uint64_t, cell::send_question const&)> asked_;
+    std::function<void(cell::advice_reply const&)>                 advised_;
 };
 
 // One thread waits for the library's completions and hands them to the main
@@ -43,6 +47,8 @@
     void call(std::uint64_t request, std::string const& address,
               cell::job_call const& call);
     void reply(std::uint64_t call, cell::job_answer const& answer);
+    void ask(cell::send_question const& question);
+    void advise(std::uint64_t call, cell::advice_reply const& answer);
 
 private:
     struct state;
--- a/plan/request_advice.cpp
+++ b/plan/request_advice.cpp
@@ -15,8 +15,9 @@
 namespace
 {
 
-// Added to the time of an answer: two hops and the wait for a tick.
-constexpr double lead_ms = 150;
+// Added to the time of an answer: hops, earlier questions, and estimates that
+// are too long.
+constexpr double lead_ms = 500;
 
 double answer_ms(planner const& context, advice_policy const& advice)
 {
