Number ends only after the planner has seen them

Cause of TWICE (a task started again after a done end that was taken note of): planner ticks are 4 ms apart, but an end got the sequence of the job's latest change at once, so the target was told to forget it before its effect was stored. Ends are now numbered when the planner has no event left. Deadlines of requests share one timer.

--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -699,7 +699,8 @@
     {
         unstored_end&     end = session.unstored_.front();
         record_row const* record = context.records_.find(end.job_);
-        if (record != nullptr && record->saved_ < end.sequence_)
+        if (end.sequence_ == 0 ||
+            (record != nullptr && record->saved_ < end.sequence_))
         {
             break;
         }
@@ -716,12 +717,20 @@
 // known now.
 void number_ends(node& context, session_row& session)
 {
+    owned_row const* const own = context.owned_.find(session.shard_);
+    if (own == nullptr || own->plan_needed_)
+    {
+        return; // the planner hasn't seen the latest ends yet
+    }
     for (unstored_end& end : session.unstored_)
     {
         record_row const* const record = context.records_.find(end.job_);
-        if (end.sequence_ == 0 && record != nullptr)
+        if (end.sequence_ == 0)
         {
-            end.sequence_ = record->changed_;
+            // Ends of jobs that aren't known any more wait for nothing.
+            end.sequence_ =
+                record == nullptr ? 1 : std::max<std::uint64_t>(
+                                            1, record->changed_);
         }
     }
 }
--- a/io/http_client.cpp
+++ b/io/http_client.cpp
@@ -1,6 +1,7 @@
 // Purpose: HTTP requests with deadlines, over connections that are kept.
 #include "io/http_client.hpp"
 
+#include "io/deadline_queue.hpp"
 #include "io/http_request.hpp"
 #include "io/http_response.hpp"
 #include "io/main_loop.hpp"
@@ -23,15 +24,14 @@
     std::shared_ptr<bool>       alive_;
     SoupMessage*                message_ = nullptr;
     GCancellable*               cancel_ = nullptr;
-    guint                       deadline_ = 0; // source, 0: fired
+    deadline_queue::entry       deadline_;
+    bool                        late_ = false; // the deadline has passed
 };
 
-gboolean on_deadline(void* data)
+deadline_queue& find_deadlines()
 {
-    auto* const own = static_cast<flight*>(data);
-    own->deadline_ = 0;
-    g_cancellable_cancel(own->cancel_);
-    return G_SOURCE_REMOVE;
+    static deadline_queue deadlines; // of all clients of the main loop
+    return deadlines;
 }
 
 void on_reply(GObject* session, GAsyncResult* result, void* data)
@@ -43,7 +43,7 @@
     http_response response;
     if (bytes == nullptr)
     {
-        response.error_ = own->deadline_ == 0 ? "no answer by the deadline"
+        response.error_ = own->late_             ? "no answer by the deadline"
                           : error != nullptr  ? error->message
                                               : "no response";
     }
@@ -58,10 +58,7 @@
         g_bytes_unref(bytes);
     }
     g_clear_error(&error);
-    if (own->deadline_ != 0)
-    {
-        g_source_remove(own->deadline_);
-    }
+    find_deadlines().remove(own->deadline_);
     g_object_unref(own->message_);
     g_object_unref(own->cancel_);
     if (*own->alive_)
@@ -126,10 +123,13 @@
             own->message_, request.content_type_.c_str(), body);
         g_bytes_unref(body);
     }
-    std::int64_t const wait_ms =
-        read_clock().remaining_until(request.deadline_) / micros_per_milli + 1;
-    own->deadline_ =
-        g_timeout_add(static_cast<guint>(wait_ms), &on_deadline, own);
+    own->deadline_ = find_deadlines().add(request.deadline_,
+                                          [own]
+                                          {
+                                              own->late_ = true;
+                                              g_cancellable_cancel(
+                                                  own->cancel_);
+                                          });
     soup_session_send_and_read_async(session_, own->message_,
                                      G_PRIORITY_DEFAULT, own->cancel_,
                                      &on_reply, own);
