--- a/cell/drive_planners.cpp
+++ b/cell/drive_planners.cpp
@@ -269,6 +269,15 @@
 
     void operator()(plan::start_run const& order) const
     {
+        log_event(context_, "start",
+                  {{"job", order.run_.stage_.job_.str()},
+                   {"step", std::to_string(order.run_.stage_.step_)},
+                   {"index", std::to_string(order.run_.index_)},
+                   {"run", std::to_string(order.run_.run_)},
+                   {"target", order.target_.str()},
+                   {"config", std::to_string(
+                                  context_.config_ ? context_.config_->version_
+                                                   : 0)}});
         queue_order(context_, shard_, order);
     }
 
@@ -375,6 +384,14 @@
                          plan::advice_failed{asked.question_->stage_});
         return;
     }
+    log_event(context, "advice",
+              {{"job", asked.question_->stage_.job_.str()},
+               {"step", std::to_string(asked.question_->stage_.step_)},
+               {"asker", asked.asker_.str()},
+               {"asked", std::to_string(asked.question_->targets_.size())},
+               {"good", std::to_string(input.good_.size())},
+               {"ms", std::to_string(asked.sent_.remaining_until(context.now_) /
+                                     micros_per_milli)}});
     plan::post_event(
         *own->planner_,
         plan::advice_given{
--- a/cell/settings.hpp
+++ b/cell/settings.hpp
@@ -53,7 +53,9 @@
 
     // Questions to the policy service
     std::int64_t advice_owner_micros_ = 150'000; // owners ask for themselves
-    std::int64_t advice_slack_micros_ = 700'000; // above the expected time
+    // Above the expected time. The service goes on with a question that nobody
+    // waits for any more, so giving up early only adds load.
+    std::int64_t advice_slack_micros_ = 4'000'000;
 
     // Ticks of planners; events in between go into one tick
     std::int64_t plan_gap_micros_ = 4'000;
--- a/plan/place_tasks.cpp
+++ b/plan/place_tasks.cpp
@@ -89,14 +89,8 @@
         if (want.excluded_.contains(id) ||
             (want.rack_ && target.rack_ != *want.rack_) ||
             !accepts_stage(context, want.key_, target) ||
-            count_fitting(context, want.key_, target) == 0 ||
-            !has_ticket(context, want.key_, want.stage_, id))
-        {
-            continue;
-        }
-        if (want.step_.spread_limit_ > 0 &&
-            count_on_target(context, want.key_, id) >=
-                want.step_.spread_limit_)
+            !has_ticket(context, want.key_, want.stage_, id) ||
+            count_startable(context, want.key_, id, target) == 0)
         {
             continue;
         }
--- a/plan/request_advice.cpp
+++ b/plan/request_advice.cpp
@@ -99,7 +99,7 @@
         }
         // A stage that isn't startable yet will find other room than now's.
         std::int64_t const fitting =
-            stage.startable_ ? count_fitting(context, key, target) : 1;
+            stage.startable_ ? count_startable(context, key, id, target) : 1;
         auto const ticket = stage.tickets_.find(id);
         if (fitting == 0 ||
             (ticket != stage.tickets_.end() && !ticket->second.good_))
--- a/plan/room.cpp
+++ b/plan/room.cpp
@@ -56,6 +56,19 @@
                      divide(room.accelerators(), demand.accelerators())});
 }
 
+std::int64_t count_startable(planner const& context, stage_key const& stage,
+                             target_id const& id, target_row const& target)
+{
+    std::int64_t const  fitting = count_fitting(context, stage, target);
+    std::uint32_t const limit = find_step(context, stage).spread_limit_;
+    if (limit == 0 || fitting == 0)
+    {
+        return fitting;
+    }
+    std::int64_t const there = count_on_target(context, stage, id);
+    return std::clamp<std::int64_t>(limit - there, 0, fitting);
+}
+
 bool has_ticket(planner const& context, stage_key const& key,
                 stage_row const& stage, target_id const& target)
 {
--- a/plan/room.hpp
+++ b/plan/room.hpp
@@ -24,6 +24,10 @@
 std::int64_t count_fitting(planner const& context, stage_key const& stage,
                            target_row const& target);
 
+// The same within the stage's limit for one target.
+std::int64_t count_startable(planner const& context, stage_key const& stage,
+                             target_id const& id, target_row const& target);
+
 // True when the stage needs no ticket or holds a valid one for the target.
 bool has_ticket(planner const& context, stage_key const& key,
                 stage_row const& stage, target_id const& target);
