Hand tasks that find no room to another shard

Cause of LOST: a shard has 16 targets, the policy service allows a third of them, and a spread limit of one or two a target leaves no room for wide steps, while other shards have some. Weighed: one shard for the whole cell (an owner would need three to four times the processor time that a host has: half a millisecond for each HTTP call of the library); moving whole jobs (running tasks stay behind).

--- a/cell/claim_shards.cpp
+++ b/cell/claim_shards.cpp
@@ -241,7 +241,9 @@
 
 void claim_shards(node& context)
 {
-    if (!context.members_known_ || !context.announced_ ||
+    // Without the list of targets, one that still runs work would be missed.
+    if (!context.members_known_ || !context.targets_known_ ||
+        !context.announced_ ||
         !context.store_ok_ || context.stopping_)
     {
         return;
@@ -458,6 +460,7 @@
     {
         record_row const record = std::move(*context.records_.find(job));
         context.records_.remove(job);
+        remove_alias(context, *record.job_);
         for (waiting_call const& call : record.waiting_)
         {
             // A write may be on its way, so nothing can be said for sure.
--- /dev/null
+++ b/cell/delegate_tasks.cpp
@@ -0,0 +1,450 @@
+// Purpose: system: hands tasks that find no room in their shard to another one.
+//
+// The tasks become a job of their own, which the other shard accepts, keeps and
+// runs like any other. The mark that they are elsewhere is stored with their job
+// before the new job is handed in, so that a change of owner at any moment
+// neither loses nor repeats them.
+//
+// Index of sections
+//   1. Names
+//   2. Choice
+//   3. Calls
+//   4. Recovery
+#include "cell/node.hpp"
+
+#include "cell/records.hpp"
+#include "plan/overflow.hpp"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <optional>
+#include <utility>
+
+namespace fescuevane::cell
+{
+
+// 1. Names
+
+void add_alias(node& context, staged_job const& job)
+{
+    if (!job.alias_)
+    {
+        return;
+    }
+    for (std::uint32_t const index : job.alias_->indices_)
+    {
+        context.aliases_[job.alias_->stage_][index].push_back(job.id_);
+    }
+}
+
+void remove_alias(node& context, staged_job const& job)
+{
+    if (!job.alias_)
+    {
+        return;
+    }
+    auto const stage = context.aliases_.find(job.alias_->stage_);
+    if (stage == context.aliases_.end())
+    {
+        return;
+    }
+    for (auto& [index, jobs] : stage->second)
+    {
+        std::erase(jobs, job.id_);
+    }
+    std::erase_if(stage->second,
+                  [](auto const& entry)
+                  {
+                      return entry.second.empty();
+                  });
+    if (stage->second.empty())
+    {
+        context.aliases_.erase(stage);
+    }
+}
+
+run_key to_original(node const& context, run_key const& run)
+{
+    record_row const* const record = context.records_.find(run.stage_.job_);
+    if (record == nullptr || !record->job_->alias_)
+    {
+        return run;
+    }
+    task_alias const& alias = *record->job_->alias_;
+    return {alias.stage_, alias.indices_.at(run.index_), run.run_};
+}
+
+// A task may have been here, gone and come back: of the jobs that stand for it,
+// a run belongs to the one with the highest number below the run's.
+run_key to_local(node const& context, run_key const& run)
+{
+    auto const stage = context.aliases_.find(run.stage_);
+    if (stage == context.aliases_.end())
+    {
+        return run;
+    }
+    auto const jobs = stage->second.find(run.index_);
+    if (jobs == stage->second.end())
+    {
+        return run;
+    }
+    run_key       local = run;
+    std::uint32_t best = 0;
+    for (job_id const& id : jobs->second)
+    {
+        record_row const* const record = context.records_.find(id);
+        if (record == nullptr)
+        {
+            continue;
+        }
+        task_alias const& alias = *record->job_->alias_;
+        if (alias.first_run_ >= run.run_ || alias.first_run_ < best)
+        {
+            continue;
+        }
+        best = alias.first_run_;
+        auto const at = std::find(alias.indices_.begin(), alias.indices_.end(),
+                                  run.index_);
+        local = {{id, 0, 0},
+                 static_cast<std::uint32_t>(at - alias.indices_.begin()),
+                 run.run_};
+    }
+    return local;
+}
+
+// 2. Choice
+
+namespace
+{
+
+// The shard with the most room for the tasks, if it has some for one.
+std::optional<shard_id> choose_delegate(node const&           context,
+                                        shard_id const&       from,
+                                        plan::overflow const& tasks)
+{
+    std::optional<shard_id> best;
+    std::int64_t            most = 0;
+    for (std::size_t row = 0; row < context.shards_.size(); ++row)
+    {
+        shard_id const&  id = context.shards_.key(row);
+        shard_row const& shard = context.shards_[row];
+        bool const       heard =
+            shard.confirmed_at_.remaining_until(context.now_) <=
+            context.settings_.suspect_micros_;
+        host_row const* const host = context.hosts_.find(shard.owner_);
+        if (id == from || context.out_.contains(id.domain_) || !heard ||
+            !shard.serving_ ||
+            (host != nullptr && (!host->store_ok_ || host->stopping_)))
+        {
+            continue;
+        }
+        resources const free = shard.load_.capacity_ - shard.load_.used_ -
+                               shard.load_.queued_;
+        if (tasks.demand_.fits_in(free) && free.cpu_millis() >= most)
+        {
+            best = id;
+            most = free.cpu_millis();
+        }
+    }
+    return best;
+}
+
+// Handing tasks on and on would only move the wait.
+constexpr std::size_t max_depth = 6;
+
+std::size_t count_depth(job_id const& job)
+{
+    return static_cast<std::size_t>(
+        std::count(job.str().begin(), job.str().end(), '~'));
+}
+
+void begin_delegation(node& context, shard_id const& shard, owned_row& own,
+                      plan::overflow const& tasks, shard_id const& target)
+{
+    job_id const& parent = tasks.stage_.job_;
+    job_id const  id(parent.str() + "~" + std::to_string(own.epoch_) + "-" +
+                    std::to_string(next_request(context)));
+    delegation_row& row = context.delegations_.ensure(id);
+    row = delegation_row{.shard_ = shard,
+                         .stage_ = tasks.stage_,
+                         .target_ = target,
+                         .job_ = plan::make_delegate(*own.planner_, tasks, id)};
+    plan::post_event(*own.planner_,
+                     plan::tasks_delegated{tasks.stage_, tasks.indices_, id});
+    own.plan_needed_ = true;
+    log_event(context, "delegate",
+              {{"job", parent.str()},
+               {"delegate", id.str()},
+               {"tasks", std::to_string(tasks.indices_.size())},
+               {"shard", write_shard_name(target)}});
+}
+
+void find_overflow(node& context)
+{
+    if (context.delegate_at_ > context.now_)
+    {
+        wake_at(context, context.delegate_at_);
+        return;
+    }
+    context.delegate_at_ =
+        context.now_.after(context.settings_.delegate_micros_);
+    wake_at(context, context.delegate_at_);
+    if (!context.store_ok_ || context.stopping_)
+    {
+        return;
+    }
+    for (std::size_t row = 0; row < context.owned_.size(); ++row)
+    {
+        owned_row&     own = context.owned_[row];
+        shard_id const shard = context.owned_.key(row);
+        if (own.phase_ != owned_phase::serving || own.plan_needed_)
+        {
+            continue;
+        }
+        // One stage a look: the loads that hosts tell are a little old.
+        for (plan::overflow const& tasks : plan::list_overflow(
+                 *own.planner_, context.settings_.overflow_micros_))
+        {
+            std::optional<shard_id> const target =
+                choose_delegate(context, shard, tasks);
+            if (target && count_depth(tasks.stage_.job_) < max_depth)
+            {
+                begin_delegation(context, shard, own, tasks, *target);
+                break;
+            }
+        }
+    }
+}
+
+} // namespace
+
+// 3. Calls
+
+namespace
+{
+
+// Calls of delegations have numbers that the door never gives.
+constexpr std::uint64_t first_call = std::uint64_t(1) << 62;
+constexpr std::int64_t  call_micros = 3'000'000;
+
+void open_delegate_call(node& context, job_id const& id, delegation_row& row,
+                        call_kind kind)
+{
+    if (kind == call_kind::submit && !row.job_)
+    {
+        plan::planner const&  planner = *context.owned_.find(row.shard_)->planner_;
+        plan::overflow const tasks =
+            plan::find_delegated(planner, row.stage_, id);
+        if (tasks.indices_.empty())
+        {
+            return;
+        }
+        row.job_ = plan::make_delegate(planner, tasks, id);
+    }
+    row.call_ = first_call + next_request(context);
+    context.delegate_calls_[row.call_] = id;
+    call_row call{.kind_ = kind,
+                  .id_ = id,
+                  .job_ = kind == call_kind::submit ? row.job_ : nullptr,
+                  .deadline_ = context.now_.after(call_micros),
+                  .retry_at_ = context.now_};
+    context.calls_.ensure(row.call_) = std::move(call);
+    if (!context.places_.contains(id) && row.target_ != row.shard_)
+    {
+        note_place(context, id, row.target_);
+    }
+    wake_at(context, context.now_);
+}
+
+bool is_mark_stored(node const& context, delegation_row const& row)
+{
+    record_row const* const record = context.records_.find(row.stage_.job_);
+    return record != nullptr && row.change_ != 0 &&
+           record->saved_ >= row.change_;
+}
+
+// The job of which tasks were delegated has ended: so must they.
+bool is_parent_over(node const& context, delegation_row const& row)
+{
+    record_row const* const record = context.records_.find(row.stage_.job_);
+    owned_row const* const  own = context.owned_.find(row.shard_);
+    if (record == nullptr || own == nullptr || !own->planner_)
+    {
+        return true;
+    }
+    auto const phase = plan::find_phase(*own->planner_, row.stage_.job_);
+    return record->canceled_ || !phase || is_final(*phase);
+}
+
+void advance_delegation(node& context, job_id const& id, delegation_row& row)
+{
+    owned_row const* const own = context.owned_.find(row.shard_);
+    if (row.phase_ == delegation_phase::marking)
+    {
+        record_row const* const record =
+            context.records_.find(row.stage_.job_);
+        if (row.change_ == 0 && own != nullptr && !own->plan_needed_ &&
+            record != nullptr)
+        {
+            row.change_ = record->changed_; // the planner has set the mark
+        }
+        if (!is_mark_stored(context, row))
+        {
+            return;
+        }
+        row.phase_ = delegation_phase::submitting;
+    }
+    if (row.phase_ != delegation_phase::canceling &&
+        is_parent_over(context, row))
+    {
+        row.phase_ = delegation_phase::canceling;
+    }
+    if (row.call_ != 0)
+    {
+        return;
+    }
+    if (row.next_at_ > context.now_)
+    {
+        wake_at(context, row.next_at_);
+        return;
+    }
+    // In the order of `delegation_phase`.
+    static constexpr std::array<call_kind, 4> kinds = {
+        call_kind::submit, call_kind::submit, call_kind::lookup,
+        call_kind::cancel};
+    open_delegate_call(context, id, row,
+                       kinds.at(static_cast<std::size_t>(row.phase_)));
+}
+
+void finish_delegation(node& context, job_id const& id, job_phase phase)
+{
+    delegation_row const row = *context.delegations_.find(id);
+    context.delegations_.remove(id);
+    owned_row* const own = context.owned_.find(row.shard_);
+    if (own != nullptr && own->planner_)
+    {
+        plan::post_event(*own->planner_,
+                         plan::delegate_ended{row.stage_, id, phase});
+        own->plan_needed_ = true;
+        wake_at(context, context.now_);
+    }
+}
+
+} // namespace
+
+bool end_delegate_call(node& context, std::uint64_t call,
+                       job_answer const& answer)
+{
+    auto const found = context.delegate_calls_.find(call);
+    if (found == context.delegate_calls_.end())
+    {
+        return false;
+    }
+    job_id const id = found->second;
+    context.delegate_calls_.erase(found);
+    delegation_row* const row = context.delegations_.find(id);
+    if (row == nullptr)
+    {
+        return true;
+    }
+    row->call_ = 0;
+    row->next_at_ =
+        context.now_.after(context.settings_.delegate_poll_micros_);
+    switch (answer.outcome_)
+    {
+    case job_outcome::accepted:
+        if (row->phase_ == delegation_phase::submitting)
+        {
+            row->phase_ = delegation_phase::running;
+        }
+        break;
+    case job_outcome::known:
+        if (row->phase_ == delegation_phase::running &&
+            is_final(answer.phase_))
+        {
+            finish_delegation(context, id, answer.phase_);
+        }
+        break;
+    case job_outcome::canceled:
+        finish_delegation(context, id, job_phase::canceled);
+        break;
+    case job_outcome::absent:
+        // Never accepted, or a cancel that came before it.
+        if (row->phase_ == delegation_phase::canceling)
+        {
+            context.delegations_.remove(id);
+        }
+        else
+        {
+            row->phase_ = delegation_phase::submitting;
+        }
+        break;
+    default:
+        break; // asked again
+    }
+    return true;
+}
+
+void delegate_tasks(node& context)
+{
+    find_overflow(context);
+    std::vector<job_id> const ids = context.delegations_.keys();
+    for (job_id const& id : ids)
+    {
+        delegation_row* const row = context.delegations_.find(id);
+        if (!context.owned_.contains(row->shard_))
+        {
+            context.delegations_.remove(id); // its new owner goes on
+            continue;
+        }
+        advance_delegation(context, id, *row);
+    }
+}
+
+// 4. Recovery
+
+std::vector<job_id> list_delegates(node const& context, job_id const& job)
+{
+    std::vector<job_id> delegates;
+    for (std::size_t row = 0; row < context.delegations_.size(); ++row)
+    {
+        if (context.delegations_[row].stage_.job_ == job)
+        {
+            delegates.push_back(context.delegations_.key(row));
+        }
+    }
+    return delegates;
+}
+
+void restore_delegations(node& context, job_record const& record)
+{
+    std::map<std::pair<job_id, stage_key>, plan::overflow> found;
+    for (task_progress const& task : record.progress_.tasks_)
+    {
+        if (task.delegate_.empty() || task.done_)
+        {
+            continue;
+        }
+        stage_key const stage{record.job_->id_, task.occurrence_, task.step_};
+        plan::overflow& tasks = found[{task.delegate_, stage}];
+        tasks.stage_ = stage;
+        tasks.indices_.push_back(task.index_);
+    }
+    for (job_id const& delegate : record.progress_.delegates_)
+    {
+        found[{delegate, {record.job_->id_, 0, 0}}];
+    }
+    for (auto const& [name, tasks] : found)
+    {
+        delegation_row& row = context.delegations_.ensure(name.first);
+        // Looked up first: it has been accepted, or is handed in again.
+        row = delegation_row{.shard_ = record.shard_,
+                             .stage_ = name.second,
+                             .target_ = record.shard_,
+                             .phase_ = delegation_phase::running,
+                             .next_at_ = context.now_};
+    }
+}
+
+} // namespace fescuevane::cell
--- /dev/null
+++ b/cell/delegation_row.hpp
@@ -0,0 +1,31 @@
+// Purpose: row of a job that runs tasks of an owned job at another shard.
+#ifndef FESCUEVANE_CELL_DELEGATION_ROW_HPP
+#define FESCUEVANE_CELL_DELEGATION_ROW_HPP
+
+#include "cell/delegation_phase.hpp"
+#include "core/instant.hpp"
+#include "core/shard_id.hpp"
+#include "core/stage_key.hpp"
+#include "core/staged_job.hpp"
+
+#include <cstdint>
+#include <memory>
+
+namespace fescuevane::cell
+{
+
+struct delegation_row
+{
+    shard_id                          shard_;  // of the owned job
+    stage_key                         stage_;  // whose tasks they are
+    shard_id                          target_; // shard that is to run them
+    std::shared_ptr<staged_job const> job_;    // what it is asked to run
+    delegation_phase phase_ = delegation_phase::marking;
+    std::uint64_t    change_ = 0; // of the owned job, that holds the mark
+    std::uint64_t    call_ = 0;   // in flight, 0: none
+    instant          next_at_;    // of the next call
+};
+
+} // namespace fescuevane::cell
+
+#endif
--- a/cell/drive_planners.cpp
+++ b/cell/drive_planners.cpp
@@ -90,12 +90,14 @@
                        .phase_ = record.progress_.phase_,
                        .revision_ = row.revision_,
                        .stored_ = true};
+    restore_delegations(context, record);
     if (is_final(record.progress_.phase_))
     {
         known.expires_ =
             context.now_.after(context.settings_.result_keep_micros_);
         return;
     }
+    add_alias(context, *record.job_);
     plan::post_event(*own.planner_,
                      plan::job_added{.job_ = record.job_,
                                      .progress_ = record.progress_,
@@ -253,7 +255,11 @@
         context.now_, asker};
     context.outbox_.push_back(send_question{
         .request_ = request,
-        .question_ = question,
+        .question_ = {.stage_ = to_original(context,
+                                            {question.stage_, 0, 0})
+                                    .stage_,
+                      .targets_ = question.targets_,
+                      .validity_ms_ = question.validity_ms_},
         .address_ = asker == context.settings_.host_
                         ? std::string()
                         : context.hosts_.find(asker)->address_,
--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -288,11 +288,12 @@
               });
     for (reported_end const* end : ends)
     {
+        run_key const run = to_local(context, end->run_);
         session.processed_ = end->number_;
-        session.runs_.erase(end->run_);
-        session.unstored_.push_back({end->number_, end->run_.stage_.job_, 0});
+        session.runs_.erase(run);
+        session.unstored_.push_back({end->number_, run.stage_.job_, 0});
         tell(context, session,
-             plan::run_ended{end->run_, id, end->end_, end->checkpoint_});
+             plan::run_ended{run, id, end->end_, end->checkpoint_});
     }
 }
 
@@ -307,13 +308,19 @@
         {
             continue;
         }
-        bool const was_there = run.confirmed_at_ < session.hold_sent_;
-        bool const stopped = run.stopped_at_ < session.hold_sent_;
+        // A run that is being stopped may be missing before its end is listed.
+        bool const stopping = run.stopped_at_ != instant::never();
+        bool const was_there =
+            !stopping && run.confirmed_at_ < session.hold_sent_;
+        bool const stopped =
+            stopping &&
+            run.stopped_at_.after(context.settings_.stop_micros_) <
+                session.hold_sent_;
         if (was_there || stopped)
         {
             gone.push_back(key);
         }
-        else if (run.uncertain_at_ < session.hold_sent_)
+        else if (!stopping && run.uncertain_at_ < session.hold_sent_)
         {
             // A stop also turns down a start that is still on its way.
             run.stop_wanted_ = true;
@@ -333,12 +340,13 @@
     std::set<run_key> seen;
     for (reported_run const& run : reply.runs_)
     {
-        seen.insert(run.run_);
-        session_run& known = session.runs_[run.run_];
+        run_key const key = to_local(context, run.run_);
+        seen.insert(key);
+        session_run& known = session.runs_[key];
         known.confirmed_at_ = std::min(known.confirmed_at_, context.now_);
         known.uncertain_at_ = instant::never();
         tell(context, session,
-             plan::run_seen{run.run_, id, run.checkpoint_, run.percent_,
+             plan::run_seen{key, id, run.checkpoint_, run.percent_,
                             run.load_});
     }
     constexpr std::size_t ends_per_reply = 500;
@@ -545,7 +553,14 @@
         context.outbox_.push_back(send_start{.request_ = request,
                                              .address_ =
                                                  session.info_->address_,
-                                             .start_ = *start,
+                                             .start_ =
+                                                 {.run_ = to_original(
+                                                      context, start->run_),
+                                                  .target_ = id,
+                                                  .job_ = start->job_,
+                                                  .checkpoint_ =
+                                                      start->checkpoint_,
+                                                  .ticket_ = start->ticket_},
                                              .fence_ = fence,
                                              .lease_clock_ms_ = useless,
                                              .deadline_ = deadline});
@@ -556,7 +571,7 @@
         .request_ =
             open_order(context, session, {order_kind::pace, id, pace.run_}),
         .address_ = session.info_->address_,
-        .pace_ = pace,
+        .pace_ = {to_original(context, pace.run_), id, pace.percent_},
         .fence_ = fence,
         .deadline_ = deadline});
 }
@@ -580,7 +595,7 @@
             .request_ =
                 open_order(context, session, {order_kind::stop, id, key}),
             .address_ = session.info_->address_,
-            .stop_ = {key, id},
+            .stop_ = {to_original(context, key), id},
             .fence_ = context.owned_.find(session.shard_)->epoch_,
             .deadline_ =
                 context.now_.after(context.settings_.order_micros_)});
--- a/cell/node.cpp
+++ b/cell/node.cpp
@@ -45,12 +45,13 @@
 namespace
 {
 
-constexpr std::array<system_entry, 9> list_systems = {{
+constexpr std::array<system_entry, 10> list_systems = {{
     {"apply_events", &apply_events},
     {"follow_members", &follow_members},
     {"claim_shards", &claim_shards},
     {"load_shards", &load_shards},
     {"drive_planners", &drive_planners},
+    {"delegate_tasks", &delegate_tasks},
     {"keep_sessions", &keep_sessions},
     {"write_journal", &write_journal},
     {"route_calls", &route_calls},
@@ -156,8 +157,7 @@
 
 bool is_stopped(node const& context)
 {
-    return context.stopping_ && context.owned_.empty() &&
-           context.calls_.empty();
+    return context.stopping_ && context.owned_.empty();
 }
 
 std::uint64_t config_version(node const& context)
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -5,8 +5,10 @@
 #include "cell/call_row.hpp"
 #include "cell/cell_config.hpp"
 #include "cell/command.hpp"
+#include "cell/delegation_row.hpp"
 #include "cell/event.hpp"
 #include "cell/host_row.hpp"
+#include "cell/job_record.hpp"
 #include "cell/order_row.hpp"
 #include "cell/owned_row.hpp"
 #include "cell/parked_call.hpp"
@@ -59,6 +61,12 @@
     std::map<std::uint64_t, shard_id>        probes_;   // request to shard
     std::map<host_id, instant> advice_busy_; // when its questions are answered
 
+    table<job_id, delegation_row>     delegations_; // of owned jobs
+    std::map<std::uint64_t, job_id>   delegate_calls_; // call to delegation
+    std::map<stage_key, std::map<std::uint32_t, std::vector<job_id>>>
+        aliases_; // tasks that owned jobs stand for, by their original names
+    instant delegate_at_; // next look for tasks without room
+
     // Store
     bool          store_ok_ = true;
     instant       store_word_;       // latest answer
@@ -86,6 +94,7 @@
 void claim_shards(node& context);    // without an owner
 void load_shards(node& context);     // fence and read
 void drive_planners(node& context);  // plan ticks, their orders
+void delegate_tasks(node& context);  // tasks without room to other shards
 void keep_sessions(node& context);   // leases and orders to targets
 void write_journal(node& context);   // jobs to the store
 void route_calls(node& context);     // callers to owners
@@ -143,6 +152,19 @@
 void queue_order(node& context, shard_id const& shard,
                  plan::command const& order);
 
+// Tasks under their original names, and under those of the jobs that stand for
+// them here
+void    add_alias(node& context, staged_job const& job);
+void    remove_alias(node& context, staged_job const& job);
+run_key to_original(node const& context, run_key const& run);
+run_key to_local(node const& context, run_key const& run);
+
+// Delegations
+void restore_delegations(node& context, job_record const& record);
+std::vector<job_id> list_delegates(node const& context, job_id const& job);
+bool end_delegate_call(node& context, std::uint64_t call,
+                       job_answer const& answer); // false: another call
+
 // Calls
 void       serve_call(node& context, origin const& from, job_call const& call);
 void       answer_origin(node& context, origin const& to,
--- a/cell/records.cpp
+++ b/cell/records.cpp
@@ -154,6 +154,29 @@
         .max_unavailable_ = step.at("unavailable").get<std::uint32_t>()};
 }
 
+std::optional<task_alias> read_alias(json const& alias, std::size_t steps)
+{
+    if (alias.is_null())
+    {
+        return std::nullopt;
+    }
+    task_alias value{
+        .stage_ = {job_id(alias.at("job").get<std::string>()),
+                   alias.at("occurrence").get<std::uint32_t>(),
+                   alias.at("step").get<std::uint32_t>()},
+        .indices_ = alias.at("indices").get<std::vector<std::uint32_t>>(),
+        .failures_ = alias.at("failures").get<std::vector<std::uint32_t>>(),
+        .checkpoints_ =
+            alias.at("checkpoints").get<std::vector<std::string>>(),
+        .first_run_ = alias.at("first_run").get<std::uint32_t>()};
+    if (steps != 1 || value.failures_.size() != value.indices_.size() ||
+        value.checkpoints_.size() != value.indices_.size())
+    {
+        throw record_error("alias: lists of different length");
+    }
+    return value;
+}
+
 std::shared_ptr<staged_job const> read_spec_value(json const& spec)
 {
     std::vector<step_spec> steps;
@@ -168,11 +191,12 @@
         .queue_ = queue_id(spec.at("queue").get<std::string>()),
         .service_ = service_id(spec.at("service").get<std::string>()),
         .payload_ = spec.at("payload").get<std::string>(),
-        .steps_ = std::move(steps),
+        .steps_ = steps,
         .repeat_count_ = spec.at("repeat").get<std::uint32_t>(),
         .first_due_unix_ms_ = spec.at("due").get<std::int64_t>(),
         .interval_ms_ = spec.at("interval").get<std::int64_t>(),
-        .accepted_unix_ms_ = spec.at("accepted").get<std::int64_t>()});
+        .accepted_unix_ms_ = spec.at("accepted").get<std::int64_t>(),
+        .alias_ = read_alias(spec.at("alias"), steps.size())});
 }
 
 } // namespace
@@ -184,6 +208,17 @@
     {
         steps.push_back(write_step(step));
     }
+    json alias;
+    if (job.alias_)
+    {
+        alias = {{"job", job.alias_->stage_.job_.str()},
+                 {"occurrence", job.alias_->stage_.occurrence_},
+                 {"step", job.alias_->stage_.step_},
+                 {"indices", job.alias_->indices_},
+                 {"failures", job.alias_->failures_},
+                 {"checkpoints", job.alias_->checkpoints_},
+                 {"first_run", job.alias_->first_run_}};
+    }
     // Payloads are text of callers; bytes that aren't UTF-8 are replaced at
     // the door already.
     return json{{"id", job.id_.str()},
@@ -195,7 +230,8 @@
                 {"repeat", job.repeat_count_},
                 {"due", job.first_due_unix_ms_},
                 {"interval", job.interval_ms_},
-                {"accepted", job.accepted_unix_ms_}}
+                {"accepted", job.accepted_unix_ms_},
+                {"alias", std::move(alias)}}
         .dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -227,6 +263,10 @@
     {
         row["c"] = task.checkpoint_;
     }
+    if (!task.delegate_.empty())
+    {
+        row["x"] = task.delegate_.str();
+    }
     return row;
 }
 
@@ -239,7 +279,8 @@
             .last_run_ = row.at("r").get<std::uint32_t>(),
             .failed_runs_ =
                 row.value("f", std::vector<std::uint32_t>()),
-            .checkpoint_ = row.value("c", std::string())};
+            .checkpoint_ = row.value("c", std::string()),
+            .delegate_ = job_id(row.value("x", std::string()))};
 }
 
 } // namespace
@@ -252,9 +293,14 @@
     {
         tasks.push_back(write_task(task));
     }
+    json delegates = json::array();
+    for (job_id const& delegate : progress.delegates_)
+    {
+        delegates.push_back(delegate.str());
+    }
     return R"({"shard":")" + write_shard_name(shard) + R"(","phase":)" +
            std::to_string(static_cast<int>(progress.phase_)) +
-           R"(,"tasks":)" +
+           R"(,"delegates":)" + delegates.dump() + R"(,"tasks":)" +
            tasks.dump(-1, ' ', false, json::error_handler_t::replace) +
            R"(,"spec":)" + spec_text + "}";
 }
@@ -273,6 +319,11 @@
                      {
                          record.progress_.tasks_.push_back(read_task(task));
                      }
+                     for (json const& delegate : row.at("delegates"))
+                     {
+                         record.progress_.delegates_.emplace_back(
+                             delegate.get<std::string>());
+                     }
                      record.spec_text_ = row.at("spec").dump();
                      record.job_ = read_spec_value(row.at("spec"));
                      return record;
--- a/cell/route_calls.cpp
+++ b/cell/route_calls.cpp
@@ -120,7 +120,7 @@
 
 void finish_call(node& context, std::uint64_t id, job_answer const& answer)
 {
-    if (context.calls_.remove(id))
+    if (context.calls_.remove(id) && !end_delegate_call(context, id, answer))
     {
         context.outbox_.push_back(answer_call{id, answer});
     }
--- a/cell/settings.hpp
+++ b/cell/settings.hpp
@@ -45,6 +45,7 @@
     std::int64_t hold_wait_ms_ = 800;    // for an end
     std::int64_t hold_slack_micros_ = 500'000; // answer after the wait
     std::int64_t hold_retry_micros_ = 150'000;
+    std::int64_t stop_micros_ = 1'500'000; // a stop takes less than this
     std::int64_t order_micros_ = 500'000; // deadline of an order
     std::int64_t silent_micros_ = 1'500'000; // without word from a target
     std::uint32_t orders_open_ = 4; // to one target
@@ -60,6 +61,11 @@
     // Ticks of planners; events in between go into one tick
     std::int64_t plan_gap_micros_ = 4'000;
 
+    // Tasks without room go to another shard
+    std::int64_t overflow_micros_ = 600'000;  // they wait here first
+    std::int64_t delegate_micros_ = 100'000;  // between looks
+    std::int64_t delegate_poll_micros_ = 150'000; // of a job elsewhere
+
     // Calls
     std::int64_t answer_margin_micros_ = 200'000; // before a caller's deadline
     std::int64_t route_retry_micros_ = 60'000;
--- a/cell/write_journal.cpp
+++ b/cell/write_journal.cpp
@@ -50,15 +50,20 @@
 {
     owned_row const& own = *context.owned_.find(record.shard_);
     job_id const&    id = record.job_->id_;
+    job_progress     progress{.phase_ = record.phase_};
     if (record.canceled_)
     {
-        return {.phase_ = job_phase::canceled};
+        progress.phase_ = job_phase::canceled;
     }
-    if (!plan::find_phase(*own.planner_, id))
+    else if (plan::find_phase(*own.planner_, id))
     {
-        return {.phase_ = record.phase_};
+        progress = plan::write_progress(*own.planner_, id);
     }
-    return plan::write_progress(*own.planner_, id);
+    if (is_final(progress.phase_))
+    {
+        progress.delegates_ = list_delegates(context, id);
+    }
+    return progress;
 }
 
 row_key key_of(record_row const& record)
@@ -209,6 +214,7 @@
 {
     record.stored_ = true;
     record.uncertain_ = false;
+    add_alias(context, *record.job_);
     note_place(context, record.job_->id_, record.shard_);
     owned_row& own = *context.owned_.find(record.shard_);
     std::int64_t const age_ms = std::max<std::int64_t>(
@@ -235,6 +241,7 @@
     if (record->expires_ <= context.now_)
     {
         plan::post_event(*own.planner_, plan::job_dropped{job});
+        remove_alias(context, *record->job_);
         part.dirty_.erase(job);
         context.records_.remove(job);
         return;
--- a/core/staged_job.hpp
+++ b/core/staged_job.hpp
@@ -4,8 +4,10 @@
 
 #include "core/ids.hpp"
 #include "core/step_spec.hpp"
+#include "core/task_alias.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,6 +27,7 @@
     std::int64_t const           first_due_unix_ms_ = 0;
     std::int64_t const           interval_ms_ = 0;   // between occurrences
     std::int64_t const           accepted_unix_ms_ = 0;
+    std::optional<task_alias> const alias_; // stands for tasks of another job
 
     friend bool operator==(staged_job const&, staged_job const&) = default;
 };
--- a/core/task_progress.hpp
+++ b/core/task_progress.hpp
@@ -2,6 +2,8 @@
 #ifndef FESCUEVANE_CORE_TASK_PROGRESS_HPP
 #define FESCUEVANE_CORE_TASK_PROGRESS_HPP
 
+#include "core/ids.hpp"
+
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -20,6 +22,7 @@
     std::uint32_t              last_run_ = 0; // highest number known
     std::vector<std::uint32_t> failed_runs_;
     std::string                checkpoint_;
+    job_id                     delegate_; // job that runs the task elsewhere
 
     friend bool operator==(task_progress const&,
                            task_progress const&) = default;
--- a/plan/apply_events.cpp
+++ b/plan/apply_events.cpp
@@ -127,7 +127,7 @@
     job.phase_ = input.progress_.phase_;
     job.accepted_at_ = input.accepted_at_;
     job.recovered_ = input.recovered_;
-    job.excess_ = !input.recovered_ &&
+    job.excess_ = !input.recovered_ && !input.job_->alias_ &&
                   exceeds_rate(context, input.job_->organisation_);
     for (task_progress const& task : input.progress_.tasks_)
     {
@@ -241,7 +241,8 @@
     task_cell const& task = stage->tasks_[input.run_.index_];
     bool const       copies =
         find_step(context, input.run_.stage_).speculative_;
-    return !task.done_ && (task.runs_ == 0 || copies);
+    return !task.done_ && task.delegate_.empty() &&
+           (task.runs_ == 0 || copies);
 }
 
 void note_progress(planner& context, run_row& run, run_seen const& input)
@@ -291,6 +292,16 @@
     }
 }
 
+void apply(planner& context, tasks_delegated const& input)
+{
+    delegate_tasks(context, input.stage_, input.indices_, input.delegate_);
+}
+
+void apply(planner& context, delegate_ended const& input)
+{
+    end_delegate(context, input.stage_, input.delegate_, input.phase_);
+}
+
 // 5. Advice
 
 void apply(planner& context, advice_given const& input)
--- a/plan/event.hpp
+++ b/plan/event.hpp
@@ -4,6 +4,7 @@
 
 #include "plan/advice_failed.hpp"
 #include "plan/advice_given.hpp"
+#include "plan/delegate_ended.hpp"
 #include "plan/domain_set.hpp"
 #include "plan/job_added.hpp"
 #include "plan/job_canceled.hpp"
@@ -16,13 +17,14 @@
 #include "plan/run_seen.hpp"
 #include "plan/target_gone.hpp"
 #include "plan/target_set.hpp"
+#include "plan/tasks_delegated.hpp"
 
 #include <variant>
 
 namespace fescuevane::plan
 {
 
-using event = std::variant<queues_set, organisations_set, target_set, target_gone, domain_set, job_added, job_canceled, job_dropped, run_confirmed, run_refused, run_ended, run_seen, advice_given, advice_failed>;
+using event = std::variant<queues_set, organisations_set, target_set, target_gone, domain_set, job_added, job_canceled, job_dropped, run_confirmed, run_refused, run_ended, run_seen, advice_given, advice_failed, tasks_delegated, delegate_ended>;
 
 } // namespace fescuevane::plan
 
--- a/plan/job_flow.cpp
+++ b/plan/job_flow.cpp
@@ -4,7 +4,8 @@
 //   1. Jobs and stages
 //   2. Runs
 //   3. Ends of runs
-//   4. Estimates and strikes
+//   4. Delegated tasks
+//   5. Estimates and strikes
 #include "plan/job_flow.hpp"
 
 #include "plan/planner.hpp"
@@ -59,6 +60,11 @@
     return context.jobs_.find(key.job_)->spec_->steps_[key.step_];
 }
 
+stage_key origin_of(job_row const& job, stage_key const& stage)
+{
+    return job.spec_->alias_ ? job.spec_->alias_->stage_ : stage;
+}
+
 void append_stage_progress(stage_key const& key, stage_row const& stage,
                            std::vector<task_progress>& output)
 {
@@ -68,7 +74,8 @@
         auto const&      failed =
             stage.gang_failures_.empty() || index != 0 ? task.failed_runs_
                                                             : stage.gang_failures_;
-        if (task.done_ || !failed.empty() || !task.checkpoint_.empty())
+        if (task.done_ || !failed.empty() || !task.checkpoint_.empty() ||
+            !task.delegate_.empty())
         {
             output.push_back({.occurrence_ = key.occurrence_,
                               .step_ = key.step_,
@@ -77,7 +84,9 @@
                               .last_run_ = task.last_run_,
                               .failed_runs_ = failed,
                               .checkpoint_ =
-                                  task.done_ ? "" : task.checkpoint_});
+                                  task.done_ ? "" : task.checkpoint_,
+                              .delegate_ =
+                                  task.done_ ? job_id() : task.delegate_});
         }
     }
 }
@@ -91,9 +100,18 @@
         step_spec const& spec = job->spec_->steps_[step];
         stage_row        stage;
         stage.tasks_.resize(spec.count_);
-        for (task_cell& task : stage.tasks_)
+        for (std::uint32_t index = 0; index < spec.count_; ++index)
         {
+            task_cell& task = stage.tasks_[index];
             task.last_run_ = context.settings_.run_base_;
+            task.waiting_since_ = context.now_;
+            if (job->spec_->alias_)
+            {
+                task_alias const& alias = *job->spec_->alias_;
+                task.last_run_ = std::max(task.last_run_, alias.first_run_);
+                task.failures_ = alias.failures_.at(index);
+                task.checkpoint_ = alias.checkpoints_.at(index);
+            }
         }
         auto const stored = job->closed_.find({occurrence, step});
         if (stored != job->closed_.end())
@@ -108,6 +126,7 @@
                 task.done_ = known.done_;
                 task.last_run_ = std::max(task.last_run_, known.last_run_);
                 task.checkpoint_ = known.checkpoint_;
+                task.delegate_ = known.delegate_;
                 (spec.gang_ ? stage.gang_failures_ : task.failed_runs_) =
                     known.failed_runs_;
                 stage.done_ += known.done_ ? 1 : 0;
@@ -146,6 +165,10 @@
                                  return context.stages_.contains(
                                      {id, occurrence, before});
                              });
+            for (task_cell& task : stage->tasks_)
+            {
+                task.waiting_since_ = context.now_;
+            }
         }
     }
     context.place_needed_ = true;
@@ -263,6 +286,7 @@
     task_cell&       task = stage.tasks_[key.index_];
     run_row&         run = context.runs_.ensure(key);
     run = run_row{.target_ = target,
+                  .origin_ = origin_of(job, key.stage_),
                   .organisation_ = job.spec_->organisation_,
                   .demand_ = step.demand_,
                   .filler_ = step.filler_,
@@ -305,6 +329,7 @@
     if (stage_row* const stage = context.stages_.find(key.stage_))
     {
         --stage->tasks_[key.index_].runs_;
+        stage->tasks_[key.index_].waiting_since_ = context.now_;
     }
     context.place_needed_ = true;
     return true;
@@ -387,6 +412,18 @@
     target_id const& target_;
 };
 
+// Stops the other copies of a task.
+void stop_copies(planner& context, stage_key const& stage, std::uint32_t index)
+{
+    for (run_key const& run : list_runs(context, stage.job_))
+    {
+        if (run.stage_ == stage && run.index_ == index)
+        {
+            order_stop(context, run, "a copy is done");
+        }
+    }
+}
+
 void mark_done(planner& context, end_context const& at)
 {
     stage_row& stage = *context.stages_.find(at.key_.stage_);
@@ -405,19 +442,13 @@
     else
     {
         task_cell& task = stage.tasks_[at.key_.index_];
-        if (task.done_)
+        if (task.done_ || !task.delegate_.empty())
         {
             return;
         }
         task.done_ = true;
         ++stage.done_;
-        for (run_key const& run : list_runs(context, at.key_.stage_.job_))
-        {
-            if (run.stage_ == at.key_.stage_ && run.index_ == at.key_.index_)
-            {
-                order_stop(context, run, "a copy is done");
-            }
-        }
+        stop_copies(context, at.key_.stage_, at.key_.index_);
     }
     context.outbox_.push_back(job_changed{at.key_.stage_.job_});
     if (stage.done_ == at.step_.count_)
@@ -445,7 +476,8 @@
         context.queues_.find(job.spec_->queue_);
     std::uint32_t const attempts =
         queue == nullptr ? 1 : std::max<std::uint32_t>(1, queue->max_attempts_);
-    if (!at.step_.perpetual_ && !task.done_ && failed.size() >= attempts)
+    if (!at.step_.perpetual_ && !task.done_ &&
+        failed.size() + task.failures_ >= attempts)
     {
         log_note(context, "give up", at.key_, at.target_,
                  std::to_string(failed.size()) + " runs failed");
@@ -538,7 +570,65 @@
     context.place_needed_ = true;
 }
 
-// 4. Estimates and strikes
+// 4. Delegated tasks
+
+void delegate_tasks(planner& context, stage_key const& key,
+                    std::vector<std::uint32_t> const& indices,
+                    job_id const&                     delegate)
+{
+    stage_row* const stage = context.stages_.find(key);
+    if (stage == nullptr)
+    {
+        return;
+    }
+    for (std::uint32_t const index : indices)
+    {
+        stage->tasks_.at(index).delegate_ = delegate;
+    }
+    context.outbox_.push_back(job_changed{key.job_});
+}
+
+void end_delegate(planner& context, stage_key const& key,
+                  job_id const& delegate, job_phase phase)
+{
+    stage_row* const stage = context.stages_.find(key);
+    if (stage == nullptr)
+    {
+        return;
+    }
+    bool found = false;
+    for (task_cell& task : stage->tasks_)
+    {
+        if (task.delegate_ != delegate || task.done_)
+        {
+            continue;
+        }
+        found = true;
+        task.delegate_ = job_id();
+        task.waiting_since_ = context.now_;
+        if (phase == job_phase::completed)
+        {
+            task.done_ = true;
+            ++stage->done_;
+        }
+    }
+    if (!found)
+    {
+        return;
+    }
+    context.place_needed_ = true;
+    context.outbox_.push_back(job_changed{key.job_});
+    if (phase == job_phase::failed)
+    {
+        close_job(context, key.job_, job_phase::failed);
+    }
+    else if (stage->done_ == stage->tasks_.size())
+    {
+        close_stage(context, key);
+    }
+}
+
+// 5. Estimates and strikes
 
 std::string image_of(job_row const& job, step_spec const& step)
 {
--- a/plan/job_flow.hpp
+++ b/plan/job_flow.hpp
@@ -31,6 +31,9 @@
 // The step of an open stage; its job must have a row.
 step_spec const& find_step(planner const& context, stage_key const& key);
 
+// The stage that the tasks belonged to before they were handed to this shard.
+stage_key origin_of(job_row const& job, stage_key const& stage);
+
 // Appends the tasks of a stage that have something to tell.
 void append_stage_progress(stage_key const& key, stage_row const& stage,
                            std::vector<task_progress>& output);
@@ -62,6 +65,13 @@
 // Ends a job: its stages are dropped, its runs are stopped.
 void close_job(planner& context, job_id const& job, job_phase phase);
 
+// Marks tasks as handed to another shard, and takes note of what became of them.
+void delegate_tasks(planner& context, stage_key const& stage,
+                    std::vector<std::uint32_t> const& indices,
+                    job_id const&                     delegate);
+void end_delegate(planner& context, stage_key const& stage,
+                  job_id const& delegate, job_phase phase);
+
 // Counts a failure or a stall against a target.
 void strike_target(planner& context, target_id const& target,
                    job_id const& job);
--- /dev/null
+++ b/plan/overflow.hpp
@@ -0,0 +1,25 @@
+// Purpose: tasks of a stage that found no room for some time.
+#ifndef FESCUEVANE_PLAN_OVERFLOW_HPP
+#define FESCUEVANE_PLAN_OVERFLOW_HPP
+
+#include "core/resources.hpp"
+#include "core/stage_key.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace fescuevane::plan
+{
+
+struct overflow
+{
+    stage_key                  stage_;
+    std::vector<std::uint32_t> indices_;
+    resources                  demand_; // of one task
+
+    friend bool operator==(overflow const&, overflow const&) = default;
+};
+
+} // namespace fescuevane::plan
+
+#endif
--- a/plan/place_tasks.cpp
+++ b/plan/place_tasks.cpp
@@ -142,7 +142,7 @@
     for (std::uint32_t index = 0; index < count; ++index)
     {
         task_cell const& task = context.stages_.find(key)->tasks_[index];
-        if (task.done_ || task.runs_ > 0)
+        if (!is_waiting(task))
         {
             continue;
         }
@@ -225,7 +225,7 @@
     stage_row const& stage = *context.stages_.find(key);
     for (task_cell const& task : stage.tasks_)
     {
-        if (task.done_ || task.runs_ > 0)
+        if (!is_waiting(task))
         {
             return; // an earlier run of the gang has not ended everywhere
         }
--- a/plan/plan.hpp
+++ b/plan/plan.hpp
@@ -34,6 +34,7 @@
 // 1. Context
 struct planner;      // all tables of one shard, see planner.hpp
 struct load_summary; // for routing
+struct overflow;     // tasks without room
 
 // Destroys the context; a functor, so that callers need not see its tables.
 struct planner_deleter
@@ -61,7 +62,17 @@
 job_progress write_progress(planner const& context, job_id const& job);
 bool has_runs(planner const& context, job_id const& job); // started, not ended
 load_summary summarize_load(planner const& context);
-std::vector<job_id> list_idle_jobs(planner const& context); // open, nothing runs
+// Stages of which tasks have waited for room longer than `micros` and several
+// answers of the policy service. A gang is listed as a whole.
+std::vector<overflow> list_overflow(planner const& context,
+                                    std::int64_t   micros);
+// Tasks of a stage that run elsewhere under the name `delegate`.
+overflow find_delegated(planner const& context, stage_key const& stage,
+                        job_id const& delegate);
+// The job that is to run the tasks at another shard under the name `delegate`.
+std::shared_ptr<staged_job const> make_delegate(planner const&  context,
+                                                overflow const& tasks,
+                                                job_id const&   delegate);
 
 } // namespace fescuevane::plan
 
--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -4,13 +4,16 @@
 //   1. Context
 //   2. Ticks
 //   3. Progress
-//   4. Load
+//   4. Overflow
+//   5. Load
 #include "plan/planner.hpp"
 
 #include "core/job_progress.hpp"
 #include "plan/job_flow.hpp"
 #include "plan/load_summary.hpp"
+#include "plan/overflow.hpp"
 #include "plan/plan.hpp"
+#include "plan/stage_rank.hpp"
 
 #include <algorithm>
 #include <array>
@@ -133,21 +136,141 @@
     return row != nullptr && row->runs_ > 0;
 }
 
-std::vector<job_id> list_idle_jobs(planner const& context)
+// 4. Overflow
+
+namespace
+{
+
+// Answers of the policy service that tasks wait for before they move.
+constexpr std::int64_t overflow_answers = 3;
+
+std::int64_t answer_micros(planner const& context, job_row const& job)
+{
+    queue_policy const* const queue = context.queues_.find(job.spec_->queue_);
+    if (queue == nullptr || !queue->advice_)
+    {
+        return 0;
+    }
+    return static_cast<std::int64_t>(
+        (queue->advice_->decision_ms_ +
+         queue->advice_->per_target_ms_ *
+             static_cast<double>(context.targets_.size())) *
+        micros_per_milli);
+}
+
+// Each shard that hands tasks on adds a mark to the name.
+std::int64_t count_handovers(job_id const& job)
+{
+    return std::count(job.str().begin(), job.str().end(), '~');
+}
+
+} // namespace
+
+std::vector<overflow> list_overflow(planner const& context, std::int64_t micros)
+{
+    bool const unseen = has_unseen_targets(context);
+    std::vector<overflow> found;
+    for (std::size_t row = 0; row < context.stages_.size(); ++row)
+    {
+        stage_row const& stage = context.stages_[row];
+        stage_key const& key = context.stages_.key(row);
+        job_row const&   job = *context.jobs_.find(key.job_);
+        step_spec const& step = job.spec_->steps_[key.step_];
+        if (!stage.startable_ || (unseen && job.recovered_) || job.excess_ ||
+            stage.asked_)
+        {
+            continue;
+        }
+        // What was handed on before has less and less reason to move again.
+        std::int64_t const wait =
+            micros * (1 + count_handovers(key.job_)) +
+            overflow_answers * answer_micros(context, job);
+        overflow tasks{.stage_ = key, .demand_ = step.demand_};
+        for (std::uint32_t index = 0; index < stage.tasks_.size(); ++index)
+        {
+            task_cell const& task = stage.tasks_[index];
+            if (is_waiting(task) &&
+                task.waiting_since_.after(wait) <= context.now_)
+            {
+                tasks.indices_.push_back(index);
+            }
+        }
+        if (!tasks.indices_.empty() &&
+            (!step.gang_ || tasks.indices_.size() == stage.tasks_.size()))
+        {
+            found.push_back(std::move(tasks));
+        }
+    }
+    return found;
+}
+
+overflow find_delegated(planner const& context, stage_key const& key,
+                        job_id const& delegate)
 {
-    std::vector<job_id> idle;
-    for (std::size_t row = 0; row < context.jobs_.size(); ++row)
+    overflow               tasks{.stage_ = key};
+    stage_row const* const stage = context.stages_.find(key);
+    for (std::uint32_t index = 0;
+         stage != nullptr && index < stage->tasks_.size(); ++index)
     {
-        job_row const& job = context.jobs_[row];
-        if (!is_final(job.phase_) && job.runs_ == 0)
+        if (stage->tasks_[index].delegate_ == delegate)
         {
-            idle.push_back(context.jobs_.key(row));
+            tasks.indices_.push_back(index);
         }
     }
-    return idle;
+    return tasks;
+}
+
+std::shared_ptr<staged_job const> make_delegate(planner const&  context,
+                                                overflow const& tasks,
+                                                job_id const&   delegate)
+{
+    stage_key const&  key = tasks.stage_;
+    staged_job const& job = *context.jobs_.find(key.job_)->spec_;
+    stage_row const&  stage = *context.stages_.find(key);
+    step_spec const&  step = job.steps_[key.step_];
+    task_alias        alias;
+    alias.stage_ = job.alias_ ? job.alias_->stage_ : key;
+    for (std::uint32_t const index : tasks.indices_)
+    {
+        task_cell const& task = stage.tasks_[index];
+        alias.indices_.push_back(job.alias_ ? job.alias_->indices_[index]
+                                            : index);
+        alias.failures_.push_back(
+            task.failures_ +
+            static_cast<std::uint32_t>(step.gang_ ? stage.gang_failures_.size()
+                                                  : task.failed_runs_.size()));
+        alias.checkpoints_.push_back(task.checkpoint_);
+        alias.first_run_ = std::max(
+            {alias.first_run_, task.last_run_, stage.gang_run_});
+    }
+    step_spec const only{.count_ =
+                             static_cast<std::uint32_t>(alias.indices_.size()),
+                         .demand_ = step.demand_,
+                         .estimate_ms_ = step.estimate_ms_,
+                         .checkpointing_ = step.checkpointing_,
+                         .gang_ = step.gang_,
+                         .same_rack_ = step.same_rack_,
+                         .speculative_ = step.speculative_,
+                         .perpetual_ = step.perpetual_,
+                         .filler_ = step.filler_,
+                         .required_label_ = step.required_label_,
+                         .near_rack_ = step.near_rack_,
+                         .spread_limit_ = step.spread_limit_,
+                         .image_ = step.image_,
+                         .latency_target_ms_ = step.latency_target_ms_,
+                         .max_unavailable_ = step.max_unavailable_};
+    return std::make_shared<staged_job const>(
+        staged_job{.id_ = delegate,
+                   .organisation_ = job.organisation_,
+                   .queue_ = job.queue_,
+                   .service_ = job.service_,
+                   .payload_ = job.payload_,
+                   .steps_ = {only},
+                   .accepted_unix_ms_ = job.accepted_unix_ms_,
+                   .alias_ = std::move(alias)});
 }
 
-// 4. Load
+// 5. Load
 
 load_summary summarize_load(planner const& context)
 {
@@ -173,7 +296,7 @@
             std::count_if(stage.tasks_.begin(), stage.tasks_.end(),
                                     [](task_cell const& task)
                                     {
-                              return !task.done_ && task.runs_ == 0;
+                              return is_waiting(task);
                           }));
         sum.queued_ =
             sum.queued_ + job->spec_->steps_[key.step_].demand_ * waiting;
@@ -181,7 +304,7 @@
     std::map<queue_id, std::uint32_t> waiting;
     for (job_row const& job : context.jobs_)
     {
-        if (job.phase_ == job_phase::pending)
+        if (job.phase_ == job_phase::pending && !job.spec_->alias_)
         {
             ++waiting[job.spec_->queue_];
         }
--- a/plan/request_advice.cpp
+++ b/plan/request_advice.cpp
@@ -34,7 +34,7 @@
     stage_row const& stage = *context.stages_.find(key);
     for (task_cell const& task : stage.tasks_)
     {
-        if (!task.done_ && task.runs_ == 0)
+        if (is_waiting(task))
         {
             return -1;
         }
@@ -85,7 +85,7 @@
         std::count_if(stage.tasks_.begin(), stage.tasks_.end(),
                       [](task_cell const& task)
                       {
-                          return !task.done_ && task.runs_ == 0;
+                          return is_waiting(task);
                       });
     std::int64_t                                    covered = 0;
     std::vector<std::pair<std::int64_t, target_id>> open;
--- a/plan/room.cpp
+++ b/plan/room.cpp
@@ -100,15 +100,14 @@
 std::uint32_t count_on_target(planner const& context, stage_key const& stage,
                               target_id const& target)
 {
-    std::uint32_t count = 0;
-    for (std::size_t row = 0; row < context.runs_.size(); ++row)
-    {
-        count += context.runs_.key(row).stage_ == stage &&
-                         context.runs_[row].target_ == target
-                     ? 1
-                     : 0;
-    }
-    return count;
+    stage_key const origin =
+        origin_of(*context.jobs_.find(stage.job_), stage);
+    return static_cast<std::uint32_t>(
+        std::count_if(context.runs_.begin(), context.runs_.end(),
+                      [&](run_row const& run)
+                      {
+                          return run.target_ == target && run.origin_ == origin;
+                      }));
 }
 
 } // namespace fescuevane::plan
--- a/plan/run_row.hpp
+++ b/plan/run_row.hpp
@@ -5,6 +5,7 @@
 #include "core/ids.hpp"
 #include "core/instant.hpp"
 #include "core/resources.hpp"
+#include "core/stage_key.hpp"
 #include "plan/run_phase.hpp"
 
 #include <cstdint>
@@ -16,6 +17,7 @@
 struct run_row
 {
     target_id       target_;
+    stage_key       origin_; // stage that the task belonged to first
     organisation_id organisation_;
     resources       demand_;      // charged to organisation and target
     run_phase       phase_ = run_phase::starting;
--- a/plan/stage_rank.cpp
+++ b/plan/stage_rank.cpp
@@ -50,7 +50,7 @@
     return std::any_of(stage.tasks_.begin(), stage.tasks_.end(),
                        [&](task_cell const& task)
                        {
-                           return !task.done_ && task.runs_ == 0 &&
+                           return is_waiting(task) &&
                                   task.ready_at_ <= context.now_;
                        });
 }
@@ -99,14 +99,18 @@
             key};
 }
 
+bool has_unseen_targets(planner const& context)
+{
+    return std::any_of(context.targets_.begin(), context.targets_.end(),
+                       [](target_row const& target)
+                       {
+                           return target.phase_ == target_phase::attaching;
+                       });
+}
+
 std::vector<stage_rank> rank_waiting_stages(planner const& context)
 {
-    bool const unseen = std::any_of(
-        context.targets_.begin(), context.targets_.end(),
-        [](target_row const& target)
-        {
-            return target.phase_ == target_phase::attaching;
-        });
+    bool const unseen = has_unseen_targets(context);
     std::vector<stage_rank> ranks;
     for (std::size_t row = 0; row < context.stages_.size(); ++row)
     {
--- a/plan/task_cell.hpp
+++ b/plan/task_cell.hpp
@@ -21,8 +21,17 @@
     target_id                  failed_on_;  // latest failure or stall
     std::string                checkpoint_; // latest, empty: none
     instant                    ready_at_;   // not started before
+    instant                    waiting_since_; // last started, ended or opened
+    job_id        delegate_;     // job that runs it at another shard
+    std::uint32_t failures_ = 0; // before the job was handed to this shard
 };
 
+// True when the task is to be started here.
+inline bool is_waiting(task_cell const& task)
+{
+    return !task.done_ && task.runs_ == 0 && task.delegate_.empty();
+}
+
 } // namespace fescuevane::plan
 
 #endif
