Keep delegated tasks through a change of owner

Causes of TWICE: a new owner judged the jobs of delegated tasks as ended before its planner had taken them over, and canceled what ran elsewhere; a run whose stop was under way was taken for gone when a report didn't list it; after a cut targets answer before hosts do, so owners that were well were replaced.

--- a/cell/claim_shards.cpp
+++ b/cell/claim_shards.cpp
@@ -128,10 +128,11 @@
 bool reaches_domain(node& context, shard_id const& shard, shard_row& row)
 {
     settings const& values = context.settings_;
-    if (!is_silent(context, row.reached_at_))
-    {
-        return true;
-    }
+    // Right after a cut the targets answer before the hosts do.
+    bool const reached = !is_silent(context, row.reached_at_) &&
+                         row.reached_since_.after(values.suspect_micros_ +
+                                                  values.suspect_micros_ / 2) <=
+                             context.now_;
     target_id const* const target = find_target_in(context, shard.domain_);
     if (target != nullptr && row.probe_after_ <= context.now_)
     {
@@ -145,7 +146,7 @@
             .deadline_ = context.now_.after(values.hold_slack_micros_)});
     }
     wake_at(context, row.probe_after_);
-    return false;
+    return reached;
 }
 
 bool may_claim(node& context, shard_id const& shard, shard_row& row)
@@ -162,7 +163,8 @@
         own_row ? 0
                 : rank_candidate(context, shard, row) *
                           values.claim_step_micros_ +
-                      (foreign ? values.foreign_claim_micros_ : 0);
+                      (foreign && !row.released_ ? values.foreign_claim_micros_
+                                                 : 0);
     instant const due = vacant->after(delay);
     if (due > context.now_)
     {
@@ -175,7 +177,8 @@
         wake_at(context, context.now_.after(values.suspect_micros_));
         return false;
     }
-    return !foreign || reaches_domain(context, shard, row);
+    return !foreign || row.released_ || own_row ||
+           reaches_domain(context, shard, row);
 }
 
 } // namespace
--- a/cell/delegate_tasks.cpp
+++ b/cell/delegate_tasks.cpp
@@ -269,7 +269,12 @@
 {
     record_row const* const record = context.records_.find(row.stage_.job_);
     owned_row const* const  own = context.owned_.find(row.shard_);
-    if (record == nullptr || own == nullptr || !own->planner_)
+    if (own == nullptr || own->phase_ != owned_phase::serving ||
+        own->plan_needed_)
+    {
+        return false; // the planner may not have taken its jobs over yet
+    }
+    if (record == nullptr)
     {
         return true;
     }
--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -309,11 +309,12 @@
             continue;
         }
         // A run that is being stopped may be missing before its end is listed.
-        bool const stopping = run.stopped_at_ != instant::never();
+        bool const stopping =
+            run.stop_wanted_ || run.stopped_at_ != instant::never();
         bool const was_there =
             !stopping && run.confirmed_at_ < session.hold_sent_;
         bool const stopped =
-            stopping &&
+            run.stopped_at_ != instant::never() &&
             run.stopped_at_.after(context.settings_.stop_micros_) <
                 session.hold_sent_;
         if (was_there || stopped)
@@ -384,7 +385,13 @@
     {
         if (input.outcome_ != target_outcome::unknown)
         {
-            context.shards_.find(probe->second)->reached_at_ = context.now_;
+            shard_row& shard = *context.shards_.find(probe->second);
+            if (shard.reached_at_.remaining_until(context.now_) >
+                context.settings_.suspect_micros_)
+            {
+                shard.reached_since_ = context.now_;
+            }
+            shard.reached_at_ = context.now_;
         }
         context.probes_.erase(probe);
         return;
--- a/cell/shard_row.hpp
+++ b/cell/shard_row.hpp
@@ -34,6 +34,7 @@
     instant suspected_at_ = instant::never(); // owner silent or gone
     instant probe_after_; // next question whether its targets can be reached
     instant reached_at_;  // latest answer to that
+    instant reached_since_; // first answer after a silence
 };
 
 } // namespace fescuevane::cell
