--- a/cell/delegate_tasks.cpp
+++ b/cell/delegate_tasks.cpp
@@ -118,6 +118,9 @@
 namespace
 {
 
+// A shard that is nearly full has no room to spare, whatever the sum says.
+constexpr std::int64_t min_free_divisor = 8;
+
 // The shard with the most room for the tasks, if it has some for one.
 std::optional<shard_id> choose_delegate(node const&           context,
                                         shard_id const&       from,
@@ -139,9 +142,11 @@
         {
             continue;
         }
-        resources const free = shard.load_.capacity_ - shard.load_.used_ -
-                               shard.load_.queued_;
-        if (tasks.demand_.fits_in(free) && free.cpu_millis() >= most)
+        resources const free = shard.load_.capacity_ - shard.load_.used_;
+        bool const      roomy =
+            free.cpu_millis() >
+            shard.load_.capacity_.cpu_millis() / min_free_divisor;
+        if (roomy && tasks.demand_.fits_in(free) && free.cpu_millis() > most)
         {
             best = id;
             most = free.cpu_millis();
--- a/cell/drive_planners.cpp
+++ b/cell/drive_planners.cpp
@@ -195,6 +195,21 @@
     return 0;
 }
 
+// Time until a host's earlier questions are answered.
+std::int64_t expect_wait(node const& context, host_id const& id)
+{
+    asker_row const* const asker = context.askers_.find(id);
+    if (asker == nullptr)
+    {
+        return 0;
+    }
+    // What was seen fades as fast as questions are answered.
+    std::int64_t const lag = std::max<std::int64_t>(
+        0, asker->lag_micros_ -
+               asker->lag_at_.remaining_until(context.now_));
+    return std::max(context.now_.remaining_until(asker->busy_until_), lag);
+}
+
 // The policy service serves the questions of one host in turn. So a question
 // goes to the host of the failure domain that gets the answer first.
 host_id choose_asker(node const& context, std::int64_t micros)
@@ -204,11 +219,8 @@
     instant         best_end = instant::never();
     auto const      consider = [&](host_id const& id, std::int64_t penalty)
     {
-        auto const    busy = context.advice_busy_.find(id);
-        instant const from = busy == context.advice_busy_.end()
-                                 ? context.now_
-                                 : std::max(context.now_, busy->second);
-        instant const end = from.after(micros + penalty);
+        instant const end =
+            context.now_.after(expect_wait(context, id) + micros + penalty);
         if (end < best_end)
         {
             best = id;
@@ -247,12 +259,13 @@
 {
     std::int64_t const  micros = answer_micros(context, shard, question);
     host_id const       asker = choose_asker(context, micros);
-    instant&            busy = context.advice_busy_[asker];
+    asker_row&          row = context.askers_.ensure(asker);
     std::uint64_t const request = next_request(context);
-    busy = std::max(busy, context.now_).after(micros);
+    std::int64_t const  wait = expect_wait(context, asker);
+    row.busy_until_ = std::max(row.busy_until_, context.now_).after(micros);
     context.questions_.ensure(request) = {
         shard, std::make_shared<plan::ask_advice const>(question),
-        context.now_, asker};
+        context.now_, asker, micros};
     context.outbox_.push_back(send_question{
         .request_ = request,
         .question_ = {.stage_ = to_original(context,
@@ -264,7 +277,8 @@
                         ? std::string()
                         : context.hosts_.find(asker)->address_,
         .deadline_ =
-            busy.after(micros / 2 + context.settings_.advice_slack_micros_)});
+            context.now_.after(wait + micros +
+                               context.settings_.advice_slack_micros_)});
 }
 
 // Carries out one order of a planner.
@@ -357,6 +371,32 @@
 
 // 4. Advice
 
+namespace
+{
+
+// A host that gave no answer is left out for this long.
+constexpr std::int64_t lost_asker_micros = 2'000'000;
+
+void note_asker(node& context, question_row const& asked, bool answered)
+{
+    asker_row&         asker = context.askers_.ensure(asked.asker_);
+    std::int64_t const took = asked.sent_.remaining_until(context.now_);
+    asker.lag_micros_ = answered ? std::max<std::int64_t>(
+                                       0, took - asked.micros_)
+                                 : std::max(took, lost_asker_micros);
+    asker.lag_at_ = context.now_;
+    if (std::none_of(context.questions_.begin(), context.questions_.end(),
+                     [&asked](question_row const& other)
+                     {
+                         return other.asker_ == asked.asker_;
+                     }))
+    {
+        asker.busy_until_ = context.now_;
+    }
+}
+
+} // namespace
+
 void apply(node& context, advice_reply const& input)
 {
     question_row const* const found = context.questions_.find(input.request_);
@@ -366,14 +406,7 @@
     }
     question_row const asked = *found;
     context.questions_.remove(input.request_);
-    if (std::none_of(context.questions_.begin(), context.questions_.end(),
-                     [&asked](question_row const& other)
-                     {
-                         return other.asker_ == asked.asker_;
-                     }))
-    {
-        context.advice_busy_.erase(asked.asker_);
-    }
+    note_asker(context, asked, input.answered_);
     owned_row* const own = context.owned_.find(asked.shard_);
     if (own == nullptr || !own->planner_)
     {
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -2,6 +2,7 @@
 #ifndef FESCUEVANE_CELL_NODE_HPP
 #define FESCUEVANE_CELL_NODE_HPP
 
+#include "cell/asker_row.hpp"
 #include "cell/call_row.hpp"
 #include "cell/cell_config.hpp"
 #include "cell/command.hpp"
@@ -59,7 +60,7 @@
     std::deque<job_id>                       place_order_; // oldest first
     std::set<target_id>                      relisted_; // of a list being read
     std::map<std::uint64_t, shard_id>        probes_;   // request to shard
-    std::map<host_id, instant> advice_busy_; // when its questions are answered
+    table<host_id, asker_row>                askers_;
 
     table<job_id, delegation_row>     delegations_; // of owned jobs
     std::map<std::uint64_t, job_id>   delegate_calls_; // call to delegation
--- a/cell/question_row.hpp
+++ b/cell/question_row.hpp
@@ -7,6 +7,7 @@
 #include "core/shard_id.hpp"
 #include "plan/ask_advice.hpp"
 
+#include <cstdint>
 #include <memory>
 
 namespace fescuevane::cell
@@ -18,6 +19,7 @@
     std::shared_ptr<plan::ask_advice const> question_;
     instant                                 sent_;
     host_id                                 asker_; // host that asks
+    std::int64_t micros_ = 0; // expected time of the answer, without waiting
 };
 
 } // namespace fescuevane::cell
--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -176,7 +176,7 @@
         stage_key const& key = context.stages_.key(row);
         job_row const&   job = *context.jobs_.find(key.job_);
         step_spec const& step = job.spec_->steps_[key.step_];
-        if (!stage.startable_ || (unseen && job.recovered_) || job.excess_ ||
+        if (!stage.startable_ || (unseen && job.recovered_) ||
             stage.asked_)
         {
             continue;
