Give a silent target no lease

Cause of LOST after workers left or crashed: each question to a target that didn't answer carried a new lease, so its leases never lapsed for the owner and what ran there was never started again. Notes now tell what tasks that wait long wait for.

--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -241,7 +241,9 @@
 {
     settings const& values = context.settings_;
     std::int64_t    lease = 0;
-    if (session.clock_ms_ != 0)
+    // A target that doesn't answer is only asked: a lease that it may receive
+    // late would put off the end of what runs there.
+    if (session.clock_ms_ != 0 && session.phase_ == session_phase::attached)
     {
         lease = target_clock(session, context.now_) + values.lease_ms_;
         session.granted_ms_ = std::max(session.granted_ms_, lease);
@@ -429,7 +431,7 @@
         end_life(context, input.target_, "started again");
     }
     bool const first = session->phase_ != session_phase::attached;
-    bool const leased = session->clock_ms_ != 0;
+    bool const leased = !first && session->clock_ms_ != 0;
     session->born_unix_ms_ = input.born_unix_ms_;
     session->clock_ms_ = input.clock_ms_;
     session->clock_at_ = context.now_;
--- /dev/null
+++ b/plan/explain_waits.cpp
@@ -0,0 +1,89 @@
+// Purpose: system: tells for tasks that wait long what they wait for.
+#include "plan/job_flow.hpp"
+#include "plan/planner.hpp"
+#include "plan/room.hpp"
+#include "plan/stage_rank.hpp"
+
+#include <algorithm>
+#include <string>
+
+namespace fescuevane::plan
+{
+namespace
+{
+
+constexpr std::int64_t explain_micros = 2'000'000; // between notes
+constexpr std::int64_t long_wait_micros = 3'000'000;
+
+// Counts of targets that pass each check, in the order of the checks.
+std::string describe_targets(planner const& context, stage_key const& key,
+                             stage_row const& stage)
+{
+    std::size_t accepting = 0;
+    std::size_t fitting = 0;
+    std::size_t ticketed = 0;
+    for (std::size_t row = 0; row < context.targets_.size(); ++row)
+    {
+        target_row const& target = context.targets_[row];
+        target_id const&  id = context.targets_.key(row);
+        if (!accepts_stage(context, key, target))
+        {
+            continue;
+        }
+        ++accepting;
+        if (count_startable(context, key, id, target) == 0)
+        {
+            continue;
+        }
+        ++fitting;
+        ticketed += has_ticket(context, key, stage, id) ? 1 : 0;
+    }
+    return "targets " + std::to_string(context.targets_.size()) +
+           ", accepting " + std::to_string(accepting) + ", with room " +
+           std::to_string(fitting) + ", with ticket " +
+           std::to_string(ticketed);
+}
+
+} // namespace
+
+void explain_waits(planner& context)
+{
+    if (context.explain_at_ > context.now_)
+    {
+        return;
+    }
+    context.explain_at_ = context.now_.after(explain_micros);
+    bool const unseen = has_unseen_targets(context);
+    for (std::size_t row = 0; row < context.stages_.size(); ++row)
+    {
+        stage_row const& stage = context.stages_[row];
+        stage_key const& key = context.stages_.key(row);
+        auto const       waiting = std::find_if(
+                  stage.tasks_.begin(), stage.tasks_.end(),
+                  [&context](task_cell const& task)
+                  {
+                return is_waiting(task) &&
+                       task.waiting_since_.after(long_wait_micros) <=
+                           context.now_;
+            });
+        if (!stage.startable_ || waiting == stage.tasks_.end())
+        {
+            continue;
+        }
+        job_row const&   job = *context.jobs_.find(key.job_);
+        step_spec const& step = find_step(context, key);
+        std::string      why = describe_targets(context, key, stage);
+        why += job.recovered_ && unseen ? ", unseen targets" : "";
+        why += stage.asked_ ? ", advice asked" : "";
+        why += job.excess_ ? ", beyond the organisation's rate" : "";
+        why += is_within_limit(context, job.spec_->organisation_, step.demand_)
+                   ? ""
+                   : ", at the organisation's limit";
+        auto const index =
+            static_cast<std::uint32_t>(waiting - stage.tasks_.begin());
+        context.outbox_.push_back(
+            note{"waiting", {key, index, waiting->last_run_}, {}, why});
+    }
+}
+
+} // namespace fescuevane::plan
--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -40,13 +40,14 @@
 namespace
 {
 
-constexpr std::array<system_entry, 6> list_systems = {{
+constexpr std::array<system_entry, 7> list_systems = {{
     {"apply_events", &apply_events},
     {"open_stages", &open_stages},
     {"watch_runs", &watch_runs},
     {"pace_fillers", &pace_fillers},
     {"request_advice", &request_advice},
     {"place_tasks", &place_tasks},
+    {"explain_waits", &explain_waits},
 }};
 
 } // namespace
--- a/plan/planner.hpp
+++ b/plan/planner.hpp
@@ -44,6 +44,7 @@
     std::set<job_id> timed_; // with occurrences that aren't due yet
     bool             in_service_ = true; // of the failure domain
     std::uint32_t open_questions_ = 0;
+    instant       explain_at_; // next notes about long waits
     bool          place_needed_ = false; // room, work or policy changed
 };
 
@@ -61,6 +62,7 @@
 void pace_fillers(planner& context);  // beside tasks with a latency bound
 void request_advice(planner& context); // tickets ahead of need
 void place_tasks(planner& context);   // waiting tasks to targets
+void explain_waits(planner& context); // what tasks that wait long wait for
 
 // Makes the next tick happen at `due` at the latest.
 void wake_at(planner& context, instant due);
