Keep the waiting time of a gang that finds no room

Cause of LOST of gangs: taking back the tasks of a gang that doesn't fit made them look as if they had just begun to wait, so the gang never moved to another shard.

--- a/cell/drive_planners.cpp
+++ b/cell/drive_planners.cpp
@@ -375,7 +375,7 @@
 {
 
 // A host that gave no answer is left out for this long.
-constexpr std::int64_t lost_asker_micros = 2'000'000;
+constexpr std::int64_t lost_asker_micros = 3'000'000;
 
 void note_asker(node& context, question_row const& asked, bool answered)
 {
--- a/plan/place_tasks.cpp
+++ b/plan/place_tasks.cpp
@@ -173,11 +173,10 @@
     std::uint32_t         run = first.gang_run_;
     job_phase const       phase = job.phase_;
     std::uint32_t const   gang_run = first.gang_run_;
-    std::vector<std::uint32_t> last_runs;
-    for (task_cell const& task : first.tasks_)
+    std::vector<task_cell> const before = first.tasks_;
+    for (task_cell const& task : before)
     {
         run = std::max(run, task.last_run_);
-        last_runs.push_back(task.last_run_);
     }
     ++run;
     for (std::uint32_t index = 0; index < step.count_; ++index)
@@ -212,10 +211,7 @@
     }
     stage_row& stage = *context.stages_.find(key);
     stage.gang_run_ = gang_run;
-    for (std::uint32_t index = 0; index < step.count_; ++index)
-    {
-        stage.tasks_[index].last_run_ = last_runs[index];
-    }
+    stage.tasks_ = before; // also since when they wait
     context.jobs_.find(key.job_)->phase_ = phase;
     return false;
 }
