--- a/cell/asker_row.hpp
+++ b/cell/asker_row.hpp
@@ -13,9 +13,9 @@
 // that answers take.
 struct asker_row
 {
-    instant      busy_until_;    // our own questions are answered
+    instant      busy_until_;     // our own questions are answered
     std::int64_t lag_micros_ = 0; // latest answer above its expected time
-    instant      lag_at_;        // when that was seen
+    instant      lag_at_;         // when that was seen
 };
 
 } // namespace fescuevane::cell
--- a/cell/call_row.hpp
+++ b/cell/call_row.hpp
@@ -23,13 +23,13 @@
     job_id                            id_;
     std::shared_ptr<staged_job const> job_;
     instant                           deadline_;
-    std::optional<shard_id>           shard_; // asked now
+    std::optional<shard_id>           shard_;       // asked now
     std::uint64_t                     request_ = 0; // in flight, 0: none
     instant                           retry_at_;
     std::set<shard_id>                tried_; // gave no answer
-    bool maybe_done_ = false; // an attempt got no answer
-    bool located_ = false;    // the store named the shard
-    job_answer refusal_; // last one
+    bool       maybe_done_ = false;           // an attempt got no answer
+    bool       located_ = false;              // the store named the shard
+    job_answer refusal_;                      // last one
 };
 
 } // namespace fescuevane::cell
--- a/cell/cell.hpp
+++ b/cell/cell.hpp
@@ -56,8 +56,8 @@
 // The organisation of a key, nothing when no organisation holds it.
 std::optional<organisation_id> find_organisation(node const&        context,
                                                  std::string const& key);
-bool          has_config(node const& context);
-bool          is_ready(node const& context); // takes calls
+bool                           has_config(node const& context);
+bool                           is_ready(node const& context); // takes calls
 bool          is_stopped(node const& context); // nothing left to hand over
 std::uint64_t config_version(node const& context);
 std::uint32_t max_body_bytes(node const& context);
--- a/cell/claim_shards.cpp
+++ b/cell/claim_shards.cpp
@@ -66,9 +66,8 @@
         }
         latest = std::max(latest, host.heard_at_);
     }
-    return context.hosts_.size() <= 1 ||
-           latest.remaining_until(context.now_) >
-               context.settings_.alone_micros_;
+    return context.hosts_.size() <= 1 || latest.remaining_until(context.now_) >
+                                             context.settings_.alone_micros_;
 }
 
 } // namespace
@@ -94,9 +93,8 @@
     {
         host_row const& host = context.hosts_[index];
         host_id const&  id = context.hosts_.key(index);
-        bool const      lost = host.heard_ && is_silent(context, host.heard_at_);
-        if (id == values.host_ || id == row.owner_ || lost ||
-            host.stopping_ ||
+        bool const lost = host.heard_ && is_silent(context, host.heard_at_);
+        if (id == values.host_ || id == row.owner_ || lost || host.stopping_ ||
             (host.domain_ == shard.domain_) != own_domain)
         {
             continue;
@@ -129,14 +127,20 @@
 {
     settings const& values = context.settings_;
     // Right after a cut the targets answer before the hosts do.
-    bool const reached = !is_silent(context, row.reached_at_) &&
-                         row.reached_since_.after(values.suspect_micros_ +
-                                                  values.suspect_micros_ / 2) <=
-                             context.now_;
+    bool const reached =
+        !is_silent(context, row.reached_at_) &&
+        row.reached_since_.after(values.suspect_micros_ +
+                                 values.suspect_micros_ / 2) <= context.now_;
     target_id const* const target = find_target_in(context, shard.domain_);
-    if (target != nullptr && row.probe_after_ <= context.now_)
+    if (row.probe_after_ > context.now_)
+    {
+        wake_at(context, row.probe_after_);
+        return reached;
+    }
+    row.probe_after_ = context.now_.after(values.suspect_micros_ / 2);
+    // Without a listed target there is nothing to ask, nor to take over.
+    if (target != nullptr)
     {
-        row.probe_after_ = context.now_.after(values.suspect_micros_ / 2);
         std::uint64_t const request = next_request(context);
         context.probes_[request] = shard;
         context.outbox_.push_back(hold_target{
@@ -156,15 +160,15 @@
     {
         return false;
     }
-    settings const& values = context.settings_;
-    bool const      foreign = shard.domain_ != values.domain_;
-    bool const      own_row = row.owner_ == values.host_;
+    settings const&    values = context.settings_;
+    bool const         foreign = shard.domain_ != values.domain_;
+    bool const         own_row = row.owner_ == values.host_;
     std::int64_t const delay =
-        own_row ? 0
-                : rank_candidate(context, shard, row) *
-                          values.claim_step_micros_ +
-                      (foreign && !row.released_ ? values.foreign_claim_micros_
-                                                 : 0);
+        own_row
+            ? 0
+            : rank_candidate(context, shard, row) * values.claim_step_micros_ +
+                  (foreign && !row.released_ ? values.foreign_claim_micros_
+                                             : 0);
     instant const due = vacant->after(delay);
     if (due > context.now_)
     {
@@ -191,8 +195,7 @@
 std::string owner_text(node const& context, owned_row const& own, bool released,
                        host_id const& successor)
 {
-    return write_owner({context.settings_.host_,
-                        context.settings_.incarnation_,
+    return write_owner({context.settings_.host_, context.settings_.incarnation_,
                         context.settings_.address_, own.epoch_, released,
                         successor});
 }
@@ -203,17 +206,14 @@
                               bool released, host_id const& successor)
 {
     owned_row const&    own = *context.owned_.find(shard);
-    revision const      seen =
-        own.parts_[part].fenced_
-                 ? own.parts_[part].fence_
-                 : context.shards_.find(shard)->revisions_[part];
+    revision const      seen = own.parts_[part].fenced_
+                                   ? own.parts_[part].fence_
+                                   : context.shards_.find(shard)->revisions_[part];
     row_key const       key{"member", std::to_string(part),
                       "shard/" + write_shard_name(shard)};
     std::uint64_t const request = next_request(context);
-    context.requests_.ensure(request) = {.kind_ = kind,
-                                         .shard_ = shard,
-                                         .part_ = part,
-                                         .sent_ = context.now_};
+    context.requests_.ensure(request) = {
+        .kind_ = kind, .shard_ = shard, .part_ = part, .sent_ = context.now_};
     context.outbox_.push_back(store_transact{
         .request_ = request,
         .conditions_ = {{key, seen}},
@@ -246,8 +246,7 @@
 {
     // Without the list of targets, one that still runs work would be missed.
     if (!context.members_known_ || !context.targets_known_ ||
-        !context.announced_ ||
-        !context.store_ok_ || context.stopping_)
+        !context.announced_ || !context.store_ok_ || context.stopping_)
     {
         return;
     }
@@ -265,8 +264,7 @@
 namespace
 {
 
-bool is_mine(node const& context, owned_row const& own,
-             stored_row const& row)
+bool is_mine(node const& context, owned_row const& own, stored_row const& row)
 {
     owner_record const record = read_owner(row.value_);
     return record.host_ == context.settings_.host_ &&
@@ -340,10 +338,10 @@
         }
         return;
     }
-    part.retry_at_ = context.now_.after(
-        reply.outcome_ == store_outcome::conflict
-            ? 0
-            : context.settings_.store_retry_micros_);
+    part.retry_at_ =
+        context.now_.after(reply.outcome_ == store_outcome::conflict
+                               ? 0
+                               : context.settings_.store_retry_micros_);
     if (request.kind_ == request_kind::claim &&
         reply.outcome_ != store_outcome::unknown)
     {
@@ -389,8 +387,8 @@
                     wake_at(context, part.retry_at_);
                     continue;
                 }
-                part.request_ = write_owner_row(
-                    context, shard, index, request_kind::fence, false, {});
+                part.request_ = write_owner_row(context, shard, index,
+                                                request_kind::fence, false, {});
             }
             if (all)
             {
@@ -399,7 +397,7 @@
                 // A run number is never given twice, so numbers start above
                 // those of earlier owners, which aren't all known.
                 constexpr std::uint32_t runs_per_epoch = 1000;
-                plan::settings values = context.settings_.plan_;
+                plan::settings          values = context.settings_.plan_;
                 own.planner_ = plan::make_planner(
                     {.run_base_ = static_cast<std::uint32_t>(own.epoch_ - 1) *
                                   runs_per_epoch,
@@ -425,11 +423,11 @@
                 continue;
             }
             part.request_ = next_request(context);
-            context.requests_.ensure(part.request_) = {
-                .kind_ = request_kind::load,
-                .shard_ = shard,
-                .part_ = index,
-                .sent_ = context.now_};
+            context.requests_.ensure(part.request_) = {.kind_ =
+                                                           request_kind::load,
+                                                       .shard_ = shard,
+                                                       .part_ = index,
+                                                       .sent_ = context.now_};
             context.outbox_.push_back(
                 store_read{.request_ = part.request_,
                            .table_ = "job",
--- a/cell/command.hpp
+++ b/cell/command.hpp
@@ -21,7 +21,10 @@
 namespace fescuevane::cell
 {
 
-using command = std::variant<answer_call, call_peer, forget_target, hold_target, log_line, reply_peer, send_heartbeat, send_pace, send_question, send_start, send_stop, store_read, store_transact>;
+using command =
+    std::variant<answer_call, call_peer, forget_target, hold_target, log_line,
+                 reply_peer, send_heartbeat, send_pace, send_question,
+                 send_start, send_stop, store_read, store_transact>;
 
 } // namespace fescuevane::cell
 
--- a/cell/config_changed.hpp
+++ b/cell/config_changed.hpp
@@ -13,7 +13,8 @@
 {
     std::shared_ptr<cell_config const> const config_;
 
-    friend bool operator==(config_changed const&, config_changed const&) = default;
+    friend bool operator==(config_changed const&,
+                           config_changed const&) = default;
 };
 
 } // namespace fescuevane::cell
--- a/cell/delegate_tasks.cpp
+++ b/cell/delegate_tasks.cpp
@@ -1,8 +1,8 @@
 // Purpose: system: hands tasks that find no room in their shard to another one.
 //
 // The tasks become a job of their own, which the other shard accepts, keeps and
-// runs like any other. The mark that they are elsewhere is stored with their job
-// before the new job is handed in, so that a change of owner at any moment
+// runs like any other. The mark that they are elsewhere is stored with their
+// job before the new job is handed in, so that a change of owner at any moment
 // neither loses nor repeats them.
 //
 // Index of sections
@@ -104,8 +104,8 @@
             continue;
         }
         best = alias.first_run_;
-        auto const at = std::find(alias.indices_.begin(), alias.indices_.end(),
-                                  run.index_);
+        auto const at =
+            std::find(alias.indices_.begin(), alias.indices_.end(), run.index_);
         local = {{id, 0, 0},
                  static_cast<std::uint32_t>(at - alias.indices_.begin()),
                  run.run_};
@@ -132,9 +132,8 @@
     {
         shard_id const&  id = context.shards_.key(row);
         shard_row const& shard = context.shards_[row];
-        bool const       heard =
-            shard.confirmed_at_.remaining_until(context.now_) <=
-            context.settings_.suspect_micros_;
+        bool const heard = shard.confirmed_at_.remaining_until(context.now_) <=
+                           context.settings_.suspect_micros_;
         host_row const* const host = context.hosts_.find(shard.owner_);
         if (id == from || context.out_.contains(id.domain_) || !heard ||
             !shard.serving_ ||
@@ -167,9 +166,9 @@
 void begin_delegation(node& context, shard_id const& shard, owned_row& own,
                       plan::overflow const& tasks, shard_id const& target)
 {
-    job_id const& parent = tasks.stage_.job_;
-    job_id const  id(parent.str() + "~" + std::to_string(own.epoch_) + "-" +
-                    std::to_string(next_request(context)));
+    job_id const&   parent = tasks.stage_.job_;
+    job_id const    id(parent.str() + "~" + std::to_string(own.epoch_) + "-" +
+                       std::to_string(next_request(context)));
     delegation_row& row = context.delegations_.ensure(id);
     row = delegation_row{.shard_ = shard,
                          .stage_ = tasks.stage_,
@@ -238,7 +237,8 @@
 {
     if (kind == call_kind::submit && !row.job_)
     {
-        plan::planner const&  planner = *context.owned_.find(row.shard_)->planner_;
+        plan::planner const& planner =
+            *context.owned_.find(row.shard_)->planner_;
         plan::overflow const tasks =
             plan::find_delegated(planner, row.stage_, id);
         if (tasks.indices_.empty())
@@ -292,8 +292,7 @@
     owned_row const* const own = context.owned_.find(row.shard_);
     if (row.phase_ == delegation_phase::marking)
     {
-        record_row const* const record =
-            context.records_.find(row.stage_.job_);
+        record_row const* const record = context.records_.find(row.stage_.job_);
         if (row.change_ == 0 && own != nullptr && !own->plan_needed_ &&
             record != nullptr)
         {
@@ -359,8 +358,7 @@
         return true;
     }
     row->call_ = 0;
-    row->next_at_ =
-        context.now_.after(context.settings_.delegate_poll_micros_);
+    row->next_at_ = context.now_.after(context.settings_.delegate_poll_micros_);
     switch (answer.outcome_)
     {
     case job_outcome::accepted:
@@ -370,8 +368,7 @@
         }
         break;
     case job_outcome::known:
-        if (row->phase_ == delegation_phase::running &&
-            is_final(answer.phase_))
+        if (row->phase_ == delegation_phase::running && is_final(answer.phase_))
         {
             finish_delegation(context, id, answer.phase_);
         }
--- a/cell/delegation_row.hpp
+++ b/cell/delegation_row.hpp
@@ -20,10 +20,10 @@
     stage_key                         stage_;  // whose tasks they are
     shard_id                          target_; // shard that is to run them
     std::shared_ptr<staged_job const> job_;    // what it is asked to run
-    delegation_phase phase_ = delegation_phase::marking;
-    std::uint64_t    change_ = 0; // of the owned job, that holds the mark
-    std::uint64_t    call_ = 0;   // in flight, 0: none
-    instant          next_at_;    // of the next call
+    delegation_phase                  phase_ = delegation_phase::marking;
+    std::uint64_t change_ = 0; // of the owned job, that holds the mark
+    std::uint64_t call_ = 0;   // in flight, 0: none
+    instant       next_at_;    // of the next call
 };
 
 } // namespace fescuevane::cell
--- a/cell/domain_withdrawn.hpp
+++ b/cell/domain_withdrawn.hpp
@@ -12,7 +12,8 @@
     domain_id const domain_;
     bool const      out_ = true;
 
-    friend bool operator==(domain_withdrawn const&, domain_withdrawn const&) = default;
+    friend bool operator==(domain_withdrawn const&,
+                           domain_withdrawn const&) = default;
 };
 
 } // namespace fescuevane::cell
--- a/cell/drive_planners.cpp
+++ b/cell/drive_planners.cpp
@@ -40,10 +40,8 @@
         resources const& limit = entry.share_.limit_;
         organisations.push_back(
             {entry.share_.id_,
-             entry.share_.weight_ * uneven_factor /
-                 static_cast<double>(shards),
-             resources(limit.cpu_millis() / shards,
-                       limit.memory_mib() / shards,
+             entry.share_.weight_ * uneven_factor / static_cast<double>(shards),
+             resources(limit.cpu_millis() / shards, limit.memory_mib() / shards,
                        limit.accelerators() / shards)});
     }
     plan::post_event(*own.planner_, plan::queues_set{std::move(queues)});
@@ -98,12 +96,12 @@
         return;
     }
     add_alias(context, *record.job_);
-    plan::post_event(*own.planner_,
-                     plan::job_added{.job_ = record.job_,
-                                     .progress_ = record.progress_,
-                                     .accepted_at_ =
-                                         accepted_at(context, *record.job_),
-                                     .recovered_ = true});
+    plan::post_event(
+        *own.planner_,
+        plan::job_added{.job_ = record.job_,
+                        .progress_ = record.progress_,
+                        .accepted_at_ = accepted_at(context, *record.job_),
+                        .recovered_ = true});
 }
 
 void finish_loading(node& context, shard_id const& shard)
@@ -205,8 +203,7 @@
     }
     // What was seen fades as fast as questions are answered.
     std::int64_t const lag = std::max<std::int64_t>(
-        0, asker->lag_micros_ -
-               asker->lag_at_.remaining_until(context.now_));
+        0, asker->lag_micros_ - asker->lag_at_.remaining_until(context.now_));
     return std::max(context.now_.remaining_until(asker->busy_until_), lag);
 }
 
@@ -235,9 +232,8 @@
     {
         host_row const& host = context.hosts_[row];
         host_id const&  id = context.hosts_.key(row);
-        bool const      silent =
-            host.heard_at_.remaining_until(context.now_) >
-            values.suspect_micros_;
+        bool const      silent = host.heard_at_.remaining_until(context.now_) >
+                            values.suspect_micros_;
         if (id == values.host_ || !host.heard_ || silent || host.stopping_)
         {
             continue;
@@ -264,21 +260,19 @@
     std::int64_t const  wait = expect_wait(context, asker);
     row.busy_until_ = std::max(row.busy_until_, context.now_).after(micros);
     context.questions_.ensure(request) = {
-        shard, std::make_shared<plan::ask_advice const>(question),
-        context.now_, asker, micros};
+        shard, std::make_shared<plan::ask_advice const>(question), context.now_,
+        asker, micros};
     context.outbox_.push_back(send_question{
         .request_ = request,
-        .question_ = {.stage_ = to_original(context,
-                                            {question.stage_, 0, 0})
-                                    .stage_,
+        .question_ = {.stage_ =
+                          to_original(context, {question.stage_, 0, 0}).stage_,
                       .targets_ = question.targets_,
                       .validity_ms_ = question.validity_ms_},
         .address_ = asker == context.settings_.host_
                         ? std::string()
                         : context.hosts_.find(asker)->address_,
-        .deadline_ =
-            context.now_.after(wait + micros +
-                               context.settings_.advice_slack_micros_)});
+        .deadline_ = context.now_.after(
+            wait + micros + context.settings_.advice_slack_micros_)});
 }
 
 // Carries out one order of a planner.
@@ -295,9 +289,9 @@
                    {"index", std::to_string(order.run_.index_)},
                    {"run", std::to_string(order.run_.run_)},
                    {"target", order.target_.str()},
-                   {"config", std::to_string(
-                                  context_.config_ ? context_.config_->version_
-                                                   : 0)}});
+                   {"config",
+                    std::to_string(context_.config_ ? context_.config_->version_
+                                                    : 0)}});
         queue_order(context_, shard_, order);
     }
 
@@ -381,9 +375,9 @@
 {
     asker_row&         asker = context.askers_.ensure(asked.asker_);
     std::int64_t const took = asked.sent_.remaining_until(context.now_);
-    asker.lag_micros_ = answered ? std::max<std::int64_t>(
-                                       0, took - asked.micros_)
-                                 : std::max(took, lost_asker_micros);
+    asker.lag_micros_ = answered
+                            ? std::max<std::int64_t>(0, took - asked.micros_)
+                            : std::max(took, lost_asker_micros);
     asker.lag_at_ = context.now_;
     if (std::none_of(context.questions_.begin(), context.questions_.end(),
                      [&asked](question_row const& other)
@@ -431,14 +425,13 @@
                {"good", std::to_string(input.good_.size())},
                {"ms", std::to_string(asked.sent_.remaining_until(context.now_) /
                                      micros_per_milli)}});
-    plan::post_event(
-        *own->planner_,
-        plan::advice_given{
-            .stage_ = asked.question_->stage_,
-            .asked_ = asked.question_->targets_,
-            .good_ = input.good_,
-            .valid_until_ = context.now_.after(asked.question_->validity_ms_ *
-                                               micros_per_milli)});
+    plan::post_event(*own->planner_,
+                     plan::advice_given{.stage_ = asked.question_->stage_,
+                                        .asked_ = asked.question_->targets_,
+                                        .good_ = input.good_,
+                                        .valid_until_ = context.now_.after(
+                                            asked.question_->validity_ms_ *
+                                            micros_per_milli)});
 }
 
 } // namespace fescuevane::cell
--- a/cell/event.hpp
+++ b/cell/event.hpp
@@ -24,7 +24,12 @@
 namespace fescuevane::cell
 {
 
-using event = std::variant<advice_reply, call_closed, call_opened, config_changed, domain_withdrawn, heartbeat_received, hold_reply, list_complete, member_row_changed, order_reply, peer_called, peer_replied, stop_requested, store_reply, target_listed, target_unlisted>;
+using event =
+    std::variant<advice_reply, call_closed, call_opened, config_changed,
+                 domain_withdrawn, heartbeat_received, hold_reply,
+                 list_complete, member_row_changed, order_reply, peer_called,
+                 peer_replied, stop_requested, store_reply, target_listed,
+                 target_unlisted>;
 
 } // namespace fescuevane::cell
 
--- a/cell/follow_members.cpp
+++ b/cell/follow_members.cpp
@@ -72,9 +72,8 @@
     shard->revisions_[part] = row.revision_;
     shard->epochs_[part] = record.epoch_;
     owned_row const* const own = context.owned_.find(id);
-    bool const             mine =
-        record.host_ == context.settings_.host_ &&
-        record.incarnation_ == context.settings_.incarnation_;
+    bool const             mine = record.host_ == context.settings_.host_ &&
+                      record.incarnation_ == context.settings_.incarnation_;
     if (own != nullptr && record.epoch_ >= own->epoch_ && !mine)
     {
         drop_shard(context, id, "another host took it over");
@@ -150,8 +149,7 @@
         beat.shards_.push_back(
             {.shard_ = context.owned_.key(row),
              .epoch_ = own.epoch_,
-             .serving_ =
-                 own.phase_ == owned_phase::serving && !own.releasing_,
+             .serving_ = own.phase_ == owned_phase::serving && !own.releasing_,
              .load_ = own.planner_ ? plan::summarize_load(*own.planner_)
                                    : plan::load_summary()});
     }
@@ -219,20 +217,20 @@
 {
     if (context.announced_ || context.announce_at_ > context.now_)
     {
-        wake_at(context, context.announced_ ? instant::never()
-                                            : context.announce_at_);
+        wake_at(context,
+                context.announced_ ? instant::never() : context.announce_at_);
         return;
     }
     std::uint64_t const request = next_request(context);
-    context.requests_.ensure(request) = {
-        .kind_ = request_kind::announce, .sent_ = context.now_};
+    context.requests_.ensure(request) = {.kind_ = request_kind::announce,
+                                         .sent_ = context.now_};
     context.outbox_.push_back(store_transact{
         .request_ = request,
-        .writes_ = {{{"member", "", host_prefix + context.settings_.host_.str()},
-                     write_host({context.settings_.address_,
-                                 context.settings_.domain_,
-                                 context.settings_.cpu_share_,
-                                 context.settings_.incarnation_})}},
+        .writes_ =
+            {{{"member", "", host_prefix + context.settings_.host_.str()},
+              write_host({context.settings_.address_, context.settings_.domain_,
+                          context.settings_.cpu_share_,
+                          context.settings_.incarnation_})}},
         .deadline_ = store_deadline(context)});
     context.announce_at_ =
         store_deadline(context).after(context.settings_.store_retry_micros_);
@@ -284,8 +282,8 @@
     for (std::size_t row = 0; row < context.hosts_.size(); ++row)
     {
         host_row const& host = context.hosts_[row];
-        bool const      self = context.hosts_.key(row) == context.settings_.host_;
-        bool const      wanted =
+        bool const self = context.hosts_.key(row) == context.settings_.host_;
+        bool const wanted =
             !beat.shards_.empty() || host.domain_ == context.settings_.domain_;
         instant const word = std::max(host.heard_at_, host.listed_at_);
         bool const    dead =
@@ -319,9 +317,9 @@
         // Deadlines follow the latency, so that a lost answer is noticed soon
         // and a slow store is still waited for.
         constexpr std::int64_t latency_factor = 5;
-        std::int64_t const     wanted = std::clamp(
-                sent.remaining_until(context.now_) * latency_factor,
-                values.store_min_micros_, values.store_max_micros_);
+        std::int64_t const     wanted =
+            std::clamp(sent.remaining_until(context.now_) * latency_factor,
+                       values.store_min_micros_, values.store_max_micros_);
         context.store_micros_ =
             std::max(wanted, context.store_micros_ - values.store_min_micros_);
         context.store_word_ = context.now_;
@@ -375,8 +373,7 @@
 
 void apply(node& context, config_changed const& input)
 {
-    if (context.config_ &&
-        input.config_->version_ <= context.config_->version_)
+    if (context.config_ && input.config_->version_ <= context.config_->version_)
     {
         return; // versions never go back
     }
@@ -391,9 +388,8 @@
 
 void apply(node& context, domain_withdrawn const& input)
 {
-    bool const changed = input.out_
-                             ? context.out_.insert(input.domain_).second
-                             : context.out_.erase(input.domain_) > 0;
+    bool const changed = input.out_ ? context.out_.insert(input.domain_).second
+                                    : context.out_.erase(input.domain_) > 0;
     if (!changed)
     {
         return;
--- a/cell/forget_target.hpp
+++ b/cell/forget_target.hpp
@@ -11,7 +11,8 @@
 {
     target_id const target_;
 
-    friend bool operator==(forget_target const&, forget_target const&) = default;
+    friend bool operator==(forget_target const&,
+                           forget_target const&) = default;
 };
 
 } // namespace fescuevane::cell
--- a/cell/heartbeat_received.hpp
+++ b/cell/heartbeat_received.hpp
@@ -11,7 +11,8 @@
 {
     heartbeat const beat_;
 
-    friend bool operator==(heartbeat_received const&, heartbeat_received const&) = default;
+    friend bool operator==(heartbeat_received const&,
+                           heartbeat_received const&) = default;
 };
 
 } // namespace fescuevane::cell
--- a/cell/hold_reply.hpp
+++ b/cell/hold_reply.hpp
@@ -19,7 +19,7 @@
     std::uint64_t const             request_ = 0;
     target_id const                 target_;
     target_outcome const            outcome_ = target_outcome::unknown;
-    std::int64_t const              clock_ms_ = 0; // of the target
+    std::int64_t const              clock_ms_ = 0;     // of the target
     std::int64_t const              born_unix_ms_ = 0; // 0: not said
     std::vector<reported_run> const runs_;
     std::vector<reported_end> const ends_;
--- a/cell/journal_part.hpp
+++ b/cell/journal_part.hpp
@@ -20,7 +20,7 @@
     std::string      load_from_;   // next key to read
     std::uint64_t    request_ = 0; // in flight, 0: none
     instant          retry_at_;
-    std::set<job_id> dirty_;     // to be written
+    std::set<job_id> dirty_; // to be written
     instant          flush_at_ = instant::never();
 };
 
--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -1,5 +1,5 @@
-// Purpose: system and events: leases, orders and reports of the targets of owned
-// shards.
+// Purpose: system and events: leases, orders and reports of the targets of
+// owned shards.
 //
 // Index of sections
 //   1. List of targets
@@ -68,9 +68,9 @@
 // Longest time for which work that nobody reported may go on.
 std::int64_t longest_lease_micros(settings const& values)
 {
-    return static_cast<std::int64_t>(
-               static_cast<double>(values.lease_ms_) *
-               (1 + values.clock_drift_) * micros_per_milli) +
+    return static_cast<std::int64_t>(static_cast<double>(values.lease_ms_) *
+                                     (1 + values.clock_drift_) *
+                                     micros_per_milli) +
            values.clock_slack_ms_ * micros_per_milli;
 }
 
@@ -147,13 +147,13 @@
 void apply(node& context, target_listed const& input)
 {
     target_id const& id = input.target_.id_;
-    session_row& session = context.sessions_.ensure(id);
+    session_row&     session = context.sessions_.ensure(id);
     if (session.info_ && session.listed_ && *session.info_ == input.target_)
     {
         return;
     }
-    bool const moved = session.info_ &&
-                       session.info_->address_ != input.target_.address_;
+    bool const moved =
+        session.info_ && session.info_->address_ != input.target_.address_;
     session.info_ = std::make_shared<listed_target const>(input.target_);
     session.listed_ = true;
     session.shard_ = shard_of(input.target_.domain_);
@@ -217,8 +217,8 @@
     {
         return session.wait_out_ <= context.now_;
     }
-    double const passed = elapsed_ms(session.clock_at_, context.now_) *
-                          (1 - values.clock_drift_);
+    double const passed =
+        elapsed_ms(session.clock_at_, context.now_) * (1 - values.clock_drift_);
     return static_cast<double>(session.clock_ms_) + passed >
            static_cast<double>(session.granted_ms_ + values.clock_slack_ms_);
 }
@@ -226,8 +226,8 @@
 // Wakes when the leases on a silent target may have lapsed.
 void wake_for_lapse(node& context, session_row const& session)
 {
-    settings const&    values = context.settings_;
-    double const       wait_ms =
+    settings const& values = context.settings_;
+    double const    wait_ms =
         static_cast<double>(session.granted_ms_ + values.clock_slack_ms_ -
                             session.clock_ms_) /
         (1 - values.clock_drift_);
@@ -248,8 +248,8 @@
         lease = target_clock(session, context.now_) + values.lease_ms_;
         session.granted_ms_ = std::max(session.granted_ms_, lease);
     }
-    bool const waits = session.phase_ == session_phase::attached &&
-                       session.unstored_.empty();
+    bool const waits =
+        session.phase_ == session_phase::attached && session.unstored_.empty();
     std::int64_t const wait_ms = waits ? values.hold_wait_ms_ : 0;
     session.hold_ = next_request(context);
     session.hold_sent_ = context.now_;
@@ -315,8 +315,11 @@
             run.stop_wanted_ || run.stopped_at_ != instant::never();
         bool const was_there =
             !stopping && run.confirmed_at_ < session.hold_sent_;
+        // One that was there ends in the list; stops of slow targets take
+        // long. One that never came leaves nothing behind.
         bool const stopped =
             run.stopped_at_ != instant::never() &&
+            run.confirmed_at_ == instant::never() &&
             run.stopped_at_.after(context.settings_.stop_micros_) <
                 session.hold_sent_;
         if (was_there || stopped)
@@ -349,8 +352,7 @@
         known.confirmed_at_ = std::min(known.confirmed_at_, context.now_);
         known.uncertain_at_ = instant::never();
         tell(context, session,
-             plan::run_seen{key, id, run.checkpoint_, run.percent_,
-                            run.load_});
+             plan::run_seen{key, id, run.checkpoint_, run.percent_, run.load_});
     }
     constexpr std::size_t ends_per_reply = 500;
     if (reply.ends_.size() < ends_per_reply)
@@ -418,9 +420,9 @@
                 values.silent_micros_)
         {
             session->phase_ = session_phase::silent;
-            log_event(context, "target_silent",
-                      {{"target", input.target_.str()},
-                       {"error", input.error_}});
+            log_event(
+                context, "target_silent",
+                {{"target", input.target_.str()}, {"error", input.error_}});
             tell_planner(context, input.target_);
         }
         return;
@@ -559,30 +561,27 @@
         session.granted_ms_ = std::max(session.granted_ms_, useless);
         std::uint64_t const request =
             open_order(context, session, {order_kind::start, id, start->run_});
-        context.outbox_.push_back(send_start{.request_ = request,
-                                             .address_ =
-                                                 session.info_->address_,
-                                             .start_ =
-                                                 {.run_ = to_original(
-                                                      context, start->run_),
-                                                  .target_ = id,
-                                                  .job_ = start->job_,
-                                                  .checkpoint_ =
-                                                      start->checkpoint_,
-                                                  .ticket_ = start->ticket_},
-                                             .fence_ = fence,
-                                             .lease_clock_ms_ = useless,
-                                             .deadline_ = deadline});
+        context.outbox_.push_back(
+            send_start{.request_ = request,
+                       .address_ = session.info_->address_,
+                       .start_ = {.run_ = to_original(context, start->run_),
+                                  .target_ = id,
+                                  .job_ = start->job_,
+                                  .checkpoint_ = start->checkpoint_,
+                                  .ticket_ = start->ticket_},
+                       .fence_ = fence,
+                       .lease_clock_ms_ = useless,
+                       .deadline_ = deadline});
         return;
     }
     auto const& pace = std::get<plan::pace_run>(order);
-    context.outbox_.push_back(send_pace{
-        .request_ =
-            open_order(context, session, {order_kind::pace, id, pace.run_}),
-        .address_ = session.info_->address_,
-        .pace_ = {to_original(context, pace.run_), id, pace.percent_},
-        .fence_ = fence,
-        .deadline_ = deadline});
+    context.outbox_.push_back(
+        send_pace{.request_ = open_order(context, session,
+                                         {order_kind::pace, id, pace.run_}),
+                  .address_ = session.info_->address_,
+                  .pace_ = {to_original(context, pace.run_), id, pace.percent_},
+                  .fence_ = fence,
+                  .deadline_ = deadline});
 }
 
 void send_stops(node& context, target_id const& id, session_row& session)
@@ -606,8 +605,7 @@
             .address_ = session.info_->address_,
             .stop_ = {to_original(context, key), id},
             .fence_ = context.owned_.find(session.shard_)->epoch_,
-            .deadline_ =
-                context.now_.after(context.settings_.order_micros_)});
+            .deadline_ = context.now_.after(context.settings_.order_micros_)});
     }
 }
 
@@ -629,12 +627,12 @@
         {
             session.runs_.erase(run);
         }
-        log_event(context, "start_refused",
-                  {{"job", order.run_.stage_.job_.str()},
-                   {"run", std::to_string(order.run_.run_)},
-                   {"target", order.target_.str()},
-                   {"reason",
-                    std::to_string(static_cast<int>(reply.reason_))}});
+        log_event(
+            context, "start_refused",
+            {{"job", order.run_.stage_.job_.str()},
+             {"run", std::to_string(order.run_.run_)},
+             {"target", order.target_.str()},
+             {"reason", std::to_string(static_cast<int>(reply.reason_))}});
         tell(context, session,
              plan::run_refused{order.run_, order.target_, reply.reason_});
         break;
@@ -681,9 +679,8 @@
 }
 
 // In the order of `order_kind`.
-constexpr std::array<void (*)(node&, session_row&, order_row const&,
-                              order_reply const&),
-                     3>
+constexpr std::array<
+    void (*)(node&, session_row&, order_row const&, order_reply const&), 3>
     order_ends = {&end_start, &end_stop, &end_pace};
 
 } // namespace
@@ -752,9 +749,9 @@
         if (end.sequence_ == 0)
         {
             // Ends of jobs that aren't known any more wait for nothing.
-            end.sequence_ =
-                record == nullptr ? 1 : std::max<std::uint64_t>(
-                                            1, record->changed_);
+            end.sequence_ = record == nullptr
+                                ? 1
+                                : std::max<std::uint64_t>(1, record->changed_);
         }
     }
 }
--- a/cell/list_complete.hpp
+++ b/cell/list_complete.hpp
@@ -17,7 +17,8 @@
 {
     member_list const list_ = member_list::members;
 
-    friend bool operator==(list_complete const&, list_complete const&) = default;
+    friend bool operator==(list_complete const&,
+                           list_complete const&) = default;
 };
 
 } // namespace fescuevane::cell
--- a/cell/listed_target.hpp
+++ b/cell/listed_target.hpp
@@ -23,7 +23,8 @@
     bool const                     leaving_ = false;
     std::int64_t const             born_unix_ms_ = 0; // start of this life
 
-    friend bool operator==(listed_target const&, listed_target const&) = default;
+    friend bool operator==(listed_target const&,
+                           listed_target const&) = default;
 };
 
 } // namespace fescuevane::cell
--- a/cell/member_row_changed.hpp
+++ b/cell/member_row_changed.hpp
@@ -12,7 +12,8 @@
 {
     stored_row const row_;
 
-    friend bool operator==(member_row_changed const&, member_row_changed const&) = default;
+    friend bool operator==(member_row_changed const&,
+                           member_row_changed const&) = default;
 };
 
 } // namespace fescuevane::cell
--- a/cell/node.cpp
+++ b/cell/node.cpp
@@ -176,7 +176,7 @@
     std::uint32_t waiting = 0;
     for (std::size_t row = 0; row < context.shards_.size(); ++row)
     {
-        plan::load_summary load = context.shards_[row].load_;
+        plan::load_summary     load = context.shards_[row].load_;
         owned_row const* const own =
             context.owned_.find(context.shards_.key(row));
         if (own != nullptr && own->planner_)
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -1,4 +1,5 @@
-// Purpose: the context of a node and the systems that run over it. Internal to the package; callers include cell.hpp.
+// Purpose: the context of a node and the systems that run over it. Internal to
+// the package; callers include cell.hpp.
 #ifndef FESCUEVANE_CELL_NODE_HPP
 #define FESCUEVANE_CELL_NODE_HPP
 
@@ -45,25 +46,25 @@
     std::shared_ptr<cell_config const> config_; // null: none yet
     std::set<domain_id>                out_;    // taken out by operators
 
-    table<host_id, host_row>           hosts_;
-    table<shard_id, shard_row>         shards_;
-    table<shard_id, owned_row>         owned_;
-    table<target_id, session_row>      sessions_;
-    table<job_id, record_row>          records_;
-    table<std::uint64_t, call_row>     calls_;
-    table<std::uint64_t, request_row>  requests_;  // to the store
-    table<std::uint64_t, order_row>    orders_;    // to targets
-    table<std::uint64_t, question_row> questions_; // to the policy service
-    std::map<std::uint64_t, std::uint64_t>   passed_; // request to call
-    std::vector<parked_call>                 parked_;
-    std::map<job_id, shard_id>               places_; // where jobs are
-    std::deque<job_id>                       place_order_; // oldest first
-    std::set<target_id>                      relisted_; // of a list being read
-    std::map<std::uint64_t, shard_id>        probes_;   // request to shard
-    table<host_id, asker_row>                askers_;
-
-    table<job_id, delegation_row>     delegations_; // of owned jobs
-    std::map<std::uint64_t, job_id>   delegate_calls_; // call to delegation
+    table<host_id, host_row>               hosts_;
+    table<shard_id, shard_row>             shards_;
+    table<shard_id, owned_row>             owned_;
+    table<target_id, session_row>          sessions_;
+    table<job_id, record_row>              records_;
+    table<std::uint64_t, call_row>         calls_;
+    table<std::uint64_t, request_row>      requests_;  // to the store
+    table<std::uint64_t, order_row>        orders_;    // to targets
+    table<std::uint64_t, question_row>     questions_; // to the policy service
+    std::map<std::uint64_t, std::uint64_t> passed_;    // request to call
+    std::vector<parked_call>               parked_;
+    std::map<job_id, shard_id>             places_;      // where jobs are
+    std::deque<job_id>                     place_order_; // oldest first
+    std::set<target_id>                    relisted_;    // of a list being read
+    std::map<std::uint64_t, shard_id>      probes_;      // request to shard
+    table<host_id, asker_row>              askers_;
+
+    table<job_id, delegation_row>   delegations_;    // of owned jobs
+    std::map<std::uint64_t, job_id> delegate_calls_; // call to delegation
     std::map<stage_key, std::map<std::uint32_t, std::vector<job_id>>>
         aliases_; // tasks that owned jobs stand for, by their original names
     instant delegate_at_; // next look for tasks without room
@@ -90,16 +91,16 @@
 };
 
 // Systems, in order
-void apply_events(node& context);    // inbox to tables
-void follow_members(node& context);  // announce, heartbeats
-void claim_shards(node& context);    // without an owner
-void load_shards(node& context);     // fence and read
-void drive_planners(node& context);  // plan ticks, their orders
-void delegate_tasks(node& context);  // tasks without room to other shards
-void keep_sessions(node& context);   // leases and orders to targets
-void write_journal(node& context);   // jobs to the store
-void route_calls(node& context);     // callers to owners
-void release_shards(node& context);  // on a stop
+void apply_events(node& context);   // inbox to tables
+void follow_members(node& context); // announce, heartbeats
+void claim_shards(node& context);   // without an owner
+void load_shards(node& context);    // fence and read
+void drive_planners(node& context); // plan ticks, their orders
+void delegate_tasks(node& context); // tasks without room to other shards
+void keep_sessions(node& context);  // leases and orders to targets
+void write_journal(node& context);  // jobs to the store
+void route_calls(node& context);    // callers to owners
+void release_shards(node& context); // on a stop
 
 // Shared by the systems
 std::uint64_t next_request(node& context);
@@ -107,16 +108,12 @@
 void          log_event(node& context, std::string event,
                         std::vector<std::pair<std::string, std::string>> fields);
 instant       store_deadline(node const& context);
-void          drop_shard(node& context, shard_id const& shard,
-                         std::string const& why);
-bool          owns(node const& context, shard_id const& shard,
-                   owned_phase at_least);
+void drop_shard(node& context, shard_id const& shard, std::string const& why);
+bool owns(node const& context, shard_id const& shard, owned_phase at_least);
 shard_id      shard_of(domain_id const& domain);
 std::uint32_t part_of(node const& context, job_id const& job);
-void          note_place(node& context, job_id const& job,
-                         shard_id const& shard);
-void          note_store(node& context, store_reply const& reply,
-                         instant sent);
+void note_place(node& context, job_id const& job, shard_id const& shard);
+void note_store(node& context, store_reply const& reply, instant sent);
 
 // Handlers of events, one for each kind
 void apply(node& context, advice_reply const& input);
@@ -163,18 +160,16 @@
 // Delegations
 void restore_delegations(node& context, job_record const& record);
 std::vector<job_id> list_delegates(node const& context, job_id const& job);
-bool end_delegate_call(node& context, std::uint64_t call,
-                       job_answer const& answer); // false: another call
+bool                end_delegate_call(node& context, std::uint64_t call,
+                                      job_answer const& answer); // false: another call
 
 // Calls
-void       serve_call(node& context, origin const& from, job_call const& call);
-void       answer_origin(node& context, origin const& to,
-                         job_answer const& answer);
-void       apply_answer(node& context, std::uint64_t call,
-                        job_answer const& answer);
-void       set_policies(node& context, owned_row& owned);
-void       mark_changed(node& context, job_id const& job, bool urgent);
-heartbeat  make_heartbeat(node const& context);
+void serve_call(node& context, origin const& from, job_call const& call);
+void answer_origin(node& context, origin const& to, job_answer const& answer);
+void apply_answer(node& context, std::uint64_t call, job_answer const& answer);
+void set_policies(node& context, owned_row& owned);
+void mark_changed(node& context, job_id const& job, bool urgent);
+heartbeat make_heartbeat(node const& context);
 
 } // namespace fescuevane::cell
 
--- a/cell/organisation_entry.hpp
+++ b/cell/organisation_entry.hpp
@@ -15,7 +15,8 @@
     organisation_share       share_;
     std::vector<std::string> keys_;
 
-    friend bool operator==(organisation_entry const&, organisation_entry const&) = default;
+    friend bool operator==(organisation_entry const&,
+                           organisation_entry const&) = default;
 };
 
 } // namespace fescuevane::cell
--- a/cell/queue_route.hpp
+++ b/cell/queue_route.hpp
@@ -13,8 +13,8 @@
 struct queue_route
 {
     queue_policy policy_;
-    std::string  host_;   // of the call
-    std::string  prefix_; // of the path; the rest is the job id
+    std::string  host_;         // of the call
+    std::string  prefix_;       // of the path; the rest is the job id
     bool         open_ = false; // takes calls without a key
 
     friend bool operator==(queue_route const&, queue_route const&) = default;
--- a/cell/record_row.hpp
+++ b/cell/record_row.hpp
@@ -22,15 +22,15 @@
     shard_id                          shard_;
     std::uint32_t                     part_ = 0;
     std::shared_ptr<staged_job const> job_;
-    std::string   spec_text_;             // as stored
-    job_phase     phase_ = job_phase::pending; // final ones only
-    revision      revision_ = 0;          // of the row, 0: not stored yet
-    bool          stored_ = false;        // accepted
-    bool          uncertain_ = false;     // a write got no answer
-    bool          canceled_ = false;      // withdrawn, maybe not stored yet
-    std::uint64_t changed_ = 0;           // sequence of the latest change
-    std::uint64_t written_ = 0;           // of the change in flight
-    std::uint64_t saved_ = 0;             // of the latest stored change
+    std::string                       spec_text_; // as stored
+    job_phase     phase_ = job_phase::pending;    // final ones only
+    revision      revision_ = 0;      // of the row, 0: not stored yet
+    bool          stored_ = false;    // accepted
+    bool          uncertain_ = false; // a write got no answer
+    bool          canceled_ = false;  // withdrawn, maybe not stored yet
+    std::uint64_t changed_ = 0;       // sequence of the latest change
+    std::uint64_t written_ = 0;       // of the change in flight
+    std::uint64_t saved_ = 0;         // of the latest stored change
     instant       expires_ = instant::never(); // ended, then removed
     std::vector<waiting_call> waiting_;
 };
--- a/cell/records.cpp
+++ b/cell/records.cpp
@@ -61,12 +61,10 @@
 
 std::string write_owner(owner_record const& record)
 {
-    return json{{"host", record.host_.str()},
-                {"incarnation", record.incarnation_},
-                {"address", record.address_},
-                {"epoch", record.epoch_},
-                {"released", record.released_},
-                {"successor", record.successor_.str()}}
+    return json{
+        {"host", record.host_.str()},   {"incarnation", record.incarnation_},
+        {"address", record.address_},   {"epoch", record.epoch_},
+        {"released", record.released_}, {"successor", record.successor_.str()}}
         .dump();
 }
 
@@ -166,8 +164,7 @@
                    alias.at("step").get<std::uint32_t>()},
         .indices_ = alias.at("indices").get<std::vector<std::uint32_t>>(),
         .failures_ = alias.at("failures").get<std::vector<std::uint32_t>>(),
-        .checkpoints_ =
-            alias.at("checkpoints").get<std::vector<std::string>>(),
+        .checkpoints_ = alias.at("checkpoints").get<std::vector<std::string>>(),
         .first_run_ = alias.at("first_run").get<std::uint32_t>()};
     if (steps != 1 || value.failures_.size() != value.indices_.size() ||
         value.checkpoints_.size() != value.indices_.size())
@@ -277,8 +274,7 @@
             .index_ = row.at("i").get<std::uint32_t>(),
             .done_ = row.value("d", false),
             .last_run_ = row.at("r").get<std::uint32_t>(),
-            .failed_runs_ =
-                row.value("f", std::vector<std::uint32_t>()),
+            .failed_runs_ = row.value("f", std::vector<std::uint32_t>()),
             .checkpoint_ = row.value("c", std::string()),
             .delegate_ = job_id(row.value("x", std::string()))};
 }
@@ -311,8 +307,8 @@
                  [](json const& row)
                  {
                      job_record record;
-                     record.shard_ = read_shard_name(
-                         row.at("shard").get<std::string>());
+                     record.shard_ =
+                         read_shard_name(row.at("shard").get<std::string>());
                      record.progress_.phase_ =
                          static_cast<job_phase>(row.at("phase").get<int>());
                      for (json const& task : row.at("tasks"))
--- a/cell/route_calls.cpp
+++ b/cell/route_calls.cpp
@@ -37,8 +37,7 @@
                context.settings_.suspect_micros_;
 }
 
-bool takes_jobs(node const& context, shard_id const& id,
-                shard_row const& shard)
+bool takes_jobs(node const& context, shard_id const& id, shard_row const& shard)
 {
     if (!has_owner(context, id, shard) || context.out_.contains(id.domain_))
     {
@@ -57,9 +56,8 @@
 {
     double const capacity =
         static_cast<double>(shard.load_.capacity_.cpu_millis());
-    double const wanted =
-        static_cast<double>(shard.load_.used_.cpu_millis() +
-                            shard.load_.queued_.cpu_millis());
+    double const wanted = static_cast<double>(shard.load_.used_.cpu_millis() +
+                                              shard.load_.queued_.cpu_millis());
     // A shard that was just taken over has reported nothing yet.
     double const load = capacity > 0 ? wanted / capacity : 1;
     return load + (id.domain_ == context.settings_.domain_
@@ -101,8 +99,8 @@
     {
         return place->second;
     }
-    shard_id const          own = shard_of(context.settings_.domain_);
-    shard_row const* const  row = context.shards_.find(own);
+    shard_id const         own = shard_of(context.settings_.domain_);
+    shard_row const* const row = context.shards_.find(own);
     if (!call.tried_.contains(own) && row != nullptr &&
         has_owner(context, own, *row))
     {
@@ -152,17 +150,15 @@
 void retry_call(node& context, call_row& call)
 {
     call.request_ = 0;
-    call.retry_at_ =
-        context.now_.after(context.settings_.route_retry_micros_);
+    call.retry_at_ = context.now_.after(context.settings_.route_retry_micros_);
 }
 
 void locate_job(node& context, std::uint64_t id, call_row& call)
 {
     std::uint64_t const request = next_request(context);
     call.request_ = request;
-    context.requests_.ensure(request) = {.kind_ = request_kind::locate,
-                                         .call_ = id,
-                                         .sent_ = context.now_};
+    context.requests_.ensure(request) = {
+        .kind_ = request_kind::locate, .call_ = id, .sent_ = context.now_};
     context.outbox_.push_back(store_read{
         .request_ = request,
         .table_ = "job",
@@ -288,14 +284,13 @@
 
 void apply(node& context, call_opened const& input)
 {
-    context.calls_.ensure(input.call_) = call_row{
-        .kind_ = input.kind_,
-        .id_ = input.id_,
-        .job_ = input.job_,
-        .deadline_ =
-            instant(input.deadline_.micros() -
-                    context.settings_.answer_margin_micros_),
-        .retry_at_ = context.now_};
+    context.calls_.ensure(input.call_) =
+        call_row{.kind_ = input.kind_,
+                 .id_ = input.id_,
+                 .job_ = input.job_,
+                 .deadline_ = instant(input.deadline_.micros() -
+                                      context.settings_.answer_margin_micros_),
+                 .retry_at_ = context.now_};
 }
 
 void apply(node& context, call_closed const& input)
@@ -310,15 +305,15 @@
 
 void pass_call(node& context, std::uint64_t id, shard_id const& shard)
 {
-    call_row&      call = *context.calls_.find(id);
+    call_row& call = *context.calls_.find(id);
     // An owner that doesn't answer in this time is given up for another one.
     constexpr std::int64_t pass_micros = 1'500'000;
-    job_call const passed{.kind_ = call.kind_,
-                          .id_ = call.id_,
-                          .shard_ = shard,
-                          .job_ = call.job_,
-                          .deadline_ = std::min(
-                              call.deadline_, context.now_.after(pass_micros))};
+    job_call const         passed{
+                .kind_ = call.kind_,
+                .id_ = call.id_,
+                .shard_ = shard,
+                .job_ = call.job_,
+                .deadline_ = std::min(call.deadline_, context.now_.after(pass_micros))};
     call.shard_ = shard;
     call.request_ = next_request(context);
     if (context.owned_.contains(shard))
@@ -333,8 +328,8 @@
 
 void route_submit(node& context, std::uint64_t id)
 {
-    call_row& call = *context.calls_.find(id);
-    auto const place = context.places_.find(call.id_);
+    call_row&                     call = *context.calls_.find(id);
+    auto const                    place = context.places_.find(call.id_);
     std::optional<shard_id> const shard =
         place != context.places_.end() && !call.tried_.contains(place->second)
             ? place->second
--- a/cell/row_condition.hpp
+++ b/cell/row_condition.hpp
@@ -13,7 +13,8 @@
     row_key  key_;
     revision revision_ = 0; // that the row must have, 0: no such row
 
-    friend bool operator==(row_condition const&, row_condition const&) = default;
+    friend bool operator==(row_condition const&,
+                           row_condition const&) = default;
 };
 
 } // namespace fescuevane::cell
--- a/cell/send_heartbeat.hpp
+++ b/cell/send_heartbeat.hpp
@@ -16,7 +16,8 @@
     heartbeat const   beat_;
     instant const     deadline_;
 
-    friend bool operator==(send_heartbeat const&, send_heartbeat const&) = default;
+    friend bool operator==(send_heartbeat const&,
+                           send_heartbeat const&) = default;
 };
 
 } // namespace fescuevane::cell
--- a/cell/send_question.hpp
+++ b/cell/send_question.hpp
@@ -18,7 +18,8 @@
     std::string const      address_; // host that is to ask, empty: this one
     instant const          deadline_;
 
-    friend bool operator==(send_question const&, send_question const&) = default;
+    friend bool operator==(send_question const&,
+                           send_question const&) = default;
 };
 
 } // namespace fescuevane::cell
--- a/cell/serve_calls.cpp
+++ b/cell/serve_calls.cpp
@@ -53,14 +53,12 @@
     }
     if (known != nullptr)
     {
-        known->waiting_.push_back(
-            {from, call_kind::submit, call.deadline_});
+        known->waiting_.push_back({from, call_kind::submit, call.deadline_});
         return;
     }
     if (!context.store_ok_)
     {
-        answer_origin(context, from,
-                      refuse(context, job_outcome::unavailable));
+        answer_origin(context, from, refuse(context, job_outcome::unavailable));
         return;
     }
     record_row& record = context.records_.ensure(call.id_);
@@ -95,13 +93,12 @@
     }
     if (!record->stored_)
     {
-        answer_origin(context, from,
-                      refuse(context, job_outcome::unavailable));
+        answer_origin(context, from, refuse(context, job_outcome::unavailable));
         return;
     }
-    answer_origin(context, from,
-                  {.outcome_ = job_outcome::known,
-                   .phase_ = phase_of(context, *record)});
+    answer_origin(
+        context, from,
+        {.outcome_ = job_outcome::known, .phase_ = phase_of(context, *record)});
 }
 
 void serve_cancel(node& context, origin const& from, job_call const& call)
@@ -114,8 +111,7 @@
     }
     if (!record->stored_)
     {
-        answer_origin(context, from,
-                      refuse(context, job_outcome::unavailable));
+        answer_origin(context, from, refuse(context, job_outcome::unavailable));
         return;
     }
     bool const ended = is_final(phase_of(context, *record));
@@ -158,8 +154,7 @@
         context.parked_.push_back({from, call});
         return;
     }
-    call_handlers.at(static_cast<std::size_t>(call.kind_))(context, from,
-                                                           call);
+    call_handlers.at(static_cast<std::size_t>(call.kind_))(context, from, call);
 }
 
 void apply(node& context, peer_called const& input)
--- a/cell/session_row.hpp
+++ b/cell/session_row.hpp
@@ -39,16 +39,16 @@
     instant       contact_sent_;   // when its question was sent
     std::uint64_t hold_ = 0;       // request in flight, 0: none
     instant       hold_sent_;
-    instant       hold_at_;        // next question
-    instant       wait_out_;       // attaching: unseen runs have lapsed
+    instant       hold_at_;  // next question
+    instant       wait_out_; // attaching: unseen runs have lapsed
 
     // Runs and ends
-    std::map<run_key, session_run>  runs_;
-    std::uint64_t                   last_seen_ = 0; // forgotten by the target
-    std::uint64_t                   processed_ = 0; // highest end applied
-    std::deque<unstored_end>        unstored_;
-    std::deque<plan::command>       orders_; // waiting
-    std::uint32_t                   open_orders_ = 0;
+    std::map<run_key, session_run> runs_;
+    std::uint64_t                  last_seen_ = 0; // forgotten by the target
+    std::uint64_t                  processed_ = 0; // highest end applied
+    std::deque<unstored_end>       unstored_;
+    std::deque<plan::command>      orders_; // waiting
+    std::uint32_t                  open_orders_ = 0;
 };
 
 } // namespace fescuevane::cell
--- a/cell/settings.hpp
+++ b/cell/settings.hpp
@@ -18,7 +18,7 @@
     host_id                host_;
     std::string            address_; // for other hosts, IP:port
     domain_id              domain_;
-    std::vector<domain_id> domains_; // all of the cell
+    std::vector<domain_id> domains_;       // all of the cell
     double                 cpu_share_ = 1; // of a core; larger hosts own first
     std::uint64_t          incarnation_ = 0; // higher at each start
 
@@ -33,24 +33,24 @@
 
     // Heartbeats and ownership
     std::int64_t heartbeat_micros_ = 300'000;
-    std::int64_t suspect_micros_ = 1'000'000; // without word from an owner
-    std::int64_t claim_step_micros_ = 300'000; // between candidates
+    std::int64_t suspect_micros_ = 1'000'000;   // without word from an owner
+    std::int64_t claim_step_micros_ = 300'000;  // between candidates
     std::int64_t first_claim_micros_ = 500'000; // after the start of a host
     std::int64_t foreign_claim_micros_ = 1'200'000; // later in other domains
     std::int64_t alone_micros_ = 8'000'000; // without word from any host
 
     // Leases; clocks of targets may run slow by `clock_drift_`
-    std::int64_t lease_ms_ = 4000;
-    std::int64_t start_valid_ms_ = 1500; // a start that comes later is useless
-    std::int64_t hold_wait_ms_ = 800;    // for an end
-    std::int64_t hold_slack_micros_ = 500'000; // answer after the wait
-    std::int64_t hold_retry_micros_ = 150'000;
-    std::int64_t stop_micros_ = 1'500'000; // a stop takes less than this
-    std::int64_t order_micros_ = 500'000; // deadline of an order
-    std::int64_t silent_micros_ = 1'500'000; // without word from a target
-    std::uint32_t orders_open_ = 4; // to one target
-    double       clock_drift_ = 0.02;
-    std::int64_t clock_slack_ms_ = 300;
+    std::int64_t  lease_ms_ = 4000;
+    std::int64_t  start_valid_ms_ = 1500; // a start that comes later is useless
+    std::int64_t  hold_wait_ms_ = 800;    // for an end
+    std::int64_t  hold_slack_micros_ = 500'000; // answer after the wait
+    std::int64_t  hold_retry_micros_ = 150'000;
+    std::int64_t  stop_micros_ = 3'000'000;   // then a run never came
+    std::int64_t  order_micros_ = 500'000;    // deadline of an order
+    std::int64_t  silent_micros_ = 1'500'000; // without word from a target
+    std::uint32_t orders_open_ = 4;           // to one target
+    double        clock_drift_ = 0.02;
+    std::int64_t  clock_slack_ms_ = 300;
 
     // Questions to the policy service
     std::int64_t advice_owner_micros_ = 150'000; // owners ask for themselves
@@ -62,15 +62,15 @@
     std::int64_t plan_gap_micros_ = 4'000;
 
     // Tasks without room go to another shard
-    std::int64_t overflow_micros_ = 600'000;  // they wait here first
-    std::int64_t delegate_micros_ = 100'000;  // between looks
+    std::int64_t overflow_micros_ = 600'000;      // they wait here first
+    std::int64_t delegate_micros_ = 100'000;      // between looks
     std::int64_t delegate_poll_micros_ = 150'000; // of a job elsewhere
 
     // Calls
     std::int64_t answer_margin_micros_ = 200'000; // before a caller's deadline
     std::int64_t route_retry_micros_ = 60'000;
     std::int64_t retry_after_ms_ = 1000; // told with a refusal
-    double       remote_cost_ = 0.25; // of another domain, in shard loads
+    double       remote_cost_ = 0.25;    // of another domain, in shard loads
 
     plan::settings plan_;
 };
--- a/cell/shard_row.hpp
+++ b/cell/shard_row.hpp
@@ -32,8 +32,8 @@
 
     // Claims
     instant suspected_at_ = instant::never(); // owner silent or gone
-    instant probe_after_; // next question whether its targets can be reached
-    instant reached_at_;  // latest answer to that
+    instant probe_after_;   // next question whether its targets can be reached
+    instant reached_at_;    // latest answer to that
     instant reached_since_; // first answer after a silence
 };
 
--- a/cell/stop_requested.hpp
+++ b/cell/stop_requested.hpp
@@ -11,7 +11,8 @@
 {
     instant const deadline_; // shards are handed over before
 
-    friend bool operator==(stop_requested const&, stop_requested const&) = default;
+    friend bool operator==(stop_requested const&,
+                           stop_requested const&) = default;
 };
 
 } // namespace fescuevane::cell
--- a/cell/store_transact.hpp
+++ b/cell/store_transact.hpp
@@ -19,7 +19,8 @@
     std::vector<row_write> const     writes_;
     instant const                    deadline_;
 
-    friend bool operator==(store_transact const&, store_transact const&) = default;
+    friend bool operator==(store_transact const&,
+                           store_transact const&) = default;
 };
 
 } // namespace fescuevane::cell
--- a/cell/target_listed.hpp
+++ b/cell/target_listed.hpp
@@ -11,7 +11,8 @@
 {
     listed_target const target_;
 
-    friend bool operator==(target_listed const&, target_listed const&) = default;
+    friend bool operator==(target_listed const&,
+                           target_listed const&) = default;
 };
 
 } // namespace fescuevane::cell
--- a/cell/target_unlisted.hpp
+++ b/cell/target_unlisted.hpp
@@ -11,7 +11,8 @@
 {
     target_id const id_;
 
-    friend bool operator==(target_unlisted const&, target_unlisted const&) = default;
+    friend bool operator==(target_unlisted const&,
+                           target_unlisted const&) = default;
 };
 
 } // namespace fescuevane::cell
--- a/cell/unstored_end.hpp
+++ b/cell/unstored_end.hpp
@@ -11,7 +11,7 @@
 
 struct unstored_end
 {
-    std::uint64_t number_ = 0;   // of the end
+    std::uint64_t number_ = 0; // of the end
     job_id        job_;
     std::uint64_t sequence_ = 0; // of the job's change that holds its effect
 };
--- a/cell/write_journal.cpp
+++ b/cell/write_journal.cpp
@@ -216,7 +216,7 @@
     record.uncertain_ = false;
     add_alias(context, *record.job_);
     note_place(context, record.job_->id_, record.shard_);
-    owned_row& own = *context.owned_.find(record.shard_);
+    owned_row&         own = *context.owned_.find(record.shard_);
     std::int64_t const age_ms = std::max<std::int64_t>(
         0, context.unix_ms_ - record.job_->accepted_unix_ms_);
     plan::post_event(
@@ -258,9 +258,9 @@
     }
     if (record->changed_ > record->saved_)
     {
-        part.flush_at_ = std::min(
-            part.flush_at_,
-            context.now_.after(context.settings_.journal_micros_));
+        part.flush_at_ =
+            std::min(part.flush_at_,
+                     context.now_.after(context.settings_.journal_micros_));
     }
     else
     {
@@ -389,9 +389,9 @@
         }
         if (!part.dirty_.empty())
         {
-            part.flush_at_ = std::min(
-                part.flush_at_,
-                context.now_.after(context.settings_.journal_micros_));
+            part.flush_at_ =
+                std::min(part.flush_at_,
+                         context.now_.after(context.settings_.journal_micros_));
         }
         break;
     case store_outcome::conflict:
@@ -409,8 +409,7 @@
                 return;
             }
             settle_conflict(context, part,
-                            *context.records_.find(job_id(row.key_.key_)),
-                            row);
+                            *context.records_.find(job_id(row.key_.key_)), row);
         }
         break;
     case store_outcome::not_done:
--- a/core/ids.hpp
+++ b/core/ids.hpp
@@ -9,8 +9,8 @@
 namespace fescuevane
 {
 
-using team_id = basic_id<struct team_tag>;       // a customer's team
-using job_id = basic_id<struct job_tag>;         // unique within a team
+using team_id = basic_id<struct team_tag>; // a customer's team
+using job_id = basic_id<struct job_tag>;   // unique within a team
 using organisation_id = basic_id<struct organisation_tag>; // a customer
 using queue_id = basic_id<struct queue_tag>; // where staged jobs are submitted
 using service_id = basic_id<struct service_tag>; // class of work, queue name
--- a/core/staged_job.hpp
+++ b/core/staged_job.hpp
@@ -17,16 +17,16 @@
 // Unix times are milliseconds since 1970.
 struct staged_job
 {
-    job_id const                 id_;           // chosen by the caller
-    organisation_id const        organisation_; // empty: open queue, no key
-    queue_id const               queue_;
-    service_id const             service_; // its targets run the tasks
-    std::string const            payload_; // handed to each task unchanged
-    std::vector<step_spec> const steps_;
-    std::uint32_t const          repeat_count_ = 0;  // 0: runs once, at once
-    std::int64_t const           first_due_unix_ms_ = 0;
-    std::int64_t const           interval_ms_ = 0;   // between occurrences
-    std::int64_t const           accepted_unix_ms_ = 0;
+    job_id const                    id_;           // chosen by the caller
+    organisation_id const           organisation_; // empty: open queue, no key
+    queue_id const                  queue_;
+    service_id const                service_; // its targets run the tasks
+    std::string const               payload_; // handed to each task unchanged
+    std::vector<step_spec> const    steps_;
+    std::uint32_t const             repeat_count_ = 0; // 0: runs once, at once
+    std::int64_t const              first_due_unix_ms_ = 0;
+    std::int64_t const              interval_ms_ = 0; // between occurrences
+    std::int64_t const              accepted_unix_ms_ = 0;
     std::optional<task_alias> const alias_; // stands for tasks of another job
 
     friend bool operator==(staged_job const&, staged_job const&) = default;
--- a/core/step_spec.hpp
+++ b/core/step_spec.hpp
@@ -16,18 +16,18 @@
 // have ended.
 struct step_spec
 {
-    std::uint32_t const              count_ = 1;    // tasks
-    resources const                  demand_;       // of one task
+    std::uint32_t const              count_ = 1;       // tasks
+    resources const                  demand_;          // of one task
     std::int64_t const               estimate_ms_ = 0; // run time, 0: unknown
-    std::vector<std::uint32_t> const after_; // steps that must end first
+    std::vector<std::uint32_t> const after_;    // steps that must end first
     bool const          checkpointing_ = false; // resumes from a checkpoint
-    bool const          gang_ = false; // tasks work only all together
-    bool const          same_rack_ = false;   // slow when spread over racks
-    bool const          speculative_ = false; // copies may run in parallel
-    bool const          perpetual_ = false;   // runs until the job is canceled
-    bool const          filler_ = false; // uses processors that others leave
-    std::string const   required_label_; // of the target, empty: any
-    rack_id const       near_rack_;      // where the data is, empty: anywhere
+    bool const          gang_ = false;          // tasks work only all together
+    bool const          same_rack_ = false;     // slow when spread over racks
+    bool const          speculative_ = false;   // copies may run in parallel
+    bool const          perpetual_ = false; // runs until the job is canceled
+    bool const          filler_ = false;    // uses processors that others leave
+    std::string const   required_label_;    // of the target, empty: any
+    rack_id const       near_rack_;        // where the data is, empty: anywhere
     std::uint32_t const spread_limit_ = 0; // tasks on one target, 0: no limit
     std::string const   image_;            // tasks of one image behave alike
     std::int64_t const  latency_target_ms_ = 0; // tail bound, 0: none
--- a/core/task_alias.hpp
+++ b/core/task_alias.hpp
@@ -18,8 +18,8 @@
 {
     stage_key                  stage_;
     std::vector<std::uint32_t> indices_;
-    std::vector<std::uint32_t> failures_;    // runs that failed before
-    std::vector<std::string>   checkpoints_; // to resume from, empty: none
+    std::vector<std::uint32_t> failures_;      // runs that failed before
+    std::vector<std::string>   checkpoints_;   // to resume from, empty: none
     std::uint32_t              first_run_ = 0; // later runs have higher numbers
 
     friend bool operator==(task_alias const&, task_alias const&) = default;
--- a/io/bounded_appender.cpp
+++ b/io/bounded_appender.cpp
@@ -48,8 +48,7 @@
         static_cast<double>(refilled_at_.remaining_until(now)) /
         micros_per_second;
     refilled_at_ = now;
-    credit_ =
-        std::min(burst_seconds * rate_, credit_ + seconds * rate_);
+    credit_ = std::min(burst_seconds * rate_, credit_ + seconds * rate_);
     if (credit_ < 1)
     {
         return false;
--- a/io/deadline_queue.cpp
+++ b/io/deadline_queue.cpp
@@ -36,8 +36,7 @@
 
 void deadline_queue::run_due()
 {
-    while (!entries_.empty() &&
-           entries_.begin()->first.first <= read_clock())
+    while (!entries_.empty() && entries_.begin()->first.first <= read_clock())
     {
         std::function<void()> const due = std::move(entries_.begin()->second);
         entries_.erase(entries_.begin());
--- a/io/event_log.cpp
+++ b/io/event_log.cpp
@@ -24,8 +24,7 @@
 event_log::event_log(std::string host, std::uint32_t lines_a_second)
     : host_(std::move(host)), bounded_(nullptr), logger_(open_logger())
 {
-    auto* const appender =
-        new bounded_appender(STDOUT_FILENO, lines_a_second);
+    auto* const appender = new bounded_appender(STDOUT_FILENO, lines_a_second);
     bounded_ = appender;
     appender_ = log4cplus::SharedAppenderPtr(appender);
     logger_.removeAllAppenders();
@@ -36,9 +35,8 @@
 
 void event_log::write(std::string const& event, fields const& values) const
 {
-    nlohmann::ordered_json line{{"unix_ms", read_unix_ms()},
-                                {"host", host_},
-                                {"event", event}};
+    nlohmann::ordered_json line{
+        {"unix_ms", read_unix_ms()}, {"host", host_}, {"event", event}};
     for (auto const& [name, value] : values)
     {
         line[name] = value;
--- a/io/http_client.cpp
+++ b/io/http_client.cpp
@@ -39,13 +39,13 @@
     std::unique_ptr<flight> const own(static_cast<flight*>(data));
     GError*                       error = nullptr;
     GBytes* const                 bytes = soup_session_send_and_read_finish(
-        SOUP_SESSION(session), result, &error);
+                        SOUP_SESSION(session), result, &error);
     http_response response;
     if (bytes == nullptr)
     {
-        response.error_ = own->late_             ? "no answer by the deadline"
-                          : error != nullptr  ? error->message
-                                              : "no response";
+        response.error_ = own->late_         ? "no answer by the deadline"
+                          : error != nullptr ? error->message
+                                             : "no response";
     }
     else
     {
@@ -123,13 +123,13 @@
             own->message_, request.content_type_.c_str(), body);
         g_bytes_unref(body);
     }
-    own->deadline_ = find_deadlines().add(request.deadline_,
-                                          [own]
-                                          {
-                                              own->late_ = true;
-                                              g_cancellable_cancel(
-                                                  own->cancel_);
-                                          });
+    own->deadline_ =
+        find_deadlines().add(request.deadline_,
+                             [own]
+                             {
+                                 own->late_ = true;
+                                 g_cancellable_cancel(own->cancel_);
+                             });
     soup_session_send_and_read_async(session_, own->message_,
                                      G_PRIORITY_DEFAULT, own->cancel_,
                                      &on_reply, own);
--- a/io/main_loop.hpp
+++ b/io/main_loop.hpp
@@ -10,9 +10,9 @@
 namespace fescuevane::io
 {
 
-instant      read_clock();      // monotonic
-std::int64_t read_unix_ms();    // time of day
-void run_in_main_loop(std::function<void()> work); // from any thread
+instant      read_clock();                                 // monotonic
+std::int64_t read_unix_ms();                               // time of day
+void         run_in_main_loop(std::function<void()> work); // from any thread
 
 } // namespace fescuevane::io
 
--- a/io/measures.cpp
+++ b/io/measures.cpp
@@ -17,9 +17,9 @@
 
 constexpr std::array<double, 3> quantiles = {0.5, 0.9, 0.99};
 
-using histogram = acc::accumulator_set<
-    double, acc::stats<acc::tag::count, acc::tag::sum,
-                       acc::tag::extended_p_square>>;
+using histogram =
+    acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum,
+                                            acc::tag::extended_p_square>>;
 
 } // namespace
 
@@ -48,10 +48,11 @@
     auto found = tables_->histograms_.find(name);
     if (found == tables_->histograms_.end())
     {
-        found = tables_->histograms_
-                    .emplace(name, histogram(acc::extended_p_square_probabilities =
-                                                 quantiles))
-                    .first;
+        found =
+            tables_->histograms_
+                .emplace(name, histogram(acc::extended_p_square_probabilities =
+                                             quantiles))
+                .first;
     }
     constexpr double micros_per_second = 1e6;
     found->second(static_cast<double>(micros) / micros_per_second);
--- a/io/timer.cpp
+++ b/io/timer.cpp
@@ -15,8 +15,8 @@
     return callback(data);
 }
 
-GSourceFuncs functions = {nullptr, nullptr, &dispatch, nullptr, nullptr,
-                          nullptr};
+GSourceFuncs functions = {nullptr, nullptr, &dispatch,
+                          nullptr, nullptr, nullptr};
 
 gboolean call_due(void* due)
 {
--- a/peer/peer_link.cpp
+++ b/peer/peer_link.cpp
@@ -62,11 +62,11 @@
 
 struct peer_link::state
 {
-    peer_handlers                                handlers_;
-    Cell::AsyncService                           service_;
-    std::unique_ptr<grpc::ServerCompletionQueue> queue_;
-    std::unique_ptr<grpc::Server>                server_;
-    std::thread                                  thread_;
+    peer_handlers                                      handlers_;
+    Cell::AsyncService                                 service_;
+    std::unique_ptr<grpc::ServerCompletionQueue>       queue_;
+    std::unique_ptr<grpc::Server>                      server_;
+    std::thread                                        thread_;
     std::map<std::string, std::unique_ptr<Cell::Stub>> stubs_;
     std::map<std::uint64_t, std::function<void(cell::job_answer const&)>>
         open_; // calls of other hosts that wait
@@ -121,13 +121,13 @@
     }
 
 private:
-    Cell::AsyncService&                                    service_;
-    grpc::ServerCompletionQueue&                           queue_;
-    peer_handlers&                                         handlers_;
-    grpc::ServerContext                                    context_;
-    cell::v1::Heartbeat                                    request_;
-    grpc::ServerAsyncResponseWriter<cell::v1::Heartbeat>   responder_;
-    bool                                                   answered_ = false;
+    Cell::AsyncService&                                  service_;
+    grpc::ServerCompletionQueue&                         queue_;
+    peer_handlers&                                       handlers_;
+    grpc::ServerContext                                  context_;
+    cell::v1::Heartbeat                                  request_;
+    grpc::ServerAsyncResponseWriter<cell::v1::Heartbeat> responder_;
+    bool                                                 answered_ = false;
 };
 
 // A call that is answered later, under a number of its own. `Traits` names the
@@ -201,7 +201,7 @@
     using answer = cell::job_answer;
     using writer = grpc::ServerAsyncResponseWriter<reply_message>;
 
-    static void request(Cell::AsyncService& service,
+    static void request(Cell::AsyncService&  service,
                         grpc::ServerContext& context, message& into,
                         writer& responder, grpc::ServerCompletionQueue& queue,
                         void* tag)
@@ -230,7 +230,7 @@
     using answer = cell::advice_reply;
     using writer = grpc::ServerAsyncResponseWriter<reply_message>;
 
-    static void request(Cell::AsyncService& service,
+    static void request(Cell::AsyncService&  service,
                         grpc::ServerContext& context, message& into,
                         writer& responder, grpc::ServerCompletionQueue& queue,
                         void* tag)
@@ -258,7 +258,8 @@
 class outgoing : public completion
 {
 public:
-    using done_function = std::function<void(grpc::Status const&, Reply const&)>;
+    using done_function =
+        std::function<void(grpc::Status const&, Reply const&)>;
 
     outgoing(instant deadline, done_function done) : done_(std::move(done))
     {
@@ -402,7 +403,7 @@
 {
     auto* const out = new outgoing<cell::v1::JobAnswer>(
         call.deadline_.after(call_slack_micros),
-        [this, request](grpc::Status const&         status,
+        [this, request](grpc::Status const&        status,
                         cell::v1::JobAnswer const& reply)
         {
             cell::job_answer answer{.outcome_ = cell::job_outcome::uncertain};
@@ -452,14 +453,14 @@
 {
     auto* const out = new outgoing<cell::v1::AdviceAnswer>(
         question.deadline_.after(call_slack_micros),
-        [this, request = question.request_](
-            grpc::Status const& status, cell::v1::AdviceAnswer const& reply)
+        [this, request = question.request_](grpc::Status const& status,
+                                            cell::v1::AdviceAnswer const& reply)
         {
             state_->handlers_.advised_(
-                status.ok() ? decode_advice(request, reply)
-                            : cell::advice_reply{
-                                  .request_ = request,
-                                  .error_ = status.error_message()});
+                status.ok()
+                    ? decode_advice(request, reply)
+                    : cell::advice_reply{.request_ = request,
+                                         .error_ = status.error_message()});
         });
     out->read(state_->find_stub(question.address_)
                   .AsyncAsk(&out->context(),
--- a/peer/peer_link.hpp
+++ b/peer/peer_link.hpp
@@ -26,8 +26,8 @@
 {
     std::function<void(cell::heartbeat const&)> beat_; // call or reply
     std::function<cell::heartbeat()>            answer_beat_;
-    std::function<void(std::uint64_t, cell::job_call const&)>   called_;
-    std::function<void(std::uint64_t, cell::job_answer const&)> replied_;
+    std::function<void(std::uint64_t, cell::job_call const&)>      called_;
+    std::function<void(std::uint64_t, cell::job_answer const&)>    replied_;
     std::function<void(std::uint64_t, cell::send_question const&)> asked_;
     std::function<void(cell::advice_reply const&)>                 advised_;
 };
--- a/plan/advice_failed.hpp
+++ b/plan/advice_failed.hpp
@@ -11,7 +11,8 @@
 {
     stage_key const stage_;
 
-    friend bool operator==(advice_failed const&, advice_failed const&) = default;
+    friend bool operator==(advice_failed const&,
+                           advice_failed const&) = default;
 };
 
 } // namespace fescuevane::plan
--- a/plan/apply_events.cpp
+++ b/plan/apply_events.cpp
@@ -216,8 +216,7 @@
 
 void apply(planner& context, run_ended const& input)
 {
-    end_run(context, input.run_, input.target_, input.end_,
-            input.checkpoint_);
+    end_run(context, input.run_, input.target_, input.end_, input.checkpoint_);
 }
 
 // A report of a run that no open stage knows: of a job that has ended, or is
@@ -239,10 +238,8 @@
         return false;
     }
     task_cell const& task = stage->tasks_[input.run_.index_];
-    bool const       copies =
-        find_step(context, input.run_.stage_).speculative_;
-    return !task.done_ && task.delegate_.empty() &&
-           (task.runs_ == 0 || copies);
+    bool const copies = find_step(context, input.run_.stage_).speculative_;
+    return !task.done_ && task.delegate_.empty() && (task.runs_ == 0 || copies);
 }
 
 void note_progress(planner& context, run_row& run, run_seen const& input)
--- a/plan/command.hpp
+++ b/plan/command.hpp
@@ -14,7 +14,8 @@
 namespace fescuevane::plan
 {
 
-using command = std::variant<start_run, stop_run, pace_run, ask_advice, job_changed, note>;
+using command =
+    std::variant<start_run, stop_run, pace_run, ask_advice, job_changed, note>;
 
 } // namespace fescuevane::plan
 
--- a/plan/delegate_ended.hpp
+++ b/plan/delegate_ended.hpp
@@ -15,7 +15,8 @@
     job_id const    delegate_;
     job_phase const phase_ = job_phase::completed; // canceled: tasks are back
 
-    friend bool operator==(delegate_ended const&, delegate_ended const&) = default;
+    friend bool operator==(delegate_ended const&,
+                           delegate_ended const&) = default;
 };
 
 } // namespace fescuevane::plan
--- a/plan/domain_set.hpp
+++ b/plan/domain_set.hpp
@@ -2,8 +2,6 @@
 #ifndef FESCUEVANE_PLAN_DOMAIN_SET_HPP
 #define FESCUEVANE_PLAN_DOMAIN_SET_HPP
 
-
-
 namespace fescuevane::plan
 {
 
--- a/plan/explain_waits.cpp
+++ b/plan/explain_waits.cpp
@@ -58,14 +58,14 @@
     {
         stage_row const& stage = context.stages_[row];
         stage_key const& key = context.stages_.key(row);
-        auto const       waiting = std::find_if(
-                  stage.tasks_.begin(), stage.tasks_.end(),
-                  [&context](task_cell const& task)
-                  {
-                return is_waiting(task) &&
-                       task.waiting_since_.after(long_wait_micros) <=
-                           context.now_;
-            });
+        auto const       waiting =
+            std::find_if(stage.tasks_.begin(), stage.tasks_.end(),
+                         [&context](task_cell const& task)
+                         {
+                             return is_waiting(task) &&
+                                    task.waiting_since_.after(
+                                        long_wait_micros) <= context.now_;
+                         });
         if (!stage.startable_ || waiting == stage.tasks_.end())
         {
             continue;
--- a/plan/image_row.cpp
+++ b/plan/image_row.cpp
@@ -43,15 +43,14 @@
     }
     double const mean_x = row.sum_x_ / row.samples_;
     double const mean_y = row.sum_y_ / row.samples_;
-    double const variance = std::max(
-        0.0, row.sum_xx_ / row.samples_ - mean_x * mean_x);
+    double const variance =
+        std::max(0.0, row.sum_xx_ / row.samples_ - mean_x * mean_x);
     double const covariance = row.sum_xy_ / row.samples_ - mean_x * mean_y;
     // With few samples the slope is held near 1: the declaration counts.
     double const trust = enough_samples / (enough_samples + row.samples_);
-    double const slope =
-        std::clamp((covariance + trust * prior_variance) /
-                       (variance + trust * prior_variance),
-                   0.0, 1.0);
+    double const slope = std::clamp((covariance + trust * prior_variance) /
+                                        (variance + trust * prior_variance),
+                                    0.0, 1.0);
     return std::exp(mean_y + slope * (x - mean_x));
 }
 
--- a/plan/job_flow.cpp
+++ b/plan/job_flow.cpp
@@ -71,22 +71,21 @@
     for (std::uint32_t index = 0; index < stage.tasks_.size(); ++index)
     {
         task_cell const& task = stage.tasks_[index];
-        auto const&      failed =
-            stage.gang_failures_.empty() || index != 0 ? task.failed_runs_
-                                                            : stage.gang_failures_;
+        auto const&      failed = stage.gang_failures_.empty() || index != 0
+                                      ? task.failed_runs_
+                                      : stage.gang_failures_;
         if (task.done_ || !failed.empty() || !task.checkpoint_.empty() ||
             !task.delegate_.empty())
         {
-            output.push_back({.occurrence_ = key.occurrence_,
-                              .step_ = key.step_,
-                              .index_ = index,
-                              .done_ = task.done_,
-                              .last_run_ = task.last_run_,
-                              .failed_runs_ = failed,
-                              .checkpoint_ =
-                                  task.done_ ? "" : task.checkpoint_,
-                              .delegate_ =
-                                  task.done_ ? job_id() : task.delegate_});
+            output.push_back(
+                {.occurrence_ = key.occurrence_,
+                 .step_ = key.step_,
+                 .index_ = index,
+                 .done_ = task.done_,
+                 .last_run_ = task.last_run_,
+                 .failed_runs_ = failed,
+                 .checkpoint_ = task.done_ ? "" : task.checkpoint_,
+                 .delegate_ = task.done_ ? job_id() : task.delegate_});
         }
     }
 }
@@ -158,13 +157,12 @@
                 continue;
             }
             auto const& after = job.spec_->steps_[step].after_;
-            stage->startable_ =
-                std::none_of(after.begin(), after.end(),
-                             [&](std::uint32_t before)
-                             {
-                                 return context.stages_.contains(
-                                     {id, occurrence, before});
-                             });
+            stage->startable_ = std::none_of(
+                after.begin(), after.end(),
+                [&](std::uint32_t before)
+                {
+                    return context.stages_.contains({id, occurrence, before});
+                });
             for (task_cell& task : stage->tasks_)
             {
                 task.waiting_since_ = context.now_;
@@ -181,8 +179,7 @@
 void finish_job_if_complete(planner& context, job_id const& id)
 {
     job_row& job = *context.jobs_.find(id);
-    if (job.open_stages_ == 0 &&
-        job.next_occurrence_ == count_occurrences(job))
+    if (job.open_stages_ == 0 && job.next_occurrence_ == count_occurrences(job))
     {
         close_job(context, id, job_phase::completed);
     }
@@ -335,8 +332,7 @@
     return true;
 }
 
-void stop_stage_runs(planner& context, stage_key const& stage,
-                     char const* why)
+void stop_stage_runs(planner& context, stage_key const& stage, char const* why)
 {
     for (run_key const& run : list_runs(context, stage.job_))
     {
@@ -461,8 +457,7 @@
 {
     stage_row& stage = *context.stages_.find(at.key_.stage_);
     task_cell& task = stage.tasks_[at.key_.index_];
-    auto&      failed =
-        at.step_.gang_ ? stage.gang_failures_ : task.failed_runs_;
+    auto& failed = at.step_.gang_ ? stage.gang_failures_ : task.failed_runs_;
     strike_target(context, at.target_, at.key_.stage_.job_);
     task.failed_on_ = at.target_;
     if (std::find(failed.begin(), failed.end(), at.key_.run_) != failed.end())
@@ -472,9 +467,8 @@
     failed.push_back(at.key_.run_);
     context.outbox_.push_back(job_changed{at.key_.stage_.job_});
     job_row const&            job = *context.jobs_.find(at.key_.stage_.job_);
-    queue_policy const* const queue =
-        context.queues_.find(job.spec_->queue_);
-    std::uint32_t const attempts =
+    queue_policy const* const queue = context.queues_.find(job.spec_->queue_);
+    std::uint32_t const       attempts =
         queue == nullptr ? 1 : std::max<std::uint32_t>(1, queue->max_attempts_);
     if (!at.step_.perpetual_ && !task.done_ &&
         failed.size() + task.failures_ >= attempts)
@@ -499,16 +493,16 @@
     {
         return;
     }
-    double const ran_ms = static_cast<double>(run.started_at_.remaining_until(
-                              context.now_)) /
-                          micros_per_milli;
-    image_row& image = context.images_.ensure(run.image_);
-    stage_row&     stage = *context.stages_.find(key.stage_);
+    double const ran_ms =
+        static_cast<double>(run.started_at_.remaining_until(context.now_)) /
+        micros_per_milli;
+    image_row&        image = context.images_.ensure(run.image_);
+    stage_row&        stage = *context.stages_.find(key.stage_);
     target_row* const target = context.targets_.find(run.target_);
     if (target != nullptr && stage.samples_ > 0)
     {
-        double const speed = std::clamp(
-            stage.ran_ms_ / std::max(ran_ms, 1.0), min_speed, max_speed);
+        double const speed = std::clamp(stage.ran_ms_ / std::max(ran_ms, 1.0),
+                                        min_speed, max_speed);
         target->speed_ += newest_weight * (speed - target->speed_);
     }
     stage.samples_ += 1;
@@ -536,8 +530,8 @@
     }
     job_row const* const   job = context.jobs_.find(key.stage_.job_);
     stage_row const* const open = context.stages_.find(key.stage_);
-    bool const             known = job != nullptr && open != nullptr &&
-                       key.index_ < open->tasks_.size();
+    bool const             known =
+        job != nullptr && open != nullptr && key.index_ < open->tasks_.size();
     if (known && run != nullptr && end == run_end::done)
     {
         learn_run_time(context, key, *run);
@@ -565,8 +559,7 @@
     {
         stop_stage_runs(context, key.stage_, "gang broken");
     }
-    end_effects.at(static_cast<std::size_t>(end))(context,
-                                                  {key, step, target});
+    end_effects.at(static_cast<std::size_t>(end))(context, {key, step, target});
     context.place_needed_ = true;
 }
 
--- a/plan/job_flow.hpp
+++ b/plan/job_flow.hpp
@@ -65,7 +65,8 @@
 // Ends a job: its stages are dropped, its runs are stopped.
 void close_job(planner& context, job_id const& job, job_phase phase);
 
-// Marks tasks as handed to another shard, and takes note of what became of them.
+// Marks tasks as handed to another shard, and takes note of what became of
+// them.
 void delegate_tasks(planner& context, stage_key const& stage,
                     std::vector<std::uint32_t> const& indices,
                     job_id const&                     delegate);
--- a/plan/job_row.hpp
+++ b/plan/job_row.hpp
@@ -20,9 +20,9 @@
     std::shared_ptr<staged_job const> spec_;
     job_phase                         phase_ = job_phase::pending;
     instant                           accepted_at_;
-    bool          recovered_ = false; // unseen runs may be on silent targets
-    bool          excess_ = false;    // beyond its organisation's rate
-    std::uint32_t runs_ = 0;          // rows of the run table
+    bool          recovered_ = false;   // unseen runs may be on silent targets
+    bool          excess_ = false;      // beyond its organisation's rate
+    std::uint32_t runs_ = 0;            // rows of the run table
     std::uint32_t next_occurrence_ = 0; // first one that wasn't opened
     std::uint32_t open_stages_ = 0;     // rows of the stage table
 
--- a/plan/open_stages.cpp
+++ b/plan/open_stages.cpp
@@ -20,10 +20,10 @@
         {
             return false;
         }
-        std::int64_t const due = job->spec_->first_due_unix_ms_ +
-                                 job->spec_->interval_ms_ *
-                                     job->next_occurrence_ -
-                                 context.settings_.early_start_ms_;
+        std::int64_t const due =
+            job->spec_->first_due_unix_ms_ +
+            job->spec_->interval_ms_ * job->next_occurrence_ -
+            context.settings_.early_start_ms_;
         if (due > context.unix_ms_)
         {
             wake_at(context, context.now_.after((due - context.unix_ms_) *
--- a/plan/organisations_set.hpp
+++ b/plan/organisations_set.hpp
@@ -14,7 +14,8 @@
 {
     std::vector<organisation_share> const organisations_;
 
-    friend bool operator==(organisations_set const&, organisations_set const&) = default;
+    friend bool operator==(organisations_set const&,
+                           organisations_set const&) = default;
 };
 
 } // namespace fescuevane::plan
--- a/plan/pace_fillers.cpp
+++ b/plan/pace_fillers.cpp
@@ -27,9 +27,9 @@
         if (run.latency_target_ms_ > 0 && run.phase_ == run_phase::running)
         {
             double& ratio = worst[run.target_];
-            ratio = std::max(ratio, static_cast<double>(run.load_) /
-                                        static_cast<double>(
-                                            run.latency_target_ms_));
+            ratio = std::max(ratio,
+                             static_cast<double>(run.load_) /
+                                 static_cast<double>(run.latency_target_ms_));
         }
     }
     for (std::size_t row = 0; row < context.runs_.size(); ++row)
@@ -48,8 +48,8 @@
         }
         if (ratio > 1)
         {
-            pace = pace / lower_divisor < min_percent ? 0
-                                                      : pace / lower_divisor;
+            pace =
+                pace / lower_divisor < min_percent ? 0 : pace / lower_divisor;
         }
         else if (ratio < calm_ratio)
         {
--- a/plan/place_tasks.cpp
+++ b/plan/place_tasks.cpp
@@ -48,17 +48,15 @@
                target_id const& id, target_row const& target)
 {
     double cost = 1 / std::max(target.speed_, 0.05);
-    if (!want.step_.near_rack_.empty() &&
-        target.rack_ != want.step_.near_rack_)
+    if (!want.step_.near_rack_.empty() && target.rack_ != want.step_.near_rack_)
     {
         cost *= context.settings_.rack_penalty_;
     }
     double const capacity =
         std::max<double>(1, static_cast<double>(target.capacity_.cpu_millis()));
-    double const free =
-        static_cast<double>(target.capacity_.cpu_millis() -
-                            target.used_.cpu_millis()) /
-        capacity;
+    double const free = static_cast<double>(target.capacity_.cpu_millis() -
+                                            target.used_.cpu_millis()) /
+                        capacity;
     if (want.step_.filler_)
     {
         // The opposite of packing: a filler lives on what is left.
@@ -130,8 +128,8 @@
     {
         return false;
     }
-    begin_run(context, {key, index, stage.tasks_[index].last_run_ + 1},
-              *target, find_ticket(stage, *target));
+    begin_run(context, {key, index, stage.tasks_[index].last_run_ + 1}, *target,
+              find_ticket(stage, *target));
     return true;
 }
 
@@ -165,14 +163,14 @@
 bool start_gang(planner& context, stage_key const& key,
                 std::optional<rack_id> const& rack)
 {
-    step_spec const&      step = find_step(context, key);
-    job_row const&        job = *context.jobs_.find(key.job_);
-    std::size_t const     orders = context.outbox_.size();
-    std::vector<run_key>  begun;
-    stage_row const&      first = *context.stages_.find(key);
-    std::uint32_t         run = first.gang_run_;
-    job_phase const       phase = job.phase_;
-    std::uint32_t const   gang_run = first.gang_run_;
+    step_spec const&             step = find_step(context, key);
+    job_row const&               job = *context.jobs_.find(key.job_);
+    std::size_t const            orders = context.outbox_.size();
+    std::vector<run_key>         begun;
+    stage_row const&             first = *context.stages_.find(key);
+    std::uint32_t                run = first.gang_run_;
+    job_phase const              phase = job.phase_;
+    std::uint32_t const          gang_run = first.gang_run_;
     std::vector<task_cell> const before = first.tasks_;
     for (task_cell const& task : before)
     {
@@ -181,7 +179,7 @@
     ++run;
     for (std::uint32_t index = 0; index < step.count_; ++index)
     {
-        stage_row const& stage = *context.stages_.find(key);
+        stage_row const&         stage = *context.stages_.find(key);
         std::optional<target_id> target;
         if (is_within_limit(context, job.spec_->organisation_, step.demand_))
         {
@@ -257,8 +255,8 @@
     std::vector<run_key> slow;
     for (std::size_t row = 0; row < context.runs_.size(); ++row)
     {
-        run_row const& run = context.runs_[row];
-        run_key const& key = context.runs_.key(row);
+        run_row const&         run = context.runs_[row];
+        run_key const&         key = context.runs_.key(row);
         stage_row const* const stage = context.stages_.find(key.stage_);
         // Without an ended task nothing tells a slow run from a long one.
         if (run.phase_ != run_phase::running || stage == nullptr ||
--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -169,7 +169,7 @@
 
 std::vector<overflow> list_overflow(planner const& context, std::int64_t micros)
 {
-    bool const unseen = has_unseen_targets(context);
+    bool const            unseen = has_unseen_targets(context);
     std::vector<overflow> found;
     for (std::size_t row = 0; row < context.stages_.size(); ++row)
     {
@@ -177,8 +177,7 @@
         stage_key const& key = context.stages_.key(row);
         job_row const&   job = *context.jobs_.find(key.job_);
         step_spec const& step = job.spec_->steps_[key.step_];
-        if (!stage.startable_ || (unseen && job.recovered_) ||
-            stage.asked_)
+        if (!stage.startable_ || (unseen && job.recovered_) || stage.asked_)
         {
             continue;
         }
@@ -241,8 +240,8 @@
             static_cast<std::uint32_t>(step.gang_ ? stage.gang_failures_.size()
                                                   : task.failed_runs_.size()));
         alias.checkpoints_.push_back(task.checkpoint_);
-        alias.first_run_ = std::max(
-            {alias.first_run_, task.last_run_, stage.gang_run_});
+        alias.first_run_ =
+            std::max({alias.first_run_, task.last_run_, stage.gang_run_});
     }
     step_spec const only{.count_ =
                              static_cast<std::uint32_t>(alias.indices_.size()),
--- a/plan/planner.hpp
+++ b/plan/planner.hpp
@@ -41,11 +41,11 @@
     table<run_key, run_row>                  runs_;
     table<std::string, image_row>            images_; // learnt run times
 
-    std::set<job_id> timed_; // with occurrences that aren't due yet
+    std::set<job_id> timed_;             // with occurrences that aren't due yet
     bool             in_service_ = true; // of the failure domain
-    std::uint32_t open_questions_ = 0;
-    instant       explain_at_; // next notes about long waits
-    bool          place_needed_ = false; // room, work or policy changed
+    std::uint32_t    open_questions_ = 0;
+    instant          explain_at_;           // next notes about long waits
+    bool             place_needed_ = false; // room, work or policy changed
 };
 
 // A step of the tick. Steps run in the order of `list_systems`.
@@ -56,13 +56,13 @@
 };
 
 // Systems, in order
-void apply_events(planner& context);  // inbox to tables
-void open_stages(planner& context);   // whose predecessors ended, or are due
-void watch_runs(planner& context);    // stalled runs, slow runs
-void pace_fillers(planner& context);  // beside tasks with a latency bound
+void apply_events(planner& context);   // inbox to tables
+void open_stages(planner& context);    // whose predecessors ended, or are due
+void watch_runs(planner& context);     // stalled runs, slow runs
+void pace_fillers(planner& context);   // beside tasks with a latency bound
 void request_advice(planner& context); // tickets ahead of need
-void place_tasks(planner& context);   // waiting tasks to targets
-void explain_waits(planner& context); // what tasks that wait long wait for
+void place_tasks(planner& context);    // waiting tasks to targets
+void explain_waits(planner& context);  // what tasks that wait long wait for
 
 // Makes the next tick happen at `due` at the latest.
 void wake_at(planner& context, instant due);
--- a/plan/room.cpp
+++ b/plan/room.cpp
@@ -51,8 +51,7 @@
         step.filler_
             ? divide(target.capacity_.cpu_millis(), demand.cpu_millis())
             : divide(room.cpu_millis(), demand.cpu_millis());
-    return std::min({processors,
-                     divide(room.memory_mib(), demand.memory_mib()),
+    return std::min({processors, divide(room.memory_mib(), demand.memory_mib()),
                      divide(room.accelerators(), demand.accelerators())});
 }
 
@@ -100,8 +99,7 @@
 std::uint32_t count_on_target(planner const& context, stage_key const& stage,
                               target_id const& target)
 {
-    stage_key const origin =
-        origin_of(*context.jobs_.find(stage.job_), stage);
+    stage_key const origin = origin_of(*context.jobs_.find(stage.job_), stage);
     return static_cast<std::uint32_t>(
         std::count_if(context.runs_.begin(), context.runs_.end(),
                       [&](run_row const& run)
--- a/plan/run_confirmed.hpp
+++ b/plan/run_confirmed.hpp
@@ -13,7 +13,8 @@
     run_key const   run_;
     target_id const target_;
 
-    friend bool operator==(run_confirmed const&, run_confirmed const&) = default;
+    friend bool operator==(run_confirmed const&,
+                           run_confirmed const&) = default;
 };
 
 } // namespace fescuevane::plan
--- a/plan/run_row.hpp
+++ b/plan/run_row.hpp
@@ -19,7 +19,7 @@
     target_id       target_;
     stage_key       origin_; // stage that the task belonged to first
     organisation_id organisation_;
-    resources       demand_;      // charged to organisation and target
+    resources       demand_; // charged to organisation and target
     run_phase       phase_ = run_phase::starting;
     bool            filler_ = false;
     std::int64_t    latency_target_ms_ = 0;
@@ -30,9 +30,9 @@
     std::int32_t    percent_ = 0;
     std::int32_t    base_percent_ = -1; // progress at `base_at_`, -1: unknown
     instant         base_at_;
-    std::int64_t    load_ = 0;           // latest report
-    std::int32_t    pace_ = 100;         // of a filler
-    instant         pace_after_;         // next raise of the pace
+    std::int64_t    load_ = 0;   // latest report
+    std::int32_t    pace_ = 100; // of a filler
+    instant         pace_after_; // next raise of the pace
 };
 
 } // namespace fescuevane::plan
--- a/plan/settings.hpp
+++ b/plan/settings.hpp
@@ -13,9 +13,9 @@
     std::uint32_t run_base_ = 0; // run numbers of this ownership are higher
 
     // Advice
-    std::uint32_t advice_open_ = 5;      // questions in flight
-    std::uint32_t advice_targets_ = 30;  // named in one question
-    std::int64_t  advice_retry_micros_ = 200'000; // after a failed question
+    std::uint32_t advice_open_ = 5;                // questions in flight
+    std::uint32_t advice_targets_ = 30;            // named in one question
+    std::int64_t  advice_retry_micros_ = 200'000;  // after a failed question
     std::int64_t  advice_margin_micros_ = 150'000; // ticket unused before end
 
     // Targets that fail, stall or refuse
--- a/plan/stage_rank.cpp
+++ b/plan/stage_rank.cpp
@@ -110,7 +110,7 @@
 
 std::vector<stage_rank> rank_waiting_stages(planner const& context)
 {
-    bool const unseen = has_unseen_targets(context);
+    bool const              unseen = has_unseen_targets(context);
     std::vector<stage_rank> ranks;
     for (std::size_t row = 0; row < context.stages_.size(); ++row)
     {
--- a/plan/stage_row.hpp
+++ b/plan/stage_row.hpp
@@ -16,12 +16,12 @@
 
 struct stage_row
 {
-    std::vector<task_cell> tasks_;
-    std::uint32_t          done_ = 0;
-    double                 ran_ms_ = 0;  // mean run time of its ended tasks
-    double                 samples_ = 0; // number of them
-    bool                   startable_ = false; // predecessors have ended
-    std::uint32_t          gang_run_ = 0; // number of the gang's latest run
+    std::vector<task_cell>     tasks_;
+    std::uint32_t              done_ = 0;
+    double                     ran_ms_ = 0;  // mean run time of its ended tasks
+    double                     samples_ = 0; // number of them
+    bool                       startable_ = false; // predecessors have ended
+    std::uint32_t              gang_run_ = 0; // number of the gang's latest run
     std::vector<std::uint32_t> gang_failures_; // run numbers
 
     std::map<target_id, ticket_cell> tickets_;
--- a/plan/target_row.hpp
+++ b/plan/target_row.hpp
@@ -23,13 +23,13 @@
     std::vector<std::string> labels_;
     resources                capacity_;
     target_phase             phase_ = target_phase::attaching;
-    resources                used_;      // fillers' processors not counted
+    resources                used_;        // fillers' processors not counted
     std::uint32_t            serving_ = 0; // runs with a latency bound
     std::uint32_t            fillers_ = 0;
     std::set<run_key>        foreign_; // runs of unknown jobs, being stopped
     instant                  paused_until_;    // after a refusal
     instant                  probation_until_; // after failures
-    std::set<job_id>         strikes_; // jobs that failed since a success
+    std::set<job_id>         strikes_;   // jobs that failed since a success
     double                   speed_ = 1; // run time learnt over run time here
 };
 
--- a/plan/tasks_delegated.hpp
+++ b/plan/tasks_delegated.hpp
@@ -17,7 +17,8 @@
     std::vector<std::uint32_t> const indices_;
     job_id const                     delegate_; // job that stands for them
 
-    friend bool operator==(tasks_delegated const&, tasks_delegated const&) = default;
+    friend bool operator==(tasks_delegated const&,
+                           tasks_delegated const&) = default;
 };
 
 } // namespace fescuevane::plan
--- a/plan/watch_runs.cpp
+++ b/plan/watch_runs.cpp
@@ -35,10 +35,9 @@
 bool is_stalled(planner const& context, run_row const& run, double expected_ms)
 {
     double const still_ms = elapsed_ms(context, run.progressed_at_);
-    double const bound_ms =
-        std::max(static_cast<double>(context.settings_.stall_micros_) /
-                     micros_per_milli,
-                 stall_share * expected_ms);
+    double const bound_ms = std::max(
+        static_cast<double>(context.settings_.stall_micros_) / micros_per_milli,
+        stall_share * expected_ms);
     return run.percent_ < 100 && still_ms > bound_ms;
 }
 
@@ -47,7 +46,7 @@
 {
     bool const             siblings = context.stages_.find(stage)->samples_ > 0;
     image_row const* const image = context.images_.find(run.image_);
-    int const done = run.percent_ - run.base_percent_;
+    int const              done = run.percent_ - run.base_percent_;
     if ((!siblings && (image == nullptr || image->samples_ < min_samples)) ||
         run.base_percent_ < 0 || done < min_percent)
     {
@@ -55,8 +54,7 @@
     }
     // Reports are up to a second old, so the rate counts until the latest one.
     double const ran_ms =
-        static_cast<double>(
-            run.base_at_.remaining_until(run.progressed_at_)) /
+        static_cast<double>(run.base_at_.remaining_until(run.progressed_at_)) /
         micros_per_milli;
     double const rest_ms = ran_ms * (100 - run.percent_) / done;
     return rest_ms > (siblings ? slow_in_stage : slow_in_queue) * expected_ms +
--- /dev/null
+++ b/tests/unit/cell_jobs_test.cpp
@@ -0,0 +1,279 @@
+// Purpose: tests of acceptance, journal, leases and recovery of one node.
+#include "cell_fixture.hpp"
+
+#include "cell/record_error.hpp"
+#include "cell/records.hpp"
+#include "core/job_progress.hpp"
+
+#include <doctest/doctest.h>
+
+namespace fescuevane::cell
+{
+namespace
+{
+
+// Guards against a job that is told as accepted before it is stored.
+TEST_CASE_FIXTURE(cell_fixture, "job, submitted, stored before the answer")
+{
+    serve();
+    std::uint64_t const call = submit("aa01");
+    tick(); // the call reaches the owner, here the same node
+    tick(); // which writes
+    CHECK_FALSE(find_answer(call));
+    CHECK(rows_.contains({"job", "0", "aa01"}));
+    run(50'000);
+    REQUIRE(find_answer(call));
+    CHECK(find_answer(call)->outcome_ == job_outcome::accepted);
+    CHECK(take<send_start>().size() == 1);
+}
+
+// Guards against a refusal of a job that runs later.
+TEST_CASE_FIXTURE(cell_fixture,
+                  "store down, job submitted, refused and not kept")
+{
+    serve();
+    store_down_ = true;
+    std::uint64_t const call = submit("aa01");
+    run(100'000);
+    REQUIRE(find_answer(call));
+    CHECK(find_answer(call)->outcome_ == job_outcome::unavailable);
+    CHECK(find_answer(call)->retry_after_ms_ > 0);
+    store_down_ = false;
+    run(2 * micros_per_second);
+    CHECK_FALSE(rows_.contains({"job", "0", "aa01"}));
+    CHECK(take<send_start>().empty());
+}
+
+// Guards against a job that is refused, or runs twice, when only the answer of
+// the store was lost.
+TEST_CASE_FIXTURE(cell_fixture,
+                  "answer of the store lost, job submitted, accepted once")
+{
+    serve();
+    store_silent_ = true;
+    std::uint64_t const call = submit("aa01");
+    run(30'000);
+    store_silent_ = false;
+    run(micros_per_second);
+    REQUIRE(find_answer(call));
+    CHECK(find_answer(call)->outcome_ == job_outcome::accepted);
+    CHECK(take<send_start>().size() == 1);
+}
+
+TEST_CASE_FIXTURE(cell_fixture, "job, submitted twice, runs once")
+{
+    serve();
+    submit("aa01");
+    run(50'000);
+    std::uint64_t const again = submit("aa01");
+    run(50'000);
+    REQUIRE(find_answer(again));
+    CHECK(find_answer(again)->outcome_ == job_outcome::accepted);
+    CHECK(take<send_start>().size() == 1);
+}
+
+TEST_CASE_FIXTURE(cell_fixture, "unknown job, looked up, absent")
+{
+    serve();
+    std::uint64_t const call = ask(call_kind::lookup, "ffff");
+    run(100'000);
+    REQUIRE(find_answer(call));
+    CHECK(find_answer(call)->outcome_ == job_outcome::absent);
+}
+
+// Guards against a target that forgets an end whose effect is not stored: the
+// task would run again after a kill of everything.
+TEST_CASE_FIXTURE(cell_fixture, "done end, store down, target keeps it")
+{
+    serve();
+    submit("aa01");
+    run(50'000);
+    auto const starts = take<send_start>();
+    REQUIRE(starts.size() == 1);
+    post(order_reply{.request_ = starts[0].request_,
+                     .outcome_ = target_outcome::done});
+    run(20'000);
+    store_down_ = true;
+    auto const holds = take<hold_target>();
+    REQUIRE(!holds.empty());
+    answer_hold(holds.back(), {},
+                {{1, starts[0].start_.run_, run_end::done, ""}});
+    run(400'000);
+    auto const kept = take<hold_target>();
+    REQUIRE(!kept.empty());
+    CHECK(kept.back().last_seen_ == 0);
+    store_down_ = false;
+    answer_hold(kept.back(), {},
+                {{1, starts[0].start_.run_, run_end::done, ""}});
+    run(micros_per_second);
+    auto const told = take<hold_target>();
+    REQUIRE(!told.empty());
+    CHECK(told.back().last_seen_ == 1);
+    std::uint64_t const call = ask(call_kind::lookup, "aa01");
+    run(50'000);
+    CHECK(find_answer(call)->phase_ == job_phase::completed);
+}
+
+// Guards against leases that never lapse: each question to a silent target
+// carried a new one.
+TEST_CASE_FIXTURE(cell_fixture,
+                  "target falls silent, leases lapse, task starts elsewhere")
+{
+    serve();
+    submit("aa01");
+    run(50'000);
+    auto const starts = take<send_start>();
+    REQUIRE(starts.size() == 1);
+    post(order_reply{.request_ = starts[0].request_,
+                     .outcome_ = target_outcome::done});
+    for (int round = 0; round < 700; ++round)
+    {
+        for (hold_target const& hold : take<hold_target>())
+        {
+            fail_hold(hold);
+        }
+        run(10'000);
+        if (round == 300)
+        {
+            CHECK(take<send_start>().empty()); // its lease may still hold
+            list_target("t-2");
+        }
+        if (round > 300)
+        {
+            for (hold_target const& hold : take<hold_target>())
+            {
+                hold.target_ == target_id("t-2") ? answer_hold(hold)
+                                                 : fail_hold(hold);
+            }
+        }
+    }
+    auto const again = take<send_start>();
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].start_.target_ == target_id("t-2"));
+    CHECK(again[0].start_.run_.run_ > starts[0].start_.run_.run_);
+}
+
+// Guards against a second run of a task whose start got no answer.
+TEST_CASE_FIXTURE(cell_fixture,
+                  "start without an answer, not reported, stopped first")
+{
+    serve();
+    submit("aa01");
+    run(50'000);
+    auto const starts = take<send_start>();
+    REQUIRE(starts.size() == 1);
+    take<hold_target>();
+    post(order_reply{.request_ = starts[0].request_, .error_ = "no answer"});
+    run(micros_per_second);
+    for (int round = 0; round < 3; ++round)
+    {
+        for (hold_target const& hold : take<hold_target>())
+        {
+            answer_hold(hold);
+        }
+        run(200'000);
+    }
+    CHECK(take<send_start>().empty());
+}
+
+// Guards against work lost, or done twice, when the process dies.
+TEST_CASE_FIXTURE(cell_fixture, "process killed, started again, job goes on")
+{
+    serve();
+    submit("aa01");
+    run(50'000);
+    auto const starts = take<send_start>();
+    REQUIRE(starts.size() == 1);
+    start(2);
+    commands_.clear();
+    list_target("t-1");
+    run(micros_per_second);
+    CHECK(take<send_start>().empty()); // the target may run it
+    auto const holds = take<hold_target>();
+    REQUIRE(!holds.empty());
+    CHECK(holds.back().fence_ == 2);
+    SUBCASE("the target runs it")
+    {
+        answer_hold(holds.back(), {{starts[0].start_.run_, "", 30, 0}});
+        run(100'000);
+        CHECK(take<send_start>().empty());
+    }
+    SUBCASE("the target doesn't run it")
+    {
+        answer_hold(holds.back());
+        run(100'000);
+        REQUIRE(take<send_start>().size() == 1);
+    }
+}
+
+// Guards against a canceled job that runs again under a new owner.
+TEST_CASE_FIXTURE(cell_fixture, "job, canceled, stopped and stored as such")
+{
+    serve();
+    submit("aa01");
+    run(50'000);
+    auto const starts = take<send_start>();
+    REQUIRE(starts.size() == 1);
+    post(order_reply{.request_ = starts[0].request_,
+                     .outcome_ = target_outcome::done});
+    run(20'000);
+    std::uint64_t const call = ask(call_kind::cancel, "aa01");
+    run(50'000);
+    REQUIRE(find_answer(call));
+    CHECK(find_answer(call)->outcome_ == job_outcome::canceled);
+    CHECK(take<send_stop>().size() == 1);
+    CHECK(read_job(rows_.at({"job", "0", "aa01"}).value_).progress_.phase_ ==
+          job_phase::canceled);
+}
+
+// Guards against orders of an owner that another one has replaced.
+TEST_CASE_FIXTURE(cell_fixture,
+                  "target obeys a higher epoch, owner gives the shard up")
+{
+    serve();
+    auto const holds = take<hold_target>();
+    REQUIRE(!holds.empty());
+    post(hold_reply{.request_ = holds.back().request_,
+                    .target_ = target_id("t-1"),
+                    .outcome_ = target_outcome::superseded});
+    tick();
+    CHECK(make_heartbeat(*node_).shards_.empty());
+}
+
+// Guards against a planned stop that leaves the shard without an owner until
+// others grow suspicious.
+TEST_CASE_FIXTURE(cell_fixture, "stop requested, shard released, stopped")
+{
+    serve();
+    post(stop_requested{now_.after(5 * micros_per_second)});
+    run(100'000);
+    CHECK(is_stopped(*node_));
+    CHECK(
+        read_owner(rows_.at({"member", "0", "shard/east.0"}).value_).released_);
+}
+
+// Guards against configurations that go back.
+TEST_CASE_FIXTURE(cell_fixture, "older configuration, read late, ignored")
+{
+    auto newer = std::make_shared<cell_config>(*make_config());
+    newer->version_ = 9;
+    post(config_changed{newer});
+    tick();
+    post(config_changed{make_config()});
+    tick();
+    CHECK(config_version(*node_) == 9);
+}
+
+TEST_CASE("stored rows, malformed, refused with this layer's error")
+{
+    for (char const* const text : {"", "{", "[]", "{}", R"({"shard":"east"})",
+                                   R"({"shard":7,"phase":0,"tasks":[]})"})
+    {
+        CHECK_THROWS_AS(read_job(text), record_error);
+        CHECK_THROWS_AS(read_owner(text), record_error);
+        CHECK_THROWS_AS(read_host(text), record_error);
+    }
+}
+
+} // namespace
+} // namespace fescuevane::cell
--- /dev/null
+++ b/tests/unit/plan_placement_test.cpp
@@ -0,0 +1,348 @@
+// Purpose: tests of where and when tasks start.
+#include "core/job_progress.hpp"
+#include "plan/image_row.hpp"
+#include "plan/load_summary.hpp"
+#include "plan_fixture.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <cmath>
+#include <map>
+
+namespace fescuevane::plan
+{
+namespace
+{
+
+constexpr advice_policy desk_advice{20, 1, 2500};
+
+// Guards against an overcommitted host, with any mix of ends.
+TEST_CASE("any jobs and ends, many ticks, no target above its capacity")
+{
+    CHECK(rc::check(
+        []
+        {
+            plan_fixture plan;
+            plan.set_target("t-1", {4000, 4096, 0});
+            plan.set_target("t-2", {2000, 8192, 0});
+            std::map<run_key, start_run> running;
+            int                          next = 0;
+            auto const                   steps = *rc::gen::inRange(1, 40);
+            for (int round = 0; round < steps; ++round)
+            {
+                auto const cpu = *rc::gen::inRange(100, 2500);
+                auto const count = *rc::gen::inRange(1, 6);
+                plan.add_job(
+                    "j-" + std::to_string(next++),
+                    {step_spec{.count_ = static_cast<std::uint32_t>(count),
+                               .demand_ = {cpu, 700, 0},
+                               .estimate_ms_ = 500}});
+                if (!running.empty() && *rc::gen::arbitrary<bool>())
+                {
+                    start_run const ended = running.begin()->second;
+                    running.erase(running.begin());
+                    plan.end(ended,
+                             *rc::gen::element(run_end::done, run_end::lapsed));
+                }
+                plan.tick();
+                for (start_run const& start : plan.list<start_run>())
+                {
+                    running.emplace(start.run_, start);
+                }
+                std::map<target_id, resources> used;
+                for (auto const& [key, start] : running)
+                {
+                    resources& sum = used[start.target_];
+                    sum = sum + start.job_->steps_[0].demand_;
+                }
+                RC_ASSERT(used[target_id("t-1")].fits_in({4000, 4096, 0}));
+                RC_ASSERT(used[target_id("t-2")].fits_in({2000, 8192, 0}));
+                plan.advance(10'000);
+            }
+        }));
+}
+
+// Guards against work of an organisation above its upper limit.
+TEST_CASE_FIXTURE(plan_fixture, "organisation, at its limit, waits for an end")
+{
+    set_target("t-1", {64000, 65536, 0});
+    post(organisations_set{{{.id_ = organisation_id("cafe"),
+                             .weight_ = 100,
+                             .limit_ = {2500, 0, 0}}}});
+    add_job("j-1", {make_step(4)});
+    tick();
+    auto const starts = list<start_run>();
+    CHECK(starts.size() == 2);
+    end(starts[0], run_end::done);
+    tick();
+    CHECK(list<start_run>().size() == 1);
+}
+
+// Guards against a flood of one organisation that delays the others.
+TEST_CASE_FIXTURE(plan_fixture,
+                  "flood of one organisation, another submits, goes first")
+{
+    post(organisations_set{{{.id_ = organisation_id("cafe"), .weight_ = 1}}});
+    set_target("t-1", {1000, 8192, 0});
+    for (int job = 0; job < 20; ++job)
+    {
+        add_job("flood-" + std::to_string(job), {make_step(1)});
+    }
+    tick();
+    auto const running = list<start_run>();
+    staged_job other{.id_ = job_id("other"),
+                     .organisation_ = organisation_id("bar"),
+                     .queue_ = queue_id("orders"),
+                     .service_ = service_id("desk"),
+                     .steps_ = {make_step(1)}};
+    post(job_added{.job_ = std::make_shared<staged_job const>(other),
+                   .accepted_at_ = now_});
+    for (int round = 0; round < 8; ++round)
+    {
+        advance(10 * micros_per_milli);
+        for (start_run const& start : list<start_run>())
+        {
+            end(start, run_end::done);
+        }
+        tick();
+        if (!list<start_run>().empty() &&
+            list<start_run>()[0].run_.stage_.job_ == job_id("other"))
+        {
+            break;
+        }
+    }
+    REQUIRE(list<start_run>().size() == 1);
+    CHECK(list<start_run>()[0].run_.stage_.job_ == job_id("other"));
+}
+
+// Guards against a gang of which some tasks wait alone.
+TEST_CASE_FIXTURE(plan_fixture, "gang, no room for all, none started")
+{
+    step_spec const gang{.count_ = 3,
+                         .demand_ = {2000, 512, 0},
+                         .estimate_ms_ = 1000,
+                         .gang_ = true};
+    set_target("t-1");
+    add_job("j-1", {gang});
+    tick();
+    CHECK(list<start_run>().empty());
+    set_target("t-2");
+    tick();
+    auto const starts = list<start_run>();
+    REQUIRE(starts.size() == 3);
+    CHECK(starts[0].run_.run_ == starts[2].run_.run_);
+}
+
+// Guards against a gang that never moves on: each try that found no room made
+// its tasks look as if they had just begun to wait.
+TEST_CASE_FIXTURE(plan_fixture,
+                  "gang without room, waits long, told as overflow")
+{
+    step_spec const gang{.count_ = 3,
+                         .demand_ = {2000, 512, 0},
+                         .estimate_ms_ = 1000,
+                         .gang_ = true};
+    set_target("t-1");
+    add_job("j-1", {gang});
+    for (int round = 0; round < 30; ++round)
+    {
+        tick();
+        advance(100'000);
+    }
+    auto const waiting = list_overflow(*planner_, micros_per_second);
+    REQUIRE(waiting.size() == 1);
+    CHECK(waiting[0].indices_.size() == 3);
+}
+
+// Guards against a stage that stops asking: tickets for targets at the spread
+// limit were taken for enough.
+TEST_CASE_FIXTURE(plan_fixture,
+                  "spread limit, ticketed targets are full, asks for others")
+{
+    set_queue(desk_advice);
+    for (char const* const name : {"t-1", "t-2", "t-3"})
+    {
+        set_target(name);
+    }
+    add_job("j-1", {step_spec{.count_ = 2,
+                              .demand_ = {1000, 512, 0},
+                              .estimate_ms_ = 1000,
+                              .spread_limit_ = 1}});
+    tick();
+    REQUIRE(list<ask_advice>().size() == 1);
+    post(advice_given{{job_id("j-1"), 0, 0},
+                      {target_id("t-1"), target_id("t-2")},
+                      {{target_id("t-1"), "leave"}},
+                      now_.after(2 * micros_per_second)});
+    tick();
+    CHECK(list<start_run>().size() == 1);
+    REQUIRE(list<ask_advice>().size() == 1);
+    CHECK(list<ask_advice>()[0].targets_ ==
+          std::vector<target_id>{target_id("t-3")});
+}
+
+// Guards against starts without a ticket, or with one that has expired.
+TEST_CASE_FIXTURE(plan_fixture, "ticket, expired before the start, asked again")
+{
+    set_queue(desk_advice);
+    set_target("t-1");
+    add_job("j-1", {make_step(1)});
+    tick();
+    post(advice_given{{job_id("j-1"), 0, 0},
+                      {target_id("t-1")},
+                      {{target_id("t-1"), "leave"}},
+                      now_});
+    tick();
+    CHECK(list<start_run>().empty());
+    CHECK(list<ask_advice>().size() == 1);
+}
+
+// Guards against starts in a failure domain that operators took out, and on
+// targets that leave.
+TEST_CASE_FIXTURE(plan_fixture, "domain out or target leaving, no start")
+{
+    SUBCASE("domain out")
+    {
+        set_target("t-1");
+        post(domain_set{false});
+    }
+    SUBCASE("target leaving")
+    {
+        set_target("t-1", {4000, 8192, 0}, target_phase::draining);
+    }
+    add_job("j-1", {make_step(1)});
+    tick();
+    CHECK(list<start_run>().empty());
+}
+
+// Guards against runs that were stopped as slow though only their first report
+// came late.
+TEST_CASE_FIXTURE(plan_fixture, "normal run, first report late, goes on")
+{
+    set_target("t-1", {64000, 65536, 0});
+    for (int job = 0; job < 12; ++job)
+    {
+        add_job("learn-" + std::to_string(job), {make_step(1)});
+    }
+    tick();
+    auto const learn = list<start_run>();
+    confirm_starts();
+    tick();
+    advance(micros_per_second);
+    for (start_run const& start : learn)
+    {
+        end(start, run_end::done);
+    }
+    add_job("j-1", {make_step(1)});
+    tick();
+    auto const start = list<start_run>();
+    REQUIRE(start.size() == 1);
+    confirm_starts();
+    tick();
+    advance(400'000);
+    post(run_seen{start[0].run_, start[0].target_, "", 36});
+    tick();
+    advance(20'000);
+    post(run_seen{start[0].run_, start[0].target_, "", 40});
+    tick();
+    CHECK(list<stop_run>().empty());
+}
+
+// Guards against hung targets that hold work for ever.
+TEST_CASE_FIXTURE(plan_fixture, "run without progress, long, moved elsewhere")
+{
+    set_target("t-1", {1000, 8192, 0});
+    add_job("j-1", {make_step(1)});
+    tick();
+    auto const start = list<start_run>();
+    confirm_starts();
+    tick();
+    set_target("t-2", {1000, 8192, 0});
+    advance(3 * micros_per_second);
+    post(run_seen{start[0].run_, start[0].target_, "", 0});
+    tick();
+    REQUIRE(list<stop_run>().size() == 1);
+    end(start[0], run_end::stopped);
+    tick();
+    REQUIRE(list<start_run>().size() == 1);
+    CHECK(list<start_run>()[0].target_ == target_id("t-2"));
+}
+
+// Guards against tasks that two shards start.
+TEST_CASE_FIXTURE(plan_fixture, "delegated tasks, room comes up, not started")
+{
+    add_job("j-1", {make_step(2)});
+    tick();
+    advance(5 * micros_per_second);
+    tick();
+    auto const waiting = list_overflow(*planner_, micros_per_second);
+    REQUIRE(waiting.size() == 1);
+    job_id const elsewhere("j-1~1-1");
+    auto const   job = make_delegate(*planner_, waiting[0], elsewhere);
+    REQUIRE(job->alias_);
+    CHECK(job->alias_->stage_ == stage_key{job_id("j-1"), 0, 0});
+    post(tasks_delegated{waiting[0].stage_, waiting[0].indices_, elsewhere});
+    set_target("t-1");
+    tick();
+    CHECK(list<start_run>().empty());
+    CHECK(write_progress(*planner_, job_id("j-1")).tasks_.size() == 2);
+    SUBCASE("they end as done")
+    {
+        post(
+            delegate_ended{waiting[0].stage_, elsewhere, job_phase::completed});
+        tick();
+        CHECK(find_phase(*planner_, job_id("j-1")) == job_phase::completed);
+    }
+    SUBCASE("they come back")
+    {
+        post(delegate_ended{waiting[0].stage_, elsewhere, job_phase::canceled});
+        tick();
+        CHECK(list<start_run>().size() == 2);
+    }
+}
+
+// Guards against fillers that keep a task above its latency bound.
+TEST_CASE_FIXTURE(plan_fixture, "filler beside a slow serving task, paced down")
+{
+    set_target("t-1");
+    step_spec const serving{.count_ = 1,
+                            .demand_ = {1000, 512, 0},
+                            .perpetual_ = true,
+                            .latency_target_ms_ = 50};
+    step_spec const filler{.count_ = 1,
+                           .demand_ = {1000, 512, 0},
+                           .estimate_ms_ = 9000,
+                           .filler_ = true};
+    add_job("j-1", {serving});
+    add_job("j-2", {filler});
+    tick();
+    auto const starts = list<start_run>();
+    REQUIRE(starts.size() == 2);
+    confirm_starts();
+    tick();
+    for (start_run const& start : starts)
+    {
+        post(run_seen{start.run_, start.target_, "", 100, 80});
+    }
+    tick();
+    REQUIRE(list<pace_run>().size() == 1);
+    CHECK(list<pace_run>()[0].percent_ < 50);
+    CHECK(list<pace_run>()[0].run_.stage_.job_ == job_id("j-2"));
+}
+
+// Guards against estimates that trust declarations which tell nothing.
+TEST_CASE("run times, declarations tell nothing, prediction near the mean")
+{
+    image_row row;
+    for (int sample = 0; sample < 200; ++sample)
+    {
+        double const declared = 100 * std::pow(10, sample % 3);
+        learn_sample(row, declared, 1000);
+    }
+    CHECK(predict_ms(row, 100) == doctest::Approx(1000).epsilon(0.2));
+    CHECK(predict_ms(row, 10000) == doctest::Approx(1000).epsilon(0.2));
+}
+
+} // namespace
+} // namespace fescuevane::plan
