--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -169,7 +169,6 @@
 void apply_answer(node& context, std::uint64_t call, job_answer const& answer);
 void set_policies(node& context, owned_row& owned);
 void mark_changed(node& context, job_id const& job, bool urgent);
-heartbeat make_heartbeat(node const& context);
 
 } // namespace fescuevane::cell
 
--- a/io/http_client.hpp
+++ b/io/http_client.hpp
@@ -2,11 +2,10 @@
 #ifndef FESCUEVANE_IO_HTTP_CLIENT_HPP
 #define FESCUEVANE_IO_HTTP_CLIENT_HPP
 
+#include <libsoup/soup.h>
 #include <functional>
 #include <memory>
 
-using SoupSession = struct _SoupSession;
-
 namespace fescuevane::io
 {
 
--- a/io/timer.hpp
+++ b/io/timer.hpp
@@ -4,10 +4,9 @@
 
 #include "core/instant.hpp"
 
+#include <glib.h>
 #include <functional>
 
-using GSource = struct _GSource;
-
 namespace fescuevane::io
 {
 
