Keep room for a gang that has waited long

The best-ranked gang that has waited 3 s gets the targets that it may use. The new test fails without the reservation.

--- a/plan/place_tasks.cpp
+++ b/plan/place_tasks.cpp
@@ -84,7 +84,9 @@
     {
         target_row const& target = context.targets_[row];
         target_id const&  id = context.targets_.key(row);
-        if (want.excluded_.contains(id) ||
+        bool const        reserved = context.reserved_.contains(id) &&
+                              want.key_.job_ != context.reserved_for_;
+        if (reserved || want.excluded_.contains(id) ||
             (want.rack_ && target.rack_ != *want.rack_) ||
             !accepts_stage(context, want.key_, target) ||
             !has_ticket(context, want.key_, want.stage_, id) ||
@@ -247,6 +249,41 @@
     start_gang(context, key, {});
 }
 
+// A gang needs its room at once, while single tasks take each part of it as it
+// comes free. So what a gang may use is kept for it when it has waited long;
+// for one gang at a time, the best-ranked one.
+constexpr std::int64_t reserve_after_micros = 3'000'000;
+
+void reserve_for_gang(planner& context, stage_key const& key)
+{
+    stage_row const& stage = *context.stages_.find(key);
+    bool const       waits_long =
+        std::all_of(stage.tasks_.begin(), stage.tasks_.end(),
+                    [&context](task_cell const& task)
+                    {
+                        return is_waiting(task) &&
+                               task.waiting_since_.after(
+                                   reserve_after_micros) <= context.now_;
+                    });
+    if (!waits_long || !context.reserved_for_.empty())
+    {
+        return;
+    }
+    context.reserved_for_ = key.job_;
+    for (std::size_t row = 0; row < context.targets_.size(); ++row)
+    {
+        target_id const& id = context.targets_.key(row);
+        auto const       ticket = stage.tickets_.find(id);
+        bool const       allowed =
+            stage.tickets_.empty() ||
+            (ticket != stage.tickets_.end() && ticket->second.good_);
+        if (allowed && accepts_stage(context, key, context.targets_[row]))
+        {
+            context.reserved_.insert(id);
+        }
+    }
+}
+
 // 4. Copies
 
 // Runs that take far longer than others of their image and may have a copy.
@@ -314,6 +351,15 @@
     {
         wake_at(context, soonest_pause);
     }
+    context.reserved_.clear();
+    context.reserved_for_ = job_id();
+    for (stage_rank const& rank : ranks)
+    {
+        if (find_step(context, rank.stage_).gang_)
+        {
+            reserve_for_gang(context, rank.stage_);
+        }
+    }
     for (stage_rank const& rank : ranks)
     {
         if (find_step(context, rank.stage_).gang_)
--- a/plan/planner.hpp
+++ b/plan/planner.hpp
@@ -44,8 +44,11 @@
     std::set<job_id> timed_;             // with occurrences that aren't due yet
     bool             in_service_ = true; // of the failure domain
     std::uint32_t    open_questions_ = 0;
-    instant          explain_at_;           // next notes about long waits
-    bool             place_needed_ = false; // room, work or policy changed
+    // Targets that are kept free for a gang that has waited long.
+    std::set<target_id> reserved_;
+    job_id              reserved_for_;         // empty: none
+    instant             explain_at_;           // next notes about long waits
+    bool                place_needed_ = false; // room, work or policy changed
 };
 
 // A step of the tick. Steps run in the order of `list_systems`.
--- a/tests/unit/plan_placement_test.cpp
+++ b/tests/unit/plan_placement_test.cpp
@@ -155,6 +155,40 @@
     CHECK(waiting[0].indices_.size() == 3);
 }
 
+// Guards against a gang that is starved by a stream of small tasks, each of
+// which takes the room that has just come free.
+TEST_CASE_FIXTURE(plan_fixture,
+                  "gang waits long, small tasks come, gang starts")
+{
+    step_spec const gang{.count_ = 4,
+                         .demand_ = {1000, 512, 0},
+                         .estimate_ms_ = 1000,
+                         .gang_ = true};
+    set_target("t-1");
+    add_job("small-0", {make_step(4)});
+    tick();
+    std::vector<start_run> running = list<start_run>();
+    std::size_t            ended = 0;
+    add_job("j-1", {gang});
+    bool started = false;
+    for (int round = 1; round < 60 && !started; ++round)
+    {
+        add_job("small-" + std::to_string(round), {make_step(1)});
+        advance(200'000);
+        if (ended < running.size())
+        {
+            end(running[ended++], run_end::done);
+        }
+        tick();
+        for (start_run const& start : list<start_run>())
+        {
+            running.push_back(start);
+            started = started || start.run_.stage_.job_ == job_id("j-1");
+        }
+    }
+    CHECK(started);
+}
+
 // Guards against a stage that stops asking: tickets for targets at the spread
 // limit were taken for enough.
 TEST_CASE_FIXTURE(plan_fixture,
