Remove state that nothing reads and a name of the platform

The planner's flag that placement is needed and the session's time of the last question were set and never read. The session's mark of forgotten ends gets a name of its own instead of the platform's.

--- a/cell/hold_target.hpp
+++ b/cell/hold_target.hpp
@@ -18,7 +18,7 @@
     target_id const     target_;
     std::string const   address_;
     epoch const         fence_ = 0;
-    std::uint64_t const last_seen_ = 0; // ends up to here may be forgotten
+    std::uint64_t const forgotten_ = 0; // ends up to here may be forgotten
     std::int64_t const  lease_clock_ms_ = 0;
     std::int64_t const  wait_ms_ = 0; // for an end
     instant const       deadline_;
--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -105,7 +105,7 @@
     session.runs_.clear();
     session.orders_.clear();
     session.unstored_.clear();
-    session.last_seen_ = 0;
+    session.forgotten_ = 0;
     session.processed_ = 0;
     session.granted_ms_ = 0;
     session.clock_ms_ = 0;
@@ -258,7 +258,7 @@
         .target_ = id,
         .address_ = session.info_->address_,
         .fence_ = context.owned_.find(session.shard_)->epoch_,
-        .last_seen_ = session.last_seen_,
+        .forgotten_ = session.forgotten_,
         .lease_clock_ms_ = lease,
         .wait_ms_ = wait_ms,
         .deadline_ = context.now_.after(wait_ms * micros_per_milli +
@@ -438,7 +438,6 @@
     session->clock_ms_ = input.clock_ms_;
     session->clock_at_ = context.now_;
     session->contact_at_ = context.now_;
-    session->contact_sent_ = session->hold_sent_;
     if (first)
     {
         session->phase_ = session_phase::attached;
@@ -713,7 +712,7 @@
 {
 
 // Ends whose effect is stored may be forgotten by the target.
-void advance_last_seen(node& context, session_row& session)
+void advance_forgotten(node& context, session_row& session)
 {
     bool const had = !session.unstored_.empty();
     while (!session.unstored_.empty())
@@ -725,7 +724,7 @@
         {
             break;
         }
-        session.last_seen_ = end.number_;
+        session.forgotten_ = end.number_;
         session.unstored_.pop_front();
     }
     if (had && session.unstored_.empty())
@@ -801,7 +800,7 @@
             continue;
         }
         number_ends(context, *session);
-        advance_last_seen(context, *session);
+        advance_forgotten(context, *session);
         if (!settle_silent_target(context, id))
         {
             continue;
--- a/cell/session_row.hpp
+++ b/cell/session_row.hpp
@@ -36,7 +36,6 @@
     instant       clock_at_;
     std::int64_t  granted_ms_ = 0; // latest end of a lease, its clock
     instant       contact_at_;     // latest answer
-    instant       contact_sent_;   // when its question was sent
     std::uint64_t hold_ = 0;       // request in flight, 0: none
     instant       hold_sent_;
     instant       hold_at_;  // next question
@@ -44,7 +43,7 @@
 
     // Runs and ends
     std::map<run_key, session_run> runs_;
-    std::uint64_t                  last_seen_ = 0; // forgotten by the target
+    std::uint64_t                  forgotten_ = 0; // forgotten by the target
     std::uint64_t                  processed_ = 0; // highest end applied
     std::deque<unstored_end>       unstored_;
     std::deque<plan::command>      orders_; // waiting
--- a/plan/apply_events.cpp
+++ b/plan/apply_events.cpp
@@ -30,7 +30,6 @@
     {
         context.queues_.ensure(queue.id_) = queue;
     }
-    context.place_needed_ = true;
 }
 
 void apply(planner& context, organisations_set const& input)
@@ -45,13 +44,11 @@
         row.weight_ = share.weight_;
         row.limit_ = share.limit_;
     }
-    context.place_needed_ = true;
 }
 
 void apply(planner& context, domain_set const& input)
 {
     context.in_service_ = input.in_service_;
-    context.place_needed_ = true;
 }
 
 // 2. Targets
@@ -70,7 +67,6 @@
     row.labels_ = input.labels_;
     row.capacity_ = input.capacity_;
     row.phase_ = input.phase_;
-    context.place_needed_ = true;
 }
 
 void apply(planner& context, target_gone const& input)
@@ -88,7 +84,6 @@
         end_run(context, run, input.id_, run_end::lost, "");
     }
     context.targets_.remove(input.id_);
-    context.place_needed_ = true;
 }
 
 // 3. Jobs
@@ -144,7 +139,6 @@
     {
         context.timed_.insert(input.job_->id_);
     }
-    context.place_needed_ = true;
 }
 
 void apply(planner& context, job_canceled const& input)
@@ -319,7 +313,6 @@
         stage->tickets_[good.target_] = {true, good.ticket_,
                                          input.valid_until_};
     }
-    context.place_needed_ = true;
 }
 
 void apply(planner& context, advice_failed const& input)
--- a/plan/job_flow.cpp
+++ b/plan/job_flow.cpp
@@ -169,7 +169,6 @@
             }
         }
     }
-    context.place_needed_ = true;
 }
 
 namespace
@@ -245,7 +244,6 @@
         order_stop(context, run, "job ended");
     }
     context.outbox_.push_back(job_changed{id});
-    context.place_needed_ = true;
 }
 
 // 2. Runs
@@ -328,7 +326,6 @@
         --stage->tasks_[key.index_].runs_;
         stage->tasks_[key.index_].waiting_since_ = context.now_;
     }
-    context.place_needed_ = true;
     return true;
 }
 
@@ -560,7 +557,6 @@
         stop_stage_runs(context, key.stage_, "gang broken");
     }
     end_effects.at(static_cast<std::size_t>(end))(context, {key, step, target});
-    context.place_needed_ = true;
 }
 
 // 4. Delegated tasks
@@ -609,7 +605,6 @@
     {
         return;
     }
-    context.place_needed_ = true;
     context.outbox_.push_back(job_changed{key.job_});
     if (phase == job_phase::failed)
     {
--- a/plan/place_tasks.cpp
+++ b/plan/place_tasks.cpp
@@ -382,7 +382,6 @@
         }
     }
     place_copies(context);
-    context.place_needed_ = false;
 }
 
 } // namespace fescuevane::plan
--- a/plan/planner.hpp
+++ b/plan/planner.hpp
@@ -46,9 +46,8 @@
     std::uint32_t    open_questions_ = 0;
     // Targets that are kept free for a gang that has waited long.
     std::set<target_id> reserved_;
-    job_id              reserved_for_;         // empty: none
-    instant             explain_at_;           // next notes about long waits
-    bool                place_needed_ = false; // room, work or policy changed
+    job_id              reserved_for_; // empty: none
+    instant             explain_at_;   // next notes about long waits
 };
 
 // A step of the tick. Steps run in the order of `list_systems`.
--- a/tests/unit/cell_jobs_test.cpp
+++ b/tests/unit/cell_jobs_test.cpp
@@ -101,14 +101,14 @@
     run(400'000);
     auto const kept = take<hold_target>();
     REQUIRE(!kept.empty());
-    CHECK(kept.back().last_seen_ == 0);
+    CHECK(kept.back().forgotten_ == 0);
     store_down_ = false;
     answer_hold(kept.back(), {},
                 {{1, starts[0].start_.run_, run_end::done, ""}});
     run(micros_per_second);
     auto const told = take<hold_target>();
     REQUIRE(!told.empty());
-    CHECK(told.back().last_seen_ == 1);
+    CHECK(told.back().forgotten_ == 1);
     std::uint64_t const call = ask(call_kind::lookup, "aa01");
     run(50'000);
     CHECK(find_answer(call)->phase_ == job_phase::completed);
