Hand tasks over only to shards with room for them

Cause: in a full cell each owner handed waiting tasks to other full shards, which handed them on again, up to six times.

Ruled out: the takeover itself (0.5 s from start to serving) and the store.

Change: tasks that wait for room go only to a shard whose load, with what waits there, stays below 0.9 of its capacity, and move once; tasks that their shard can never run (label, ticket, size, limit) still try each shard. A look-up of a delegate is answered at its end instead of at once. Placement skips stages that no target has room for.

--- a/cell/delegate_tasks.cpp
+++ b/cell/delegate_tasks.cpp
@@ -17,6 +17,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <map>
 #include <optional>
 #include <utility>
@@ -118,16 +119,37 @@
 namespace
 {
 
-// A shard that is nearly full has no room to spare, whatever the sum says.
-constexpr std::int64_t min_free_divisor = 8;
+// A shard takes tasks of another one while its load, with what waits there,
+// stays below this share of its capacity. Above it, the tasks would only wait
+// there: each hand-over costs writes and calls on both sides, and a cell that
+// is full everywhere spent more on them than on starts.
+constexpr double max_delegate_load = 0.9;
 
-// The shard with the most room for the tasks, if it has some for one.
+double expect_load(shard_row const& shard, resources const& more)
+{
+    resources const& capacity = shard.load_.capacity_;
+    resources const  wanted = shard.load_.used_ + shard.load_.queued_ + more;
+    double const     cpu = static_cast<double>(wanted.cpu_millis()) /
+                       std::max<double>(1, capacity.cpu_millis());
+    double const memory = static_cast<double>(wanted.memory_mib()) /
+                          std::max<double>(1, capacity.memory_mib());
+    return std::max(cpu, memory);
+}
+
+resources demand_of(plan::overflow const& tasks)
+{
+    return tasks.demand_ * static_cast<std::int64_t>(tasks.indices_.size());
+}
+
+// The shard with the lowest load, if it has room for the tasks. Tasks that this
+// shard can never run go to any that is able to take work.
 std::optional<shard_id> choose_delegate(node const&           context,
                                         shard_id const&       from,
                                         plan::overflow const& tasks)
 {
     std::optional<shard_id> best;
-    std::int64_t            most = 0;
+    double least = tasks.blocked_ ? std::numeric_limits<double>::max()
+                                  : max_delegate_load;
     for (std::size_t row = 0; row < context.shards_.size(); ++row)
     {
         shard_id const&  id = context.shards_.key(row);
@@ -141,21 +163,20 @@
         {
             continue;
         }
-        resources const free = shard.load_.capacity_ - shard.load_.used_;
-        bool const      roomy =
-            free.cpu_millis() >
-            shard.load_.capacity_.cpu_millis() / min_free_divisor;
-        if (roomy && tasks.demand_.fits_in(free) && free.cpu_millis() > most)
+        double const load = expect_load(shard, demand_of(tasks));
+        if (shard.load_.capacity_.cpu_millis() > 0 && load < least)
         {
             best = id;
-            most = free.cpu_millis();
+            least = load;
         }
     }
     return best;
 }
 
-// Handing tasks on and on would only move the wait.
-constexpr std::size_t max_depth = 6;
+// Tasks that wait for room move once: handing them on and on would only move
+// the wait. Blocked ones may have to try each shard.
+constexpr std::size_t max_depth = 1;
+constexpr std::size_t max_blocked_depth = 6;
 
 std::size_t count_depth(job_id const& job)
 {
@@ -177,10 +198,14 @@
     plan::post_event(*own.planner_,
                      plan::tasks_delegated{tasks.stage_, tasks.indices_, id});
     own.plan_needed_ = true;
+    // Counted until the next heartbeat tells the load anew.
+    shard_row& other = *context.shards_.find(target);
+    other.load_.queued_ = other.load_.queued_ + demand_of(tasks);
     log_event(context, "delegate",
               {{"job", parent.str()},
                {"delegate", id.str()},
                {"tasks", std::to_string(tasks.indices_.size())},
+               {"blocked", tasks.blocked_ ? "true" : "false"},
                {"shard", write_shard_name(target)}});
 }
 
@@ -210,9 +235,14 @@
         for (plan::overflow const& tasks : plan::list_overflow(
                  *own.planner_, context.settings_.overflow_micros_))
         {
+            if (count_depth(tasks.stage_.job_) >=
+                (tasks.blocked_ ? max_blocked_depth : max_depth))
+            {
+                continue;
+            }
             std::optional<shard_id> const target =
                 choose_delegate(context, shard, tasks);
-            if (target && count_depth(tasks.stage_.job_) < max_depth)
+            if (target)
             {
                 begin_delegation(context, shard, own, tasks, *target);
                 break;
--- a/cell/drive_planners.cpp
+++ b/cell/drive_planners.cpp
@@ -313,6 +313,10 @@
     void operator()(plan::job_changed const& order) const
     {
         mark_changed(context_, order.id_, false);
+        if (record_row* const record = context_.records_.find(order.id_))
+        {
+            answer_lookups(context_, *record);
+        }
     }
 
     void operator()(plan::note const& order) const
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -166,6 +166,8 @@
 // Calls
 void serve_call(node& context, origin const& from, job_call const& call);
 void answer_origin(node& context, origin const& to, job_answer const& answer);
+job_phase phase_of(node const& context, record_row const& record);
+void      answer_lookups(node& context, record_row& record);
 void apply_answer(node& context, std::uint64_t call, job_answer const& answer);
 void set_policies(node& context, owned_row& owned);
 void mark_changed(node& context, job_id const& job, bool urgent);
--- a/cell/serve_calls.cpp
+++ b/cell/serve_calls.cpp
@@ -72,6 +72,8 @@
 
 // 3. Look-ups and cancellations
 
+} // namespace
+
 job_phase phase_of(node const& context, record_row const& record)
 {
     if (record.canceled_)
@@ -83,6 +85,9 @@
         .value_or(record.phase_);
 }
 
+namespace
+{
+
 void serve_lookup(node& context, origin const& from, job_call const& call)
 {
     record_row const* const record = context.records_.find(call.id_);
@@ -96,9 +101,16 @@
         answer_origin(context, from, refuse(context, job_outcome::unavailable));
         return;
     }
-    answer_origin(
-        context, from,
-        {.outcome_ = job_outcome::known, .phase_ = phase_of(context, *record)});
+    job_phase const phase = phase_of(context, *record);
+    if (record->job_->alias_ && !is_final(phase))
+    {
+        // Only the shard that handed the tasks on asks, and for their end.
+        context.records_.find(call.id_)->waiting_.push_back(
+            {from, call_kind::lookup, call.deadline_});
+        return;
+    }
+    answer_origin(context, from,
+                  {.outcome_ = job_outcome::known, .phase_ = phase});
 }
 
 void serve_cancel(node& context, origin const& from, job_call const& call)
--- a/cell/write_journal.cpp
+++ b/cell/write_journal.cpp
@@ -132,13 +132,25 @@
                        .deadline_ = store_deadline(context)});
 }
 
-// Callers whose time is up get an answer that promises nothing.
+// Callers whose time is up get an answer that promises nothing, or the present
+// phase where they ask for it.
+job_answer answer_late(node const& context, record_row const& record,
+                       waiting_call const& call)
+{
+    if (call.kind_ == call_kind::lookup)
+    {
+        return {.outcome_ = job_outcome::known,
+                .phase_ = phase_of(context, record)};
+    }
+    return {.outcome_ = job_outcome::uncertain};
+}
+
 void expire_waiting_calls(node& context)
 {
     for (record_row& record : context.records_)
     {
         std::erase_if(record.waiting_,
-                      [&context](waiting_call const& call)
+                      [&context, &record](waiting_call const& call)
                       {
                           if (call.deadline_ > context.now_)
                           {
@@ -146,7 +158,7 @@
                               return false;
                           }
                           answer_origin(context, call.origin_,
-                                        {.outcome_ = job_outcome::uncertain});
+                                        answer_late(context, record, call));
                           return true;
                       });
         if (record.expires_ <= context.now_ && record.saved_ >= record.changed_)
@@ -190,6 +202,28 @@
 
 // 3. Replies
 
+// Answers the look-ups that wait for the end of a job.
+void answer_lookups(node& context, record_row& record)
+{
+    job_phase const phase = phase_of(context, record);
+    if (!is_final(phase))
+    {
+        return;
+    }
+    std::erase_if(record.waiting_,
+                  [&](waiting_call const& call)
+                  {
+                      if (call.kind_ != call_kind::lookup)
+                      {
+                          return false;
+                      }
+                      answer_origin(context, call.origin_,
+                                    {.outcome_ = job_outcome::known,
+                                     .phase_ = phase});
+                      return true;
+                  });
+}
+
 namespace
 {
 
--- a/plan/overflow.hpp
+++ b/plan/overflow.hpp
@@ -16,6 +16,7 @@
     stage_key                  stage_;
     std::vector<std::uint32_t> indices_;
     resources                  demand_; // of one task
+    bool blocked_ = false; // no end of other work would make room here
 
     friend bool operator==(overflow const&, overflow const&) = default;
 };
--- a/plan/place_tasks.cpp
+++ b/plan/place_tasks.cpp
@@ -75,15 +75,29 @@
     return cost;
 }
 
+// Processors that a task of the step takes from a target's room.
+resources room_of(step_spec const& step)
+{
+    return step.filler_ ? resources(0, step.demand_.memory_mib(),
+                                    step.demand_.accelerators())
+                        : step.demand_;
+}
+
 std::optional<target_id> choose_target(planner const&   context,
                                        placement const& want)
 {
     std::optional<target_id> best;
     double                   best_cost = std::numeric_limits<double>::max();
+    resources const          wanted = room_of(want.step_);
     for (std::size_t row = 0; row < context.targets_.size(); ++row)
     {
         target_row const& target = context.targets_[row];
-        target_id const&  id = context.targets_.key(row);
+        // The cheapest check goes first: most targets are full on heavy days.
+        if (!wanted.fits_in(target.capacity_ - target.used_))
+        {
+            continue;
+        }
+        target_id const& id = context.targets_.key(row);
         bool const        reserved = context.reserved_.contains(id) &&
                               want.key_.job_ != context.reserved_for_;
         if (reserved || want.excluded_.contains(id) ||
@@ -328,6 +342,43 @@
 
 } // namespace
 
+namespace
+{
+
+// The most of each resource that some target has free.
+resources find_most_free(planner const& context)
+{
+    std::int64_t cpu = 0;
+    std::int64_t memory = 0;
+    std::int64_t accelerators = 0;
+    for (target_row const& target : context.targets_)
+    {
+        if (target.phase_ == target_phase::usable)
+        {
+            resources const free = target.capacity_ - target.used_;
+            cpu = std::max<std::int64_t>(cpu, free.cpu_millis());
+            memory = std::max<std::int64_t>(memory, free.memory_mib());
+            accelerators =
+                std::max<std::int64_t>(accelerators, free.accelerators());
+        }
+    }
+    return {cpu, memory, accelerators};
+}
+
+void place_stage(planner& context, stage_key const& key)
+{
+    if (find_step(context, key).gang_)
+    {
+        place_gang(context, key);
+    }
+    else
+    {
+        place_single_tasks(context, key);
+    }
+}
+
+} // namespace
+
 void place_tasks(planner& context)
 {
     instant const soonest_pause = [&context]
@@ -360,15 +411,19 @@
             reserve_for_gang(context, rank.stage_);
         }
     }
+    resources most_free = find_most_free(context);
     for (stage_rank const& rank : ranks)
     {
-        if (find_step(context, rank.stage_).gang_)
+        // A tick with hundreds of waiting stages and full targets stays short.
+        if (!room_of(find_step(context, rank.stage_)).fits_in(most_free))
         {
-            place_gang(context, rank.stage_);
+            continue;
         }
-        else
+        std::size_t const runs = context.runs_.size();
+        place_stage(context, rank.stage_);
+        if (context.runs_.size() != runs)
         {
-            place_single_tasks(context, rank.stage_);
+            most_free = find_most_free(context);
         }
     }
     for (stage_row const& stage : context.stages_)
--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -13,6 +13,7 @@
 #include "plan/load_summary.hpp"
 #include "plan/overflow.hpp"
 #include "plan/plan.hpp"
+#include "plan/room.hpp"
 #include "plan/stage_rank.hpp"
 
 #include <algorithm>
@@ -159,6 +160,49 @@
         micros_per_milli);
 }
 
+// True when the stage may run on the target once all other work has ended.
+bool could_run(planner const& context, stage_key const& key,
+               stage_row const& stage, target_id const& id,
+               target_row const& target)
+{
+    auto const ticket = stage.tickets_.find(id);
+    bool const forbidden =
+        ticket != stage.tickets_.end() && !ticket->second.good_;
+    return !forbidden && suits_stage(context, key, target);
+}
+
+// True when the shard's targets can't run the stage, however long it waits: by
+// label, size, ticket or limit of its organisation.
+bool is_blocked(planner const& context, stage_key const& key,
+                stage_row const& stage)
+{
+    job_row const&   job = *context.jobs_.find(key.job_);
+    step_spec const& step = job.spec_->steps_[key.step_];
+    if (!is_within_limit(context, job.spec_->organisation_, step.demand_))
+    {
+        return true;
+    }
+    std::int64_t room = 0;
+    for (std::size_t row = 0; row < context.targets_.size(); ++row)
+    {
+        target_row const& target = context.targets_[row];
+        target_id const&  id = context.targets_.key(row);
+        if (!could_run(context, key, stage, id, target))
+        {
+            continue;
+        }
+        std::int64_t const fitting = count_fitting_empty(context, key, target);
+        std::int64_t const spread =
+            step.spread_limit_ == 0
+                ? fitting
+                : std::max<std::int64_t>(0, std::int64_t{step.spread_limit_} -
+                                                count_on_target(context, key,
+                                                                id));
+        room += std::min(fitting, spread);
+    }
+    return room < (step.gang_ ? static_cast<std::int64_t>(step.count_) : 1);
+}
+
 // Each shard that hands tasks on adds a mark to the name.
 std::int64_t count_handovers(job_id const& job)
 {
@@ -198,6 +242,7 @@
         if (!tasks.indices_.empty() &&
             (!step.gang_ || tasks.indices_.size() == stage.tasks_.size()))
         {
+            tasks.blocked_ = is_blocked(context, key, stage);
             found.push_back(std::move(tasks));
         }
     }
--- a/plan/room.cpp
+++ b/plan/room.cpp
@@ -26,25 +26,32 @@
 
 } // namespace
 
-bool accepts_stage(planner const& context, stage_key const& stage,
-                   target_row const& target)
+bool suits_stage(planner const& context, stage_key const& stage,
+                 target_row const& target)
 {
     job_row const&     job = *context.jobs_.find(stage.job_);
     std::string const& label = job.spec_->steps_[stage.step_].required_label_;
     return context.in_service_ && target.phase_ == target_phase::usable &&
-           target.service_ == job.spec_->service_ && target.foreign_.empty() &&
-           target.paused_until_ <= context.now_ &&
-           target.probation_until_ <= context.now_ &&
+           target.service_ == job.spec_->service_ &&
            (label.empty() ||
             std::find(target.labels_.begin(), target.labels_.end(), label) !=
                 target.labels_.end());
 }
 
-std::int64_t count_fitting(planner const& context, stage_key const& stage,
-                           target_row const& target)
+bool accepts_stage(planner const& context, stage_key const& stage,
+                   target_row const& target)
+{
+    return target.foreign_.empty() && target.paused_until_ <= context.now_ &&
+           target.probation_until_ <= context.now_ &&
+           suits_stage(context, stage, target);
+}
+
+namespace
+{
+
+std::int64_t count_fitting_in(step_spec const& step, target_row const& target,
+                              resources const& room)
 {
-    step_spec const& step = find_step(context, stage);
-    resources const  room = target.capacity_ - target.used_;
     resources const& demand = step.demand_;
     // A filler may not be larger than the target, but needs no free processors.
     std::int64_t const processors =
@@ -55,6 +62,22 @@
                      divide(room.accelerators(), demand.accelerators())});
 }
 
+} // namespace
+
+std::int64_t count_fitting(planner const& context, stage_key const& stage,
+                           target_row const& target)
+{
+    return count_fitting_in(find_step(context, stage), target,
+                            target.capacity_ - target.used_);
+}
+
+std::int64_t count_fitting_empty(planner const& context, stage_key const& stage,
+                                 target_row const& target)
+{
+    return count_fitting_in(find_step(context, stage), target,
+                            target.capacity_);
+}
+
 std::int64_t count_startable(planner const& context, stage_key const& stage,
                              target_id const& id, target_row const& target)
 {
--- a/plan/room.hpp
+++ b/plan/room.hpp
@@ -16,7 +16,11 @@
 struct target_row;
 struct task_cell;
 
-// True when the target takes new work of the stage at all, whatever its room.
+// True when the target may run the stage: its service, its labels, its phase.
+bool suits_stage(planner const& context, stage_key const& stage,
+                 target_row const& target);
+
+// The same for a target that takes new work now, whatever its room.
 bool accepts_stage(planner const& context, stage_key const& stage,
                    target_row const& target);
 
@@ -24,7 +28,11 @@
 std::int64_t count_fitting(planner const& context, stage_key const& stage,
                            target_row const& target);
 
-// The same within the stage's limit for one target.
+// The same on a target that runs nothing.
+std::int64_t count_fitting_empty(planner const& context, stage_key const& stage,
+                                 target_row const& target);
+
+// Like `count_fitting`, within the stage's limit for one target.
 std::int64_t count_startable(planner const& context, stage_key const& stage,
                              target_id const& id, target_row const& target);
 
--- /dev/null
+++ b/tests/unit/cell_delegation_test.cpp
@@ -0,0 +1,177 @@
+// Purpose: tests of handing tasks from one shard to another.
+#include "cell_fixture.hpp"
+
+#include "cell/records.hpp"
+
+#include <doctest/doctest.h>
+
+namespace fescuevane::cell
+{
+namespace
+{
+
+// This host owns east; host-2 owns west and tells its load.
+struct delegation_fixture : cell_fixture
+{
+    resources west_used_;
+    resources west_queued_;
+
+    delegation_fixture()
+    {
+        settings_.domains_ = {domain_id("east"), domain_id("west")};
+        start(1);
+        post(member_row_changed{
+            {{"member", "", "host/host-2"},
+             write_host({"127.0.0.1:7001", domain_id("west"), 1, 5}),
+             ++revision_}});
+        tell_west();
+        serve();
+    }
+
+    void tell_west()
+    {
+        post(heartbeat_received{
+            {.host_ = host_id("host-2"),
+             .incarnation_ = 5,
+             .shards_ = {{.shard_ = {domain_id("west"), 0},
+                          .epoch_ = 1,
+                          .serving_ = true,
+                          .load_ = {.capacity_ = {4000, 8192, 0},
+                                    .used_ = west_used_,
+                                    .queued_ = west_queued_}}}}});
+    }
+
+    // Runs for some time while both the target and the other owner answer.
+    void run_cell(std::int64_t micros)
+    {
+        constexpr std::int64_t step = 100'000;
+        for (std::int64_t passed = 0; passed < micros; passed += step)
+        {
+            tell_west();
+            run(step);
+            for (send_start const& start : take<send_start>())
+            {
+                post(order_reply{.request_ = start.request_,
+                                 .outcome_ = target_outcome::done});
+                running_.push_back({start.start_.run_, "", 1, 0});
+            }
+            for (hold_target const& hold : take<hold_target>())
+            {
+                answer_hold(hold, running_);
+            }
+        }
+    }
+
+    // Jobs that the other owner was asked to accept.
+    std::vector<job_call> list_delegated()
+    {
+        std::vector<job_call> found;
+        for (call_peer const& call : take<call_peer>())
+        {
+            if (call.call_.kind_ == call_kind::submit)
+            {
+                found.push_back(call.call_);
+            }
+        }
+        return found;
+    }
+
+    std::vector<reported_run> running_;
+};
+
+// Guards against tasks that move between full shards: each move cost writes and
+// calls, and owners of a full cell had no time left to start work.
+TEST_CASE_FIXTURE(delegation_fixture,
+                  "tasks wait, other shard has a queue, not handed over")
+{
+    west_used_ = {2000, 1024, 0};
+    west_queued_ = {2000, 1024, 0};
+    for (int job = 0; job < 8; ++job)
+    {
+        submit("aa0" + std::to_string(job)); // four of them fit
+    }
+    run_cell(3 * micros_per_second);
+    CHECK(running_.size() == 4);
+    CHECK(list_delegated().empty());
+}
+
+// Guards against tasks that wait while another shard stands empty.
+TEST_CASE_FIXTURE(delegation_fixture,
+                  "tasks wait, other shard comes free, handed over once each")
+{
+    west_used_ = {4000, 1024, 0};
+    tell_west();
+    for (int job = 0; job < 12; ++job)
+    {
+        submit("aa" + std::to_string(10 + job));
+    }
+    run_cell(200'000);
+    CHECK(running_.size() == 4);
+    west_used_ = {};
+    run_cell(3 * micros_per_second);
+    auto const moved = list_delegated();
+    CHECK(!moved.empty());
+    CHECK(moved.size() <= 8);
+}
+
+// Guards against owners that spend their time on asking each other about tasks
+// that were handed over.
+TEST_CASE_FIXTURE(delegation_fixture,
+                  "delegate at work, looked up, answered at its end")
+{
+    task_alias const alias{.stage_ = {job_id("bb01"), 0, 0},
+                           .indices_ = {3},
+                           .failures_ = {0},
+                           .checkpoints_ = {""},
+                           .first_run_ = 7};
+    post(peer_called{
+        1,
+        {.kind_ = call_kind::submit,
+         .id_ = job_id("bb01~1-1"),
+         .shard_ = {domain_id("east"), 0},
+         .job_ = std::make_shared<staged_job const>(
+             staged_job{.id_ = job_id("bb01~1-1"),
+                        .organisation_ = organisation_id("cafe"),
+                        .queue_ = queue_id("orders"),
+                        .service_ = service_id("desk"),
+                        .payload_ = "work",
+                        .steps_ = {{.count_ = 1, .demand_ = {1000, 512, 0}}},
+                        .alias_ = alias}),
+         .deadline_ = now_.after(micros_per_second)}});
+    run_cell(200'000);
+    REQUIRE(running_.size() == 1);
+    CHECK(running_[0].run_.stage_.job_ == job_id("bb01"));
+    CHECK(take<reply_peer>().size() == 1);
+    post(peer_called{2,
+                     {.kind_ = call_kind::lookup,
+                      .id_ = job_id("bb01~1-1"),
+                      .shard_ = {domain_id("east"), 0},
+                      .deadline_ = now_.after(micros_per_second)}});
+    SUBCASE("it ends")
+    {
+        run_cell(200'000);
+        CHECK(take<reply_peer>().empty());
+        run_key const ended = running_[0].run_;
+        running_.clear();
+        run(50'000);
+        for (hold_target const& hold : take<hold_target>())
+        {
+            answer_hold(hold, {}, {{1, ended, run_end::done, ""}});
+        }
+        run(50'000);
+        auto const replies = take<reply_peer>();
+        REQUIRE(replies.size() == 1);
+        CHECK(replies[0].answer_.phase_ == job_phase::completed);
+    }
+    SUBCASE("the time of the call is up")
+    {
+        run_cell(1'200'000);
+        auto const replies = take<reply_peer>();
+        REQUIRE(replies.size() == 1);
+        CHECK(replies[0].answer_.outcome_ == job_outcome::known);
+        CHECK(replies[0].answer_.phase_ == job_phase::running);
+    }
+}
+
+} // namespace
+} // namespace fescuevane::cell
--- a/tests/unit/cell_fixture.hpp
+++ b/tests/unit/cell_fixture.hpp
@@ -21,6 +21,7 @@
 // The store is a table in memory that checks conditions as the real one does.
 struct cell_fixture
 {
+    settings                      settings_;
     node_ptr                      node_;
     instant                       now_ = instant(10 * micros_per_second);
     std::int64_t                  unix_ms_ = 1'000'000;
@@ -31,18 +32,20 @@
     bool                          store_silent_ = false; // performs, no answer
     std::uint64_t                 last_call_ = 0;
 
-    cell_fixture() { start(1); }
+    cell_fixture()
+    {
+        settings_.host_ = host_id("host-1");
+        settings_.address_ = "127.0.0.1:7000";
+        settings_.domain_ = domain_id("east");
+        settings_.domains_ = {domain_id("east")};
+        start(1);
+    }
 
     // Starts the node anew; the store stays.
     void start(std::uint64_t incarnation)
     {
-        settings values;
-        values.host_ = host_id("host-1");
-        values.address_ = "127.0.0.1:7000";
-        values.domain_ = domain_id("east");
-        values.domains_ = {domain_id("east")};
-        values.incarnation_ = incarnation;
-        node_ = make_node(values, now_);
+        settings_.incarnation_ = incarnation;
+        node_ = make_node(settings_, now_);
         post(config_changed{make_config()});
         for (auto const& [key, row] : rows_)
         {
