Spend less processor time in ticks and on reports of targets

Cause: an owner ran about 320 ticks a second, each with a rank of every waiting stage, a look at every run and a copy of all target ids; and it asked a target three times for each batch of ends, twice while their effect was being stored.

--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -445,11 +445,11 @@
     }
     apply_report(context, *session, input.target_, input);
     bool const stored = session->unstored_.empty();
-    session->hold_at_ =
-        !leased || stored
-            ? context.now_
-            : context.now_.after(context.store_ok_ ? values.journal_micros_
-                                                   : values.hold_retry_micros_);
+    // While the target lists ends it answers at once, so the next question
+    // waits until their effect is stored and they may be forgotten.
+    session->hold_at_ = !leased || stored
+                            ? context.now_
+                            : context.now_.after(values.hold_unstored_micros_);
 }
 
 // 4. Orders
@@ -791,14 +791,15 @@
 
 void keep_sessions(node& context)
 {
-    std::vector<target_id> const ids = context.sessions_.keys();
-    for (target_id const& id : ids)
+    // Backwards, since a removal moves the last row into the gap.
+    for (std::size_t row = context.sessions_.size(); row-- > 0;)
     {
-        session_row* session = context.sessions_.find(id);
-        if (session == nullptr || !session->open_)
+        session_row* const session = &context.sessions_[row];
+        if (!session->open_)
         {
             continue;
         }
+        target_id const id = context.sessions_.key(row);
         number_ends(context, *session);
         advance_forgotten(context, *session);
         if (!settle_silent_target(context, id))
--- a/cell/settings.hpp
+++ b/cell/settings.hpp
@@ -45,6 +45,7 @@
     std::int64_t  hold_wait_ms_ = 800;    // for an end
     std::int64_t  hold_slack_micros_ = 500'000; // answer after the wait
     std::int64_t  hold_retry_micros_ = 150'000;
+    std::int64_t  hold_unstored_micros_ = 250'000; // while ends aren't stored
     std::int64_t  stop_micros_ = 3'000'000;   // then a run never came
     std::int64_t  order_micros_ = 500'000;    // deadline of an order
     std::int64_t  silent_micros_ = 1'500'000; // without word from a target
@@ -63,7 +64,7 @@
 
     // Tasks without room go to another shard
     std::int64_t overflow_micros_ = 600'000;      // they wait here first
-    std::int64_t delegate_micros_ = 100'000;      // between looks
+    std::int64_t delegate_micros_ = 250'000;      // between looks
     std::int64_t delegate_poll_micros_ = 150'000; // of a job elsewhere
 
     // Calls
--- a/plan/job_row.hpp
+++ b/plan/job_row.hpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <utility>
+#include <vector>
 
 namespace fescuevane::plan
 {
@@ -26,6 +27,12 @@
     std::uint32_t next_occurrence_ = 0; // first one that wasn't opened
     std::uint32_t open_stages_ = 0;     // rows of the stage table
 
+    // Expected milliseconds from the start of each step to the end of the last
+    // step that follows it; the whole job's is the longest one.
+    std::vector<double> chains_ms_;
+    double              chain_ms_ = 0;
+    instant             chains_until_; // estimated anew after
+
     // Progress of stages that aren't open: ended ones, and recovered ones.
     std::map<std::pair<std::uint32_t, std::uint32_t>,
              std::vector<task_progress>>
--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -41,9 +41,10 @@
 namespace
 {
 
-constexpr std::array<system_entry, 7> list_systems = {{
+constexpr std::array<system_entry, 8> list_systems = {{
     {"apply_events", &apply_events},
     {"open_stages", &open_stages},
+    {"estimate_chains", &estimate_chains},
     {"watch_runs", &watch_runs},
     {"pace_fillers", &pace_fillers},
     {"request_advice", &request_advice},
--- a/plan/planner.hpp
+++ b/plan/planner.hpp
@@ -48,6 +48,7 @@
     std::set<target_id> reserved_;
     job_id              reserved_for_; // empty: none
     instant             explain_at_;   // next notes about long waits
+    instant             watch_at_;     // next look at runs
 };
 
 // A step of the tick. Steps run in the order of `list_systems`.
@@ -60,6 +61,7 @@
 // Systems, in order
 void apply_events(planner& context);   // inbox to tables
 void open_stages(planner& context);    // whose predecessors ended, or are due
+void estimate_chains(planner& context); // run times of what is left of jobs
 void watch_runs(planner& context);     // stalled runs, slow runs
 void pace_fillers(planner& context);   // beside tasks with a latency bound
 void request_advice(planner& context); // tickets ahead of need
--- a/plan/stage_rank.cpp
+++ b/plan/stage_rank.cpp
@@ -17,33 +17,8 @@
 // Jobs beyond their organisation's rate step behind late ones.
 constexpr std::int32_t excess_lateness = 2;
 
-double chain_from(planner const& context, job_row const& job,
-                  std::uint32_t step)
-{
-    double longest = 0;
-    for (std::uint32_t next = step + 1; next < job.spec_->steps_.size(); ++next)
-    {
-        auto const& after = job.spec_->steps_[next].after_;
-        if (std::find(after.begin(), after.end(), step) != after.end())
-        {
-            longest = std::max(longest, chain_from(context, job, next));
-        }
-    }
-    return longest + expect_step_ms(context, job, step);
-}
-
-double whole_chain_ms(planner const& context, job_row const& job)
-{
-    double longest = 0;
-    for (std::uint32_t step = 0; step < job.spec_->steps_.size(); ++step)
-    {
-        if (job.spec_->steps_[step].after_.empty())
-        {
-            longest = std::max(longest, chain_from(context, job, step));
-        }
-    }
-    return longest;
-}
+// Estimates change slowly, and ranks are needed in each tick.
+constexpr std::int64_t chains_micros = 500'000;
 
 bool has_waiting_task(planner const& context, stage_row const& stage)
 {
@@ -57,12 +32,32 @@
 
 } // namespace
 
-double expect_chain_ms(planner const& context, stage_key const& stage)
+void estimate_chains(planner& context)
 {
-    job_row const& job = *context.jobs_.find(stage.job_);
-    return chain_from(context, job, stage.step_) -
-           expect_step_ms(context, job, stage.step_) +
-           expect_run_ms(context, stage);
+    for (job_row& job : context.jobs_)
+    {
+        if (is_final(job.phase_) || job.chains_until_ > context.now_)
+        {
+            continue;
+        }
+        job.chains_until_ = context.now_.after(chains_micros);
+        // Steps follow only earlier ones, so the last one is estimated first.
+        std::vector<step_spec> const& steps = job.spec_->steps_;
+        job.chains_ms_.assign(steps.size(), 0);
+        job.chain_ms_ = 0;
+        for (std::size_t step = steps.size(); step-- > 0;)
+        {
+            double& chain = job.chains_ms_[step];
+            chain +=
+                expect_step_ms(context, job, static_cast<std::uint32_t>(step));
+            for (std::uint32_t const before : steps[step].after_)
+            {
+                double& earlier = job.chains_ms_.at(before);
+                earlier = std::max(earlier, chain);
+            }
+            job.chain_ms_ = std::max(job.chain_ms_, chain);
+        }
+    }
 }
 
 stage_rank rank_stage(planner const& context, stage_key const& key)
@@ -85,9 +80,9 @@
                   micros_per_milli;
     double const slack = queue == nullptr ? 1 : queue->slack_factor_;
     double const objective =
-        slack * whole_chain_ms(context, job) +
+        slack * job.chain_ms_ +
         static_cast<double>(queue == nullptr ? 0 : queue->objective_ms_);
-    double const end = since_ms + expect_chain_ms(context, key);
+    double const end = since_ms + job.chains_ms_.at(key.step_);
     std::int32_t lateness = end <= objective                      ? 0
                             : end <= objective * worthless_factor ? 1
                                                                   : 2;
--- a/plan/stage_rank.hpp
+++ b/plan/stage_rank.hpp
@@ -34,9 +34,6 @@
 // True while work that nobody reported may run on some target.
 bool has_unseen_targets(planner const& context);
 
-// Milliseconds from the start of a stage to the end of its job's last step.
-double expect_chain_ms(planner const& context, stage_key const& stage);
-
 } // namespace fescuevane::plan
 
 #endif
--- a/plan/watch_runs.cpp
+++ b/plan/watch_runs.cpp
@@ -65,6 +65,15 @@
 
 void watch_runs(planner& context)
 {
+    if (context.watch_at_ > context.now_)
+    {
+        if (!context.runs_.empty())
+        {
+            wake_at(context, context.watch_at_);
+        }
+        return;
+    }
+    context.watch_at_ = context.now_.after(watch_micros);
     std::vector<run_key> stalled;
     std::vector<run_key> slow;
     for (std::size_t row = 0; row < context.runs_.size(); ++row)
@@ -111,7 +120,7 @@
     }
     if (!context.runs_.empty())
     {
-        wake_at(context, context.now_.after(watch_micros));
+        wake_at(context, context.watch_at_);
     }
 }
 
