Ask the policy service by owners for short answers only; foresee ends by progress

Cause: the policy service answers the calls of one host in turn. Owners asked about jobs of seconds (0.5 s an answer) in their own turn, and urgent jobs (17 ms an answer) waited behind; stages were asked about ahead of need again and again, because declared estimates are off by a factor of several. A cancel of a job waited for the look-up of its delegate.

Change: long questions go to hosts that own nothing, short ones stay with the owner; the rest of a run is foreseen from its progress; a cancel ends the look-up.

--- a/cell/delegate_tasks.cpp
+++ b/cell/delegate_tasks.cpp
@@ -338,6 +338,15 @@
         is_parent_over(context, row))
     {
         row.phase_ = delegation_phase::canceling;
+        row.next_at_ = context.now_;
+        if (row.call_ != 0 && context.calls_.find(row.call_)->kind_ ==
+                                  call_kind::lookup)
+        {
+            // A look-up waits for the end of the tasks, a cancel may not.
+            context.calls_.remove(row.call_);
+            context.delegate_calls_.erase(row.call_);
+            row.call_ = 0;
+        }
     }
     if (row.call_ != 0)
     {
--- a/cell/drive_planners.cpp
+++ b/cell/drive_planners.cpp
@@ -207,27 +207,27 @@
     return std::max(context.now_.remaining_until(asker->busy_until_), lag);
 }
 
-// The policy service serves the questions of one host in turn. So a question
-// goes to the host of the failure domain that gets the answer first.
+bool owns_shard(node const& context, host_id const& host)
+{
+    return std::any_of(context.shards_.begin(), context.shards_.end(),
+                       [&host](shard_row const& shard)
+                       {
+                           return shard.owner_ == host && !shard.released_;
+                       });
+}
+
+// The policy service serves the questions of one host in turn. Long questions
+// go to hosts that own nothing, so that owners keep their turn for short ones:
+// a short question behind a long one is what makes urgent work late. Within
+// these bounds the host that gets the answer first is asked.
 host_id choose_asker(node const& context, std::int64_t micros)
 {
     settings const& values = context.settings_;
+    bool const      is_long = micros > values.advice_owner_micros_;
     host_id         best = values.host_;
-    instant         best_end = instant::never();
-    auto const      consider = [&](host_id const& id, std::int64_t penalty)
-    {
-        instant const end =
-            context.now_.after(expect_wait(context, id) + micros + penalty);
-        if (end < best_end)
-        {
-            best = id;
-            best_end = end;
-        }
-    };
-    // This host keeps its own turn free for short questions, if it can.
-    consider(values.host_, micros > values.advice_owner_micros_
-                               ? values.advice_owner_micros_
-                               : 0);
+    instant         best_end = context.now_.after(
+                expect_wait(context, values.host_) + micros +
+                (is_long ? values.advice_long_micros_ : 0));
     for (std::size_t row = 0; row < context.hosts_.size(); ++row)
     {
         host_row const& host = context.hosts_[row];
@@ -238,14 +238,22 @@
         {
             continue;
         }
-        bool owner = false;
-        for (shard_row const& shard : context.shards_)
+        bool const owner = owns_shard(context, id);
+        // Other domains' owners use the host, too, unseen by this one.
+        std::int64_t penalty = host.domain_ == values.domain_
+                                   ? values.advice_hop_micros_
+                                   : values.advice_remote_micros_;
+        if (owner == is_long)
         {
-            owner = owner || shard.owner_ == id;
+            penalty += values.advice_long_micros_;
+        }
+        instant const end =
+            context.now_.after(expect_wait(context, id) + micros + penalty);
+        if (end < best_end)
+        {
+            best = id;
+            best_end = end;
         }
-        constexpr std::int64_t hop_micros = 5'000;
-        consider(id, (owner ? 2 * values.advice_owner_micros_ : hop_micros) +
-                         (host.domain_ == values.domain_ ? 0 : hop_micros));
     }
     return best;
 }
--- a/cell/settings.hpp
+++ b/cell/settings.hpp
@@ -54,7 +54,10 @@
     std::int64_t  clock_slack_ms_ = 300;
 
     // Questions to the policy service
-    std::int64_t advice_owner_micros_ = 150'000; // owners ask for themselves
+    std::int64_t advice_owner_micros_ = 150'000; // longer ones are long
+    std::int64_t advice_long_micros_ = 1'000'000; // a wrong host's handicap
+    std::int64_t advice_hop_micros_ = 5'000;      // to a host of the domain
+    std::int64_t advice_remote_micros_ = 100'000; // to one of another domain
     // Above the expected time. The service goes on with a question that nobody
     // waits for any more, so giving up early only adds load.
     std::int64_t advice_slack_micros_ = 4'000'000;
--- a/plan/request_advice.cpp
+++ b/plan/request_advice.cpp
@@ -27,6 +27,29 @@
            advice.per_target_ms_ * static_cast<double>(targets) + lead_ms;
 }
 
+// Rest of one run. The share of its work that it has done tells more than the
+// estimate, which is often off by a factor of several.
+double rest_of_run_ms(planner const& context, run_row const& run,
+                      double expected_ms)
+{
+    constexpr int min_percent = 5; // below it the rate is too rough
+    int const     done = run.percent_ - run.base_percent_;
+    double const  ran_ms =
+        static_cast<double>(run.started_at_.remaining_until(context.now_)) /
+        micros_per_milli;
+    if (run.base_percent_ < 0 || done < min_percent)
+    {
+        return expected_ms - ran_ms;
+    }
+    double const until_report_ms =
+        static_cast<double>(run.base_at_.remaining_until(run.progressed_at_)) /
+        micros_per_milli;
+    double const since_report_ms =
+        static_cast<double>(run.progressed_at_.remaining_until(context.now_)) /
+        micros_per_milli;
+    return until_report_ms * (100 - run.percent_) / done - since_report_ms;
+}
+
 // Milliseconds until the last run of a stage ends, as far as that is known;
 // negative when some of its tasks haven't started.
 double remaining_ms(planner const& context, stage_key const& key)
@@ -46,11 +69,8 @@
         run_row const& run = context.runs_[row];
         if (context.runs_.key(row).stage_ == key)
         {
-            double const ran_ms =
-                static_cast<double>(
-                    run.started_at_.remaining_until(context.now_)) /
-                micros_per_milli;
-            longest = std::max(longest, expected_ms - ran_ms);
+            longest =
+                std::max(longest, rest_of_run_ms(context, run, expected_ms));
         }
     }
     return longest;
