--- a/cell/claim_shards.cpp
+++ b/cell/claim_shards.cpp
@@ -403,13 +403,14 @@
                                   runs_per_epoch,
                      .early_start_ms_ = values.early_start_ms_,
                      .rack_penalty_ = values.rack_penalty_});
-                set_policies(context, own);
+                set_policies(context, shard);
             }
         }
         if (own.phase_ != owned_phase::loading)
         {
             continue;
         }
+        load_allotments(context, shard, own);
         for (std::uint32_t index = 0; index < own.parts_.size(); ++index)
         {
             journal_part& part = own.parts_[index];
--- a/cell/drive_planners.cpp
+++ b/cell/drive_planners.cpp
@@ -18,44 +18,34 @@
 
 // 1. Policies
 
-void set_policies(node& context, owned_row& own)
+void set_policies(node& context, shard_id const& shard)
 {
+    owned_row& own = *context.owned_.find(shard);
     if (!own.planner_ || !context.config_)
     {
         return;
     }
-    // Every shard gets an equal part of a limit. The sum of the parts is the
-    // limit, whatever fails, and no shard has to ask another one.
-    auto const shards = static_cast<std::int64_t>(context.shards_.size());
     std::vector<queue_policy> queues;
     for (queue_route const& route : context.config_->routes_)
     {
         queues.push_back(route.policy_);
     }
+    auto const shards = static_cast<double>(context.shards_.size());
     std::vector<organisation_share> organisations;
     for (organisation_entry const& entry : context.config_->organisations_)
     {
         // Callers of an organisation aren't spread evenly over the domains.
         constexpr double uneven_factor = 1.5;
-        resources const& limit = entry.share_.limit_;
         organisations.push_back(
-            {entry.share_.id_,
-             entry.share_.weight_ * uneven_factor / static_cast<double>(shards),
-             resources(limit.cpu_millis() / shards, limit.memory_mib() / shards,
-                       limit.accelerators() / shards)});
+            {entry.share_.id_, entry.share_.weight_ * uneven_factor / shards,
+             scale_limit(entry.share_.limit_,
+                         find_part(context, shard, entry.share_.id_))});
     }
     plan::post_event(*own.planner_, plan::queues_set{std::move(queues)});
     plan::post_event(*own.planner_,
                      plan::organisations_set{std::move(organisations)});
-    for (std::size_t row = 0; row < context.owned_.size(); ++row)
-    {
-        if (&context.owned_[row] == &own)
-        {
-            plan::post_event(*own.planner_,
-                             plan::domain_set{!context.out_.contains(
-                                 context.owned_.key(row).domain_)});
-        }
-    }
+    plan::post_event(*own.planner_,
+                     plan::domain_set{!context.out_.contains(shard.domain_)});
     own.plan_needed_ = true;
 }
 
@@ -104,10 +94,13 @@
                         .recovered_ = true});
 }
 
+} // namespace
+
 void finish_loading(node& context, shard_id const& shard)
 {
     owned_row& own = *context.owned_.find(shard);
-    if (!std::all_of(own.parts_.begin(), own.parts_.end(),
+    if (own.phase_ != owned_phase::loading || !own.allotments_loaded_ ||
+        !std::all_of(own.parts_.begin(), own.parts_.end(),
                      [](journal_part const& part)
                      {
                          return part.loaded_;
@@ -132,8 +125,6 @@
     }
 }
 
-} // namespace
-
 void end_load(node& context, request_row const& request,
               store_reply const& reply)
 {
--- a/cell/follow_members.cpp
+++ b/cell/follow_members.cpp
@@ -22,6 +22,7 @@
 
 constexpr char const* host_prefix = "host/";
 constexpr char const* shard_prefix = "shard/";
+constexpr char const* allotment_prefix = "allotment/";
 
 // Hosts that were silent for this long are asked less often.
 constexpr std::int64_t long_silence_micros = 15'000'000;
@@ -115,6 +116,11 @@
         {
             apply_shard_row(context, input.row_);
         }
+        else if (input.row_.key_.key_.starts_with(allotment_prefix) &&
+                 input.row_.revision_ != 0)
+        {
+            apply_allotment_row(context, input.row_);
+        }
     }
     catch (record_error const& error)
     {
@@ -366,6 +372,12 @@
     case request_kind::locate:
         end_locate(context, request, input);
         break;
+    case request_kind::allotment:
+        end_load_allotments(context, request, input);
+        break;
+    case request_kind::lend:
+        end_lend(context, request, input);
+        break;
     }
 }
 
@@ -380,9 +392,9 @@
     context.config_ = input.config_;
     log_event(context, "config_in_force",
               {{"version", std::to_string(input.config_->version_)}});
-    for (owned_row& own : context.owned_)
+    for (std::size_t row = 0; row < context.owned_.size(); ++row)
     {
-        set_policies(context, own);
+        set_policies(context, context.owned_.key(row));
     }
 }
 
--- /dev/null
+++ b/cell/move_allotments.cpp
@@ -0,0 +1,381 @@
+// Purpose: system: moves parts of organisations' upper limits between shards.
+//
+// Each shard starts work within its part of a limit without asking anybody. The
+// parts stand in one row for each organisation. Only the owner of a shard takes
+// from the shard's part: it stops using what it gives before it writes the row,
+// and the receiver uses it once it has seen the row. So the parts in use never
+// add up to more than the limit, whatever fails in between.
+//
+// Index of sections
+//   1. Parts
+//   2. Reading
+//   3. Lending
+//   4. Replies
+#include "cell/node.hpp"
+
+#include "cell/record_error.hpp"
+#include "cell/records.hpp"
+
+#include <algorithm>
+
+namespace fescuevane::cell
+{
+
+namespace
+{
+
+constexpr std::int64_t whole_limit = 1000; // parts are thousandths
+
+constexpr char const* allotment_prefix = "allotment/";
+constexpr char const* allotment_end = "allotment0"; // first key after them
+
+// 1. Parts
+
+std::int64_t equal_part(node const& context)
+{
+    return whole_limit / static_cast<std::int64_t>(context.shards_.size());
+}
+
+std::int64_t count_thousandths(std::int64_t amount, std::int64_t limit)
+{
+    return limit <= 0 ? 0 : (amount * whole_limit + limit - 1) / limit;
+}
+
+// The part of a limit that an amount takes, rounded up.
+std::int64_t measure_part(resources const& amount, resources const& limit)
+{
+    return std::max(
+        {count_thousandths(amount.cpu_millis(), limit.cpu_millis()),
+         count_thousandths(amount.memory_mib(), limit.memory_mib()),
+         count_thousandths(amount.accelerators(), limit.accelerators())});
+}
+
+std::int64_t stored_part(node const& context, shard_id const& shard,
+                         organisation_id const& organisation)
+{
+    allotment_row const* const row = context.allotments_.find(organisation);
+    if (row == nullptr || row->revision_ == 0)
+    {
+        return equal_part(context);
+    }
+    auto const part = row->record_.parts_.find(shard);
+    return part == row->record_.parts_.end() ? 0 : part->second;
+}
+
+} // namespace
+
+std::int64_t find_part(node const& context, shard_id const& shard,
+                       organisation_id const& organisation)
+{
+    if (owned_row const* const own = context.owned_.find(shard))
+    {
+        auto const lending = own->lending_.find(organisation);
+        if (lending != own->lending_.end())
+        {
+            return lending->second;
+        }
+    }
+    return stored_part(context, shard, organisation);
+}
+
+resources scale_limit(resources const& limit, std::int64_t part)
+{
+    auto const scale = [part](std::int64_t amount)
+    {
+        // A part of zero would mean that there is no limit.
+        return amount <= 0
+                   ? amount
+                   : std::max<std::int64_t>(1, amount * part / whole_limit);
+    };
+    return {scale(limit.cpu_millis()), scale(limit.memory_mib()),
+            scale(limit.accelerators())};
+}
+
+// 2. Reading
+
+void apply_allotment_row(node& context, stored_row const& row)
+{
+    organisation_id const id(
+        row.key_.key_.substr(std::string_view(allotment_prefix).size()));
+    allotment_row& known = context.allotments_.ensure(id);
+    if (row.revision_ <= known.revision_)
+    {
+        return;
+    }
+    known = {.record_ = read_allotment(row.value_), .revision_ = row.revision_};
+    for (std::size_t index = 0; index < context.owned_.size(); ++index)
+    {
+        set_policies(context, context.owned_.key(index));
+    }
+}
+
+void load_allotments(node& context, shard_id const& shard, owned_row& own)
+{
+    if (own.allotments_loaded_ || own.allotment_request_ != 0)
+    {
+        return;
+    }
+    if (own.lend_at_ > context.now_)
+    {
+        wake_at(context, own.lend_at_);
+        return;
+    }
+    own.allotment_request_ = next_request(context);
+    context.requests_.ensure(own.allotment_request_) = {
+        .kind_ = request_kind::allotment,
+        .shard_ = shard,
+        .sent_ = context.now_};
+    context.outbox_.push_back(store_read{.request_ = own.allotment_request_,
+                                         .table_ = "member",
+                                         .part_ = "0",
+                                         .from_ = own.allotments_from_.empty()
+                                                      ? allotment_prefix
+                                                      : own.allotments_from_,
+                                         .to_ = allotment_end,
+                                         .deadline_ = store_deadline(context)});
+}
+
+void end_load_allotments(node& context, request_row const& request,
+                         store_reply const& reply)
+{
+    owned_row* const own = context.owned_.find(request.shard_);
+    if (own == nullptr)
+    {
+        return;
+    }
+    own->allotment_request_ = 0;
+    if (reply.outcome_ != store_outcome::done)
+    {
+        own->lend_at_ =
+            context.now_.after(context.settings_.store_retry_micros_);
+        return;
+    }
+    for (stored_row const& row : reply.rows_)
+    {
+        apply(context, member_row_changed{row});
+        own->allotments_from_ = row.key_.key_ + '!'; // after this key
+    }
+    own->allotments_loaded_ = !reply.truncated_ || reply.rows_.empty();
+    finish_loading(context, request.shard_);
+}
+
+// 3. Lending
+
+namespace
+{
+
+// What an owner knows of one limit when it looks for parts to give.
+struct limit_view
+{
+    shard_id const&               shard_;
+    resources const&              limit_;
+    plan::organisation_load const mine_;
+};
+
+plan::organisation_load const* find_load(shard_row const&       shard,
+                                         organisation_id const& organisation)
+{
+    auto const found = std::find_if(
+        shard.load_.organisations_.begin(), shard.load_.organisations_.end(),
+        [&organisation](plan::organisation_load const& load)
+        {
+            return load.organisation_ == organisation;
+        });
+    return found == shard.load_.organisations_.end() ? nullptr : &*found;
+}
+
+// Moves parts of one organisation's limit to the shard that lacks most. Empty
+// when there is nothing to give or to want.
+std::optional<allotment_record> give_part(node const&       context,
+                                          limit_view const& view)
+{
+    organisation_id const& id = view.mine_.organisation_;
+    std::int64_t const     part = find_part(context, view.shard_, id);
+    std::int64_t const     used = measure_part(view.mine_.used_, view.limit_);
+    std::int64_t const     wanted =
+        measure_part(view.mine_.used_ + view.mine_.queued_, view.limit_);
+    shard_id     neediest;
+    std::int64_t most = 0;
+    for (std::size_t row = 0; row < context.shards_.size(); ++row)
+    {
+        shard_id const&                      other = context.shards_.key(row);
+        shard_row const&                     shard = context.shards_[row];
+        plan::organisation_load const* const load = find_load(shard, id);
+        if (other == view.shard_ || load == nullptr || !shard.serving_)
+        {
+            continue;
+        }
+        std::int64_t const need =
+            measure_part(load->used_ + load->queued_, view.limit_) -
+            stored_part(context, other, id);
+        if (need > most)
+        {
+            most = need;
+            neediest = other;
+        }
+    }
+    if (most == 0)
+    {
+        return std::nullopt;
+    }
+    // Where both lack room, each may have an equal part. What runs keeps its
+    // room until it ends.
+    std::int64_t spare = part - wanted;
+    if (stored_part(context, neediest, id) < equal_part(context))
+    {
+        spare = std::max(spare, part - equal_part(context));
+    }
+    std::int64_t const given = std::min({spare, part - used, most});
+    if (given <= 0)
+    {
+        return std::nullopt;
+    }
+    allotment_record record;
+    for (std::size_t row = 0; row < context.shards_.size(); ++row)
+    {
+        shard_id const& shard = context.shards_.key(row);
+        record.parts_[shard] =
+            static_cast<std::uint32_t>(stored_part(context, shard, id));
+    }
+    record.parts_[view.shard_] = static_cast<std::uint32_t>(part - given);
+    record.parts_[neediest] += static_cast<std::uint32_t>(given);
+    return record;
+}
+
+resources const* find_limit(node const& context, organisation_id const& id)
+{
+    for (organisation_entry const& entry : context.config_->organisations_)
+    {
+        if (entry.share_.id_ == id)
+        {
+            return &entry.share_.limit_;
+        }
+    }
+    return nullptr;
+}
+
+// Limits of one transaction.
+constexpr std::size_t max_limits = 40;
+
+void send_lend(node& context, shard_id const& shard, owned_row& own)
+{
+    own.allotment_request_ = next_request(context);
+    context.requests_.ensure(own.allotment_request_) = {
+        .kind_ = request_kind::lend, .shard_ = shard, .sent_ = context.now_};
+    context.outbox_.push_back(
+        store_transact{.request_ = own.allotment_request_,
+                       .conditions_ = own.lend_->conditions_,
+                       .writes_ = own.lend_->writes_,
+                       .deadline_ = store_deadline(context)});
+}
+
+void lend_parts(node& context, shard_id const& shard, owned_row& own)
+{
+    std::vector<row_condition> conditions = {
+        {{"member", "0", "shard/" + write_shard_name(shard)},
+         own.parts_[0].fence_}};
+    std::vector<row_write>   writes;
+    plan::load_summary const load = plan::summarize_load(*own.planner_);
+    for (plan::organisation_load const& mine : load.organisations_)
+    {
+        resources const* const limit = find_limit(context, mine.organisation_);
+        if (limit == nullptr || limit->is_zero() || writes.size() == max_limits)
+        {
+            continue;
+        }
+        auto const record = give_part(context, {shard, *limit, mine});
+        if (!record)
+        {
+            continue;
+        }
+        row_key const key{"member", "0",
+                          allotment_prefix + mine.organisation_.str()};
+        allotment_row const& known =
+            context.allotments_.ensure(mine.organisation_);
+        conditions.push_back({key, known.revision_});
+        writes.push_back({key, write_allotment(*record)});
+        own.lending_[mine.organisation_] = record->parts_.at(shard);
+    }
+    if (writes.empty())
+    {
+        return;
+    }
+    set_policies(context, shard); // not used any more from here on
+    own.lend_ = std::make_shared<store_transact const>(
+        store_transact{.conditions_ = std::move(conditions),
+                       .writes_ = std::move(writes)});
+    log_event(context, "limit_lent",
+              {{"shard", write_shard_name(shard)},
+               {"organisations", std::to_string(own.lend_->writes_.size())}});
+    send_lend(context, shard, own);
+}
+
+} // namespace
+
+void move_allotments(node& context)
+{
+    for (std::size_t row = 0; row < context.owned_.size(); ++row)
+    {
+        owned_row&     own = context.owned_[row];
+        shard_id const shard = context.owned_.key(row);
+        if (own.phase_ != owned_phase::serving || own.releasing_ ||
+            own.allotment_request_ != 0 || own.plan_needed_ ||
+            !context.config_ || !context.store_ok_)
+        {
+            continue;
+        }
+        if (own.lend_at_ > context.now_)
+        {
+            wake_at(context, own.lend_at_);
+            continue;
+        }
+        own.lend_at_ = context.now_.after(context.settings_.lend_micros_);
+        wake_at(context, own.lend_at_);
+        if (own.lend_)
+        {
+            send_lend(context, shard, own); // whether it was done isn't known
+            continue;
+        }
+        lend_parts(context, shard, own);
+    }
+}
+
+// 4. Replies
+
+void end_lend(node& context, request_row const& request,
+              store_reply const& reply)
+{
+    owned_row* const own = context.owned_.find(request.shard_);
+    if (own == nullptr || !own->lend_)
+    {
+        return;
+    }
+    own->allotment_request_ = 0;
+    if (reply.outcome_ == store_outcome::unknown)
+    {
+        own->lend_at_ =
+            context.now_.after(context.settings_.store_retry_micros_);
+        return; // what was given stays unused
+    }
+    std::shared_ptr<store_transact const> const lend = own->lend_;
+    own->lend_.reset();
+    own->lending_.clear();
+    std::vector<stored_row> rows = reply.rows_;
+    if (reply.outcome_ == store_outcome::done)
+    {
+        for (row_write const& write : lend->writes_)
+        {
+            rows.push_back({write.key_, write.value_, reply.revision_});
+        }
+    }
+    for (stored_row const& row : rows)
+    {
+        apply(context, member_row_changed{row}); // may drop the shard
+    }
+    if (context.owned_.contains(request.shard_))
+    {
+        set_policies(context, request.shard_);
+    }
+}
+
+} // namespace fescuevane::cell
--- a/cell/node.cpp
+++ b/cell/node.cpp
@@ -45,13 +45,14 @@
 namespace
 {
 
-constexpr std::array<system_entry, 10> list_systems = {{
+constexpr std::array<system_entry, 11> list_systems = {{
     {"apply_events", &apply_events},
     {"follow_members", &follow_members},
     {"claim_shards", &claim_shards},
     {"load_shards", &load_shards},
     {"drive_planners", &drive_planners},
     {"delegate_tasks", &delegate_tasks},
+    {"move_allotments", &move_allotments},
     {"keep_sessions", &keep_sessions},
     {"write_journal", &write_journal},
     {"route_calls", &route_calls},
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -3,6 +3,7 @@
 #ifndef FESCUEVANE_CELL_NODE_HPP
 #define FESCUEVANE_CELL_NODE_HPP
 
+#include "cell/allotment_row.hpp"
 #include "cell/asker_row.hpp"
 #include "cell/call_row.hpp"
 #include "cell/cell_config.hpp"
@@ -62,6 +63,7 @@
     std::set<target_id>                    relisted_;    // of a list being read
     std::map<std::uint64_t, shard_id>      probes_;      // request to shard
     table<host_id, asker_row>              askers_;
+    table<organisation_id, allotment_row>  allotments_; // divided limits
 
     table<job_id, delegation_row>   delegations_;    // of owned jobs
     std::map<std::uint64_t, job_id> delegate_calls_; // call to delegation
@@ -97,6 +99,7 @@
 void load_shards(node& context);    // fence and read
 void drive_planners(node& context); // plan ticks, their orders
 void delegate_tasks(node& context); // tasks without room to other shards
+void move_allotments(node& context); // parts of limits to other shards
 void keep_sessions(node& context);  // leases and orders to targets
 void write_journal(node& context);  // jobs to the store
 void route_calls(node& context);    // callers to owners
@@ -142,6 +145,20 @@
                  store_reply const& reply);
 void end_locate(node& context, request_row const& request,
                 store_reply const& reply);
+void end_load_allotments(node& context, request_row const& request,
+                         store_reply const& reply);
+void end_lend(node& context, request_row const& request,
+              store_reply const& reply);
+
+// Taking over
+void finish_loading(node& context, shard_id const& shard);
+
+// Parts of limits, in thousandths
+void         apply_allotment_row(node& context, stored_row const& row);
+void         load_allotments(node& context, shard_id const& shard, owned_row& own);
+std::int64_t find_part(node const& context, shard_id const& shard,
+                       organisation_id const& organisation);
+resources    scale_limit(resources const& limit, std::int64_t part);
 
 // Sessions
 void open_sessions(node& context, shard_id const& shard);
@@ -169,7 +186,7 @@
 job_phase phase_of(node const& context, record_row const& record);
 void      answer_lookups(node& context, record_row& record);
 void apply_answer(node& context, std::uint64_t call, job_answer const& answer);
-void set_policies(node& context, owned_row& owned);
+void set_policies(node& context, shard_id const& shard);
 void mark_changed(node& context, job_id const& job, bool urgent);
 
 } // namespace fescuevane::cell
--- a/cell/owned_row.hpp
+++ b/cell/owned_row.hpp
@@ -4,11 +4,15 @@
 
 #include "cell/journal_part.hpp"
 #include "cell/owned_phase.hpp"
+#include "cell/store_transact.hpp"
 #include "core/ids.hpp"
 #include "core/instant.hpp"
 #include "plan/plan.hpp"
 
 #include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
 #include <vector>
 
 namespace fescuevane::cell
@@ -25,6 +29,14 @@
     bool                      plan_needed_ = false;
     instant                   plan_after_; // next tick of the planner
     bool                      releasing_ = false;
+
+    // Divided limits
+    bool          allotments_loaded_ = false;
+    std::string   allotments_from_;        // next key to read
+    std::uint64_t allotment_request_ = 0;  // in flight, 0: none
+    instant       lend_at_;                // next look for parts to give
+    std::shared_ptr<store_transact const>   lend_; // null: none is open
+    std::map<organisation_id, std::int64_t> lending_; // parts left by `lend_`
 };
 
 } // namespace fescuevane::cell
--- a/cell/records.cpp
+++ b/cell/records.cpp
@@ -1,7 +1,7 @@
 // Purpose: text of the rows that a cell keeps in the store.
 //
 // Index of sections
-//   1. Hosts and shards
+//   1. Hosts, shards and limits
 //   2. Specifications
 //   3. Jobs
 #include "cell/records.hpp"
@@ -35,7 +35,7 @@
 
 } // namespace
 
-// 1. Hosts and shards
+// 1. Hosts, shards and limits
 
 std::string write_host(host_record const& record)
 {
@@ -102,6 +102,31 @@
     return shard;
 }
 
+std::string write_allotment(allotment_record const& record)
+{
+    json parts = json::object();
+    for (auto const& [shard, part] : record.parts_)
+    {
+        parts[write_shard_name(shard)] = part;
+    }
+    return json{{"parts", parts}}.dump();
+}
+
+allotment_record read_allotment(std::string const& text)
+{
+    return parse(text,
+                 [](json const& row)
+                 {
+                     allotment_record record;
+                     for (auto const& [shard, part] : row.at("parts").items())
+                     {
+                         record.parts_[read_shard_name(shard)] =
+                             part.get<std::uint32_t>();
+                     }
+                     return record;
+                 });
+}
+
 // 2. Specifications
 
 namespace
--- a/cell/records.hpp
+++ b/cell/records.hpp
@@ -2,6 +2,7 @@
 #ifndef FESCUEVANE_CELL_RECORDS_HPP
 #define FESCUEVANE_CELL_RECORDS_HPP
 
+#include "cell/allotment_record.hpp"
 #include "cell/host_record.hpp"
 #include "cell/job_record.hpp"
 #include "cell/owner_record.hpp"
@@ -18,6 +19,9 @@
 std::string  write_owner(owner_record const& record);
 owner_record read_owner(std::string const& text);
 
+std::string      write_allotment(allotment_record const& record);
+allotment_record read_allotment(std::string const& text);
+
 // The specification never changes, so its text is kept and joined with the
 // progress, which does.
 std::string write_spec(staged_job const& job);
--- a/cell/request_row.hpp
+++ b/cell/request_row.hpp
@@ -20,7 +20,9 @@
     load,     // read the jobs of a part
     journal,  // write jobs
     release,  // hand a shard over
-    locate    // find the shard of a job
+    locate,   // find the shard of a job
+    allotment, // read the divided limits
+    lend      // move parts of limits to other shards
 };
 
 struct request_row
--- a/cell/settings.hpp
+++ b/cell/settings.hpp
@@ -62,6 +62,8 @@
     // waits for any more, so giving up early only adds load.
     std::int64_t advice_slack_micros_ = 4'000'000;
 
+    std::int64_t lend_micros_ = 300'000; // between looks for parts to give
+
     // Ticks of planners; events in between go into one tick
     std::int64_t plan_gap_micros_ = 4'000;
 
--- a/peer/peer_codec.cpp
+++ b/peer/peer_codec.cpp
@@ -64,6 +64,13 @@
             entry.set_queue(queue.queue_.str());
             entry.set_waiting(queue.waiting_);
         }
+        for (plan::organisation_load const& load : shard.load_.organisations_)
+        {
+            cell::v1::OrganisationLoad& entry = *row.add_organisations();
+            entry.set_organisation(load.organisation_.str());
+            write_amounts(load.used_, *entry.mutable_used());
+            write_amounts(load.queued_, *entry.mutable_queued());
+        }
     }
     return message;
 }
@@ -87,6 +94,12 @@
             shard.load_.queues_.push_back(
                 {queue_id(entry.queue()), entry.waiting()});
         }
+        for (cell::v1::OrganisationLoad const& entry : row.organisations())
+        {
+            shard.load_.organisations_.push_back(
+                {organisation_id(entry.organisation()),
+                 read_amounts(entry.used()), read_amounts(entry.queued())});
+        }
         beat.shards_.push_back(std::move(shard));
     }
     return beat;
--- a/plan/load_summary.hpp
+++ b/plan/load_summary.hpp
@@ -3,6 +3,7 @@
 #define FESCUEVANE_PLAN_LOAD_SUMMARY_HPP
 
 #include "core/resources.hpp"
+#include "plan/organisation_load.hpp"
 #include "plan/queue_load.hpp"
 
 #include <vector>
@@ -16,6 +17,7 @@
     resources               used_;     // by what runs
     resources               queued_;   // by tasks that could start
     std::vector<queue_load> queues_;
+    std::vector<organisation_load> organisations_; // those with a limit
 
     friend bool operator==(load_summary const&, load_summary const&) = default;
 };
--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -173,16 +173,12 @@
 }
 
 // True when the shard's targets can't run the stage, however long it waits: by
-// label, size, ticket or limit of its organisation.
+// label, size or ticket. Limits of organisations don't count, they are lent.
 bool is_blocked(planner const& context, stage_key const& key,
                 stage_row const& stage)
 {
     job_row const&   job = *context.jobs_.find(key.job_);
     step_spec const& step = job.spec_->steps_[key.step_];
-    if (!is_within_limit(context, job.spec_->organisation_, step.demand_))
-    {
-        return true;
-    }
     std::int64_t room = 0;
     for (std::size_t row = 0; row < context.targets_.size(); ++row)
     {
@@ -329,6 +325,7 @@
             sum.used_ = sum.used_ + target.used_;
         }
     }
+    std::map<organisation_id, resources> queued;
     for (std::size_t row = 0; row < context.stages_.size(); ++row)
     {
         stage_row const& stage = context.stages_[row];
@@ -344,8 +341,21 @@
                                     {
                               return is_waiting(task);
                           }));
-        sum.queued_ =
-            sum.queued_ + job->spec_->steps_[key.step_].demand_ * waiting;
+        resources const demand =
+            job->spec_->steps_[key.step_].demand_ * waiting;
+        sum.queued_ = sum.queued_ + demand;
+        resources& owned = queued[job->spec_->organisation_];
+        owned = owned + demand;
+    }
+    for (std::size_t row = 0; row < context.organisations_.size(); ++row)
+    {
+        organisation_row const& organisation = context.organisations_[row];
+        organisation_id const&  id = context.organisations_.key(row);
+        if (!organisation.limit_.is_zero())
+        {
+            sum.organisations_.push_back(
+                {id, organisation.used_, queued[id]});
+        }
     }
     std::map<queue_id, std::uint32_t> waiting;
     for (job_row const& job : context.jobs_)
--- /dev/null
+++ b/tests/unit/cell_allotments_test.cpp
@@ -0,0 +1,169 @@
+// Purpose: tests of limits that are divided among shards.
+#include "cell_pair_fixture.hpp"
+
+#include "cell/record_error.hpp"
+
+#include <doctest/doctest.h>
+
+namespace fescuevane::cell
+{
+namespace
+{
+
+// The organisation may have four tasks of its jobs running in the whole cell;
+// west can run as many as east.
+struct allotment_fixture : cell_pair_fixture
+{
+    row_key const  key_{"member", "0", "allotment/cafe"};
+    shard_id const east_{domain_id("east"), 0};
+    shard_id const west_id_{domain_id("west"), 0};
+
+    allotment_fixture()
+    {
+        auto config = std::make_shared<cell_config>(*make_config());
+        config->version_ = 2;
+        config->organisations_[0].share_.limit_ = {4000, 0, 0};
+        post(config_changed{config});
+        west_.used_ = {4000, 0, 0}; // so that jobs stay in east
+        want_in_west(0);
+    }
+
+    void want_in_west(std::int64_t cpu_millis)
+    {
+        west_.organisations_ = {
+            {organisation_id("cafe"), {}, {cpu_millis, 0, 0}}};
+    }
+
+    std::int64_t stored_part(shard_id const& shard)
+    {
+        auto const row = rows_.find(key_);
+        if (row == rows_.end())
+        {
+            return -1; // all parts are equal
+        }
+        return read_allotment(row->second.value_).parts_.at(shard);
+    }
+
+    // The other owner gives a part of its own.
+    void give_from_west(std::uint32_t east, std::uint32_t west)
+    {
+        rows_[key_] = {key_,
+                       write_allotment({{{east_, east}, {west_id_, west}}}),
+                       ++revision_};
+        post(member_row_changed{rows_[key_]});
+    }
+};
+
+// Guards against an organisation whose work waits in one shard while its part
+// of the limit lies idle in another one.
+TEST_CASE_FIXTURE(allotment_fixture,
+                  "limit, other shard lacks room, spare part is given")
+{
+    want_in_west(3000);
+    run_cell(micros_per_second);
+    CHECK(stored_part(west_id_) == 750);
+    CHECK(stored_part(east_) == 250);
+}
+
+// Guards against limits that are exceeded: a part that is given away may not be
+// used any more, whether or not the store has answered.
+TEST_CASE_FIXTURE(allotment_fixture,
+                  "limit, answer of the store lost, given part is not used")
+{
+    want_in_west(3000);
+    store_silent_ = true;
+    run_cell(500'000);
+    for (int job = 0; job < 4; ++job)
+    {
+        submit("aa0" + std::to_string(job));
+    }
+    store_silent_ = false;
+    run_cell(micros_per_second);
+    CHECK(running_.size() <= 1);
+    CHECK(stored_part(east_) + stored_part(west_id_) <= 1000);
+}
+
+// Guards against work above the limit while the other owner's row is not read.
+TEST_CASE_FIXTURE(allotment_fixture,
+                  "limit, part is received, used after its row was seen")
+{
+    for (int job = 0; job < 4; ++job)
+    {
+        submit("aa0" + std::to_string(job));
+    }
+    run_cell(micros_per_second);
+    CHECK(running_.size() == 2);
+    give_from_west(750, 250);
+    run_cell(500'000);
+    CHECK(running_.size() == 3);
+}
+
+// Guards against a shard that keeps the whole limit because it always has work
+// waiting.
+TEST_CASE_FIXTURE(allotment_fixture,
+                  "limit, both shards lack room, each gets an equal part")
+{
+    give_from_west(1000, 0);
+    want_in_west(4000);
+    for (int job = 0; job < 8; ++job)
+    {
+        submit("aa0" + std::to_string(job));
+    }
+    run_cell(micros_per_second);
+    CHECK(running_.size() <= 4);
+    // What runs keeps its room until it ends.
+    std::size_t const kept = running_.size();
+    running_.resize(1);
+    run_cell(100'000);
+    CHECK(stored_part(east_) >= static_cast<std::int64_t>(kept) * 250 - 750);
+    CHECK(stored_part(east_) + stored_part(west_id_) <= 1000);
+}
+
+// Guards against a crash: the conflict that shows another owner took the shard
+// away while its limits were still being divided.
+TEST_CASE_FIXTURE(allotment_fixture,
+                  "limit, shard was taken over, giver drops the shard")
+{
+    row_key const fence{"member", "0", "shard/east.0"};
+    rows_[fence] = {fence,
+                    write_owner({host_id("host-3"), 9, "127.0.0.1:7002", 8}),
+                    ++revision_};
+    want_in_west(3000);
+    run_cell(micros_per_second);
+    CHECK(make_heartbeat(*node_).shards_.empty());
+    CHECK(stored_part(east_) == -1);
+}
+
+// Guards against a new owner that uses a part which its predecessor gave away:
+// its own view of the rows is older than that.
+TEST_CASE_FIXTURE(allotment_fixture,
+                  "limit, shard taken over, parts are read from the store")
+{
+    rows_[key_] = {key_, write_allotment({{{east_, 250}, {west_id_, 750}}}),
+                   ++revision_};
+    start(2);
+    auto config = std::make_shared<cell_config>(*make_config());
+    config->version_ = 2;
+    config->organisations_[0].share_.limit_ = {4000, 0, 0};
+    post(config_changed{config});
+    serve();
+    for (int job = 0; job < 4; ++job)
+    {
+        submit("aa0" + std::to_string(job));
+    }
+    run_cell(2 * micros_per_second);
+    CHECK(running_.size() == 1);
+}
+
+TEST_CASE("divided limit, malformed, refused with this layer's error")
+{
+    for (char const* const text :
+         {"", "{}", R"({"parts":7})", R"({"parts":{"east":1}})",
+          R"({"parts":{"east.0":"x"}})"})
+    {
+        CHECK_THROWS_AS(read_allotment(text), record_error);
+    }
+}
+
+} // namespace
+} // namespace fescuevane::cell
--- a/tests/unit/cell_delegation_test.cpp
+++ b/tests/unit/cell_delegation_test.cpp
@@ -1,7 +1,5 @@
 // Purpose: tests of handing tasks from one shard to another.
-#include "cell_fixture.hpp"
-
-#include "cell/records.hpp"
+#include "cell_pair_fixture.hpp"
 
 #include <doctest/doctest.h>
 
@@ -10,58 +8,8 @@
 namespace
 {
 
-// This host owns east; host-2 owns west and tells its load.
-struct delegation_fixture : cell_fixture
+struct delegation_fixture : cell_pair_fixture
 {
-    resources west_used_;
-    resources west_queued_;
-
-    delegation_fixture()
-    {
-        settings_.domains_ = {domain_id("east"), domain_id("west")};
-        start(1);
-        post(member_row_changed{
-            {{"member", "", "host/host-2"},
-             write_host({"127.0.0.1:7001", domain_id("west"), 1, 5}),
-             ++revision_}});
-        tell_west();
-        serve();
-    }
-
-    void tell_west()
-    {
-        post(heartbeat_received{
-            {.host_ = host_id("host-2"),
-             .incarnation_ = 5,
-             .shards_ = {{.shard_ = {domain_id("west"), 0},
-                          .epoch_ = 1,
-                          .serving_ = true,
-                          .load_ = {.capacity_ = {4000, 8192, 0},
-                                    .used_ = west_used_,
-                                    .queued_ = west_queued_}}}}});
-    }
-
-    // Runs for some time while both the target and the other owner answer.
-    void run_cell(std::int64_t micros)
-    {
-        constexpr std::int64_t step = 100'000;
-        for (std::int64_t passed = 0; passed < micros; passed += step)
-        {
-            tell_west();
-            run(step);
-            for (send_start const& start : take<send_start>())
-            {
-                post(order_reply{.request_ = start.request_,
-                                 .outcome_ = target_outcome::done});
-                running_.push_back({start.start_.run_, "", 1, 0});
-            }
-            for (hold_target const& hold : take<hold_target>())
-            {
-                answer_hold(hold, running_);
-            }
-        }
-    }
-
     // Jobs that the other owner was asked to accept.
     std::vector<job_call> list_delegated()
     {
@@ -75,8 +23,6 @@
         }
         return found;
     }
-
-    std::vector<reported_run> running_;
 };
 
 // Guards against tasks that move between full shards: each move cost writes and
@@ -84,8 +30,8 @@
 TEST_CASE_FIXTURE(delegation_fixture,
                   "tasks wait, other shard has a queue, not handed over")
 {
-    west_used_ = {2000, 1024, 0};
-    west_queued_ = {2000, 1024, 0};
+    west_.used_ = {2000, 1024, 0};
+    west_.queued_ = {2000, 1024, 0};
     for (int job = 0; job < 8; ++job)
     {
         submit("aa0" + std::to_string(job)); // four of them fit
@@ -99,7 +45,7 @@
 TEST_CASE_FIXTURE(delegation_fixture,
                   "tasks wait, other shard comes free, handed over once each")
 {
-    west_used_ = {4000, 1024, 0};
+    west_.used_ = {4000, 1024, 0};
     tell_west();
     for (int job = 0; job < 12; ++job)
     {
@@ -107,7 +53,7 @@
     }
     run_cell(200'000);
     CHECK(running_.size() == 4);
-    west_used_ = {};
+    west_.used_ = {};
     run_cell(3 * micros_per_second);
     auto const moved = list_delegated();
     CHECK(!moved.empty());
