--- a/cell/claim_shards.cpp
+++ b/cell/claim_shards.cpp
@@ -4,7 +4,6 @@
 //   1. Vacancy
 //   2. Candidates
 //   3. Claims
-//   4. Handing over
 #include "cell/node.hpp"
 
 #include "cell/records.hpp"
@@ -17,15 +16,15 @@
 
 // 1. Vacancy
 
-namespace
-{
-
 bool is_silent(node const& context, instant word)
 {
     return word.remaining_until(context.now_) >
            context.settings_.suspect_micros_;
 }
 
+namespace
+{
+
 // Since when a shard has had no working owner; nothing while it has one.
 std::optional<instant> find_vacancy(node& context, shard_row& shard)
 {
@@ -121,14 +120,18 @@
     return nullptr;
 }
 
-// True when a target of the domain answered lately. Otherwise the silence of
+constexpr std::int64_t probe_micros = 250'000;       // between questions
+constexpr std::int64_t fresh_probe_micros = 100'000; // an answer counts so long
+
+// True when a target of the domain answered just now. Otherwise the silence of
 // its hosts may come from a cut between the domains, and the owner is well.
 bool reaches_domain(node& context, shard_id const& shard, shard_row& row)
 {
     settings const& values = context.settings_;
-    // Right after a cut the targets answer before the hosts do.
+    // Right after a cut the targets answer before the hosts do, and right
+    // before one they have just answered.
     bool const reached =
-        !is_silent(context, row.reached_at_) &&
+        row.reached_at_.after(fresh_probe_micros) >= context.now_ &&
         row.reached_since_.after(values.suspect_micros_ +
                                  values.suspect_micros_ / 2) <= context.now_;
     target_id const* const target = find_target_in(context, shard.domain_);
@@ -137,7 +140,7 @@
         wake_at(context, row.probe_after_);
         return reached;
     }
-    row.probe_after_ = context.now_.after(values.suspect_micros_ / 2);
+    row.probe_after_ = context.now_.after(probe_micros);
     // Without a listed target there is nothing to ask, nor to take over.
     if (target != nullptr)
     {
@@ -200,6 +203,8 @@
                         successor});
 }
 
+} // namespace
+
 // Writes the row of a shard in one part, when it is still as it was seen.
 std::uint64_t write_owner_row(node& context, shard_id const& shard,
                               std::uint32_t part, request_kind kind,
@@ -222,6 +227,9 @@
     return request;
 }
 
+namespace
+{
+
 void claim_shard(node& context, shard_id const& shard, shard_row const& row)
 {
     owned_row& own = context.owned_.ensure(shard);
@@ -231,6 +239,8 @@
         own.epoch_ = std::max(own.epoch_, known + 1);
     }
     own.parts_.resize(context.settings_.job_parts_);
+    own.predecessor_stopped_ = row.epoch_ == 0 || row.released_ ||
+                               row.owner_ == context.settings_.host_;
     log_event(context, "claim",
               {{"shard", write_shard_name(shard)},
                {"epoch", std::to_string(own.epoch_)},
@@ -487,82 +497,4 @@
     }
 }
 
-// 4. Handing over
-
-namespace
-{
-
-host_id choose_successor(node const& context, shard_id const& shard)
-{
-    host_id best;
-    double  best_rank = -1;
-    for (std::size_t row = 0; row < context.hosts_.size(); ++row)
-    {
-        host_row const& host = context.hosts_[row];
-        if (context.hosts_.key(row) == context.settings_.host_ ||
-            host.stopping_ || !host.heard_ || !host.store_ok_ ||
-            is_silent(context, host.heard_at_))
-        {
-            continue;
-        }
-        constexpr double own_domain_bonus = 1000;
-        double const     rank =
-            host.cpu_share_ +
-            (host.domain_ == shard.domain_ ? own_domain_bonus : 0);
-        if (rank > best_rank)
-        {
-            best = context.hosts_.key(row);
-            best_rank = rank;
-        }
-    }
-    return best;
-}
-
-bool is_journal_clean(owned_row const& own)
-{
-    return std::all_of(own.parts_.begin(), own.parts_.end(),
-                       [](journal_part const& part)
-                       {
-                           return part.dirty_.empty() && part.request_ == 0;
-                       });
-}
-
-} // namespace
-
-void release_shards(node& context)
-{
-    if (!context.stopping_)
-    {
-        return;
-    }
-    std::vector<shard_id> const owned = context.owned_.keys();
-    for (shard_id const& shard : owned)
-    {
-        owned_row& own = *context.owned_.find(shard);
-        if (own.phase_ != owned_phase::serving)
-        {
-            drop_shard(context, shard, "stopping before it was loaded");
-            continue;
-        }
-        own.releasing_ = true;
-        if (own.request_ == 0 && is_journal_clean(own))
-        {
-            own.request_ =
-                write_owner_row(context, shard, 0, request_kind::release, true,
-                                choose_successor(context, shard));
-        }
-    }
-}
-
-void apply(node& context, stop_requested const& input)
-{
-    if (!context.stopping_)
-    {
-        context.stopping_ = true;
-        context.stop_deadline_ = input.deadline_;
-        log_event(context, "stopping", {});
-        context.beat_at_ = context.now_; // tell the others at once
-    }
-}
-
 } // namespace fescuevane::cell
--- a/cell/follow_members.cpp
+++ b/cell/follow_members.cpp
@@ -24,8 +24,11 @@
 constexpr char const* shard_prefix = "shard/";
 constexpr char const* allotment_prefix = "allotment/";
 
-// Hosts that were silent for this long are asked less often.
+// Hosts that were silent for this long are told less often. They may be well:
+// a host that owns nothing hears only from its failure domain, and counts a
+// shard of another one as vacant when its new owner doesn't tell.
 constexpr std::int64_t long_silence_micros = 15'000'000;
+constexpr std::int64_t silent_beat_micros = 3'000'000;
 
 } // namespace
 
@@ -287,15 +290,16 @@
     // the number of messages grows with hosts times owners.
     for (std::size_t row = 0; row < context.hosts_.size(); ++row)
     {
-        host_row const& host = context.hosts_[row];
+        host_row&  host = context.hosts_[row];
         bool const self = context.hosts_.key(row) == context.settings_.host_;
         bool const wanted =
             !beat.shards_.empty() || host.domain_ == context.settings_.domain_;
         instant const word = std::max(host.heard_at_, host.listed_at_);
-        bool const    dead =
+        bool const    silent =
             word.remaining_until(context.now_) > long_silence_micros;
-        if (!self && wanted && !dead)
+        if (!self && wanted && (!silent || host.beat_after_ <= context.now_))
         {
+            host.beat_after_ = context.now_.after(silent_beat_micros);
             context.outbox_.push_back(send_heartbeat{
                 host.address_, beat,
                 context.now_.after(context.settings_.suspect_micros_)});
--- a/cell/host_row.hpp
+++ b/cell/host_row.hpp
@@ -22,6 +22,7 @@
     bool          heard_ = false;
     bool          store_ok_ = true;
     bool          stopping_ = false;
+    instant       beat_after_; // while it is silent: next heartbeat to it
 };
 
 } // namespace fescuevane::cell
--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -77,15 +77,18 @@
 void open_session(node& context, target_id const& id)
 {
     session_row& session = *context.sessions_.find(id);
-    session_row  fresh;
+    owned_row&   own = *context.owned_.find(session.shard_);
+    if (own.predecessor_stopped_)
+    {
+        own.exclusive_since_ = std::min(own.exclusive_since_, context.now_);
+    }
+    session_row fresh;
     fresh.info_ = session.info_;
     fresh.listed_ = session.listed_;
     fresh.shard_ = session.shard_;
     fresh.open_ = true;
     fresh.hold_at_ = context.now_;
     fresh.contact_at_ = context.now_;
-    fresh.wait_out_ =
-        context.now_.after(longest_lease_micros(context.settings_));
     session = std::move(fresh);
     tell_planner(context, id);
 }
@@ -208,6 +211,19 @@
            static_cast<std::int64_t>(elapsed_ms(session.clock_at_, now));
 }
 
+// When the last lease that a former owner granted on a target that wasn't
+// reached has lapsed. A former owner that is cut off goes on renewing, until a
+// target of the shard shows it the higher epoch; so without any target in
+// reach there is no such time.
+instant unseen_lapse(node const& context, session_row const& session)
+{
+    instant const since =
+        context.owned_.find(session.shard_)->exclusive_since_;
+    return since == instant::never()
+               ? since
+               : since.after(longest_lease_micros(context.settings_));
+}
+
 // True when no lease that was ever granted can still be running, even on a
 // clock that is slow.
 bool has_lapsed(node const& context, session_row const& session)
@@ -215,7 +231,7 @@
     settings const& values = context.settings_;
     if (session.clock_ms_ == 0)
     {
-        return session.wait_out_ <= context.now_;
+        return unseen_lapse(context, session) <= context.now_;
     }
     double const passed =
         elapsed_ms(session.clock_at_, context.now_) * (1 - values.clock_drift_);
@@ -234,7 +250,8 @@
     instant const lapse = session.clock_at_.after(
         static_cast<std::int64_t>(wait_ms * micros_per_milli) +
         micros_per_milli);
-    wake_at(context, session.clock_ms_ == 0 ? session.wait_out_ : lapse);
+    wake_at(context, session.clock_ms_ == 0 ? unseen_lapse(context, session)
+                                            : lapse);
 }
 
 void send_hold(node& context, target_id const& id, session_row& session)
@@ -380,6 +397,15 @@
     return false;
 }
 
+// A target obeys this owner, so a former one learns of it with its next call.
+void note_reached(node& context, shard_id const& shard)
+{
+    owned_row& own = *context.owned_.find(shard);
+    own.exclusive_since_ =
+        std::min(own.exclusive_since_,
+                 context.now_.after(context.settings_.fence_notice_micros_));
+}
+
 } // namespace
 
 void apply(node& context, hold_reply const& input)
@@ -396,6 +422,7 @@
                 shard.reached_since_ = context.now_;
             }
             shard.reached_at_ = context.now_;
+            wake_at(context, context.now_); // it may be claimed now
         }
         context.probes_.erase(probe);
         return;
@@ -442,6 +469,7 @@
     {
         session->phase_ = session_phase::attached;
         tell_planner(context, input.target_);
+        note_reached(context, session->shard_);
     }
     apply_report(context, *session, input.target_, input);
     bool const stored = session->unstored_.empty();
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -82,6 +82,7 @@
     instant       announce_at_;
 
     instant beat_at_;
+    instant balance_at_; // next look for better owners
     bool    stopping_ = false;
     instant stop_deadline_ = instant::never();
 };
@@ -103,7 +104,7 @@
 void keep_sessions(node& context);  // leases and orders to targets
 void write_journal(node& context);  // jobs to the store
 void route_calls(node& context);    // callers to owners
-void release_shards(node& context); // on a stop
+void release_shards(node& context); // on a stop, or to a better owner
 
 // Shared by the systems
 std::uint64_t next_request(node& context);
@@ -150,6 +151,12 @@
 void end_lend(node& context, request_row const& request,
               store_reply const& reply);
 
+// Owners
+bool is_silent(node const& context, instant word); // too long to be well
+std::uint64_t write_owner_row(node& context, shard_id const& shard,
+                              std::uint32_t part, request_kind kind,
+                              bool released, host_id const& successor);
+
 // Taking over
 void finish_loading(node& context, shard_id const& shard);
 
--- a/cell/owned_row.hpp
+++ b/cell/owned_row.hpp
@@ -23,6 +23,8 @@
     owned_phase               phase_ = owned_phase::claiming;
     epoch                     epoch_ = 0;
     instant                   taken_at_; // fenced everywhere
+    bool    predecessor_stopped_ = false; // it released the shard, or is us
+    instant exclusive_since_ = instant::never(); // no other owner renews leases
     plan::planner_ptr         planner_;
     std::vector<journal_part> parts_;
     std::uint64_t             request_ = 0; // of the claim, 0: none
--- a/cell/session_row.hpp
+++ b/cell/session_row.hpp
@@ -39,7 +39,6 @@
     std::uint64_t hold_ = 0;       // request in flight, 0: none
     instant       hold_sent_;
     instant       hold_at_;  // next question
-    instant       wait_out_; // attaching: unseen runs have lapsed
 
     // Runs and ends
     std::map<run_key, session_run> runs_;
--- a/cell/settings.hpp
+++ b/cell/settings.hpp
@@ -38,6 +38,7 @@
     std::int64_t first_claim_micros_ = 500'000; // after the start of a host
     std::int64_t foreign_claim_micros_ = 1'200'000; // later in other domains
     std::int64_t alone_micros_ = 8'000'000; // without word from any host
+    std::int64_t balance_micros_ = 1'500'000; // between looks for better owners
 
     // Leases; clocks of targets may run slow by `clock_drift_`
     std::int64_t  lease_ms_ = 4000;
@@ -49,6 +50,9 @@
     std::int64_t  stop_micros_ = 3'000'000;   // then a run never came
     std::int64_t  order_micros_ = 500'000;    // deadline of an order
     std::int64_t  silent_micros_ = 1'500'000; // without word from a target
+    // Until a former owner has called a target that was reached: its longest
+    // wait and the slack of the answer.
+    std::int64_t  fence_notice_micros_ = 1'500'000;
     std::uint32_t orders_open_ = 4;           // to one target
     double        clock_drift_ = 0.02;
     std::int64_t  clock_slack_ms_ = 300;
