Ask for tickets only where room is left, count unseen work against limits

Cause: all questions of a shard shared a cap of five in flight, so urgent jobs (17 ms an answer) waited for long ones (0.5 to 2 s); each waiting stage asked about the same room, and its tickets expired unused after 2 s. A gang beside lasting tasks waited for ever and was not handed over.

Change: caps by class of question; stages ask in the order of rank for room that better-ranked ones leave; what never ends counts when a stage is judged as blocked; recovered tasks that nobody reported count against the limit while targets aren't reached, as far as these have room.

Four of the six new tests fail on the code before; those of the asking gang and of slow progress pass there, too.

--- a/plan/apply_events.cpp
+++ b/plan/apply_events.cpp
@@ -302,8 +302,7 @@
     {
         return;
     }
-    stage->asked_ = false;
-    --context.open_questions_;
+    close_question(context, *stage);
     for (target_id const& target : input.asked_)
     {
         stage->tickets_[target] = ticket_cell();
@@ -322,8 +321,7 @@
     {
         return;
     }
-    stage->asked_ = false;
-    --context.open_questions_;
+    close_question(context, *stage);
     stage->ask_after_ =
         context.now_.after(context.settings_.advice_retry_micros_);
 }
--- /dev/null
+++ b/plan/count_unseen.cpp
@@ -0,0 +1,68 @@
+// Purpose: system: counts what may run on targets that a new owner hasn't
+// reached against the limits of organisations.
+#include "plan/planner.hpp"
+#include "plan/stage_rank.hpp"
+#include "plan/task_cell.hpp"
+
+#include <algorithm>
+
+namespace fescuevane::plan
+{
+namespace
+{
+
+resources list_unseen_room(planner const& context)
+{
+    resources room;
+    for (target_row const& target : context.targets_)
+    {
+        if (target.phase_ == target_phase::attaching)
+        {
+            room = room + target.capacity_;
+        }
+    }
+    return room;
+}
+
+} // namespace
+
+// Recovered tasks that no target has reported yet may be at work on those that
+// weren't reached, as far as these have room.
+void count_unseen(planner& context)
+{
+    for (organisation_row& row : context.organisations_)
+    {
+        row.unseen_ = resources();
+    }
+    if (!has_unseen_targets(context))
+    {
+        return;
+    }
+    for (std::size_t row = 0; row < context.stages_.size(); ++row)
+    {
+        stage_row const& stage = context.stages_[row];
+        stage_key const& key = context.stages_.key(row);
+        job_row const&   job = *context.jobs_.find(key.job_);
+        if (!job.recovered_ || !stage.startable_)
+        {
+            continue;
+        }
+        auto const waiting = static_cast<std::int64_t>(std::count_if(
+            stage.tasks_.begin(), stage.tasks_.end(),
+            [](task_cell const& task)
+            {
+                return is_waiting(task);
+            }));
+        organisation_row& owner =
+            context.organisations_.ensure(job.spec_->organisation_);
+        owner.unseen_ =
+            owner.unseen_ + job.spec_->steps_[key.step_].demand_ * waiting;
+    }
+    resources const room = list_unseen_room(context);
+    for (organisation_row& row : context.organisations_)
+    {
+        row.unseen_ = min(row.unseen_, room);
+    }
+}
+
+} // namespace fescuevane::plan
--- a/plan/job_flow.cpp
+++ b/plan/job_flow.cpp
@@ -50,6 +50,16 @@
 
 // 1. Jobs and stages
 
+void close_question(planner& context, stage_row& stage)
+{
+    if (stage.asked_)
+    {
+        stage.asked_ = false;
+        --(stage.asked_long_ ? context.long_questions_
+                             : context.short_questions_);
+    }
+}
+
 std::uint32_t count_occurrences(job_row const& job)
 {
     return std::max<std::uint32_t>(1, job.spec_->repeat_count_);
@@ -190,10 +200,7 @@
     std::vector<task_progress> tasks;
     append_stage_progress(key, *context.stages_.find(key), tasks);
     job.closed_[{key.occurrence_, key.step_}] = std::move(tasks);
-    if (context.stages_.find(key)->asked_)
-    {
-        --context.open_questions_;
-    }
+    close_question(context, *context.stages_.find(key));
     context.stages_.remove(key);
     --job.open_stages_;
     start_successors(context, key.job_);
@@ -228,11 +235,11 @@
     {
         for (std::uint32_t step = 0; step < job.spec_->steps_.size(); ++step)
         {
-            stage_key const        key{id, occurrence, step};
-            stage_row const* const stage = context.stages_.find(key);
-            if (stage != nullptr && stage->asked_)
+            stage_key const  key{id, occurrence, step};
+            stage_row* const stage = context.stages_.find(key);
+            if (stage != nullptr)
             {
-                --context.open_questions_;
+                close_question(context, *stage);
             }
             context.stages_.remove(key);
         }
@@ -265,6 +272,10 @@
     if (target_row* const target = context.targets_.find(run.target_))
     {
         target->used_ = target->used_ + charge_of(run) * sign;
+        if (run.lasting_)
+        {
+            target->lasting_ = target->lasting_ + charge_of(run) * sign;
+        }
         target->serving_ += run.latency_target_ms_ > 0 ? sign : 0;
         target->fillers_ += run.filler_ ? sign : 0;
     }
@@ -285,6 +296,7 @@
                   .organisation_ = job.spec_->organisation_,
                   .demand_ = step.demand_,
                   .filler_ = step.filler_,
+                  .lasting_ = step.perpetual_,
                   .latency_target_ms_ = step.latency_target_ms_,
                   .image_ = image_of(job, step),
                   .started_at_ = context.now_,
--- a/plan/job_flow.hpp
+++ b/plan/job_flow.hpp
@@ -34,6 +34,9 @@
 // The stage that the tasks belonged to before they were handed to this shard.
 stage_key origin_of(job_row const& job, stage_key const& stage);
 
+// Takes note that no question about a stage is in flight any more.
+void close_question(planner& context, stage_row& stage);
+
 // Appends the tasks of a stage that have something to tell.
 void append_stage_progress(stage_key const& key, stage_row const& stage,
                            std::vector<task_progress>& output);
--- a/plan/place_tasks.cpp
+++ b/plan/place_tasks.cpp
@@ -75,14 +75,6 @@
     return cost;
 }
 
-// Processors that a task of the step takes from a target's room.
-resources room_of(step_spec const& step)
-{
-    return step.filler_ ? resources(0, step.demand_.memory_mib(),
-                                    step.demand_.accelerators())
-                        : step.demand_;
-}
-
 std::optional<target_id> choose_target(planner const&   context,
                                        placement const& want)
 {
--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -41,9 +41,10 @@
 namespace
 {
 
-constexpr std::array<system_entry, 8> list_systems = {{
+constexpr std::array<system_entry, 9> list_systems = {{
     {"apply_events", &apply_events},
     {"open_stages", &open_stages},
+    {"count_unseen", &count_unseen},
     {"estimate_chains", &estimate_chains},
     {"watch_runs", &watch_runs},
     {"pace_fillers", &pace_fillers},
@@ -173,7 +174,7 @@
 }
 
 // True when the shard's targets can't run the stage, however long it waits: by
-// label, size or ticket. Limits of organisations don't count, they are lent.
+// label, size, ticket or lasting work. Limits of organisations don't count, they are lent.
 bool is_blocked(planner const& context, stage_key const& key,
                 stage_row const& stage)
 {
@@ -188,7 +189,7 @@
         {
             continue;
         }
-        std::int64_t const fitting = count_fitting_empty(context, key, target);
+        std::int64_t const fitting = count_fitting_later(context, key, target);
         std::int64_t const spread =
             step.spread_limit_ == 0
                 ? fitting
@@ -354,7 +355,7 @@
         if (!organisation.limit_.is_zero())
         {
             sum.organisations_.push_back(
-                {id, organisation.used_, queued[id]});
+                {id, organisation.used_ + organisation.unseen_, queued[id]});
         }
     }
     std::map<queue_id, std::uint32_t> waiting;
--- a/plan/planner.hpp
+++ b/plan/planner.hpp
@@ -43,7 +43,8 @@
 
     std::set<job_id> timed_;             // with occurrences that aren't due yet
     bool             in_service_ = true; // of the failure domain
-    std::uint32_t    open_questions_ = 0;
+    std::uint32_t    short_questions_ = 0; // in flight, by the time of answers
+    std::uint32_t    long_questions_ = 0;
     // Targets that are kept free for a gang that has waited long.
     std::set<target_id> reserved_;
     job_id              reserved_for_; // empty: none
@@ -61,6 +62,7 @@
 // Systems, in order
 void apply_events(planner& context);   // inbox to tables
 void open_stages(planner& context);    // whose predecessors ended, or are due
+void count_unseen(planner& context);   // what targets not reached may run
 void estimate_chains(planner& context); // run times of what is left of jobs
 void watch_runs(planner& context);     // stalled runs, slow runs
 void pace_fillers(planner& context);   // beside tasks with a latency bound
--- a/plan/request_advice.cpp
+++ b/plan/request_advice.cpp
@@ -7,6 +7,7 @@
 #include "plan/stage_rank.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -24,7 +25,15 @@
     auto const targets = std::min<std::size_t>(
         context.targets_.size(), context.settings_.advice_targets_);
     return advice.decision_ms_ +
-           advice.per_target_ms_ * static_cast<double>(targets) + lead_ms;
+           advice.per_target_ms_ * static_cast<double>(targets);
+}
+
+bool may_ask(planner const& context, bool is_long)
+{
+    return is_long
+               ? context.long_questions_ < context.settings_.advice_long_open_
+               : context.short_questions_ <
+                     context.settings_.advice_short_open_;
 }
 
 // Rest of one run. The share of its work that it has done tells more than the
@@ -92,74 +101,131 @@
                 return true;
             }
             double const rest_ms = remaining_ms(context, before);
-            return rest_ms >= 0 && rest_ms <= answer_ms(context, advice);
+            return rest_ms >= 0 &&
+                   rest_ms <= answer_ms(context, advice) + lead_ms;
         });
 }
 
-// Targets worth asking about: none while the valid tickets are enough.
-std::vector<target_id> choose_questions(planner const&   context,
-                                        stage_key const& key,
-                                        stage_row const& stage)
+// Room that better-ranked stages leave, for each row of the target table. A
+// ticket for room that another stage takes expires unused.
+using free_room = std::vector<resources>;
+
+free_room list_free_room(planner const& context)
 {
-    std::int64_t const waiting =
-        std::count_if(stage.tasks_.begin(), stage.tasks_.end(),
-                      [](task_cell const& task)
-                      {
-                          return is_waiting(task);
-                      });
-    std::int64_t                                    covered = 0;
-    std::vector<std::pair<std::int64_t, target_id>> open;
+    free_room free;
+    for (target_row const& target : context.targets_)
+    {
+        free.push_back(target.capacity_ - target.used_);
+    }
+    return free;
+}
+
+// One target that a stage may use.
+struct candidate
+{
+    std::int64_t fitting_ = 0; // tasks
+    std::size_t  row_ = 0;     // of the target table
+    bool         ticketed_ = false;
+};
+
+std::vector<candidate> list_candidates(planner const&   context,
+                                       stage_key const& key,
+                                       stage_row const& stage,
+                                       free_room const& free)
+{
+    step_spec const&       step = find_step(context, key);
+    std::vector<candidate> candidates;
     for (std::size_t row = 0; row < context.targets_.size(); ++row)
     {
         target_row const& target = context.targets_[row];
-        target_id const&  id = context.targets_.key(row);
-        if (!accepts_stage(context, key, target))
+        // A stage that isn't startable yet will find other room than now's.
+        std::int64_t fitting =
+            stage.startable_ ? count_fitting_in(step, target, free[row]) : 1;
+        if (fitting == 0 || !accepts_stage(context, key, target))
         {
             continue;
         }
-        // A stage that isn't startable yet will find other room than now's.
-        std::int64_t const fitting =
-            stage.startable_ ? count_startable(context, key, id, target) : 1;
-        auto const ticket = stage.tickets_.find(id);
-        if (fitting == 0 ||
-            (ticket != stage.tickets_.end() && !ticket->second.good_))
+        target_id const& id = context.targets_.key(row);
+        auto const       ticket = stage.tickets_.find(id);
+        if (ticket != stage.tickets_.end() && !ticket->second.good_)
         {
             continue;
         }
-        if (has_ticket(context, key, stage, id))
+        if (step.spread_limit_ > 0)
         {
-            covered += fitting;
+            fitting = std::clamp<std::int64_t>(
+                std::int64_t{step.spread_limit_} -
+                    count_on_target(context, key, id),
+                0, fitting);
         }
-        else
+        if (fitting > 0)
         {
-            open.emplace_back(-fitting, id);
+            candidates.push_back(
+                {fitting, row, has_ticket(context, key, stage, id)});
         }
     }
-    if (waiting == 0 || covered >= waiting)
+    // Tickets at hand first, then the most room.
+    std::sort(candidates.begin(), candidates.end(),
+              [](candidate const& a, candidate const& b)
+              {
+                  return std::tuple(!a.ticketed_, -a.fitting_, a.row_) <
+                         std::tuple(!b.ticketed_, -b.fitting_, b.row_);
+              });
+    return candidates;
+}
+
+// Takes the room of the waiting tasks from what worse-ranked stages may count
+// on. Returns the tasks that targets with tickets have room for.
+std::int64_t take_room(planner const& context, stage_key const& key,
+                       std::vector<candidate> const& candidates,
+                       std::int64_t waiting, free_room& free)
+{
+    step_spec const& step = find_step(context, key);
+    std::int64_t     fitting = 0;
+    std::int64_t     covered = 0;
+    for (candidate const& at : candidates)
     {
-        return {};
+        fitting += at.fitting_;
+        covered += at.ticketed_ ? at.fitting_ : 0;
     }
-    std::sort(open.begin(), open.end());
-    std::vector<target_id> targets;
-    for (auto const& [fitting, id] : open)
+    // A gang that lacks room starts nothing, so others may use what there is.
+    std::int64_t rest = step.gang_ && fitting < waiting ? 0 : waiting;
+    for (candidate const& at : candidates)
     {
-        if (targets.size() == context.settings_.advice_targets_)
-        {
-            break;
-        }
-        targets.push_back(id);
+        std::int64_t const taken = std::min(rest, at.fitting_);
+        free[at.row_] = free[at.row_] - room_of(step) * taken;
+        rest -= taken;
     }
-    return targets;
+    return covered;
 }
 
-} // namespace
-
-void request_advice(planner& context)
+void ask(planner& context, stage_key const& key, stage_row& stage,
+         std::vector<candidate> const& candidates, bool is_long)
 {
-    if (context.open_questions_ >= context.settings_.advice_open_)
+    std::vector<target_id> targets;
+    for (candidate const& at : candidates)
+    {
+        if (!at.ticketed_ &&
+            targets.size() < context.settings_.advice_targets_)
+        {
+            targets.push_back(context.targets_.key(at.row_));
+        }
+    }
+    if (targets.empty())
     {
         return;
     }
+    job_row const& job = *context.jobs_.find(key.job_);
+    stage.asked_ = true;
+    stage.asked_long_ = is_long;
+    ++(is_long ? context.long_questions_ : context.short_questions_);
+    context.outbox_.push_back(ask_advice{
+        key, std::move(targets),
+        context.queues_.find(job.spec_->queue_)->advice_->validity_ms_});
+}
+
+std::vector<stage_rank> rank_asking_stages(planner& context)
+{
     std::vector<stage_rank> ranks;
     for (std::size_t row = 0; row < context.stages_.size(); ++row)
     {
@@ -168,7 +234,7 @@
         job_row const&            job = *context.jobs_.find(key.job_);
         queue_policy const* const queue =
             context.queues_.find(job.spec_->queue_);
-        if (queue == nullptr || !queue->advice_ || stage.asked_)
+        if (queue == nullptr || !queue->advice_)
         {
             continue;
         }
@@ -183,24 +249,56 @@
         }
     }
     std::sort(ranks.begin(), ranks.end());
+    return ranks;
+}
+
+void request_for(planner& context, stage_key const& key, free_room& free)
+{
+    stage_row&         stage = *context.stages_.find(key);
+    job_row const&     job = *context.jobs_.find(key.job_);
+    std::int64_t const waiting =
+        std::count_if(stage.tasks_.begin(), stage.tasks_.end(),
+                      [](task_cell const& task)
+                      {
+                          return is_waiting(task);
+                      });
+    if (waiting == 0 ||
+        (stage.startable_ &&
+         !is_within_limit(context, job.spec_->organisation_,
+                          find_step(context, key).demand_)))
+    {
+        return;
+    }
+    std::vector<candidate> const candidates =
+        list_candidates(context, key, stage, free);
+    std::int64_t const covered =
+        stage.startable_ ? take_room(context, key, candidates, waiting, free)
+                         : 0;
+    bool const is_long =
+        answer_ms(context, *context.queues_.find(job.spec_->queue_)->advice_) >
+        context.settings_.advice_long_ms_;
+    if (!stage.asked_ && covered < waiting && may_ask(context, is_long))
+    {
+        ask(context, key, stage, candidates, is_long);
+    }
+}
+
+} // namespace
+
+void request_advice(planner& context)
+{
+    if (!may_ask(context, false) && !may_ask(context, true))
+    {
+        return;
+    }
+    std::vector<stage_rank> const ranks = rank_asking_stages(context);
+    free_room                     free = list_free_room(context);
     for (stage_rank const& rank : ranks)
     {
-        stage_row&             stage = *context.stages_.find(rank.stage_);
-        std::vector<target_id> targets =
-            choose_questions(context, rank.stage_, stage);
-        if (targets.empty())
-        {
-            continue;
-        }
-        job_row const& job = *context.jobs_.find(rank.stage_.job_);
-        stage.asked_ = true;
-        ++context.open_questions_;
-        context.outbox_.push_back(ask_advice{
-            rank.stage_, std::move(targets),
-            context.queues_.find(job.spec_->queue_)->advice_->validity_ms_});
-        if (context.open_questions_ >= context.settings_.advice_open_)
+        request_for(context, rank.stage_, free);
+        if (!may_ask(context, false) && !may_ask(context, true))
         {
-            break;
+            return;
         }
     }
 }
--- a/plan/room.cpp
+++ b/plan/room.cpp
@@ -46,8 +46,12 @@
            suits_stage(context, stage, target);
 }
 
-namespace
+resources room_of(step_spec const& step)
 {
+    return step.filler_ ? resources(0, step.demand_.memory_mib(),
+                                    step.demand_.accelerators())
+                        : step.demand_;
+}
 
 std::int64_t count_fitting_in(step_spec const& step, target_row const& target,
                               resources const& room)
@@ -62,8 +66,6 @@
                      divide(room.accelerators(), demand.accelerators())});
 }
 
-} // namespace
-
 std::int64_t count_fitting(planner const& context, stage_key const& stage,
                            target_row const& target)
 {
@@ -71,11 +73,11 @@
                             target.capacity_ - target.used_);
 }
 
-std::int64_t count_fitting_empty(planner const& context, stage_key const& stage,
+std::int64_t count_fitting_later(planner const& context, stage_key const& stage,
                                  target_row const& target)
 {
     return count_fitting_in(find_step(context, stage), target,
-                            target.capacity_);
+                            target.capacity_ - target.lasting_);
 }
 
 std::int64_t count_startable(planner const& context, stage_key const& stage,
@@ -110,13 +112,17 @@
                      resources const& demand)
 {
     organisation_row const* const row = context.organisations_.find(id);
-    return row == nullptr ||
-           (fits_limit(row->used_.cpu_millis(), demand.cpu_millis(),
-                       row->limit_.cpu_millis()) &&
-            fits_limit(row->used_.memory_mib(), demand.memory_mib(),
-                       row->limit_.memory_mib()) &&
-            fits_limit(row->used_.accelerators(), demand.accelerators(),
-                       row->limit_.accelerators()));
+    if (row == nullptr)
+    {
+        return true;
+    }
+    resources const used = row->used_ + row->unseen_;
+    return fits_limit(used.cpu_millis(), demand.cpu_millis(),
+                      row->limit_.cpu_millis()) &&
+           fits_limit(used.memory_mib(), demand.memory_mib(),
+                      row->limit_.memory_mib()) &&
+           fits_limit(used.accelerators(), demand.accelerators(),
+                      row->limit_.accelerators());
 }
 
 std::uint32_t count_on_target(planner const& context, stage_key const& stage,
--- a/plan/room.hpp
+++ b/plan/room.hpp
@@ -8,6 +8,11 @@
 
 #include <cstdint>
 
+namespace fescuevane
+{
+struct step_spec;
+} // namespace fescuevane
+
 namespace fescuevane::plan
 {
 
@@ -24,12 +29,20 @@
 bool accepts_stage(planner const& context, stage_key const& stage,
                    target_row const& target);
 
+// What a task of the step takes from a target's room: fillers use processors
+// that others leave, but memory of their own.
+resources room_of(step_spec const& step);
+
+// Tasks of the step that fit in some room of the target.
+std::int64_t count_fitting_in(step_spec const& step, target_row const& target,
+                              resources const& room);
+
 // Tasks of the stage that fit beside what runs on the target.
 std::int64_t count_fitting(planner const& context, stage_key const& stage,
                            target_row const& target);
 
-// The same on a target that runs nothing.
-std::int64_t count_fitting_empty(planner const& context, stage_key const& stage,
+// The same once all work that ends by itself has ended.
+std::int64_t count_fitting_later(planner const& context, stage_key const& stage,
                                  target_row const& target);
 
 // Like `count_fitting`, within the stage's limit for one target.
--- a/plan/run_row.hpp
+++ b/plan/run_row.hpp
@@ -22,6 +22,7 @@
     resources       demand_; // charged to organisation and target
     run_phase       phase_ = run_phase::starting;
     bool            filler_ = false;
+    bool            lasting_ = false; // doesn't end by itself
     std::int64_t    latency_target_ms_ = 0;
     std::string     image_;
     instant         started_at_;
--- a/plan/stage_row.hpp
+++ b/plan/stage_row.hpp
@@ -26,6 +26,7 @@
 
     std::map<target_id, ticket_cell> tickets_;
     bool                             asked_ = false; // a question is in flight
+    bool                             asked_long_ = false; // its answer is long
     instant                          ask_after_;
 };
 
--- /dev/null
+++ b/tests/unit/plan_advice_test.cpp
@@ -0,0 +1,149 @@
+// Purpose: tests of questions to the policy service.
+#include "plan_fixture.hpp"
+
+#include <doctest/doctest.h>
+
+namespace fescuevane::plan
+{
+namespace
+{
+
+// Two queues: answers about `orders` are short, those about `checks` long.
+struct advice_fixture : plan_fixture
+{
+    advice_fixture()
+    {
+        post(queues_set{
+            {{.id_ = queue_id("orders"),
+              .service_ = service_id("desk"),
+              .max_attempts_ = 3,
+              .slack_factor_ = 1.5,
+              .objective_ms_ = 250,
+              .advice_ = advice_policy{20, 0.3, 2000}},
+             {.id_ = queue_id("checks"),
+              .service_ = service_id("desk"),
+              .priority_ = 2,
+              .max_attempts_ = 3,
+              .slack_factor_ = 2,
+              .objective_ms_ = 1000,
+              .advice_ = advice_policy{400, 5, 2000}}}});
+    }
+
+    void add_check(std::string const& id, std::uint32_t tasks)
+    {
+        post(job_added{.job_ = std::make_shared<staged_job const>(
+                           staged_job{.id_ = job_id(id),
+                                      .organisation_ = organisation_id("cafe"),
+                                      .queue_ = queue_id("checks"),
+                                      .service_ = service_id("desk"),
+                                      .payload_ = "work",
+                                      .steps_ = {make_step(tasks)}}),
+                       .accepted_at_ = now_});
+    }
+};
+
+// Guards against urgent work that waits for the answers to long questions.
+TEST_CASE_FIXTURE(advice_fixture,
+                  "long questions in flight, urgent job comes, asked at once")
+{
+    for (int target = 0; target < 20; ++target)
+    {
+        set_target("t-" + std::to_string(10 + target));
+    }
+    for (int job = 0; job < 9; ++job)
+    {
+        add_check("c-" + std::to_string(job), 1);
+    }
+    tick();
+    auto const asked = list<ask_advice>();
+    CHECK(asked.size() < 9);
+    REQUIRE(!asked.empty());
+    add_job("j-1", {make_step(1)});
+    tick();
+    auto const urgent = list<ask_advice>();
+    REQUIRE(urgent.size() == 1);
+    CHECK(urgent[0].stage_.job_ == job_id("j-1"));
+    SUBCASE("an answer comes, the next long question is asked")
+    {
+        post(advice_given{asked[0].stage_, asked[0].targets_, {}, now_});
+        tick();
+        CHECK(list<ask_advice>().size() == 1);
+    }
+    SUBCASE("an asked job is canceled, the next long question is asked")
+    {
+        post(job_canceled{asked[0].stage_.job_});
+        tick();
+        CHECK(list<ask_advice>().size() == 1);
+    }
+}
+
+// Guards against tickets that expire unused, and take the policy service's time
+// from stages that could start: each waiting stage asked about the same room.
+TEST_CASE_FIXTURE(advice_fixture,
+                  "room for one stage, several wait, one question is asked")
+{
+    set_target("t-1");
+    for (int job = 0; job < 4; ++job)
+    {
+        add_check("c-" + std::to_string(job), 4);
+    }
+    tick();
+    CHECK(list<ask_advice>().size() == 1);
+}
+
+// Guards against a gang that lacks room and keeps others from asking.
+TEST_CASE_FIXTURE(advice_fixture,
+                  "gang lacks room, other job fits, asked about the other")
+{
+    set_target("t-1");
+    step_spec const gang{.count_ = 9,
+                         .demand_ = {1000, 512, 0},
+                         .estimate_ms_ = 1000,
+                         .gang_ = true};
+    add_job("j-1", {gang});
+    tick();
+    advance(100'000);
+    add_job("j-2", {make_step(1)});
+    tick();
+    auto const asked = list<ask_advice>();
+    REQUIRE(asked.size() == 1);
+    CHECK(asked[0].stage_.job_ == job_id("j-2"));
+}
+
+// Guards against questions long before a stage can start: declared estimates
+// said that its predecessor was about to end.
+TEST_CASE_FIXTURE(advice_fixture,
+                  "predecessor makes slow progress, next stage is not asked yet")
+{
+    set_target("t-1");
+    step_spec const first{
+        .count_ = 1, .demand_ = {1000, 512, 0}, .estimate_ms_ = 100};
+    add_job("j-1", {first, make_step(1, {0})});
+    tick();
+    auto const asked = list<ask_advice>();
+    REQUIRE(asked.size() == 1);
+    post(advice_given{asked[0].stage_,
+                      asked[0].targets_,
+                      {{target_id("t-1"), "ticket"}},
+                      now_.after(micros_per_second)});
+    tick();
+    auto const starts = list<start_run>();
+    REQUIRE(starts.size() == 1);
+    post(run_confirmed{starts[0].run_, starts[0].target_});
+    tick(); // nothing tells yet that the estimate is too short
+    for (ask_advice const& early : list<ask_advice>())
+    {
+        post(advice_failed{early.stage_});
+    }
+    advance(2 * micros_per_second);
+    post(run_seen{starts[0].run_, starts[0].target_, "", 10, 0});
+    tick();
+    CHECK(list<ask_advice>().empty()); // 18 s are left
+    advance(16 * micros_per_second);
+    post(run_seen{starts[0].run_, starts[0].target_, "", 98, 0});
+    tick();
+    CHECK(list<ask_advice>().size() == 1);
+}
+
+} // namespace
+} // namespace fescuevane::plan
--- a/tests/unit/plan_placement_test.cpp
+++ b/tests/unit/plan_placement_test.cpp
@@ -336,6 +336,54 @@
     }
 }
 
+// Guards against a gang that waits for ever in a shard where lasting tasks take
+// the room that it needs.
+TEST_CASE_FIXTURE(plan_fixture,
+                  "gang beside lasting tasks, room never comes, told as blocked")
+{
+    set_target("t-1");
+    step_spec const lasting{
+        .count_ = 2, .demand_ = {1000, 512, 0}, .perpetual_ = true};
+    step_spec const gang{.count_ = 3,
+                         .demand_ = {1000, 512, 0},
+                         .estimate_ms_ = 1000,
+                         .gang_ = true};
+    add_job("j-1", {lasting});
+    tick();
+    add_job("j-2", {gang});
+    add_job("j-3", {make_step(2)});
+    tick();
+    add_job("j-4", {make_step(1)});
+    for (int round = 0; round < 30; ++round)
+    {
+        tick();
+        advance(100'000);
+    }
+    auto const waiting = list_overflow(*planner_, micros_per_second);
+    REQUIRE(waiting.size() == 2);
+    for (overflow const& tasks : waiting)
+    {
+        CHECK(tasks.blocked_ == (tasks.stage_.job_ == job_id("j-2")));
+    }
+}
+
+// Guards against work above an organisation's limit after a change of owner:
+// runs on targets that weren't reached yet were not counted.
+TEST_CASE_FIXTURE(plan_fixture,
+                  "target not reached yet, limit counts what may run there")
+{
+    post(organisations_set{{{organisation_id("cafe"), 1, {4000, 0, 0}}}});
+    set_target("t-1");
+    set_target("t-2", {4000, 8192, 0}, target_phase::attaching);
+    add_job("j-1", {make_step(3)}, {}, true);
+    add_job("j-2", {make_step(4)});
+    tick();
+    CHECK(list<start_run>().size() == 1);
+    set_target("t-2");
+    tick();
+    CHECK(list<start_run>().size() == 3);
+}
+
 // Guards against fillers that keep a task above its latency bound.
 TEST_CASE_FIXTURE(plan_fixture, "filler beside a slow serving task, paced down")
 {
