Move a slow task once; count hosts without the store as not ready

Callers of a failure domain that was cut off from the store were refused there, while other domains could accept their work. The first missed deadline of a slow store counted as its loss, and all submissions were refused.

Change: a task is moved once, and when the rest of its run takes four times a fresh run, not 2.5 times; readiness is 503 once the store is lost for 0.5 s; the store is lost when it refuses, or was silent for a second.

--- a/cell/follow_members.cpp
+++ b/cell/follow_members.cpp
@@ -339,9 +339,15 @@
         context.store_micros_ =
             std::min(values.store_max_micros_, 2 * context.store_micros_);
     }
-    if (context.store_ok_ != answered)
+    // A slow store misses the first deadlines and then answers within longer
+    // ones; work is turned away only when it refuses, or is silent for long.
+    bool const waits =
+        reply.outcome_ == store_outcome::unknown &&
+        context.store_word_.after(values.store_silent_micros_) > context.now_;
+    if (context.store_ok_ != answered && !waits)
     {
         context.store_ok_ = answered;
+        context.store_lost_at_ = context.now_;
         log_event(context, answered ? "store_regained" : "store_lost",
                   {{"error", reply.error_}});
     }
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -74,6 +74,7 @@
     // Store
     bool          store_ok_ = true;
     instant       store_word_;       // latest answer
+    instant       store_lost_at_;    // since when `store_ok_` is false
     std::int64_t  store_micros_ = 0; // present deadline of a call
     std::uint64_t next_change_ = 1;  // sequence of journal changes
     bool          announced_ = false;
--- a/cell/settings.hpp
+++ b/cell/settings.hpp
@@ -26,7 +26,9 @@
     std::uint32_t job_parts_ = 1; // parts of the table of jobs, never changed
     std::int64_t  store_min_micros_ = 500'000;   // deadline of a call, least
     std::int64_t  store_max_micros_ = 2'500'000; // and most
+    std::int64_t  store_silent_micros_ = 1'000'000; // then it counts as lost
     std::int64_t  store_retry_micros_ = 150'000;
+    std::int64_t  unready_micros_ = 500'000; // with the store lost
     std::int64_t  journal_micros_ = 35'000; // progress is gathered so long
     std::uint32_t journal_jobs_ = 30;       // in one transaction
     std::int64_t  result_keep_micros_ = 180'000'000; // of ended jobs
--- a/plan/task_cell.hpp
+++ b/plan/task_cell.hpp
@@ -19,6 +19,7 @@
     std::uint32_t              last_run_ = 0; // highest number given
     std::vector<std::uint32_t> failed_runs_;
     target_id                  failed_on_;     // latest failure or stall
+    bool moved_ = false; // was stopped once because its target seemed slow
     std::string                checkpoint_;    // latest, empty: none
     instant                    ready_at_;      // not started before
     instant                    waiting_since_; // last started, ended or opened
--- a/plan/watch_runs.cpp
+++ b/plan/watch_runs.cpp
@@ -19,8 +19,9 @@
 constexpr double stall_share = 0.25;
 
 // A run is moved when the rest of it would take this many times a fresh run.
-// Tasks of one stage differ less than those of different jobs.
-constexpr double slow_in_stage = 2.5;
+// Tasks of one stage differ less than those of different jobs, but by more than
+// two times.
+constexpr double slow_in_stage = 4;
 constexpr double slow_in_queue = 5;
 constexpr double restart_ms = 500;
 constexpr double min_samples = 8; // of an image's run time
@@ -61,6 +62,12 @@
                          restart_ms;
 }
 
+// A task that seems slow on a second target is long itself.
+bool was_moved(planner const& context, run_key const& run)
+{
+    return context.stages_.find(run.stage_)->tasks_[run.index_].moved_;
+}
+
 } // namespace
 
 void watch_runs(planner& context)
@@ -97,6 +104,7 @@
             stalled.push_back(key);
         }
         else if (!step.perpetual_ && !step.gang_ &&
+                 !was_moved(context, key) &&
                  is_slow(context, key.stage_, run, expected_ms))
         {
             slow.push_back(key);
@@ -114,8 +122,10 @@
     {
         target_id const target = context.runs_.find(key)->target_;
         context.targets_.find(target)->speed_ *= 0.5;
-        context.stages_.find(key.stage_)->tasks_[key.index_].failed_on_ =
-            target;
+        task_cell& task =
+            context.stages_.find(key.stage_)->tasks_[key.index_];
+        task.failed_on_ = target;
+        task.moved_ = true;
         order_stop(context, key, "slow target");
     }
     if (!context.runs_.empty())
--- a/tests/unit/cell_ownership_test.cpp
+++ b/tests/unit/cell_ownership_test.cpp
@@ -142,5 +142,22 @@
     CHECK(take<send_start>().size() == 1);
 }
 
+// Guards against callers that are sent to a host which can accept nothing,
+// while hosts elsewhere can.
+TEST_CASE_FIXTURE(cell_fixture, "store out of reach, time passes, not ready")
+{
+    serve();
+    CHECK(is_ready(*node_));
+    store_down_ = true;
+    submit("aa01");
+    run(300'000);
+    CHECK(is_ready(*node_)); // the balancer needs no word of a short outage
+    run(micros_per_second);
+    CHECK_FALSE(is_ready(*node_));
+    store_down_ = false;
+    run(500'000);
+    CHECK(is_ready(*node_));
+}
+
 } // namespace
 } // namespace fescuevane::cell
--- a/tests/unit/plan_placement_test.cpp
+++ b/tests/unit/plan_placement_test.cpp
@@ -336,6 +336,52 @@
     }
 }
 
+// Guards against work thrown away again and again: a task longer than its
+// siblings was taken for one on a slow target, wherever it ran.
+TEST_CASE_FIXTURE(plan_fixture, "task slow on two targets, moved once")
+{
+    for (char const* const target : {"t-1", "t-2", "t-3"})
+    {
+        set_target(target);
+    }
+    add_job("j-1", {make_step(4)});
+    tick();
+    auto const starts = list<start_run>();
+    REQUIRE(starts.size() == 4);
+    confirm_starts();
+    tick();
+    advance(micros_per_second);
+    for (std::size_t task = 1; task < 4; ++task)
+    {
+        end(starts[task], run_end::done);
+    }
+    tick();
+    std::size_t moves = 0;
+    start_run   current = starts[0];
+    for (int round = 0; round < 40; ++round)
+    {
+        advance(500'000);
+        post(run_seen{current.run_, current.target_, "", 5 + round, 0});
+        tick();
+        if (!list<stop_run>().empty())
+        {
+            ++moves;
+            post(run_ended{current.run_, current.target_, run_end::stopped,
+                           ""});
+            tick();
+            REQUIRE(list<start_run>().size() == 1);
+            post(run_confirmed{list<start_run>()[0].run_,
+                               list<start_run>()[0].target_});
+        }
+        for (start_run const& start : list<start_run>())
+        {
+            std::destroy_at(&current);
+            std::construct_at(&current, start);
+        }
+    }
+    CHECK(moves == 1);
+}
+
 // Guards against a gang that waits for ever in a shard where lasting tasks take
 // the room that it needs.
 TEST_CASE_FIXTURE(plan_fixture,
