Bound reservations of gangs; answer a cancel when it is stored

Change: a reservation lasts 4 s, for a gang that would fit and is within its limit, with 8 s between two; its stage asks first. A cancel is answered once a write that holds it is stored. Targets that left the list are remembered for 10 s and are asked, or waited out, by a new owner.

--- a/cell/delegate_tasks.cpp
+++ b/cell/delegate_tasks.cpp
@@ -148,8 +148,8 @@
                                         plan::overflow const& tasks)
 {
     std::optional<shard_id> best;
-    double least = tasks.blocked_ ? std::numeric_limits<double>::max()
-                                  : max_delegate_load;
+    double                  least =
+        tasks.blocked_ ? std::numeric_limits<double>::max() : max_delegate_load;
     for (std::size_t row = 0; row < context.shards_.size(); ++row)
     {
         shard_id const&  id = context.shards_.key(row);
@@ -339,8 +339,8 @@
     {
         row.phase_ = delegation_phase::canceling;
         row.next_at_ = context.now_;
-        if (row.call_ != 0 && context.calls_.find(row.call_)->kind_ ==
-                                  call_kind::lookup)
+        if (row.call_ != 0 &&
+            context.calls_.find(row.call_)->kind_ == call_kind::lookup)
         {
             // A look-up waits for the end of the tasks, a cancel may not.
             context.calls_.remove(row.call_);
--- a/cell/drive_planners.cpp
+++ b/cell/drive_planners.cpp
@@ -216,9 +216,9 @@
     settings const& values = context.settings_;
     bool const      is_long = micros > values.advice_owner_micros_;
     host_id         best = values.host_;
-    instant         best_end = context.now_.after(
-                expect_wait(context, values.host_) + micros +
-                (is_long ? values.advice_long_micros_ : 0));
+    instant         best_end =
+        context.now_.after(expect_wait(context, values.host_) + micros +
+                           (is_long ? values.advice_long_micros_ : 0));
     for (std::size_t row = 0; row < context.hosts_.size(); ++row)
     {
         host_row const& host = context.hosts_[row];
--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -85,6 +85,7 @@
     session_row fresh;
     fresh.info_ = session.info_;
     fresh.listed_ = session.listed_;
+    fresh.unlisted_at_ = session.unlisted_at_;
     fresh.shard_ = session.shard_;
     fresh.open_ = true;
     fresh.hold_at_ = context.now_;
@@ -185,13 +186,15 @@
     {
         return;
     }
-    session->listed_ = false;
-    if (!session->open_)
+    if (session->listed_)
     {
-        context.sessions_.remove(input.id_);
-        return;
+        session->listed_ = false;
+        session->unlisted_at_ = context.now_;
+    }
+    if (session->open_)
+    {
+        tell_planner(context, input.id_);
     }
-    tell_planner(context, input.id_);
 }
 
 // 2. Clocks and leases
@@ -217,8 +220,7 @@
 // reach there is no such time.
 instant unseen_lapse(node const& context, session_row const& session)
 {
-    instant const since =
-        context.owned_.find(session.shard_)->exclusive_since_;
+    instant const since = context.owned_.find(session.shard_)->exclusive_since_;
     return since == instant::never()
                ? since
                : since.after(longest_lease_micros(context.settings_));
@@ -250,8 +252,8 @@
     instant const lapse = session.clock_at_.after(
         static_cast<std::int64_t>(wait_ms * micros_per_milli) +
         micros_per_milli);
-    wake_at(context, session.clock_ms_ == 0 ? unseen_lapse(context, session)
-                                            : lapse);
+    wake_at(context,
+            session.clock_ms_ == 0 ? unseen_lapse(context, session) : lapse);
 }
 
 void send_hold(node& context, target_id const& id, session_row& session)
@@ -815,6 +817,25 @@
     return true;
 }
 
+// A target that is cut off leaves the list and runs on, so whoever takes its
+// shard over has to reach it or to wait.
+void forget_unlisted(node& context, target_id const& id,
+                     session_row const& session)
+{
+    if (session.listed_)
+    {
+        return;
+    }
+    instant const due =
+        session.unlisted_at_.after(context.settings_.unlisted_keep_micros_);
+    if (due <= context.now_)
+    {
+        context.sessions_.remove(id);
+        return;
+    }
+    wake_at(context, due);
+}
+
 } // namespace
 
 void keep_sessions(node& context)
@@ -823,11 +844,12 @@
     for (std::size_t row = context.sessions_.size(); row-- > 0;)
     {
         session_row* const session = &context.sessions_[row];
+        target_id const    id = context.sessions_.key(row);
         if (!session->open_)
         {
+            forget_unlisted(context, id, *session);
             continue;
         }
-        target_id const id = context.sessions_.key(row);
         number_ends(context, *session);
         advance_forgotten(context, *session);
         if (!settle_silent_target(context, id))
--- a/cell/move_allotments.cpp
+++ b/cell/move_allotments.cpp
@@ -288,7 +288,7 @@
         {
             continue;
         }
-        row_key const key{"member", "0",
+        row_key const        key{"member", "0",
                           allotment_prefix + mine.organisation_.str()};
         allotment_row const& known =
             context.allotments_.ensure(mine.organisation_);
@@ -301,9 +301,8 @@
         return;
     }
     set_policies(context, shard); // not used any more from here on
-    own.lend_ = std::make_shared<store_transact const>(
-        store_transact{.conditions_ = std::move(conditions),
-                       .writes_ = std::move(writes)});
+    own.lend_ = std::make_shared<store_transact const>(store_transact{
+        .conditions_ = std::move(conditions), .writes_ = std::move(writes)});
     log_event(context, "limit_lent",
               {{"shard", write_shard_name(shard)},
                {"organisations", std::to_string(own.lend_->writes_.size())}});
--- a/cell/node.cpp
+++ b/cell/node.cpp
@@ -153,10 +153,9 @@
 bool is_ready(node const& context)
 {
     // A host that is cut off from the store can accept nothing, others can.
-    bool const cut_off =
-        !context.store_ok_ &&
-        context.store_lost_at_.after(context.settings_.unready_micros_) <=
-            context.now_;
+    bool const cut_off = !context.store_ok_ &&
+                         context.store_lost_at_.after(
+                             context.settings_.unready_micros_) <= context.now_;
     return context.config_ != nullptr && context.members_known_ &&
            !context.stopping_ && !cut_off;
 }
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -95,17 +95,17 @@
 };
 
 // Systems, in order
-void apply_events(node& context);   // inbox to tables
-void follow_members(node& context); // announce, heartbeats
-void claim_shards(node& context);   // without an owner
-void load_shards(node& context);    // fence and read
-void drive_planners(node& context); // plan ticks, their orders
-void delegate_tasks(node& context); // tasks without room to other shards
+void apply_events(node& context);    // inbox to tables
+void follow_members(node& context);  // announce, heartbeats
+void claim_shards(node& context);    // without an owner
+void load_shards(node& context);     // fence and read
+void drive_planners(node& context);  // plan ticks, their orders
+void delegate_tasks(node& context);  // tasks without room to other shards
 void move_allotments(node& context); // parts of limits to other shards
-void keep_sessions(node& context);  // leases and orders to targets
-void write_journal(node& context);  // jobs to the store
-void route_calls(node& context);    // callers to owners
-void release_shards(node& context); // on a stop, or to a better owner
+void keep_sessions(node& context);   // leases and orders to targets
+void write_journal(node& context);   // jobs to the store
+void route_calls(node& context);     // callers to owners
+void release_shards(node& context);  // on a stop, or to a better owner
 
 // Shared by the systems
 std::uint64_t next_request(node& context);
@@ -162,8 +162,8 @@
 void finish_loading(node& context, shard_id const& shard);
 
 // Parts of limits, in thousandths
-void         apply_allotment_row(node& context, stored_row const& row);
-void         load_allotments(node& context, shard_id const& shard, owned_row& own);
+void apply_allotment_row(node& context, stored_row const& row);
+void load_allotments(node& context, shard_id const& shard, owned_row& own);
 std::int64_t find_part(node const& context, shard_id const& shard,
                        organisation_id const& organisation);
 resources    scale_limit(resources const& limit, std::int64_t part);
--- a/cell/owned_row.hpp
+++ b/cell/owned_row.hpp
@@ -20,10 +20,10 @@
 
 struct owned_row
 {
-    owned_phase               phase_ = owned_phase::claiming;
-    epoch                     epoch_ = 0;
-    instant                   taken_at_; // fenced everywhere
-    bool    predecessor_stopped_ = false; // it released the shard, or is us
+    owned_phase phase_ = owned_phase::claiming;
+    epoch       epoch_ = 0;
+    instant     taken_at_;                    // fenced everywhere
+    bool        predecessor_stopped_ = false; // it released the shard, or is us
     instant exclusive_since_ = instant::never(); // no other owner renews leases
     plan::planner_ptr         planner_;
     std::vector<journal_part> parts_;
@@ -34,10 +34,10 @@
 
     // Divided limits
     bool          allotments_loaded_ = false;
-    std::string   allotments_from_;        // next key to read
-    std::uint64_t allotment_request_ = 0;  // in flight, 0: none
-    instant       lend_at_;                // next look for parts to give
-    std::shared_ptr<store_transact const>   lend_; // null: none is open
+    std::string   allotments_from_;       // next key to read
+    std::uint64_t allotment_request_ = 0; // in flight, 0: none
+    instant       lend_at_;               // next look for parts to give
+    std::shared_ptr<store_transact const>   lend_;    // null: none is open
     std::map<organisation_id, std::int64_t> lending_; // parts left by `lend_`
 };
 
--- a/cell/release_shards.cpp
+++ b/cell/release_shards.cpp
@@ -21,12 +21,12 @@
 
 std::size_t count_owned(node const& context, host_id const& host)
 {
-    return static_cast<std::size_t>(std::count_if(
-        context.shards_.begin(), context.shards_.end(),
-        [&host](shard_row const& shard)
-        {
-            return shard.owner_ == host && !shard.released_;
-        }));
+    return static_cast<std::size_t>(
+        std::count_if(context.shards_.begin(), context.shards_.end(),
+                      [&host](shard_row const& shard)
+                      {
+                          return shard.owner_ == host && !shard.released_;
+                      }));
 }
 
 bool can_own(node const& context, host_id const& id, host_row const& host)
--- a/cell/request_row.hpp
+++ b/cell/request_row.hpp
@@ -14,15 +14,15 @@
 
 enum class request_kind : std::uint8_t
 {
-    announce, // write the row of this host
-    claim,    // take a shard
-    fence,    // the same, in a further part
-    load,     // read the jobs of a part
-    journal,  // write jobs
-    release,  // hand a shard over
-    locate,   // find the shard of a job
+    announce,  // write the row of this host
+    claim,     // take a shard
+    fence,     // the same, in a further part
+    load,      // read the jobs of a part
+    journal,   // write jobs
+    release,   // hand a shard over
+    locate,    // find the shard of a job
     allotment, // read the divided limits
-    lend      // move parts of limits to other shards
+    lend       // move parts of limits to other shards
 };
 
 struct request_row
--- a/cell/serve_calls.cpp
+++ b/cell/serve_calls.cpp
@@ -127,7 +127,8 @@
         return;
     }
     bool const ended = is_final(phase_of(context, *record));
-    if (ended && (!record->canceled_ || record->saved_ >= record->changed_))
+    if (ended &&
+        (!record->canceled_ || record->saved_ >= record->cancel_change_))
     {
         answer_origin(context, from, {.outcome_ = job_outcome::canceled});
         return;
@@ -144,6 +145,7 @@
     wake_at(context, context.now_);
     log_event(context, "job_canceled", {{"job", call.id_.str()}});
     mark_changed(context, call.id_, true);
+    record->cancel_change_ = record->changed_;
 }
 
 // In the order of `call_kind`.
--- a/cell/session_row.hpp
+++ b/cell/session_row.hpp
@@ -26,6 +26,7 @@
     // From the list
     std::shared_ptr<listed_target const> info_;
     bool                                 listed_ = true;
+    instant                              unlisted_at_; // when it isn't
     shard_id                             shard_;
 
     // Contact; only while the shard is owned
@@ -38,7 +39,7 @@
     instant       contact_at_;     // latest answer
     std::uint64_t hold_ = 0;       // request in flight, 0: none
     instant       hold_sent_;
-    instant       hold_at_;  // next question
+    instant       hold_at_; // next question
 
     // Runs and ends
     std::map<run_key, session_run> runs_;
--- a/cell/settings.hpp
+++ b/cell/settings.hpp
@@ -24,13 +24,13 @@
 
     // Store
     std::uint32_t job_parts_ = 1; // parts of the table of jobs, never changed
-    std::int64_t  store_min_micros_ = 500'000;   // deadline of a call, least
-    std::int64_t  store_max_micros_ = 2'500'000; // and most
+    std::int64_t  store_min_micros_ = 500'000;      // deadline of a call, least
+    std::int64_t  store_max_micros_ = 2'500'000;    // and most
     std::int64_t  store_silent_micros_ = 1'000'000; // then it counts as lost
     std::int64_t  store_retry_micros_ = 150'000;
     std::int64_t  unready_micros_ = 500'000; // with the store lost
-    std::int64_t  journal_micros_ = 35'000; // progress is gathered so long
-    std::uint32_t journal_jobs_ = 30;       // in one transaction
+    std::int64_t  journal_micros_ = 35'000;  // progress is gathered so long
+    std::uint32_t journal_jobs_ = 30;        // in one transaction
     std::int64_t  result_keep_micros_ = 180'000'000; // of ended jobs
 
     // Heartbeats and ownership
@@ -39,28 +39,31 @@
     std::int64_t claim_step_micros_ = 300'000;  // between candidates
     std::int64_t first_claim_micros_ = 500'000; // after the start of a host
     std::int64_t foreign_claim_micros_ = 1'200'000; // later in other domains
-    std::int64_t alone_micros_ = 8'000'000; // without word from any host
+    std::int64_t alone_micros_ = 8'000'000;   // without word from any host
     std::int64_t balance_micros_ = 1'500'000; // between looks for better owners
 
     // Leases; clocks of targets may run slow by `clock_drift_`
-    std::int64_t  lease_ms_ = 4000;
-    std::int64_t  start_valid_ms_ = 1500; // a start that comes later is useless
-    std::int64_t  hold_wait_ms_ = 800;    // for an end
-    std::int64_t  hold_slack_micros_ = 500'000; // answer after the wait
-    std::int64_t  hold_retry_micros_ = 150'000;
-    std::int64_t  hold_unstored_micros_ = 250'000; // while ends aren't stored
-    std::int64_t  stop_micros_ = 3'000'000;   // then a run never came
-    std::int64_t  order_micros_ = 500'000;    // deadline of an order
-    std::int64_t  silent_micros_ = 1'500'000; // without word from a target
+    std::int64_t lease_ms_ = 4000;
+    std::int64_t start_valid_ms_ = 1500; // a start that comes later is useless
+    std::int64_t hold_wait_ms_ = 800;    // for an end
+    std::int64_t hold_slack_micros_ = 500'000; // answer after the wait
+    std::int64_t hold_retry_micros_ = 150'000;
+    std::int64_t hold_unstored_micros_ = 250'000; // while ends aren't stored
+    std::int64_t stop_micros_ = 3'000'000;        // then a run never came
+    std::int64_t order_micros_ = 500'000;         // deadline of an order
+    std::int64_t silent_micros_ = 1'500'000;      // without word from a target
+    // Targets that left the list may still run work: those that are cut off
+    // from the store leave it after three missed heartbeats.
+    std::int64_t unlisted_keep_micros_ = 10'000'000;
     // Until a former owner has called a target that was reached: its longest
     // wait and the slack of the answer.
     std::int64_t  fence_notice_micros_ = 1'500'000;
-    std::uint32_t orders_open_ = 4;           // to one target
+    std::uint32_t orders_open_ = 4; // to one target
     double        clock_drift_ = 0.02;
     std::int64_t  clock_slack_ms_ = 300;
 
     // Questions to the policy service
-    std::int64_t advice_owner_micros_ = 150'000; // longer ones are long
+    std::int64_t advice_owner_micros_ = 150'000;  // longer ones are long
     std::int64_t advice_long_micros_ = 1'000'000; // a wrong host's handicap
     std::int64_t advice_hop_micros_ = 5'000;      // to a host of the domain
     std::int64_t advice_remote_micros_ = 100'000; // to one of another domain
--- a/cell/write_journal.cpp
+++ b/cell/write_journal.cpp
@@ -217,9 +217,9 @@
                       {
                           return false;
                       }
-                      answer_origin(context, call.origin_,
-                                    {.outcome_ = job_outcome::known,
-                                     .phase_ = phase});
+                      answer_origin(
+                          context, call.origin_,
+                          {.outcome_ = job_outcome::known, .phase_ = phase});
                       return true;
                   });
 }
@@ -285,7 +285,8 @@
     {
         accept_job(context, *record);
     }
-    if (record->canceled_)
+    // A write that was in flight when the cancel came doesn't hold it.
+    if (record->canceled_ && record->saved_ >= record->cancel_change_)
     {
         answer_waiting(context, *record, call_kind::cancel,
                        job_outcome::canceled);
--- a/plan/load_summary.hpp
+++ b/plan/load_summary.hpp
@@ -13,10 +13,10 @@
 
 struct load_summary
 {
-    resources               capacity_; // of usable targets
-    resources               used_;     // by what runs
-    resources               queued_;   // by tasks that could start
-    std::vector<queue_load> queues_;
+    resources                      capacity_; // of usable targets
+    resources                      used_;     // by what runs
+    resources                      queued_;   // by tasks that could start
+    std::vector<queue_load>        queues_;
     std::vector<organisation_load> organisations_; // those with a limit
 
     friend bool operator==(load_summary const&, load_summary const&) = default;
--- a/plan/place_tasks.cpp
+++ b/plan/place_tasks.cpp
@@ -90,8 +90,8 @@
             continue;
         }
         target_id const& id = context.targets_.key(row);
-        bool const        reserved = context.reserved_.contains(id) &&
-                              want.key_.job_ != context.reserved_for_;
+        bool const       reserved = context.reserved_.contains(id) &&
+                              want.key_ != context.reserved_for_;
         if (reserved || want.excluded_.contains(id) ||
             (want.rack_ && target.rack_ != *want.rack_) ||
             !accepts_stage(context, want.key_, target) ||
@@ -257,13 +257,28 @@
 
 // A gang needs its room at once, while single tasks take each part of it as it
 // comes free. So what a gang may use is kept for it when it has waited long;
-// for one gang at a time, the best-ranked one.
+// for one gang at a time, the best-ranked one, and for a bounded time: room
+// that is kept for a gang which can't start is lost to all others.
 constexpr std::int64_t reserve_after_micros = 3'000'000;
+constexpr std::int64_t reserve_micros = 4'000'000;
+constexpr std::int64_t reserve_pause_micros = 8'000'000; // until the next one
 
-void reserve_for_gang(planner& context, stage_key const& key)
+bool may_use(stage_row const& stage, target_id const& target)
+{
+    auto const ticket = stage.tickets_.find(target);
+    return stage.tickets_.empty() ||
+           (ticket != stage.tickets_.end() && ticket->second.good_);
+}
+
+// True when the gang has waited long, and would start once all work that ends
+// by itself has ended.
+bool wants_reservation(planner const& context, stage_key const& key)
 {
     stage_row const& stage = *context.stages_.find(key);
+    step_spec const& step = find_step(context, key);
+    job_row const&   job = *context.jobs_.find(key.job_);
     bool const       waits_long =
+        step.gang_ &&
         std::all_of(stage.tasks_.begin(), stage.tasks_.end(),
                     [&context](task_cell const& task)
                     {
@@ -271,19 +286,71 @@
                                task.waiting_since_.after(
                                    reserve_after_micros) <= context.now_;
                     });
-    if (!waits_long || !context.reserved_for_.empty())
+    if (!waits_long || !is_within_limit(context, job.spec_->organisation_,
+                                        step.demand_ * step.count_))
+    {
+        return false;
+    }
+    std::int64_t room = 0;
+    for (std::size_t row = 0; row < context.targets_.size(); ++row)
+    {
+        if (may_use(stage, context.targets_.key(row)) &&
+            accepts_stage(context, key, context.targets_[row]))
+        {
+            room += count_fitting_later(context, key, context.targets_[row]);
+        }
+    }
+    return room >= static_cast<std::int64_t>(step.count_);
+}
+
+void end_reservation(planner& context)
+{
+    context.reserved_for_ = stage_key();
+    context.reserve_after_ = context.now_.after(reserve_pause_micros);
+}
+
+void reserve_for_gang(planner& context, std::vector<stage_rank> const& ranks)
+{
+    context.reserved_.clear();
+    auto const still_waits = [&context, &ranks]
+    {
+        return std::any_of(ranks.begin(), ranks.end(),
+                           [&context](stage_rank const& rank)
+                           {
+                               return rank.stage_ == context.reserved_for_;
+                           });
+    };
+    if (!context.reserved_for_.job_.empty() &&
+        (context.reserved_until_ <= context.now_ || !still_waits()))
+    {
+        end_reservation(context);
+    }
+    if (context.reserved_for_.job_.empty() &&
+        context.reserve_after_ <= context.now_)
+    {
+        auto const gang =
+            std::find_if(ranks.begin(), ranks.end(),
+                         [&context](stage_rank const& rank)
+                         {
+                             return wants_reservation(context, rank.stage_);
+                         });
+        if (gang != ranks.end())
+        {
+            context.reserved_for_ = gang->stage_;
+            context.reserved_until_ = context.now_.after(reserve_micros);
+        }
+    }
+    if (context.reserved_for_.job_.empty())
     {
         return;
     }
-    context.reserved_for_ = key.job_;
+    wake_at(context, context.reserved_until_);
+    stage_row const& stage = *context.stages_.find(context.reserved_for_);
     for (std::size_t row = 0; row < context.targets_.size(); ++row)
     {
         target_id const& id = context.targets_.key(row);
-        auto const       ticket = stage.tickets_.find(id);
-        bool const       allowed =
-            stage.tickets_.empty() ||
-            (ticket != stage.tickets_.end() && ticket->second.good_);
-        if (allowed && accepts_stage(context, key, context.targets_[row]))
+        if (may_use(stage, id) && accepts_stage(context, context.reserved_for_,
+                                                context.targets_[row]))
         {
             context.reserved_.insert(id);
         }
@@ -394,15 +461,7 @@
     {
         wake_at(context, soonest_pause);
     }
-    context.reserved_.clear();
-    context.reserved_for_ = job_id();
-    for (stage_rank const& rank : ranks)
-    {
-        if (find_step(context, rank.stage_).gang_)
-        {
-            reserve_for_gang(context, rank.stage_);
-        }
-    }
+    reserve_for_gang(context, ranks);
     resources most_free = find_most_free(context);
     for (stage_rank const& rank : ranks)
     {
--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -174,13 +174,14 @@
 }
 
 // True when the shard's targets can't run the stage, however long it waits: by
-// label, size, ticket or lasting work. Limits of organisations don't count, they are lent.
+// label, size, ticket or lasting work. Limits of organisations don't count,
+// they are lent.
 bool is_blocked(planner const& context, stage_key const& key,
                 stage_row const& stage)
 {
     job_row const&   job = *context.jobs_.find(key.job_);
     step_spec const& step = job.spec_->steps_[key.step_];
-    std::int64_t room = 0;
+    std::int64_t     room = 0;
     for (std::size_t row = 0; row < context.targets_.size(); ++row)
     {
         target_row const& target = context.targets_[row];
@@ -193,9 +194,9 @@
         std::int64_t const spread =
             step.spread_limit_ == 0
                 ? fitting
-                : std::max<std::int64_t>(0, std::int64_t{step.spread_limit_} -
-                                                count_on_target(context, key,
-                                                                id));
+                : std::max<std::int64_t>(0,
+                                         std::int64_t{step.spread_limit_} -
+                                             count_on_target(context, key, id));
         room += std::min(fitting, spread);
     }
     return room < (step.gang_ ? static_cast<std::int64_t>(step.count_) : 1);
--- a/plan/planner.hpp
+++ b/plan/planner.hpp
@@ -47,9 +47,11 @@
     std::uint32_t    long_questions_ = 0;
     // Targets that are kept free for a gang that has waited long.
     std::set<target_id> reserved_;
-    job_id              reserved_for_; // empty: none
-    instant             explain_at_;   // next notes about long waits
-    instant             watch_at_;     // next look at runs
+    stage_key           reserved_for_; // without a job: none
+    instant             reserved_until_;
+    instant             reserve_after_; // next reservation
+    instant             explain_at_;    // next notes about long waits
+    instant             watch_at_;      // next look at runs
 };
 
 // A step of the tick. Steps run in the order of `list_systems`.
@@ -60,15 +62,15 @@
 };
 
 // Systems, in order
-void apply_events(planner& context);   // inbox to tables
-void open_stages(planner& context);    // whose predecessors ended, or are due
-void count_unseen(planner& context);   // what targets not reached may run
+void apply_events(planner& context);    // inbox to tables
+void open_stages(planner& context);     // whose predecessors ended, or are due
+void count_unseen(planner& context);    // what targets not reached may run
 void estimate_chains(planner& context); // run times of what is left of jobs
-void watch_runs(planner& context);     // stalled runs, slow runs
-void pace_fillers(planner& context);   // beside tasks with a latency bound
-void request_advice(planner& context); // tickets ahead of need
-void place_tasks(planner& context);    // waiting tasks to targets
-void explain_waits(planner& context);  // what tasks that wait long wait for
+void watch_runs(planner& context);      // stalled runs, slow runs
+void pace_fillers(planner& context);    // beside tasks with a latency bound
+void request_advice(planner& context);  // tickets ahead of need
+void place_tasks(planner& context);     // waiting tasks to targets
+void explain_waits(planner& context);   // what tasks that wait long wait for
 
 // Makes the next tick happen at `due` at the latest.
 void wake_at(planner& context, instant due);
--- a/plan/request_advice.cpp
+++ b/plan/request_advice.cpp
@@ -153,10 +153,10 @@
         }
         if (step.spread_limit_ > 0)
         {
-            fitting = std::clamp<std::int64_t>(
-                std::int64_t{step.spread_limit_} -
-                    count_on_target(context, key, id),
-                0, fitting);
+            fitting =
+                std::clamp<std::int64_t>(std::int64_t{step.spread_limit_} -
+                                             count_on_target(context, key, id),
+                                         0, fitting);
         }
         if (fitting > 0)
         {
@@ -205,8 +205,7 @@
     std::vector<target_id> targets;
     for (candidate const& at : candidates)
     {
-        if (!at.ticketed_ &&
-            targets.size() < context.settings_.advice_targets_)
+        if (!at.ticketed_ && targets.size() < context.settings_.advice_targets_)
         {
             targets.push_back(context.targets_.key(at.row_));
         }
@@ -263,9 +262,8 @@
                           return is_waiting(task);
                       });
     if (waiting == 0 ||
-        (stage.startable_ &&
-         !is_within_limit(context, job.spec_->organisation_,
-                          find_step(context, key).demand_)))
+        (stage.startable_ && !is_within_limit(context, job.spec_->organisation_,
+                                              find_step(context, key).demand_)))
     {
         return;
     }
@@ -293,6 +291,11 @@
     }
     std::vector<stage_rank> const ranks = rank_asking_stages(context);
     free_room                     free = list_free_room(context);
+    if (context.stages_.contains(context.reserved_for_))
+    {
+        // Better-ranked stages can't use the room that is kept for it.
+        request_for(context, context.reserved_for_, free);
+    }
     for (stage_rank const& rank : ranks)
     {
         request_for(context, rank.stage_, free);
--- a/plan/settings.hpp
+++ b/plan/settings.hpp
@@ -17,7 +17,7 @@
     // those for urgent work.
     std::uint32_t advice_short_open_ = 8;
     std::uint32_t advice_long_open_ = 4;
-    double        advice_long_ms_ = 150; // time of a long answer
+    double        advice_long_ms_ = 150;           // time of a long answer
     std::uint32_t advice_targets_ = 30;            // named in one question
     std::int64_t  advice_retry_micros_ = 200'000;  // after a failed question
     std::int64_t  advice_margin_micros_ = 150'000; // ticket unused before end
--- a/plan/task_cell.hpp
+++ b/plan/task_cell.hpp
@@ -18,13 +18,13 @@
     std::uint32_t              runs_ = 0;     // rows of the run table
     std::uint32_t              last_run_ = 0; // highest number given
     std::vector<std::uint32_t> failed_runs_;
-    target_id                  failed_on_;     // latest failure or stall
+    target_id                  failed_on_; // latest failure or stall
     bool moved_ = false; // was stopped once because its target seemed slow
-    std::string                checkpoint_;    // latest, empty: none
-    instant                    ready_at_;      // not started before
-    instant                    waiting_since_; // last started, ended or opened
-    job_id                     delegate_; // job that runs it at another shard
-    std::uint32_t failures_ = 0; // before the job was handed to this shard
+    std::string   checkpoint_;    // latest, empty: none
+    instant       ready_at_;      // not started before
+    instant       waiting_since_; // last started, ended or opened
+    job_id        delegate_;      // job that runs it at another shard
+    std::uint32_t failures_ = 0;  // before the job was handed to this shard
 };
 
 // True when the task is to be started here.
--- a/plan/watch_runs.cpp
+++ b/plan/watch_runs.cpp
@@ -103,8 +103,7 @@
         {
             stalled.push_back(key);
         }
-        else if (!step.perpetual_ && !step.gang_ &&
-                 !was_moved(context, key) &&
+        else if (!step.perpetual_ && !step.gang_ && !was_moved(context, key) &&
                  is_slow(context, key.stage_, run, expected_ms))
         {
             slow.push_back(key);
@@ -122,8 +121,7 @@
     {
         target_id const target = context.runs_.find(key)->target_;
         context.targets_.find(target)->speed_ *= 0.5;
-        task_cell& task =
-            context.stages_.find(key.stage_)->tasks_[key.index_];
+        task_cell& task = context.stages_.find(key.stage_)->tasks_[key.index_];
         task.failed_on_ = target;
         task.moved_ = true;
         order_stop(context, key, "slow target");
--- a/tests/unit/cell_delegation_test.cpp
+++ b/tests/unit/cell_delegation_test.cpp
@@ -70,20 +70,19 @@
                            .failures_ = {0},
                            .checkpoints_ = {""},
                            .first_run_ = 7};
-    post(peer_called{
-        1,
-        {.kind_ = call_kind::submit,
-         .id_ = job_id("bb01~1-1"),
-         .shard_ = {domain_id("east"), 0},
-         .job_ = std::make_shared<staged_job const>(
-             staged_job{.id_ = job_id("bb01~1-1"),
-                        .organisation_ = organisation_id("cafe"),
-                        .queue_ = queue_id("orders"),
-                        .service_ = service_id("desk"),
-                        .payload_ = "work",
-                        .steps_ = {{.count_ = 1, .demand_ = {1000, 512, 0}}},
-                        .alias_ = alias}),
-         .deadline_ = now_.after(micros_per_second)}});
+    post(peer_called{1,
+                     {.kind_ = call_kind::submit,
+                      .id_ = job_id("bb01~1-1"),
+                      .shard_ = {domain_id("east"), 0},
+                      .job_ = std::make_shared<staged_job const>(staged_job{
+                          .id_ = job_id("bb01~1-1"),
+                          .organisation_ = organisation_id("cafe"),
+                          .queue_ = queue_id("orders"),
+                          .service_ = service_id("desk"),
+                          .payload_ = "work",
+                          .steps_ = {{.count_ = 1, .demand_ = {1000, 512, 0}}},
+                          .alias_ = alias}),
+                      .deadline_ = now_.after(micros_per_second)}});
     run_cell(200'000);
     REQUIRE(running_.size() == 1);
     CHECK(running_[0].run_.stage_.job_ == job_id("bb01"));
--- a/tests/unit/cell_fixture.hpp
+++ b/tests/unit/cell_fixture.hpp
@@ -30,6 +30,8 @@
     revision                      revision_ = 0;
     bool                          store_down_ = false;   // refuses all calls
     bool                          store_silent_ = false; // performs, no answer
+    bool                          store_held_ = false;   // answers wait
+    std::vector<store_reply>      held_;
     std::uint64_t                 last_call_ = 0;
 
     cell_fixture()
@@ -165,11 +167,27 @@
                              .error_ = "silent"});
             return;
         }
-        post(store_reply{.request_ = write.request_,
-                         .outcome_ = holds ? store_outcome::done
-                                           : store_outcome::conflict,
-                         .revision_ = revision_,
-                         .rows_ = holds ? std::vector<stored_row>() : current});
+        store_reply const reply{
+            .request_ = write.request_,
+            .outcome_ = holds ? store_outcome::done : store_outcome::conflict,
+            .revision_ = revision_,
+            .rows_ = holds ? std::vector<stored_row>() : current};
+        if (store_held_)
+        {
+            held_.push_back(reply);
+            return;
+        }
+        post(reply);
+    }
+
+    void release_store()
+    {
+        store_held_ = false;
+        for (store_reply const& reply : held_)
+        {
+            post(reply);
+        }
+        held_.clear();
     }
 
     void answer_read(store_read const& read)
--- a/tests/unit/cell_jobs_test.cpp
+++ b/tests/unit/cell_jobs_test.cpp
@@ -226,6 +226,39 @@
           job_phase::canceled);
 }
 
+// Guards against a canceled job that goes on after a kill: the answer came with
+// an earlier write, which didn't hold the cancel.
+TEST_CASE_FIXTURE(cell_fixture,
+                  "write in flight, job canceled, answered by the next write")
+{
+    serve();
+    submit("aa01");
+    run(50'000);
+    auto const starts = take<send_start>();
+    REQUIRE(starts.size() == 1);
+    post(order_reply{.request_ = starts[0].request_,
+                     .outcome_ = target_outcome::done});
+    run(20'000);
+    auto const holds = take<hold_target>();
+    REQUIRE(!holds.empty());
+    store_held_ = true;
+    answer_hold(holds.back(), {},
+                {{1, starts[0].start_.run_, run_end::failed, ""}});
+    run(100'000);
+    REQUIRE(held_.size() == 1); // the failure is being written
+    std::uint64_t const call = ask(call_kind::cancel, "aa01");
+    run(20'000);
+    std::vector<store_reply> const first = held_;
+    held_.clear();
+    post(first[0]);
+    run(50'000);
+    CHECK_FALSE(find_answer(call));
+    release_store();
+    run(50'000);
+    REQUIRE(find_answer(call));
+    CHECK(find_answer(call)->outcome_ == job_outcome::canceled);
+}
+
 // Guards against orders of an owner that another one has replaced.
 TEST_CASE_FIXTURE(cell_fixture,
                   "target obeys a higher epoch, owner gives the shard up")
--- a/tests/unit/cell_ownership_test.cpp
+++ b/tests/unit/cell_ownership_test.cpp
@@ -25,9 +25,8 @@
 
     void store_host(std::string const& name, std::string const& domain)
     {
-        store_row(
-            {"member", "", "host/" + name},
-            write_host({"127.0.0.1:7001", domain_id(domain), 1, 5}));
+        store_row({"member", "", "host/" + name},
+                  write_host({"127.0.0.1:7001", domain_id(domain), 1, 5}));
     }
 
     void tell(std::string const& name)
@@ -53,8 +52,9 @@
 
 // Guards against one host that serves every shard after others were restarted
 // in turn: it had too little processor time, and nobody took a shard back.
-TEST_CASE_FIXTURE(ownership_fixture,
-                  "host owns both shards, other host is well, one is handed over")
+TEST_CASE_FIXTURE(
+    ownership_fixture,
+    "host owns both shards, other host is well, one is handed over")
 {
     store_row(west_row_,
               write_owner({host_id("host-1"), 1, "127.0.0.1:7000", 4}));
@@ -78,8 +78,9 @@
 }
 
 // Guards against a shard that wanders between hosts that each own one.
-TEST_CASE_FIXTURE(cell_pair_fixture,
-                  "each host owns one shard, time passes, nothing is handed over")
+TEST_CASE_FIXTURE(
+    cell_pair_fixture,
+    "each host owns one shard, time passes, nothing is handed over")
 {
     run_cell(5 * micros_per_second);
     REQUIRE(make_heartbeat(*node_).shards_.size() == 1);
@@ -89,8 +90,9 @@
 
 // Guards against a second owner: a host that owned nothing had been silent for
 // long, was told nothing by the new owner, and took its shard for vacant.
-TEST_CASE_FIXTURE(ownership_fixture,
-                  "other host silent for long, shard is owned, it is told again")
+TEST_CASE_FIXTURE(
+    ownership_fixture,
+    "other host silent for long, shard is owned, it is told again")
 {
     store_host("host-2", "west");
     start(2);
@@ -127,7 +129,7 @@
             run(step);
             for (hold_target const& hold : take<hold_target>())
             {
-                second_answers && hold.target_ == target_id("t-2")
+                second_answers&& hold.target_ == target_id("t-2")
                     ? answer_hold(hold)
                     : fail_hold(hold);
             }
@@ -142,6 +144,40 @@
     CHECK(take<send_start>().size() == 1);
 }
 
+// Guards against tasks that run twice: a target that was cut off from the store
+// had left the list when its shard got a new owner, and ran on.
+TEST_CASE_FIXTURE(cell_fixture,
+                  "target left the list lately, shard taken over, it is asked")
+{
+    serve();
+    submit("aa01");
+    run(50'000);
+    auto const starts = take<send_start>();
+    REQUIRE(starts.size() == 1);
+    row_key const key{"member", "0", "shard/east.0"};
+    rows_[key] = {key, write_owner({host_id("host-2"), 5, "127.0.0.1:7001", 6}),
+                  ++revision_};
+    start(3);
+    list_target("t-1");
+    list_target("t-2");
+    tick();
+    post(target_unlisted{target_id("t-1")});
+    commands_.clear();
+    constexpr std::int64_t step = 100'000;
+    for (int round = 0; round < 30; ++round)
+    {
+        run(step);
+        for (hold_target const& hold : take<hold_target>())
+        {
+            hold.target_ == target_id("t-1")
+                ? answer_hold(hold, {{starts[0].start_.run_, "", 30, 0}})
+                : answer_hold(hold);
+        }
+    }
+    CHECK(take<send_start>().empty());
+    REQUIRE(make_heartbeat(*node_).shards_.size() == 1);
+}
+
 // Guards against callers that are sent to a host which can accept nothing,
 // while hosts elsewhere can.
 TEST_CASE_FIXTURE(cell_fixture, "store out of reach, time passes, not ready")
--- a/tests/unit/cell_pair_fixture.hpp
+++ b/tests/unit/cell_pair_fixture.hpp
@@ -29,13 +29,12 @@
 
     void tell_west()
     {
-        post(heartbeat_received{
-            {.host_ = host_id("host-2"),
-             .incarnation_ = 5,
-             .shards_ = {{.shard_ = {domain_id("west"), 0},
-                          .epoch_ = 1,
-                          .serving_ = true,
-                          .load_ = west_}}}});
+        post(heartbeat_received{{.host_ = host_id("host-2"),
+                                 .incarnation_ = 5,
+                                 .shards_ = {{.shard_ = {domain_id("west"), 0},
+                                              .epoch_ = 1,
+                                              .serving_ = true,
+                                              .load_ = west_}}}});
     }
 
     // Runs for some time while the target and the other owner answer.
--- a/tests/unit/plan_advice_test.cpp
+++ b/tests/unit/plan_advice_test.cpp
@@ -13,20 +13,19 @@
 {
     advice_fixture()
     {
-        post(queues_set{
-            {{.id_ = queue_id("orders"),
-              .service_ = service_id("desk"),
-              .max_attempts_ = 3,
-              .slack_factor_ = 1.5,
-              .objective_ms_ = 250,
-              .advice_ = advice_policy{20, 0.3, 2000}},
-             {.id_ = queue_id("checks"),
-              .service_ = service_id("desk"),
-              .priority_ = 2,
-              .max_attempts_ = 3,
-              .slack_factor_ = 2,
-              .objective_ms_ = 1000,
-              .advice_ = advice_policy{400, 5, 2000}}}});
+        post(queues_set{{{.id_ = queue_id("orders"),
+                          .service_ = service_id("desk"),
+                          .max_attempts_ = 3,
+                          .slack_factor_ = 1.5,
+                          .objective_ms_ = 250,
+                          .advice_ = advice_policy{20, 0.3, 2000}},
+                         {.id_ = queue_id("checks"),
+                          .service_ = service_id("desk"),
+                          .priority_ = 2,
+                          .max_attempts_ = 3,
+                          .slack_factor_ = 2,
+                          .objective_ms_ = 1000,
+                          .advice_ = advice_policy{400, 5, 2000}}}});
     }
 
     void add_check(std::string const& id, std::uint32_t tasks)
@@ -112,8 +111,9 @@
 
 // Guards against questions long before a stage can start: declared estimates
 // said that its predecessor was about to end.
-TEST_CASE_FIXTURE(advice_fixture,
-                  "predecessor makes slow progress, next stage is not asked yet")
+TEST_CASE_FIXTURE(
+    advice_fixture,
+    "predecessor makes slow progress, next stage is not asked yet")
 {
     set_target("t-1");
     step_spec const first{
--- a/tests/unit/plan_placement_test.cpp
+++ b/tests/unit/plan_placement_test.cpp
@@ -336,6 +336,45 @@
     }
 }
 
+// Guards against a shard that stands idle: its targets were kept for ever for a
+// gang that could not start.
+TEST_CASE_FIXTURE(plan_fixture,
+                  "gang can't start, room is kept, others start after a while")
+{
+    set_queue(advice_policy{20, 0.3, 2000});
+    set_target("t-1");
+    step_spec const gang{.count_ = 4,
+                         .demand_ = {1000, 512, 0},
+                         .estimate_ms_ = 1000,
+                         .gang_ = true};
+    add_job("j-1", {gang});
+    bool started = false;
+    for (int round = 0; round < 120; ++round)
+    {
+        if (round == 40)
+        {
+            add_job("j-2", {make_step(1)});
+        }
+        tick();
+        for (ask_advice const& asked : list<ask_advice>())
+        {
+            // The gang's questions get no answer.
+            if (asked.stage_.job_ == job_id("j-1"))
+            {
+                post(advice_failed{asked.stage_});
+                continue;
+            }
+            post(advice_given{asked.stage_,
+                              asked.targets_,
+                              {{target_id("t-1"), "ticket"}},
+                              now_.after(2 * micros_per_second)});
+        }
+        started = started || !list<start_run>().empty();
+        advance(100'000);
+    }
+    CHECK(started);
+}
+
 // Guards against work thrown away again and again: a task longer than its
 // siblings was taken for one on a slow target, wherever it ran.
 TEST_CASE_FIXTURE(plan_fixture, "task slow on two targets, moved once")
@@ -366,8 +405,8 @@
         if (!list<stop_run>().empty())
         {
             ++moves;
-            post(run_ended{current.run_, current.target_, run_end::stopped,
-                           ""});
+            post(
+                run_ended{current.run_, current.target_, run_end::stopped, ""});
             tick();
             REQUIRE(list<start_run>().size() == 1);
             post(run_confirmed{list<start_run>()[0].run_,
@@ -384,8 +423,9 @@
 
 // Guards against a gang that waits for ever in a shard where lasting tasks take
 // the room that it needs.
-TEST_CASE_FIXTURE(plan_fixture,
-                  "gang beside lasting tasks, room never comes, told as blocked")
+TEST_CASE_FIXTURE(
+    plan_fixture,
+    "gang beside lasting tasks, room never comes, told as blocked")
 {
     set_target("t-1");
     step_spec const lasting{
