--- a/tests/unit/cell_allotments_test.cpp
+++ b/tests/unit/cell_allotments_test.cpp
@@ -113,7 +113,7 @@
     CHECK(running_.size() <= 4);
     // What runs keeps its room until it ends.
     std::size_t const kept = running_.size();
-    running_.resize(1);
+    running_ = std::vector<reported_run>{running_.front()};
     run_cell(100'000);
     CHECK(stored_part(east_) >= static_cast<std::int64_t>(kept) * 250 - 750);
     CHECK(stored_part(east_) + stored_part(west_id_) <= 1000);
