Remove state that nothing reads and merge logic that stood twice

Read-through of the change. One piece of code each now counts the waiting tasks of a stage, applies the spread limit, charges a task's room, names the fence row of a shard and tells whether a host is silent.

--- a/cell/cell.hpp
+++ b/cell/cell.hpp
@@ -63,7 +63,6 @@
 std::uint32_t max_body_bytes(node const& context);
 std::uint32_t count_waiting(node const& context, queue_id const& queue);
 heartbeat     make_heartbeat(node const& context); // for other hosts
-std::size_t   count_open_calls(node const& context);
 
 } // namespace fescuevane::cell
 
--- a/cell/claim_shards.cpp
+++ b/cell/claim_shards.cpp
@@ -214,8 +214,7 @@
     revision const      seen = own.parts_[part].fenced_
                                    ? own.parts_[part].fence_
                                    : context.shards_.find(shard)->revisions_[part];
-    row_key const       key{"member", std::to_string(part),
-                      "shard/" + write_shard_name(shard)};
+    row_key const       key = write_fence_key(shard, part);
     std::uint64_t const request = next_request(context);
     context.requests_.ensure(request) = {
         .kind_ = kind, .shard_ = shard, .part_ = part, .sent_ = context.now_};
@@ -403,7 +402,6 @@
             if (all)
             {
                 own.phase_ = owned_phase::loading;
-                own.taken_at_ = context.now_;
                 // A run number is never given twice, so numbers start above
                 // those of earlier owners, which aren't all known.
                 constexpr std::uint32_t runs_per_epoch = 1000;
--- a/cell/command.hpp
+++ b/cell/command.hpp
@@ -4,7 +4,6 @@
 
 #include "cell/answer_call.hpp"
 #include "cell/call_peer.hpp"
-#include "cell/forget_target.hpp"
 #include "cell/hold_target.hpp"
 #include "cell/log_line.hpp"
 #include "cell/reply_peer.hpp"
@@ -22,9 +21,9 @@
 {
 
 using command =
-    std::variant<answer_call, call_peer, forget_target, hold_target, log_line,
-                 reply_peer, send_heartbeat, send_pace, send_question,
-                 send_start, send_stop, store_read, store_transact>;
+    std::variant<answer_call, call_peer, hold_target, log_line, reply_peer,
+                 send_heartbeat, send_pace, send_question, send_start,
+                 send_stop, store_read, store_transact>;
 
 } // namespace fescuevane::cell
 
--- a/cell/drive_planners.cpp
+++ b/cell/drive_planners.cpp
@@ -223,9 +223,8 @@
     {
         host_row const& host = context.hosts_[row];
         host_id const&  id = context.hosts_.key(row);
-        bool const      silent = host.heard_at_.remaining_until(context.now_) >
-                            values.suspect_micros_;
-        if (id == values.host_ || !host.heard_ || silent || host.stopping_)
+        if (id == values.host_ || !host.heard_ || host.stopping_ ||
+            is_silent(context, host.heard_at_))
         {
             continue;
         }
--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -144,7 +144,6 @@
         session.orders_.clear();
         session.unstored_.clear();
         session.hold_ = 0;
-        context.outbox_.push_back(forget_target{context.sessions_.key(row)});
     }
 }
 
@@ -172,7 +171,6 @@
     }
     if (moved)
     {
-        context.outbox_.push_back(forget_target{id});
         session.hold_ = 0;
         session.hold_at_ = context.now_;
     }
@@ -810,7 +808,6 @@
     if (!session.listed_)
     {
         tell(context, session, plan::target_gone{id});
-        context.outbox_.push_back(forget_target{id});
         context.sessions_.remove(id);
         return false;
     }
--- a/cell/move_allotments.cpp
+++ b/cell/move_allotments.cpp
@@ -272,8 +272,7 @@
 void lend_parts(node& context, shard_id const& shard, owned_row& own)
 {
     std::vector<row_condition> conditions = {
-        {{"member", "0", "shard/" + write_shard_name(shard)},
-         own.parts_[0].fence_}};
+        {write_fence_key(shard, 0), own.parts_[0].fence_}};
     std::vector<row_write>   writes;
     plan::load_summary const load = plan::summarize_load(*own.planner_);
     for (plan::organisation_load const& mine : load.organisations_)
--- a/cell/node.cpp
+++ b/cell/node.cpp
@@ -196,11 +196,6 @@
     return waiting;
 }
 
-std::size_t count_open_calls(node const& context)
-{
-    return context.calls_.size();
-}
-
 // 4. Shared by the systems
 
 std::uint64_t next_request(node& context)
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -60,7 +60,6 @@
     std::vector<parked_call>               parked_;
     std::map<job_id, shard_id>             places_;      // where jobs are
     std::deque<job_id>                     place_order_; // oldest first
-    std::set<target_id>                    relisted_;    // of a list being read
     std::map<std::uint64_t, shard_id>      probes_;      // request to shard
     table<host_id, asker_row>              askers_;
     table<organisation_id, allotment_row>  allotments_; // divided limits
@@ -85,7 +84,6 @@
     instant beat_at_;
     instant balance_at_; // next look for better owners
     bool    stopping_ = false;
-    instant stop_deadline_ = instant::never();
 };
 
 struct system_entry
--- a/cell/owned_row.hpp
+++ b/cell/owned_row.hpp
@@ -22,7 +22,6 @@
 {
     owned_phase phase_ = owned_phase::claiming;
     epoch       epoch_ = 0;
-    instant     taken_at_;                    // fenced everywhere
     bool        predecessor_stopped_ = false; // it released the shard, or is us
     instant exclusive_since_ = instant::never(); // no other owner renews leases
     plan::planner_ptr         planner_;
--- a/cell/records.cpp
+++ b/cell/records.cpp
@@ -83,6 +83,11 @@
                  });
 }
 
+row_key write_fence_key(shard_id const& shard, std::uint32_t part)
+{
+    return {"member", std::to_string(part), "shard/" + write_shard_name(shard)};
+}
+
 std::string write_shard_name(shard_id const& shard)
 {
     return shard.domain_.str() + "." + std::to_string(shard.index_);
--- a/cell/records.hpp
+++ b/cell/records.hpp
@@ -6,6 +6,7 @@
 #include "cell/host_record.hpp"
 #include "cell/job_record.hpp"
 #include "cell/owner_record.hpp"
+#include "cell/row_key.hpp"
 
 #include <string>
 #include <string_view>
@@ -30,6 +31,9 @@
 job_record  read_job(std::string const& text);
 std::shared_ptr<staged_job const> read_spec(std::string const& text);
 
+// The row of a shard in one part, which fences the rows of its jobs there.
+row_key write_fence_key(shard_id const& shard, std::uint32_t part);
+
 std::string write_shard_name(shard_id const& shard); // domain.index
 shard_id    read_shard_name(std::string const& text);
 
--- a/cell/release_shards.cpp
+++ b/cell/release_shards.cpp
@@ -195,12 +195,11 @@
     }
 }
 
-void apply(node& context, stop_requested const& input)
+void apply(node& context, stop_requested const& /*input*/)
 {
     if (!context.stopping_)
     {
         context.stopping_ = true;
-        context.stop_deadline_ = input.deadline_;
         log_event(context, "stopping", {});
         context.beat_at_ = context.now_; // tell the others at once
     }
--- a/cell/write_journal.cpp
+++ b/cell/write_journal.cpp
@@ -102,8 +102,7 @@
         return;
     }
     std::vector<row_condition> conditions = {
-        {{"member", std::to_string(index), "shard/" + write_shard_name(shard)},
-         part.fence_}};
+        {write_fence_key(shard, index), part.fence_}};
     std::vector<row_write> writes;
     for (job_id const& job : jobs)
     {
--- a/plan/count_unseen.cpp
+++ b/plan/count_unseen.cpp
@@ -47,12 +47,7 @@
         {
             continue;
         }
-        auto const waiting = static_cast<std::int64_t>(
-            std::count_if(stage.tasks_.begin(), stage.tasks_.end(),
-                          [](task_cell const& task)
-                          {
-                              return is_waiting(task);
-                          }));
+        auto const        waiting = count_waiting(stage);
         organisation_row& owner =
             context.organisations_.ensure(job.spec_->organisation_);
         owner.unseen_ =
--- a/plan/job_flow.cpp
+++ b/plan/job_flow.cpp
@@ -9,6 +9,7 @@
 #include "plan/job_flow.hpp"
 
 #include "plan/planner.hpp"
+#include "plan/room.hpp"
 
 #include <algorithm>
 #include <array>
@@ -50,6 +51,15 @@
 
 // 1. Jobs and stages
 
+std::int64_t count_waiting(stage_row const& stage)
+{
+    return std::count_if(stage.tasks_.begin(), stage.tasks_.end(),
+                         [](task_cell const& task)
+                         {
+                             return is_waiting(task);
+                         });
+}
+
 void close_question(planner& context, stage_row& stage)
 {
     if (stage.asked_)
@@ -258,23 +268,15 @@
 namespace
 {
 
-// What a target's capacity is charged: fillers use processors that the others
-// leave, but their memory is theirs.
-resources charge_of(run_row const& run)
-{
-    return run.filler_ ? resources(0, run.demand_.memory_mib(),
-                                   run.demand_.accelerators())
-                       : run.demand_;
-}
-
 void charge_run(planner& context, run_row const& run, int sign)
 {
+    resources const charge = charge_of(run.demand_, run.filler_);
     if (target_row* const target = context.targets_.find(run.target_))
     {
-        target->used_ = target->used_ + charge_of(run) * sign;
+        target->used_ = target->used_ + charge * sign;
         if (run.lasting_)
         {
-            target->lasting_ = target->lasting_ + charge_of(run) * sign;
+            target->lasting_ = target->lasting_ + charge * sign;
         }
         target->serving_ += run.latency_target_ms_ > 0 ? sign : 0;
         target->fillers_ += run.filler_ ? sign : 0;
--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -190,14 +190,8 @@
         {
             continue;
         }
-        std::int64_t const fitting = count_fitting_later(context, key, target);
-        std::int64_t const spread =
-            step.spread_limit_ == 0
-                ? fitting
-                : std::max<std::int64_t>(0,
-                                         std::int64_t{step.spread_limit_} -
-                                             count_on_target(context, key, id));
-        room += std::min(fitting, spread);
+        room += limit_to_spread(context, key, id,
+                                count_fitting_later(context, key, target));
     }
     return room < (step.gang_ ? static_cast<std::int64_t>(step.count_) : 1);
 }
@@ -337,13 +331,8 @@
         }
         stage_key const&     key = context.stages_.key(row);
         job_row const* const job = context.jobs_.find(key.job_);
-        auto const           waiting = static_cast<std::int64_t>(
-            std::count_if(stage.tasks_.begin(), stage.tasks_.end(),
-                                    [](task_cell const& task)
-                                    {
-                              return is_waiting(task);
-                          }));
-        resources const demand =
+        auto const           waiting = count_waiting(stage);
+        resources const      demand =
             job->spec_->steps_[key.step_].demand_ * waiting;
         sum.queued_ = sum.queued_ + demand;
         resources& owned = queued[job->spec_->organisation_];
--- a/plan/request_advice.cpp
+++ b/plan/request_advice.cpp
@@ -151,13 +151,7 @@
         {
             continue;
         }
-        if (step.spread_limit_ > 0)
-        {
-            fitting =
-                std::clamp<std::int64_t>(std::int64_t{step.spread_limit_} -
-                                             count_on_target(context, key, id),
-                                         0, fitting);
-        }
+        fitting = limit_to_spread(context, key, id, fitting);
         if (fitting > 0)
         {
             candidates.push_back(
@@ -255,12 +249,7 @@
 {
     stage_row&         stage = *context.stages_.find(key);
     job_row const&     job = *context.jobs_.find(key.job_);
-    std::int64_t const waiting =
-        std::count_if(stage.tasks_.begin(), stage.tasks_.end(),
-                      [](task_cell const& task)
-                      {
-                          return is_waiting(task);
-                      });
+    std::int64_t const waiting = count_waiting(stage);
     if (waiting == 0 ||
         (stage.startable_ && !is_within_limit(context, job.spec_->organisation_,
                                               find_step(context, key).demand_)))
--- a/plan/room.cpp
+++ b/plan/room.cpp
@@ -46,11 +46,15 @@
            suits_stage(context, stage, target);
 }
 
+resources charge_of(resources const& demand, bool filler)
+{
+    return filler ? resources(0, demand.memory_mib(), demand.accelerators())
+                  : demand;
+}
+
 resources room_of(step_spec const& step)
 {
-    return step.filler_ ? resources(0, step.demand_.memory_mib(),
-                                    step.demand_.accelerators())
-                        : step.demand_;
+    return charge_of(step.demand_, step.filler_);
 }
 
 std::int64_t count_fitting_in(step_spec const& step, target_row const& target,
@@ -83,7 +87,13 @@
 std::int64_t count_startable(planner const& context, stage_key const& stage,
                              target_id const& id, target_row const& target)
 {
-    std::int64_t const  fitting = count_fitting(context, stage, target);
+    return limit_to_spread(context, stage, id,
+                           count_fitting(context, stage, target));
+}
+
+std::int64_t limit_to_spread(planner const& context, stage_key const& stage,
+                             target_id const& id, std::int64_t fitting)
+{
     std::uint32_t const limit = find_step(context, stage).spread_limit_;
     if (limit == 0 || fitting == 0)
     {
--- a/plan/room.hpp
+++ b/plan/room.hpp
@@ -29,8 +29,9 @@
 bool accepts_stage(planner const& context, stage_key const& stage,
                    target_row const& target);
 
-// What a task of the step takes from a target's room: fillers use processors
-// that others leave, but memory of their own.
+// What a task takes from a target's room: fillers use processors that others
+// leave, but memory of their own.
+resources charge_of(resources const& demand, bool filler);
 resources room_of(step_spec const& step);
 
 // Tasks of the step that fit in some room of the target.
@@ -49,6 +50,10 @@
 std::int64_t count_startable(planner const& context, stage_key const& stage,
                              target_id const& id, target_row const& target);
 
+// The part of `fitting` tasks that the stage's limit for one target leaves.
+std::int64_t limit_to_spread(planner const& context, stage_key const& stage,
+                             target_id const& id, std::int64_t fitting);
+
 // True when the stage needs no ticket or holds a valid one for the target.
 bool has_ticket(planner const& context, stage_key const& key,
                 stage_row const& stage, target_id const& target);
--- a/plan/stage_row.hpp
+++ b/plan/stage_row.hpp
@@ -30,6 +30,8 @@
     instant                          ask_after_;
 };
 
+std::int64_t count_waiting(stage_row const& stage); // tasks to start here
+
 } // namespace fescuevane::plan
 
 #endif
