Map runs to the jobs of their own shard only

Callers saw: a task runs a second time after its end was noted, when one host owns several shards of a cell.

Cause: a task that is handed from shard to shard and back is represented by one job in each shard, under the same original name. The session of a target looked for the job among all shards that the host owns and took the one that was loaded last, so the planner of the target's shard got a report of a job that it doesn't know. It stopped the run, or dropped its end, which was then forgotten by the target, and started the task again.

Change: a run is looked up among the jobs of the session's shard.

Evidence: the new test starts the task a second time and never completes the job on the code before (31 of 32 cell tests pass), and passes now (32 of 32).

--- a/cell/delegate_tasks.cpp
+++ b/cell/delegate_tasks.cpp
@@ -76,9 +76,10 @@
     return {alias.stage_, alias.indices_.at(run.index_), run.run_};
 }
 
-// A task may have been here, gone and come back: of the jobs that stand for it,
-// a run belongs to the one with the highest number below the run's.
-run_key to_local(node const& context, run_key const& run)
+// A task may have been in a shard, gone and come back: of the jobs of the shard
+// that stand for it, a run belongs to the one with the highest number below the
+// run's. Jobs of other shards that this host owns stand for runs elsewhere.
+run_key to_local(node const& context, shard_id const& shard, run_key const& run)
 {
     auto const stage = context.aliases_.find(run.stage_);
     if (stage == context.aliases_.end())
@@ -95,7 +96,7 @@
     for (job_id const& id : jobs->second)
     {
         record_row const* const record = context.records_.find(id);
-        if (record == nullptr)
+        if (record == nullptr || record->shard_ != shard)
         {
             continue;
         }
--- a/tests/unit/cell_delegation_test.cpp
+++ b/tests/unit/cell_delegation_test.cpp
@@ -1,6 +1,9 @@
 // Purpose: tests of handing tasks from one shard to another.
 #include "cell_pair_fixture.hpp"
 
+#include "cell/records.hpp"
+#include "core/job_progress.hpp"
+
 #include <doctest/doctest.h>
 
 namespace fescuevane::cell
@@ -118,5 +121,73 @@
     }
 }
 
+// One host owns both shards. A task went from a job of east to west, and from
+// there back to east.
+struct returned_fixture : cell_fixture
+{
+    job_id const gone_ = job_id("bb01~1-1");     // stands for it in west
+    job_id const back_ = job_id("bb01~1-1~1-2"); // stands for it in east
+
+    returned_fixture()
+    {
+        settings_.domains_ = {domain_id("east"), domain_id("west")};
+        store_job(gone_, domain_id("west"), back_);
+        store_job(back_, domain_id("east"), job_id());
+        for (char const* const domain : {"east", "west"})
+        {
+            row_key const key{"member", "0",
+                              std::string("shard/") + domain + ".0"};
+            rows_[key] = {
+                key, write_owner({host_id("host-1"), 1, "127.0.0.1:7000", 4}),
+                ++revision_};
+        }
+        start(2);
+        list_target("t-1");
+        run(micros_per_second);
+    }
+
+    void store_job(job_id const& id, domain_id const& domain,
+                   job_id const& delegate)
+    {
+        staged_job const job{
+            .id_ = id,
+            .organisation_ = organisation_id("cafe"),
+            .queue_ = queue_id("orders"),
+            .service_ = service_id("desk"),
+            .payload_ = "work",
+            .steps_ = {{.count_ = 1, .demand_ = {1000, 512, 0}}},
+            .accepted_unix_ms_ = unix_ms_,
+            .alias_ = task_alias{.stage_ = {job_id("bb01"), 0, 0},
+                                 .indices_ = {3},
+                                 .failures_ = {0},
+                                 .checkpoints_ = {""},
+                                 .first_run_ = 7}};
+        job_progress progress;
+        if (!delegate.empty())
+        {
+            progress.tasks_.push_back({.delegate_ = delegate});
+        }
+        row_key const key{"job", "0", id.str()};
+        rows_[key] = {key, write_job({domain, 0}, write_spec(job), progress),
+                      ++revision_};
+    }
+};
+
+// Guards against a task that runs twice: its end was taken for that of the job
+// which stands for it in another shard of the same host, and was forgotten.
+TEST_CASE_FIXTURE(returned_fixture,
+                  "host owns both shards, returned task ends, job completed")
+{
+    run_key const run_of_task{{job_id("bb01"), 0, 0}, 3, 9};
+    auto const    holds = take<hold_target>();
+    REQUIRE(!holds.empty());
+    answer_hold(holds.back(), {}, {{1, run_of_task, run_end::done, ""}});
+    run(micros_per_second);
+    CHECK(take<send_start>().empty());
+    CHECK(
+        read_job(rows_.at({"job", "0", back_.str()}).value_).progress_.phase_ ==
+        job_phase::completed);
+}
+
 } // namespace
 } // namespace fescuevane::cell
