Await the ends of a silent target while it is listed

Cause: an owner took the lapse of a target's leases for the end of all that it knew to run there, and started it elsewhere. Work that had ended as done before the lapse, but whose end the owner had not read, ran a second time. The owner had not read it because it ran late itself, or because the target was cut off. The same held for targets that a new owner had not reached yet.

Change: while the list names the target, its work waits until it is reached, leaves the list, or 8 s have passed since the lapse.

The case of the silent target whose task starts elsewhere within seconds, and the one of the new owner, now take the target off the list first, with the same bounds: for a listed target they expected the fault.

--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -224,34 +224,33 @@
                : since.after(longest_lease_micros(context.settings_));
 }
 
-// True when no lease that was ever granted can still be running, even on a
-// clock that is slow.
-bool has_lapsed(node const& context, session_row const& session)
+// When no lease that was ever granted can still be running, even on a clock
+// that is slow.
+instant find_lapse(node const& context, session_row const& session)
 {
     settings const& values = context.settings_;
     if (session.clock_ms_ == 0)
     {
-        return unseen_lapse(context, session) <= context.now_;
+        return unseen_lapse(context, session);
     }
-    double const passed =
-        elapsed_ms(session.clock_at_, context.now_) * (1 - values.clock_drift_);
-    return static_cast<double>(session.clock_ms_) + passed >
-           static_cast<double>(session.granted_ms_ + values.clock_slack_ms_);
-}
-
-// Wakes when the leases on a silent target may have lapsed.
-void wake_for_lapse(node& context, session_row const& session)
-{
-    settings const& values = context.settings_;
-    double const    wait_ms =
+    double const wait_ms =
         static_cast<double>(session.granted_ms_ + values.clock_slack_ms_ -
                             session.clock_ms_) /
         (1 - values.clock_drift_);
-    instant const lapse = session.clock_at_.after(
+    return session.clock_at_.after(
         static_cast<std::int64_t>(wait_ms * micros_per_milli) +
         micros_per_milli);
-    wake_at(context,
-            session.clock_ms_ == 0 ? unseen_lapse(context, session) : lapse);
+}
+
+// When the work of a silent target may start elsewhere. Once its leases have
+// lapsed nothing runs there, but it may still list work that was done before.
+// While the list of targets names it, it is alive and most likely tells soon.
+instant find_give_up(node const& context, session_row const& session)
+{
+    instant const lapse = find_lapse(context, session);
+    return session.listed_ && lapse != instant::never()
+               ? lapse.after(context.settings_.listed_wait_micros_)
+               : lapse;
 }
 
 void send_hold(node& context, target_id const& id, session_row& session)
@@ -791,9 +790,10 @@
     {
         return true;
     }
-    if (!has_lapsed(context, session))
+    instant const give_up = find_give_up(context, session);
+    if (give_up > context.now_)
     {
-        wake_for_lapse(context, session);
+        wake_at(context, give_up);
         return true;
     }
     if (session.phase_ == session_phase::attaching)
--- a/tests/unit/cell_jobs_test.cpp
+++ b/tests/unit/cell_jobs_test.cpp
@@ -114,43 +114,95 @@
     CHECK(find_answer(call)->phase_ == job_phase::completed);
 }
 
-// Guards against leases that never lapse: each question to a silent target
-// carried a new one.
-TEST_CASE_FIXTURE(cell_fixture,
-                  "target falls silent, leases lapse, task starts elsewhere")
+// A target that runs a task falls silent; another one has room.
+struct silent_target_fixture : cell_fixture
 {
-    serve();
-    submit("aa01");
-    run(50'000);
-    auto const starts = take<send_start>();
-    REQUIRE(starts.size() == 1);
-    post(order_reply{.request_ = starts[0].request_,
-                     .outcome_ = target_outcome::done});
-    for (int round = 0; round < 700; ++round)
+    run_key started_;
+
+    silent_target_fixture()
     {
-        for (hold_target const& hold : take<hold_target>())
-        {
-            fail_hold(hold);
-        }
-        run(10'000);
-        if (round == 300)
-        {
-            CHECK(take<send_start>().empty()); // its lease may still hold
-            list_target("t-2");
-        }
-        if (round > 300)
+        serve();
+        submit("aa01");
+        run(50'000);
+        auto const starts = take<send_start>();
+        REQUIRE(starts.size() == 1);
+        started_ = starts[0].start_.run_;
+        post(order_reply{.request_ = starts[0].request_,
+                         .outcome_ = target_outcome::done});
+    }
+
+    // Runs for some time while only the second target answers.
+    void run_silent(std::int64_t micros)
+    {
+        constexpr std::int64_t step = 10'000;
+        for (std::int64_t passed = 0; passed < micros; passed += step)
         {
             for (hold_target const& hold : take<hold_target>())
             {
                 hold.target_ == target_id("t-2") ? answer_hold(hold)
                                                  : fail_hold(hold);
             }
+            run(step);
+        }
+    }
+};
+
+// Guards against leases that never lapse: each question to a silent target
+// carried a new one.
+TEST_CASE_FIXTURE(silent_target_fixture,
+                  "target falls silent, leaves the list, task starts elsewhere")
+{
+    run_silent(3 * micros_per_second);
+    CHECK(take<send_start>().empty()); // its lease may still hold
+    list_target("t-2");
+    post(target_unlisted{target_id("t-1")});
+    run_silent(4 * micros_per_second);
+    auto const again = take<send_start>();
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].start_.target_ == target_id("t-2"));
+    CHECK(again[0].start_.run_.run_ > started_.run_);
+}
+
+// Guards against a task that is started again though its run has ended as done:
+// the owner was late or cut off, and learnt of the end after the lease.
+TEST_CASE_FIXTURE(silent_target_fixture,
+                  "target silent and listed, lease lapses, its end is awaited")
+{
+    list_target("t-2");
+    run_silent(10 * micros_per_second);
+    CHECK(take<send_start>().empty());
+    bool reached = false;
+    for (int round = 0; round < 30 && !reached; ++round)
+    {
+        run(10'000);
+        for (hold_target const& hold : take<hold_target>())
+        {
+            if (hold.target_ == target_id("t-1"))
+            {
+                CHECK(hold.lease_clock_ms_ == 0); // what runs there may end
+                answer_hold(hold, {}, {{1, started_, run_end::done, ""}});
+                reached = true;
+            }
         }
     }
+    run(micros_per_second);
+    CHECK(take<send_start>().empty());
+    std::uint64_t const call = ask(call_kind::lookup, "aa01");
+    run(50'000);
+    REQUIRE(find_answer(call));
+    CHECK(find_answer(call)->phase_ == job_phase::completed);
+}
+
+// Guards against work that waits without end for a target that nobody reaches.
+TEST_CASE_FIXTURE(silent_target_fixture,
+                  "target silent and listed for long, task starts elsewhere")
+{
+    list_target("t-2");
+    run_silent(14 * micros_per_second);
     auto const again = take<send_start>();
     REQUIRE(again.size() == 1);
     CHECK(again[0].start_.target_ == target_id("t-2"));
-    CHECK(again[0].start_.run_.run_ > starts[0].start_.run_.run_);
+    CHECK(again[0].start_.run_.run_ > started_.run_);
 }
 
 // Guards against a second run of a task whose start got no answer.
--- a/tests/unit/cell_ownership_test.cpp
+++ b/tests/unit/cell_ownership_test.cpp
@@ -140,8 +140,19 @@
     CHECK(take<send_start>().empty());
     run_with(true, 5 * micros_per_second);
     CHECK(take<send_start>().empty()); // the former owner learns of it first
-    run_with(true, 2 * micros_per_second);
-    CHECK(take<send_start>().size() == 1);
+    SUBCASE("the other target has left the list")
+    {
+        post(target_unlisted{target_id("t-1")});
+        run_with(true, 2 * micros_per_second);
+        CHECK(take<send_start>().size() == 1);
+    }
+    SUBCASE("the other target is listed and may tell an end")
+    {
+        run_with(true, 2 * micros_per_second);
+        CHECK(take<send_start>().empty());
+        run_with(true, 8 * micros_per_second);
+        CHECK(take<send_start>().size() == 1);
+    }
 }
 
 // Guards against tasks that run twice: a target that was cut off from the store
