Read replies before judging deadlines that passed while the loop was late

Callers saw: too little served on the grown deployments; owners counted all targets of their shard as silent within seconds, and starts got no answer, though the targets were well.

Cause: a process that had no processor time finds a deadline that has passed and the reply to the call in the same turn of its main loop.

--- a/io/deadline_queue.hpp
+++ b/io/deadline_queue.hpp
@@ -15,6 +15,10 @@
 
 // The main loop looks at each of its sources in each turn, so a source for each
 // request in flight costs more than the requests.
+//
+// A process that had no processor time finds deadlines that passed and replies
+// that arrived in the same turn of its loop. It reads the replies first: what
+// passed while the loop was late is due a little later, once.
 class deadline_queue
 {
 public:
@@ -26,11 +30,16 @@
     void  remove(entry const& name); // does nothing when it has fired
 
 private:
+    using entry_map = std::map<entry, std::function<void()>>;
+
     void run_due();
+    void run_postponed(instant now);
 
-    std::map<entry, std::function<void()>> entries_;
-    std::uint64_t                          last_ = 0;
-    timer                                  timer_;
+    entry_map     entries_;
+    entry_map     postponed_; // passed while the loop was late
+    instant       postponed_until_ = instant::never();
+    std::uint64_t last_ = 0;
+    timer         timer_;
 };
 
 } // namespace fescuevane::io
