Name the owner of a shard in log lines without hiding the host

Cause: `owner_changed` and `shard_moves` had a field "host", which replaced the field of that name that says which host wrote the line. Change: the fields are "owner" and "successor". Result: cell_tests pass; the events were not played on a site.

--- a/cell/follow_members.cpp
+++ b/cell/follow_members.cpp
@@ -93,7 +93,7 @@
         shard->serving_ = false;
         log_event(context, "owner_changed",
                   {{"shard", write_shard_name(id)},
-                   {"host", record.host_.str()},
+                   {"owner", record.host_.str()},
                    {"epoch", std::to_string(record.epoch_)}});
     }
     shard->owner_ = record.host_;
--- a/cell/release_shards.cpp
+++ b/cell/release_shards.cpp
@@ -128,7 +128,7 @@
             {
                 log_event(context, "shard_moves",
                           {{"shard", write_shard_name(shard)},
-                           {"host", host->str()},
+                           {"successor", host->str()},
                            {"owned", std::to_string(context.owned_.size())}});
                 context.owned_[row].releasing_ = true;
                 return;
