Measure how late the main loop runs and what it spends time on

Cause: with many targets owners fall behind and leases lapse; neither logs nor metrics could tell a process without processor time from sick targets or a slow store. Change: a tick takes an optional observer, which learns the end of each system, the age of each reply of a target, the lease that is left then, and leases that lapse.

--- a/cell/cell.hpp
+++ b/cell/cell.hpp
@@ -27,6 +27,8 @@
 namespace fescuevane::cell
 {
 
+class tick_observer;
+
 // 1. Context
 struct node; // all tables of one process, see node.hpp
 
@@ -44,9 +46,10 @@
 
 // 3. Ticks
 // Appends the commands in the order in which they have to be carried out.
-// `now` never goes back; `unix_ms` is the time of day, for timed jobs.
+// `now` never goes back; `unix_ms` is the time of day, for timed jobs. The
+// observer may be null.
 void    run_tick(node& context, instant now, std::int64_t unix_ms,
-                 std::vector<command>& output);
+                 std::vector<command>& output, tick_observer* observer = nullptr);
 instant next_deadline(node const& context); // next tick without events
 
 // 4. Queries
@@ -58,6 +61,7 @@
                                                  std::string const& key);
 bool                           has_config(node const& context);
 bool                           is_ready(node const& context); // takes calls
+bool                           owns_shards(node const& context);
 bool          is_stopped(node const& context); // nothing left to hand over
 std::uint64_t config_version(node const& context);
 std::uint32_t max_body_bytes(node const& context);
--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -9,7 +9,9 @@
 //   5. Ticks
 #include "cell/node.hpp"
 
+#include "cell/hold_timing.hpp"
 #include "cell/records.hpp"
+#include "cell/tick_observer.hpp"
 
 #include <algorithm>
 #include <array>
@@ -736,6 +738,35 @@
 
 // 5. Ticks
 
+// Tells the observer how late a reply is judged, before it is applied.
+void observe_hold(node const& context, hold_reply const& input)
+{
+    session_row const* const session = context.sessions_.find(input.target_);
+    if (context.observer_ == nullptr || session == nullptr || !session->open_ ||
+        session->hold_ != input.request_)
+    {
+        return;
+    }
+    bool const answered = input.outcome_ == target_outcome::done;
+    std::optional<std::int64_t> left_micros;
+    if (answered && session->clock_ms_ != 0 && !session->runs_.empty())
+    {
+        // The reply may have waited for this tick while the clock went on.
+        std::int64_t const clock_ms =
+            std::max(input.clock_ms_, target_clock(*session, context.now_));
+        left_micros = (session->granted_ms_ - clock_ms) * micros_per_milli;
+    }
+    context.observer_->judge_hold(
+        {.target_ = input.target_,
+         .answered_ = answered,
+         .age_micros_ = session->hold_sent_.remaining_until(context.now_),
+         .lease_left_micros_ = left_micros});
+    if (left_micros && *left_micros < 0)
+    {
+        context.observer_->lapse_lease(input.target_);
+    }
+}
+
 namespace
 {
 
@@ -803,6 +834,10 @@
     }
     if (!session.runs_.empty())
     {
+        if (context.observer_ != nullptr)
+        {
+            context.observer_->lapse_lease(id);
+        }
         end_life(context, id, "its leases have lapsed");
     }
     if (!session.listed_)
--- a/cell/node.cpp
+++ b/cell/node.cpp
@@ -8,6 +8,7 @@
 #include "cell/node.hpp"
 
 #include "cell/cell.hpp"
+#include "cell/tick_observer.hpp"
 #include "core/hashing.hpp"
 
 #include <algorithm>
@@ -70,15 +71,25 @@
 }
 
 void run_tick(node& context, instant now, std::int64_t unix_ms,
-              std::vector<command>& output)
+              std::vector<command>& output, tick_observer* observer)
 {
+    context.observer_ = observer;
     context.now_ = now;
     context.unix_ms_ = unix_ms;
     context.wake_ = instant::never();
+    if (observer != nullptr)
+    {
+        observer->begin_tick();
+    }
     for (system_entry const& system : list_systems)
     {
         system.run_(context);
+        if (observer != nullptr)
+        {
+            observer->end_system(system.name_);
+        }
     }
+    context.observer_ = nullptr;
     for (command& order : context.outbox_)
     {
         output.push_back(std::move(order));
@@ -97,6 +108,10 @@
     inbox.swap(context.inbox_);
     for (event const& input : inbox)
     {
+        if (auto const* const reply = std::get_if<hold_reply>(&input))
+        {
+            observe_hold(context, *reply);
+        }
         std::visit(
             [&context](auto const& value)
             {
@@ -160,6 +175,11 @@
            !context.stopping_ && !cut_off;
 }
 
+bool owns_shards(node const& context)
+{
+    return !context.owned_.empty();
+}
+
 bool is_stopped(node const& context)
 {
     return context.stopping_ && context.owned_.empty();
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -33,6 +33,8 @@
 namespace fescuevane::cell
 {
 
+class tick_observer;
+
 struct node
 {
     settings             settings_;
@@ -43,6 +45,7 @@
     instant              started_;
     instant              wake_ = instant::never();
     std::uint64_t        last_request_ = 0;
+    tick_observer*       observer_ = nullptr; // of the current tick
 
     std::shared_ptr<cell_config const> config_; // null: none yet
     std::set<domain_id>                out_;    // taken out by operators
@@ -170,6 +173,7 @@
 void open_sessions(node& context, shard_id const& shard);
 void close_sessions(node& context, shard_id const& shard);
 void tell_planner(node& context, target_id const& target);
+void observe_hold(node const& context, hold_reply const& input);
 void queue_order(node& context, shard_id const& shard,
                  plan::command const& order);
 
--- /dev/null
+++ b/cell/tick_observer.hpp
@@ -0,0 +1,33 @@
+// Purpose: what a caller may watch of a tick. The node reads no clock, so an
+// observer measures time itself.
+#ifndef FESCUEVANE_CELL_TICK_OBSERVER_HPP
+#define FESCUEVANE_CELL_TICK_OBSERVER_HPP
+
+#include "core/ids.hpp"
+
+#include <string_view>
+
+namespace fescuevane::cell
+{
+
+struct hold_timing;
+
+class tick_observer
+{
+public:
+    // Each system starts where the one before it ended.
+    virtual void begin_tick() = 0;
+    virtual void end_system(std::string_view name) = 0;
+    virtual void judge_hold(hold_timing const& timing) = 0;
+    virtual void lapse_lease(target_id const& target) = 0;
+
+protected:
+    tick_observer() = default;
+    ~tick_observer() = default;
+    tick_observer(tick_observer const&) = default;
+    tick_observer& operator=(tick_observer const&) = default;
+};
+
+} // namespace fescuevane::cell
+
+#endif
--- a/tests/unit/cell_fixture.hpp
+++ b/tests/unit/cell_fixture.hpp
@@ -33,6 +33,7 @@
     bool                          store_held_ = false;   // answers wait
     std::vector<store_reply>      held_;
     std::uint64_t                 last_call_ = 0;
+    tick_observer*                observer_ = nullptr;
 
     cell_fixture()
     {
@@ -93,7 +94,7 @@
     void tick()
     {
         std::vector<command> orders;
-        run_tick(*node_, now_, unix_ms_, orders);
+        run_tick(*node_, now_, unix_ms_, orders, observer_);
         for (command const& order : orders)
         {
             if (auto const* const write = std::get_if<store_transact>(&order))
