--- a/bench/measure.cpp
+++ b/bench/measure.cpp
@@ -15,7 +15,10 @@
          measure_move},
         {"overload", "goodput and waiting above capacity", measure_overload},
         {"memory", "memory, control cost and message sizes by entity",
-         measure_memory}};
+         measure_memory},
+        {"peers", "processor time of heartbeats and calls between hosts",
+         measure_peers},
+        {"http", "processor time of an HTTP call", measure_http}};
     return measures;
 }
 
