Measure hosts at rest with their connections open

The measure `peers` counted a host without connections as one at rest. Each host now sends one heartbeat to up to 12 others first.

--- a/bench/measure_peers.cpp
+++ b/bench/measure_peers.cpp
@@ -27,6 +27,7 @@
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
+#include <algorithm>
 #include <functional>
 #include <optional>
 #include <stdexcept>
@@ -43,6 +44,7 @@
 constexpr std::int64_t beat_interval_micros = 300'000; // as a cell's default
 constexpr std::int64_t call_interval_micros = 5'000;
 constexpr std::size_t  owners = 3;
+constexpr std::size_t  domain_hosts = 12; // without the host itself
 
 // 1. Processes
 
@@ -283,7 +285,13 @@
         std::string const& next = addresses_[(self_ + 1) % addresses_.size()];
         switch (kind_)
         {
-        case traffic::none:
+        case traffic::none: // connections to a failure domain, then nothing
+            for (std::size_t step = 1;
+                 step <= std::min(domain_hosts, addresses_.size() - 1); ++step)
+            {
+                link_->beat(addresses_[(self_ + step) % addresses_.size()],
+                            beat_, now.after(deadline_micros));
+            }
             return;
         case traffic::beats:
             for (std::size_t host = 0; host < addresses_.size(); ++host)
