Count the silence of others only while the process runs on time

Callers saw: tasks that must run once ran twice (TWICE) on the grown deployments.

Cause: silence of targets and hosts was judged by the clock alone. A process that had no processor time took what it hadn't read for silence: an owner gave up targets that answered, and started their finished work again; a host took a live owner for dead and claimed its shard.

Change: a tick that runs more than 250 ms after it was due ends a late span; the silence of hosts, owners and targets, and the wait for a listed target, count from the end of the latest late span. Process quotas alone delay a tick by less than 100 ms.

--- a/cell/claim_shards.cpp
+++ b/cell/claim_shards.cpp
@@ -16,12 +16,6 @@
 
 // 1. Vacancy
 
-bool is_silent(node const& context, instant word)
-{
-    return word.remaining_until(context.now_) >
-           context.settings_.suspect_micros_;
-}
-
 namespace
 {
 
@@ -43,6 +37,7 @@
     {
         word = std::max(word, host->listed_at_);
     }
+    word = count_silence_from(context, word);
     if (!is_silent(context, word))
     {
         shard.suspected_at_ = instant::never();
--- a/cell/delegate_tasks.cpp
+++ b/cell/delegate_tasks.cpp
@@ -153,10 +153,9 @@
         tasks.blocked_ ? std::numeric_limits<double>::max() : max_delegate_load;
     for (std::size_t row = 0; row < context.shards_.size(); ++row)
     {
-        shard_id const&  id = context.shards_.key(row);
-        shard_row const& shard = context.shards_[row];
-        bool const heard = shard.confirmed_at_.remaining_until(context.now_) <=
-                           context.settings_.suspect_micros_;
+        shard_id const&       id = context.shards_.key(row);
+        shard_row const&      shard = context.shards_[row];
+        bool const            heard = !is_silent(context, shard.confirmed_at_);
         host_row const* const host = context.hosts_.find(shard.owner_);
         if (id == from || context.out_.contains(id.domain_) || !heard ||
             !shard.serving_ ||
--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -251,7 +251,8 @@
 {
     instant const lapse = find_lapse(context, session);
     return session.listed_ && lapse != instant::never()
-               ? lapse.after(context.settings_.listed_wait_micros_)
+               ? count_silence_from(context, lapse)
+                     .after(context.settings_.listed_wait_micros_)
                : lapse;
 }
 
@@ -444,8 +445,8 @@
     if (input.outcome_ != target_outcome::done)
     {
         if (session->phase_ == session_phase::attached &&
-            session->contact_at_.remaining_until(context.now_) >
-                values.silent_micros_)
+            count_silence_from(context, session->contact_at_)
+                    .remaining_until(context.now_) > values.silent_micros_)
         {
             session->phase_ = session_phase::silent;
             log_event(
--- a/cell/node.cpp
+++ b/cell/node.cpp
@@ -76,6 +76,10 @@
     context.observer_ = observer;
     context.now_ = now;
     context.unix_ms_ = unix_ms;
+    if (context.wake_.after(context.settings_.late_micros_) < now)
+    {
+        context.on_time_since_ = now;
+    }
     context.wake_ = instant::never();
     if (observer != nullptr)
     {
@@ -228,6 +232,17 @@
     context.wake_ = std::min(context.wake_, due);
 }
 
+instant count_silence_from(node const& context, instant word)
+{
+    return std::max(word, context.on_time_since_);
+}
+
+bool is_silent(node const& context, instant word)
+{
+    return count_silence_from(context, word).remaining_until(context.now_) >
+           context.settings_.suspect_micros_;
+}
+
 void log_event(node& context, std::string event,
                std::vector<std::pair<std::string, std::string>> fields)
 {
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -44,6 +44,7 @@
     std::int64_t         unix_ms_ = 0;
     instant              started_;
     instant              wake_ = instant::never();
+    instant              on_time_since_; // end of the latest late tick
     std::uint64_t        last_request_ = 0;
     tick_observer*       observer_ = nullptr; // of the current tick
 
@@ -153,8 +154,12 @@
 void end_lend(node& context, request_row const& request,
               store_reply const& reply);
 
+// Silence of others counts only while this process runs on time: what they sent
+// meanwhile may not have been read. The later of the two.
+instant count_silence_from(node const& context, instant word);
+bool    is_silent(node const& context, instant word); // too long to be well
+
 // Owners
-bool is_silent(node const& context, instant word); // too long to be well
 std::uint64_t write_owner_row(node& context, shard_id const& shard,
                               std::uint32_t part, request_kind kind,
                               bool released, host_id const& successor);
--- a/cell/route_calls.cpp
+++ b/cell/route_calls.cpp
@@ -33,8 +33,7 @@
     }
     return shard.epoch_ > 0 && !shard.address_.empty() &&
            shard.owner_ != context.settings_.host_ && !shard.released_ &&
-           shard.confirmed_at_.remaining_until(context.now_) <=
-               context.settings_.suspect_micros_;
+           !is_silent(context, shard.confirmed_at_);
 }
 
 bool takes_jobs(node const& context, shard_id const& id, shard_row const& shard)
--- a/cell/settings.hpp
+++ b/cell/settings.hpp
@@ -33,6 +33,10 @@
     std::uint32_t journal_jobs_ = 30;        // in one transaction
     std::int64_t  result_keep_micros_ = 180'000'000; // of ended jobs
 
+    // A tick that comes later than this after it was due shows that the process
+    // had no processor time. Processor quotas alone cause up to 100 ms.
+    std::int64_t late_micros_ = 250'000;
+
     // Heartbeats and ownership
     std::int64_t heartbeat_micros_ = 300'000;
     std::int64_t suspect_micros_ = 1'000'000;   // without word from an owner
--- a/tests/unit/cell_jobs_test.cpp
+++ b/tests/unit/cell_jobs_test.cpp
@@ -193,6 +193,22 @@
     CHECK(find_answer(call)->phase_ == job_phase::completed);
 }
 
+// Guards against a task that is started again though its run has ended as done:
+// the owner had no processor time and hadn't read what its target told.
+TEST_CASE_FIXTURE(silent_target_fixture,
+                  "owner late, target silent and listed, its end is awaited")
+{
+    list_target("t-2");
+    for (int round = 0; round < 8; ++round)
+    {
+        run_silent(2 * micros_per_second);
+        advance(micros_per_second); // without a tick
+    }
+    CHECK(take<send_start>().empty());
+    run_silent(14 * micros_per_second);
+    CHECK(take<send_start>().size() == 1);
+}
+
 // Guards against work that waits without end for a target that nobody reaches.
 TEST_CASE_FIXTURE(silent_target_fixture,
                   "target silent and listed for long, task starts elsewhere")
--- a/tests/unit/cell_ownership_test.cpp
+++ b/tests/unit/cell_ownership_test.cpp
@@ -189,6 +189,44 @@
     REQUIRE(make_heartbeat(*node_).shards_.size() == 1);
 }
 
+// Guards against a second owner: a host that had no processor time took the
+// owner, whose heartbeats it hadn't read, for dead.
+TEST_CASE_FIXTURE(ownership_fixture,
+                  "host late, owner not heard meanwhile, shard isn't claimed")
+{
+    settings_.domains_ = {domain_id("east")};
+    store_row({"member", "0", "shard/east.0"},
+              write_owner({host_id("host-2"), 5, "127.0.0.1:7001", 4}));
+    store_host("host-2", "east");
+    store_host("host-3", "east");
+    start(2);
+    list_target("t-1");
+    auto const tell_owner = [this]
+    {
+        post(heartbeat_received{{.host_ = host_id("host-2"),
+                                 .incarnation_ = 5,
+                                 .shards_ = {{.shard_ = {domain_id("east"), 0},
+                                              .epoch_ = 4,
+                                              .serving_ = true}}}});
+        tell("host-3");
+    };
+    tell_owner();
+    run(500'000);
+    advance(3 * micros_per_second); // without a tick
+    tell("host-3");
+    run(900'000);
+    CHECK(make_heartbeat(*node_).shards_.empty());
+    CHECK(read_owner(rows_.at({"member", "0", "shard/east.0"}).value_).host_ ==
+          host_id("host-2"));
+    for (int round = 0; round < 40; ++round)
+    {
+        tell("host-3");
+        run(100'000); // on time, and the owner stays silent
+    }
+    CHECK(read_owner(rows_.at({"member", "0", "shard/east.0"}).value_).host_ ==
+          host_id("host-1"));
+}
+
 // Guards against callers that are sent to a host which can accept nothing,
 // while hosts elsewhere can.
 TEST_CASE_FIXTURE(cell_fixture, "store out of reach, time passes, not ready")
