Hand completions of gRPC to the main loop in batches

Cause: each completion made a source of its own in the main loop, also the one that only frees a call which was answered.

Change: the waiting thread collects completions and wakes the main loop when the list was empty; it frees finished calls itself.

--- a/peer/peer_link.cpp
+++ b/peer/peer_link.cpp
@@ -20,8 +20,10 @@
 #include <grpcpp/grpcpp.h>
 #include <chrono>
 #include <map>
+#include <mutex>
 #include <thread>
 #include <utility>
+#include <vector>
 
 namespace fescuevane::peer
 {
@@ -49,6 +51,35 @@
 public:
     virtual ~completion() = default;
     virtual void complete(bool ok) = 0;
+
+    // True when nothing is left to do but to free it, in any thread.
+    [[nodiscard]] virtual bool is_finished() const { return false; }
+};
+
+// Completions that wait for the main loop. Those that arrive before it takes
+// them need only one wake-up.
+class completion_list
+{
+public:
+    using entry = std::pair<completion*, bool>; // and whether it succeeded
+
+    // True when the list was empty: the main loop has to be woken.
+    bool add(entry const& value)
+    {
+        std::lock_guard const lock(mutex_);
+        entries_.push_back(value);
+        return entries_.size() == 1;
+    }
+
+    std::vector<entry> take_all()
+    {
+        std::lock_guard const lock(mutex_);
+        return std::exchange(entries_, {});
+    }
+
+private:
+    std::mutex         mutex_;
+    std::vector<entry> entries_;
 };
 
 std::chrono::system_clock::time_point to_time_point(instant deadline)
@@ -73,10 +104,12 @@
     std::map<std::uint64_t, std::function<void(cell::advice_reply const&)>>
                           open_questions_; // the same
     std::uint64_t         last_call_ = 0;
+    completion_list       completed_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 
     Cell::Stub& find_stub(std::string const& address);
     void        wait_for_completions();
+    void        complete_all();
 };
 
 // 2. Calls that come in
@@ -100,7 +133,7 @@
 
     void complete(bool ok) override
     {
-        if (!ok || answered_)
+        if (!ok)
         {
             delete this;
             return;
@@ -120,6 +153,8 @@
         }
     }
 
+    [[nodiscard]] bool is_finished() const override { return answered_; }
+
 private:
     Cell::AsyncService&                                  service_;
     grpc::ServerCompletionQueue&                         queue_;
@@ -157,7 +192,7 @@
 
     void complete(bool ok) override
     {
-        if (!ok || answered_)
+        if (!ok)
         {
             delete this;
             return;
@@ -182,6 +217,8 @@
         }
     }
 
+    [[nodiscard]] bool is_finished() const override { return answered_; }
+
 private:
     Cell::AsyncService&                            service_;
     grpc::ServerCompletionQueue&                   queue_;
@@ -319,14 +356,29 @@
     while (queue_->Next(&tag, &ok))
     {
         auto* const done = static_cast<completion*>(tag);
-        io::run_in_main_loop(
-            [done, ok, alive = alive_]
-            {
-                if (*alive)
+        if (done->is_finished())
+        {
+            delete done;
+        }
+        else if (completed_.add({done, ok}))
+        {
+            io::run_in_main_loop(
+                [this, alive = alive_]
                 {
-                    done->complete(ok);
-                }
-            });
+                    if (*alive)
+                    {
+                        complete_all();
+                    }
+                });
+        }
+    }
+}
+
+void peer_link::state::complete_all()
+{
+    for (auto const& [done, ok] : completed_.take_all())
+    {
+        done->complete(ok);
     }
 }
 
