Switch off the bandwidth probe and unused filters of gRPC

Cause: after each message that it reads the library sends a ping to estimate the bandwidth, which wakes both hosts. Each call passes filters for retries, compression, statistics and message sizes that no call uses.

--- a/peer/peer_link.cpp
+++ b/peer/peer_link.cpp
@@ -343,6 +343,13 @@
         arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, keepalive_ms / 2);
         arguments.SetInt(GRPC_ARG_KEEPALIVE_PERMIT_WITHOUT_CALLS, 1);
         arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
+        // Messages are small: a ping after each of them to estimate the
+        // bandwidth costs as much as the message. No other feature that the
+        // library adds to calls is needed but their deadlines.
+        arguments.SetInt(GRPC_ARG_HTTP2_BDP_PROBE, 0);
+        arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
+        arguments.SetInt(GRPC_ARG_MINIMAL_STACK, 1);
+        arguments.SetInt(GRPC_ARG_ENABLE_DEADLINE_CHECKS, 1);
         stub = Cell::NewStub(grpc::CreateCustomChannel(
             address, grpc::InsecureChannelCredentials(), arguments));
     }
@@ -394,6 +401,8 @@
     builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
     builder.AddChannelArgument(
         GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, min_ping_ms);
+    builder.AddChannelArgument(GRPC_ARG_HTTP2_BDP_PROBE, 0);
+    builder.AddChannelArgument(GRPC_ARG_MINIMAL_STACK, 1);
     builder.RegisterService(&state_->service_);
     state_->queue_ = builder.AddCompletionQueue();
     state_->server_ = builder.BuildAndStart();
