Measure the processor time of a node by system of its tick

Cause: ticks run all systems over all tables up to 250 times a second, and no measure said what that costs. Change: `fescuevane_bench cell` runs one node with a store, targets, callers and another owner in memory, in simulated time: 100 starts a second, 60 open calls, 1,000 and 10,000 kept records, and twice as many targets of other shards.

--- a/bench/measure.cpp
+++ b/bench/measure.cpp
@@ -15,7 +15,9 @@
          measure_move},
         {"overload", "goodput and waiting above capacity", measure_overload},
         {"memory", "memory, control cost and message sizes by entity",
-         measure_memory}};
+         measure_memory},
+        {"cell", "processor time of the tick of a node, by system",
+         measure_cell}};
     return measures;
 }
 
