--- a/bench/measure.cpp
+++ b/bench/measure.cpp
@@ -18,7 +18,9 @@
          measure_memory},
         {"peers", "processor time of heartbeats and calls between hosts",
          measure_peers},
-        {"http", "processor time of an HTTP call", measure_http}};
+        {"http", "processor time of an HTTP call", measure_http},
+        {"cell", "processor time of the tick of a node, by system",
+         measure_cell}};
     return measures;
 }
 
