Measure the processor time of a planner's ticks by system

Cause: no measure covers the planner; the cost of its ticks showed only in whole runs of a deployment.

The parts of a tick are declared in planner.hpp for it.

--- a/bench/measure.cpp
+++ b/bench/measure.cpp
@@ -14,6 +14,8 @@
         {"move", "work done while a failure domain goes out and returns",
          measure_move},
         {"overload", "goodput and waiting above capacity", measure_overload},
+        {"planner", "processor time of a planner's ticks, by system",
+         measure_planner},
         {"memory", "memory, control cost and message sizes by entity",
          measure_memory}};
     return measures;
--- a/bench/measure.hpp
+++ b/bench/measure.hpp
@@ -28,6 +28,7 @@
 void measure_share(std::uint64_t seed, std::vector<figure>& output);
 void measure_move(std::uint64_t seed, std::vector<figure>& output);
 void measure_overload(std::uint64_t seed, std::vector<figure>& output);
+void measure_planner(std::uint64_t seed, std::vector<figure>& output);
 void measure_memory(std::uint64_t seed, std::vector<figure>& output);
 
 } // namespace fescuevane::bench
--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -38,38 +38,36 @@
 
 // 2. Ticks
 
-namespace
-{
-
-constexpr std::array<system_entry, 9> list_systems = {{
-    {"apply_events", &apply_events},
-    {"open_stages", &open_stages},
-    {"count_unseen", &count_unseen},
-    {"estimate_chains", &estimate_chains},
-    {"watch_runs", &watch_runs},
-    {"pace_fillers", &pace_fillers},
-    {"request_advice", &request_advice},
-    {"place_tasks", &place_tasks},
-    {"explain_waits", &explain_waits},
-}};
-
-} // namespace
-
 void post_event(planner& context, event input)
 {
     context.inbox_.push_back(std::move(input));
 }
 
-void run_tick(planner& context, instant now, std::int64_t unix_ms,
-              std::vector<command>& output)
+std::span<system_entry const> list_systems()
+{
+    static constexpr std::array<system_entry, 9> systems = {{
+        {"apply_events", &apply_events},
+        {"open_stages", &open_stages},
+        {"count_unseen", &count_unseen},
+        {"estimate_chains", &estimate_chains},
+        {"watch_runs", &watch_runs},
+        {"pace_fillers", &pace_fillers},
+        {"request_advice", &request_advice},
+        {"place_tasks", &place_tasks},
+        {"explain_waits", &explain_waits},
+    }};
+    return systems;
+}
+
+void begin_tick(planner& context, instant now, std::int64_t unix_ms)
 {
     context.now_ = now;
     context.unix_ms_ = unix_ms;
     context.wake_ = instant::never();
-    for (system_entry const& system : list_systems)
-    {
-        system.run_(context);
-    }
+}
+
+void end_tick(planner& context, std::vector<command>& output)
+{
     for (command& order : context.outbox_)
     {
         output.push_back(std::move(order));
@@ -77,6 +75,17 @@
     context.outbox_.clear();
 }
 
+void run_tick(planner& context, instant now, std::int64_t unix_ms,
+              std::vector<command>& output)
+{
+    begin_tick(context, now, unix_ms);
+    for (system_entry const& system : list_systems())
+    {
+        system.run_(context);
+    }
+    end_tick(context, output);
+}
+
 instant next_deadline(planner const& context)
 {
     return context.inbox_.empty() ? context.wake_ : context.now_;
--- a/plan/planner.hpp
+++ b/plan/planner.hpp
@@ -17,6 +17,7 @@
 #include "plan/target_row.hpp"
 
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -54,13 +55,18 @@
     instant             watch_at_;      // next look at runs
 };
 
-// A step of the tick. Steps run in the order of `list_systems`.
+// A step of the tick.
 struct system_entry
 {
     std::string_view const name_;
     void (*const run_)(planner&);
 };
 
+// The parts of `run_tick`, for callers that look at the systems one by one.
+void begin_tick(planner& context, instant now, std::int64_t unix_ms);
+std::span<system_entry const> list_systems(); // in the order of the runs
+void end_tick(planner& context, std::vector<command>& output);
+
 // Systems, in order
 void apply_events(planner& context);    // inbox to tables
 void open_stages(planner& context);     // whose predecessors ended, or are due
