Find runs by job, origin, target and trait

Cause: systems looked at all runs for each stage and target: the end of runs that a stage waits for, the spread limit, stops of copies and of ended jobs, copies of slow runs, pacing of fillers.

Change: `run_table` keeps the rows of each job, origin, target and trait, in the order of the table, so that commands keep their order. All insertions and removals go through it, and only `run_state` can be changed in place, so the groups can't differ from the rows.

--- a/plan/apply_events.cpp
+++ b/plan/apply_events.cpp
@@ -72,12 +72,9 @@
 void apply(planner& context, target_gone const& input)
 {
     std::vector<run_key> runs;
-    for (std::size_t row = 0; row < context.runs_.size(); ++row)
+    for (std::size_t const row : context.runs_.on_target(input.id_))
     {
-        if (context.runs_[row].target_ == input.id_)
-        {
-            runs.push_back(context.runs_.key(row));
-        }
+        runs.push_back(context.runs_.key(row));
     }
     for (run_key const& run : runs)
     {
@@ -167,14 +164,15 @@
 
 void apply(planner& context, run_confirmed const& input)
 {
-    run_row* const run = context.runs_.find(input.run_);
+    run_row const* const run = context.runs_.find(input.run_);
     if (run != nullptr && run->target_ == input.target_ &&
         run->phase_ == run_phase::starting)
     {
-        run->phase_ = run_phase::running;
-        run->started_at_ = context.now_;
-        run->progressed_at_ = context.now_;
-        run->base_at_ = context.now_;
+        run_state& state = *context.runs_.find_state(input.run_);
+        state.phase_ = run_phase::running;
+        state.started_at_ = context.now_;
+        state.progressed_at_ = context.now_;
+        state.base_at_ = context.now_;
     }
 }
 
@@ -236,7 +234,7 @@
     return !task.done_ && task.delegate_.empty() && (task.runs_ == 0 || copies);
 }
 
-void note_progress(planner& context, run_row& run, run_seen const& input)
+void note_progress(planner& context, run_state& run, run_seen const& input)
 {
     if (run.phase_ == run_phase::starting)
     {
@@ -259,7 +257,7 @@
 
 void apply(planner& context, run_seen const& input)
 {
-    run_row* run = context.runs_.find(input.run_);
+    run_row const* const run = context.runs_.find(input.run_);
     if (run != nullptr && run->target_ != input.target_)
     {
         reject_run(context, input);
@@ -273,9 +271,8 @@
             return;
         }
         adopt_run(context, input.run_, input.target_, input.percent_);
-        run = context.runs_.find(input.run_);
     }
-    note_progress(context, *run, input);
+    note_progress(context, *context.runs_.find_state(input.run_), input);
     stage_row* const stage = context.stages_.find(input.run_.stage_);
     if (stage != nullptr && !input.checkpoint_.empty())
     {
--- a/plan/job_flow.cpp
+++ b/plan/job_flow.cpp
@@ -220,12 +220,9 @@
 std::vector<run_key> list_runs(planner const& context, job_id const& job)
 {
     std::vector<run_key> runs;
-    for (run_key const& key : context.runs_.keys())
+    for (std::size_t const row : context.runs_.of_job(job))
     {
-        if (key.stage_.job_ == job)
-        {
-            runs.push_back(key);
-        }
+        runs.push_back(context.runs_.key(row));
     }
     return runs;
 }
@@ -285,27 +282,28 @@
     owner.used_ = owner.used_ + run.demand_ * sign;
 }
 
-run_row& append_run(planner& context, run_key const& key,
-                    target_id const& target)
+void append_run(planner& context, run_key const& key, target_id const& target)
 {
     job_row&         job = *context.jobs_.find(key.stage_.job_);
     step_spec const& step = job.spec_->steps_[key.stage_.step_];
     stage_row&       stage = *context.stages_.find(key.stage_);
     task_cell&       task = stage.tasks_[key.index_];
-    run_row&         run = context.runs_.ensure(key);
-    run = run_row{.target_ = target,
-                  .origin_ = origin_of(job, key.stage_),
-                  .organisation_ = job.spec_->organisation_,
-                  .demand_ = step.demand_,
-                  .filler_ = step.filler_,
-                  .lasting_ = step.perpetual_,
-                  .latency_target_ms_ = step.latency_target_ms_,
-                  .image_ = image_of(job, step),
-                  .started_at_ = context.now_,
-                  .resumed_ = !task.checkpoint_.empty(),
-                  .progressed_at_ = context.now_,
-                  .base_percent_ = task.checkpoint_.empty() ? 0 : -1,
-                  .base_at_ = context.now_};
+    run_row          run;
+    run.target_ = target;
+    run.origin_ = origin_of(job, key.stage_);
+    run.organisation_ = job.spec_->organisation_;
+    run.demand_ = step.demand_;
+    run.filler_ = step.filler_;
+    run.lasting_ = step.perpetual_;
+    run.speculative_ = step.speculative_;
+    run.resumed_ = !task.checkpoint_.empty();
+    run.latency_target_ms_ = step.latency_target_ms_;
+    run.image_ = image_of(job, step);
+    run.started_at_ = context.now_;
+    run.progressed_at_ = context.now_;
+    run.base_percent_ = run.resumed_ ? -1 : 0;
+    run.base_at_ = context.now_;
+    context.runs_.insert(key, run);
     charge_run(context, run, 1);
     ++task.runs_;
     task.last_run_ = std::max(task.last_run_, key.run_);
@@ -318,7 +316,6 @@
     {
         job.phase_ = job_phase::running;
     }
-    return run;
 }
 
 // Takes the row of a run out of the tables. False when there was none.
@@ -373,7 +370,8 @@
 void adopt_run(planner& context, run_key const& key, target_id const& target,
                std::int32_t percent)
 {
-    run_row& run = append_run(context, key, target);
+    append_run(context, key, target);
+    run_state& run = *context.runs_.find_state(key);
     run.phase_ = run_phase::running;
     run.base_percent_ = percent;
     run.base_at_ = context.now_;
@@ -382,12 +380,12 @@
 
 void order_stop(planner& context, run_key const& key, char const* why)
 {
-    run_row* const run = context.runs_.find(key);
+    run_row const* const run = context.runs_.find(key);
     if (run == nullptr || run->phase_ == run_phase::stopping)
     {
         return;
     }
-    run->phase_ = run_phase::stopping;
+    context.runs_.find_state(key)->phase_ = run_phase::stopping;
     context.outbox_.push_back(stop_run{key, run->target_});
     log_note(context, "stop", key, run->target_, why);
 }
--- a/plan/pace_fillers.cpp
+++ b/plan/pace_fillers.cpp
@@ -21,10 +21,15 @@
 
 void pace_fillers(planner& context)
 {
+    if (context.runs_.with(run_trait::filler).empty())
+    {
+        return;
+    }
     std::map<target_id, double> worst; // tail latency over its bound
-    for (run_row const& run : context.runs_)
+    for (std::size_t const row : context.runs_.with(run_trait::latency_bound))
     {
-        if (run.latency_target_ms_ > 0 && run.phase_ == run_phase::running)
+        run_row const& run = context.runs_[row];
+        if (run.phase_ == run_phase::running)
         {
             double& ratio = worst[run.target_];
             ratio = std::max(ratio,
@@ -32,20 +37,16 @@
                                  static_cast<double>(run.latency_target_ms_));
         }
     }
-    for (std::size_t row = 0; row < context.runs_.size(); ++row)
+    for (std::size_t const row : context.runs_.with(run_trait::filler))
     {
-        run_row& run = context.runs_[row];
-        if (!run.filler_ || run.phase_ != run_phase::running)
+        run_row const& run = context.runs_[row];
+        if (run.phase_ != run_phase::running || run.pace_after_ > context.now_)
         {
             continue;
         }
         auto const   found = worst.find(run.target_);
         double const ratio = found == worst.end() ? 0 : found->second;
         std::int32_t pace = run.pace_;
-        if (run.pace_after_ > context.now_)
-        {
-            continue;
-        }
         if (ratio > 1)
         {
             pace =
@@ -58,10 +59,11 @@
         if (pace != run.pace_)
         {
             // A lowered pace shows in the next reports; a raise waits longer.
-            run.pace_after_ = context.now_.after(
+            run_state& state = context.runs_.state(row);
+            state.pace_after_ = context.now_.after(
                 pace < run.pace_ ? context.settings_.pace_step_micros_ / 2
                                  : context.settings_.pace_step_micros_);
-            run.pace_ = pace;
+            state.pace_ = pace;
             context.outbox_.push_back(
                 pace_run{context.runs_.key(row), run.target_, pace});
         }
--- a/plan/place_tasks.cpp
+++ b/plan/place_tasks.cpp
@@ -363,20 +363,24 @@
 std::vector<run_key> list_stragglers(planner const& context)
 {
     std::vector<run_key> slow;
-    for (std::size_t row = 0; row < context.runs_.size(); ++row)
+    for (std::size_t const row : context.runs_.with(run_trait::speculative))
     {
-        run_row const&         run = context.runs_[row];
-        run_key const&         key = context.runs_.key(row);
+        run_row const& run = context.runs_[row];
+        run_key const& key = context.runs_.key(row);
+        auto const     ran =
+            static_cast<double>(run.started_at_.remaining_until(context.now_));
+        if (run.phase_ != run_phase::running ||
+            ran <= static_cast<double>(context.settings_.copy_min_micros_))
+        {
+            continue;
+        }
         stage_row const* const stage = context.stages_.find(key.stage_);
         // Without an ended task nothing tells a slow run from a long one.
-        if (run.phase_ != run_phase::running || stage == nullptr ||
-            stage->samples_ == 0 || stage->tasks_[key.index_].runs_ != 1 ||
-            !find_step(context, key.stage_).speculative_)
+        if (stage == nullptr || stage->samples_ == 0 ||
+            stage->tasks_[key.index_].runs_ != 1)
         {
             continue;
         }
-        double const ran =
-            static_cast<double>(run.started_at_.remaining_until(context.now_));
         double const expected =
             expect_run_ms(context, key.stage_) * micros_per_milli;
         double const bound =
--- a/plan/planner.hpp
+++ b/plan/planner.hpp
@@ -11,7 +11,7 @@
 #include "plan/image_row.hpp"
 #include "plan/job_row.hpp"
 #include "plan/organisation_row.hpp"
-#include "plan/run_row.hpp"
+#include "plan/run_table.hpp"
 #include "plan/settings.hpp"
 #include "plan/stage_row.hpp"
 #include "plan/target_row.hpp"
@@ -39,7 +39,7 @@
     table<target_id, target_row>             targets_;
     table<job_id, job_row>                   jobs_;
     table<stage_key, stage_row>              stages_; // open ones only
-    table<run_key, run_row>                  runs_;
+    run_table                                runs_;
     table<std::string, image_row>            images_; // learnt run times
 
     std::set<job_id> timed_;             // with occurrences that aren't due yet
--- a/plan/request_advice.cpp
+++ b/plan/request_advice.cpp
@@ -73,7 +73,7 @@
     }
     double const expected_ms = expect_run_ms(context, key);
     double       longest = 0;
-    for (std::size_t row = 0; row < context.runs_.size(); ++row)
+    for (std::size_t const row : context.runs_.of_job(key.job_))
     {
         run_row const& run = context.runs_[row];
         if (context.runs_.key(row).stage_ == key)
--- a/plan/room.cpp
+++ b/plan/room.cpp
@@ -139,11 +139,12 @@
                               target_id const& target)
 {
     stage_key const origin = origin_of(*context.jobs_.find(stage.job_), stage);
+    auto const      rows = context.runs_.of_origin(origin);
     return static_cast<std::uint32_t>(
-        std::count_if(context.runs_.begin(), context.runs_.end(),
-                      [&](run_row const& run)
+        std::count_if(rows.begin(), rows.end(),
+                      [&](std::size_t row)
                       {
-                          return run.target_ == target && run.origin_ == origin;
+                          return context.runs_[row].target_ == target;
                       }));
 }
 
