Rate owners of shards by the processor time left for one more

Cause: candidates were ranked by the size of their host, and each shard that a host owned put it back by one claim step. A host of a tenth of the size could take a second shard before a large host, and a shard was given away only to hosts that own nothing.

Change: claims, successors and the balance compare processor share divided by owned shards plus one. Shards on their way to a host count as its own, so that several owners don't give to the same one. A shard is worth twice as much to a host of its failure domain, and moves only for a gain of a fifth.

--- a/cell/claim_shards.cpp
+++ b/cell/claim_shards.cpp
@@ -73,38 +73,69 @@
 
 // 2. Candidates
 
-namespace
+double share_left(double cpu_share, std::size_t owned)
 {
+    return cpu_share / static_cast<double>(owned + 1);
+}
 
-// Place of this host among those that may claim, 0: first. Large hosts of the
-// shard's own failure domain go first.
-std::int64_t rank_candidate(node const& context, shard_id const& shard,
-                            shard_row const& row)
+std::size_t count_owned(node const& context, host_id const& host)
 {
-    settings const& values = context.settings_;
-    if (row.released_ && row.successor_ == values.host_)
+    if (host == context.settings_.host_)
     {
-        return 0;
+        return context.owned_.size();
     }
-    bool const   own_domain = shard.domain_ == values.domain_;
-    std::int64_t ahead = row.released_ ? 1 : 0;
+    return static_cast<std::size_t>(std::count_if(
+        context.shards_.begin(), context.shards_.end(),
+        [&host](shard_row const& shard)
+        {
+            return (shard.released_ ? shard.successor_ : shard.owner_) == host;
+        }));
+}
+
+// A host of the domain serves it better than a larger one outside, so the two
+// groups don't mix.
+std::int64_t rank_host(node const& context, domain_id const& domain,
+                       host_id const& except)
+{
+    settings const& values = context.settings_;
+    bool const      own_domain = domain == values.domain_;
+    double const    mine =
+        share_left(values.cpu_share_, count_owned(context, values.host_));
+    std::int64_t ahead = 0;
     for (std::size_t index = 0; index < context.hosts_.size(); ++index)
     {
         host_row const& host = context.hosts_[index];
         host_id const&  id = context.hosts_.key(index);
         bool const lost = host.heard_ && is_silent(context, host.heard_at_);
-        if (id == values.host_ || id == row.owner_ || lost || host.stopping_ ||
-            (host.domain_ == shard.domain_) != own_domain)
+        if (id == values.host_ || id == except || lost || host.stopping_ ||
+            (host.domain_ == domain) != own_domain)
         {
             continue;
         }
-        if (host.cpu_share_ > values.cpu_share_ ||
-            (host.cpu_share_ == values.cpu_share_ && id < values.host_))
+        double const left =
+            share_left(host.cpu_share_, count_owned(context, id));
+        if (left > mine || (left == mine && id < values.host_))
         {
             ++ahead;
         }
     }
-    return ahead + static_cast<std::int64_t>(context.owned_.size());
+    return ahead;
+}
+
+namespace
+{
+
+// Place of this host among those that may claim, 0: first.
+std::int64_t rank_candidate(node const& context, shard_id const& shard,
+                            shard_row const& row)
+{
+    settings const& values = context.settings_;
+    if (row.released_ && row.successor_ == values.host_)
+    {
+        return 0;
+    }
+    return rank_host(context, shard.domain_, row.owner_) +
+           (row.released_ ? 1 : 0);
 }
 
 target_id const* find_target_in(node const& context, domain_id const& domain)
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -151,6 +151,12 @@
               store_reply const& reply);
 
 // Owners
+std::size_t count_owned(node const& context, host_id const& host);
+double      share_left(double cpu_share, std::size_t owned); // for one more
+// Hosts of this one's group, within the domain or outside, that would have
+// more processor time left for one more shard of the domain.
+std::int64_t rank_host(node const& context, domain_id const& domain,
+                       host_id const& except = {});
 bool is_silent(node const& context, instant word); // too long to be well
 std::uint64_t write_owner_row(node& context, shard_id const& shard,
                               std::uint32_t part, request_kind kind,
--- a/cell/release_shards.cpp
+++ b/cell/release_shards.cpp
@@ -19,28 +19,26 @@
 
 // 1. Choice of a successor
 
-std::size_t count_owned(node const& context, host_id const& host)
-{
-    return static_cast<std::size_t>(
-        std::count_if(context.shards_.begin(), context.shards_.end(),
-                      [&host](shard_row const& shard)
-                      {
-                          return shard.owner_ == host && !shard.released_;
-                      }));
-}
-
 bool can_own(node const& context, host_id const& id, host_row const& host)
 {
     return id != context.settings_.host_ && !host.stopping_ && host.heard_ &&
            host.store_ok_ && !is_silent(context, host.heard_at_);
 }
 
-// The host that owns least goes first, then one of the shard's failure domain,
-// then the largest.
+// A shard of another failure domain costs its owner about twice the time: calls
+// take longer, and callers of the domain reach it through others.
+constexpr double home_factor = 2;
+
+double rate_owner(shard_id const& shard, domain_id const& domain, double share)
+{
+    return share * (domain == shard.domain_ ? home_factor : 1);
+}
+
+// The host with the most processor time left for the shard.
 host_id choose_successor(node const& context, shard_id const& shard)
 {
     host_id best;
-    double  best_rank = 0;
+    double  best_rate = 0;
     for (std::size_t row = 0; row < context.hosts_.size(); ++row)
     {
         host_id const&  id = context.hosts_.key(row);
@@ -49,16 +47,13 @@
         {
             continue;
         }
-        constexpr double owned_penalty = 2000;
-        constexpr double domain_bonus = 1000;
-        double const     rank =
-            host.cpu_share_ +
-            (host.domain_ == shard.domain_ ? domain_bonus : 0) -
-            owned_penalty * static_cast<double>(count_owned(context, id));
-        if (best.empty() || rank > best_rank)
+        double const rate =
+            rate_owner(shard, host.domain_,
+                       share_left(host.cpu_share_, count_owned(context, id)));
+        if (best.empty() || rate > best_rate)
         {
             best = id;
-            best_rank = rank;
+            best_rate = rate;
         }
     }
     return best;
@@ -66,28 +61,29 @@
 
 // 2. Balance
 
-// A host that owns nothing and should own the shard in place of this one: it is
-// of the shard's failure domain, or this host owns several shards. Failures in
-// a row leave one host with all shards, which is more than it can serve.
+// What a shard has to gain by a move, so that none goes back and forth.
+constexpr double min_gain = 1.2;
+
+// The host that should own the shard in place of this one. Failures in a row
+// leave one host with many shards, which is more than it can serve.
 std::optional<host_id> find_better_owner(node const&     context,
                                          shard_id const& shard)
 {
     settings const& values = context.settings_;
-    bool const      several = context.owned_.size() > 1;
-    bool const      foreign = shard.domain_ != values.domain_;
     host_id const   best = choose_successor(context, shard);
     host_row const* host = best.empty() ? nullptr : context.hosts_.find(best);
-    if (host == nullptr || count_owned(context, best) > 0 ||
+    if (host == nullptr ||
         host->listed_at_.after(values.balance_micros_) > context.now_)
     {
         return std::nullopt; // it has just started
     }
-    double const share =
-        values.cpu_share_ / static_cast<double>(context.owned_.size() + 1);
-    bool const wanted =
-        foreign ? several || host->domain_ == shard.domain_ : several;
-    return wanted && host->cpu_share_ >= share ? std::optional(best)
-                                               : std::nullopt;
+    double const present =
+        rate_owner(shard, values.domain_,
+                   share_left(values.cpu_share_, context.owned_.size() - 1));
+    double const expected =
+        rate_owner(shard, host->domain_,
+                   share_left(host->cpu_share_, count_owned(context, best)));
+    return expected >= min_gain * present ? std::optional(best) : std::nullopt;
 }
 
 bool is_handing_over(node const& context)
