Look the rows of a stage up once for all targets

Cause: each comparison of a stage with a target looked up its job, queue and stage by name, a hash of some 25 characters each; questions to the policy service were prepared for stages that couldn't ask.

Change: `stage_view` holds the rows of a stage, and the functions of room.hpp take it. Stages without a waiting task, and stages that wait for predecessors while their question is in flight or no question may be sent, are passed over before any look-up. A stage of a queue without policy service that room is kept for sends no question; the missing policy was read before.

--- a/plan/explain_waits.cpp
+++ b/plan/explain_waits.cpp
@@ -3,6 +3,7 @@
 #include "plan/planner.hpp"
 #include "plan/room.hpp"
 #include "plan/stage_rank.hpp"
+#include "plan/stage_view.hpp"
 
 #include <algorithm>
 #include <string>
@@ -16,8 +17,7 @@
 constexpr std::int64_t long_wait_micros = 3'000'000;
 
 // Counts of targets that pass each check, in the order of the checks.
-std::string describe_targets(planner const& context, stage_key const& key,
-                             stage_row const& stage)
+std::string describe_targets(planner const& context, stage_view const& stage)
 {
     std::size_t accepting = 0;
     std::size_t fitting = 0;
@@ -26,17 +26,17 @@
     {
         target_row const& target = context.targets_[row];
         target_id const&  id = context.targets_.key(row);
-        if (!accepts_stage(context, key, target))
+        if (!accepts_stage(context, stage, target))
         {
             continue;
         }
         ++accepting;
-        if (count_startable(context, key, id, target) == 0)
+        if (count_startable(context, stage, id, target) == 0)
         {
             continue;
         }
         ++fitting;
-        ticketed += has_ticket(context, key, stage, id) ? 1 : 0;
+        ticketed += has_ticket(context, stage, id) ? 1 : 0;
     }
     return "targets " + std::to_string(context.targets_.size()) +
            ", accepting " + std::to_string(accepting) + ", with room " +
@@ -72,7 +72,7 @@
         }
         job_row const&   job = *context.jobs_.find(key.job_);
         step_spec const& step = find_step(context, key);
-        std::string      why = describe_targets(context, key, stage);
+        std::string why = describe_targets(context, view_stage(context, key));
         why += job.recovered_ && unseen ? ", unseen targets" : "";
         why += stage.asked_ ? ", advice asked" : "";
         why += job.excess_ ? ", beyond the organisation's rate" : "";
--- a/plan/place_tasks.cpp
+++ b/plan/place_tasks.cpp
@@ -9,6 +9,7 @@
 #include "plan/planner.hpp"
 #include "plan/room.hpp"
 #include "plan/stage_rank.hpp"
+#include "plan/stage_view.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -36,9 +37,7 @@
 
 struct placement
 {
-    stage_key const&       key_;
-    step_spec const&       step_;
-    stage_row const&       stage_;
+    stage_view const&      stage_;
     task_cell const&       task_;
     std::set<target_id>    excluded_;
     std::optional<rack_id> rack_; // the only one allowed
@@ -48,7 +47,8 @@
                target_id const& id, target_row const& target)
 {
     double cost = 1 / std::max(target.speed_, 0.05);
-    if (!want.step_.near_rack_.empty() && target.rack_ != want.step_.near_rack_)
+    if (!want.stage_.step_.near_rack_.empty() &&
+        target.rack_ != want.stage_.step_.near_rack_)
     {
         cost *= context.settings_.rack_penalty_;
     }
@@ -57,7 +57,7 @@
     double const free = static_cast<double>(target.capacity_.cpu_millis() -
                                             target.used_.cpu_millis()) /
                         capacity;
-    if (want.step_.filler_)
+    if (want.stage_.step_.filler_)
     {
         // The opposite of packing: a filler lives on what is left.
         cost += packing_weight * (1 - free);
@@ -67,7 +67,7 @@
     else
     {
         cost += packing_weight * free;
-        cost += want.step_.latency_target_ms_ > 0 && target.fillers_ > 0
+        cost += want.stage_.step_.latency_target_ms_ > 0 && target.fillers_ > 0
                     ? disturbed_cost
                     : 0;
     }
@@ -80,7 +80,7 @@
 {
     std::optional<target_id> best;
     double                   best_cost = std::numeric_limits<double>::max();
-    resources const          wanted = room_of(want.step_);
+    resources const          wanted = room_of(want.stage_.step_);
     for (std::size_t row = 0; row < context.targets_.size(); ++row)
     {
         target_row const& target = context.targets_[row];
@@ -91,12 +91,12 @@
         }
         target_id const& id = context.targets_.key(row);
         bool const       reserved = context.reserved_.contains(id) &&
-                              want.key_ != context.reserved_for_;
+                              want.stage_.key_ != context.reserved_for_;
         if (reserved || want.excluded_.contains(id) ||
             (want.rack_ && target.rack_ != *want.rack_) ||
-            !accepts_stage(context, want.key_, target) ||
-            !has_ticket(context, want.key_, want.stage_, id) ||
-            count_startable(context, want.key_, id, target) == 0)
+            !accepts_stage(context, want.stage_, target) ||
+            !has_ticket(context, want.stage_, id) ||
+            count_startable(context, want.stage_, id, target) == 0)
         {
             continue;
         }
@@ -122,22 +122,21 @@
 bool start_task(planner& context, stage_key const& key, std::uint32_t index,
                 std::set<target_id> excluded)
 {
-    stage_row const& stage = *context.stages_.find(key);
-    step_spec const& step = find_step(context, key);
-    job_row const&   job = *context.jobs_.find(key.job_);
-    if (!is_within_limit(context, job.spec_->organisation_, step.demand_))
+    stage_view const stage = view_stage(context, key);
+    task_cell const& task = stage.row_.tasks_[index];
+    if (!is_within_limit(context, stage.job_.spec_->organisation_,
+                         stage.step_.demand_))
     {
         return false;
     }
-    auto const target = choose_target(
-        context,
-        {key, step, stage, stage.tasks_[index], std::move(excluded), {}});
+    auto const target =
+        choose_target(context, {stage, task, std::move(excluded), {}});
     if (!target)
     {
         return false;
     }
-    begin_run(context, {key, index, stage.tasks_[index].last_run_ + 1}, *target,
-              find_ticket(stage, *target));
+    begin_run(context, {key, index, task.last_run_ + 1}, *target,
+              find_ticket(stage.row_, *target));
     return true;
 }
 
@@ -187,19 +186,20 @@
     ++run;
     for (std::uint32_t index = 0; index < step.count_; ++index)
     {
-        stage_row const&         stage = *context.stages_.find(key);
+        stage_view const         stage = view_stage(context, key);
         std::optional<target_id> target;
         if (is_within_limit(context, job.spec_->organisation_, step.demand_))
         {
-            target = choose_target(
-                context, {key, step, stage, stage.tasks_[index], {}, rack});
+            target = choose_target(context,
+                                   {stage, stage.row_.tasks_[index], {}, rack});
         }
         if (!target)
         {
             break;
         }
         begun.push_back({key, index, run});
-        begin_run(context, begun.back(), *target, find_ticket(stage, *target));
+        begin_run(context, begun.back(), *target,
+                  find_ticket(stage.row_, *target));
     }
     if (begun.size() == step.count_)
     {
@@ -274,11 +274,14 @@
 // by itself has ended.
 bool wants_reservation(planner const& context, stage_key const& key)
 {
-    stage_row const& stage = *context.stages_.find(key);
     step_spec const& step = find_step(context, key);
-    job_row const&   job = *context.jobs_.find(key.job_);
+    if (!step.gang_)
+    {
+        return false;
+    }
+    stage_view const view = view_stage(context, key);
+    stage_row const& stage = view.row_;
     bool const       waits_long =
-        step.gang_ &&
         std::all_of(stage.tasks_.begin(), stage.tasks_.end(),
                     [&context](task_cell const& task)
                     {
@@ -286,7 +289,7 @@
                                task.waiting_since_.after(
                                    reserve_after_micros) <= context.now_;
                     });
-    if (!waits_long || !is_within_limit(context, job.spec_->organisation_,
+    if (!waits_long || !is_within_limit(context, view.job_.spec_->organisation_,
                                         step.demand_ * step.count_))
     {
         return false;
@@ -295,9 +298,9 @@
     for (std::size_t row = 0; row < context.targets_.size(); ++row)
     {
         if (may_use(stage, context.targets_.key(row)) &&
-            accepts_stage(context, key, context.targets_[row]))
+            accepts_stage(context, view, context.targets_[row]))
         {
-            room += count_fitting_later(context, key, context.targets_[row]);
+            room += count_fitting_later(view, context.targets_[row]);
         }
     }
     return room >= static_cast<std::int64_t>(step.count_);
@@ -345,12 +348,12 @@
         return;
     }
     wake_at(context, context.reserved_until_);
-    stage_row const& stage = *context.stages_.find(context.reserved_for_);
+    stage_view const stage = view_stage(context, context.reserved_for_);
     for (std::size_t row = 0; row < context.targets_.size(); ++row)
     {
         target_id const& id = context.targets_.key(row);
-        if (may_use(stage, id) && accepts_stage(context, context.reserved_for_,
-                                                context.targets_[row]))
+        if (may_use(stage.row_, id) &&
+            accepts_stage(context, stage, context.targets_[row]))
         {
             context.reserved_.insert(id);
         }
--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -15,6 +15,7 @@
 #include "plan/plan.hpp"
 #include "plan/room.hpp"
 #include "plan/stage_rank.hpp"
+#include "plan/stage_view.hpp"
 
 #include <algorithm>
 #include <array>
@@ -172,35 +173,32 @@
 }
 
 // True when the stage may run on the target once all other work has ended.
-bool could_run(planner const& context, stage_key const& key,
-               stage_row const& stage, target_id const& id,
-               target_row const& target)
+bool could_run(planner const& context, stage_view const& stage,
+               target_id const& id, target_row const& target)
 {
-    auto const ticket = stage.tickets_.find(id);
+    auto const ticket = stage.row_.tickets_.find(id);
     bool const forbidden =
-        ticket != stage.tickets_.end() && !ticket->second.good_;
-    return !forbidden && suits_stage(context, key, target);
+        ticket != stage.row_.tickets_.end() && !ticket->second.good_;
+    return !forbidden && suits_stage(context, stage, target);
 }
 
 // True when the shard's targets can't run the stage, however long it waits: by
 // label, size, ticket or lasting work. Limits of organisations don't count,
 // they are lent.
-bool is_blocked(planner const& context, stage_key const& key,
-                stage_row const& stage)
+bool is_blocked(planner const& context, stage_view const& stage)
 {
-    job_row const&   job = *context.jobs_.find(key.job_);
-    step_spec const& step = job.spec_->steps_[key.step_];
+    step_spec const& step = stage.step_;
     std::int64_t     room = 0;
     for (std::size_t row = 0; row < context.targets_.size(); ++row)
     {
         target_row const& target = context.targets_[row];
         target_id const&  id = context.targets_.key(row);
-        if (!could_run(context, key, stage, id, target))
+        if (!could_run(context, stage, id, target))
         {
             continue;
         }
-        room += limit_to_spread(context, key, id,
-                                count_fitting_later(context, key, target));
+        room += limit_to_spread(context, stage, id,
+                                count_fitting_later(stage, target));
     }
     return room < (step.gang_ ? static_cast<std::int64_t>(step.count_) : 1);
 }
@@ -244,7 +242,7 @@
         if (!tasks.indices_.empty() &&
             (!step.gang_ || tasks.indices_.size() == stage.tasks_.size()))
         {
-            tasks.blocked_ = is_blocked(context, key, stage);
+            tasks.blocked_ = is_blocked(context, view_stage(context, key));
             found.push_back(std::move(tasks));
         }
     }
--- a/plan/request_advice.cpp
+++ b/plan/request_advice.cpp
@@ -5,6 +5,7 @@
 #include "plan/planner.hpp"
 #include "plan/room.hpp"
 #include "plan/stage_rank.hpp"
+#include "plan/stage_view.hpp"
 
 #include <algorithm>
 #include <tuple>
@@ -36,6 +37,11 @@
                      context.settings_.advice_short_open_;
 }
 
+bool is_long_answer(planner const& context, advice_policy const& advice)
+{
+    return answer_ms(context, advice) > context.settings_.advice_long_ms_;
+}
+
 // Rest of one run. The share of its work that it has done tells more than the
 // estimate, which is often off by a factor of several.
 double rest_of_run_ms(planner const& context, run_row const& run,
@@ -61,9 +67,9 @@
 
 // Milliseconds until the last run of a stage ends, as far as that is known;
 // negative when some of its tasks haven't started.
-double remaining_ms(planner const& context, stage_key const& key)
+double remaining_ms(planner const& context, stage_key const& key,
+                    stage_row const& stage)
 {
-    stage_row const& stage = *context.stages_.find(key);
     for (task_cell const& task : stage.tasks_)
     {
         if (is_waiting(task))
@@ -75,9 +81,11 @@
     double       longest = 0;
     for (std::size_t const row : context.runs_.of_job(key.job_))
     {
-        run_row const& run = context.runs_[row];
-        if (context.runs_.key(row).stage_ == key)
+        // The job is the same for all, so these two tell the stages apart.
+        stage_key const& of = context.runs_.key(row).stage_;
+        if (of.step_ == key.step_ && of.occurrence_ == key.occurrence_)
         {
+            run_row const& run = context.runs_[row];
             longest =
                 std::max(longest, rest_of_run_ms(context, run, expected_ms));
         }
@@ -86,21 +94,21 @@
 }
 
 // True when all predecessors of a stage end within the time of an answer.
-bool starts_soon(planner const& context, stage_key const& key,
-                 advice_policy const& advice)
+bool starts_soon(planner const& context, job_row const& job,
+                 stage_key const& key, advice_policy const& advice)
 {
-    job_row const& job = *context.jobs_.find(key.job_);
-    auto const&    after = job.spec_->steps_[key.step_].after_;
+    auto const& after = job.spec_->steps_[key.step_].after_;
     return std::all_of(
         after.begin(), after.end(),
         [&](std::uint32_t step)
         {
-            stage_key const before{key.job_, key.occurrence_, step};
-            if (!context.stages_.contains(before))
+            stage_key const        before{key.job_, key.occurrence_, step};
+            stage_row const* const stage = context.stages_.find(before);
+            if (stage == nullptr)
             {
                 return true;
             }
-            double const rest_ms = remaining_ms(context, before);
+            double const rest_ms = remaining_ms(context, before, *stage);
             return rest_ms >= 0 &&
                    rest_ms <= answer_ms(context, advice) + lead_ms;
         });
@@ -128,34 +136,36 @@
     bool         ticketed_ = false;
 };
 
-std::vector<candidate> list_candidates(planner const&   context,
-                                       stage_key const& key,
-                                       stage_row const& stage,
-                                       free_room const& free)
+std::vector<candidate> list_candidates(planner const&    context,
+                                       stage_view const& stage,
+                                       free_room const&  free)
 {
-    step_spec const&       step = find_step(context, key);
+    auto const&            tickets = stage.row_.tickets_;
     std::vector<candidate> candidates;
     for (std::size_t row = 0; row < context.targets_.size(); ++row)
     {
         target_row const& target = context.targets_[row];
         // A stage that isn't startable yet will find other room than now's.
         std::int64_t fitting =
-            stage.startable_ ? count_fitting_in(step, target, free[row]) : 1;
-        if (fitting == 0 || !accepts_stage(context, key, target))
+            stage.row_.startable_
+                ? count_fitting_in(stage.step_, target, free[row])
+                : 1;
+        if (fitting == 0 || !accepts_stage(context, stage, target))
         {
             continue;
         }
         target_id const& id = context.targets_.key(row);
-        auto const       ticket = stage.tickets_.find(id);
-        if (ticket != stage.tickets_.end() && !ticket->second.good_)
+        auto const       ticket = tickets.find(id);
+        if (ticket != tickets.end() && !ticket->second.good_)
         {
             continue;
         }
-        fitting = limit_to_spread(context, key, id, fitting);
+        fitting = limit_to_spread(context, stage, id, fitting);
         if (fitting > 0)
         {
             candidates.push_back(
-                {fitting, row, has_ticket(context, key, stage, id)});
+                {fitting, row,
+                 ticket != tickets.end() && is_valid(context, ticket->second)});
         }
     }
     // Tickets at hand first, then the most room.
@@ -170,13 +180,12 @@
 
 // Takes the room of the waiting tasks from what worse-ranked stages may count
 // on. Returns the tasks that targets with tickets have room for.
-std::int64_t take_room(planner const& context, stage_key const& key,
+std::int64_t take_room(step_spec const&              step,
                        std::vector<candidate> const& candidates,
                        std::int64_t waiting, free_room& free)
 {
-    step_spec const& step = find_step(context, key);
-    std::int64_t     fitting = 0;
-    std::int64_t     covered = 0;
+    std::int64_t fitting = 0;
+    std::int64_t covered = 0;
     for (candidate const& at : candidates)
     {
         fitting += at.fitting_;
@@ -193,8 +202,9 @@
     return covered;
 }
 
-void ask(planner& context, stage_key const& key, stage_row& stage,
-         std::vector<candidate> const& candidates, bool is_long)
+void ask(planner& context, stage_key const& key,
+         std::vector<candidate> const& candidates, std::int64_t validity_ms,
+         bool is_long)
 {
     std::vector<target_id> targets;
     for (candidate const& at : candidates)
@@ -208,21 +218,32 @@
     {
         return;
     }
-    job_row const& job = *context.jobs_.find(key.job_);
+    stage_row& stage = *context.stages_.find(key);
     stage.asked_ = true;
     stage.asked_long_ = is_long;
     ++(is_long ? context.long_questions_ : context.short_questions_);
-    context.outbox_.push_back(ask_advice{
-        key, std::move(targets),
-        context.queues_.find(job.spec_->queue_)->advice_->validity_ms_});
+    context.outbox_.push_back(ask_advice{key, std::move(targets), validity_ms});
 }
 
+bool has_waiting_task(stage_row const& stage)
+{
+    return std::any_of(stage.tasks_.begin(), stage.tasks_.end(), is_waiting);
+}
+
+// Stages that may ask, or whose tasks take room from worse-ranked ones.
 std::vector<stage_rank> rank_asking_stages(planner& context)
 {
     std::vector<stage_rank> ranks;
     for (std::size_t row = 0; row < context.stages_.size(); ++row)
     {
-        stage_row const&          stage = context.stages_[row];
+        stage_row const& stage = context.stages_[row];
+        bool const       later = stage.ask_after_ > context.now_;
+        // Most stages end here, before the look-ups.
+        if (!later &&
+            ((stage.asked_ && !stage.startable_) || !has_waiting_task(stage)))
+        {
+            continue;
+        }
         stage_key const&          key = context.stages_.key(row);
         job_row const&            job = *context.jobs_.find(key.job_);
         queue_policy const* const queue =
@@ -231,12 +252,14 @@
         {
             continue;
         }
-        if (stage.ask_after_ > context.now_)
+        if (later)
         {
             wake_at(context, stage.ask_after_);
             continue;
         }
-        if (stage.startable_ || starts_soon(context, key, *queue->advice_))
+        if (stage.startable_ ||
+            (may_ask(context, is_long_answer(context, *queue->advice_)) &&
+             starts_soon(context, job, key, *queue->advice_)))
         {
             ranks.push_back(rank_stage(context, key));
         }
@@ -247,26 +270,32 @@
 
 void request_for(planner& context, stage_key const& key, free_room& free)
 {
-    stage_row&         stage = *context.stages_.find(key);
-    job_row const&     job = *context.jobs_.find(key.job_);
-    std::int64_t const waiting = count_waiting(stage);
+    stage_view const   stage = view_stage(context, key);
+    bool const         startable = stage.row_.startable_;
+    std::int64_t const waiting = count_waiting(stage.row_);
     if (waiting == 0 ||
-        (stage.startable_ && !is_within_limit(context, job.spec_->organisation_,
-                                              find_step(context, key).demand_)))
+        (startable && !is_within_limit(context, stage.job_.spec_->organisation_,
+                                       stage.step_.demand_)))
+    {
+        return;
+    }
+    bool const is_long =
+        needs_ticket(stage) && is_long_answer(context, *stage.queue_->advice_);
+    // A stage that room is kept for may be of a queue without a policy service.
+    bool const asks =
+        needs_ticket(stage) && !stage.row_.asked_ && may_ask(context, is_long);
+    if (!startable && !asks)
     {
         return;
     }
     std::vector<candidate> const candidates =
-        list_candidates(context, key, stage, free);
+        list_candidates(context, stage, free);
     std::int64_t const covered =
-        stage.startable_ ? take_room(context, key, candidates, waiting, free)
-                         : 0;
-    bool const is_long =
-        answer_ms(context, *context.queues_.find(job.spec_->queue_)->advice_) >
-        context.settings_.advice_long_ms_;
-    if (!stage.asked_ && covered < waiting && may_ask(context, is_long))
+        startable ? take_room(stage.step_, candidates, waiting, free) : 0;
+    if (asks && covered < waiting)
     {
-        ask(context, key, stage, candidates, is_long);
+        ask(context, key, candidates, stage.queue_->advice_->validity_ms_,
+            is_long);
     }
 }
 
--- a/plan/room.cpp
+++ b/plan/room.cpp
@@ -3,6 +3,7 @@
 
 #include "plan/job_flow.hpp"
 #include "plan/planner.hpp"
+#include "plan/stage_view.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -26,19 +27,18 @@
 
 } // namespace
 
-bool suits_stage(planner const& context, stage_key const& stage,
+bool suits_stage(planner const& context, stage_view const& stage,
                  target_row const& target)
 {
-    job_row const&     job = *context.jobs_.find(stage.job_);
-    std::string const& label = job.spec_->steps_[stage.step_].required_label_;
+    std::string const& label = stage.step_.required_label_;
     return context.in_service_ && target.phase_ == target_phase::usable &&
-           target.service_ == job.spec_->service_ &&
+           target.service_ == stage.job_.spec_->service_ &&
            (label.empty() ||
             std::find(target.labels_.begin(), target.labels_.end(), label) !=
                 target.labels_.end());
 }
 
-bool accepts_stage(planner const& context, stage_key const& stage,
+bool accepts_stage(planner const& context, stage_view const& stage,
                    target_row const& target)
 {
     return target.foreign_.empty() && target.paused_until_ <= context.now_ &&
@@ -70,31 +70,29 @@
                      divide(room.accelerators(), demand.accelerators())});
 }
 
-std::int64_t count_fitting(planner const& context, stage_key const& stage,
-                           target_row const& target)
+std::int64_t count_fitting(stage_view const& stage, target_row const& target)
 {
-    return count_fitting_in(find_step(context, stage), target,
+    return count_fitting_in(stage.step_, target,
                             target.capacity_ - target.used_);
 }
 
-std::int64_t count_fitting_later(planner const& context, stage_key const& stage,
+std::int64_t count_fitting_later(stage_view const& stage,
                                  target_row const& target)
 {
-    return count_fitting_in(find_step(context, stage), target,
+    return count_fitting_in(stage.step_, target,
                             target.capacity_ - target.lasting_);
 }
 
-std::int64_t count_startable(planner const& context, stage_key const& stage,
+std::int64_t count_startable(planner const& context, stage_view const& stage,
                              target_id const& id, target_row const& target)
 {
-    return limit_to_spread(context, stage, id,
-                           count_fitting(context, stage, target));
+    return limit_to_spread(context, stage, id, count_fitting(stage, target));
 }
 
-std::int64_t limit_to_spread(planner const& context, stage_key const& stage,
+std::int64_t limit_to_spread(planner const& context, stage_view const& stage,
                              target_id const& id, std::int64_t fitting)
 {
-    std::uint32_t const limit = find_step(context, stage).spread_limit_;
+    std::uint32_t const limit = stage.step_.spread_limit_;
     if (limit == 0 || fitting == 0)
     {
         return fitting;
@@ -103,18 +101,22 @@
     return std::clamp<std::int64_t>(limit - there, 0, fitting);
 }
 
-bool has_ticket(planner const& context, stage_key const& key,
-                stage_row const& stage, target_id const& target)
+bool has_ticket(planner const& context, stage_view const& stage,
+                target_id const& target)
 {
-    job_row const&            job = *context.jobs_.find(key.job_);
-    queue_policy const* const queue = context.queues_.find(job.spec_->queue_);
-    if (queue == nullptr || !queue->advice_)
+    if (!needs_ticket(stage))
     {
         return true;
     }
-    auto const ticket = stage.tickets_.find(target);
-    return ticket != stage.tickets_.end() && ticket->second.good_ &&
-           ticket->second.valid_until_ >
+    auto const ticket = stage.row_.tickets_.find(target);
+    return ticket != stage.row_.tickets_.end() &&
+           is_valid(context, ticket->second);
+}
+
+bool is_valid(planner const& context, ticket_cell const& ticket)
+{
+    return ticket.good_ &&
+           ticket.valid_until_ >
                context.now_.after(context.settings_.advice_margin_micros_);
 }
 
@@ -135,10 +137,10 @@
                       row->limit_.accelerators());
 }
 
-std::uint32_t count_on_target(planner const& context, stage_key const& stage,
+std::uint32_t count_on_target(planner const& context, stage_view const& stage,
                               target_id const& target)
 {
-    stage_key const origin = origin_of(*context.jobs_.find(stage.job_), stage);
+    stage_key const origin = origin_of(stage.job_, stage.key_);
     auto const      rows = context.runs_.of_origin(origin);
     return static_cast<std::uint32_t>(
         std::count_if(rows.begin(), rows.end(),
--- a/plan/room.hpp
+++ b/plan/room.hpp
@@ -4,7 +4,6 @@
 
 #include "core/ids.hpp"
 #include "core/resources.hpp"
-#include "core/stage_key.hpp"
 
 #include <cstdint>
 
@@ -17,16 +16,16 @@
 {
 
 struct planner;
-struct stage_row;
+struct stage_view;
 struct target_row;
-struct task_cell;
+struct ticket_cell;
 
 // True when the target may run the stage: its service, its labels, its phase.
-bool suits_stage(planner const& context, stage_key const& stage,
+bool suits_stage(planner const& context, stage_view const& stage,
                  target_row const& target);
 
 // The same for a target that takes new work now, whatever its room.
-bool accepts_stage(planner const& context, stage_key const& stage,
+bool accepts_stage(planner const& context, stage_view const& stage,
                    target_row const& target);
 
 // What a task takes from a target's room: fillers use processors that others
@@ -39,31 +38,33 @@
                               resources const& room);
 
 // Tasks of the stage that fit beside what runs on the target.
-std::int64_t count_fitting(planner const& context, stage_key const& stage,
-                           target_row const& target);
+std::int64_t count_fitting(stage_view const& stage, target_row const& target);
 
 // The same once all work that ends by itself has ended.
-std::int64_t count_fitting_later(planner const& context, stage_key const& stage,
+std::int64_t count_fitting_later(stage_view const& stage,
                                  target_row const& target);
 
 // Like `count_fitting`, within the stage's limit for one target.
-std::int64_t count_startable(planner const& context, stage_key const& stage,
+std::int64_t count_startable(planner const& context, stage_view const& stage,
                              target_id const& id, target_row const& target);
 
 // The part of `fitting` tasks that the stage's limit for one target leaves.
-std::int64_t limit_to_spread(planner const& context, stage_key const& stage,
+std::int64_t limit_to_spread(planner const& context, stage_view const& stage,
                              target_id const& id, std::int64_t fitting);
 
 // True when the stage needs no ticket or holds a valid one for the target.
-bool has_ticket(planner const& context, stage_key const& key,
-                stage_row const& stage, target_id const& target);
+bool has_ticket(planner const& context, stage_view const& stage,
+                target_id const& target);
+
+// True when the ticket may still be used.
+bool is_valid(planner const& context, ticket_cell const& ticket);
 
 // True when the organisation may have `demand` more running.
 bool is_within_limit(planner const& context, organisation_id const& id,
                      resources const& demand);
 
 // Runs of the stage on one target.
-std::uint32_t count_on_target(planner const& context, stage_key const& stage,
+std::uint32_t count_on_target(planner const& context, stage_view const& stage,
                               target_id const& target);
 
 } // namespace fescuevane::plan
--- /dev/null
+++ b/plan/stage_view.hpp
@@ -0,0 +1,40 @@
+// Purpose: an open stage with the rows that it belongs to. Internal to the
+// package.
+#ifndef FESCUEVANE_PLAN_STAGE_VIEW_HPP
+#define FESCUEVANE_PLAN_STAGE_VIEW_HPP
+
+#include "core/stage_key.hpp"
+
+namespace fescuevane
+{
+struct queue_policy;
+struct step_spec;
+} // namespace fescuevane
+
+namespace fescuevane::plan
+{
+
+struct job_row;
+struct planner;
+struct stage_row;
+
+// Found once for all targets that a stage is compared with: a look-up hashes
+// the name of the job. Valid until a row of these tables is added or removed.
+struct stage_view
+{
+    stage_key const&          key_;
+    stage_row const&          row_;
+    job_row const&            job_;
+    step_spec const&          step_;
+    queue_policy const* const queue_; // null: not configured
+};
+
+// The stage must be open.
+stage_view view_stage(planner const& context, stage_key const& key);
+
+// True when runs of the stage need a ticket of the policy service.
+bool needs_ticket(stage_view const& stage);
+
+} // namespace fescuevane::plan
+
+#endif
