Look fillers up only beside tasks near their latency bound

Cause: each tick built a tree of all targets that run a task with a latency bound, and looked each filler up in it.

Fillers at full pace are passed over when there are none.

--- a/plan/pace_fillers.cpp
+++ b/plan/pace_fillers.cpp
@@ -25,16 +25,16 @@
     {
         return;
     }
-    std::map<target_id, double> worst; // tail latency over its bound
+    std::map<target_id, double> worst; // tail latency over its bound, not calm
     for (std::size_t const row : context.runs_.with(run_trait::latency_bound))
     {
         run_row const& run = context.runs_[row];
-        if (run.phase_ == run_phase::running)
+        double const   ratio = static_cast<double>(run.load_) /
+                             static_cast<double>(run.latency_target_ms_);
+        if (run.phase_ == run_phase::running && ratio >= calm_ratio)
         {
-            double& ratio = worst[run.target_];
-            ratio = std::max(ratio,
-                             static_cast<double>(run.load_) /
-                                 static_cast<double>(run.latency_target_ms_));
+            double& most = worst[run.target_];
+            most = std::max(most, ratio);
         }
     }
     for (std::size_t const row : context.runs_.with(run_trait::filler))
@@ -44,6 +44,10 @@
         {
             continue;
         }
+        if (worst.empty() && run.pace_ == 100)
+        {
+            continue;
+        }
         auto const   found = worst.find(run.target_);
         double const ratio = found == worst.end() ? 0 : found->second;
         std::int32_t pace = run.pace_;
