Keep the instants at which refused tasks may start again

Cause: each tick visited all tasks of all open stages to find the next one that becomes ready after a refusal.

Change: a refusal notes the instant; the tick wakes at the earliest one. An instant whose stage has closed meanwhile gives one tick more.

--- a/plan/apply_events.cpp
+++ b/plan/apply_events.cpp
@@ -199,8 +199,10 @@
         }
         if (input.run_.index_ < stage->tasks_.size())
         {
-            stage->tasks_[input.run_.index_].ready_at_ =
+            instant const ready =
                 context.now_.after(context.settings_.refusal_pause_micros_);
+            stage->tasks_[input.run_.index_].ready_at_ = ready;
+            context.ready_at_.insert(ready);
         }
     }
     forget_run(context, input.run_);
--- a/plan/place_tasks.cpp
+++ b/plan/place_tasks.cpp
@@ -484,15 +484,11 @@
             most_free = find_most_free(context);
         }
     }
-    for (stage_row const& stage : context.stages_)
+    context.ready_at_.erase(context.ready_at_.begin(),
+                            context.ready_at_.upper_bound(context.now_));
+    if (!context.ready_at_.empty())
     {
-        for (task_cell const& task : stage.tasks_)
-        {
-            if (task.ready_at_ > context.now_)
-            {
-                wake_at(context, task.ready_at_);
-            }
-        }
+        wake_at(context, *context.ready_at_.begin());
     }
     place_copies(context);
 }
