Pass stages over without a look-up of their job

Cause: questions to the policy service and the queries of a heartbeat looked the job of each open stage up by name, and tickets stood in a tree of names.

Change: a stage holds the specification of its job; tickets are hashed; stages without a waiting task are passed over first.

--- a/plan/job_flow.cpp
+++ b/plan/job_flow.cpp
@@ -118,6 +118,7 @@
     {
         step_spec const& spec = job->spec_->steps_[step];
         stage_row        stage;
+        stage.spec_ = job->spec_;
         stage.tasks_.resize(spec.count_);
         for (std::uint32_t index = 0; index < spec.count_; ++index)
         {
--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -218,10 +218,14 @@
     for (std::size_t row = 0; row < context.stages_.size(); ++row)
     {
         stage_row const& stage = context.stages_[row];
+        if (!stage.startable_ || stage.asked_ || count_waiting(stage) == 0)
+        {
+            continue;
+        }
         stage_key const& key = context.stages_.key(row);
         job_row const&   job = *context.jobs_.find(key.job_);
         step_spec const& step = job.spec_->steps_[key.step_];
-        if (!stage.startable_ || (unseen && job.recovered_) || stage.asked_)
+        if (unseen && job.recovered_)
         {
             continue;
         }
@@ -336,13 +340,15 @@
         {
             continue;
         }
-        stage_key const&     key = context.stages_.key(row);
-        job_row const* const job = context.jobs_.find(key.job_);
-        auto const           waiting = count_waiting(stage);
-        resources const      demand =
-            job->spec_->steps_[key.step_].demand_ * waiting;
+        auto const waiting = count_waiting(stage);
+        if (waiting == 0)
+        {
+            continue;
+        }
+        std::uint32_t const step = context.stages_.key(row).step_;
+        resources const demand = stage.spec_->steps_[step].demand_ * waiting;
         sum.queued_ = sum.queued_ + demand;
-        resources& owned = queued[job->spec_->organisation_];
+        resources& owned = queued[stage.spec_->organisation_];
         owned = owned + demand;
     }
     for (std::size_t row = 0; row < context.organisations_.size(); ++row)
--- a/plan/request_advice.cpp
+++ b/plan/request_advice.cpp
@@ -77,8 +77,9 @@
             return -1;
         }
     }
-    double const expected_ms = expect_run_ms(context, key);
-    double       longest = 0;
+    double const expected_ms =
+        stage.samples_ > 0 ? stage.ran_ms_ : expect_run_ms(context, key);
+    double longest = 0;
     for (std::size_t const row : context.runs_.of_job(key.job_))
     {
         // The job is the same for all, so these two tell the stages apart.
@@ -94,10 +95,10 @@
 }
 
 // True when all predecessors of a stage end within the time of an answer.
-bool starts_soon(planner const& context, job_row const& job,
+bool starts_soon(planner const& context, staged_job const& job,
                  stage_key const& key, advice_policy const& advice)
 {
-    auto const& after = job.spec_->steps_[key.step_].after_;
+    auto const& after = job.steps_[key.step_].after_;
     return std::all_of(
         after.begin(), after.end(),
         [&](std::uint32_t step)
@@ -244,10 +245,8 @@
         {
             continue;
         }
-        stage_key const&          key = context.stages_.key(row);
-        job_row const&            job = *context.jobs_.find(key.job_);
         queue_policy const* const queue =
-            context.queues_.find(job.spec_->queue_);
+            context.queues_.find(stage.spec_->queue_);
         if (queue == nullptr || !queue->advice_)
         {
             continue;
@@ -257,9 +256,11 @@
             wake_at(context, stage.ask_after_);
             continue;
         }
+        stage_key const&     key = context.stages_.key(row);
+        advice_policy const& advice = *queue->advice_;
         if (stage.startable_ ||
-            (may_ask(context, is_long_answer(context, *queue->advice_)) &&
-             starts_soon(context, job, key, *queue->advice_)))
+            (may_ask(context, is_long_answer(context, advice)) &&
+             starts_soon(context, *stage.spec_, key, advice)))
         {
             ranks.push_back(rank_stage(context, key));
         }
--- a/plan/stage_row.hpp
+++ b/plan/stage_row.hpp
@@ -4,11 +4,13 @@
 
 #include "core/ids.hpp"
 #include "core/instant.hpp"
+#include "core/staged_job.hpp"
 #include "plan/task_cell.hpp"
 #include "plan/ticket_cell.hpp"
 
 #include <cstdint>
-#include <map>
+#include <memory>
+#include <unordered_map>
 #include <vector>
 
 namespace fescuevane::plan
@@ -16,18 +18,19 @@
 
 struct stage_row
 {
-    std::vector<task_cell>     tasks_;
-    std::uint32_t              done_ = 0;
+    std::shared_ptr<staged_job const> spec_; // of its job
+    std::vector<task_cell>            tasks_;
+    std::uint32_t                     done_ = 0;
     double                     ran_ms_ = 0;  // mean run time of its ended tasks
     double                     samples_ = 0; // number of them
     bool                       startable_ = false; // predecessors have ended
     std::uint32_t              gang_run_ = 0; // number of the gang's latest run
     std::vector<std::uint32_t> gang_failures_; // run numbers
 
-    std::map<target_id, ticket_cell> tickets_;
-    bool                             asked_ = false; // a question is in flight
-    bool                             asked_long_ = false; // its answer is long
-    instant                          ask_after_;
+    std::unordered_map<target_id, ticket_cell> tickets_;
+    bool    asked_ = false;      // a question is in flight
+    bool    asked_long_ = false; // its answer is long
+    instant ask_after_;
 };
 
 std::int64_t count_waiting(stage_row const& stage); // tasks to start here
