Give up channels by unanswered calls instead of pings on idle ones

Cause: each connection to another host was pinged every 2 s, also while nothing was sent on it, to notice one that had gone silent.

Change: a channel on which calls reach their deadlines and that has answered nothing for 2 s is replaced. Pings are left for open calls, after 10 s.

--- a/peer/peer_link.cpp
+++ b/peer/peer_link.cpp
@@ -36,8 +36,15 @@
 constexpr int reconnect_min_ms = 100;
 constexpr int reconnect_max_ms = 400;
 
-// Detects connections that went silent while no call is open.
-constexpr int keepalive_ms = 2000;
+// A connection that is silent for this long while calls on it reach their
+// deadlines is given up. A lost answer may leave it open and silent for ever.
+constexpr std::int64_t silent_micros = 2'000'000;
+
+// The library's own check, only while calls are open. Its timer fires on idle
+// connections, too. The system gives up one that acknowledges nothing within
+// the time-out.
+constexpr int keepalive_ms = 10'000;
+constexpr int keepalive_timeout_ms = 1000;
 constexpr int min_ping_ms = 1000;
 
 // Added to the deadline of a call, so that the owner's own answer comes first.
@@ -91,14 +98,25 @@
 
 } // namespace
 
+namespace
+{
+
+struct channel_row
+{
+    std::unique_ptr<Cell::Stub> stub_;
+    instant                     answered_at_; // latest answer on it
+};
+
+} // namespace
+
 struct peer_link::state
 {
-    peer_handlers                                      handlers_;
-    Cell::AsyncService                                 service_;
-    std::unique_ptr<grpc::ServerCompletionQueue>       queue_;
-    std::unique_ptr<grpc::Server>                      server_;
-    std::thread                                        thread_;
-    std::map<std::string, std::unique_ptr<Cell::Stub>> stubs_;
+    peer_handlers                                handlers_;
+    Cell::AsyncService                           service_;
+    std::unique_ptr<grpc::ServerCompletionQueue> queue_;
+    std::unique_ptr<grpc::Server>                server_;
+    std::thread                                  thread_;
+    std::map<std::string, channel_row>           channels_; // by address
     std::map<std::uint64_t, std::function<void(cell::job_answer const&)>>
         open_; // calls of other hosts that wait
     std::map<std::uint64_t, std::function<void(cell::advice_reply const&)>>
@@ -108,8 +126,9 @@
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 
     Cell::Stub& find_stub(std::string const& address);
-    void        wait_for_completions();
-    void        complete_all();
+    void note_end(std::string const& address, grpc::Status const& status);
+    void wait_for_completions();
+    void complete_all();
 };
 
 // 2. Calls that come in
@@ -329,8 +348,8 @@
 
 Cell::Stub& peer_link::state::find_stub(std::string const& address)
 {
-    std::unique_ptr<Cell::Stub>& stub = stubs_[address];
-    if (stub == nullptr)
+    channel_row& channel = channels_[address];
+    if (channel.stub_ == nullptr)
     {
         grpc::ChannelArguments arguments;
         arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
@@ -340,8 +359,7 @@
         arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, reconnect_min_ms);
         arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, reconnect_max_ms);
         arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, keepalive_ms);
-        arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, keepalive_ms / 2);
-        arguments.SetInt(GRPC_ARG_KEEPALIVE_PERMIT_WITHOUT_CALLS, 1);
+        arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, keepalive_timeout_ms);
         arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
         // Messages are small: a ping after each of them to estimate the
         // bandwidth costs as much as the message. No other feature that the
@@ -350,10 +368,31 @@
         arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
         arguments.SetInt(GRPC_ARG_MINIMAL_STACK, 1);
         arguments.SetInt(GRPC_ARG_ENABLE_DEADLINE_CHECKS, 1);
-        stub = Cell::NewStub(grpc::CreateCustomChannel(
+        channel.stub_ = Cell::NewStub(grpc::CreateCustomChannel(
             address, grpc::InsecureChannelCredentials(), arguments));
+        channel.answered_at_ = io::read_clock();
+    }
+    return *channel.stub_;
+}
+
+// Calls that are open on a channel which is given up go on to their deadlines.
+void peer_link::state::note_end(std::string const&  address,
+                                grpc::Status const& status)
+{
+    auto const found = channels_.find(address);
+    if (found == channels_.end())
+    {
+        return;
+    }
+    instant const now = io::read_clock();
+    if (status.error_code() != grpc::StatusCode::DEADLINE_EXCEEDED)
+    {
+        found->second.answered_at_ = now;
+    }
+    else if (found->second.answered_at_.after(silent_micros) < now)
+    {
+        channels_.erase(found);
     }
-    return *stub;
 }
 
 void peer_link::state::wait_for_completions()
@@ -439,8 +478,10 @@
 {
     auto* const call = new outgoing<cell::v1::Heartbeat>(
         deadline,
-        [this](grpc::Status const& status, cell::v1::Heartbeat const& reply)
+        [this, address](grpc::Status const&        status,
+                        cell::v1::Heartbeat const& reply)
         {
+            state_->note_end(address, status);
             if (!status.ok())
             {
                 return; // silence is what the node notices
@@ -464,9 +505,10 @@
 {
     auto* const out = new outgoing<cell::v1::JobAnswer>(
         call.deadline_.after(call_slack_micros),
-        [this, request](grpc::Status const&        status,
-                        cell::v1::JobAnswer const& reply)
+        [this, request, address](grpc::Status const&        status,
+                                 cell::v1::JobAnswer const& reply)
         {
+            state_->note_end(address, status);
             cell::job_answer answer{.outcome_ = cell::job_outcome::uncertain};
             try
             {
@@ -514,9 +556,10 @@
 {
     auto* const out = new outgoing<cell::v1::AdviceAnswer>(
         question.deadline_.after(call_slack_micros),
-        [this, request = question.request_](grpc::Status const& status,
-                                            cell::v1::AdviceAnswer const& reply)
+        [this, request = question.request_, address = question.address_](
+            grpc::Status const& status, cell::v1::AdviceAnswer const& reply)
         {
+            state_->note_end(address, status);
             state_->handlers_.advised_(
                 status.ok()
                     ? decode_advice(request, reply)
