--- a/bench/measure_peers.cpp
+++ b/bench/measure_peers.cpp
@@ -378,7 +378,6 @@
 
 // 3. HTTP
 
-constexpr std::size_t  http_servers = 16;
 constexpr std::int64_t http_interval_micros = 2'000;
 
 void answer_http(SoupServer* /*server*/, SoupServerMessage* message,
@@ -451,24 +450,28 @@
 
 void measure_http(std::uint64_t /*seed*/, std::vector<figure>& output)
 {
-    auto const  addresses = find_addresses(http_servers);
-    child const server = start_child(
-        [&addresses]
-        {
-            return serve_http(addresses);
-        });
-    child const client = start_child(
-        [&addresses]
-        {
-            return call_http(addresses);
-        });
-    usage const used = end_child(client);
-    end_child(server);
-    output.push_back({"http", "one client, 16 addresses", "call, us of client",
-                      used.cpu_micros_ / static_cast<double>(used.calls_)});
-    output.push_back({"http", "one client, 16 addresses",
-                      "call, wake-ups of client",
-                      used.switches_ / static_cast<double>(used.calls_)});
+    for (std::size_t const servers :
+         {1, 16, 120}) // a store, targets of a shard
+    {
+        auto const  addresses = find_addresses(servers);
+        child const server = start_child(
+            [&addresses]
+            {
+                return serve_http(addresses);
+            });
+        child const client = start_child(
+            [&addresses]
+            {
+                return call_http(addresses);
+            });
+        usage const used = end_child(client);
+        end_child(server);
+        std::string const setting = std::to_string(servers) + " addresses";
+        output.push_back({"http", setting, "call, us of client",
+                          used.cpu_micros_ / static_cast<double>(used.calls_)});
+        output.push_back({"http", setting, "call, wake-ups of client",
+                          used.switches_ / static_cast<double>(used.calls_)});
+    }
 }
 
 } // namespace fescuevane::bench
