Spread addresses over several sessions of the HTTP library

Cause: with each call a session of the library tests each of its idle connections by a system call, two or three times, to close those that have ended. An owner keeps one or two connections to each of 120 targets.

Change: a client spreads addresses over up to 64 sessions, so that a call tests the few connections of its own. The bound of connections to one address holds.

--- a/io/http_client.cpp
+++ b/io/http_client.cpp
@@ -70,21 +70,38 @@
 } // namespace
 
 http_client::http_client(int connections)
-    : session_(soup_session_new_with_options(
-          "max-conns", max_connections, "max-conns-per-host", connections,
-          "timeout", 0, "idle-timeout", idle_seconds, "proxy-resolver", nullptr,
-          nullptr))
-    , alive_(std::make_shared<bool>(true))
+    : connections_(connections), alive_(std::make_shared<bool>(true))
 {
-    soup_session_set_proxy_resolver(session_, nullptr);
-    soup_session_remove_feature_by_type(session_, SOUP_TYPE_CONTENT_DECODER);
 }
 
 http_client::~http_client()
 {
     *alive_ = false;
-    soup_session_abort(session_);
-    g_object_unref(session_);
+    for (SoupSession* const session : sessions_)
+    {
+        if (session != nullptr)
+        {
+            soup_session_abort(session);
+            g_object_unref(session);
+        }
+    }
+}
+
+// An address always has the same session, which bounds its connections.
+SoupSession* http_client::find_session(std::string const& address)
+{
+    SoupSession*& session =
+        sessions_.at(std::hash<std::string>{}(address) % max_sessions);
+    if (session == nullptr)
+    {
+        session = soup_session_new_with_options(
+            "max-conns", max_connections, "max-conns-per-host", connections_,
+            "timeout", 0, "idle-timeout", idle_seconds, "proxy-resolver",
+            nullptr, nullptr);
+        soup_session_set_proxy_resolver(session, nullptr);
+        soup_session_remove_feature_by_type(session, SOUP_TYPE_CONTENT_DECODER);
+    }
+    return session;
 }
 
 void http_client::send(http_request const& request, reply_function reply)
@@ -130,9 +147,9 @@
                                  own->late_ = true;
                                  g_cancellable_cancel(own->cancel_);
                              });
-    soup_session_send_and_read_async(session_, own->message_,
-                                     G_PRIORITY_DEFAULT, own->cancel_,
-                                     &on_reply, own);
+    soup_session_send_and_read_async(find_session(request.address_),
+                                     own->message_, G_PRIORITY_DEFAULT,
+                                     own->cancel_, &on_reply, own);
 }
 
 } // namespace fescuevane::io
--- a/io/http_client.hpp
+++ b/io/http_client.hpp
@@ -3,8 +3,10 @@
 #define FESCUEVANE_IO_HTTP_CLIENT_HPP
 
 #include <libsoup/soup.h>
+#include <array>
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace fescuevane::io
 {
@@ -30,8 +32,15 @@
     void send(http_request const& request, reply_function reply);
 
 private:
-    SoupSession*          session_;
-    std::shared_ptr<bool> alive_;
+    // With each call, a session of the library tests all of its connections
+    // that are idle by a system call. So addresses are spread over sessions.
+    static constexpr std::size_t max_sessions = 64;
+
+    SoupSession* find_session(std::string const& address);
+
+    int const                              connections_;
+    std::array<SoupSession*, max_sessions> sessions_{}; // null: not needed yet
+    std::shared_ptr<bool>                  alive_;
 };
 
 } // namespace fescuevane::io
