Divide the targets of a failure domain into shards by a stored layout

Cause: each failure domain had one shard, so one host of half a core kept 88 to 117 targets while others of its size owned nothing.

Change: a row for each domain holds the number of shards and the rack-to-shard map. Submissions go to the shard with the lowest load, after those whose targets can't run a gang, label or rack of the job; look-ups of unknown jobs read the store's row where the domain has several shards. An equal part of a limit follows from the number of domains and the layout of the shard's own one, and a shard that the writer of an allotment row didn't know of keeps it.

--- a/cell/delegate_tasks.cpp
+++ b/cell/delegate_tasks.cpp
@@ -20,6 +20,7 @@
 #include <limits>
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
 
 namespace fescuevane::cell
@@ -141,15 +142,21 @@
     return tasks.demand_ * static_cast<std::int64_t>(tasks.indices_.size());
 }
 
-// The shard with the lowest load, if it has room for the tasks. Tasks that this
-// shard can never run go to any that is able to take work.
+// The shard with the lowest load, if it has room for the tasks; shards of other
+// failure domains count as more loaded. Tasks that this shard can never run go
+// to any that may be able to.
 std::optional<shard_id> choose_delegate(node const&           context,
                                         shard_id const&       from,
                                         plan::overflow const& tasks)
 {
-    std::optional<shard_id> best;
-    double                  least =
+    std::shared_ptr<staged_job const> const job =
+        plan::find_job(*context.owned_.find(from)->planner_, tasks.stage_.job_);
+    std::set<shard_id> const unfit =
+        list_unfit(context, job->service_, job->steps_.at(tasks.stage_.step_));
+    double const most =
         tasks.blocked_ ? std::numeric_limits<double>::max() : max_delegate_load;
+    std::optional<shard_id> best;
+    double                  least = std::numeric_limits<double>::max();
     for (std::size_t row = 0; row < context.shards_.size(); ++row)
     {
         shard_id const&  id = context.shards_.key(row);
@@ -158,16 +165,20 @@
                            context.settings_.suspect_micros_;
         host_row const* const host = context.hosts_.find(shard.owner_);
         if (id == from || context.out_.contains(id.domain_) || !heard ||
-            !shard.serving_ ||
+            !shard.serving_ || unfit.contains(id) ||
             (host != nullptr && (!host->store_ok_ || host->stopping_)))
         {
             continue;
         }
         double const load = expect_load(shard, demand_of(tasks));
-        if (shard.load_.capacity_.cpu_millis() > 0 && load < least)
+        double const cost =
+            load +
+            (id.domain_ == from.domain_ ? 0 : context.settings_.remote_cost_);
+        if (shard.load_.capacity_.cpu_millis() > 0 && load < most &&
+            cost < least)
         {
             best = id;
-            least = load;
+            least = cost;
         }
     }
     return best;
--- a/cell/drive_planners.cpp
+++ b/cell/drive_planners.cpp
@@ -30,7 +30,8 @@
     {
         queues.push_back(route.policy_);
     }
-    auto const shards = static_cast<double>(context.shards_.size());
+    auto const shards = static_cast<double>(
+        context.layouts_.size() * count_shards(context, shard.domain_));
     std::vector<organisation_share> organisations;
     for (organisation_entry const& entry : context.config_->organisations_)
     {
--- a/cell/follow_members.cpp
+++ b/cell/follow_members.cpp
@@ -63,7 +63,7 @@
 {
     shard_id const id =
         read_shard_name(row.key_.key_.substr(std::string(shard_prefix).size()));
-    shard_row* const shard = context.shards_.find(id);
+    shard_row* const shard = ensure_shard(context, id);
     std::uint32_t    part = 0;
     std::from_chars(row.key_.part_.data(),
                     row.key_.part_.data() + row.key_.part_.size(), part);
@@ -114,6 +114,11 @@
         {
             apply_host_row(context, input.row_);
         }
+        else if (input.row_.key_.key_.starts_with(layout_prefix) &&
+                 input.row_.revision_ != 0)
+        {
+            apply_layout_row(context, input.row_);
+        }
         else if (input.row_.key_.key_.starts_with(shard_prefix) &&
                  input.row_.revision_ != 0)
         {
@@ -171,7 +176,7 @@
 void apply_shard_load(node& context, heartbeat const& beat,
                       shard_load const& told)
 {
-    shard_row* const shard = context.shards_.find(told.shard_);
+    shard_row* const shard = ensure_shard(context, told.shard_);
     if (shard == nullptr || told.epoch_ < shard->epoch_)
     {
         return;
@@ -382,6 +387,9 @@
     case request_kind::locate:
         end_locate(context, request, input);
         break;
+    case request_kind::layout:
+        end_layout(context, request, input);
+        break;
     case request_kind::allotment:
         end_load_allotments(context, request, input);
         break;
--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -155,11 +155,16 @@
     {
         return;
     }
+    layout_row* const layout = context.layouts_.find(input.target_.domain_);
+    if (layout != nullptr && !session.info_)
+    {
+        layout->listed_at_ = context.now_;
+    }
     bool const moved =
         session.info_ && session.info_->address_ != input.target_.address_;
     session.info_ = std::make_shared<listed_target const>(input.target_);
     session.listed_ = true;
-    session.shard_ = shard_of(input.target_.domain_);
+    session.shard_ = shard_of(context, *session.info_).value_or(shard_id());
     if (!owns(context, session.shard_, owned_phase::serving))
     {
         return;
--- a/cell/move_allotments.cpp
+++ b/cell/move_allotments.cpp
@@ -31,9 +31,12 @@
 
 // 1. Parts
 
-std::int64_t equal_part(node const& context)
+// Domains have equal parts, and so have the shards of one: this depends on
+// nothing but the layout of the shard's own domain, which its owner knows.
+std::int64_t equal_part(node const& context, shard_id const& shard)
 {
-    return whole_limit / static_cast<std::int64_t>(context.shards_.size());
+    return whole_limit / (static_cast<std::int64_t>(context.layouts_.size()) *
+                          count_shards(context, shard.domain_));
 }
 
 std::int64_t count_thousandths(std::int64_t amount, std::int64_t limit)
@@ -56,10 +59,12 @@
     allotment_row const* const row = context.allotments_.find(organisation);
     if (row == nullptr || row->revision_ == 0)
     {
-        return equal_part(context);
+        return equal_part(context, shard);
     }
+    // A shard that the writer of the row didn't know of keeps its equal part.
     auto const part = row->record_.parts_.find(shard);
-    return part == row->record_.parts_.end() ? 0 : part->second;
+    return part == row->record_.parts_.end() ? equal_part(context, shard)
+                                             : part->second;
 }
 
 } // namespace
@@ -221,9 +226,9 @@
     // Where both lack room, each may have an equal part. What runs keeps its
     // room until it ends.
     std::int64_t spare = part - wanted;
-    if (stored_part(context, neediest, id) < equal_part(context))
+    if (stored_part(context, neediest, id) < equal_part(context, neediest))
     {
-        spare = std::max(spare, part - equal_part(context));
+        spare = std::max(spare, part - equal_part(context, view.shard_));
     }
     std::int64_t const given = std::min({spare, part - used, most});
     if (given <= 0)
@@ -269,6 +274,17 @@
                        .deadline_ = store_deadline(context)});
 }
 
+// Parts can be written down only when it is known how many shards there are.
+bool knows_layouts(node const& context)
+{
+    return std::all_of(context.shards_.keys().begin(),
+                       context.shards_.keys().end(),
+                       [&context](shard_id const& shard)
+                       {
+                           return has_layout(context, shard.domain_);
+                       });
+}
+
 void lend_parts(node& context, shard_id const& shard, owned_row& own)
 {
     std::vector<row_condition> conditions = {
@@ -318,7 +334,7 @@
         shard_id const shard = context.owned_.key(row);
         if (own.phase_ != owned_phase::serving || own.releasing_ ||
             own.allotment_request_ != 0 || own.plan_needed_ ||
-            !context.config_ || !context.store_ok_)
+            !context.config_ || !context.store_ok_ || !knows_layouts(context))
         {
             continue;
         }
--- a/cell/node.cpp
+++ b/cell/node.cpp
@@ -33,9 +33,7 @@
     context->store_micros_ = values.store_min_micros_;
     for (domain_id const& domain : values.domains_)
     {
-        shard_row& row = context->shards_.ensure(shard_of(domain));
-        row.revisions_.resize(values.job_parts_);
-        row.epochs_.resize(values.job_parts_);
+        context->layouts_.ensure(domain);
     }
     return context;
 }
@@ -45,9 +43,10 @@
 namespace
 {
 
-constexpr std::array<system_entry, 11> list_systems = {{
+constexpr std::array<system_entry, 12> list_systems = {{
     {"apply_events", &apply_events},
     {"follow_members", &follow_members},
+    {"lay_out_domains", &lay_out_domains},
     {"claim_shards", &claim_shards},
     {"load_shards", &load_shards},
     {"drive_planners", &drive_planners},
@@ -225,11 +224,6 @@
     return row != nullptr && row->phase_ >= at_least;
 }
 
-shard_id shard_of(domain_id const& domain)
-{
-    return {domain, 0};
-}
-
 std::uint32_t part_of(node const& context, job_id const& job)
 {
     return static_cast<std::uint32_t>(compute_stable_hash(job.str()) %
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -12,6 +12,7 @@
 #include "cell/event.hpp"
 #include "cell/host_row.hpp"
 #include "cell/job_record.hpp"
+#include "cell/layout_row.hpp"
 #include "cell/order_row.hpp"
 #include "cell/owned_row.hpp"
 #include "cell/parked_call.hpp"
@@ -26,6 +27,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string_view>
 #include <vector>
@@ -48,7 +50,8 @@
     std::set<domain_id>                out_;    // taken out by operators
 
     table<host_id, host_row>               hosts_;
-    table<shard_id, shard_row>             shards_;
+    table<domain_id, layout_row>           layouts_; // one for each domain
+    table<shard_id, shard_row>             shards_;  // of known layouts
     table<shard_id, owned_row>             owned_;
     table<target_id, session_row>          sessions_;
     table<job_id, record_row>              records_;
@@ -95,6 +98,7 @@
 // Systems, in order
 void apply_events(node& context);    // inbox to tables
 void follow_members(node& context);  // announce, heartbeats
+void lay_out_domains(node& context); // into shards
 void claim_shards(node& context);    // without an owner
 void load_shards(node& context);     // fence and read
 void drive_planners(node& context);  // plan ticks, their orders
@@ -113,7 +117,6 @@
 instant       store_deadline(node const& context);
 void drop_shard(node& context, shard_id const& shard, std::string const& why);
 bool owns(node const& context, shard_id const& shard, owned_phase at_least);
-shard_id      shard_of(domain_id const& domain);
 std::uint32_t part_of(node const& context, job_id const& job);
 void note_place(node& context, job_id const& job, shard_id const& shard);
 void note_store(node& context, store_reply const& reply, instant sent);
@@ -145,11 +148,29 @@
                  store_reply const& reply);
 void end_locate(node& context, request_row const& request,
                 store_reply const& reply);
+void end_layout(node& context, request_row const& request,
+                store_reply const& reply);
 void end_load_allotments(node& context, request_row const& request,
                          store_reply const& reply);
 void end_lend(node& context, request_row const& request,
               store_reply const& reply);
 
+// Layouts
+constexpr std::string_view layout_prefix = "layout/"; // of their keys
+void          apply_layout_row(node& context, stored_row const& row);
+std::uint32_t count_shards(node const& context, domain_id const& domain);
+bool          has_layout(node const& context, domain_id const& domain);
+// Nothing while the layout isn't known.
+std::optional<shard_id> shard_of(node const&          context,
+                                 listed_target const& target);
+// Null when the cell has no such failure domain.
+shard_row* ensure_shard(node& context, shard_id const& shard);
+
+// Shards whose listed targets can't run the step: a gang as a whole, else one
+// task.
+std::set<shard_id> list_unfit(node const& context, service_id const& service,
+                              step_spec const& step);
+
 // Owners
 std::size_t count_owned(node const& context, host_id const& host);
 double      share_left(double cpu_share, std::size_t owned); // for one more
--- a/cell/records.cpp
+++ b/cell/records.cpp
@@ -1,7 +1,7 @@
 // Purpose: text of the rows that a cell keeps in the store.
 //
 // Index of sections
-//   1. Hosts, shards and limits
+//   1. Hosts, layouts, shards and limits
 //   2. Specifications
 //   3. Jobs
 #include "cell/records.hpp"
@@ -35,7 +35,7 @@
 
 } // namespace
 
-// 1. Hosts, shards and limits
+// 1. Hosts, layouts, shards and limits
 
 std::string write_host(host_record const& record)
 {
@@ -107,6 +107,40 @@
     return shard;
 }
 
+std::string write_layout(layout_record const& record)
+{
+    json racks = json::object();
+    for (auto const& [rack, index] : record.racks_)
+    {
+        racks[rack.str()] = index;
+    }
+    return json{{"shards", record.shards_}, {"racks", racks}}.dump();
+}
+
+layout_record read_layout(std::string const& text)
+{
+    return parse(
+        text,
+        [](json const& row)
+        {
+            layout_record record{.shards_ =
+                                     row.at("shards").get<std::uint32_t>()};
+            for (auto const& [rack, index] : row.at("racks").items())
+            {
+                record.racks_[rack_id(rack)] = index.get<std::uint32_t>();
+                if (index >= record.shards_)
+                {
+                    throw record_error("layout: rack " + rack + " in no shard");
+                }
+            }
+            if (record.shards_ == 0)
+            {
+                throw record_error("layout: no shards");
+            }
+            return record;
+        });
+}
+
 std::string write_allotment(allotment_record const& record)
 {
     json parts = json::object();
--- a/cell/records.hpp
+++ b/cell/records.hpp
@@ -5,6 +5,7 @@
 #include "cell/allotment_record.hpp"
 #include "cell/host_record.hpp"
 #include "cell/job_record.hpp"
+#include "cell/layout_record.hpp"
 #include "cell/owner_record.hpp"
 #include "cell/row_key.hpp"
 
@@ -20,6 +21,9 @@
 std::string  write_owner(owner_record const& record);
 owner_record read_owner(std::string const& text);
 
+std::string   write_layout(layout_record const& record);
+layout_record read_layout(std::string const& text);
+
 std::string      write_allotment(allotment_record const& record);
 allotment_record read_allotment(std::string const& text);
 
--- a/cell/request_row.hpp
+++ b/cell/request_row.hpp
@@ -7,6 +7,7 @@
 #include "core/shard_id.hpp"
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
 namespace fescuevane::cell
@@ -21,6 +22,7 @@
     journal,   // write jobs
     release,   // hand a shard over
     locate,    // find the shard of a job
+    layout,    // write the layout of a failure domain
     allotment, // read the divided limits
     lend       // move parts of limits to other shards
 };
@@ -32,6 +34,7 @@
     std::uint32_t       part_ = 0;
     std::vector<job_id> jobs_;     // of a transaction
     std::uint64_t       call_ = 0; // of a caller
+    std::string         text_;     // of a layout
     instant             sent_;
 };
 
--- a/cell/route_calls.cpp
+++ b/cell/route_calls.cpp
@@ -16,6 +16,7 @@
 #include <algorithm>
 #include <limits>
 #include <optional>
+#include <set>
 
 namespace fescuevane::cell
 {
@@ -65,10 +66,34 @@
                        : context.settings_.remote_cost_);
 }
 
+// A gang, a label or data near a rack need targets that not every shard has.
+bool is_choosy(step_spec const& step)
+{
+    return step.gang_ || !step.required_label_.empty() ||
+           !step.near_rack_.empty();
+}
+
+// Shards that can't run a step of the job come last: they would have to hand it
+// over to another shard.
+std::set<shard_id> list_last(node const& context, staged_job const& job)
+{
+    std::set<shard_id> last;
+    for (step_spec const& step : job.steps_)
+    {
+        if (is_choosy(step))
+        {
+            last.merge(list_unfit(context, job.service_, step));
+        }
+    }
+    return last;
+}
+
 std::optional<shard_id> choose_shard(node const& context, call_row const& call)
 {
-    std::optional<shard_id> best;
-    double                  best_load = std::numeric_limits<double>::max();
+    std::set<shard_id> const last = list_last(context, *call.job_);
+    constexpr double         unfit_cost = 1000; // above any load
+    std::optional<shard_id>  best;
+    double                   best_load = std::numeric_limits<double>::max();
     for (std::size_t row = 0; row < context.shards_.size(); ++row)
     {
         shard_id const&  id = context.shards_.key(row);
@@ -77,7 +102,8 @@
         {
             continue;
         }
-        double const load = load_of(context, id, shard);
+        double const load =
+            load_of(context, id, shard) + (last.contains(id) ? unfit_cost : 0);
         if (load < best_load)
         {
             best = id;
@@ -99,12 +125,19 @@
     {
         return place->second;
     }
-    shard_id const         own = shard_of(context.settings_.domain_);
-    shard_row const* const row = context.shards_.find(own);
-    if (!call.tried_.contains(own) && row != nullptr &&
-        has_owner(context, own, *row))
+    // With several shards the store's row of the job is read instead: asking
+    // one shard after another would take longer, unless the store is away.
+    domain_id const&    domain = context.settings_.domain_;
+    std::uint32_t const shards = count_shards(context, domain);
+    for (std::uint32_t index = 0; index < shards; ++index)
     {
-        return own;
+        shard_id const         own{domain, index};
+        shard_row const* const row = context.shards_.find(own);
+        if ((shards == 1 || !context.store_ok_) && !call.tried_.contains(own) &&
+            row != nullptr && has_owner(context, own, *row))
+        {
+            return own;
+        }
     }
     return std::nullopt;
 }
--- a/cell/settings.hpp
+++ b/cell/settings.hpp
@@ -42,6 +42,11 @@
     std::int64_t alone_micros_ = 8'000'000;   // without word from any host
     std::int64_t balance_micros_ = 1'500'000; // between looks for better owners
 
+    // Shards of a failure domain. Half a core keeps about 60 targets attached.
+    std::uint32_t targets_per_shard_ = 60;
+    std::int64_t  layout_quiet_micros_ = 600'000;   // without a new target
+    std::int64_t  layout_empty_micros_ = 6'000'000; // of a domain without any
+
     // Leases; clocks of targets may run slow by `clock_drift_`
     std::int64_t lease_ms_ = 4000;
     std::int64_t start_valid_ms_ = 1500; // a start that comes later is useless
--- /dev/null
+++ b/tests/unit/cell_cluster_fixture.hpp
@@ -0,0 +1,375 @@
+// Purpose: fixture of tests of several nodes that share a store and targets.
+//
+// Index of sections
+//   1. Hosts and targets
+//   2. Time
+//   3. Store
+//   4. Queries
+#ifndef FESCUEVANE_TESTS_UNIT_CELL_CLUSTER_FIXTURE_HPP
+#define FESCUEVANE_TESTS_UNIT_CELL_CLUSTER_FIXTURE_HPP
+
+#include "cell_fixture.hpp"
+
+#include "cell/records.hpp"
+
+#include <set>
+
+namespace fescuevane::cell
+{
+
+struct cell_cluster_fixture
+{
+    struct member
+    {
+        settings                            settings_;
+        node_ptr                            node_; // null: killed
+        std::map<std::uint64_t, job_answer> answers_;
+    };
+
+    struct passed_call
+    {
+        std::string   from_; // address
+        std::uint64_t request_ = 0;
+    };
+
+    settings                                       defaults_;
+    std::map<std::string, member>                  members_;   // by address
+    std::map<std::string, std::string>             addresses_; // by name
+    std::vector<listed_target>                     targets_;
+    std::map<target_id, std::vector<reported_run>> running_;
+    std::map<run_key, int>                         starts_;
+    std::map<target_id, epoch>                     fences_;
+    std::map<std::uint64_t, passed_call>           passed_;
+    std::map<row_key, stored_row>                  rows_;
+    revision                                       revision_ = 0;
+    instant                            now_ = instant(10 * micros_per_second);
+    std::int64_t                       unix_ms_ = 1'000'000;
+    std::uint64_t                      last_call_ = 0;
+    std::shared_ptr<cell_config const> config_ = cell_fixture::make_config();
+
+    cell_cluster_fixture()
+    {
+        defaults_.domains_ = {domain_id("east")};
+        defaults_.targets_per_shard_ = 2;
+    }
+
+    // 1. Hosts and targets
+
+    void add_host(std::string const& name, double cpu_share = 0.5,
+                  std::string const& domain = "east")
+    {
+        std::string const address =
+            "127.0.0.1:" + std::to_string(7000 + members_.size());
+        settings values = defaults_;
+        values.host_ = host_id(name);
+        values.address_ = address;
+        values.domain_ = domain_id(domain);
+        values.cpu_share_ = cpu_share;
+        addresses_[name] = address;
+        members_[address].settings_ = values;
+        start(name);
+    }
+
+    // A process reads what the store and the list of targets hold.
+    void start(std::string const& name)
+    {
+        member& host = find(name);
+        ++host.settings_.incarnation_;
+        host.node_ = make_node(host.settings_, now_);
+        post_event(*host.node_, config_changed{config_});
+        for (auto const& [key, row] : rows_)
+        {
+            if (key.table_ == "member")
+            {
+                post_event(*host.node_, member_row_changed{row});
+            }
+        }
+        for (listed_target const& target : targets_)
+        {
+            post_event(*host.node_, target_listed{target});
+        }
+        post_event(*host.node_, list_complete{member_list::members});
+        post_event(*host.node_, list_complete{member_list::targets});
+    }
+
+    void kill(std::string const& name) { find(name).node_.reset(); }
+
+    member& find(std::string const& name)
+    {
+        return members_.at(addresses_.at(name));
+    }
+
+    void post_all(event const& input)
+    {
+        for (auto& [address, host] : members_)
+        {
+            if (host.node_)
+            {
+                post_event(*host.node_, input);
+            }
+        }
+    }
+
+    void list_target(std::string const& name, std::string const& rack,
+                     std::string const& domain = "east")
+    {
+        targets_.push_back({.id_ = target_id(name),
+                            .address_ = "127.0.0.1:8000",
+                            .domain_ = domain_id(domain),
+                            .service_ = service_id("desk"),
+                            .rack_ = rack_id(rack),
+                            .capacity_ = {4000, 8192, 0}});
+        post_all(target_listed{targets_.back()});
+    }
+
+    // Four targets on two racks, which make two shards.
+    void list_two_racks(std::string const& domain = "east")
+    {
+        for (char const* const rack : {"r-1", "r-2"})
+        {
+            for (char const* const side : {"a", "b"})
+            {
+                list_target(std::string("t-") + domain + rack + side,
+                            domain + rack, domain);
+            }
+        }
+    }
+
+    // 2. Time
+
+    // Ticks every 10 ms for some time. Messages arrive with the next tick.
+    void run(std::int64_t micros)
+    {
+        constexpr std::int64_t step = 10'000;
+        for (std::int64_t passed = 0; passed < micros; passed += step)
+        {
+            for (auto& [address, host] : members_)
+            {
+                if (host.node_)
+                {
+                    tick(address, host);
+                }
+            }
+            now_ = now_.after(step);
+            unix_ms_ += step / micros_per_milli;
+        }
+    }
+
+    void tick(std::string const& address, member& host)
+    {
+        std::vector<command> orders;
+        run_tick(*host.node_, now_, unix_ms_, orders);
+        for (command const& order : orders)
+        {
+            std::visit(carry{*this, address, host}, order);
+        }
+    }
+
+    struct carry
+    {
+        cell_cluster_fixture& cluster_;
+        std::string const&    address_;
+        member&               host_;
+
+        void operator()(store_transact const& write) const
+        {
+            post_event(*host_.node_, cluster_.transact(write));
+        }
+        void operator()(store_read const& read) const
+        {
+            post_event(*host_.node_, cluster_.read_rows(read));
+        }
+        void operator()(answer_call const& answer) const
+        {
+            host_.answers_.insert_or_assign(answer.call_, answer.answer_);
+        }
+        void operator()(send_heartbeat const& beat) const
+        {
+            member const& other = cluster_.members_.at(beat.address_);
+            if (other.node_)
+            {
+                post_event(*other.node_, heartbeat_received{beat.beat_});
+                post_event(*host_.node_,
+                           heartbeat_received{make_heartbeat(*other.node_)});
+            }
+        }
+        void operator()(call_peer const& call) const
+        {
+            member const& other = cluster_.members_.at(call.address_);
+            if (other.node_)
+            {
+                cluster_.passed_[++cluster_.last_call_] = {address_,
+                                                           call.request_};
+                post_event(*other.node_,
+                           peer_called{cluster_.last_call_, call.call_});
+            }
+        }
+        void operator()(reply_peer const& reply) const
+        {
+            passed_call const& call = cluster_.passed_.at(reply.call_);
+            member const&      other = cluster_.members_.at(call.from_);
+            if (other.node_)
+            {
+                post_event(*other.node_,
+                           peer_replied{call.request_, reply.answer_});
+            }
+        }
+        void operator()(hold_target const& hold) const
+        {
+            epoch&     fence = cluster_.fences_[hold.target_];
+            bool const old = hold.fence_ != 0 && hold.fence_ < fence;
+            fence = std::max(fence, hold.fence_);
+            post_event(*host_.node_,
+                       hold_reply{.request_ = hold.request_,
+                                  .target_ = hold.target_,
+                                  .outcome_ = old ? target_outcome::superseded
+                                                  : target_outcome::done,
+                                  .clock_ms_ = cluster_.unix_ms_,
+                                  .born_unix_ms_ = 7,
+                                  .runs_ = cluster_.running_[hold.target_]});
+        }
+        void operator()(send_start const& start) const
+        {
+            ++cluster_.starts_[start.start_.run_];
+            cluster_.running_[start.start_.target_].push_back(
+                {start.start_.run_, "", 1, 0});
+            post_event(*host_.node_,
+                       order_reply{.request_ = start.request_,
+                                   .outcome_ = target_outcome::done});
+        }
+        template <typename Other>
+        void operator()(Other const& /*order*/) const
+        {
+        }
+    };
+
+    // 3. Store
+
+    store_reply transact(store_transact const& write)
+    {
+        std::vector<stored_row> current;
+        bool                    holds = true;
+        for (row_condition const& condition : write.conditions_)
+        {
+            auto const found = rows_.find(condition.key_);
+            current.push_back(found == rows_.end()
+                                  ? stored_row{.key_ = condition.key_}
+                                  : found->second);
+            holds = holds && current.back().revision_ == condition.revision_;
+        }
+        if (!holds)
+        {
+            return {.request_ = write.request_,
+                    .outcome_ = store_outcome::conflict,
+                    .revision_ = revision_,
+                    .rows_ = current};
+        }
+        ++revision_;
+        for (row_write const& change : write.writes_)
+        {
+            rows_.erase(change.key_);
+            if (!change.remove_)
+            {
+                rows_.insert(
+                    {change.key_, {change.key_, change.value_, revision_}});
+            }
+            if (change.key_.table_ == "member")
+            {
+                post_all(member_row_changed{
+                    {change.key_, change.value_, revision_}});
+            }
+        }
+        return {.request_ = write.request_,
+                .outcome_ = store_outcome::done,
+                .revision_ = revision_};
+    }
+
+    store_reply read_rows(store_read const& read)
+    {
+        std::vector<stored_row> found;
+        for (auto const& [key, row] : rows_)
+        {
+            if (key.table_ == read.table_ && key.part_ == read.part_ &&
+                key.key_ >= read.from_ &&
+                (read.to_.empty() || key.key_ < read.to_))
+            {
+                found.push_back(row);
+            }
+        }
+        return {.request_ = read.request_,
+                .outcome_ = store_outcome::done,
+                .revision_ = revision_,
+                .rows_ = found};
+    }
+
+    // 4. Queries
+
+    layout_record stored_layout(std::string const& domain = "east")
+    {
+        return read_layout(rows_.at({"member", "", "layout/" + domain}).value_);
+    }
+
+    owner_record stored_owner(std::string const& shard)
+    {
+        return read_owner(rows_.at({"member", "0", "shard/" + shard}).value_);
+    }
+
+    // Names of the shards that a host says it serves.
+    std::set<std::string> list_served(std::string const& name)
+    {
+        std::set<std::string> served;
+        for (shard_load const& load : make_heartbeat(*find(name).node_).shards_)
+        {
+            if (load.serving_)
+            {
+                served.insert(write_shard_name(load.shard_));
+            }
+        }
+        return served;
+    }
+
+    std::uint64_t submit(std::string const& host, std::string const& id,
+                         std::vector<step_spec> steps = {
+                             {.demand_ = {1000, 512, 0}, .estimate_ms_ = 1000}})
+    {
+        post_event(
+            *find(host).node_,
+            call_opened{.call_ = ++last_call_,
+                        .kind_ = call_kind::submit,
+                        .id_ = job_id(id),
+                        .job_ = std::make_shared<staged_job const>(
+                            staged_job{.id_ = job_id(id),
+                                       .organisation_ = organisation_id("cafe"),
+                                       .queue_ = queue_id("orders"),
+                                       .service_ = service_id("desk"),
+                                       .payload_ = "work",
+                                       .steps_ = std::move(steps),
+                                       .accepted_unix_ms_ = unix_ms_}),
+                        .deadline_ = now_.after(3 * micros_per_second)});
+        return last_call_;
+    }
+
+    std::uint64_t ask(std::string const& host, call_kind kind,
+                      std::string const& id)
+    {
+        post_event(*find(host).node_,
+                   call_opened{.call_ = ++last_call_,
+                               .kind_ = kind,
+                               .id_ = job_id(id),
+                               .deadline_ = now_.after(3 * micros_per_second)});
+        return last_call_;
+    }
+
+    std::optional<job_answer> find_answer(std::string const& host,
+                                          std::uint64_t      call)
+    {
+        auto const& answers = find(host).answers_;
+        auto const  found = answers.find(call);
+        return found == answers.end() ? std::nullopt
+                                      : std::optional(found->second);
+    }
+};
+
+} // namespace fescuevane::cell
+
+#endif
--- a/tests/unit/cell_ownership_test.cpp
+++ b/tests/unit/cell_ownership_test.cpp
@@ -1,4 +1,5 @@
 // Purpose: tests of which host owns a shard, and of taking over.
+#include "cell_cluster_fixture.hpp"
 #include "cell_pair_fixture.hpp"
 
 #include <doctest/doctest.h>
@@ -195,5 +196,278 @@
     CHECK(is_ready(*node_));
 }
 
+// One failure domain of two shards.
+struct siblings_fixture : cell_cluster_fixture
+{
+    siblings_fixture() { list_two_racks(); }
+
+    // The host that serves a shard, of which there is one.
+    std::string find_owner(std::string const& shard)
+    {
+        std::string owner;
+        for (auto const& [name, address] : addresses_)
+        {
+            if (members_.at(address).node_ && list_served(name).contains(shard))
+            {
+                CHECK(owner.empty());
+                owner = name;
+            }
+        }
+        return owner;
+    }
+
+    epoch epoch_of(std::string const& shard)
+    {
+        return stored_owner(shard).epoch_;
+    }
+};
+
+// Guards against one host that holds all targets of a domain while another one
+// of the same size holds none: it fell behind, leases lapsed.
+TEST_CASE_FIXTURE(siblings_fixture,
+                  "two equal hosts, two shards, each owns one and keeps it")
+{
+    add_host("host-1");
+    add_host("host-2");
+    run(3 * micros_per_second);
+    CHECK(list_served("host-1").size() == 1);
+    CHECK(list_served("host-2").size() == 1);
+    run(20 * micros_per_second);
+    CHECK(epoch_of("east.0") == 1);
+    CHECK(epoch_of("east.1") == 1);
+}
+
+// Guards against a host with little processor time that owns a shard while a
+// large one could.
+TEST_CASE_FIXTURE(siblings_fixture,
+                  "large and small hosts, two shards, large ones own them")
+{
+    for (int small = 0; small < 4; ++small)
+    {
+        add_host("a-small-" + std::to_string(small), 0.12);
+    }
+    add_host("large-1");
+    add_host("large-2");
+    run(20 * micros_per_second);
+    CHECK(list_served("large-1").size() == 1);
+    CHECK(list_served("large-2").size() == 1);
+    CHECK(epoch_of("east.0") + epoch_of("east.1") == 2);
+}
+
+// Guards against a small host that gets a shard which a large one would still
+// have more processor time for.
+TEST_CASE_FIXTURE(siblings_fixture,
+                  "one large and one small host, large one owns both")
+{
+    add_host("a-small", 0.12);
+    add_host("large");
+    run(20 * micros_per_second);
+    CHECK(list_served("large").size() == 2);
+    CHECK(list_served("a-small").empty());
+}
+
+// Guards against a small host that is left without work where the large ones
+// have less to offer for each shard.
+TEST_CASE_FIXTURE(siblings_fixture,
+                  "large host slightly larger, two shards, each owns one")
+{
+    add_host("a-small", 0.4);
+    add_host("large", 0.5);
+    run(20 * micros_per_second);
+    CHECK(list_served("large").size() == 1);
+    CHECK(list_served("a-small").size() == 1);
+}
+
+// Guards against shards that stay with one host after a failure, and against
+// those that go back and forth.
+TEST_CASE_FIXTURE(siblings_fixture,
+                  "host owns two, equal one comes, one is given and stays")
+{
+    add_host("host-1");
+    run(4 * micros_per_second);
+    REQUIRE(list_served("host-1").size() == 2);
+    add_host("host-2");
+    run(8 * micros_per_second);
+    CHECK(list_served("host-1").size() == 1);
+    CHECK(list_served("host-2").size() == 1);
+    epoch const changes = epoch_of("east.0") + epoch_of("east.1");
+    CHECK(changes == 3);
+    run(20 * micros_per_second);
+    CHECK(epoch_of("east.0") + epoch_of("east.1") == changes);
+}
+
+// Guards against several owners that all give a shard to the same host.
+TEST_CASE_FIXTURE(siblings_fixture,
+                  "two hosts of two domains own four, third comes, few moves")
+{
+    defaults_.domains_ = {domain_id("east"), domain_id("west")};
+    list_two_racks("west");
+    add_host("host-1");
+    add_host("host-2", 0.5, "west");
+    run(6 * micros_per_second);
+    REQUIRE(list_served("host-1").size() == 2);
+    REQUIRE(list_served("host-2").size() == 2);
+    add_host("host-3");
+    run(20 * micros_per_second);
+    CHECK(list_served("host-1").size() == 1);
+    CHECK(list_served("host-2") == std::set<std::string>{"west.0", "west.1"});
+    CHECK(list_served("host-3").size() == 1);
+    epoch const changes = epoch_of("east.0") + epoch_of("east.1") +
+                          epoch_of("west.0") + epoch_of("west.1");
+    CHECK(changes == 5);
+}
+
+// Guards against a loss of one owner that disturbs the other half of a domain.
+TEST_CASE_FIXTURE(siblings_fixture,
+                  "owner killed, its shard is taken over, sibling goes on")
+{
+    add_host("host-1");
+    add_host("host-2");
+    run(3 * micros_per_second);
+    std::string const lost = *list_served("host-1").begin();
+    std::string const kept = *list_served("host-2").begin();
+    submit("host-1", "aa01");
+    submit("host-2", "aa02");
+    run(micros_per_second);
+    kill("host-1");
+    run(15 * micros_per_second);
+    CHECK(find_owner(lost) == "host-2");
+    CHECK(epoch_of(lost) == 2);
+    CHECK(epoch_of(kept) == 1);
+    for (auto const& [run, count] : starts_)
+    {
+        CHECK(count == 1);
+    }
+    CHECK(starts_.size() == 2);
+}
+
+// Guards against work that is lost or repeated when all hosts are killed at
+// the same moment.
+TEST_CASE_FIXTURE(siblings_fixture,
+                  "everything killed, started again, both shards recover")
+{
+    add_host("host-1");
+    add_host("host-2");
+    run(3 * micros_per_second);
+    for (int job = 0; job < 6; ++job)
+    {
+        submit("host-1", "aa0" + std::to_string(job));
+        run(100'000);
+    }
+    run(micros_per_second);
+    REQUIRE(starts_.size() == 6);
+    layout_record const layout = stored_layout();
+    kill("host-1");
+    kill("host-2");
+    run(micros_per_second);
+    start("host-1");
+    start("host-2");
+    run(20 * micros_per_second);
+    CHECK(stored_layout() == layout);
+    CHECK(!find_owner("east.0").empty());
+    CHECK(!find_owner("east.1").empty());
+    CHECK(starts_.size() == 6);
+    for (int job = 0; job < 6; ++job)
+    {
+        std::string const   id = "aa0" + std::to_string(job);
+        std::uint64_t const call = ask("host-2", call_kind::lookup, id);
+        run(500'000);
+        REQUIRE(find_answer("host-2", call));
+        CHECK(find_answer("host-2", call)->outcome_ == job_outcome::known);
+    }
+}
+
+// Guards against jobs that a host reports as unknown because another shard of
+// its domain keeps them.
+TEST_CASE_FIXTURE(siblings_fixture,
+                  "jobs in both shards, looked up at any host, found")
+{
+    add_host("host-1");
+    add_host("host-2");
+    add_host("small", 0.12);
+    run(3 * micros_per_second);
+    std::set<std::string> shards;
+    for (int job = 0; job < 6; ++job)
+    {
+        submit("small", "aa0" + std::to_string(job));
+        run(400'000);
+    }
+    for (auto const& [key, row] : rows_)
+    {
+        if (key.table_ == "job")
+        {
+            shards.insert(write_shard_name(read_job(row.value_).shard_));
+        }
+    }
+    CHECK(shards.size() == 2); // the lower load takes the next job
+    add_host("fresh", 0.12);
+    run(micros_per_second);
+    for (std::string const host : {"host-1", "host-2", "small", "fresh"})
+    {
+        for (int job = 0; job < 6; ++job)
+        {
+            std::string const   id = "aa0" + std::to_string(job);
+            std::uint64_t const call = ask(host, call_kind::lookup, id);
+            run(200'000);
+            REQUIRE(find_answer(host, call));
+            CHECK(find_answer(host, call)->outcome_ == job_outcome::known);
+        }
+    }
+    std::uint64_t const unknown = ask("fresh", call_kind::lookup, "ffff");
+    run(200'000);
+    REQUIRE(find_answer("fresh", unknown));
+    CHECK(find_answer("fresh", unknown)->outcome_ == job_outcome::absent);
+}
+
+// Guards against one job that two shards accept: its caller submitted it again
+// at another host.
+TEST_CASE_FIXTURE(siblings_fixture,
+                  "job submitted at both owners at once, runs once")
+{
+    add_host("host-1");
+    add_host("host-2");
+    run(3 * micros_per_second);
+    auto const first = submit("host-1", "aa01");
+    auto const second = submit("host-2", "aa01");
+    run(micros_per_second);
+    REQUIRE(find_answer("host-1", first));
+    REQUIRE(find_answer("host-2", second));
+    CHECK(find_answer("host-1", first)->outcome_ == job_outcome::accepted);
+    CHECK(find_answer("host-2", second)->outcome_ == job_outcome::accepted);
+    CHECK(starts_.size() == 1);
+}
+
+// Guards against a gang that is put where too few targets are, and waits there
+// until it is handed over.
+TEST_CASE_FIXTURE(siblings_fixture,
+                  "gang fits one shard only, submitted, goes there")
+{
+    list_target("t-big1", "eastr-2");
+    list_target("t-big2", "eastr-2");
+    list_target("t-big3", "eastr-2");
+    defaults_.targets_per_shard_ = 4; // two shards of seven targets
+    add_host("host-1");
+    add_host("host-2");
+    run(3 * micros_per_second);
+    std::string const wide = write_shard_name(
+        {domain_id("east"), stored_layout().racks_.at(rack_id("eastr-2"))});
+    submit("host-1", "aa01",
+           {{.count_ = 5,
+             .demand_ = {3000, 512, 0},
+             .estimate_ms_ = 1000,
+             .gang_ = true}});
+    run(micros_per_second);
+    CHECK(starts_.size() == 5);
+    std::string owner = find_owner(wide);
+    CHECK(!owner.empty());
+    for (auto const& [key, row] : rows_)
+    {
+        if (key.table_ == "job")
+        {
+            CHECK(write_shard_name(read_job(row.value_).shard_) == wide);
+        }
+    }
+}
+
 } // namespace
 } // namespace fescuevane::cell
