Ask targets for 1.5 s at a time

Cause: each look at a target costs 0.4 to 0.9 ms of an owner's processor time, and a target without ends was looked at every 0.8 s, a third of all calls of an owner at rest. The platform allows waits of 2 s.

Change: a look waits for 1.5 s; a target counts as silent after 2.3 s, and a former owner is given 2.2 s to learn of a higher epoch. Leases stay at 4 s.

--- a/cell/settings.hpp
+++ b/cell/settings.hpp
@@ -54,13 +54,13 @@
     // Leases; clocks of targets may run slow by `clock_drift_`
     std::int64_t lease_ms_ = 4000;
     std::int64_t start_valid_ms_ = 1500; // a start that comes later is useless
-    std::int64_t hold_wait_ms_ = 800;    // for an end
+    std::int64_t hold_wait_ms_ = 1500;   // for an end
     std::int64_t hold_slack_micros_ = 500'000; // answer after the wait
     std::int64_t hold_retry_micros_ = 150'000;
     std::int64_t hold_unstored_micros_ = 250'000; // while ends aren't stored
     std::int64_t stop_micros_ = 3'000'000;        // then a run never came
     std::int64_t order_micros_ = 500'000;         // deadline of an order
-    std::int64_t silent_micros_ = 1'500'000;      // without word from a target
+    std::int64_t silent_micros_ = 2'300'000;      // without word from a target
     // Targets that left the list may still run work: those that are cut off
     // from the store leave it after three missed heartbeats.
     std::int64_t unlisted_keep_micros_ = 10'000'000;
@@ -69,7 +69,7 @@
     std::int64_t listed_wait_micros_ = 8'000'000;
     // Until a former owner has called a target that was reached: its longest
     // wait and the slack of the answer.
-    std::int64_t  fence_notice_micros_ = 1'500'000;
+    std::int64_t  fence_notice_micros_ = 2'200'000;
     std::uint32_t orders_open_ = 4; // to one target
     double        clock_drift_ = 0.02;
     std::int64_t  clock_slack_ms_ = 300;
