--- a/bench/measure_planner.cpp
+++ b/bench/measure_planner.cpp
@@ -77,11 +77,18 @@
         result.all_micros_ /
             static_cast<double>(std::max<std::uint64_t>(1, result.starts_)));
     add("queries of a heartbeat, us", summary_micros / ticks);
-    for (std::size_t row = 0; row < result.system_micros_.size(); ++row)
+    auto const add_systems =
+        [&](std::string const& prefix, planner_result const& from)
     {
-        add(std::string(plan::list_systems()[row].name_) + " mean, us",
-            result.system_micros_[row] / ticks);
-    }
+        for (std::size_t row = 0; row < from.system_micros_.size(); ++row)
+        {
+            add(prefix + std::string(plan::list_systems()[row].name_) +
+                    " mean, us",
+                from.system_micros_[row] /
+                    static_cast<double>(from.micros_.size()));
+        }
+    };
+    add_systems("", result);
     for (std::uint32_t tick = 0;
          tick < calm_ticks && (tick == 0 || fleet.count_waiting() > 0); ++tick)
     {
@@ -96,6 +103,7 @@
     add("idle: waiting tasks", static_cast<double>(fleet.count_waiting()));
     add("idle: tick p50, us", find_quantile(idle.micros_, 0.5));
     add("idle: tick mean, us", idle.all_micros_ / idle_ticks);
+    add_systems("idle: ", idle);
     // Five digits are enough to notice a change of the decisions.
     add("checksum of commands",
         static_cast<double>(fleet.checksum() % 100'000));
