Stop early where a stage can't ask or start

Cause: a stage whose predecessors go on was predicted by its slowest run, with a prediction of run times for each; the runs of a stage with a spread limit were looked up for each target; stages without any ticket looked over all targets.

Change: the first run that goes on for longer than an answer ends the check, and the run time is predicted only for runs without progress; runs of the same origin are found once a stage; a stage that needs a ticket and has none is passed over.

--- a/plan/place_tasks.cpp
+++ b/plan/place_tasks.cpp
@@ -78,6 +78,10 @@
 std::optional<target_id> choose_target(planner const&   context,
                                        placement const& want)
 {
+    if (needs_ticket(want.stage_) && want.stage_.row_.tickets_.empty())
+    {
+        return std::nullopt;
+    }
     std::optional<target_id> best;
     double                   best_cost = std::numeric_limits<double>::max();
     resources const          wanted = room_of(want.stage_.step_);
--- a/plan/request_advice.cpp
+++ b/plan/request_advice.cpp
@@ -8,6 +8,7 @@
 #include "plan/stage_view.hpp"
 
 #include <algorithm>
+#include <optional>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -44,8 +45,9 @@
 
 // Rest of one run. The share of its work that it has done tells more than the
 // estimate, which is often off by a factor of several.
+template <typename Expect>
 double rest_of_run_ms(planner const& context, run_row const& run,
-                      double expected_ms)
+                      Expect const& expect_ms)
 {
     constexpr int min_percent = 5; // below it the rate is too rough
     int const     done = run.percent_ - run.base_percent_;
@@ -54,7 +56,7 @@
         micros_per_milli;
     if (run.base_percent_ < 0 || done < min_percent)
     {
-        return expected_ms - ran_ms;
+        return expect_ms() - ran_ms;
     }
     double const until_report_ms =
         static_cast<double>(run.base_at_.remaining_until(run.progressed_at_)) /
@@ -65,33 +67,42 @@
     return until_report_ms * (100 - run.percent_) / done - since_report_ms;
 }
 
-// Milliseconds until the last run of a stage ends, as far as that is known;
-// negative when some of its tasks haven't started.
-double remaining_ms(planner const& context, stage_key const& key,
-                    stage_row const& stage)
+bool has_waiting_task(stage_row const& stage)
 {
-    for (task_cell const& task : stage.tasks_)
+    return std::any_of(stage.tasks_.begin(), stage.tasks_.end(), is_waiting);
+}
+
+// True when all tasks of a stage have started and end within `bound_ms`, as far
+// as that is known.
+bool ends_within(planner const& context, stage_key const& key,
+                 stage_row const& stage, double bound_ms)
+{
+    if (has_waiting_task(stage))
     {
-        if (is_waiting(task))
-        {
-            return -1;
-        }
+        return false;
     }
-    double const expected_ms =
-        stage.samples_ > 0 ? stage.ran_ms_ : expect_run_ms(context, key);
-    double longest = 0;
-    for (std::size_t const row : context.runs_.of_job(key.job_))
+    std::optional<double> expected_ms; // most runs tell more by their progress
+    auto const            expect_ms = [&]
     {
-        // The job is the same for all, so these two tell the stages apart.
-        stage_key const& of = context.runs_.key(row).stage_;
-        if (of.step_ == key.step_ && of.occurrence_ == key.occurrence_)
+        if (!expected_ms)
         {
-            run_row const& run = context.runs_[row];
-            longest =
-                std::max(longest, rest_of_run_ms(context, run, expected_ms));
+            expected_ms = stage.samples_ > 0 ? stage.ran_ms_
+                                             : expect_run_ms(context, key);
         }
-    }
-    return longest;
+        return *expected_ms;
+    };
+    auto const rows = context.runs_.of_job(key.job_);
+    return std::all_of(rows.begin(), rows.end(),
+                       [&](std::size_t row)
+                       {
+                           // The job is the same for all, so these two tell the
+                           // stages apart.
+                           stage_key const& of = context.runs_.key(row).stage_;
+                           return of.step_ != key.step_ ||
+                                  of.occurrence_ != key.occurrence_ ||
+                                  rest_of_run_ms(context, context.runs_[row],
+                                                 expect_ms) <= bound_ms;
+                       });
 }
 
 // True when all predecessors of a stage end within the time of an answer.
@@ -105,13 +116,9 @@
         {
             stage_key const        before{key.job_, key.occurrence_, step};
             stage_row const* const stage = context.stages_.find(before);
-            if (stage == nullptr)
-            {
-                return true;
-            }
-            double const rest_ms = remaining_ms(context, before, *stage);
-            return rest_ms >= 0 &&
-                   rest_ms <= answer_ms(context, advice) + lead_ms;
+            return stage == nullptr ||
+                   ends_within(context, before, *stage,
+                               answer_ms(context, advice) + lead_ms);
         });
 }
 
@@ -226,11 +233,6 @@
     context.outbox_.push_back(ask_advice{key, std::move(targets), validity_ms});
 }
 
-bool has_waiting_task(stage_row const& stage)
-{
-    return std::any_of(stage.tasks_.begin(), stage.tasks_.end(), is_waiting);
-}
-
 // Stages that may ask, or whose tasks take room from worse-ranked ones.
 std::vector<stage_rank> rank_asking_stages(planner& context)
 {
--- a/plan/room.cpp
+++ b/plan/room.cpp
@@ -140,8 +140,7 @@
 std::uint32_t count_on_target(planner const& context, stage_view const& stage,
                               target_id const& target)
 {
-    stage_key const origin = origin_of(stage.job_, stage.key_);
-    auto const      rows = context.runs_.of_origin(origin);
+    auto const& rows = stage.same_origin_;
     return static_cast<std::uint32_t>(
         std::count_if(rows.begin(), rows.end(),
                       [&](std::size_t row)
--- a/plan/room.hpp
+++ b/plan/room.hpp
@@ -63,7 +63,7 @@
 bool is_within_limit(planner const& context, organisation_id const& id,
                      resources const& demand);
 
-// Runs of the stage on one target.
+// Runs of the stage on one target, for a stage with a spread limit.
 std::uint32_t count_on_target(planner const& context, stage_view const& stage,
                               target_id const& target);
 
--- a/plan/stage_view.cpp
+++ b/plan/stage_view.cpp
@@ -1,6 +1,7 @@
 // Purpose: an open stage with the rows that it belongs to.
 #include "plan/stage_view.hpp"
 
+#include "plan/job_flow.hpp"
 #include "plan/planner.hpp"
 
 namespace fescuevane::plan
@@ -8,9 +9,16 @@
 
 stage_view view_stage(planner const& context, stage_key const& key)
 {
-    job_row const& job = *context.jobs_.find(key.job_);
-    return {key, *context.stages_.find(key), job, job.spec_->steps_[key.step_],
-            context.queues_.find(job.spec_->queue_)};
+    job_row const&   job = *context.jobs_.find(key.job_);
+    step_spec const& step = job.spec_->steps_[key.step_];
+    return {key,
+            *context.stages_.find(key),
+            job,
+            step,
+            context.queues_.find(job.spec_->queue_),
+            step.spread_limit_ == 0
+                ? run_table::rows()
+                : context.runs_.of_origin(origin_of(job, key))};
 }
 
 bool needs_ticket(stage_view const& stage)
--- a/plan/stage_view.hpp
+++ b/plan/stage_view.hpp
@@ -4,6 +4,7 @@
 #define FESCUEVANE_PLAN_STAGE_VIEW_HPP
 
 #include "core/stage_key.hpp"
+#include "plan/run_table.hpp"
 
 namespace fescuevane
 {
@@ -27,6 +28,8 @@
     job_row const&            job_;
     step_spec const&          step_;
     queue_policy const* const queue_; // null: not configured
+    // Runs of the same origin; empty for a stage without a spread limit.
+    run_table::rows const same_origin_;
 };
 
 // The stage must be open.
