Count the waiting tasks of a stage as they change

Cause: each tick and each query looked through all tasks of all startable stages for one that waits.

Change: `task_list` keeps the number of waiting tasks; tasks change through it only. A test compares the number with a recount after random events.

--- a/plan/apply_events.cpp
+++ b/plan/apply_events.cpp
@@ -201,7 +201,11 @@
         {
             instant const ready =
                 context.now_.after(context.settings_.refusal_pause_micros_);
-            stage->tasks_[input.run_.index_].ready_at_ = ready;
+            stage->tasks_.change(input.run_.index_,
+                                 [&](task_cell& task)
+                                 {
+                                     task.ready_at_ = ready;
+                                 });
             context.ready_at_.insert(ready);
         }
     }
@@ -278,7 +282,11 @@
     stage_row* const stage = context.stages_.find(input.run_.stage_);
     if (stage != nullptr && !input.checkpoint_.empty())
     {
-        stage->tasks_[input.run_.index_].checkpoint_ = input.checkpoint_;
+        stage->tasks_.change(input.run_.index_,
+                             [&](task_cell& task)
+                             {
+                                 task.checkpoint_ = input.checkpoint_;
+                             });
     }
 }
 
--- a/plan/job_flow.cpp
+++ b/plan/job_flow.cpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace fescuevane::plan
 {
@@ -51,15 +52,6 @@
 
 // 1. Jobs and stages
 
-std::int64_t count_waiting(stage_row const& stage)
-{
-    return std::count_if(stage.tasks_.begin(), stage.tasks_.end(),
-                         [](task_cell const& task)
-                         {
-                             return is_waiting(task);
-                         });
-}
-
 void close_question(planner& context, stage_row& stage)
 {
     if (stage.asked_)
@@ -119,10 +111,10 @@
         step_spec const& spec = job->spec_->steps_[step];
         stage_row        stage;
         stage.spec_ = job->spec_;
-        stage.tasks_.resize(spec.count_);
+        std::vector<task_cell> tasks(spec.count_);
         for (std::uint32_t index = 0; index < spec.count_; ++index)
         {
-            task_cell& task = stage.tasks_[index];
+            task_cell& task = tasks[index];
             task.last_run_ = context.settings_.run_base_;
             task.waiting_since_ = context.now_;
             if (job->spec_->alias_)
@@ -142,7 +134,7 @@
                 {
                     continue;
                 }
-                task_cell& task = stage.tasks_[known.index_];
+                task_cell& task = tasks[known.index_];
                 task.done_ = known.done_;
                 task.last_run_ = std::max(task.last_run_, known.last_run_);
                 task.checkpoint_ = known.checkpoint_;
@@ -157,6 +149,7 @@
             continue; // stays in `closed_`
         }
         job->closed_.erase({occurrence, step});
+        stage.tasks_ = task_list(std::move(tasks));
         context.stages_.ensure({id, occurrence, step}) = std::move(stage);
         ++job->open_stages_;
     }
@@ -184,10 +177,11 @@
                 {
                     return context.stages_.contains({id, occurrence, before});
                 });
-            for (task_cell& task : stage->tasks_)
-            {
-                task.waiting_since_ = context.now_;
-            }
+            stage->tasks_.change_all(
+                [&context](task_cell& task)
+                {
+                    task.waiting_since_ = context.now_;
+                });
         }
     }
 }
@@ -288,7 +282,7 @@
     job_row&         job = *context.jobs_.find(key.stage_.job_);
     step_spec const& step = job.spec_->steps_[key.stage_.step_];
     stage_row&       stage = *context.stages_.find(key.stage_);
-    task_cell&       task = stage.tasks_[key.index_];
+    task_cell const& task = stage.tasks_[key.index_];
     run_row          run;
     run.target_ = target;
     run.origin_ = origin_of(job, key.stage_);
@@ -306,8 +300,13 @@
     run.base_at_ = context.now_;
     context.runs_.insert(key, run);
     charge_run(context, run, 1);
-    ++task.runs_;
-    task.last_run_ = std::max(task.last_run_, key.run_);
+    stage.tasks_.change(key.index_,
+                        [&key](task_cell& started)
+                        {
+                            ++started.runs_;
+                            started.last_run_ =
+                                std::max(started.last_run_, key.run_);
+                        });
     if (step.gang_)
     {
         stage.gang_run_ = std::max(stage.gang_run_, key.run_);
@@ -335,8 +334,12 @@
     }
     if (stage_row* const stage = context.stages_.find(key.stage_))
     {
-        --stage->tasks_[key.index_].runs_;
-        stage->tasks_[key.index_].waiting_since_ = context.now_;
+        stage->tasks_.change(key.index_,
+                             [&context](task_cell& task)
+                             {
+                                 --task.runs_;
+                                 task.waiting_since_ = context.now_;
+                             });
     }
     return true;
 }
@@ -439,20 +442,25 @@
     }
     if (at.step_.gang_)
     {
-        for (task_cell& task : stage.tasks_)
-        {
-            task.done_ = true;
-        }
+        stage.tasks_.change_all(
+            [](task_cell& task)
+            {
+                task.done_ = true;
+            });
         stage.done_ = at.step_.count_;
     }
     else
     {
-        task_cell& task = stage.tasks_[at.key_.index_];
+        task_cell const& task = stage.tasks_[at.key_.index_];
         if (task.done_ || !task.delegate_.empty())
         {
             return;
         }
-        task.done_ = true;
+        stage.tasks_.change(at.key_.index_,
+                            [](task_cell& ended)
+                            {
+                                ended.done_ = true;
+                            });
         ++stage.done_;
         stop_copies(context, at.key_.stage_, at.key_.index_);
     }
@@ -463,18 +471,39 @@
     }
 }
 
+// False when the failure was counted before.
+bool add_failure(std::vector<std::uint32_t>& failed, std::uint32_t run)
+{
+    bool const is_new =
+        std::find(failed.begin(), failed.end(), run) == failed.end();
+    if (is_new)
+    {
+        failed.push_back(run);
+    }
+    return is_new;
+}
+
 void mark_failed(planner& context, end_context const& at)
 {
     stage_row& stage = *context.stages_.find(at.key_.stage_);
-    task_cell& task = stage.tasks_[at.key_.index_];
-    auto& failed = at.step_.gang_ ? stage.gang_failures_ : task.failed_runs_;
     strike_target(context, at.target_, at.key_.stage_.job_);
-    task.failed_on_ = at.target_;
-    if (std::find(failed.begin(), failed.end(), at.key_.run_) != failed.end())
+    bool is_new = false;
+    stage.tasks_.change(at.key_.index_,
+                        [&](task_cell& failed)
+                        {
+                            failed.failed_on_ = at.target_;
+                            is_new = add_failure(at.step_.gang_
+                                                     ? stage.gang_failures_
+                                                     : failed.failed_runs_,
+                                                 at.key_.run_);
+                        });
+    if (!is_new)
     {
         return;
     }
-    failed.push_back(at.key_.run_);
+    task_cell const& task = stage.tasks_[at.key_.index_];
+    auto const&      failed =
+        at.step_.gang_ ? stage.gang_failures_ : task.failed_runs_;
     context.outbox_.push_back(job_changed{at.key_.stage_.job_});
     job_row const&            job = *context.jobs_.find(at.key_.stage_.job_);
     queue_policy const* const queue = context.queues_.find(job.spec_->queue_);
@@ -555,16 +584,24 @@
     stage_row&       stage = *context.stages_.find(key.stage_);
     if (!checkpoint.empty())
     {
-        for (std::uint32_t index = 0; index < stage.tasks_.size(); ++index)
+        auto const keep = [&checkpoint](task_cell& task)
         {
-            if (step.gang_ || index == key.index_)
-            {
-                stage.tasks_[index].checkpoint_ = checkpoint;
-            }
+            task.checkpoint_ = checkpoint;
+        };
+        if (step.gang_)
+        {
+            stage.tasks_.change_all(keep);
+        }
+        else
+        {
+            stage.tasks_.change(key.index_, keep);
         }
     }
-    stage.tasks_[key.index_].last_run_ =
-        std::max(stage.tasks_[key.index_].last_run_, key.run_);
+    stage.tasks_.change(key.index_,
+                        [&key](task_cell& task)
+                        {
+                            task.last_run_ = std::max(task.last_run_, key.run_);
+                        });
     if (step.gang_ && end != run_end::done)
     {
         stop_stage_runs(context, key.stage_, "gang broken");
@@ -585,7 +622,11 @@
     }
     for (std::uint32_t const index : indices)
     {
-        stage->tasks_.at(index).delegate_ = delegate;
+        stage->tasks_.change(index,
+                             [&delegate](task_cell& task)
+                             {
+                                 task.delegate_ = delegate;
+                             });
     }
     context.outbox_.push_back(job_changed{key.job_});
 }
@@ -599,21 +640,22 @@
         return;
     }
     bool found = false;
-    for (task_cell& task : stage->tasks_)
-    {
-        if (task.delegate_ != delegate || task.done_)
-        {
-            continue;
-        }
-        found = true;
-        task.delegate_ = job_id();
-        task.waiting_since_ = context.now_;
-        if (phase == job_phase::completed)
+    stage->tasks_.change_all(
+        [&](task_cell& task)
         {
-            task.done_ = true;
-            ++stage->done_;
-        }
-    }
+            if (task.delegate_ != delegate || task.done_)
+            {
+                return;
+            }
+            found = true;
+            task.delegate_ = job_id();
+            task.waiting_since_ = context.now_;
+            if (phase == job_phase::completed)
+            {
+                task.done_ = true;
+                ++stage->done_;
+            }
+        });
     if (!found)
     {
         return;
--- a/plan/place_tasks.cpp
+++ b/plan/place_tasks.cpp
@@ -174,15 +174,15 @@
 bool start_gang(planner& context, stage_key const& key,
                 std::optional<rack_id> const& rack)
 {
-    step_spec const&             step = find_step(context, key);
-    job_row const&               job = *context.jobs_.find(key.job_);
-    std::size_t const            orders = context.outbox_.size();
-    std::vector<run_key>         begun;
-    stage_row const&             first = *context.stages_.find(key);
-    std::uint32_t                run = first.gang_run_;
-    job_phase const              phase = job.phase_;
-    std::uint32_t const          gang_run = first.gang_run_;
-    std::vector<task_cell> const before = first.tasks_;
+    step_spec const&     step = find_step(context, key);
+    job_row const&       job = *context.jobs_.find(key.job_);
+    std::size_t const    orders = context.outbox_.size();
+    std::vector<run_key> begun;
+    stage_row const&     first = *context.stages_.find(key);
+    std::uint32_t        run = first.gang_run_;
+    job_phase const      phase = job.phase_;
+    std::uint32_t const  gang_run = first.gang_run_;
+    task_list const      before = first.tasks_;
     for (task_cell const& task : before)
     {
         run = std::max(run, task.last_run_);
--- a/plan/request_advice.cpp
+++ b/plan/request_advice.cpp
@@ -67,17 +67,12 @@
     return until_report_ms * (100 - run.percent_) / done - since_report_ms;
 }
 
-bool has_waiting_task(stage_row const& stage)
-{
-    return std::any_of(stage.tasks_.begin(), stage.tasks_.end(), is_waiting);
-}
-
 // True when all tasks of a stage have started and end within `bound_ms`, as far
 // as that is known.
 bool ends_within(planner const& context, stage_key const& key,
                  stage_row const& stage, double bound_ms)
 {
-    if (has_waiting_task(stage))
+    if (count_waiting(stage) > 0)
     {
         return false;
     }
@@ -243,7 +238,7 @@
         bool const       later = stage.ask_after_ > context.now_;
         // Most stages end here, before the look-ups.
         if (!later &&
-            ((stage.asked_ && !stage.startable_) || !has_waiting_task(stage)))
+            ((stage.asked_ && !stage.startable_) || count_waiting(stage) == 0))
         {
             continue;
         }
--- a/plan/stage_rank.cpp
+++ b/plan/stage_rank.cpp
@@ -22,7 +22,8 @@
 
 bool has_waiting_task(planner const& context, stage_row const& stage)
 {
-    return std::any_of(stage.tasks_.begin(), stage.tasks_.end(),
+    return count_waiting(stage) > 0 &&
+           std::any_of(stage.tasks_.begin(), stage.tasks_.end(),
                        [&](task_cell const& task)
                        {
                            return is_waiting(task) &&
--- a/plan/stage_row.hpp
+++ b/plan/stage_row.hpp
@@ -5,7 +5,7 @@
 #include "core/ids.hpp"
 #include "core/instant.hpp"
 #include "core/staged_job.hpp"
-#include "plan/task_cell.hpp"
+#include "plan/task_list.hpp"
 #include "plan/ticket_cell.hpp"
 
 #include <cstdint>
@@ -19,7 +19,7 @@
 struct stage_row
 {
     std::shared_ptr<staged_job const> spec_; // of its job
-    std::vector<task_cell>            tasks_;
+    task_list                         tasks_;
     std::uint32_t                     done_ = 0;
     double                     ran_ms_ = 0;  // mean run time of its ended tasks
     double                     samples_ = 0; // number of them
@@ -33,7 +33,11 @@
     instant ask_after_;
 };
 
-std::int64_t count_waiting(stage_row const& stage); // tasks to start here
+// Tasks to start here.
+inline std::int64_t count_waiting(stage_row const& stage)
+{
+    return stage.tasks_.waiting();
+}
 
 } // namespace fescuevane::plan
 
--- a/plan/watch_runs.cpp
+++ b/plan/watch_runs.cpp
@@ -113,17 +113,25 @@
     {
         target_id const target = context.runs_.find(key)->target_;
         strike_target(context, target, key.stage_.job_);
-        context.stages_.find(key.stage_)->tasks_[key.index_].failed_on_ =
-            target;
+        context.stages_.find(key.stage_)
+            ->tasks_.change(key.index_,
+                            [&target](task_cell& task)
+                            {
+                                task.failed_on_ = target;
+                            });
         order_stop(context, key, "no progress");
     }
     for (run_key const& key : slow)
     {
         target_id const target = context.runs_.find(key)->target_;
         context.targets_.find(target)->speed_ *= 0.5;
-        task_cell& task = context.stages_.find(key.stage_)->tasks_[key.index_];
-        task.failed_on_ = target;
-        task.moved_ = true;
+        context.stages_.find(key.stage_)
+            ->tasks_.change(key.index_,
+                            [&target](task_cell& task)
+                            {
+                                task.failed_on_ = target;
+                                task.moved_ = true;
+                            });
         order_stop(context, key, "slow target");
     }
     if (!context.runs_.empty())
--- a/tests/unit/plan_runs_test.cpp
+++ b/tests/unit/plan_runs_test.cpp
@@ -98,6 +98,28 @@
         }));
 }
 
+// Guards against stages that are passed over, or visited in vain, because the
+// number of their waiting tasks differs from the tasks.
+TEST_CASE_FIXTURE(runs_fixture,
+                  "stages, random events, waiting tasks equal a recount")
+{
+    CHECK(rc::check(
+        []
+        {
+            plan_random_fixture fleet;
+            for (auto const& step : generate_steps(120))
+            {
+                fleet.take_step(step);
+                for (stage_row const& stage : fleet.planner_->stages_)
+                {
+                    RC_ASSERT(stage.tasks_.waiting() ==
+                              std::count_if(stage.tasks_.begin(),
+                                            stage.tasks_.end(), is_waiting));
+                }
+            }
+        }));
+}
+
 // Jobs of two steps with a spread limit in a queue with a policy service: runs
 // of all first steps, questions about the second ones.
 struct run_reads_fixture : plan_fixture
