Judge runs without a look-up where their progress tells enough

Cause: twice a second the job, stage, image and target of each run were looked up, all in one tick.

Change: runs that progressed within the time of a stall, and that by their rate end within the cost of a restart, are passed over first.

--- a/plan/watch_runs.cpp
+++ b/plan/watch_runs.cpp
@@ -42,24 +42,43 @@
     return run.percent_ < 100 && still_ms > bound_ms;
 }
 
+// Rest of a run by the rate of its progress; 0 while there is too little of it.
+double rest_ms(run_row const& run)
+{
+    int const done = run.percent_ - run.base_percent_;
+    if (run.base_percent_ < 0 || done < min_percent)
+    {
+        return 0;
+    }
+    // Reports are up to a second old, so the rate counts until the latest one.
+    double const ran_ms =
+        static_cast<double>(run.base_at_.remaining_until(run.progressed_at_)) /
+        micros_per_milli;
+    return ran_ms * (100 - run.percent_) / done;
+}
+
 bool is_slow(planner const& context, stage_key const& stage, run_row const& run,
              double expected_ms)
 {
     bool const             siblings = context.stages_.find(stage)->samples_ > 0;
     image_row const* const image = context.images_.find(run.image_);
-    int const              done = run.percent_ - run.base_percent_;
-    if ((!siblings && (image == nullptr || image->samples_ < min_samples)) ||
-        run.base_percent_ < 0 || done < min_percent)
+    if (!siblings && (image == nullptr || image->samples_ < min_samples))
     {
         return false;
     }
-    // Reports are up to a second old, so the rate counts until the latest one.
-    double const ran_ms =
-        static_cast<double>(run.base_at_.remaining_until(run.progressed_at_)) /
-        micros_per_milli;
-    double const rest_ms = ran_ms * (100 - run.percent_) / done;
-    return rest_ms > (siblings ? slow_in_stage : slow_in_queue) * expected_ms +
-                         restart_ms;
+    return rest_ms(run) >
+           (siblings ? slow_in_stage : slow_in_queue) * expected_ms +
+               restart_ms;
+}
+
+// False for runs that can be neither stalled nor slow, whatever is expected of
+// them: most runs are judged without a look-up.
+bool may_stand_out(planner const& context, run_row const& run)
+{
+    return run.phase_ == run_phase::running && !run.filler_ &&
+           (run.progressed_at_.after(context.settings_.stall_micros_) <
+                context.now_ ||
+            rest_ms(run) > restart_ms);
 }
 
 // A task that seems slow on a second target is long itself.
@@ -87,7 +106,7 @@
     {
         run_key const& key = context.runs_.key(row);
         run_row const& run = context.runs_[row];
-        if (run.phase_ != run_phase::running || run.filler_ ||
+        if (!may_stand_out(context, run) ||
             !context.stages_.contains(key.stage_))
         {
             continue;
