Look for room only when a task waits

Cause: each tick looked over all targets for free room and ends of pauses, with no task waiting, too.

Change: both are found only when a stage waits.

--- a/plan/place_tasks.cpp
+++ b/plan/place_tasks.cpp
@@ -447,32 +447,25 @@
     }
 }
 
-} // namespace
-
-void place_tasks(planner& context)
+instant find_soonest_end_of_pause(planner const& context)
 {
-    instant const soonest_pause = [&context]
+    instant due = instant::never();
+    for (target_row const& target : context.targets_)
     {
-        instant due = instant::never();
-        for (target_row const& target : context.targets_)
+        for (instant const until :
+             {target.paused_until_, target.probation_until_})
         {
-            for (instant const until :
-                 {target.paused_until_, target.probation_until_})
+            if (until > context.now_)
             {
-                if (until > context.now_)
-                {
-                    due = std::min(due, until);
-                }
+                due = std::min(due, until);
             }
         }
-        return due;
-    }();
-    std::vector<stage_rank> const ranks = rank_waiting_stages(context);
-    if (!ranks.empty())
-    {
-        wake_at(context, soonest_pause);
     }
-    reserve_for_gang(context, ranks);
+    return due;
+}
+
+void place_ranked(planner& context, std::vector<stage_rank> const& ranks)
+{
     resources most_free = find_most_free(context);
     for (stage_rank const& rank : ranks)
     {
@@ -488,6 +481,19 @@
             most_free = find_most_free(context);
         }
     }
+}
+
+} // namespace
+
+void place_tasks(planner& context)
+{
+    std::vector<stage_rank> const ranks = rank_waiting_stages(context);
+    reserve_for_gang(context, ranks);
+    if (!ranks.empty())
+    {
+        wake_at(context, find_soonest_end_of_pause(context));
+        place_ranked(context, ranks);
+    }
     context.ready_at_.erase(context.ready_at_.begin(),
                             context.ready_at_.upper_bound(context.now_));
     if (!context.ready_at_.empty())
