Estimate chains of jobs when they are due

Cause: each tick visited all jobs, most of which have ended and are kept for 180 s, to find those whose estimate is half a second old.

Change: estimates stand in a queue by the instant at which they are due. A test checks after random events that no open job has an old estimate.

--- a/plan/apply_events.cpp
+++ b/plan/apply_events.cpp
@@ -128,6 +128,10 @@
     bool const open = !is_final(job.phase_);
     bool const timed = input.job_->repeat_count_ > 0;
     context.jobs_.ensure(input.job_->id_) = std::move(job);
+    if (open)
+    {
+        context.estimates_.emplace(context.now_, input.job_->id_);
+    }
     if (open && !timed)
     {
         open_occurrence(context, input.job_->id_);
--- a/plan/planner.hpp
+++ b/plan/planner.hpp
@@ -20,6 +20,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace fescuevane::plan
@@ -42,11 +43,13 @@
     run_table                                runs_;
     table<std::string, image_row>            images_; // learnt run times
 
-    std::set<instant> ready_at_; // of refused tasks
-    std::set<job_id>  timed_;    // with occurrences that aren't due yet
-    bool              in_service_ = true;   // of the failure domain
-    std::uint32_t     short_questions_ = 0; // in flight, by the time of answers
-    std::uint32_t     long_questions_ = 0;
+    // Next estimates of the chains of jobs; of ended jobs until they are due.
+    std::set<std::pair<instant, job_id>> estimates_;
+    std::set<instant>                    ready_at_; // of refused tasks
+    std::set<job_id> timed_;             // with occurrences that aren't due yet
+    bool             in_service_ = true; // of the failure domain
+    std::uint32_t    short_questions_ = 0; // in flight, by the time of answers
+    std::uint32_t    long_questions_ = 0;
     // Targets that are kept free for a gang that has waited long.
     std::set<target_id> reserved_;
     stage_key           reserved_for_; // without a job: none
--- a/plan/stage_rank.cpp
+++ b/plan/stage_rank.cpp
@@ -31,33 +31,44 @@
                        });
 }
 
+void estimate_job(planner const& context, job_row& job)
+{
+    // Steps follow only earlier ones, so the last one is estimated first.
+    std::vector<step_spec> const& steps = job.spec_->steps_;
+    job.chains_ms_.assign(steps.size(), 0);
+    job.chain_ms_ = 0;
+    for (std::size_t step = steps.size(); step-- > 0;)
+    {
+        double& chain = job.chains_ms_[step];
+        chain += expect_step_ms(context, job, static_cast<std::uint32_t>(step));
+        for (std::uint32_t const before : steps[step].after_)
+        {
+            double& earlier = job.chains_ms_.at(before);
+            earlier = std::max(earlier, chain);
+        }
+        job.chain_ms_ = std::max(job.chain_ms_, chain);
+    }
+}
+
 } // namespace
 
 void estimate_chains(planner& context)
 {
-    for (job_row& job : context.jobs_)
+    while (!context.estimates_.empty() &&
+           context.estimates_.begin()->first <= context.now_)
     {
-        if (is_final(job.phase_) || job.chains_until_ > context.now_)
+        job_id const id = context.estimates_.begin()->second;
+        context.estimates_.erase(context.estimates_.begin());
+        job_row* const job = context.jobs_.find(id);
+        // A job that was dropped and came back has an entry of its own.
+        if (job == nullptr || is_final(job->phase_) ||
+            job->chains_until_ > context.now_)
         {
             continue;
         }
-        job.chains_until_ = context.now_.after(chains_micros);
-        // Steps follow only earlier ones, so the last one is estimated first.
-        std::vector<step_spec> const& steps = job.spec_->steps_;
-        job.chains_ms_.assign(steps.size(), 0);
-        job.chain_ms_ = 0;
-        for (std::size_t step = steps.size(); step-- > 0;)
-        {
-            double& chain = job.chains_ms_[step];
-            chain +=
-                expect_step_ms(context, job, static_cast<std::uint32_t>(step));
-            for (std::uint32_t const before : steps[step].after_)
-            {
-                double& earlier = job.chains_ms_.at(before);
-                earlier = std::max(earlier, chain);
-            }
-            job.chain_ms_ = std::max(job.chain_ms_, chain);
-        }
+        estimate_job(context, *job);
+        job->chains_until_ = context.now_.after(chains_micros);
+        context.estimates_.emplace(job->chains_until_, id);
     }
 }
 
--- a/tests/unit/plan_runs_test.cpp
+++ b/tests/unit/plan_runs_test.cpp
@@ -120,6 +120,29 @@
         }));
 }
 
+// Guards against open jobs whose estimates are never renewed, so that their
+// rank is that of their first tick.
+TEST_CASE_FIXTURE(runs_fixture,
+                  "open jobs, random events, estimates are up to date")
+{
+    CHECK(rc::check(
+        []
+        {
+            plan_random_fixture fleet;
+            for (auto const& step : generate_steps(120))
+            {
+                fleet.take_step(step);
+                for (job_row const& job : fleet.planner_->jobs_)
+                {
+                    RC_ASSERT(
+                        is_final(job.phase_) ||
+                        (job.chains_until_ > fleet.now_ &&
+                         job.chains_ms_.size() == job.spec_->steps_.size()));
+                }
+            }
+        }));
+}
+
 // Jobs of two steps with a spread limit in a queue with a policy service: runs
 // of all first steps, questions about the second ones.
 struct run_reads_fixture : plan_fixture
