--- a/plan/apply_events.cpp
+++ b/plan/apply_events.cpp
@@ -128,6 +128,10 @@
     bool const open = !is_final(job.phase_);
     bool const timed = input.job_->repeat_count_ > 0;
     context.jobs_.ensure(input.job_->id_) = std::move(job);
+    if (open)
+    {
+        context.estimates_.emplace(context.now_, input.job_->id_);
+    }
     if (open && !timed)
     {
         open_occurrence(context, input.job_->id_);
@@ -201,7 +205,11 @@
         {
             instant const ready =
                 context.now_.after(context.settings_.refusal_pause_micros_);
-            stage->tasks_[input.run_.index_].ready_at_ = ready;
+            stage->tasks_.change(input.run_.index_,
+                                 [&](task_cell& task)
+                                 {
+                                     task.ready_at_ = ready;
+                                 });
             context.ready_at_.insert(ready);
         }
     }
@@ -278,7 +286,11 @@
     stage_row* const stage = context.stages_.find(input.run_.stage_);
     if (stage != nullptr && !input.checkpoint_.empty())
     {
-        stage->tasks_[input.run_.index_].checkpoint_ = input.checkpoint_;
+        stage->tasks_.change(input.run_.index_,
+                             [&](task_cell& task)
+                             {
+                                 task.checkpoint_ = input.checkpoint_;
+                             });
     }
 }
 
--- a/plan/place_tasks.cpp
+++ b/plan/place_tasks.cpp
@@ -78,6 +78,10 @@
 std::optional<target_id> choose_target(planner const&   context,
                                        placement const& want)
 {
+    if (needs_ticket(want.stage_) && want.stage_.row_.tickets_.empty())
+    {
+        return std::nullopt;
+    }
     std::optional<target_id> best;
     double                   best_cost = std::numeric_limits<double>::max();
     resources const          wanted = room_of(want.stage_.step_);
@@ -170,15 +174,15 @@
 bool start_gang(planner& context, stage_key const& key,
                 std::optional<rack_id> const& rack)
 {
-    step_spec const&             step = find_step(context, key);
-    job_row const&               job = *context.jobs_.find(key.job_);
-    std::size_t const            orders = context.outbox_.size();
-    std::vector<run_key>         begun;
-    stage_row const&             first = *context.stages_.find(key);
-    std::uint32_t                run = first.gang_run_;
-    job_phase const              phase = job.phase_;
-    std::uint32_t const          gang_run = first.gang_run_;
-    std::vector<task_cell> const before = first.tasks_;
+    step_spec const&     step = find_step(context, key);
+    job_row const&       job = *context.jobs_.find(key.job_);
+    std::size_t const    orders = context.outbox_.size();
+    std::vector<run_key> begun;
+    stage_row const&     first = *context.stages_.find(key);
+    std::uint32_t        run = first.gang_run_;
+    job_phase const      phase = job.phase_;
+    std::uint32_t const  gang_run = first.gang_run_;
+    task_list const      before = first.tasks_;
     for (task_cell const& task : before)
     {
         run = std::max(run, task.last_run_);
@@ -443,32 +447,25 @@
     }
 }
 
-} // namespace
-
-void place_tasks(planner& context)
+instant find_soonest_end_of_pause(planner const& context)
 {
-    instant const soonest_pause = [&context]
+    instant due = instant::never();
+    for (target_row const& target : context.targets_)
     {
-        instant due = instant::never();
-        for (target_row const& target : context.targets_)
+        for (instant const until :
+             {target.paused_until_, target.probation_until_})
         {
-            for (instant const until :
-                 {target.paused_until_, target.probation_until_})
+            if (until > context.now_)
             {
-                if (until > context.now_)
-                {
-                    due = std::min(due, until);
-                }
+                due = std::min(due, until);
             }
         }
-        return due;
-    }();
-    std::vector<stage_rank> const ranks = rank_waiting_stages(context);
-    if (!ranks.empty())
-    {
-        wake_at(context, soonest_pause);
     }
-    reserve_for_gang(context, ranks);
+    return due;
+}
+
+void place_ranked(planner& context, std::vector<stage_rank> const& ranks)
+{
     resources most_free = find_most_free(context);
     for (stage_rank const& rank : ranks)
     {
@@ -484,6 +481,19 @@
             most_free = find_most_free(context);
         }
     }
+}
+
+} // namespace
+
+void place_tasks(planner& context)
+{
+    std::vector<stage_rank> const ranks = rank_waiting_stages(context);
+    reserve_for_gang(context, ranks);
+    if (!ranks.empty())
+    {
+        wake_at(context, find_soonest_end_of_pause(context));
+        place_ranked(context, ranks);
+    }
     context.ready_at_.erase(context.ready_at_.begin(),
                             context.ready_at_.upper_bound(context.now_));
     if (!context.ready_at_.empty())
