--- a/bench/measure.cpp
+++ b/bench/measure.cpp
@@ -18,7 +18,8 @@
          measure_memory},
         {"peers", "processor time of heartbeats and calls between hosts",
          measure_peers},
-        {"http", "processor time of an HTTP call", measure_http}};
+        {"http", "processor time of an HTTP call", measure_http},
+        {"feed", "processor time of the feed of targets", measure_feed}};
     return measures;
 }
 
--- a/bench/measure.hpp
+++ b/bench/measure.hpp
@@ -31,6 +31,7 @@
 void measure_memory(std::uint64_t seed, std::vector<figure>& output);
 void measure_peers(std::uint64_t seed, std::vector<figure>& output);
 void measure_http(std::uint64_t seed, std::vector<figure>& output);
+void measure_feed(std::uint64_t seed, std::vector<figure>& output);
 
 } // namespace fescuevane::bench
 
