Read the list of targets seldom while a host owns nothing

Cause: each process gathers the changes of the target table for 400 ms. With 350 targets that are 237 rows a second, which only owners use.

Change: a node tells whether it needs the list: it owns a shard, or one may become vacant because its owner released it, or missed two heartbeats.

--- a/cell/cell.hpp
+++ b/cell/cell.hpp
@@ -63,6 +63,9 @@
 std::uint32_t max_body_bytes(node const& context);
 std::uint32_t count_waiting(node const& context, queue_id const& queue);
 heartbeat     make_heartbeat(node const& context); // for other hosts
+// False while an old list of targets does. When it becomes true, the list has
+// to be brought up to date and reported as complete.
+bool needs_targets(node const& context);
 
 } // namespace fescuevane::cell
 
--- a/cell/follow_members.cpp
+++ b/cell/follow_members.cpp
@@ -352,12 +352,42 @@
     }
 }
 
+// True when the shard may be claimed by this host soon.
+bool may_become_vacant(node const& context, shard_row const& shard)
+{
+    return shard.epoch_ == 0 || shard.released_ ||
+           shard.owner_ == context.settings_.host_ ||
+           shard.confirmed_at_.after(missed_beats *
+                                     context.settings_.heartbeat_micros_) <=
+               context.now_;
+}
+
+// Targets that are missing from the list of a new owner may run its work, so
+// the list has to be read again before a claim.
+void check_need_of_targets(node& context)
+{
+    context.targets_needed_ =
+        !context.owned_.empty() ||
+        std::any_of(context.shards_.begin(), context.shards_.end(),
+                    [&context](shard_row const& shard)
+                    {
+                        return may_become_vacant(context, shard);
+                    });
+    context.targets_known_ = context.targets_known_ && context.targets_needed_;
+}
+
 } // namespace
 
 void follow_members(node& context)
 {
     announce_host(context);
     send_heartbeats(context);
+    check_need_of_targets(context);
+}
+
+bool needs_targets(node const& context)
+{
+    return context.targets_needed_;
 }
 
 // 3. Store
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -78,7 +78,8 @@
     std::uint64_t next_change_ = 1;  // sequence of journal changes
     bool          announced_ = false;
     bool          members_known_ = false; // their list was read once
-    bool          targets_known_ = false;
+    bool          targets_known_ = false; // the same, since it is needed
+    bool          targets_needed_ = true; // a shard is owned or may be claimed
     instant       announce_at_;
 
     instant beat_at_;
--- a/tests/unit/cell_fixture.hpp
+++ b/tests/unit/cell_fixture.hpp
@@ -33,6 +33,8 @@
     bool                          store_held_ = false;   // answers wait
     std::vector<store_reply>      held_;
     std::uint64_t                 last_call_ = 0;
+    bool lists_targets_ = true;  // reports their list when it is needed
+    bool needed_targets_ = true; // in the latest tick
 
     cell_fixture()
     {
@@ -47,6 +49,7 @@
     void start(std::uint64_t incarnation)
     {
         settings_.incarnation_ = incarnation;
+        needed_targets_ = true;
         node_ = make_node(settings_, now_);
         post(config_changed{make_config()});
         for (auto const& [key, row] : rows_)
@@ -94,6 +97,11 @@
     {
         std::vector<command> orders;
         run_tick(*node_, now_, unix_ms_, orders);
+        if (!std::exchange(needed_targets_, needs_targets(*node_)) &&
+            needed_targets_ && lists_targets_)
+        {
+            post(list_complete{member_list::targets});
+        }
         for (command const& order : orders)
         {
             if (auto const* const write = std::get_if<store_transact>(&order))
--- a/tests/unit/cell_heartbeats_test.cpp
+++ b/tests/unit/cell_heartbeats_test.cpp
@@ -234,5 +234,32 @@
     CHECK(take<send_heartbeat>().empty());
 }
 
+// Guards against hosts that own nothing and read each change of each target.
+TEST_CASE_FIXTURE(heartbeats_fixture,
+                  "owners are well, one goes silent, targets are needed early")
+{
+    run_with({"host-1", "host-2", "host-4"}, 2 * micros_per_second);
+    CHECK_FALSE(needs_targets(*node_));
+    tell("host-1");
+    run_with({"host-2", "host-4"}, 900'000);
+    CHECK(needs_targets(*node_));
+    CHECK(owner_of_east() == "host-1");
+}
+
+// Guards against tasks that run twice: a target that was listed after the host
+// had last read the list runs tasks of the shard.
+TEST_CASE_FIXTURE(heartbeats_fixture,
+                  "owner is silent, list of targets is old, node doesn't claim")
+{
+    run_with({"host-1", "host-2"}, 15 * micros_per_second);
+    lists_targets_ = false;
+    run_with({"host-2"}, 4 * micros_per_second);
+    CHECK(owner_of_east() == "host-1");
+    post(list_complete{member_list::targets});
+    run_with({"host-2"}, 100'000);
+    CHECK(owner_of_east() == "host-3");
+    CHECK(needs_targets(*node_));
+}
+
 } // namespace
 } // namespace fescuevane::cell
