--- a/bench/measure.cpp
+++ b/bench/measure.cpp
@@ -22,7 +22,8 @@
          measure_peers},
         {"http", "processor time of an HTTP call", measure_http},
         {"cell", "processor time of the tick of a node, by system",
-         measure_cell}};
+         measure_cell},
+        {"feed", "processor time of the feed of targets", measure_feed}};
     return measures;
 }
 
