Look nothing up for sessions without news

Cause: each tick looked up the shard and the row of every session and copied its name, also of the targets of other shards and of those without ends. Change: sessions of other shards are skipped by their flags, ends are numbered only where there are some, and leases are judged only of targets that are not attached.

--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -770,10 +770,10 @@
 namespace
 {
 
-// Ends whose effect is stored may be forgotten by the target.
+// Ends whose effect is stored may be forgotten by the target. Only for sessions
+// with ends that aren't stored.
 void advance_forgotten(node& context, session_row& session)
 {
-    bool const had = !session.unstored_.empty();
     while (!session.unstored_.empty())
     {
         unstored_end&     end = session.unstored_.front();
@@ -786,7 +786,7 @@
         session.forgotten_ = end.number_;
         session.unstored_.pop_front();
     }
-    if (had && session.unstored_.empty())
+    if (session.unstored_.empty())
     {
         session.hold_at_ = context.now_;
     }
@@ -818,10 +818,6 @@
 bool settle_silent_target(node& context, target_id const& id)
 {
     session_row& session = *context.sessions_.find(id);
-    if (session.phase_ == session_phase::attached)
-    {
-        return true;
-    }
     if (!has_lapsed(context, session))
     {
         wake_for_lapse(context, session);
@@ -849,15 +845,11 @@
     return true;
 }
 
-// A target that is cut off leaves the list and runs on, so whoever takes its
-// shard over has to reach it or to wait.
+// Only for targets that left the list. One that is cut off does so and runs on,
+// so whoever takes its shard over has to reach it or to wait.
 void forget_unlisted(node& context, target_id const& id,
                      session_row const& session)
 {
-    if (session.listed_)
-    {
-        return;
-    }
     instant const due =
         session.unlisted_at_.after(context.settings_.unlisted_keep_micros_);
     if (due <= context.now_)
@@ -876,15 +868,26 @@
     for (std::size_t row = context.sessions_.size(); row-- > 0;)
     {
         session_row* const session = &context.sessions_[row];
-        target_id const    id = context.sessions_.key(row);
+        if (!session->open_ && session->listed_)
+        {
+            continue; // of another shard
+        }
+        ++context.visited_;
+        target_id const id = context.sessions_.key(row);
         if (!session->open_)
         {
             forget_unlisted(context, id, *session);
             continue;
         }
-        number_ends(context, *session);
-        advance_forgotten(context, *session);
-        if (!settle_silent_target(context, id))
+        // Most targets are attached and have no ends, so that the tick looks
+        // nothing up for them.
+        if (!session->unstored_.empty())
+        {
+            number_ends(context, *session);
+            advance_forgotten(context, *session);
+        }
+        if (session->phase_ != session_phase::attached &&
+            !settle_silent_target(context, id))
         {
             continue;
         }
--- a/tests/unit/cell_cost_test.cpp
+++ b/tests/unit/cell_cost_test.cpp
@@ -65,6 +65,22 @@
         REQUIRE(ended == static_cast<std::size_t>(count));
     }
 
+    static listed_target make_other(std::string const& name)
+    {
+        return {.id_ = target_id(name),
+                .address_ = "127.0.0.1:8000",
+                .domain_ = domain_id("west"),
+                .service_ = service_id("desk"),
+                .capacity_ = {4000, 8192, 0}};
+    }
+
+    std::uint64_t count_tick_visits(std::string const& system)
+    {
+        recorded_.visited_.clear();
+        tick();
+        return recorded_.visited_[system];
+    }
+
     std::uint64_t count_visits(std::string const& system, std::int64_t micros)
     {
         recorded_.visited_.clear();
@@ -168,5 +184,35 @@
     CHECK(find_answer(call).has_value());
 }
 
+// Guards against work in each tick for targets of other shards.
+TEST_CASE_FIXTURE(cost_fixture, "sessions, of other shards, skipped")
+{
+    serve();
+    for (int index = 0; index < 100; ++index)
+    {
+        post(target_listed{make_other("w-" + std::to_string(index))});
+    }
+    run(100'000);
+    CHECK(count_tick_visits("keep_sessions") == 1);
+}
+
+// Guards against targets of other shards that left the list and are kept for
+// ever, or are visited for ever when they return.
+TEST_CASE_FIXTURE(cost_fixture, "sessions, unlisted, forgotten after a while")
+{
+    serve();
+    post(target_listed{make_other("w-1")});
+    post(target_listed{make_other("w-2")});
+    post(target_unlisted{target_id("w-1")});
+    post(target_unlisted{target_id("w-2")});
+    tick();
+    CHECK(count_tick_visits("keep_sessions") == 3);
+    post(target_listed{make_other("w-2")});
+    CHECK(count_tick_visits("keep_sessions") == 2);
+    advance(settings_.unlisted_keep_micros_);
+    tick();
+    CHECK(count_tick_visits("keep_sessions") == 1);
+}
+
 } // namespace
 } // namespace fescuevane::cell
