Spread submissions over the shards of a domain between heartbeats

Cause: loads are as old as the latest heartbeat, 0.3 s, and every host sent its jobs to the one shard with the lowest load. On a cell of a dozen shards with equal loads one of them got all jobs of that time.

Change: within a failure domain the load counts with a part that depends on job and shard, up to a quarter; domains are still compared by load alone, so cells of one shard a domain route as before.

Measured: 40 jobs at once on two equal shards give each more than 10, before 40 and none; cell_tests pass.

--- a/cell/route_calls.cpp
+++ b/cell/route_calls.cpp
@@ -12,9 +12,10 @@
 
 #include "cell/record_error.hpp"
 #include "cell/records.hpp"
+#include "core/hashing.hpp"
 
 #include <algorithm>
-#include <limits>
+#include <map>
 #include <optional>
 #include <set>
 
@@ -88,12 +89,31 @@
     return last;
 }
 
+// What hosts know of loads is as old as the latest heartbeat. Without the
+// spread, all of them send their jobs to the same shard of a domain meanwhile.
+constexpr double load_spread = 0.25;
+
+double spread_of(job_id const& job, shard_id const& shard)
+{
+    constexpr std::uint64_t steps = 1024;
+    return load_spread *
+           static_cast<double>(compute_stable_hash(job.str(), shard.index_) %
+                               steps) /
+           steps;
+}
+
+struct shard_choice
+{
+    shard_id shard_;
+    double   load_ = 0;
+    double   spread_load_ = 0;
+};
+
 std::optional<shard_id> choose_shard(node const& context, call_row const& call)
 {
-    std::set<shard_id> const last = list_last(context, *call.job_);
-    constexpr double         unfit_cost = 1000; // above any load
-    std::optional<shard_id>  best;
-    double                   best_load = std::numeric_limits<double>::max();
+    std::set<shard_id> const          last = list_last(context, *call.job_);
+    constexpr double                  unfit_cost = 1000; // above any load
+    std::map<domain_id, shard_choice> choices;
     for (std::size_t row = 0; row < context.shards_.size(); ++row)
     {
         shard_id const&  id = context.shards_.key(row);
@@ -104,13 +124,21 @@
         }
         double const load =
             load_of(context, id, shard) + (last.contains(id) ? unfit_cost : 0);
-        if (load < best_load)
+        shard_choice const choice{id, load, load + spread_of(call.id_, id)};
+        auto const [known, is_new] = choices.try_emplace(id.domain_, choice);
+        if (!is_new && choice.spread_load_ < known->second.spread_load_)
         {
-            best = id;
-            best_load = load;
+            known->second = choice;
         }
     }
-    return best;
+    auto const best =
+        std::min_element(choices.begin(), choices.end(),
+                         [](auto const& a, auto const& b)
+                         {
+                             return a.second.load_ < b.second.load_;
+                         });
+    return best == choices.end() ? std::nullopt
+                                 : std::optional(best->second.shard_);
 }
 
 // Where a job is, or where its caller most likely submitted it.
--- a/tests/unit/cell_ownership_test.cpp
+++ b/tests/unit/cell_ownership_test.cpp
@@ -469,5 +469,31 @@
     }
 }
 
+// Guards against hosts that all send their jobs to the same shard until its
+// next heartbeat tells that it is full.
+TEST_CASE_FIXTURE(siblings_fixture,
+                  "jobs between two heartbeats, submitted, spread over shards")
+{
+    add_host("host-1");
+    add_host("host-2");
+    run(3 * micros_per_second);
+    for (int job = 0; job < 40; ++job)
+    {
+        submit("host-1", "aa" + std::to_string(10 + job));
+    }
+    run(100'000);
+    std::map<std::string, int> jobs;
+    for (auto const& [key, row] : rows_)
+    {
+        if (key.table_ == "job")
+        {
+            ++jobs[write_shard_name(read_job(row.value_).shard_)];
+        }
+    }
+    CHECK(jobs["east.0"] + jobs["east.1"] == 40);
+    CHECK(jobs["east.0"] > 10);
+    CHECK(jobs["east.1"] > 10);
+}
+
 } // namespace
 } // namespace fescuevane::cell
