Gather progress for longer the more shards write to a part of the store

Cause: a part performs 150 transactions a second, one after another, and each owner wrote to it every 35 ms. More parts don't help: each owner would write to each of them as often.

Change: progress is gathered for 12 ms for each shard of the cell, 35 ms at least, so cells of three shards write as before. Acceptance and cancels are still written at once.

--- a/cell/settings.hpp
+++ b/cell/settings.hpp
@@ -30,7 +30,10 @@
     std::int64_t  store_retry_micros_ = 150'000;
     std::int64_t  unready_micros_ = 500'000; // with the store lost
     std::int64_t  journal_micros_ = 35'000;  // progress is gathered so long
-    std::uint32_t journal_jobs_ = 30;        // in one transaction
+    // At least so long for each shard of the cell: a part of the store performs
+    // 150 transactions a second, and leaves room for urgent ones.
+    std::int64_t  journal_shard_micros_ = 12'000;
+    std::uint32_t journal_jobs_ = 30;                // in one transaction
     std::int64_t  result_keep_micros_ = 180'000'000; // of ended jobs
 
     // Heartbeats and ownership
--- a/cell/write_journal.cpp
+++ b/cell/write_journal.cpp
@@ -20,6 +20,22 @@
 
 // 1. Changes
 
+namespace
+{
+
+// When progress that was made just now is written. All owners write to the same
+// parts of the store, so each waits longer the more shards there are.
+instant gather_until(node const& context)
+{
+    settings const& values = context.settings_;
+    return context.now_.after(
+        std::max(values.journal_micros_,
+                 values.journal_shard_micros_ *
+                     static_cast<std::int64_t>(context.shards_.size())));
+}
+
+} // namespace
+
 void mark_changed(node& context, job_id const& job, bool urgent)
 {
     record_row* const record = context.records_.find(job);
@@ -35,10 +51,8 @@
     }
     journal_part& part = own->parts_[record->part_];
     part.dirty_.insert(job);
-    part.flush_at_ = std::min(
-        part.flush_at_,
-        urgent ? context.now_
-               : context.now_.after(context.settings_.journal_micros_));
+    part.flush_at_ =
+        std::min(part.flush_at_, urgent ? context.now_ : gather_until(context));
 }
 
 // 2. Transactions
@@ -292,9 +306,7 @@
     }
     if (record->changed_ > record->saved_)
     {
-        part.flush_at_ =
-            std::min(part.flush_at_,
-                     context.now_.after(context.settings_.journal_micros_));
+        part.flush_at_ = std::min(part.flush_at_, gather_until(context));
     }
     else
     {
@@ -423,9 +435,7 @@
         }
         if (!part.dirty_.empty())
         {
-            part.flush_at_ =
-                std::min(part.flush_at_,
-                         context.now_.after(context.settings_.journal_micros_));
+            part.flush_at_ = std::min(part.flush_at_, gather_until(context));
         }
         break;
     case store_outcome::conflict:
--- a/tests/unit/cell_cluster_fixture.hpp
+++ b/tests/unit/cell_cluster_fixture.hpp
@@ -37,11 +37,15 @@
     std::map<std::string, std::string>             addresses_; // by name
     std::vector<listed_target>                     targets_;
     std::map<target_id, std::vector<reported_run>> running_;
+    std::map<target_id, std::vector<reported_end>> ended_;
+    std::map<target_id, std::uint64_t>             ends_; // of a life
     std::map<run_key, int>                         starts_;
+    std::map<run_key, std::int64_t>                started_; // at `unix_ms_`
     std::map<target_id, epoch>                     fences_;
     std::map<std::uint64_t, passed_call>           passed_;
     std::map<row_key, stored_row>                  rows_;
     revision                                       revision_ = 0;
+    std::uint64_t                                  journal_writes_ = 0;
     instant                            now_ = instant(10 * micros_per_second);
     std::int64_t                       unix_ms_ = 1'000'000;
     std::uint64_t                      last_call_ = 0;
@@ -111,14 +115,15 @@
     }
 
     void list_target(std::string const& name, std::string const& rack,
-                     std::string const& domain = "east")
+                     std::string const& domain = "east",
+                     resources const&   capacity = {4000, 8192, 0})
     {
         targets_.push_back({.id_ = target_id(name),
                             .address_ = "127.0.0.1:8000",
                             .domain_ = domain_id(domain),
                             .service_ = service_id("desk"),
                             .rack_ = rack_id(rack),
-                            .capacity_ = {4000, 8192, 0}});
+                            .capacity_ = capacity});
         post_all(target_listed{targets_.back()});
     }
 
@@ -135,6 +140,42 @@
         }
     }
 
+    // Runs of at least this age end, each task of a step some time after the
+    // one before. They are reported until forgotten.
+    void end_runs(std::int64_t age_ms, std::int64_t apart_ms = 0)
+    {
+        for (auto& [target, runs] : running_)
+        {
+            std::vector<reported_run> rest;
+            for (reported_run const& run : runs)
+            {
+                if (started_.at(run.run_) + age_ms +
+                        apart_ms * run.run_.index_ >
+                    unix_ms_)
+                {
+                    rest.push_back(run);
+                    continue;
+                }
+                ended_[target].push_back(
+                    {++ends_[target], run.run_, run_end::done, ""});
+            }
+            runs.swap(rest);
+        }
+    }
+
+    void forget_ends(hold_target const& hold)
+    {
+        std::vector<reported_end> rest;
+        for (reported_end const& end : ended_[hold.target_])
+        {
+            if (end.number_ > hold.forgotten_)
+            {
+                rest.push_back(end);
+            }
+        }
+        ended_[hold.target_].swap(rest);
+    }
+
     // 2. Time
 
     // Ticks every 10 ms for some time. Messages arrive with the next tick.
@@ -219,6 +260,7 @@
             epoch&     fence = cluster_.fences_[hold.target_];
             bool const old = hold.fence_ != 0 && hold.fence_ < fence;
             fence = std::max(fence, hold.fence_);
+            cluster_.forget_ends(hold);
             post_event(*host_.node_,
                        hold_reply{.request_ = hold.request_,
                                   .target_ = hold.target_,
@@ -226,11 +268,13 @@
                                                   : target_outcome::done,
                                   .clock_ms_ = cluster_.unix_ms_,
                                   .born_unix_ms_ = 7,
-                                  .runs_ = cluster_.running_[hold.target_]});
+                                  .runs_ = cluster_.running_[hold.target_],
+                                  .ends_ = cluster_.ended_[hold.target_]});
         }
         void operator()(send_start const& start) const
         {
             ++cluster_.starts_[start.start_.run_];
+            cluster_.started_[start.start_.run_] = cluster_.unix_ms_;
             cluster_.running_[start.start_.target_].push_back(
                 {start.start_.run_, "", 1, 0});
             post_event(*host_.node_,
@@ -265,6 +309,7 @@
                     .rows_ = current};
         }
         ++revision_;
+        journal_writes_ += write.writes_.front().key_.table_ == "job" ? 1 : 0;
         for (row_write const& change : write.writes_)
         {
             rows_.erase(change.key_);
--- a/tests/unit/cell_jobs_test.cpp
+++ b/tests/unit/cell_jobs_test.cpp
@@ -1,5 +1,5 @@
 // Purpose: tests of acceptance, journal, leases and recovery of one node.
-#include "cell_fixture.hpp"
+#include "cell_cluster_fixture.hpp"
 
 #include "cell/record_error.hpp"
 #include "cell/records.hpp"
@@ -308,5 +308,37 @@
     }
 }
 
+// Guards against a part of the store that takes no more: it performs 150
+// transactions a second, and each owner writes its jobs there.
+TEST_CASE_FIXTURE(
+    cell_cluster_fixture,
+    "twelve owners, jobs start and end, one part takes all writes")
+{
+    for (int rack = 0; rack < 12; ++rack)
+    {
+        std::string const name = "r-" + std::to_string(rack);
+        list_target("t-" + name + "-a", name);
+        list_target("t-" + name + "-b", name);
+        add_host("host-" + std::to_string(10 + rack));
+    }
+    run(8 * micros_per_second);
+    REQUIRE(stored_layout().shards_ == 12);
+    journal_writes_ = 0;
+    constexpr int seconds = 4;
+    constexpr int jobs_a_second = 50;
+    for (int job = 0; job < seconds * jobs_a_second; ++job)
+    {
+        submit("host-" + std::to_string(10 + job % 12),
+               "aa" + std::to_string(1000 + job),
+               {{.count_ = 10, .demand_ = {10, 16, 0}, .estimate_ms_ = 100}});
+        run(20'000);
+        end_runs(100, 50); // 500 tasks a second end
+    }
+    CHECK(starts_.size() > 1000);
+    double const rate = static_cast<double>(journal_writes_) / seconds;
+    INFO("transactions a second: ", rate);
+    CHECK(rate < 150);
+}
+
 } // namespace
 } // namespace fescuevane::cell
