--- a/tests/unit/cell_allotments_test.cpp
+++ b/tests/unit/cell_allotments_test.cpp
@@ -1,4 +1,5 @@
 // Purpose: tests of limits that are divided among shards.
+#include "cell_cluster_fixture.hpp"
 #include "cell_pair_fixture.hpp"
 
 #include "cell/record_error.hpp"
@@ -165,5 +166,87 @@
     }
 }
 
+// Three failure domains of two shards and ten targets of 64 cores each. The
+// organisation uses 400 cores at most times, and may use 1.9 times that.
+struct wide_fixture : cell_cluster_fixture
+{
+    resources const limit_{760'000, 0, 0};
+    resources const task_{18'000, 1024, 0};
+    int             submitted_ = 0;
+
+    wide_fixture()
+    {
+        defaults_.domains_ = {domain_id("east"), domain_id("north"),
+                              domain_id("west")};
+        defaults_.targets_per_shard_ = 5;
+        auto config = std::make_shared<cell_config>(*config_);
+        config->organisations_[0].share_.limit_ = limit_;
+        config_ = config;
+        for (std::string const domain : {"east", "north", "west"})
+        {
+            for (int target = 0; target < 10; ++target)
+            {
+                std::string const rack = domain + std::to_string(target % 2);
+                list_target("t-" + rack + std::to_string(target), rack, domain,
+                            {64'000, 131'072, 0});
+            }
+            add_host(domain + "-1", 0.5, domain);
+            add_host(domain + "-2", 0.5, domain);
+        }
+        run(6 * micros_per_second);
+    }
+
+    void submit_tasks(std::string const& host, std::uint32_t count, bool gang)
+    {
+        submit(host, "aa" + std::to_string(1000 + submitted_++),
+               {{.count_ = count,
+                 .demand_ = task_,
+                 .estimate_ms_ = 1000,
+                 .gang_ = gang}});
+    }
+
+    std::int64_t running_cpu()
+    {
+        std::int64_t used = 0;
+        for (auto const& [target, runs] : running_)
+        {
+            used += static_cast<std::int64_t>(runs.size()) * task_.cpu_millis();
+        }
+        return used;
+    }
+
+    // True when the organisation's latest job, a gang, has started as a whole.
+    bool has_started(std::uint32_t count)
+    {
+        job_id const  id("aa" + std::to_string(1000 + submitted_ - 1));
+        std::uint32_t found = 0;
+        for (auto const& [run, starts] : starts_)
+        {
+            found += run.stage_.job_ == id ? 1 : 0;
+        }
+        return found >= count;
+    }
+};
+
+// Guards against a gang that never starts: it needs twice the equal part of its
+// organisation's limit, in one shard.
+TEST_CASE_FIXTURE(wide_fixture,
+                  "gang above the equal part, others have spare, starts soon")
+{
+    for (std::string const host : {"east-1", "north-1", "west-1"})
+    {
+        for (int job = 0; job < 4; ++job)
+        {
+            submit_tasks(host, 2, false);
+        }
+    }
+    run(2 * micros_per_second);
+    REQUIRE(running_cpu() == 24 * task_.cpu_millis()); // 432 of 760 cores
+    submit_tasks("east-1", 14, true);
+    run(1'500'000);
+    CHECK(has_started(14));
+    CHECK(running_cpu() <= limit_.cpu_millis());
+}
+
 } // namespace
 } // namespace fescuevane::cell
--- a/tests/unit/cell_ownership_test.cpp
+++ b/tests/unit/cell_ownership_test.cpp
@@ -324,6 +324,8 @@
     add_host("host-1");
     add_host("host-2");
     run(3 * micros_per_second);
+    REQUIRE(list_served("host-1").size() == 1);
+    REQUIRE(list_served("host-2").size() == 1);
     std::string const lost = *list_served("host-1").begin();
     std::string const kept = *list_served("host-2").begin();
     submit("host-1", "aa01");
