Pass over the jobs of other shards when a shard is loaded

Cause: all shards keep their jobs in the same parts of the store, and a new owner parsed every row there. With six to eight shards most of them belong to others, ended ones of three minutes included.

Change: the shard is told from the start of the text, which write_job puts there. A text that starts otherwise is read as before.

--- a/cell/drive_planners.cpp
+++ b/cell/drive_planners.cpp
@@ -65,6 +65,10 @@
 
 void load_job(node& context, request_row const& request, stored_row const& row)
 {
+    if (!may_belong(row.value_, request.shard_))
+    {
+        return;
+    }
     job_record const record = read_job(row.value_);
     if (record.shard_ != request.shard_)
     {
--- a/cell/records.cpp
+++ b/cell/records.cpp
@@ -345,6 +345,13 @@
 
 } // namespace
 
+namespace
+{
+
+constexpr std::string_view job_start = R"({"shard":")";
+
+} // namespace
+
 std::string write_job(shard_id const& shard, std::string const& spec_text,
                       job_progress const& progress)
 {
@@ -358,13 +365,20 @@
     {
         delegates.push_back(delegate.str());
     }
-    return R"({"shard":")" + write_shard_name(shard) + R"(","phase":)" +
+    return std::string(job_start) + write_shard_name(shard) + R"(","phase":)" +
            std::to_string(static_cast<int>(progress.phase_)) +
            R"(,"delegates":)" + delegates.dump() + R"(,"tasks":)" +
            tasks.dump(-1, ' ', false, json::error_handler_t::replace) +
            R"(,"spec":)" + spec_text + "}";
 }
 
+bool may_belong(std::string const& text, shard_id const& shard)
+{
+    return !text.starts_with(job_start) ||
+           text.starts_with(std::string(job_start) + write_shard_name(shard) +
+                            '"');
+}
+
 job_record read_job(std::string const& text)
 {
     return parse(text,
--- a/cell/records.hpp
+++ b/cell/records.hpp
@@ -33,6 +33,9 @@
 std::string write_job(shard_id const& shard, std::string const& spec_text,
                       job_progress const& progress);
 job_record  read_job(std::string const& text);
+// False when the text is surely that of a job of another shard. Told from the
+// first field, which costs much less than reading the whole text.
+bool may_belong(std::string const& text, shard_id const& shard);
 std::shared_ptr<staged_job const> read_spec(std::string const& text);
 
 // The row of a shard in one part, which fences the rows of its jobs there.
--- a/tests/unit/cell_jobs_test.cpp
+++ b/tests/unit/cell_jobs_test.cpp
@@ -340,5 +340,20 @@
     CHECK(rate < 150);
 }
 
+// Guards against jobs that a new owner takes for those of another shard, whose
+// name begins like its own.
+TEST_CASE("stored job, asked for its shard, told from shards of similar names")
+{
+    shard_id const    own{domain_id("east"), 1};
+    staged_job const  job{.id_ = job_id("aa01"), .steps_ = {{}}};
+    std::string const text = write_job(own, write_spec(job), {});
+    CHECK(read_job(text).shard_ == own);
+    CHECK(may_belong(text, own));
+    CHECK_FALSE(may_belong(text, {domain_id("east"), 10}));
+    CHECK_FALSE(may_belong(text, {domain_id("east"), 0}));
+    CHECK_FALSE(may_belong(text, {domain_id("eas"), 1}));
+    CHECK(may_belong("{}", own)); // reading it tells that it is malformed
+}
+
 } // namespace
 } // namespace fescuevane::cell
