--- a/bench/measure_feed.cpp
+++ b/bench/measure_feed.cpp
@@ -5,7 +5,9 @@
 
 #include "io/http_client.hpp"
 #include "io/main_loop.hpp"
+#include "io/measures.hpp"
 #include "io/timer.hpp"
+#include "platform/load_meter.hpp"
 #include "platform/row_feed.hpp"
 
 #include <libsoup/soup.h>
@@ -77,17 +79,21 @@
 
 usage follow_feed(std::string const& address, std::int64_t gather_micros)
 {
-    io::http_client    client(4);
-    std::uint64_t      rows = 0;
-    platform::row_feed feed(client, address, "targets", {""}, gather_micros,
-                            {.changed_ =
-                                 [&rows](cell::stored_row const& row)
-                             {
+    io::http_client        client(4);
+    std::uint64_t          rows = 0;
+    io::measures           measures;
+    constexpr std::int64_t lease_micros = 4'000'000;
+    platform::load_meter   meter(measures, lease_micros, io::read_clock());
+    platform::row_feed     feed(client, meter, address, "targets", {""},
+                                gather_micros,
+                                {.changed_ =
+                                     [&rows](cell::stored_row const& row)
+                                 {
                                  rows += row.value_.empty() ? 0 : 1;
                              },
-                             .complete_ = [] {},
-                             .contact_ = [](bool, std::string const&) {}});
-    io::timer          start(
+                                 .complete_ = [] {},
+                                 .contact_ = [](bool, std::string const&) {}});
+    io::timer              start(
         [&feed]
         {
             feed.start();
--- a/cell/claim_shards.cpp
+++ b/cell/claim_shards.cpp
@@ -25,7 +25,9 @@
     settings const& values = context.settings_;
     if (shard.epoch_ == 0)
     {
-        return context.started_.after(values.first_claim_micros_);
+        // Not before the row was made, so that hosts claim in their order.
+        return std::max(shard.confirmed_at_,
+                        context.started_.after(values.first_claim_micros_));
     }
     if (shard.released_ || shard.owner_ == values.host_)
     {
--- a/cell/follow_members.cpp
+++ b/cell/follow_members.cpp
@@ -373,6 +373,12 @@
 {
     context.targets_needed_ =
         !context.owned_.empty() ||
+        !std::all_of(context.settings_.domains_.begin(),
+                     context.settings_.domains_.end(),
+                     [&context](domain_id const& domain)
+                     {
+                         return has_layout(context, domain);
+                     }) ||
         std::any_of(context.shards_.begin(), context.shards_.end(),
                     [&context](shard_row const& shard)
                     {
--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -822,7 +822,7 @@
 // False when the session was removed.
 bool settle_silent_target(node& context, target_id const& id)
 {
-    session_row& session = *context.sessions_.find(id);
+    session_row&  session = *context.sessions_.find(id);
     instant const give_up = find_give_up(context, session);
     if (give_up > context.now_)
     {
--- a/cell/lay_out_domains.cpp
+++ b/cell/lay_out_domains.cpp
@@ -64,7 +64,12 @@
     {
         return nullptr; // not of this cell
     }
+    bool const is_new = !context.shards_.contains(shard);
     shard_row& row = context.shards_.ensure(shard);
+    if (is_new)
+    {
+        row.confirmed_at_ = context.now_;
+    }
     row.revisions_.resize(context.settings_.job_parts_);
     row.epochs_.resize(context.settings_.job_parts_);
     return &row;
--- a/tests/unit/platform_feed_test.cpp
+++ b/tests/unit/platform_feed_test.cpp
@@ -1,9 +1,11 @@
 // Purpose: tests of the feed of a table, against a store that the test answers
 // for over the loopback interface.
+#include "platform/load_meter.hpp"
 #include "platform/row_feed.hpp"
 
 #include "io/http_client.hpp"
 #include "io/main_loop.hpp"
+#include "io/measures.hpp"
 #include "io/timer.hpp"
 
 #include <doctest/doctest.h>
@@ -18,6 +20,7 @@
 namespace
 {
 
+constexpr std::int64_t lease_micros = 4'000'000;
 constexpr std::int64_t long_gather_micros = 30'000'000;
 constexpr std::int64_t short_gather_micros = 50'000;
 constexpr std::int64_t most_micros = 10'000'000; // of a step of a test
@@ -26,13 +29,15 @@
 {
     SoupServer*                    server_;
     std::optional<io::http_client> client_;
-    std::optional<row_feed>        feed_;
-    std::vector<std::string>       questions_; // waits that feeds asked for
-    std::string                    answer_ = R"({"rows":[],"ver":5})";
-    bool                  held_ = false; // the next feed isn't answered
-    SoupServerMessage*    open_ = nullptr;
-    std::vector<revision> reported_;
-    std::size_t           complete_ = 0;
+    io::measures                   measures_;
+    load_meter               meter_{measures_, lease_micros, io::read_clock()};
+    std::optional<row_feed>  feed_;
+    std::vector<std::string> questions_; // waits that feeds asked for
+    std::string              answer_ = R"({"rows":[],"ver":5})";
+    bool                     held_ = false; // the next feed isn't answered
+    SoupServerMessage*       open_ = nullptr;
+    std::vector<revision>    reported_;
+    std::size_t              complete_ = 0;
 
     feed_fixture()
         : server_(soup_server_new(nullptr, nullptr)), client_(std::in_place, 4)
@@ -45,7 +50,7 @@
         int const     port = g_uri_get_port(static_cast<GUri*>(uris->data));
         g_slist_free_full(uris, reinterpret_cast<GDestroyNotify>(&g_uri_unref));
         feed_.emplace(
-            *client_, "127.0.0.1:" + std::to_string(port), "servers",
+            *client_, meter_, "127.0.0.1:" + std::to_string(port), "servers",
             std::vector<std::string>{""}, long_gather_micros,
             row_feed::handlers{.changed_ =
                                    [this](cell::stored_row const& row)
