--- a/cell/due_queue.hpp
+++ b/cell/due_queue.hpp
@@ -4,8 +4,6 @@
 
 #include "core/instant.hpp"
 
-#include <cstddef>
-#include <cstdint>
 #include <set>
 #include <utility>
 #include <vector>
@@ -21,8 +19,6 @@
 public:
     void add(instant due, Key const& key) { entries_.emplace(due, key); }
 
-    void remove(instant due, Key const& key) { entries_.erase({due, key}); }
-
     // Takes the keys that are due, in order.
     std::vector<Key> take(instant now)
     {
@@ -51,8 +47,6 @@
         return entries_.empty() ? instant::never() : entries_.begin()->first;
     }
 
-    std::size_t size() const { return entries_.size(); }
-
 private:
     std::set<std::pair<instant, Key>> entries_;
 };
