Test a gang above its equal part on shards with room for it

The targets of the fixture held 11 more tasks where the gang needs 14, so the test measured the wait for room, 1,340 ms. Without the moves of parts the test fails.

--- a/tests/unit/cell_allotments_test.cpp
+++ b/tests/unit/cell_allotments_test.cpp
@@ -166,7 +166,7 @@
     }
 }
 
-// Three failure domains of two shards and ten targets of 64 cores each. The
+// Three failure domains of two shards and twenty targets of 64 cores. The
 // organisation uses 400 cores at most times, and may use 1.9 times that.
 struct wide_fixture : cell_cluster_fixture
 {
@@ -178,13 +178,13 @@
     {
         defaults_.domains_ = {domain_id("east"), domain_id("north"),
                               domain_id("west")};
-        defaults_.targets_per_shard_ = 5;
+        defaults_.targets_per_shard_ = 10;
         auto config = std::make_shared<cell_config>(*config_);
         config->organisations_[0].share_.limit_ = limit_;
         config_ = config;
         for (std::string const domain : {"east", "north", "west"})
         {
-            for (int target = 0; target < 10; ++target)
+            for (int target = 0; target < 20; ++target)
             {
                 std::string const rack = domain + std::to_string(target % 2);
                 list_target("t-" + rack + std::to_string(target), rack, domain,
@@ -243,7 +243,7 @@
     run(2 * micros_per_second);
     REQUIRE(running_cpu() == 24 * task_.cpu_millis()); // 432 of 760 cores
     submit_tasks("east-1", 14, true);
-    run(1'500'000);
+    run(1'200'000); // the time in which such work should start
     CHECK(has_started(14));
     CHECK(running_cpu() <= limit_.cpu_millis());
 }
