Leave a shard that was handed over to its successor

Cause: a host claims rows of its own name without delay, also those that it has just released. Since a host that owns nothing reads the list of targets again before a claim, the former owner was faster and took its shard back: in the test of two equal hosts the shards changed 6 times in place of 3 and stayed with one host.

Change: only rows that aren't released count as its own.

The fixture of several hosts lists targets again when a host needs them, as the process does.

--- a/cell/claim_shards.cpp
+++ b/cell/claim_shards.cpp
@@ -191,9 +191,10 @@
     {
         return false;
     }
-    settings const&    values = context.settings_;
-    bool const         foreign = shard.domain_ != values.domain_;
-    bool const         own_row = row.owner_ == values.host_;
+    settings const& values = context.settings_;
+    bool const      foreign = shard.domain_ != values.domain_;
+    // What this host handed over is its successor's to claim first.
+    bool const         own_row = row.owner_ == values.host_ && !row.released_;
     std::int64_t const delay =
         own_row
             ? 0
--- a/tests/unit/cell_cluster_fixture.hpp
+++ b/tests/unit/cell_cluster_fixture.hpp
@@ -24,6 +24,7 @@
         settings                            settings_;
         node_ptr                            node_; // null: killed
         std::map<std::uint64_t, job_answer> answers_;
+        bool needed_targets_ = true; // in the latest tick
     };
 
     struct passed_call
@@ -200,6 +201,11 @@
     {
         std::vector<command> orders;
         run_tick(*host.node_, now_, unix_ms_, orders);
+        if (!std::exchange(host.needed_targets_, needs_targets(*host.node_)) &&
+            host.needed_targets_)
+        {
+            post_event(*host.node_, list_complete{member_list::targets});
+        }
         for (command const& order : orders)
         {
             std::visit(carry{*this, address, host}, order);
