Let a target that was out of reach forget nothing at first

Cause: each question tells the target up to which number its ends may be forgotten. A target that crashes and starts again under its name counts its ends from 1, and the first question after the silence still carried the number of its earlier life. It forgot ends that nobody had read; the owner then saw a new life and started the work again.

Change: a question after one without an answer lets nothing be forgotten; the reply to it shows the life.

Test: the new case fails on the code before (85 of 86) and passes now. A crash between two answered questions breaks the connection, so the next question fails first; that isn't tested.

--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -283,7 +283,9 @@
         .target_ = id,
         .address_ = session.info_->address_,
         .fence_ = context.owned_.find(session.shard_)->epoch_,
-        .forgotten_ = session.forgotten_,
+        // After a silence another life may answer, whose ends have the numbers
+        // of those that the earlier one may forget.
+        .forgotten_ = answers ? session.forgotten_ : 0,
         .lease_clock_ms_ = lease,
         .wait_ms_ = wait_ms,
         .deadline_ = context.now_.after(wait_ms * micros_per_milli +
--- a/tests/unit/cell_jobs_test.cpp
+++ b/tests/unit/cell_jobs_test.cpp
@@ -209,6 +209,31 @@
     CHECK(take<send_start>().size() == 1);
 }
 
+// Guards against a task that runs again after it was done: a target started
+// again under its name, and the next question let it forget ends by the numbers
+// of its earlier life, which nobody had read.
+TEST_CASE_FIXTURE(silent_target_fixture,
+                  "target unanswered once, next question, forgets no end")
+{
+    auto holds = take<hold_target>();
+    REQUIRE(!holds.empty());
+    answer_hold(holds.back(), {}, {{1, started_, run_end::done, ""}});
+    run(500'000);
+    holds = take<hold_target>();
+    REQUIRE(!holds.empty());
+    REQUIRE(holds.back().forgotten_ == 1);
+    fail_hold(holds.back());
+    run(500'000);
+    holds = take<hold_target>();
+    REQUIRE(!holds.empty());
+    CHECK(holds.back().forgotten_ == 0);
+    answer_hold(holds.back());
+    run(500'000);
+    holds = take<hold_target>();
+    REQUIRE(!holds.empty());
+    CHECK(holds.back().forgotten_ == 1); // the same life
+}
+
 // Guards against work that is kept from starting elsewhere: questions to a
 // target that answered none any more renewed its lease for two seconds.
 TEST_CASE_FIXTURE(silent_target_fixture,
