Soak a cell of separate processes in seeded faults

Stand-ins of the store and of targets speak the platform's HTTP protocol; a driver starts hosts, makes faults in overlapping series and calls the hosts; checkers read the merged history.

--- /dev/null
+++ b/tests/soak/faults.cpp
@@ -0,0 +1,480 @@
+// Purpose: the faults of a run, in series that overlap.
+//
+// Index of sections
+//   1. Signals to hosts
+//   2. Links of hosts
+//   3. Store
+//   4. Targets
+//   5. Operator
+//   6. Table of kinds
+//   7. Systems
+#include "tests/soak/soak_run.hpp"
+
+#include "io/main_loop.hpp"
+#include "tests/stand_ins/control_error.hpp"
+#include "tests/stand_ins/relay_control.hpp"
+
+#include <nlohmann/json.hpp>
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <iostream>
+#include <optional>
+
+namespace fescuevane::soak
+{
+namespace
+{
+
+using nlohmann::json;
+
+std::size_t draw_host(soak_run& run)
+{
+    return static_cast<std::size_t>(draw(run, 0, run.options_.hosts_ - 1));
+}
+
+instant draw_end(soak_run& run, instant now, std::int64_t least_ms,
+                 std::int64_t most_ms)
+{
+    return now.after(draw(run, least_ms, most_ms) * micros_per_milli);
+}
+
+// 1. Signals to hosts
+
+std::optional<active_fault> kill_host(soak_run& run, instant now)
+{
+    host_row& host = run.hosts_[draw_host(run)];
+    if (!host.process_->is_running())
+    {
+        return std::nullopt;
+    }
+    host.told_to_end_ = true;
+    host.process_->send_signal(SIGKILL);
+    host.restart_at_ = draw_end(run, now, 200, 2500);
+    return active_fault{.object_ = host.name_, .ends_at_ = host.restart_at_};
+}
+
+std::optional<active_fault> stop_host(soak_run& run, instant now)
+{
+    std::size_t const row = draw_host(run);
+    run.hosts_[row].process_->send_signal(SIGSTOP);
+    return active_fault{.object_ = run.hosts_[row].name_,
+                        .ends_at_ = draw_end(run, now, 500, 8000),
+                        .end_ = [&run, row]
+                        {
+                            run.hosts_[row].process_->send_signal(SIGCONT);
+                        }};
+}
+
+// Stops and continues the host in short turns, so that it runs late all the
+// while.
+std::optional<active_fault> starve_host(soak_run& run, instant now)
+{
+    constexpr std::int64_t percent = 100;
+    std::size_t const      row = draw_host(run);
+    std::int64_t const     turn = draw(run, 60, 500) * micros_per_milli;
+    std::int64_t const     works = turn * draw(run, 10, 50) / percent;
+    return active_fault{
+        .object_ = run.hosts_[row].name_,
+        .ends_at_ = draw_end(run, now, 3000, 12'000),
+        .end_ =
+            [&run, row]
+        {
+            run.hosts_[row].process_->send_signal(SIGCONT);
+        },
+        .step_at_ = now,
+        .step_ =
+            [&run, row, turn, works, stopped = false](instant at) mutable
+        {
+            stopped = !stopped;
+            run.hosts_[row].process_->send_signal(stopped ? SIGSTOP : SIGCONT);
+            return at.after(stopped ? turn - works : works);
+        }};
+}
+
+std::optional<active_fault> terminate_host(soak_run& run, instant now)
+{
+    host_row& host = run.hosts_[draw_host(run)];
+    if (!host.process_->is_running() || host.told_to_end_)
+    {
+        return std::nullopt;
+    }
+    constexpr std::int64_t grace_micros = 6'000'000;
+    constexpr std::int64_t restart_micros = 2'500'000; // at most
+    host.told_to_end_ = true;
+    host.process_->send_signal(SIGTERM);
+    host.kill_at_ = now.after(grace_micros);
+    return active_fault{.object_ = host.name_,
+                        .ends_at_ = host.kill_at_.after(restart_micros)};
+}
+
+std::optional<active_fault> reload_host(soak_run& run, instant now)
+{
+    host_row& host = run.hosts_[draw_host(run)];
+    // A process that hasn't set its handlers yet would be ended by the signal.
+    constexpr std::int64_t start_micros = 2'000'000;
+    if (now < host.started_at_.after(start_micros) || host.told_to_end_)
+    {
+        return std::nullopt;
+    }
+    host.process_->send_signal(SIGHUP);
+    return active_fault{.object_ = host.name_, .ends_at_ = now};
+}
+
+// 2. Links of hosts
+
+// The relay serves its control at once, so the call may wait for the answer.
+void call_relay(soak_run& run, std::string const& host,
+                void (stand_ins::relay_control::*action)(std::string const&))
+{
+    try
+    {
+        stand_ins::relay_control control(run.layout_.relay_control());
+        (control.*action)(host);
+    }
+    catch (stand_ins::control_error const& error)
+    {
+        std::cout << error.what() << std::endl;
+    }
+}
+
+std::optional<active_fault> cut_store_link(soak_run& run, instant now)
+{
+    std::string const host = run.hosts_[draw_host(run)].name_;
+    call_relay(run, host, &stand_ins::relay_control::cut);
+    return active_fault{.object_ = host,
+                        .ends_at_ = draw_end(run, now, 500, 8000),
+                        .end_ = [&run, host]
+                        {
+                            call_relay(run, host,
+                                       &stand_ins::relay_control::heal);
+                        }};
+}
+
+std::optional<active_fault> reset_store_link(soak_run& run, instant now)
+{
+    std::string const host = run.hosts_[draw_host(run)].name_;
+    call_relay(run, host, &stand_ins::relay_control::reset);
+    return active_fault{.object_ = host, .ends_at_ = now};
+}
+
+std::optional<active_fault> delay_store_link(soak_run& run, instant now)
+{
+    std::string const host = run.hosts_[draw_host(run)].name_;
+    auto const        set = [&run, host](std::int64_t micros)
+    {
+        try
+        {
+            stand_ins::relay_control(run.layout_.relay_control())
+                .set_delay(host, micros);
+        }
+        catch (stand_ins::control_error const& error)
+        {
+            std::cout << error.what() << std::endl;
+        }
+    };
+    set(draw(run, 20, 900) * micros_per_milli);
+    return active_fault{.object_ = host,
+                        .ends_at_ = draw_end(run, now, 1000, 8000),
+                        .end_ = [set]
+                        {
+                            set(0);
+                        }};
+}
+
+// 3. Store
+
+void send_store_faults(soak_run& run, bool drop_history = false)
+{
+    post_control(
+        run, run.layout_.store_control(), "/faults",
+        {{"down", run.store_faults_.down_},
+         {"silent", run.store_faults_.silent_},
+         {"lost", run.store_faults_.lost_share_},
+         {"late", run.store_faults_.late_share_},
+         {"delay_ms", run.store_faults_.delay_micros_ / micros_per_milli},
+         {"drop_history", drop_history}},
+        {});
+}
+
+template <typename Value>
+std::optional<active_fault> set_store_fault(soak_run& run, instant ends_at,
+                                            Value store_faults::*field,
+                                            Value const&         value)
+{
+    run.store_faults_.*field = value;
+    send_store_faults(run);
+    return active_fault{.object_ = "store",
+                        .ends_at_ = ends_at,
+                        .end_ = [&run, field]
+                        {
+                            run.store_faults_.*field = Value();
+                            send_store_faults(run);
+                        }};
+}
+
+std::optional<active_fault> down_store(soak_run& run, instant now)
+{
+    return set_store_fault(run, draw_end(run, now, 300, 6000),
+                           &store_faults::down_, true);
+}
+
+std::optional<active_fault> silence_store(soak_run& run, instant now)
+{
+    return set_store_fault(run, draw_end(run, now, 300, 5000),
+                           &store_faults::silent_, true);
+}
+
+std::optional<active_fault> lose_answers(soak_run& run, instant now)
+{
+    constexpr double share = 0.3;
+    return set_store_fault(run, draw_end(run, now, 1000, 6000),
+                           &store_faults::lost_share_, share);
+}
+
+std::optional<active_fault> delay_writes(soak_run& run, instant now)
+{
+    constexpr double share = 0.2;
+    return set_store_fault(run, draw_end(run, now, 1000, 5000),
+                           &store_faults::late_share_, share);
+}
+
+std::optional<active_fault> slow_store(soak_run& run, instant now)
+{
+    return set_store_fault(run, draw_end(run, now, 1000, 6000),
+                           &store_faults::delay_micros_,
+                           draw(run, 50, 800) * micros_per_milli);
+}
+
+std::optional<active_fault> drop_store_history(soak_run& run, instant now)
+{
+    send_store_faults(run, true);
+    return active_fault{.object_ = "store", .ends_at_ = now};
+}
+
+// 4. Targets
+
+std::optional<active_fault> harm_target(soak_run& run, char const* fault,
+                                        instant now, instant ends_at,
+                                        std::int64_t effect_micros)
+{
+    auto const target = draw(run, 0, run.options_.targets_ - 1);
+    post_control(run, run.layout_.target_control(), "/faults",
+                 {{"target", target},
+                  {"fault", fault},
+                  {"ms", now.remaining_until(ends_at) / micros_per_milli},
+                  {"keep_id", chance(run, 0.5)}},
+                 {});
+    return active_fault{.object_ = "target-" + std::to_string(target + 1),
+                        .ends_at_ = ends_at.after(effect_micros)};
+}
+
+std::optional<active_fault> crash_target(soak_run& run, instant now)
+{
+    return harm_target(run, "crash", now, draw_end(run, now, 500, 4000), 0);
+}
+
+std::optional<active_fault> freeze_target(soak_run& run, instant now)
+{
+    return harm_target(run, "freeze", now, draw_end(run, now, 500, 9000), 0);
+}
+
+std::optional<active_fault> make_target_late(soak_run& run, instant now)
+{
+    constexpr std::int64_t latest_micros = 4'000'000; // of an order
+    return harm_target(run, "late", now, draw_end(run, now, 1000, 5000),
+                       latest_micros);
+}
+
+std::optional<active_fault> make_target_fail(soak_run& run, instant now)
+{
+    return harm_target(run, "fail", now, draw_end(run, now, 1000, 4000), 0);
+}
+
+// 5. Operator
+
+// Changes of the operator aren't faults: bounds hold beside them.
+std::optional<active_fault> change_config(soak_run& run, instant /*now*/)
+{
+    send_config(run);
+    return std::nullopt;
+}
+
+std::optional<active_fault> evacuate_domain(soak_run& run, instant now)
+{
+    std::string const domain = run.hosts_[draw_host(run)].domain_;
+    if (!run.evacuated_.empty())
+    {
+        return std::nullopt;
+    }
+    evacuate(run, domain);
+    return active_fault{.object_ = domain,
+                        .ends_at_ = draw_end(run, now, 6000, 14'000),
+                        .end_ = [&run, domain]
+                        {
+                            take_back(run, domain);
+                        }};
+}
+
+// 6. Table of kinds
+
+struct fault_kind
+{
+    char const* const name_;
+    int const         weight_;
+    std::optional<active_fault> (*const begin_)(soak_run&, instant);
+    bool const is_change_; // of the operator
+};
+
+constexpr std::array<fault_kind, 18> fault_kinds = {{
+    {"kill_host", 3, &kill_host, false},
+    {"stop_host", 3, &stop_host, false},
+    {"starve_host", 5, &starve_host, false},
+    {"terminate_host", 2, &terminate_host, false},
+    {"reload_host", 1, &reload_host, false},
+    {"cut_store_link", 2, &cut_store_link, false},
+    {"reset_store_link", 1, &reset_store_link, false},
+    {"delay_store_link", 2, &delay_store_link, false},
+    {"down_store", 1, &down_store, false},
+    {"silence_store", 1, &silence_store, false},
+    {"lose_answers", 2, &lose_answers, false},
+    {"delay_writes", 2, &delay_writes, false},
+    {"slow_store", 1, &slow_store, false},
+    {"drop_store_history", 1, &drop_store_history, false},
+    {"crash_target", 2, &crash_target, false},
+    {"freeze_target", 2, &freeze_target, false},
+    {"late_target", 2, &make_target_late, false},
+    {"failing_target", 1, &make_target_fail, false},
+}};
+
+constexpr std::array<fault_kind, 2> change_kinds = {{
+    {"change_config", 3, &change_config, true},
+    {"evacuate_domain", 1, &evacuate_domain, true},
+}};
+
+constexpr std::size_t kind_count = fault_kinds.size() + change_kinds.size();
+
+fault_kind const& find_kind(std::size_t kind)
+{
+    return kind < fault_kinds.size()
+               ? fault_kinds.at(kind)
+               : change_kinds.at(kind - fault_kinds.size());
+}
+
+std::size_t draw_kind(soak_run& run)
+{
+    int all = 0;
+    for (std::size_t kind = 0; kind < kind_count; ++kind)
+    {
+        all += find_kind(kind).weight_;
+    }
+    auto        rest = draw(run, 0, all - 1);
+    std::size_t kind = 0;
+    while (rest >= find_kind(kind).weight_)
+    {
+        rest -= find_kind(kind).weight_;
+        ++kind;
+    }
+    return kind;
+}
+
+void begin_fault(soak_run& run, std::size_t kind, instant now)
+{
+    std::optional<active_fault> fault = find_kind(kind).begin_(run, now);
+    std::cout << now.micros() << " " << find_kind(kind).name_ << " "
+              << (fault ? fault->object_ + " until " +
+                              std::to_string(fault->ends_at_.micros())
+                        : "")
+              << std::endl;
+    if (!fault)
+    {
+        return;
+    }
+    fault->name_ = find_kind(kind).name_;
+    fault->began_at_ = now;
+    run.faults_.push_back(std::move(*fault));
+}
+
+bool is_change(std::string const& name)
+{
+    return std::any_of(change_kinds.begin(), change_kinds.end(),
+                       [&name](fault_kind const& kind)
+                       {
+                           return kind.name_ == name;
+                       });
+}
+
+} // namespace
+
+// 7. Systems
+
+void begin_faults(soak_run& run, instant now)
+{
+    constexpr std::size_t max_series = 3;
+    if (now >= run.faults_end_at_)
+    {
+        run.series_.clear();
+        return;
+    }
+    if (now >= run.next_series_at_ && run.series_.size() < max_series)
+    {
+        constexpr std::int64_t longest = 4;
+        run.series_.push_back({.kind_ = draw_kind(run),
+                               .left_ = static_cast<int>(draw(run, 1, longest)),
+                               .next_at_ = now});
+        // Now and then a pause, in which rules with a time bound hold.
+        constexpr double pause_share = 0.08;
+        run.next_series_at_ = chance(run, pause_share)
+                                  ? draw_end(run, now, 14'000, 18'000)
+                                  : draw_end(run, now, 200, 4000);
+    }
+    for (fault_series& series : run.series_)
+    {
+        if (series.next_at_ <= now)
+        {
+            begin_fault(run, series.kind_, now);
+            --series.left_;
+            series.next_at_ = draw_end(run, now, 100, 3000);
+        }
+    }
+    std::erase_if(run.series_,
+                  [](fault_series const& series)
+                  {
+                      return series.left_ == 0;
+                  });
+}
+
+void end_faults(soak_run& run, instant now)
+{
+    bool const ends_all = now >= run.faults_end_at_;
+    for (active_fault& fault : run.faults_)
+    {
+        if (fault.step_at_ <= now)
+        {
+            fault.step_at_ = fault.step_(now);
+        }
+        if (!ends_all && now < fault.ends_at_)
+        {
+            continue;
+        }
+        if (fault.end_)
+        {
+            fault.end_();
+        }
+        if (!is_change(fault.name_))
+        {
+            run.history_.faults_.push_back(
+                {fault.began_at_.micros(),
+                 std::max(now, fault.ends_at_).micros(), fault.name_,
+                 fault.object_});
+        }
+        fault.ends_at_ = instant();
+    }
+    std::erase_if(run.faults_,
+                  [](active_fault const& fault)
+                  {
+                      return fault.ends_at_ == instant();
+                  });
+}
+
+} // namespace fescuevane::soak
