Probe keys and routes of each configuration version in the soak

A withdrawn key that goes on working was not noticed. Half of the probes now use the key of a version instead of its route, and `config_in_force` compares them with the operator's acknowledgements.

--- a/tests/soak/call_checkers.cpp
+++ b/tests/soak/call_checkers.cpp
@@ -352,4 +352,55 @@
     return found;
 }
 
+// A probe is served while its version is the newest, for route and key.
+std::vector<violation> check_config_in_force(history const& past)
+{
+    constexpr std::int64_t bound_micros = 2'000'000; // `configApplyMs`
+    constexpr std::array<unsigned, 2> withdrawn = {401, 404};
+    std::vector<violation>            found;
+    for (call_event const& call : past.calls_)
+    {
+        if (call.kind_ != call_kind::probe ||
+            !is_calm(past, call.began_ - bound_micros, call.ended_))
+        {
+            continue;
+        }
+        auto const in_force = [&](config_event const& config)
+        {
+            return config.acknowledged_ + bound_micros < call.began_;
+        };
+        bool const is_replaced = std::any_of(
+            past.configs_.begin(), past.configs_.end(),
+            [&](config_event const& config)
+            {
+                return config.version_ > call.version_ && in_force(config);
+            });
+        bool const is_newest =
+            std::none_of(past.configs_.begin(), past.configs_.end(),
+                         [&](config_event const& config)
+                         {
+                             return config.version_ > call.version_ &&
+                                    config.sent_ < call.ended_;
+                         });
+        bool const is_due = std::any_of(
+            past.configs_.begin(), past.configs_.end(),
+            [&](config_event const& config)
+            {
+                return config.version_ == call.version_ && in_force(config);
+            });
+        bool const is_rejected = std::find(withdrawn.begin(), withdrawn.end(),
+                                           call.status_) != withdrawn.end();
+        if ((is_replaced && call.status_ == ok_status) ||
+            (is_newest && is_due && is_rejected))
+        {
+            found.push_back({"version " + std::to_string(call.version_) +
+                                 " is handled as if it were " +
+                                 (is_rejected ? "not yet" : "still") +
+                                 " in force",
+                             {format_call(call)}});
+        }
+    }
+    return found;
+}
+
 } // namespace fescuevane::soak
--- a/tests/soak/checkers.cpp
+++ b/tests/soak/checkers.cpp
@@ -13,7 +13,7 @@
 
 constexpr std::int64_t contact_micros = 3'000'000; // `contactMs` of the sites
 
-constexpr std::array<checker, 14> checkers = {{
+constexpr std::array<checker, 15> checkers = {{
     {"single_run", &check_single_run},
     {"no_repeat", &check_no_repeat},
     {"step_order", &check_step_order},
@@ -28,6 +28,7 @@
     {"true_state", &check_true_state},
     {"cancel", &check_cancel},
     {"config_forward", &check_config_forward},
+    {"config_in_force", &check_config_in_force},
 }};
 
 } // namespace
--- a/tests/soak/checkers.hpp
+++ b/tests/soak/checkers.hpp
@@ -43,6 +43,7 @@
 std::vector<violation> check_true_state(history const& past);
 std::vector<violation> check_cancel(history const& past);
 std::vector<violation> check_config_forward(history const& past);
+std::vector<violation> check_config_in_force(history const& past);
 
 } // namespace fescuevane::soak
 
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -254,17 +254,23 @@
 
 // 4. Targets
 
-std::optional<active_fault> harm_target(soak_run& run, char const* fault,
-                                        instant now, instant ends_at,
-                                        std::int64_t effect_micros)
+void switch_target(soak_run& run, std::int64_t target, char const* fault,
+                   std::int64_t micros)
 {
-    auto const target = draw(run, 0, run.options_.targets_ - 1);
     post_control(run, run.layout_.target_control(), "/faults",
                  {{"target", target},
                   {"fault", fault},
-                  {"ms", now.remaining_until(ends_at) / micros_per_milli},
+                  {"ms", micros / micros_per_milli},
                   {"keep_id", chance(run, 0.5)}},
                  {});
+}
+
+std::optional<active_fault> harm_target(soak_run& run, char const* fault,
+                                        instant now, instant ends_at,
+                                        std::int64_t effect_micros)
+{
+    auto const target = draw(run, 0, run.options_.targets_ - 1);
+    switch_target(run, target, fault, now.remaining_until(ends_at));
     return active_fault{.object_ = "target-" + std::to_string(target + 1),
                         .ends_at_ = ends_at.after(effect_micros)};
 }
@@ -279,6 +285,19 @@
     return harm_target(run, "freeze", now, draw_end(run, now, 500, 9000), 0);
 }
 
+// All targets of a failure domain are cut off and run on.
+std::optional<active_fault> freeze_domain(soak_run& run, instant now)
+{
+    instant const ends_at = draw_end(run, now, 1000, 9000);
+    auto const    first = draw(run, 0, domains - 1);
+    for (auto target = first; target < run.options_.targets_; target += domains)
+    {
+        switch_target(run, target, "freeze", now.remaining_until(ends_at));
+    }
+    return active_fault{.object_ = "domain-" + std::to_string(first + 1),
+                        .ends_at_ = ends_at};
+}
+
 std::optional<active_fault> make_target_late(soak_run& run, instant now)
 {
     constexpr std::int64_t latest_micros = 4'000'000; // of an order
@@ -326,7 +345,7 @@
     bool const is_change_; // of the operator
 };
 
-constexpr std::array<fault_kind, 18> fault_kinds = {{
+constexpr std::array<fault_kind, 19> fault_kinds = {{
     {"kill_host", 3, &kill_host, false},
     {"stop_host", 3, &stop_host, false},
     {"starve_host", 5, &starve_host, false},
@@ -343,6 +362,7 @@
     {"drop_store_history", 1, &drop_store_history, false},
     {"crash_target", 2, &crash_target, false},
     {"freeze_target", 2, &freeze_target, false},
+    {"freeze_domain", 1, &freeze_domain, false},
     {"late_target", 2, &make_target_late, false},
     {"failing_target", 1, &make_target_fail, false},
 }};
@@ -410,7 +430,7 @@
 
 void begin_faults(soak_run& run, instant now)
 {
-    constexpr std::size_t max_series = 3;
+    constexpr std::size_t max_series = 4;
     if (now >= run.faults_end_at_)
     {
         run.series_.clear();
@@ -423,10 +443,10 @@
                                .left_ = static_cast<int>(draw(run, 1, longest)),
                                .next_at_ = now});
         // Now and then a pause, in which rules with a time bound hold.
-        constexpr double pause_share = 0.08;
+        constexpr double pause_share = 0.05;
         run.next_series_at_ = chance(run, pause_share)
                                   ? draw_end(run, now, 14'000, 18'000)
-                                  : draw_end(run, now, 200, 4000);
+                                  : draw_end(run, now, 100, 2500);
     }
     for (fault_series& series : run.series_)
     {
@@ -434,7 +454,7 @@
         {
             begin_fault(run, series.kind_, now);
             --series.left_;
-            series.next_at_ = draw_end(run, now, 100, 3000);
+            series.next_at_ = draw_end(run, now, 50, 2000);
         }
     }
     std::erase_if(run.series_,
--- a/tests/soak/operator.cpp
+++ b/tests/soak/operator.cpp
@@ -85,7 +85,13 @@
         run, run.layout_.store_control(), "/rows",
         {{"rows",
           {{{"table", "op"}, {"key", "config"}, {"text", config.dump()}}}}},
-        {});
+        [&run, sent = io::read_clock(), sent_version = run.sent_version_]
+        {
+            run.history_.configs_.push_back(
+                {.sent_ = sent.micros(),
+                 .acknowledged_ = io::read_clock().micros(),
+                 .version_ = sent_version});
+        });
 }
 
 void probe_configs(soak_run& run, instant now)
@@ -103,10 +109,15 @@
     std::string const name = "host-" + std::to_string(host + 1);
     int const         life = run.hosts_[static_cast<std::size_t>(host)].life_;
     constexpr std::int64_t wait_micros = 2'000'000;
+    // By the route or by the key of the version.
+    bool const        by_key = chance(run, 0.5);
+    std::string const text = std::to_string(version);
     run.client_.send(
         {.address_ = run.layout_.front(host),
-         .path_ = "/probe-" + std::to_string(version) + "/",
-         .headers_ = {{"Host", "desk.example"}},
+         .path_ = by_key ? "/jobs/" : "/probe-" + text + "/",
+         .headers_ = {{"Host", "desk.example"},
+                      {by_key ? "Authorization" : "X-Unused",
+                       "Bearer key-open-" + text}},
          .deadline_ = now.after(wait_micros)},
         [&run, now, name, life, version](io::http_response const& response)
         {
--- a/tests/soak/programs.cpp
+++ b/tests/soak/programs.cpp
@@ -19,8 +19,6 @@
 namespace
 {
 
-constexpr int domains = 3;
-
 // Room for the jobs of the soak with about half to spare.
 constexpr resources target_capacity(8'000, 16'384, 0);
 
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -11,6 +11,7 @@
 #include "io/main_loop.hpp"
 #include "io/timer.hpp"
 #include "tests/soak/checkers.hpp"
+#include "tests/soak/job_codec.hpp"
 #include "tests/soak/soak_run.hpp"
 
 #include <CLI/CLI.hpp>
@@ -173,6 +174,15 @@
     }
 }
 
+void write_jobs(soak_run const& run)
+{
+    std::ofstream file(run.options_.folder_ + "/jobs.jsonl");
+    for (auto const& [id, plan] : run.history_.plans_)
+    {
+        file << id << " " << encode_submission(plan) << '\n';
+    }
+}
+
 // 3. Verdict
 
 template <typename Row, typename Condition>
@@ -260,6 +270,7 @@
     stop_programs(run);
     read_runs(run);
     write_calls(run);
+    write_jobs(run);
     return print_verdict(run);
 }
 
--- a/tests/soak/soak_options.hpp
+++ b/tests/soak/soak_options.hpp
@@ -14,7 +14,7 @@
     double        minutes_ = 1; // of traffic and faults
     int           hosts_ = 6;
     int           targets_ = 12;
-    double        jobs_a_second_ = 5;
+    double        jobs_a_second_ = 10;
     std::string   programs_; // folder of the programs
     std::string   folder_;   // of settings, logs and histories
 };
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -26,6 +26,8 @@
 namespace fescuevane::soak
 {
 
+constexpr int domains = 3; // failure domains
+
 struct soak_run
 {
     soak_run(soak_options options, int run);
--- a/tests/unit/soak_calls_test.cpp
+++ b/tests/unit/soak_calls_test.cpp
@@ -134,5 +134,32 @@
     CHECK(check_config_forward(past_).empty());
 }
 
+// config_in_force
+
+TEST_CASE_FIXTURE(soak_fixture,
+                  "config_in_force, a replaced version served late, rejects")
+{
+    past_.configs_.push_back({micros(1), micros(1), 5});
+    past_.configs_.push_back({micros(10), micros(10), 7});
+    add_probe(11, 5);
+    CHECK(check_config_in_force(past_).empty());
+    add_probe(13, 5);
+    CHECK(check_config_in_force(past_).size() == 1);
+}
+
+TEST_CASE_FIXTURE(soak_fixture,
+                  "config_in_force, the newest version not served, rejects")
+{
+    past_.configs_.push_back({micros(10), micros(10), 7});
+    past_.calls_.push_back({.began_ = micros(13),
+                            .ended_ = micros(13.1),
+                            .kind_ = call_kind::probe,
+                            .status_ = 404,
+                            .version_ = 7});
+    CHECK(check_config_in_force(past_).size() == 1);
+    past_.configs_.push_back({micros(13), micros(14), 8});
+    CHECK(check_config_in_force(past_).empty());
+}
+
 } // namespace
 } // namespace fescuevane::soak
