--- a/tests/soak/operator.cpp
+++ b/tests/soak/operator.cpp
@@ -18,7 +18,6 @@
 using nlohmann::json;
 
 constexpr std::int64_t control_micros = 5'000'000;
-constexpr std::int64_t organisation_limit_millis = 12'000;
 
 } // namespace
 
@@ -54,7 +53,7 @@
     run.sent_version_ += draw(run, 1, most_steps);
     std::string const version = std::to_string(run.sent_version_);
     run.history_.limits_ = {
-        {"limited", resources(organisation_limit_millis, 0, 0)},
+        {"limited", resources(run.options_.limit_millis_, 0, 0)},
         {"open", resources()}};
     json const main_route{
         {"name", "main"},     {"host", "desk.example"},
@@ -71,7 +70,9 @@
         organisations.push_back(
             {{"name", name},
              {"weight", 1},
-             {"apiKeys", {"key-" + name, "key-" + name + "-" + version}},
+             {"apiKeys",
+              {"key-" + name,
+               std::string("key-").append(name).append("-").append(version)}},
              {"upperBound",
               {{"cpu", limit.cpu_millis()}, {"memMb", 0}, {"gpu", 0}}}});
     }
@@ -146,10 +147,14 @@
 
 void take_back(soak_run& run, std::string const& domain)
 {
-    run.history_.evacuations_.push_back(
-        {.acknowledged_ = run.evacuated_.at(domain).micros(),
-         .taken_back_ = io::read_clock().micros(),
-         .domain_ = domain});
+    instant const acknowledged = run.evacuated_.at(domain);
+    if (acknowledged != instant::never())
+    {
+        run.history_.evacuations_.push_back(
+            {.acknowledged_ = acknowledged.micros(),
+             .taken_back_ = io::read_clock().micros(),
+             .domain_ = domain});
+    }
     run.evacuated_.erase(domain);
     post_control(run, run.layout_.store_control(), "/rows",
                  {{"rows", {{{"table", "op"}, {"key", "evacuate/" + domain}}}}},
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -298,6 +298,9 @@
         ->capture_default_str();
     app.add_option("--rate", options.jobs_a_second_, "jobs a second")
         ->capture_default_str();
+    app.add_option("--limit", options.limit_millis_,
+                   "millicores of the limited organisation")
+        ->capture_default_str();
     app.add_option("--folder", options.folder_, "folder of logs and histories");
     app.add_flag("--keep", keep, "keep the folder when all promises hold");
     CLI11_PARSE(app, argc, argv);
--- a/tests/soak/soak_options.hpp
+++ b/tests/soak/soak_options.hpp
@@ -15,8 +15,9 @@
     int           hosts_ = 6;
     int           targets_ = 12;
     double        jobs_a_second_ = 10;
-    std::string   programs_; // folder of the programs
-    std::string   folder_;   // of settings, logs and histories
+    std::int64_t  limit_millis_ = 12'000; // of the limited organisation
+    std::string   programs_;              // folder of the programs
+    std::string   folder_;                // of settings, logs and histories
 };
 
 } // namespace fescuevane::soak
