--- a/tests/soak/call_checkers.cpp
+++ b/tests/soak/call_checkers.cpp
@@ -6,7 +6,8 @@
 //   3. Refusals
 //   4. States
 //   5. Cancels
-//   6. Configuration
+//   6. Planned stops
+//   7. Configuration
 #include "tests/soak/checkers.hpp"
 #include "tests/soak/history.hpp"
 
@@ -314,7 +315,59 @@
     return found;
 }
 
-// 6. Configuration
+// 6. Planned stops
+
+namespace
+{
+
+bool is_planned_stop(fault_event const& fault)
+{
+    return fault.name_ == "terminate_host";
+}
+
+// Beside planned stops alone, no call may be lost.
+bool is_undisturbed(history const& past, fault_event const& stop)
+{
+    return std::none_of(past.faults_.begin(), past.faults_.end(),
+                        [&stop](fault_event const& fault)
+                        {
+                            constexpr std::int64_t contact_micros = 3'000'000;
+                            return !is_planned_stop(fault) &&
+                                   fault.began_ <= stop.ended_ &&
+                                   fault.ended_ >= stop.began_ - contact_micros;
+                        });
+}
+
+} // namespace
+
+// A call that was read is answered before the process ends. One that came when
+// the connection was about to be closed may be lost within the slack.
+std::vector<violation> check_graceful_stop(history const& past)
+{
+    constexpr std::int64_t slack_micros = 200'000; // `lossSlackMs`
+    std::vector<violation> found;
+    for (fault_event const& stop : past.faults_)
+    {
+        if (!is_planned_stop(stop) || !is_undisturbed(past, stop))
+        {
+            continue;
+        }
+        for (call_event const& call : past.calls_)
+        {
+            if (call.host_ == stop.object_ && call.status_ == 0 &&
+                call.began_ <= stop.ended_ && call.ended_ >= stop.began_ &&
+                call.ended_ - call.began_ > slack_micros)
+            {
+                found.push_back({"a call is lost by a planned stop at " +
+                                     std::to_string(stop.began_),
+                                 {format_call(call)}});
+            }
+        }
+    }
+    return found;
+}
+
+// 7. Configuration
 
 // Each version adds a route of its own and removes that of the version before,
 // so a served probe tells the version that is in force.
--- a/tests/soak/checkers.hpp
+++ b/tests/soak/checkers.hpp
@@ -42,6 +42,7 @@
 std::vector<violation> check_true_refusal(history const& past);
 std::vector<violation> check_true_state(history const& past);
 std::vector<violation> check_cancel(history const& past);
+std::vector<violation> check_graceful_stop(history const& past);
 std::vector<violation> check_config_forward(history const& past);
 std::vector<violation> check_config_in_force(history const& past);
 
--- a/tests/unit/soak_calls_test.cpp
+++ b/tests/unit/soak_calls_test.cpp
@@ -116,6 +116,32 @@
     CHECK(check_cancel(past_).size() == 1);
 }
 
+// graceful_stop
+
+TEST_CASE_FIXTURE(soak_fixture,
+                  "graceful_stop, an open call without an answer, rejects")
+{
+    past_.faults_.push_back(
+        {micros(10), micros(18), "terminate_host", "host-1"});
+    past_.calls_.push_back(
+        {.began_ = micros(12), .ended_ = micros(14), .host_ = "host-1"});
+    CHECK(check_graceful_stop(past_).size() == 1);
+}
+
+TEST_CASE_FIXTURE(soak_fixture,
+                  "graceful_stop, beside another fault or at once, accepts")
+{
+    past_.faults_.push_back(
+        {micros(10), micros(18), "terminate_host", "host-1"});
+    past_.calls_.push_back(
+        {.began_ = micros(12), .ended_ = micros(12.1), .host_ = "host-1"});
+    CHECK(check_graceful_stop(past_).empty());
+    past_.calls_.push_back(
+        {.began_ = micros(12), .ended_ = micros(14), .host_ = "host-1"});
+    past_.faults_.push_back({micros(8), micros(9), "down_store", "store"});
+    CHECK(check_graceful_stop(past_).empty());
+}
+
 // config_forward
 
 TEST_CASE_FIXTURE(soak_fixture,
