--- a/tests/soak/call_checkers.cpp
+++ b/tests/soak/call_checkers.cpp
@@ -134,7 +134,7 @@
     return found;
 }
 
-// The driver asks until a job ends or its patience is over.
+// The driver asks until a job ends or the time for that is over.
 std::vector<violation> check_no_stall(history const& past)
 {
     std::vector<violation> found;
--- a/tests/soak/clients.cpp
+++ b/tests/soak/clients.cpp
@@ -24,7 +24,7 @@
 
 constexpr std::int64_t call_deadline_ms = 3'000;
 // After the deadline that the host was told.
-constexpr std::int64_t patience_micros = 4'000'000;
+constexpr std::int64_t answer_micros = 4'000'000;
 
 // 1. Kinds of jobs
 
@@ -159,7 +159,7 @@
                       {"X-Fescuevane-Deadline-Ms",
                        std::to_string(call_deadline_ms)}},
          .body_ = kind == call_kind::submit ? encode_submission(plan) : "",
-         .deadline_ = now.after(patience_micros)},
+         .deadline_ = now.after(answer_micros)},
         [&run, &method, row, now, is_final, name = run.hosts_[host].name_,
          life = run.hosts_[host].life_](io::http_response const& response)
         {
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -392,16 +392,23 @@
 
 std::size_t draw_kind(soak_run& run)
 {
+    std::vector<std::string> const& only = run.options_.only_;
+    auto const                      weigh = [&only](fault_kind const& kind)
+    {
+        bool const drawn = only.empty() || std::find(only.begin(), only.end(),
+                                                     kind.name_) != only.end();
+        return drawn ? kind.weight_ : 0;
+    };
     int all = 0;
     for (fault_kind const& kind : fault_kinds)
     {
-        all += kind.weight_;
+        all += weigh(kind);
     }
     auto        rest = draw(run, 0, all - 1);
     std::size_t kind = 0;
-    while (rest >= fault_kinds.at(kind).weight_)
+    while (rest >= weigh(fault_kinds.at(kind)))
     {
-        rest -= fault_kinds.at(kind).weight_;
+        rest -= weigh(fault_kinds.at(kind));
         ++kind;
     }
     return kind;
@@ -437,6 +444,17 @@
 
 // 7. Systems
 
+std::vector<std::string> list_fault_kinds()
+{
+    std::vector<std::string> names;
+    names.reserve(fault_kinds.size());
+    for (fault_kind const& kind : fault_kinds)
+    {
+        names.emplace_back(kind.name_);
+    }
+    return names;
+}
+
 void begin_faults(soak_run& run, instant now)
 {
     constexpr std::size_t max_series = 4;
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -37,7 +37,7 @@
 
 // A job may wait for leases, a takeover and its turn before it counts as
 // stalled.
-constexpr std::int64_t patience_micros = 60'000'000;
+constexpr std::int64_t max_stall_micros = 60'000'000;
 
 // 1. Phases
 
@@ -135,7 +135,7 @@
         run.options_.minutes_ * seconds_per_minute * micros_per_second));
     run.traffic_ends_at_ = run.faults_end_at_;
     run.asks_finally_at_ = run.faults_end_at_.after(finish_micros);
-    run.gives_up_at_ = run.asks_finally_at_.after(patience_micros);
+    run.gives_up_at_ = run.asks_finally_at_.after(max_stall_micros);
     run_until(
         [&run]
         {
@@ -301,6 +301,8 @@
     app.add_option("--limit", options.limit_millis_,
                    "millicores of the limited organisation")
         ->capture_default_str();
+    app.add_option("--only", options.only_, "kinds of faults; default: all")
+        ->check(CLI::IsMember(fescuevane::soak::list_fault_kinds()));
     app.add_option("--folder", options.folder_, "folder of logs and histories");
     app.add_flag("--keep", keep, "keep the folder when all promises hold");
     CLI11_PARSE(app, argc, argv);
--- a/tests/soak/soak_options.hpp
+++ b/tests/soak/soak_options.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace fescuevane::soak
 {
@@ -16,8 +17,9 @@
     int           targets_ = 12;
     double        jobs_a_second_ = 10;
     std::int64_t  limit_millis_ = 12'000; // of the limited organisation
-    std::string   programs_;              // folder of the programs
-    std::string   folder_;                // of settings, logs and histories
+    std::vector<std::string> only_;       // kinds of faults; empty: all
+    std::string              programs_;   // folder of the programs
+    std::string              folder_;     // of settings, logs and histories
 };
 
 } // namespace fescuevane::soak
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -91,8 +91,9 @@
 bool are_all_confirmed(soak_run const& run);
 
 // Faults
-void begin_faults(soak_run& run, instant now); // system
-void end_faults(soak_run& run, instant now);   // system
+std::vector<std::string> list_fault_kinds();
+void                     begin_faults(soak_run& run, instant now); // system
+void                     end_faults(soak_run& run, instant now);   // system
 
 } // namespace fescuevane::soak
 
