Judge the wait of tasks by the time of the look, not of the last tick

Cause: tasks that a shard can't run are handed over once they have waited long, by the planner's own clock, which stands still while no event makes it tick. In a quiet shard they waited for ever.

Change: the time is passed to list_overflow. Its tests pass the time of their fixture, as the planner had it before.

--- a/bench/planner_fleet.cpp
+++ b/bench/planner_fleet.cpp
@@ -476,7 +476,7 @@
 void planner_fleet::summarize() const
 {
     plan::summarize_load(*planner_);
-    plan::list_overflow(*planner_, 0);
+    plan::list_overflow(*planner_, now_, 0);
 }
 
 std::size_t planner_fleet::count_open_stages() const
--- a/plan/plan.hpp
+++ b/plan/plan.hpp
@@ -64,8 +64,8 @@
 load_summary summarize_load(planner const& context);
 // Stages of which tasks have waited for room longer than `micros` and several
 // answers of the policy service. A gang is listed as a whole.
-std::vector<overflow> list_overflow(planner const& context,
-                                    std::int64_t   micros);
+std::vector<overflow> list_overflow(planner const& context, instant now,
+                                    std::int64_t micros);
 // Tasks of a stage that run elsewhere under the name `delegate`.
 overflow find_delegated(planner const& context, stage_key const& stage,
                         job_id const& delegate);
--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -211,7 +211,8 @@
 
 } // namespace
 
-std::vector<overflow> list_overflow(planner const& context, std::int64_t micros)
+std::vector<overflow> list_overflow(planner const& context, instant now,
+                                    std::int64_t micros)
 {
     bool const            unseen = has_unseen_targets(context);
     std::vector<overflow> found;
@@ -237,8 +238,7 @@
         for (std::uint32_t index = 0; index < stage.tasks_.size(); ++index)
         {
             task_cell const& task = stage.tasks_[index];
-            if (is_waiting(task) &&
-                task.waiting_since_.after(wait) <= context.now_)
+            if (is_waiting(task) && task.waiting_since_.after(wait) <= now)
             {
                 tasks.indices_.push_back(index);
             }
--- a/tests/unit/plan_placement_test.cpp
+++ b/tests/unit/plan_placement_test.cpp
@@ -150,7 +150,7 @@
         tick();
         advance(100'000);
     }
-    auto const waiting = list_overflow(*planner_, micros_per_second);
+    auto const waiting = list_overflow(*planner_, now_, micros_per_second);
     REQUIRE(waiting.size() == 1);
     CHECK(waiting[0].indices_.size() == 3);
 }
@@ -310,7 +310,7 @@
     tick();
     advance(5 * micros_per_second);
     tick();
-    auto const waiting = list_overflow(*planner_, micros_per_second);
+    auto const waiting = list_overflow(*planner_, now_, micros_per_second);
     REQUIRE(waiting.size() == 1);
     job_id const elsewhere("j-1~1-1");
     auto const   job = make_delegate(*planner_, waiting[0], elsewhere);
@@ -445,7 +445,7 @@
         tick();
         advance(100'000);
     }
-    auto const waiting = list_overflow(*planner_, micros_per_second);
+    auto const waiting = list_overflow(*planner_, now_, micros_per_second);
     REQUIRE(waiting.size() == 2);
     for (overflow const& tasks : waiting)
     {
