Hand blocked tasks to shards that they weren't in

Change: the name of a job that stands for tasks holds a mark of each shard that they have left; those are tried last.

Test: the receiver is the emptiest shard, or the other one when the tasks were there. Not run against the code before, where names hold no marks.

--- a/cell/delegate_tasks.cpp
+++ b/cell/delegate_tasks.cpp
@@ -13,6 +13,7 @@
 #include "cell/node.hpp"
 
 #include "cell/records.hpp"
+#include "core/hashing.hpp"
 #include "plan/overflow.hpp"
 
 #include <algorithm>
@@ -21,6 +22,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <sstream>
 #include <utility>
 
 namespace fescuevane::cell
@@ -143,6 +145,23 @@
     return tasks.demand_ * static_cast<std::int64_t>(tasks.indices_.size());
 }
 
+// The name of a job that stands for tasks of another one holds a mark of each
+// shard that the tasks have left.
+std::string write_mark(shard_id const& shard)
+{
+    constexpr std::uint64_t mark_values = 0x10000;
+    std::ostringstream      text;
+    text << '-' << std::hex
+         << compute_stable_hash(write_shard_name(shard)) % mark_values;
+    return text.str();
+}
+
+bool was_in(job_id const& job, shard_id const& shard)
+{
+    // Marks are followed by the next part of the name, or end it.
+    return (job.str() + '~').find(write_mark(shard) + '~') != std::string::npos;
+}
+
 // The shard with the lowest load, if it has room for the tasks; shards of other
 // failure domains count as more loaded. Tasks that this shard can never run go
 // to any that may be able to.
@@ -157,7 +176,7 @@
     double const most =
         tasks.blocked_ ? std::numeric_limits<double>::max() : max_delegate_load;
     std::optional<shard_id> best;
-    double                  least = std::numeric_limits<double>::max();
+    std::pair<bool, double> least{true, std::numeric_limits<double>::max()};
     for (std::size_t row = 0; row < context.shards_.size(); ++row)
     {
         shard_id const&       id = context.shards_.key(row);
@@ -171,9 +190,12 @@
             continue;
         }
         double const load = expect_load(shard, demand_of(tasks));
-        double const cost =
-            load +
-            (id.domain_ == from.domain_ ? 0 : context.settings_.remote_cost_);
+        // Shards that couldn't run the tasks before are tried last.
+        std::pair<bool, double> const cost{
+            was_in(tasks.stage_.job_, id),
+            load + (id.domain_ == from.domain_
+                        ? 0
+                        : context.settings_.remote_cost_)};
         if (shard.load_.capacity_.cpu_millis() > 0 && load < most &&
             cost < least)
         {
@@ -200,7 +222,7 @@
 {
     job_id const&   parent = tasks.stage_.job_;
     job_id const    id(parent.str() + "~" + std::to_string(own.epoch_) + "-" +
-                       std::to_string(next_request(context)));
+                       std::to_string(next_request(context)) + write_mark(shard));
     delegation_row& row = context.delegations_.ensure(id);
     row = delegation_row{.shard_ = shard,
                          .stage_ = tasks.stage_,
@@ -243,8 +265,9 @@
             continue;
         }
         // One stage a look: the loads that hosts tell are a little old.
-        for (plan::overflow const& tasks : plan::list_overflow(
-                 *own.planner_, context.settings_.overflow_micros_))
+        for (plan::overflow const& tasks :
+             plan::list_overflow(*own.planner_, context.now_,
+                                 context.settings_.overflow_micros_))
         {
             if (count_depth(tasks.stage_.job_) >=
                 (tasks.blocked_ ? max_blocked_depth : max_depth))
--- a/tests/unit/cell_delegation_test.cpp
+++ b/tests/unit/cell_delegation_test.cpp
@@ -2,9 +2,11 @@
 #include "cell_pair_fixture.hpp"
 
 #include "cell/records.hpp"
+#include "core/hashing.hpp"
 #include "core/job_progress.hpp"
 
 #include <doctest/doctest.h>
+#include <sstream>
 
 namespace fescuevane::cell
 {
@@ -121,6 +123,104 @@
     }
 }
 
+// East has no target that may run the tasks. West stands empty, north has work.
+struct blocked_fixture : cell_fixture
+{
+    blocked_fixture()
+    {
+        settings_.domains_ = {domain_id("east"), domain_id("north"),
+                              domain_id("west")};
+        start(1);
+        for (char const* const domain : {"north", "west"})
+        {
+            post(member_row_changed{
+                {{"member", "", std::string("host/") + domain},
+                 write_host({"127.0.0.1:7001", domain_id(domain), 1, 5}),
+                 ++revision_}});
+            post(target_listed{{.id_ = target_id(std::string("t-") + domain),
+                                .address_ = "127.0.0.1:8001",
+                                .domain_ = domain_id(domain),
+                                .service_ = service_id("desk"),
+                                .rack_ = rack_id("r-2"),
+                                .labels_ = {"fast"},
+                                .capacity_ = {4000, 8192, 0}}});
+        }
+        tell("north", {.capacity_ = {4000, 8192, 0}, .used_ = {2000, 0, 0}});
+        tell("west", {.capacity_ = {4000, 8192, 0}});
+        serve();
+    }
+
+    void tell(std::string const& domain, plan::load_summary const& load)
+    {
+        post(heartbeat_received{{.host_ = host_id(domain),
+                                 .incarnation_ = 5,
+                                 .shards_ = {{.shard_ = {domain_id(domain), 0},
+                                              .epoch_ = 1,
+                                              .serving_ = true,
+                                              .load_ = load}}}});
+    }
+
+    // The shard that gets the tasks of a job with a name.
+    std::string find_receiver(std::string const& name)
+    {
+        task_alias const alias{.stage_ = {job_id("bb01"), 0, 0},
+                               .indices_ = {0},
+                               .failures_ = {0},
+                               .checkpoints_ = {""}};
+        post(peer_called{1,
+                         {.kind_ = call_kind::submit,
+                          .id_ = job_id(name),
+                          .shard_ = {domain_id("east"), 0},
+                          .job_ = std::make_shared<staged_job const>(staged_job{
+                              .id_ = job_id(name),
+                              .organisation_ = organisation_id("cafe"),
+                              .queue_ = queue_id("orders"),
+                              .service_ = service_id("desk"),
+                              .payload_ = "work",
+                              .steps_ = {{.count_ = 1,
+                                          .demand_ = {1000, 512, 0},
+                                          .required_label_ = "fast"}},
+                              .alias_ = alias}),
+                          .deadline_ = now_.after(micros_per_second)}});
+        for (int round = 0; round < 40; ++round)
+        {
+            tell("north",
+                 {.capacity_ = {4000, 8192, 0}, .used_ = {2000, 0, 0}});
+            tell("west", {.capacity_ = {4000, 8192, 0}});
+            run(100'000);
+            for (call_peer const& call : take<call_peer>())
+            {
+                if (call.call_.kind_ == call_kind::submit)
+                {
+                    return call.call_.shard_.domain_.str();
+                }
+            }
+            for (hold_target const& hold : take<hold_target>())
+            {
+                answer_hold(hold);
+            }
+        }
+        return "";
+    }
+};
+
+// Guards against tasks that two shards hand to and fro though neither may run
+// them, while a third one may.
+TEST_CASE_FIXTURE(blocked_fixture,
+                  "tasks blocked, handed over, to a shard they weren't in")
+{
+    SUBCASE("the emptiest one wasn't tried")
+    {
+        CHECK(find_receiver("bb01~1-1") == "west");
+    }
+    SUBCASE("the emptiest one was tried")
+    {
+        std::ostringstream mark;
+        mark << std::hex << compute_stable_hash("west.0") % 0x10000;
+        CHECK(find_receiver("bb01~1-1-" + mark.str()) == "north");
+    }
+}
+
 // One host owns both shards. A task went from a job of east to west, and from
 // there back to east.
 struct returned_fixture : cell_fixture
