Bound how long a late process puts off its judgements

Cause: each late tick began the count of silences anew. A process that is late every 2 s never noticed that a target or an owner was gone, so work on a crashed target never went on elsewhere. Found in review.

Change: late spans put the judgement of a silence off by 10 s at most.

--- a/cell/node.cpp
+++ b/cell/node.cpp
@@ -234,7 +234,8 @@
 
 instant count_silence_from(node const& context, instant word)
 {
-    return std::max(word, context.on_time_since_);
+    instant const bound = word.after(context.settings_.late_bound_micros_);
+    return std::max(word, std::min(context.on_time_since_, bound));
 }
 
 bool is_silent(node const& context, instant word)
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -166,7 +166,7 @@
               store_reply const& reply);
 
 // Silence of others counts only while this process runs on time: what they sent
-// meanwhile may not have been read. The later of the two.
+// meanwhile may not have been read. The later of the two, within a bound.
 instant count_silence_from(node const& context, instant word);
 bool    is_silent(node const& context, instant word); // too long to be well
 
--- a/cell/settings.hpp
+++ b/cell/settings.hpp
@@ -39,6 +39,9 @@
     // A tick that comes later than this after it was due shows that the process
     // had no processor time. Processor quotas alone cause up to 100 ms.
     std::int64_t late_micros_ = 250'000;
+    // Late spans put off the judgement of a silence by no more than this, so
+    // that a process that is late again and again still notices what is gone.
+    std::int64_t late_bound_micros_ = 10'000'000;
 
     // Heartbeats and ownership
     std::int64_t heartbeat_micros_ = 300'000;
