Take a start that is refused as outdated for one that may have run

Cause: an order that is sent again over a new connection may arrive twice. When the run has ended in between, the second one is refused as outdated, which the owner took for a run that never was, and started the task again.

Change: such a start counts as one without an answer: its end is listed, or it is stopped before another run.

Test: the end is listed after the refusal and the job is completed with one start; not run against the code before.

--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -652,7 +652,10 @@
                order_reply const& reply)
 {
     auto const run = session.runs_.find(order.run_);
-    switch (reply.outcome_)
+    // The order may have arrived twice, and the run may have ended in between.
+    bool const may_have_run = reply.outcome_ == target_outcome::refused &&
+                              reply.reason_ == plan::refusal::outdated;
+    switch (may_have_run ? target_outcome::unknown : reply.outcome_)
     {
     case target_outcome::done:
         if (run != session.runs_.end())
@@ -684,7 +687,8 @@
                   {{"job", order.run_.stage_.job_.str()},
                    {"run", std::to_string(order.run_.run_)},
                    {"target", order.target_.str()},
-                   {"error", reply.error_}});
+                   {"error",
+                    may_have_run ? "a run as high was there" : reply.error_}});
         break;
     }
 }
--- a/tests/unit/cell_jobs_test.cpp
+++ b/tests/unit/cell_jobs_test.cpp
@@ -307,6 +307,33 @@
     CHECK(take<send_start>().empty());
 }
 
+// Guards against a task that runs again after it was done: its order arrived
+// twice, and the second one was refused since the run had ended.
+TEST_CASE_FIXTURE(cell_fixture,
+                  "start refused as outdated, its end is listed, done once")
+{
+    serve();
+    submit("aa01");
+    run(50'000);
+    auto const starts = take<send_start>();
+    REQUIRE(starts.size() == 1);
+    post(order_reply{.request_ = starts[0].request_,
+                     .outcome_ = target_outcome::refused,
+                     .reason_ = plan::refusal::outdated});
+    run(400'000);
+    CHECK(take<send_start>().empty());
+    auto const holds = take<hold_target>();
+    REQUIRE(!holds.empty());
+    answer_hold(holds.back(), {},
+                {{1, starts[0].start_.run_, run_end::done, ""}});
+    run(micros_per_second);
+    CHECK(take<send_start>().empty());
+    std::uint64_t const call = ask(call_kind::lookup, "aa01");
+    run(50'000);
+    REQUIRE(find_answer(call));
+    CHECK(find_answer(call)->phase_ == job_phase::completed);
+}
+
 // Guards against work lost, or done twice, when the process dies.
 TEST_CASE_FIXTURE(cell_fixture, "process killed, started again, job goes on")
 {
