Observe replies where they are applied, share two conditions

Read-through of the change. The event loop of a node tested each event for the reply of a target, whose session was then looked up and checked twice; the observer is told in the handler now. Whether a target answers stood twice in keep_sessions.cpp, and the count of hand-overs once each in cell and plan.

--- a/cell/delegate_tasks.cpp
+++ b/cell/delegate_tasks.cpp
@@ -208,14 +208,8 @@
 
 // Tasks that wait for room move once: handing them on and on would only move
 // the wait. Blocked ones may have to try each shard.
-constexpr std::size_t max_depth = 1;
-constexpr std::size_t max_blocked_depth = 6;
-
-std::size_t count_depth(job_id const& job)
-{
-    return static_cast<std::size_t>(
-        std::count(job.str().begin(), job.str().end(), '~'));
-}
+constexpr std::int64_t max_depth = 1;
+constexpr std::int64_t max_blocked_depth = 6;
 
 void begin_delegation(node& context, shard_id const& shard, owned_row& own,
                       plan::overflow const& tasks, shard_id const& target)
@@ -269,7 +263,7 @@
              plan::list_overflow(*own.planner_, context.now_,
                                  context.settings_.overflow_micros_))
         {
-            if (count_depth(tasks.stage_.job_) >=
+            if (plan::count_handovers(tasks.stage_.job_) >=
                 (tasks.blocked_ ? max_blocked_depth : max_depth))
             {
                 continue;
--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -261,14 +261,19 @@
                : lapse;
 }
 
+// True when the target answered the latest question, as far as is known.
+bool is_answering(session_row const& session)
+{
+    return session.phase_ == session_phase::attached && !session.unanswered_;
+}
+
 void send_hold(node& context, target_id const& id, session_row& session)
 {
     settings const& values = context.settings_;
     std::int64_t    lease = 0;
     // A target that doesn't answer is only asked, and at once: a lease that it
     // may receive late would put off the end of what runs there.
-    bool const answers =
-        session.phase_ == session_phase::attached && !session.unanswered_;
+    bool const answers = is_answering(session);
     if (session.clock_ms_ != 0 && answers)
     {
         lease = target_clock(session, context.now_) + values.lease_ms_;
@@ -416,6 +421,34 @@
                  context.now_.after(context.settings_.fence_notice_micros_));
 }
 
+// Tells the observer how late a reply is judged, before it is applied.
+void observe_hold(node const& context, session_row const& session,
+                  hold_reply const& input)
+{
+    if (context.observer_ == nullptr)
+    {
+        return;
+    }
+    bool const answered = input.outcome_ == target_outcome::done;
+    std::optional<std::int64_t> left_micros;
+    if (answered && session.clock_ms_ != 0 && !session.runs_.empty())
+    {
+        // The reply may have waited for this tick while the clock went on.
+        std::int64_t const clock_ms =
+            std::max(input.clock_ms_, target_clock(session, context.now_));
+        left_micros = (session.granted_ms_ - clock_ms) * micros_per_milli;
+    }
+    context.observer_->judge_hold(
+        {.target_ = input.target_,
+         .answered_ = answered,
+         .age_micros_ = session.hold_sent_.remaining_until(context.now_),
+         .lease_left_micros_ = left_micros});
+    if (left_micros && *left_micros < 0)
+    {
+        context.observer_->lapse_lease(input.target_);
+    }
+}
+
 } // namespace
 
 void apply(node& context, hold_reply const& input)
@@ -443,6 +476,7 @@
     {
         return;
     }
+    observe_hold(context, *session, input);
     settings const& values = context.settings_;
     session->hold_ = 0;
     session->hold_at_ = context.now_.after(values.hold_retry_micros_);
@@ -450,8 +484,7 @@
     {
         return;
     }
-    bool const leased = session->phase_ == session_phase::attached &&
-                        session->clock_ms_ != 0 && !session->unanswered_;
+    bool const leased = is_answering(*session) && session->clock_ms_ != 0;
     session->unanswered_ = input.outcome_ != target_outcome::done;
     if (session->unanswered_)
     {
@@ -752,35 +785,6 @@
 
 // 5. Ticks
 
-// Tells the observer how late a reply is judged, before it is applied.
-void observe_hold(node const& context, hold_reply const& input)
-{
-    session_row const* const session = context.sessions_.find(input.target_);
-    if (context.observer_ == nullptr || session == nullptr || !session->open_ ||
-        session->hold_ != input.request_)
-    {
-        return;
-    }
-    bool const answered = input.outcome_ == target_outcome::done;
-    std::optional<std::int64_t> left_micros;
-    if (answered && session->clock_ms_ != 0 && !session->runs_.empty())
-    {
-        // The reply may have waited for this tick while the clock went on.
-        std::int64_t const clock_ms =
-            std::max(input.clock_ms_, target_clock(*session, context.now_));
-        left_micros = (session->granted_ms_ - clock_ms) * micros_per_milli;
-    }
-    context.observer_->judge_hold(
-        {.target_ = input.target_,
-         .answered_ = answered,
-         .age_micros_ = session->hold_sent_.remaining_until(context.now_),
-         .lease_left_micros_ = left_micros});
-    if (left_micros && *left_micros < 0)
-    {
-        context.observer_->lapse_lease(input.target_);
-    }
-}
-
 namespace
 {
 
--- a/cell/node.cpp
+++ b/cell/node.cpp
@@ -112,10 +112,6 @@
     inbox.swap(context.inbox_);
     for (event const& input : inbox)
     {
-        if (auto const* const reply = std::get_if<hold_reply>(&input))
-        {
-            observe_hold(context, *reply);
-        }
         std::visit(
             [&context](auto const& value)
             {
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -211,7 +211,6 @@
 void open_sessions(node& context, shard_id const& shard);
 void close_sessions(node& context, shard_id const& shard);
 void tell_planner(node& context, target_id const& target);
-void observe_hold(node const& context, hold_reply const& input);
 void queue_order(node& context, shard_id const& shard,
                  plan::command const& order);
 
--- a/plan/plan.hpp
+++ b/plan/plan.hpp
@@ -66,6 +66,8 @@
 // answers of the policy service. A gang is listed as a whole.
 std::vector<overflow> list_overflow(planner const& context, instant now,
                                     std::int64_t micros);
+// Shards that handed the job's tasks on: each adds a part to the name.
+std::int64_t count_handovers(job_id const& job);
 // Tasks of a stage that run elsewhere under the name `delegate`.
 overflow find_delegated(planner const& context, stage_key const& stage,
                         job_id const& delegate);
--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -203,14 +203,13 @@
     return room < (step.gang_ ? static_cast<std::int64_t>(step.count_) : 1);
 }
 
-// Each shard that hands tasks on adds a mark to the name.
+} // namespace
+
 std::int64_t count_handovers(job_id const& job)
 {
     return std::count(job.str().begin(), job.str().end(), '~');
 }
 
-} // namespace
-
 std::vector<overflow> list_overflow(planner const& context, instant now,
                                     std::int64_t micros)
 {
