Log ends of lasting runs, lapses and missing runs

Four hypotheses say why lasting tasks stay down: work held back after a lapse, starts without an answer, late owners, and room that isn't given. The logs told a lapse only when its target was given up, up to 18 s later, and ends of runs not at all.

A lasting task's end is noted with how it ended, a lapse when it happens with how long ends are still awaited, a run that its target doesn't report with its number, and the reason for which a lasting task waits after 1 s instead of 3.

--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -366,6 +366,10 @@
     }
     for (run_key const& key : gone)
     {
+        log_event(context, "run_missing",
+                  {{"job", key.stage_.job_.str()},
+                   {"run", std::to_string(key.run_)},
+                   {"target", id.str()}});
         session.runs_.erase(key);
         tell(context, session, plan::run_ended{key, id, run_end::lost, ""});
     }
@@ -512,6 +516,7 @@
     session->contact_at_ = context.now_;
     if (first)
     {
+        session->lapsed_ = false;
         session->phase_ = session_phase::attached;
         tell_planner(context, input.target_);
         note_reached(context, session->shard_);
@@ -832,11 +837,31 @@
     }
 }
 
+// No run is left on a silent target, but ends may be.
+void note_lapse(node& context, target_id const& id, instant give_up)
+{
+    session_row& session = *context.sessions_.find(id);
+    if (session.lapsed_ || session.runs_.empty() ||
+        find_lapse(context, session) > context.now_)
+    {
+        return;
+    }
+    session.lapsed_ = true;
+    log_event(
+        context, "leases_lapsed",
+        {{"target", id.str()},
+         {"runs", std::to_string(session.runs_.size())},
+         {"listed", session.listed_ ? "true" : "false"},
+         {"held_ms", std::to_string(context.now_.remaining_until(give_up) /
+                                    micros_per_milli)}});
+}
+
 // False when the session was removed.
 bool settle_silent_target(node& context, target_id const& id)
 {
     session_row&  session = *context.sessions_.find(id);
     instant const give_up = find_give_up(context, session);
+    note_lapse(context, id, give_up);
     if (give_up > context.now_)
     {
         wake_at(context, give_up);
--- a/cell/session_row.hpp
+++ b/cell/session_row.hpp
@@ -41,6 +41,7 @@
     instant       hold_sent_;
     instant       hold_at_;            // next question
     bool          unanswered_ = false; // the latest question
+    bool          lapsed_ = false;     // its leases, while it is silent
 
     // Runs and ends
     std::map<run_key, session_run> runs_;
--- a/plan/explain_waits.cpp
+++ b/plan/explain_waits.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::int64_t explain_micros = 2'000'000; // between notes
 constexpr std::int64_t long_wait_micros = 3'000'000;
+constexpr std::int64_t lasting_wait_micros = 1'000'000; // of lasting tasks
 
 // Counts of targets that pass each check, in the order of the checks.
 std::string describe_targets(planner const& context, stage_view const& stage)
@@ -58,20 +59,25 @@
     {
         stage_row const& stage = context.stages_[row];
         stage_key const& key = context.stages_.key(row);
-        auto const       waiting =
-            std::find_if(stage.tasks_.begin(), stage.tasks_.end(),
-                         [&context](task_cell const& task)
-                         {
-                             return is_waiting(task) &&
-                                    task.waiting_since_.after(
-                                        long_wait_micros) <= context.now_;
-                         });
-        if (!stage.startable_ || waiting == stage.tasks_.end())
+        if (!stage.startable_ || count_waiting(stage) == 0)
         {
             continue;
         }
-        job_row const&   job = *context.jobs_.find(key.job_);
-        step_spec const& step = find_step(context, key);
+        step_spec const&   step = find_step(context, key);
+        std::int64_t const bound =
+            step.perpetual_ ? lasting_wait_micros : long_wait_micros;
+        auto const waiting = std::find_if(
+            stage.tasks_.begin(), stage.tasks_.end(),
+            [&context, bound](task_cell const& task)
+            {
+                return is_waiting(task) &&
+                       task.waiting_since_.after(bound) <= context.now_;
+            });
+        if (waiting == stage.tasks_.end())
+        {
+            continue;
+        }
+        job_row const& job = *context.jobs_.find(key.job_);
         std::string why = describe_targets(context, view_stage(context, key));
         why += job.recovered_ && unseen ? ", unseen targets" : "";
         why += stage.asked_ ? ", advice asked" : "";
--- a/plan/job_flow.cpp
+++ b/plan/job_flow.cpp
@@ -42,6 +42,10 @@
         note{std::move(what), run, target, std::move(why)});
 }
 
+// In the order of `run_end`.
+constexpr std::array<char const*, 7> end_names = {
+    "done", "failed", "stopped", "lapsed", "broken", "alone", "lost"};
+
 double declared_ms(step_spec const& step)
 {
     return step.estimate_ms_ > 0 ? static_cast<double>(step.estimate_ms_)
@@ -582,6 +586,11 @@
     }
     step_spec const& step = find_step(context, key.stage_);
     stage_row&       stage = *context.stages_.find(key.stage_);
+    if (step.perpetual_)
+    {
+        log_note(context, "lasting_run_ended", key, target,
+                 end_names.at(static_cast<std::size_t>(end)));
+    }
     if (!checkpoint.empty())
     {
         auto const keep = [&checkpoint](task_cell& task)
