Start lasting tasks elsewhere when the leases of their target lapse

The class of fault: one wait for two questions. Whether a run goes on is known at the lapse, by the target's clock; only whether a result is still to be told is not, and a lasting task has none. The same wait held recovered lasting tasks of a whole shard after a change of owner, until its last unreached target was given up.

Now lasting runs end at the lapse, also while a late owner puts off the judgement that the target is silent, and an unreached target whose leases have lapsed holds back other tasks only (phase `lapsed` of a target). Waits of all other tasks are as before.

--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -48,6 +48,10 @@
     session_row const& session = *context.sessions_.find(id);
     plan::target_phase phase =
         planner_phases.at(static_cast<std::size_t>(session.phase_));
+    if (phase == plan::target_phase::attaching && session.lapsed_)
+    {
+        phase = plan::target_phase::lapsed;
+    }
     if (phase == plan::target_phase::usable &&
         (!session.listed_ || session.info_->leaving_))
     {
@@ -96,6 +100,13 @@
     tell_planner(context, id);
 }
 
+void mark_silent(node& context, target_id const& id, std::string const& why)
+{
+    context.sessions_.find(id)->phase_ = session_phase::silent;
+    log_event(context, "target_silent", {{"target", id.str()}, {"error", why}});
+    tell_planner(context, id);
+}
+
 // The life of a target that was reached is over: what ran there has ended.
 void end_life(node& context, target_id const& id, std::string const& why)
 {
@@ -496,11 +507,7 @@
             count_silence_from(context, session->contact_at_)
                     .remaining_until(context.now_) > values.silent_micros_)
         {
-            session->phase_ = session_phase::silent;
-            log_event(
-                context, "target_silent",
-                {{"target", input.target_.str()}, {"error", input.error_}});
-            tell_planner(context, input.target_);
+            mark_silent(context, input.target_, input.error_);
         }
         return;
     }
@@ -535,6 +542,23 @@
 namespace
 {
 
+// False when the start of the run was sent, or there is none.
+bool drop_unsent_start(session_row& session, run_key const& run)
+{
+    std::deque<plan::command> kept;
+    for (plan::command& order : session.orders_)
+    {
+        auto const* const start = std::get_if<plan::start_run>(&order);
+        if (start == nullptr || start->run_ != run)
+        {
+            kept.push_back(std::move(order));
+        }
+    }
+    bool const dropped = kept.size() < session.orders_.size();
+    session.orders_ = std::move(kept);
+    return dropped;
+}
+
 struct enqueue
 {
     node&        context_;
@@ -548,26 +572,9 @@
 
     void operator()(plan::stop_run const& order) const
     {
-        auto const waiting = std::find_if(
-            session_->orders_.begin(), session_->orders_.end(),
-            [&order](plan::command const& other)
-            {
-                auto const* const start = std::get_if<plan::start_run>(&other);
-                return start != nullptr && start->run_ == order.run_;
-            });
-        if (waiting != session_->orders_.end())
+        if (drop_unsent_start(*session_, order.run_))
         {
             // It was never sent, so there is nothing to stop.
-            std::deque<plan::command> kept;
-            for (auto it = session_->orders_.begin();
-                 it != session_->orders_.end(); ++it)
-            {
-                if (it != waiting)
-                {
-                    kept.push_back(std::move(*it));
-                }
-            }
-            session_->orders_ = std::move(kept);
             session_->runs_.erase(order.run_);
             tell(context_, *session_,
                  plan::run_ended{order.run_, order.target_, run_end::lost, ""});
@@ -837,23 +844,56 @@
     }
 }
 
-// No run is left on a silent target, but ends may be.
-void note_lapse(node& context, target_id const& id, instant give_up)
+bool is_lasting(node const& context, run_key const& run)
 {
-    session_row& session = *context.sessions_.find(id);
-    if (session.lapsed_ || session.runs_.empty() ||
-        find_lapse(context, session) > context.now_)
+    record_row const* const record = context.records_.find(run.stage_.job_);
+    return record != nullptr &&
+           record->job_->steps_.at(run.stage_.step_).perpetual_;
+}
+
+// A lasting task has no result that a silent target may still list, so it
+// starts elsewhere as soon as nothing can run there any more.
+void end_lasting_runs(node& context, target_id const& id, session_row& session)
+{
+    std::vector<run_key> lasting;
+    for (auto const& [key, run] : session.runs_)
     {
+        if (is_lasting(context, key))
+        {
+            lasting.push_back(key);
+        }
+    }
+    for (run_key const& key : lasting)
+    {
+        drop_unsent_start(session, key);
+        session.runs_.erase(key);
+        tell(context, session, plan::run_ended{key, id, run_end::lapsed, ""});
+    }
+}
+
+// Ends may be left on a silent target after the lapse, but no runs.
+void settle_lapse(node& context, target_id const& id, instant give_up)
+{
+    session_row&  session = *context.sessions_.find(id);
+    instant const lapse = find_lapse(context, session);
+    if (session.lapsed_ || lapse > context.now_)
+    {
+        wake_at(context, session.lapsed_ ? instant::never() : lapse);
         return;
     }
     session.lapsed_ = true;
-    log_event(
-        context, "leases_lapsed",
-        {{"target", id.str()},
-         {"runs", std::to_string(session.runs_.size())},
-         {"listed", session.listed_ ? "true" : "false"},
-         {"held_ms", std::to_string(context.now_.remaining_until(give_up) /
-                                    micros_per_milli)}});
+    if (!session.runs_.empty())
+    {
+        log_event(
+            context, "leases_lapsed",
+            {{"target", id.str()},
+             {"runs", std::to_string(session.runs_.size())},
+             {"listed", session.listed_ ? "true" : "false"},
+             {"held_ms", std::to_string(context.now_.remaining_until(give_up) /
+                                        micros_per_milli)}});
+    }
+    end_lasting_runs(context, id, session);
+    tell_planner(context, id);
 }
 
 // False when the session was removed.
@@ -861,7 +901,7 @@
 {
     session_row&  session = *context.sessions_.find(id);
     instant const give_up = find_give_up(context, session);
-    note_lapse(context, id, give_up);
+    settle_lapse(context, id, give_up);
     if (give_up > context.now_)
     {
         wake_at(context, give_up);
@@ -930,6 +970,14 @@
             number_ends(context, *session);
             advance_forgotten(context, *session);
         }
+        // A late owner waits with the judgement that a target is silent, but
+        // its leases lapse by the clock of the target.
+        if (session->phase_ == session_phase::attached &&
+            session->unanswered_ &&
+            find_lapse(context, *session) <= context.now_)
+        {
+            mark_silent(context, id, "its leases have lapsed");
+        }
         if (session->phase_ != session_phase::attached &&
             !settle_silent_target(context, id))
         {
--- a/plan/count_unseen.cpp
+++ b/plan/count_unseen.cpp
@@ -1,13 +1,28 @@
 // Purpose: system: counts what may run on targets that a new owner hasn't
 // reached against the limits of organisations.
 #include "plan/planner.hpp"
-#include "plan/stage_rank.hpp"
 #include "plan/task_cell.hpp"
+#include "plan/unseen_work.hpp"
 
 #include <algorithm>
 
 namespace fescuevane::plan
 {
+
+unseen_work find_unseen_work(planner const& context)
+{
+    auto const has_phase = [&context](target_phase phase)
+    {
+        return std::any_of(context.targets_.begin(), context.targets_.end(),
+                           [phase](target_row const& target)
+                           {
+                               return target.phase_ == phase;
+                           });
+    };
+    bool const runs = has_phase(target_phase::attaching);
+    return {.runs_ = runs, .ends_ = runs || has_phase(target_phase::lapsed)};
+}
+
 namespace
 {
 
@@ -34,7 +49,7 @@
     {
         row.unseen_ = resources();
     }
-    if (!has_unseen_targets(context))
+    if (!find_unseen_work(context).runs_)
     {
         return;
     }
--- a/plan/explain_waits.cpp
+++ b/plan/explain_waits.cpp
@@ -4,6 +4,7 @@
 #include "plan/room.hpp"
 #include "plan/stage_rank.hpp"
 #include "plan/stage_view.hpp"
+#include "plan/unseen_work.hpp"
 
 #include <algorithm>
 #include <string>
@@ -54,7 +55,7 @@
         return;
     }
     context.explain_at_ = context.now_.after(explain_micros);
-    bool const unseen = has_unseen_targets(context);
+    unseen_work const unseen = find_unseen_work(context);
     for (std::size_t row = 0; row < context.stages_.size(); ++row)
     {
         stage_row const& stage = context.stages_[row];
@@ -79,7 +80,7 @@
         }
         job_row const& job = *context.jobs_.find(key.job_);
         std::string why = describe_targets(context, view_stage(context, key));
-        why += job.recovered_ && unseen ? ", unseen targets" : "";
+        why += may_be_unseen(unseen, job, step) ? ", unseen targets" : "";
         why += stage.asked_ ? ", advice asked" : "";
         why += job.excess_ ? ", beyond the organisation's rate" : "";
         why += is_within_limit(context, job.spec_->organisation_, step.demand_)
--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -16,6 +16,7 @@
 #include "plan/room.hpp"
 #include "plan/stage_rank.hpp"
 #include "plan/stage_view.hpp"
+#include "plan/unseen_work.hpp"
 
 #include <algorithm>
 #include <array>
@@ -213,7 +214,7 @@
 std::vector<overflow> list_overflow(planner const& context, instant now,
                                     std::int64_t micros)
 {
-    bool const            unseen = has_unseen_targets(context);
+    unseen_work const     unseen = find_unseen_work(context);
     std::vector<overflow> found;
     for (std::size_t row = 0; row < context.stages_.size(); ++row)
     {
@@ -225,7 +226,7 @@
         stage_key const& key = context.stages_.key(row);
         job_row const&   job = *context.jobs_.find(key.job_);
         step_spec const& step = job.spec_->steps_[key.step_];
-        if (unseen && job.recovered_)
+        if (may_be_unseen(unseen, job, step))
         {
             continue;
         }
--- a/plan/stage_rank.cpp
+++ b/plan/stage_rank.cpp
@@ -3,6 +3,7 @@
 
 #include "plan/job_flow.hpp"
 #include "plan/planner.hpp"
+#include "plan/unseen_work.hpp"
 
 #include <algorithm>
 
@@ -106,18 +107,9 @@
             key};
 }
 
-bool has_unseen_targets(planner const& context)
-{
-    return std::any_of(context.targets_.begin(), context.targets_.end(),
-                       [](target_row const& target)
-                       {
-                           return target.phase_ == target_phase::attaching;
-                       });
-}
-
 std::vector<stage_rank> rank_waiting_stages(planner const& context)
 {
-    bool const              unseen = has_unseen_targets(context);
+    unseen_work const       unseen = find_unseen_work(context);
     std::vector<stage_rank> ranks;
     for (std::size_t row = 0; row < context.stages_.size(); ++row)
     {
@@ -127,9 +119,10 @@
             continue;
         }
         stage_key const& key = context.stages_.key(row);
-        if (unseen && context.jobs_.find(key.job_)->recovered_)
+        if (may_be_unseen(unseen, *context.jobs_.find(key.job_),
+                          find_step(context, key)))
         {
-            continue; // an unseen run may still be at work
+            continue;
         }
         ranks.push_back(rank_stage(context, key));
     }
--- a/plan/stage_rank.hpp
+++ b/plan/stage_rank.hpp
@@ -31,9 +31,6 @@
 // Startable stages with a waiting task, best rank first.
 std::vector<stage_rank> rank_waiting_stages(planner const& context);
 
-// True while work that nobody reported may run on some target.
-bool has_unseen_targets(planner const& context);
-
 } // namespace fescuevane::plan
 
 #endif
--- a/plan/target_phase.hpp
+++ b/plan/target_phase.hpp
@@ -10,6 +10,7 @@
 enum class target_phase : std::uint8_t
 {
     attaching, // may run work that wasn't reported yet
+    lapsed,    // not reached; runs nothing any more, but may list ends
     usable,    //
     draining,  // runs on, takes no new work
     silent     // doesn't answer; what runs there is uncertain
--- /dev/null
+++ b/plan/unseen_work.hpp
@@ -0,0 +1,33 @@
+// Purpose: what targets that a new owner hasn't reached may still tell.
+#ifndef FESCUEVANE_PLAN_UNSEEN_WORK_HPP
+#define FESCUEVANE_PLAN_UNSEEN_WORK_HPP
+
+#include "core/step_spec.hpp"
+#include "plan/job_row.hpp"
+
+namespace fescuevane::plan
+{
+
+struct planner;
+
+struct unseen_work
+{
+    bool const runs_ = false; // some target may run work that nobody reported
+    bool const ends_ = false; // some target may list ends that nobody read
+
+    friend bool operator==(unseen_work const&, unseen_work const&) = default;
+};
+
+unseen_work find_unseen_work(planner const& context);
+
+// True when a task of the step may be at work, or have ended, unseen. A lasting
+// task has no result, so its end is nothing to wait for.
+inline bool may_be_unseen(unseen_work const& unseen, job_row const& job,
+                          step_spec const& step)
+{
+    return job.recovered_ && (step.perpetual_ ? unseen.runs_ : unseen.ends_);
+}
+
+} // namespace fescuevane::plan
+
+#endif
--- a/tests/unit/plan_lasting_test.cpp
+++ b/tests/unit/plan_lasting_test.cpp
@@ -39,5 +39,23 @@
     CHECK(notes[0].why_ == "lapsed");
 }
 
+// Guards against a lasting task that stays down after a change of owner: one
+// target that nobody reached held it until its ends were given up, 13.5 s on
+// one hunted day.
+TEST_CASE_FIXTURE(lasting_fixture,
+                  "jobs taken over, unreached target lapsed, lasting one runs")
+{
+    add_job("j-1", {make_step(1)}, {}, true);
+    add_job("j-2", {make_lasting()}, {}, true);
+    set_target("t-2", {4000, 8192, 0}, target_phase::attaching);
+    tick();
+    CHECK(list<start_run>().empty());
+    set_target("t-2", {4000, 8192, 0}, target_phase::lapsed);
+    tick();
+    auto const starts = list<start_run>();
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].run_.stage_.job_ == job_id("j-2"));
+}
+
 } // namespace
 } // namespace fescuevane::plan
