Send a start without an answer again under its number

Cause: a start without an answer was left open, looked for in the target's next report (up to 1.5 s), then stopped, then given 3 s to show up, and only then did the task get its next number: about 5 s for each lost order, and two in a row exceed the 6 s that a lasting task may be down. The class of fault: an order that may be repeated safely was treated like one that may not.

A target answers a start with the number of a run that it has as if it were the first, and turns down a number that has ended. So the same start is now sent again each time its deadline of 0.5 s passes, while the target clock is below the time after which it is useless (1.5 s), the target is attached and the run is still wanted. A repeat that is refused says nothing of the first sending, so it goes the old way: looked for and stopped.

--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -632,6 +632,26 @@
     return request;
 }
 
+// Sends a start, with a deadline of its own.
+void post_start(node& context, session_row& session, run_key const& run,
+                send_start const& start, bool repeated)
+{
+    auto const sent = std::make_shared<send_start const>(send_start{
+        .request_ = next_request(context),
+        .address_ = start.address_,
+        .start_ = start.start_,
+        .fence_ = start.fence_,
+        .lease_clock_ms_ = start.lease_clock_ms_,
+        .deadline_ = context.now_.after(context.settings_.order_micros_)});
+    context.outbox_.push_back(*sent);
+    context.orders_.ensure(sent->request_) = {.kind_ = order_kind::start,
+                                              .target_ = start.start_.target_,
+                                              .run_ = run,
+                                              .start_ = sent,
+                                              .repeated_ = repeated};
+    ++session.open_orders_;
+}
+
 void send_order(node& context, target_id const& id, session_row& session,
                 plan::command const& order)
 {
@@ -643,19 +663,16 @@
         std::int64_t const useless =
             target_clock(session, context.now_) + values.start_valid_ms_;
         session.granted_ms_ = std::max(session.granted_ms_, useless);
-        std::uint64_t const request =
-            open_order(context, session, {order_kind::start, id, start->run_});
-        context.outbox_.push_back(
-            send_start{.request_ = request,
-                       .address_ = session.info_->address_,
-                       .start_ = {.run_ = to_original(context, start->run_),
-                                  .target_ = id,
-                                  .job_ = start->job_,
-                                  .checkpoint_ = start->checkpoint_,
-                                  .ticket_ = start->ticket_},
-                       .fence_ = fence,
-                       .lease_clock_ms_ = useless,
-                       .deadline_ = deadline});
+        post_start(context, session, start->run_,
+                   {.address_ = session.info_->address_,
+                    .start_ = {.run_ = to_original(context, start->run_),
+                               .target_ = id,
+                               .job_ = start->job_,
+                               .checkpoint_ = start->checkpoint_,
+                               .ticket_ = start->ticket_},
+                    .fence_ = fence,
+                    .lease_clock_ms_ = useless},
+                   false);
         return;
     }
     auto const& pace = std::get<plan::pace_run>(order);
@@ -693,48 +710,85 @@
     }
 }
 
+// A start without an answer is sent again under its number while it is of use:
+// the target takes it for the same run, whether it has begun or not. False when
+// it isn't of use any more.
+bool repeat_start(node& context, session_row& session, order_row const& order)
+{
+    auto const run = session.runs_.find(order.run_);
+    if (run == session.runs_.end() || run->second.stop_wanted_ ||
+        session.phase_ != session_phase::attached ||
+        target_clock(session, context.now_) >= order.start_->lease_clock_ms_)
+    {
+        return false;
+    }
+    post_start(context, session, order.run_, *order.start_, true);
+    return true;
+}
+
+void confirm_start(node& context, session_row& session, order_row const& order)
+{
+    auto const run = session.runs_.find(order.run_);
+    if (run != session.runs_.end())
+    {
+        run->second.confirmed_at_ = context.now_;
+    }
+    tell(context, session, plan::run_confirmed{order.run_, order.target_});
+}
+
+void refuse_start(node& context, session_row& session, order_row const& order,
+                  order_reply const& reply)
+{
+    session.runs_.erase(order.run_);
+    log_event(context, "start_refused",
+              {{"job", order.run_.stage_.job_.str()},
+               {"run", std::to_string(order.run_.run_)},
+               {"target", order.target_.str()},
+               {"reason", std::to_string(static_cast<int>(reply.reason_))}});
+    tell(context, session,
+         plan::run_refused{order.run_, order.target_, reply.reason_});
+}
+
+void leave_start_open(node& context, session_row& session,
+                      order_row const& order, order_reply const& reply)
+{
+    auto const run = session.runs_.find(order.run_);
+    if (run != session.runs_.end())
+    {
+        run->second.uncertain_at_ = context.now_;
+    }
+    log_event(context, "start_uncertain",
+              {{"job", order.run_.stage_.job_.str()},
+               {"run", std::to_string(order.run_.run_)},
+               {"target", order.target_.str()},
+               {"error", reply.outcome_ == target_outcome::refused
+                             ? "refused, but may have run"
+                             : reply.error_}});
+}
+
+// True when a refused start may have run all the same: a run as high was there,
+// so the order arrived twice, or an earlier sending of it got no answer.
+bool may_have_run(order_row const& order, order_reply const& reply)
+{
+    return order.repeated_ || reply.reason_ == plan::refusal::outdated;
+}
+
 void end_start(node& context, session_row& session, order_row const& order,
                order_reply const& reply)
 {
-    auto const run = session.runs_.find(order.run_);
-    // The order may have arrived twice, and the run may have ended in between.
-    bool const may_have_run = reply.outcome_ == target_outcome::refused &&
-                              reply.reason_ == plan::refusal::outdated;
-    switch (may_have_run ? target_outcome::unknown : reply.outcome_)
+    if (reply.outcome_ == target_outcome::done)
     {
-    case target_outcome::done:
-        if (run != session.runs_.end())
-        {
-            run->second.confirmed_at_ = context.now_;
-        }
-        tell(context, session, plan::run_confirmed{order.run_, order.target_});
-        break;
-    case target_outcome::refused:
-        if (run != session.runs_.end())
-        {
-            session.runs_.erase(run);
-        }
-        log_event(
-            context, "start_refused",
-            {{"job", order.run_.stage_.job_.str()},
-             {"run", std::to_string(order.run_.run_)},
-             {"target", order.target_.str()},
-             {"reason", std::to_string(static_cast<int>(reply.reason_))}});
-        tell(context, session,
-             plan::run_refused{order.run_, order.target_, reply.reason_});
-        break;
-    default:
-        if (run != session.runs_.end())
-        {
-            run->second.uncertain_at_ = context.now_;
-        }
-        log_event(context, "start_uncertain",
-                  {{"job", order.run_.stage_.job_.str()},
-                   {"run", std::to_string(order.run_.run_)},
-                   {"target", order.target_.str()},
-                   {"error",
-                    may_have_run ? "a run as high was there" : reply.error_}});
-        break;
+        confirm_start(context, session, order);
+    }
+    else if (reply.outcome_ == target_outcome::refused &&
+             !may_have_run(order, reply))
+    {
+        refuse_start(context, session, order, reply);
+    }
+    else if (reply.outcome_ != target_outcome::unknown ||
+             !repeat_start(context, session, order))
+    {
+        leave_start_open(context, session, order, reply);
     }
 }
 
--- a/cell/order_row.hpp
+++ b/cell/order_row.hpp
@@ -7,10 +7,13 @@
 #include "core/run_key.hpp"
 
 #include <cstdint>
+#include <memory>
 
 namespace fescuevane::cell
 {
 
+struct send_start;
+
 enum class order_kind : std::uint8_t
 {
     start,
@@ -23,6 +26,9 @@
     order_kind kind_ = order_kind::start;
     target_id  target_;
     run_key    run_;
+    // Of a start: what was sent, and whether an earlier sending got no answer.
+    std::shared_ptr<send_start const> start_;
+    bool                              repeated_ = false;
 };
 
 } // namespace fescuevane::cell
--- a/tests/unit/cell_jobs_test.cpp
+++ b/tests/unit/cell_jobs_test.cpp
@@ -7,6 +7,8 @@
 
 #include <doctest/doctest.h>
 
+#include <set>
+
 namespace fescuevane::cell
 {
 namespace
@@ -284,27 +286,106 @@
     CHECK(again[0].start_.run_.run_ > started_.run_);
 }
 
-// Guards against a second run of a task whose start got no answer.
-TEST_CASE_FIXTURE(cell_fixture,
-                  "start without an answer, not reported, stopped first")
+// Targets answer questions, and no order to start.
+struct unanswered_start_fixture : cell_fixture
 {
-    serve();
-    submit("aa01");
-    run(50'000);
-    auto const starts = take<send_start>();
-    REQUIRE(starts.size() == 1);
-    take<hold_target>();
-    post(order_reply{.request_ = starts[0].request_, .error_ = "no answer"});
-    run(micros_per_second);
-    for (int round = 0; round < 3; ++round)
+    run_key              started_;
+    std::set<run_key>    runs_; // of all starts that were sent
+    std::size_t          sent_ = 0;
+    std::vector<instant> times_;
+
+    unanswered_start_fixture()
     {
-        for (hold_target const& hold : take<hold_target>())
+        serve();
+        submit("aa01");
+        run(50'000);
+        auto const starts = take<send_start>();
+        REQUIRE(starts.size() == 1);
+        started_ = starts[0].start_.run_;
+        lose(starts[0]);
+    }
+
+    void lose(send_start const& start)
+    {
+        runs_.insert(start.start_.run_);
+        ++sent_;
+        times_.push_back(now_);
+        post(order_reply{.request_ = start.request_, .error_ = "no answer"});
+    }
+
+    // Runs for some time. Each start is lost after half a second.
+    void run_lossy(std::int64_t micros)
+    {
+        constexpr std::int64_t step = 500'000;
+        for (std::int64_t passed = 0; passed < micros; passed += step)
         {
-            answer_hold(hold);
+            run(step);
+            for (hold_target const& hold : take<hold_target>())
+            {
+                answer_hold(hold);
+            }
+            for (send_start const& start : take<send_start>())
+            {
+                lose(start);
+            }
         }
-        run(200'000);
     }
-    CHECK(take<send_start>().empty());
+};
+
+// Guards against a second run of a task whose start got no answer.
+TEST_CASE_FIXTURE(unanswered_start_fixture,
+                  "start without an answer, not reported, stopped first")
+{
+    run_lossy(4 * micros_per_second);
+    CHECK(runs_.size() == 1); // no other run before the stop is answered
+    auto const stops = take<send_stop>();
+    REQUIRE(!stops.empty());
+    CHECK(stops[0].stop_.run_ == started_);
+}
+
+// Guards against a task that waits for seconds since one order got lost, and
+// against a start that is carried out when nobody wants it any more.
+TEST_CASE_FIXTURE(
+    unanswered_start_fixture,
+    "start without an answer, of use, sent again under its number")
+{
+    run(20'000);
+    auto const again = take<send_start>();
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].start_.run_ == started_);
+    SUBCASE("it is answered")
+    {
+        post(order_reply{.request_ = again[0].request_,
+                         .outcome_ = target_outcome::done});
+        run(micros_per_second);
+        CHECK(take<send_start>().empty());
+        CHECK(take<send_stop>().empty());
+    }
+    SUBCASE("it is refused, though the first may come later")
+    {
+        post(order_reply{.request_ = again[0].request_,
+                         .outcome_ = target_outcome::refused,
+                         .reason_ = plan::refusal::room});
+        run_lossy(3 * micros_per_second);
+        CHECK(runs_.size() == 1);
+        CHECK(!take<send_stop>().empty());
+    }
+    SUBCASE("it gets no answer either")
+    {
+        lose(again[0]);
+        run_lossy(3 * micros_per_second);
+        // The target's clock is known with a delay of two ticks.
+        CHECK(times_.front().remaining_until(times_.back()) <=
+              settings_.start_valid_ms_ * micros_per_milli + 20'000);
+    }
+    SUBCASE("the job is canceled")
+    {
+        ask(call_kind::cancel, "aa01");
+        run(50'000);
+        lose(again[0]);
+        run_lossy(2 * micros_per_second);
+        CHECK(sent_ == 2);
+    }
 }
 
 // Guards against a task that runs again after it was done: its order arrived
