Take back starts that wait for a silent target

Cause: a target has a few orders open at a time, the others wait with the owner. When the target fell silent they waited until its work was given up, as if they might run there. Now they are taken back when the target counts as silent, and their tasks start elsewhere.

--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -905,6 +905,23 @@
            record->job_->steps_.at(run.stage_.step_).perpetual_;
 }
 
+// Starts that wait for a silent target were never sent, so they may go to
+// another one at once.
+void take_back_orders(node& context, target_id const& id, session_row& session)
+{
+    std::deque<plan::command> orders;
+    orders.swap(session.orders_);
+    for (plan::command const& order : orders)
+    {
+        if (auto const* const start = std::get_if<plan::start_run>(&order))
+        {
+            session.runs_.erase(start->run_);
+            tell(context, session,
+                 plan::run_ended{start->run_, id, run_end::lost, ""});
+        }
+    }
+}
+
 // A lasting task has no result that a silent target may still list, so it
 // starts elsewhere as soon as nothing can run there any more.
 void end_lasting_runs(node& context, target_id const& id, session_row& session)
@@ -919,7 +936,6 @@
     }
     for (run_key const& key : lasting)
     {
-        drop_unsent_start(session, key);
         session.runs_.erase(key);
         tell(context, session, plan::run_ended{key, id, run_end::lapsed, ""});
     }
@@ -955,6 +971,7 @@
 {
     session_row&  session = *context.sessions_.find(id);
     instant const give_up = find_give_up(context, session);
+    take_back_orders(context, id, session);
     settle_lapse(context, id, give_up);
     if (give_up > context.now_)
     {
--- a/tests/unit/cell_jobs_test.cpp
+++ b/tests/unit/cell_jobs_test.cpp
@@ -274,6 +274,40 @@
           static_cast<std::ptrdiff_t>(leases.size()) - 1);
 }
 
+// Guards against work that waits for a silent target though its order was never
+// sent: a target has only a few orders open at a time.
+TEST_CASE_FIXTURE(cell_fixture,
+                  "target falls silent, start not sent yet, starts elsewhere")
+{
+    settings_.orders_open_ = 1;
+    start(1);
+    serve();
+    submit("aa01");
+    submit("aa02");
+    run(50'000);
+    auto const starts = take<send_start>();
+    REQUIRE(starts.size() == 1);
+    list_target("t-2");
+    std::vector<send_start> later;
+    for (int round = 0; round < 300; ++round)
+    {
+        for (hold_target const& hold : take<hold_target>())
+        {
+            hold.target_ == target_id("t-2") ? answer_hold(hold)
+                                             : fail_hold(hold);
+        }
+        run(10'000);
+        for (send_start const& start : take<send_start>())
+        {
+            later.push_back(start);
+        }
+    }
+    REQUIRE(later.size() == 1);
+    CHECK(later[0].start_.target_ == target_id("t-2"));
+    CHECK(later[0].start_.run_.stage_.job_ !=
+          starts[0].start_.run_.stage_.job_);
+}
+
 // Guards against work that waits without end for a target that nobody reaches.
 TEST_CASE_FIXTURE(silent_target_fixture,
                   "target silent and listed for long, task starts elsewhere")
