Start tasks that may have copies elsewhere at the lapse, too

Whether a task awaits the end of its last run is now asked in one place (has_single_result), by the owner at a lapse and by the planner of a new owner.

--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -898,11 +898,11 @@
     }
 }
 
-bool is_lasting(node const& context, run_key const& run)
+bool has_single_result(node const& context, run_key const& run)
 {
     record_row const* const record = context.records_.find(run.stage_.job_);
-    return record != nullptr &&
-           record->job_->steps_.at(run.stage_.step_).perpetual_;
+    return record == nullptr ||
+           has_single_result(record->job_->steps_.at(run.stage_.step_));
 }
 
 // Starts that wait for a silent target were never sent, so they may go to
@@ -922,19 +922,19 @@
     }
 }
 
-// A lasting task has no result that a silent target may still list, so it
-// starts elsewhere as soon as nothing can run there any more.
-void end_lasting_runs(node& context, target_id const& id, session_row& session)
+// Tasks that last, or may have copies, have no result for which a silent target
+// must be awaited: they start elsewhere as soon as nothing can run there.
+void end_lapsed_runs(node& context, target_id const& id, session_row& session)
 {
-    std::vector<run_key> lasting;
+    std::vector<run_key> lapsed;
     for (auto const& [key, run] : session.runs_)
     {
-        if (is_lasting(context, key))
+        if (!has_single_result(context, key))
         {
-            lasting.push_back(key);
+            lapsed.push_back(key);
         }
     }
-    for (run_key const& key : lasting)
+    for (run_key const& key : lapsed)
     {
         session.runs_.erase(key);
         tell(context, session, plan::run_ended{key, id, run_end::lapsed, ""});
@@ -962,7 +962,7 @@
              {"held_ms", std::to_string(context.now_.remaining_until(give_up) /
                                         micros_per_milli)}});
     }
-    end_lasting_runs(context, id, session);
+    end_lapsed_runs(context, id, session);
     tell_planner(context, id);
 }
 
--- a/core/step_spec.hpp
+++ b/core/step_spec.hpp
@@ -36,6 +36,13 @@
     friend bool operator==(step_spec const&, step_spec const&) = default;
 };
 
+// True when a task of the step has a result that counts once, so that it may
+// not start again while an end of its last run may be left to read.
+inline bool has_single_result(step_spec const& step)
+{
+    return !step.perpetual_ && !step.speculative_;
+}
+
 } // namespace fescuevane
 
 #endif
--- a/plan/unseen_work.hpp
+++ b/plan/unseen_work.hpp
@@ -20,12 +20,12 @@
 
 unseen_work find_unseen_work(planner const& context);
 
-// True when a task of the step may be at work, or have ended, unseen. A lasting
-// task has no result, so its end is nothing to wait for.
+// True when a task of the step may be at work, or have ended, unseen.
 inline bool may_be_unseen(unseen_work const& unseen, job_row const& job,
                           step_spec const& step)
 {
-    return job.recovered_ && (step.perpetual_ ? unseen.runs_ : unseen.ends_);
+    return job.recovered_ &&
+           (has_single_result(step) ? unseen.ends_ : unseen.runs_);
 }
 
 } // namespace fescuevane::plan
--- a/tests/unit/cell_lasting_test.cpp
+++ b/tests/unit/cell_lasting_test.cpp
@@ -32,7 +32,7 @@
     std::set<target_id>                            silent_;
     int                                            lost_starts_ = 0; // to come
 
-    lasting_fixture()
+    explicit lasting_fixture(bool lasting = true)
     {
         list_target("t-1");
         list_target("t-2");
@@ -49,7 +49,8 @@
                              .steps_ = {{.count_ = 1,
                                          .demand_ = {1000, 512, 0},
                                          .estimate_ms_ = 1000,
-                                         .perpetual_ = true}},
+                                         .speculative_ = !lasting,
+                                         .perpetual_ = lasting}},
                              .accepted_unix_ms_ = unix_ms_}),
                          .deadline_ = now_.after(3 * micros_per_second)});
     }
@@ -178,6 +179,24 @@
     CHECK_FALSE(find_runner().empty());
 }
 
+struct speculative_fixture : lasting_fixture
+{
+    speculative_fixture() : lasting_fixture(false) {}
+};
+
+// Guards against a task that waits for a silent target though a second run of
+// it is allowed.
+TEST_CASE_FIXTURE(speculative_fixture,
+                  "task with copies, target silent and listed, runs again soon")
+{
+    run_targets(2 * micros_per_second);
+    target_id const first = find_runner();
+    REQUIRE_FALSE(first.empty());
+    silent_.insert(first);
+    run_targets(settings_.lease_ms_ * micros_per_milli + micros_per_second);
+    CHECK_FALSE(find_runner().empty());
+}
+
 // Guards against a lasting task that stays down while its orders get lost: each
 // was looked for, stopped and given 3 s before the next one.
 TEST_CASE_FIXTURE(lasting_fixture,
