Hand gangs over that their shard can't run while they ask

Cause: a gang that lacks room renewed its tickets again and again, the next question in the tick of each answer. A stage with a question in flight isn't listed as overflow, so the gang was seen as blocked only by chance.

Now a gang that lacks room asks only about targets of which nothing is known, and not at all once it is blocked; a gang that room is kept for asks as before. A blocked stage is listed with a question in flight, too, and doesn't wait for the time of three more answers: targets that weren't asked about count as allowed, so no answer makes it startable.

--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -173,35 +173,20 @@
         micros_per_milli);
 }
 
-// True when the stage may run on the target once all other work has ended.
-bool could_run(planner const& context, stage_view const& stage,
-               target_id const& id, target_row const& target)
+// Tasks that have waited for `micros`.
+std::vector<std::uint32_t> list_waiting(stage_row const& stage, instant now,
+                                        std::int64_t micros)
 {
-    auto const ticket = stage.row_.tickets_.find(id);
-    bool const forbidden =
-        ticket != stage.row_.tickets_.end() && !ticket->second.good_;
-    return !forbidden && suits_stage(context, stage, target);
-}
-
-// True when the shard's targets can't run the stage, however long it waits: by
-// label, size, ticket or lasting work. Limits of organisations don't count,
-// they are lent.
-bool is_blocked(planner const& context, stage_view const& stage)
-{
-    step_spec const& step = stage.step_;
-    std::int64_t     room = 0;
-    for (std::size_t row = 0; row < context.targets_.size(); ++row)
+    std::vector<std::uint32_t> indices;
+    for (std::uint32_t index = 0; index < stage.tasks_.size(); ++index)
     {
-        target_row const& target = context.targets_[row];
-        target_id const&  id = context.targets_.key(row);
-        if (!could_run(context, stage, id, target))
+        task_cell const& task = stage.tasks_[index];
+        if (is_waiting(task) && task.waiting_since_.after(micros) <= now)
         {
-            continue;
+            indices.push_back(index);
         }
-        room += limit_to_spread(context, stage, id,
-                                count_fitting_later(stage, target));
     }
-    return room < (step.gang_ ? static_cast<std::int64_t>(step.count_) : 1);
+    return indices;
 }
 
 } // namespace
@@ -219,7 +204,7 @@
     for (std::size_t row = 0; row < context.stages_.size(); ++row)
     {
         stage_row const& stage = context.stages_[row];
-        if (!stage.startable_ || stage.asked_ || count_waiting(stage) == 0)
+        if (!stage.startable_ || count_waiting(stage) == 0)
         {
             continue;
         }
@@ -231,22 +216,28 @@
             continue;
         }
         // What was handed on before has less and less reason to move again.
-        std::int64_t const wait =
-            micros * (1 + count_handovers(key.job_)) +
-            overflow_answers * answer_micros(context, job);
-        overflow tasks{.stage_ = key, .demand_ = step.demand_};
-        for (std::uint32_t index = 0; index < stage.tasks_.size(); ++index)
+        std::int64_t const wait = micros * (1 + count_handovers(key.job_));
+        overflow           tasks{.stage_ = key, .demand_ = step.demand_};
+        tasks.indices_ = list_waiting(stage, now, wait);
+        if (tasks.indices_.empty())
         {
-            task_cell const& task = stage.tasks_[index];
-            if (is_waiting(task) && task.waiting_since_.after(wait) <= now)
-            {
-                tasks.indices_.push_back(index);
-            }
+            continue;
+        }
+        // Targets that weren't asked about count as allowed, so no answer
+        // makes a blocked stage startable.
+        tasks.blocked_ = is_blocked(context, view_stage(context, key));
+        if (!tasks.blocked_)
+        {
+            tasks.indices_ =
+                stage.asked_
+                    ? std::vector<std::uint32_t>()
+                    : list_waiting(stage, now,
+                                   wait + overflow_answers *
+                                              answer_micros(context, job));
         }
         if (!tasks.indices_.empty() &&
             (!step.gang_ || tasks.indices_.size() == stage.tasks_.size()))
         {
-            tasks.blocked_ = is_blocked(context, view_stage(context, key));
             found.push_back(std::move(tasks));
         }
     }
--- a/plan/request_advice.cpp
+++ b/plan/request_advice.cpp
@@ -134,11 +134,19 @@
 // One target that a stage may use.
 struct candidate
 {
-    std::int64_t fitting_ = 0; // tasks
-    std::size_t  row_ = 0;     // of the target table
+    std::int64_t fitting_ = 0;   // tasks
+    std::size_t  row_ = 0;       // of the target table
+    bool         known_ = false; // the policy service allows it
     bool         ticketed_ = false;
 };
 
+// Tasks that candidates have room for, and the part with tickets.
+struct coverage
+{
+    std::int64_t const fitting_ = 0;
+    std::int64_t const ticketed_ = 0;
+};
+
 std::vector<candidate> list_candidates(planner const&    context,
                                        stage_view const& stage,
                                        free_room const&  free)
@@ -167,7 +175,7 @@
         if (fitting > 0)
         {
             candidates.push_back(
-                {fitting, row,
+                {fitting, row, ticket != tickets.end(),
                  ticket != tickets.end() && is_valid(context, ticket->second)});
         }
     }
@@ -181,19 +189,23 @@
     return candidates;
 }
 
-// Takes the room of the waiting tasks from what worse-ranked stages may count
-// on. Returns the tasks that targets with tickets have room for.
-std::int64_t take_room(step_spec const&              step,
-                       std::vector<candidate> const& candidates,
-                       std::int64_t waiting, free_room& free)
+coverage count_room(std::vector<candidate> const& candidates)
 {
     std::int64_t fitting = 0;
-    std::int64_t covered = 0;
+    std::int64_t ticketed = 0;
     for (candidate const& at : candidates)
     {
         fitting += at.fitting_;
-        covered += at.ticketed_ ? at.fitting_ : 0;
+        ticketed += at.ticketed_ ? at.fitting_ : 0;
     }
+    return {fitting, ticketed};
+}
+
+// Takes the room of the waiting tasks from what worse-ranked stages may count
+// on.
+void take_room(step_spec const& step, std::vector<candidate> const& candidates,
+               std::int64_t fitting, std::int64_t waiting, free_room& free)
+{
     // A gang that lacks room starts nothing, so others may use what there is.
     std::int64_t rest = step.gang_ && fitting < waiting ? 0 : waiting;
     for (candidate const& at : candidates)
@@ -202,7 +214,22 @@
         free[at.row_] = free[at.row_] - room_of(step) * taken;
         rest -= taken;
     }
-    return covered;
+}
+
+// Tickets are of no use to a gang that lacks room. But which targets it may use
+// doesn't change, and tells whether it has to go to another shard.
+void keep_unknown(planner const& context, stage_view const& stage,
+                  std::vector<candidate>& candidates)
+{
+    if (is_blocked(context, stage))
+    {
+        candidates.clear();
+    }
+    std::erase_if(candidates,
+                  [](candidate const& at)
+                  {
+                      return at.known_;
+                  });
 }
 
 void ask(planner& context, stage_key const& key,
@@ -286,15 +313,26 @@
     {
         return;
     }
-    std::vector<candidate> const candidates =
-        list_candidates(context, stage, free);
-    std::int64_t const covered =
-        startable ? take_room(stage.step_, candidates, waiting, free) : 0;
-    if (asks && covered < waiting)
+    std::vector<candidate> candidates = list_candidates(context, stage, free);
+    if (!startable)
     {
         ask(context, key, candidates, stage.queue_->advice_->validity_ms_,
             is_long);
+        return;
+    }
+    coverage const room = count_room(candidates);
+    take_room(stage.step_, candidates, room.fitting_, waiting, free);
+    if (!asks || room.ticketed_ >= waiting)
+    {
+        return;
+    }
+    // Room is kept for a gang with a reservation until its tickets are there.
+    if (stage.step_.gang_ && room.fitting_ < waiting &&
+        key != context.reserved_for_)
+    {
+        keep_unknown(context, stage, candidates);
     }
+    ask(context, key, candidates, stage.queue_->advice_->validity_ms_, is_long);
 }
 
 } // namespace
--- a/plan/room.cpp
+++ b/plan/room.cpp
@@ -101,6 +101,35 @@
     return std::clamp<std::int64_t>(limit - there, 0, fitting);
 }
 
+bool could_run(planner const& context, stage_view const& stage,
+               target_id const& id, target_row const& target)
+{
+    auto const ticket = stage.row_.tickets_.find(id);
+    bool const forbidden =
+        ticket != stage.row_.tickets_.end() && !ticket->second.good_;
+    return !forbidden && suits_stage(context, stage, target);
+}
+
+bool is_blocked(planner const& context, stage_view const& stage)
+{
+    step_spec const&   step = stage.step_;
+    std::int64_t const needed =
+        step.gang_ ? static_cast<std::int64_t>(step.count_) : 1;
+    std::int64_t room = 0;
+    for (std::size_t row = 0; row < context.targets_.size() && room < needed;
+         ++row)
+    {
+        target_row const& target = context.targets_[row];
+        target_id const&  id = context.targets_.key(row);
+        if (could_run(context, stage, id, target))
+        {
+            room += limit_to_spread(context, stage, id,
+                                    count_fitting_later(stage, target));
+        }
+    }
+    return room < needed;
+}
+
 bool has_ticket(planner const& context, stage_view const& stage,
                 target_id const& target)
 {
--- a/plan/room.hpp
+++ b/plan/room.hpp
@@ -52,6 +52,16 @@
 std::int64_t limit_to_spread(planner const& context, stage_view const& stage,
                              target_id const& id, std::int64_t fitting);
 
+// True when the target may run the stage once all other work has ended, as far
+// as the policy service has answered.
+bool could_run(planner const& context, stage_view const& stage,
+               target_id const& id, target_row const& target);
+
+// True when the shard's targets can't run the stage, however long it waits: by
+// label, size, ticket or lasting work. Limits of organisations don't count,
+// they are lent.
+bool is_blocked(planner const& context, stage_view const& stage);
+
 // True when the stage needs no ticket or holds a valid one for the target.
 bool has_ticket(planner const& context, stage_view const& stage,
                 target_id const& target);
--- a/tests/unit/plan_advice_test.cpp
+++ b/tests/unit/plan_advice_test.cpp
@@ -109,6 +109,61 @@
     CHECK(asked[0].stage_.job_ == job_id("j-2"));
 }
 
+// A gang with one task a target, of which too few are allowed.
+struct forbidden_gang_fixture : advice_fixture
+{
+    forbidden_gang_fixture()
+    {
+        for (char const* const name : {"t-1", "t-2", "t-3"})
+        {
+            set_target(name);
+        }
+        add_job("j-1", {step_spec{.count_ = 3,
+                                  .demand_ = {3000, 512, 0},
+                                  .estimate_ms_ = 1000,
+                                  .gang_ = true}});
+        tick();
+    }
+
+    void allow(std::vector<target_ticket> tickets)
+    {
+        auto const asked = list<ask_advice>();
+        REQUIRE(asked.size() == 1);
+        post(advice_given{asked[0].stage_, asked[0].targets_,
+                          std::move(tickets),
+                          now_.after(2 * micros_per_second)});
+    }
+};
+
+// Guards against a gang that renews tickets which it can't use: its questions
+// took the policy service's time, and hid it from the list of overflow.
+TEST_CASE_FIXTURE(forbidden_gang_fixture,
+                  "gang, too few targets allowed, handed over and not asked")
+{
+    allow({{target_id("t-1"), "ticket"}, {target_id("t-2"), "ticket"}});
+    tick();
+    advance(3 * micros_per_second); // the tickets have expired
+    tick();
+    CHECK(list<ask_advice>().empty());
+    auto const waiting = list_overflow(*planner_, now_, micros_per_second);
+    REQUIRE(waiting.size() == 1);
+    CHECK(waiting[0].blocked_);
+}
+
+// Guards against a gang that can't run here and stays while it has a question
+// in flight.
+TEST_CASE_FIXTURE(forbidden_gang_fixture,
+                  "gang, target drains while it is asked, told as blocked")
+{
+    REQUIRE(list<ask_advice>().size() == 1);
+    set_target("t-3", {4000, 8192, 0}, target_phase::draining);
+    tick();
+    advance(micros_per_second);
+    auto const waiting = list_overflow(*planner_, now_, micros_per_second);
+    REQUIRE(waiting.size() == 1);
+    CHECK(waiting[0].blocked_);
+}
+
 // Guards against questions long before a stage can start: declared estimates
 // said that its predecessor was about to end.
 TEST_CASE_FIXTURE(
