Ask about all targets that a stage may use

Cause: a question named only targets with room at the moment of asking. The answer came 0.5 s later, 2 s when questions queued, and the room had moved to targets without a ticket. A target that was always full wasn't asked about at all and counted as allowed, so a gang wasn't seen as blocked.

When a stage asks is unchanged: some target with room has no ticket. A gang that lacks room asks about unknown targets only, also full ones.

--- a/plan/request_advice.cpp
+++ b/plan/request_advice.cpp
@@ -147,6 +147,17 @@
     std::int64_t const ticketed_ = 0;
 };
 
+// Tickets at hand first, then the most room.
+void sort_candidates(std::vector<candidate>& candidates)
+{
+    std::sort(candidates.begin(), candidates.end(),
+              [](candidate const& a, candidate const& b)
+              {
+                  return std::tuple(!a.ticketed_, -a.fitting_, a.row_) <
+                         std::tuple(!b.ticketed_, -b.fitting_, b.row_);
+              });
+}
+
 std::vector<candidate> list_candidates(planner const&    context,
                                        stage_view const& stage,
                                        free_room const&  free)
@@ -179,13 +190,7 @@
                  ticket != tickets.end() && is_valid(context, ticket->second)});
         }
     }
-    // Tickets at hand first, then the most room.
-    std::sort(candidates.begin(), candidates.end(),
-              [](candidate const& a, candidate const& b)
-              {
-                  return std::tuple(!a.ticketed_, -a.fitting_, a.row_) <
-                         std::tuple(!b.ticketed_, -b.fitting_, b.row_);
-              });
+    sort_candidates(candidates);
     return candidates;
 }
 
@@ -216,15 +221,45 @@
     }
 }
 
-// Tickets are of no use to a gang that lacks room. But which targets it may use
-// doesn't change, and tells whether it has to go to another shard.
-void keep_unknown(planner const& context, stage_view const& stage,
-                  std::vector<candidate>& candidates)
+// Targets without room that may have some when the answer comes.
+std::vector<candidate> list_later(planner const&                context,
+                                  stage_view const&             stage,
+                                  std::vector<candidate> const& candidates)
 {
-    if (is_blocked(context, stage))
+    std::vector<bool> listed(context.targets_.size());
+    for (candidate const& at : candidates)
+    {
+        listed[at.row_] = true;
+    }
+    auto const&            tickets = stage.row_.tickets_;
+    std::vector<candidate> later;
+    for (std::size_t row = 0; row < context.targets_.size(); ++row)
     {
-        candidates.clear();
+        target_row const& target = context.targets_[row];
+        target_id const&  id = context.targets_.key(row);
+        if (listed[row] || !accepts_stage(context, stage, target) ||
+            !could_run(context, stage, id, target))
+        {
+            continue;
+        }
+        std::int64_t const fitting = limit_to_spread(
+            context, stage, id, count_fitting_later(stage, target));
+        if (fitting > 0)
+        {
+            auto const ticket = tickets.find(id);
+            later.push_back(
+                {fitting, row, ticket != tickets.end(),
+                 ticket != tickets.end() && is_valid(context, ticket->second)});
+        }
     }
+    sort_candidates(later);
+    return later;
+}
+
+// Tickets are of no use to a gang that lacks room. But which targets it may use
+// doesn't change, and tells whether it has to go to another shard.
+void erase_known(std::vector<candidate>& candidates)
+{
     std::erase_if(candidates,
                   [](candidate const& at)
                   {
@@ -232,9 +267,11 @@
                   });
 }
 
-void ask(planner& context, stage_key const& key,
-         std::vector<candidate> const& candidates, std::int64_t validity_ms,
-         bool is_long)
+// Room comes and goes while the policy service answers, and a question takes
+// longer than a target in it. So it names all targets that the stage may use,
+// those with room first.
+void ask(planner& context, stage_view const& view,
+         std::vector<candidate> const& candidates, bool is_long)
 {
     std::vector<target_id> targets;
     for (candidate const& at : candidates)
@@ -248,11 +285,22 @@
     {
         return;
     }
-    stage_row& stage = *context.stages_.find(key);
+    stage_key const key = view.key_;
+    stage_row&      stage = *context.stages_.find(key);
     stage.asked_ = true;
     stage.asked_long_ = is_long;
     ++(is_long ? context.long_questions_ : context.short_questions_);
-    context.outbox_.push_back(ask_advice{key, std::move(targets), validity_ms});
+    context.outbox_.push_back(ask_advice{key, std::move(targets),
+                                         view.queue_->advice_->validity_ms_});
+}
+
+bool lacks_tickets(std::vector<candidate> const& candidates)
+{
+    return std::any_of(candidates.begin(), candidates.end(),
+                       [](candidate const& at)
+                       {
+                           return !at.ticketed_;
+                       });
 }
 
 // Stages that may ask, or whose tasks take room from worse-ranked ones.
@@ -316,8 +364,7 @@
     std::vector<candidate> candidates = list_candidates(context, stage, free);
     if (!startable)
     {
-        ask(context, key, candidates, stage.queue_->advice_->validity_ms_,
-            is_long);
+        ask(context, stage, candidates, is_long);
         return;
     }
     coverage const room = count_room(candidates);
@@ -327,12 +374,19 @@
         return;
     }
     // Room is kept for a gang with a reservation until its tickets are there.
-    if (stage.step_.gang_ && room.fitting_ < waiting &&
-        key != context.reserved_for_)
+    bool const lacks_room = stage.step_.gang_ && room.fitting_ < waiting &&
+                            key != context.reserved_for_;
+    if (lacks_room ? is_blocked(context, stage) : !lacks_tickets(candidates))
+    {
+        return;
+    }
+    std::vector<candidate> const later = list_later(context, stage, candidates);
+    candidates.insert(candidates.end(), later.begin(), later.end());
+    if (lacks_room)
     {
-        keep_unknown(context, stage, candidates);
+        erase_known(candidates);
     }
-    ask(context, key, candidates, stage.queue_->advice_->validity_ms_, is_long);
+    ask(context, stage, candidates, is_long);
 }
 
 } // namespace
--- a/tests/unit/plan_advice_test.cpp
+++ b/tests/unit/plan_advice_test.cpp
@@ -164,6 +164,62 @@
     CHECK(waiting[0].blocked_);
 }
 
+// Target `t-1` is free, `t-2` is full.
+struct full_target_fixture : advice_fixture
+{
+    full_target_fixture()
+    {
+        set_target("t-1");
+        set_target("t-2");
+        add_job("j-1", {make_step(4)});
+        tick();
+        auto const asked = list<ask_advice>();
+        REQUIRE(asked.size() == 1);
+        post(advice_given{asked[0].stage_,
+                          asked[0].targets_,
+                          {{target_id("t-2"), "ticket"}},
+                          now_.after(2 * micros_per_second)});
+        tick();
+        REQUIRE(list<start_run>().size() == 4);
+    }
+};
+
+// Guards against steps that find the room gone for which they hold tickets: a
+// question named the targets with room only, and took as long as one about all.
+TEST_CASE_FIXTURE(full_target_fixture,
+                  "room on one target, step waits, asked about the full one")
+{
+    add_check("c-1", 5);
+    tick();
+    auto const asked = list<ask_advice>();
+    REQUIRE(asked.size() == 1);
+    CHECK(asked[0].targets_ ==
+          std::vector<target_id>{target_id("t-1"), target_id("t-2")});
+}
+
+// Guards against a gang that stays in a shard that can never run it: targets
+// without room weren't asked about, and counted as allowed.
+TEST_CASE_FIXTURE(full_target_fixture,
+                  "gang lacks room, full target not allowed, told as blocked")
+{
+    add_job("j-2", {step_spec{.count_ = 2,
+                              .demand_ = {3000, 512, 0},
+                              .estimate_ms_ = 1000,
+                              .gang_ = true}});
+    tick();
+    auto const asked = list<ask_advice>();
+    REQUIRE(asked.size() == 1);
+    post(advice_given{asked[0].stage_,
+                      asked[0].targets_,
+                      {{target_id("t-1"), "ticket"}},
+                      now_.after(2 * micros_per_second)});
+    tick();
+    advance(micros_per_second);
+    auto const waiting = list_overflow(*planner_, now_, micros_per_second);
+    REQUIRE(waiting.size() == 1);
+    CHECK(waiting[0].blocked_);
+}
+
 // Guards against questions long before a stage can start: declared estimates
 // said that its predecessor was about to end.
 TEST_CASE_FIXTURE(
