--- a/tests/unit/plan_advice_test.cpp
+++ b/tests/unit/plan_advice_test.cpp
@@ -109,6 +109,117 @@
     CHECK(asked[0].stage_.job_ == job_id("j-2"));
 }
 
+// A gang with one task a target, of which too few are allowed.
+struct forbidden_gang_fixture : advice_fixture
+{
+    forbidden_gang_fixture()
+    {
+        for (char const* const name : {"t-1", "t-2", "t-3"})
+        {
+            set_target(name);
+        }
+        add_job("j-1", {step_spec{.count_ = 3,
+                                  .demand_ = {3000, 512, 0},
+                                  .estimate_ms_ = 1000,
+                                  .gang_ = true}});
+        tick();
+    }
+
+    void allow(std::vector<target_ticket> tickets)
+    {
+        auto const asked = list<ask_advice>();
+        REQUIRE(asked.size() == 1);
+        post(advice_given{asked[0].stage_, asked[0].targets_,
+                          std::move(tickets),
+                          now_.after(2 * micros_per_second)});
+    }
+};
+
+// Guards against a gang that renews tickets which it can't use: its questions
+// took the policy service's time, and hid it from the list of overflow.
+TEST_CASE_FIXTURE(forbidden_gang_fixture,
+                  "gang, too few targets allowed, handed over and not asked")
+{
+    allow({{target_id("t-1"), "ticket"}, {target_id("t-2"), "ticket"}});
+    tick();
+    advance(3 * micros_per_second); // the tickets have expired
+    tick();
+    CHECK(list<ask_advice>().empty());
+    auto const waiting = list_overflow(*planner_, now_, micros_per_second);
+    REQUIRE(waiting.size() == 1);
+    CHECK(waiting[0].blocked_);
+}
+
+// Guards against a gang that can't run here and stays while it has a question
+// in flight.
+TEST_CASE_FIXTURE(forbidden_gang_fixture,
+                  "gang, target drains while it is asked, told as blocked")
+{
+    REQUIRE(list<ask_advice>().size() == 1);
+    set_target("t-3", {4000, 8192, 0}, target_phase::draining);
+    tick();
+    advance(micros_per_second);
+    auto const waiting = list_overflow(*planner_, now_, micros_per_second);
+    REQUIRE(waiting.size() == 1);
+    CHECK(waiting[0].blocked_);
+}
+
+// Target `t-1` is free, `t-2` is full.
+struct full_target_fixture : advice_fixture
+{
+    full_target_fixture()
+    {
+        set_target("t-1");
+        set_target("t-2");
+        add_job("j-1", {make_step(4)});
+        tick();
+        auto const asked = list<ask_advice>();
+        REQUIRE(asked.size() == 1);
+        post(advice_given{asked[0].stage_,
+                          asked[0].targets_,
+                          {{target_id("t-2"), "ticket"}},
+                          now_.after(2 * micros_per_second)});
+        tick();
+        REQUIRE(list<start_run>().size() == 4);
+    }
+};
+
+// Guards against steps that find the room gone for which they hold tickets: a
+// question named the targets with room only, and took as long as one about all.
+TEST_CASE_FIXTURE(full_target_fixture,
+                  "room on one target, step waits, asked about the full one")
+{
+    add_check("c-1", 5);
+    tick();
+    auto const asked = list<ask_advice>();
+    REQUIRE(asked.size() == 1);
+    CHECK(asked[0].targets_ ==
+          std::vector<target_id>{target_id("t-1"), target_id("t-2")});
+}
+
+// Guards against a gang that stays in a shard that can never run it: targets
+// without room weren't asked about, and counted as allowed.
+TEST_CASE_FIXTURE(full_target_fixture,
+                  "gang lacks room, full target not allowed, told as blocked")
+{
+    add_job("j-2", {step_spec{.count_ = 2,
+                              .demand_ = {3000, 512, 0},
+                              .estimate_ms_ = 1000,
+                              .gang_ = true}});
+    tick();
+    auto const asked = list<ask_advice>();
+    REQUIRE(asked.size() == 1);
+    post(advice_given{asked[0].stage_,
+                      asked[0].targets_,
+                      {{target_id("t-1"), "ticket"}},
+                      now_.after(2 * micros_per_second)});
+    tick();
+    advance(micros_per_second);
+    auto const waiting = list_overflow(*planner_, now_, micros_per_second);
+    REQUIRE(waiting.size() == 1);
+    CHECK(waiting[0].blocked_);
+}
+
 // Guards against questions long before a stage can start: declared estimates
 // said that its predecessor was about to end.
 TEST_CASE_FIXTURE(
