Grant no leases while a release may have been performed

Callers could see tasks run twice after a shard was handed over, most likely while the store loses answers.

Cause: an owner took a release for performed only when the store said so. While the answer was on its way or lost it renewed leases and sent starts that waited for their turn, and when the store fell silent or no successor was left it went back to serving. The next owner finds the shard released, takes the former owner for stopped and counts one lease from its own first contact, so leases that were renewed later outlast its wait.

Now an owner grants no lease and sends no start from the moment a release is sent. A refusal of the store lifts this, as nothing was performed. A release without an answer may be performed later as long as the row is unchanged, so it is asked for again until the store tells that a write changed the row: that answer ends the ownership in each case. It is never taken back before.

What was granted or started earlier is covered by the next owner's wait: both end by a time of the target's clock that was set before the release was sent. Work on targets that no new owner reaches ends with its lease while the store is silent.

--- a/cell/claim_shards.cpp
+++ b/cell/claim_shards.cpp
@@ -356,6 +356,10 @@
         {
             drop_shard(context, request.shard_, "another host took it over");
         }
+        else if (reply.outcome_ == store_outcome::unknown)
+        {
+            own->release_unsettled_ = true;
+        }
         return;
     }
     if (taken)
--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -285,7 +285,8 @@
     // A target that doesn't answer is only asked, and at once: a lease that it
     // may receive late would put off the end of what runs there.
     bool const answers = is_answering(session);
-    if (session.clock_ms_ != 0 && answers)
+    if (session.clock_ms_ != 0 && answers &&
+        !may_be_released(*context.owned_.find(session.shard_)))
     {
         lease = target_clock(session, context.now_) + values.lease_ms_;
         session.granted_ms_ = std::max(session.granted_ms_, lease);
@@ -986,7 +987,8 @@
         send_stops(context, id, *session);
         while (session->phase_ == session_phase::attached &&
                session->open_orders_ < context.settings_.orders_open_ &&
-               !session->orders_.empty())
+               !session->orders_.empty() &&
+               !may_be_released(*context.owned_.find(session->shard_)))
         {
             plan::command const order = std::move(session->orders_.front());
             session->orders_.pop_front();
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -196,6 +196,9 @@
 std::uint64_t write_owner_row(node& context, shard_id const& shard,
                               std::uint32_t part, request_kind kind,
                               bool released, host_id const& successor);
+// True while a release may have been performed. The next owner then takes this
+// one for stopped, so it neither renews leases nor starts work.
+bool may_be_released(owned_row const& own);
 
 // Taking over
 void finish_loading(node& context, shard_id const& shard);
--- a/cell/owned_row.hpp
+++ b/cell/owned_row.hpp
@@ -30,6 +30,7 @@
     bool                      plan_needed_ = false;
     instant                   plan_after_; // next tick of the planner
     bool                      releasing_ = false;
+    bool release_unsettled_ = false; // one got no answer and may be performed
 
     // Divided limits
     bool          allotments_loaded_ = false;
--- a/cell/release_shards.cpp
+++ b/cell/release_shards.cpp
@@ -152,7 +152,7 @@
         return;
     }
     host_id const successor = choose_successor(context, shard);
-    if (successor.empty() && !context.stopping_)
+    if (successor.empty() && !context.stopping_ && !own.release_unsettled_)
     {
         own.releasing_ = false; // nobody is left to take it
         return;
@@ -163,6 +163,13 @@
 
 } // namespace
 
+// While the shard is served, only a release is sent as `request_`.
+bool may_be_released(owned_row const& own)
+{
+    return own.release_unsettled_ ||
+           (own.phase_ == owned_phase::serving && own.request_ != 0);
+}
+
 void release_shards(node& context)
 {
     if (!context.stopping_)
@@ -179,8 +186,10 @@
             continue;
         }
         own.releasing_ = own.releasing_ || context.stopping_;
+        // A release without an answer may still be performed until another
+        // write changes the row, so it is asked for again and never taken back.
         if (own.releasing_ && !context.store_ok_ && !context.stopping_ &&
-            own.request_ == 0)
+            !may_be_released(own))
         {
             own.releasing_ = false; // it can't be told
         }
--- /dev/null
+++ b/tests/unit/cell_release_test.cpp
@@ -0,0 +1,187 @@
+// Purpose: tests of handing a shard over.
+#include "cell_fixture.hpp"
+
+#include "cell/records.hpp"
+
+#include <doctest/doctest.h>
+
+namespace fescuevane::cell
+{
+namespace
+{
+
+// The node serves east; orders to its target go one at a time.
+struct release_fixture : cell_fixture
+{
+    row_key const row_{"member", "0", "shard/east.0"};
+    host_id const other_{"host-2"};
+
+    release_fixture()
+    {
+        settings_.orders_open_ = 1;
+        rows_[{"member", "", "host/host-2"}] = {
+            {"member", "", "host/host-2"},
+            write_host({"127.0.0.1:7001", domain_id("east"), 1, 5}),
+            ++revision_};
+        start(1);
+        serve();
+    }
+
+    void tell_other(bool stopping = false)
+    {
+        post(heartbeat_received{
+            {.host_ = other_, .incarnation_ = 5, .stopping_ = stopping}});
+    }
+
+    bool is_released() { return read_owner(rows_.at(row_).value_).released_; }
+
+    // True while other hosts are told that the node serves the shard.
+    bool is_serving()
+    {
+        heartbeat const beat = make_heartbeat(*node_);
+        return !beat.shards_.empty() && beat.shards_[0].serving_;
+    }
+
+    // Answers what was asked up to now.
+    void answer_target()
+    {
+        for (hold_target const& hold : take<hold_target>())
+        {
+            answer_hold(hold);
+        }
+    }
+
+    std::size_t count_leases(std::vector<hold_target> const& holds)
+    {
+        return static_cast<std::size_t>(
+            std::count_if(holds.begin(), holds.end(),
+                          [](hold_target const& hold)
+                          {
+                              return hold.lease_clock_ms_ > 0;
+                          }));
+    }
+
+    // Runs while the target answers; the leases that it is granted meanwhile.
+    std::size_t run_target(std::int64_t micros)
+    {
+        constexpr std::int64_t step = 20'000;
+        std::size_t            leases = 0;
+        for (std::int64_t passed = 0; passed < micros; passed += step)
+        {
+            run(step);
+            auto const holds = take<hold_target>();
+            leases += count_leases(holds);
+            for (hold_target const& hold : holds)
+            {
+                answer_hold(hold);
+            }
+        }
+        return leases;
+    }
+};
+
+// Guards against tasks that run twice: an owner renewed leases after its
+// release was stored, while the next owner took it for stopped.
+TEST_CASE_FIXTURE(release_fixture,
+                  "release stored without an answer, no lease is renewed")
+{
+    REQUIRE(run_target(200'000) > 0);
+    store_silent_ = true;
+    post(stop_requested{});
+    tick();
+    REQUIRE(is_released());
+    answer_target();
+    CHECK(run_target(3 * micros_per_second) == 0);
+}
+
+// The same while the answer is still expected.
+TEST_CASE_FIXTURE(release_fixture,
+                  "release stored, answer on its way, no lease is renewed")
+{
+    REQUIRE(run_target(200'000) > 0);
+    store_held_ = true;
+    post(stop_requested{});
+    tick();
+    REQUIRE(is_released());
+    answer_target();
+    CHECK(run_target(3 * micros_per_second) == 0);
+    release_store();
+    run(20'000);
+    CHECK(is_stopped(*node_));
+}
+
+// Guards against tasks that run twice: starts that waited for their turn were
+// sent after the release.
+TEST_CASE_FIXTURE(release_fixture,
+                  "release stored without an answer, starts wait, none is sent")
+{
+    submit("aa01");
+    submit("aa02");
+    run(200'000);
+    auto const starts = take<send_start>();
+    REQUIRE(starts.size() == 1); // the other one waits for its turn
+    store_silent_ = true;
+    post(stop_requested{});
+    tick();
+    REQUIRE(is_released());
+    post(order_reply{.request_ = starts[0].request_,
+                     .outcome_ = target_outcome::done});
+    run(100'000);
+    CHECK(take<send_start>().empty());
+}
+
+// Guards against two owners: one that gave its shard to a host went back to
+// serving it when the store fell silent, though its release was stored.
+TEST_CASE_FIXTURE(release_fixture,
+                  "release without an answer, store lost, isn't taken back")
+{
+    settings_.cpu_share_ = 0.1; // host-2 has more time left
+    start(2);
+    list_target("t-1");
+    for (int round = 0; round < 100 && !is_serving(); ++round)
+    {
+        tell_other();
+        run_target(20'000);
+    }
+    REQUIRE(is_serving());
+    store_silent_ = true;
+    for (int round = 0; round < 100 && !is_released(); ++round)
+    {
+        tell_other();
+        run_target(20'000);
+    }
+    REQUIRE(is_released());
+    bool stopping = false;
+    SUBCASE("the successor is well") {}
+    SUBCASE("the successor stops")
+    {
+        stopping = true;
+    }
+    tell_other(stopping);
+    answer_target();
+    for (int round = 0; round < 100; ++round)
+    {
+        tell_other(stopping);
+        CHECK(run_target(20'000) == 0);
+        CHECK_FALSE(is_serving());
+    }
+    store_silent_ = false;
+    run(20'000);
+    CHECK(make_heartbeat(*node_).shards_.empty());
+}
+
+// Guards against work that stops for nothing: a release that the store refused
+// was never performed.
+TEST_CASE_FIXTURE(release_fixture,
+                  "release refused by the store, leases are renewed")
+{
+    REQUIRE(run_target(200'000) > 0);
+    store_down_ = true;
+    post(stop_requested{});
+    run_target(100'000);
+    CHECK_FALSE(is_released());
+    CHECK(run_target(3 * micros_per_second) > 0);
+}
+
+} // namespace
+} // namespace fescuevane::cell
