Drop requests, orders and hand-overs with their ownership

Callers could see a cancel confirmed that wasn't stored, ended jobs and handed-over tasks run again, and a shard go without an owner for a moment.

Cause: a process that drops a shard may claim it again within the same tick. Replies of the store and of targets name a request only, so those to the earlier ownership were applied to the present one: a write of a job confirmed a cancel in flight, rows that were read before the shard changed owners replaced what its owner had stored since, and a target's word that an order was superseded made the owner give the shard up. A hand-over whose mark wasn't stored went on after the claim, beside a second one of the same tasks.

Now requests to the store are marked as abandoned when their shard is dropped; their replies still tell whether the store answers. Hand-overs are removed with the shard, together with their calls, and a session that is opened forgets orders in flight to its target. Nothing of an earlier ownership can be found by a reply any more. Writes of it that are performed late fail on the fence row, as before.

--- a/cell/claim_shards.cpp
+++ b/cell/claim_shards.cpp
@@ -480,6 +480,24 @@
     }
 }
 
+namespace
+{
+
+// The shard may be claimed again at once, and a reply names its request only.
+void abandon_requests(node& context, shard_id const& shard)
+{
+    for (request_row& request : context.requests_)
+    {
+        // A layout belongs to the failure domain, whoever owns its shards.
+        if (request.shard_ == shard && request.kind_ != request_kind::layout)
+        {
+            request.kind_ = request_kind::abandoned;
+        }
+    }
+}
+
+} // namespace
+
 void drop_shard(node& context, shard_id const& shard, std::string const& why)
 {
     if (!context.owned_.contains(shard))
@@ -491,6 +509,8 @@
                {"epoch", std::to_string(context.owned_.find(shard)->epoch_)},
                {"reason", why}});
     close_sessions(context, shard);
+    abandon_requests(context, shard);
+    drop_delegations(context, shard);
     std::vector<job_id> jobs;
     for (std::size_t row = 0; row < context.records_.size(); ++row)
     {
--- a/cell/delegate_tasks.cpp
+++ b/cell/delegate_tasks.cpp
@@ -345,6 +345,13 @@
     return record->canceled_ || !phase || is_final(*phase);
 }
 
+void abandon_call(node& context, delegation_row& row)
+{
+    context.calls_.remove(row.call_);
+    context.delegate_calls_.erase(row.call_);
+    row.call_ = 0;
+}
+
 void advance_delegation(node& context, job_id const& id, delegation_row& row)
 {
     owned_row const* const own = context.owned_.find(row.shard_);
@@ -371,9 +378,7 @@
             context.calls_.find(row.call_)->kind_ == call_kind::lookup)
         {
             // A look-up waits for the end of the tasks, a cancel may not.
-            context.calls_.remove(row.call_);
-            context.delegate_calls_.erase(row.call_);
-            row.call_ = 0;
+            abandon_call(context, row);
         }
     }
     if (row.call_ != 0)
@@ -466,18 +471,27 @@
     std::vector<job_id> const ids = context.delegations_.keys();
     for (job_id const& id : ids)
     {
-        delegation_row* const row = context.delegations_.find(id);
-        if (!context.owned_.contains(row->shard_))
-        {
-            context.delegations_.remove(id); // its new owner goes on
-            continue;
-        }
-        advance_delegation(context, id, *row);
+        advance_delegation(context, id, *context.delegations_.find(id));
     }
 }
 
 // 4. Recovery
 
+// The next owner goes on with those whose mark is stored.
+void drop_delegations(node& context, shard_id const& shard)
+{
+    std::vector<job_id> const ids = context.delegations_.keys();
+    for (job_id const& id : ids)
+    {
+        delegation_row& row = *context.delegations_.find(id);
+        if (row.shard_ == shard)
+        {
+            abandon_call(context, row);
+            context.delegations_.remove(id);
+        }
+    }
+}
+
 std::vector<job_id> list_delegates(node const& context, job_id const& job)
 {
     std::vector<job_id> delegates;
--- a/cell/follow_members.cpp
+++ b/cell/follow_members.cpp
@@ -477,6 +477,8 @@
     case request_kind::lend:
         end_lend(context, request, input);
         break;
+    case request_kind::abandoned:
+        break;
     }
 }
 
--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -80,8 +80,24 @@
            values.clock_slack_ms_ * micros_per_milli;
 }
 
+// A reply to an order names its request only, so those of earlier sessions
+// would be taken for replies to the present one.
+void forget_orders(node& context, target_id const& id)
+{
+    // Backwards, since a removal moves the last row into the gap.
+    for (std::size_t row = context.orders_.size(); row-- > 0;)
+    {
+        if (context.orders_[row].target_ == id)
+        {
+            std::uint64_t const request = context.orders_.key(row);
+            context.orders_.remove(request);
+        }
+    }
+}
+
 void open_session(node& context, target_id const& id)
 {
+    forget_orders(context, id);
     session_row& session = *context.sessions_.find(id);
     owned_row&   own = *context.owned_.find(session.shard_);
     if (own.predecessor_stopped_)
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -227,6 +227,7 @@
 
 // Delegations
 void restore_delegations(node& context, job_record const& record);
+void drop_delegations(node& context, shard_id const& shard);
 std::vector<job_id> list_delegates(node const& context, job_id const& job);
 bool                end_delegate_call(node& context, std::uint64_t call,
                                       job_answer const& answer); // false: another call
--- a/cell/request_row.hpp
+++ b/cell/request_row.hpp
@@ -24,7 +24,8 @@
     locate,    // find the shard of a job
     layout,    // write the layout of a failure domain
     allotment, // read the divided limits
-    lend       // move parts of limits to other shards
+    lend,      // move parts of limits to other shards
+    abandoned  // the shard was dropped, so the reply changes nothing
 };
 
 struct request_row
