Refuse late submissions of handed-over tasks by a stored row

Callers could see tasks of a canceled or failed job run in another shard.

Cause: tasks that are handed over become a job of their own. When the first job is over, that job is canceled, and a cancel that found no such job ended the hand-over. The absence of a job was taken for its refusal: a submission that had no answer may still be on its way to the other owner, or wait there for the store, and was then accepted with nobody left to cancel it. Waiting for some time instead isn't certain, as the other owner asks a store that refuses it again and again.

Now the owner stores a row for the job that says that it was canceled, on the condition that there is none. Either the row comes first, and any submission fails on its own condition and starts nothing, or the job was accepted first, the condition fails, and the next cancel finds it. The hand-over ends only with a cancel that was confirmed.

This costs one write for each hand-over whose cancel finds no job, none otherwise.

--- a/cell/delegate_tasks.cpp
+++ b/cell/delegate_tasks.cpp
@@ -412,6 +412,25 @@
     }
 }
 
+// No shard has accepted the job, but an earlier submission may still be on its
+// way or be stored late. A row that says that the job was canceled stops it.
+void refuse_delegate(node& context, job_id const& id, shard_id const& shard)
+{
+    if (context.records_.contains(id))
+    {
+        return; // it came just now
+    }
+    staged_job const job{.id_ = id};
+    context.records_.ensure(id) =
+        record_row{.shard_ = shard,
+                   .part_ = part_of(context, id),
+                   .job_ = std::make_shared<staged_job const>(job),
+                   .spec_text_ = write_spec(job),
+                   .phase_ = job_phase::canceled,
+                   .canceled_ = true};
+    mark_changed(context, id, true);
+}
+
 } // namespace
 
 bool end_delegate_call(node& context, std::uint64_t call,
@@ -449,10 +468,11 @@
         finish_delegation(context, id, job_phase::canceled);
         break;
     case job_outcome::absent:
-        // Never accepted, or a cancel that came before it.
+        // Never accepted, or a cancel that came before it. The next cancel
+        // finds the row that refuses the job, or a job that came first.
         if (row->phase_ == delegation_phase::canceling)
         {
-            context.delegations_.remove(id);
+            refuse_delegate(context, id, row->shard_);
         }
         else
         {
--- a/cell/write_journal.cpp
+++ b/cell/write_journal.cpp
@@ -317,13 +317,20 @@
                   });
 }
 
-// The job stands in the store: it is accepted.
+// The job stands in the store: it is accepted, unless the row refuses it.
 void accept_job(node& context, record_row& record)
 {
     record.stored_ = true;
     record.uncertain_ = false;
-    add_alias(context, *record.job_);
     note_place(context, record.job_->id_, record.shard_);
+    if (is_final(record.phase_))
+    {
+        keep_result(context, record);
+        answer_waiting(context, record, call_kind::submit,
+                       job_outcome::accepted);
+        return;
+    }
+    add_alias(context, *record.job_);
     owned_row&         own = *context.owned_.find(record.shard_);
     std::int64_t const age_ms = std::max<std::int64_t>(
         0, context.unix_ms_ - record.job_->accepted_unix_ms_);
--- a/tests/unit/cell_delegation_test.cpp
+++ b/tests/unit/cell_delegation_test.cpp
@@ -123,6 +123,134 @@
     }
 }
 
+// West gave no answer to a submission of tasks whose job was canceled then.
+struct canceled_fixture : delegation_fixture
+{
+    std::vector<job_call> submitted_;
+
+    canceled_fixture()
+    {
+        west_.used_ = {4000, 1024, 0};
+        tell_west();
+        for (int job = 0; job < 5; ++job)
+        {
+            submit("aa0" + std::to_string(job)); // four of them fit
+        }
+        run_cell(200'000);
+        west_.used_ = {};
+        run_cell(2 * micros_per_second);
+        submitted_ = list_delegated();
+        REQUIRE(!submitted_.empty());
+        ask(call_kind::cancel, submitted_[0].job_->alias_->stage_.job_.str());
+    }
+
+    // Runs while west knows none of the jobs that it is asked about.
+    void run_absent(std::int64_t micros)
+    {
+        constexpr std::int64_t step = 100'000;
+        for (std::int64_t passed = 0; passed < micros; passed += step)
+        {
+            run_cell(step);
+            for (call_peer const& call : take<call_peer>())
+            {
+                if (call.call_.kind_ != call_kind::submit)
+                {
+                    post(peer_replied{call.request_,
+                                      {.outcome_ = job_outcome::absent}});
+                }
+            }
+        }
+    }
+
+    // The node is the owner of west from here on.
+    void become_west()
+    {
+        settings_.host_ = host_id("host-2");
+        settings_.address_ = "127.0.0.1:7001";
+        settings_.domain_ = domain_id("west");
+        start(5);
+        post(target_listed{{.id_ = target_id("t-west"),
+                            .address_ = "127.0.0.1:8001",
+                            .domain_ = domain_id("west"),
+                            .service_ = service_id("desk"),
+                            .rack_ = rack_id("r-2"),
+                            .capacity_ = {4000, 8192, 0}}});
+        running_.clear();
+        commands_.clear();
+        for (int round = 0; round < 30; ++round)
+        {
+            run(100'000);
+            for (hold_target const& hold : take<hold_target>())
+            {
+                answer_hold(hold);
+            }
+        }
+        run(20'000);
+    }
+
+    // Starts of west's target after a submission from host-1.
+    std::size_t count_starts(job_call const& call)
+    {
+        post(peer_called{1,
+                         {.kind_ = call_kind::submit,
+                          .id_ = call.id_,
+                          .shard_ = {domain_id("west"), 0},
+                          .job_ = call.job_,
+                          .deadline_ = now_.after(micros_per_second)}});
+        run(100'000);
+        auto const replies = take<reply_peer>();
+        REQUIRE(replies.size() == 1);
+        CHECK(replies[0].answer_.outcome_ == job_outcome::accepted);
+        return take<send_start>().size();
+    }
+};
+
+// Guards against tasks of a canceled job that run: their submission was
+// accepted after the cancel had found nothing.
+TEST_CASE_FIXTURE(canceled_fixture,
+                  "cancel finds no job, submitted late, nothing is started")
+{
+    run_absent(500'000); // the cancel of the job is stored
+    SUBCASE("the store answers")
+    {
+        run_absent(4 * micros_per_second);
+    }
+    SUBCASE("the store's answers are lost for some time")
+    {
+        store_silent_ = true;
+        run_absent(4 * micros_per_second);
+        store_silent_ = false;
+        run_absent(500'000);
+    }
+    SUBCASE("the shard gets a new owner")
+    {
+        run_absent(4 * micros_per_second);
+        start(2);
+        list_target("t-1");
+        running_.clear();
+        run_absent(micros_per_second);
+        CHECK(std::none_of(commands_.begin(), commands_.end(),
+                           [](command const& order)
+                           {
+                               auto const* const line =
+                                   std::get_if<log_line>(&order);
+                               return line != nullptr &&
+                                      line->event_ == "row_unreadable";
+                           }));
+    }
+    become_west();
+    job_call const other{.id_ = job_id("bb01"),
+                         .job_ = std::make_shared<staged_job const>(staged_job{
+                             .id_ = job_id("bb01"),
+                             .organisation_ = organisation_id("cafe"),
+                             .queue_ = queue_id("orders"),
+                             .service_ = service_id("desk"),
+                             .payload_ = "work",
+                             .steps_ = {{.demand_ = {1000, 512, 0}}}})};
+    CHECK(count_starts(other) == 1);
+    CHECK(count_starts(submitted_[0]) == 0);
+}
+
 // East has no target that may run the tasks. West stands empty, north has work.
 struct blocked_fixture : cell_fixture
 {
