Pause before a release of a shard is asked for again

Operators and callers could see a store that turns calls away while hosts stop: a release that was refused was sent again with the next tick, 101 writes a second in the test, all of them priced.

Now one that was refused or got no answer is sent again after 150 ms, the pause of other writes. A shard that another host should get and whose release was refused stays with its owner, as before, while the store is lost.

Evidence: "release refused by the store, asked again after a pause" failed before (101 writes, at most 7 expected) and shows that the shard is released within the pause after the store is back.

--- a/cell/claim_shards.cpp
+++ b/cell/claim_shards.cpp
@@ -351,15 +351,16 @@
         if (taken)
         {
             drop_shard(context, request.shard_, "handed over");
+            return;
         }
-        else if (reply.outcome_ == store_outcome::conflict)
+        if (reply.outcome_ == store_outcome::conflict)
         {
             drop_shard(context, request.shard_, "another host took it over");
+            return;
         }
-        else if (reply.outcome_ == store_outcome::unknown)
-        {
-            own->release_unsettled_ = true;
-        }
+        own->release_unsettled_ |= reply.outcome_ == store_outcome::unknown;
+        part.retry_at_ =
+            context.now_.after(context.settings_.store_retry_micros_);
         return;
     }
     if (taken)
--- a/cell/release_shards.cpp
+++ b/cell/release_shards.cpp
@@ -157,6 +157,11 @@
         own.releasing_ = false; // nobody is left to take it
         return;
     }
+    if (own.parts_[0].retry_at_ > context.now_)
+    {
+        wake_at(context, own.parts_[0].retry_at_);
+        return;
+    }
     own.request_ = write_owner_row(context, shard, 0, request_kind::release,
                                    true, successor);
 }
