--- a/cell/claim_shards.cpp
+++ b/cell/claim_shards.cpp
@@ -351,11 +351,16 @@
         if (taken)
         {
             drop_shard(context, request.shard_, "handed over");
+            return;
         }
-        else if (reply.outcome_ == store_outcome::conflict)
+        if (reply.outcome_ == store_outcome::conflict)
         {
             drop_shard(context, request.shard_, "another host took it over");
+            return;
         }
+        own->release_unsettled_ |= reply.outcome_ == store_outcome::unknown;
+        part.retry_at_ =
+            context.now_.after(context.settings_.store_retry_micros_);
         return;
     }
     if (taken)
@@ -476,6 +481,24 @@
     }
 }
 
+namespace
+{
+
+// The shard may be claimed again at once, and a reply names its request only.
+void abandon_requests(node& context, shard_id const& shard)
+{
+    for (request_row& request : context.requests_)
+    {
+        // A layout belongs to the failure domain, whoever owns its shards.
+        if (request.shard_ == shard && request.kind_ != request_kind::layout)
+        {
+            request.kind_ = request_kind::abandoned;
+        }
+    }
+}
+
+} // namespace
+
 void drop_shard(node& context, shard_id const& shard, std::string const& why)
 {
     if (!context.owned_.contains(shard))
@@ -487,6 +510,8 @@
                {"epoch", std::to_string(context.owned_.find(shard)->epoch_)},
                {"reason", why}});
     close_sessions(context, shard);
+    abandon_requests(context, shard);
+    drop_delegations(context, shard);
     std::vector<job_id> jobs;
     for (std::size_t row = 0; row < context.records_.size(); ++row)
     {
--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -80,8 +80,24 @@
            values.clock_slack_ms_ * micros_per_milli;
 }
 
+// A reply to an order names its request only, so those of earlier sessions
+// would be taken for replies to the present one.
+void forget_orders(node& context, target_id const& id)
+{
+    // Backwards, since a removal moves the last row into the gap.
+    for (std::size_t row = context.orders_.size(); row-- > 0;)
+    {
+        if (context.orders_[row].target_ == id)
+        {
+            std::uint64_t const request = context.orders_.key(row);
+            context.orders_.remove(request);
+        }
+    }
+}
+
 void open_session(node& context, target_id const& id)
 {
+    forget_orders(context, id);
     session_row& session = *context.sessions_.find(id);
     owned_row&   own = *context.owned_.find(session.shard_);
     if (own.predecessor_stopped_)
@@ -285,7 +301,8 @@
     // A target that doesn't answer is only asked, and at once: a lease that it
     // may receive late would put off the end of what runs there.
     bool const answers = is_answering(session);
-    if (session.clock_ms_ != 0 && answers)
+    if (session.clock_ms_ != 0 && answers &&
+        !may_be_released(*context.owned_.find(session.shard_)))
     {
         lease = target_clock(session, context.now_) + values.lease_ms_;
         session.granted_ms_ = std::max(session.granted_ms_, lease);
@@ -1057,7 +1074,8 @@
         send_stops(context, id, *session);
         while (session->phase_ == session_phase::attached &&
                session->open_orders_ < context.settings_.orders_open_ &&
-               !session->orders_.empty())
+               !session->orders_.empty() &&
+               !may_be_released(*context.owned_.find(session->shard_)))
         {
             plan::command const order = std::move(session->orders_.front());
             session->orders_.pop_front();
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -196,6 +196,9 @@
 std::uint64_t write_owner_row(node& context, shard_id const& shard,
                               std::uint32_t part, request_kind kind,
                               bool released, host_id const& successor);
+// True while a release may have been performed. The next owner then takes this
+// one for stopped, so it neither renews leases nor starts work.
+bool may_be_released(owned_row const& own);
 
 // Taking over
 void finish_loading(node& context, shard_id const& shard);
@@ -224,6 +227,7 @@
 
 // Delegations
 void restore_delegations(node& context, job_record const& record);
+void drop_delegations(node& context, shard_id const& shard);
 std::vector<job_id> list_delegates(node const& context, job_id const& job);
 bool                end_delegate_call(node& context, std::uint64_t call,
                                       job_answer const& answer); // false: another call
