Count silence of targets only while an entry process runs on time

What callers saw: an owner without processor time for longer than a lease took its targets for silent and their leases for lapsed in its first tick, before it read what they had sent. Its tasks were counted as lost; the end of one that was done meanwhile was acknowledged and dropped, and its caller got no answer.

Cause: entry/node_sessions.cpp judged silence and lapse by the clock alone, and decide judged the same lapse by a timer of its own.

Change: core/on_time_span.hpp holds what cell/ knew already: a tick more than 250 ms after it was due shows that the process ran late, and silence counts from then on, put off by a bound. cell/ uses it with the same results. In entry/ a target gets a silence bound to be heard after a late tick; a process that is late again and again judges 20 s after the deadline at the latest. The session alone judges the lapse and tells the scheduler, which gets no deadline any more. Orders wait while the latest clock of a target is older than a lease, since the target would turn the starts down.

Before, "owner, late while a task ends" and "owner, late with a broken link" failed: the call was told as dispatched or running, not as answered.

Why it works: after a late tick nothing is judged before the time in which a target answers a batch has passed on time, so ends that wait in the sockets, or that a new link lists, are read first.

--- a/cell/node.cpp
+++ b/cell/node.cpp
@@ -75,10 +75,8 @@
     context.observer_ = observer;
     context.now_ = now;
     context.unix_ms_ = unix_ms;
-    if (context.wake_.after(context.settings_.late_micros_) < now)
-    {
-        context.on_time_since_ = now;
-    }
+    context.on_time_ = context.on_time_.after_tick(
+        context.wake_, now, context.settings_.late_micros_);
     context.wake_ = instant::never();
     if (observer != nullptr)
     {
@@ -230,8 +228,8 @@
 
 instant count_silence_from(node const& context, instant word)
 {
-    instant const bound = word.after(context.settings_.late_bound_micros_);
-    return std::max(word, std::min(context.on_time_since_, bound));
+    return context.on_time_.count_silence_from(
+        word, context.settings_.late_bound_micros_);
 }
 
 bool is_silent(node const& context, instant word)
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -23,6 +23,7 @@
 #include "cell/session_row.hpp"
 #include "cell/settings.hpp"
 #include "cell/shard_row.hpp"
+#include "core/on_time_span.hpp"
 #include "core/table.hpp"
 
 #include <deque>
@@ -47,7 +48,7 @@
     std::int64_t         unix_ms_ = 0;
     instant              started_;
     instant              wake_ = instant::never();
-    instant              on_time_since_; // end of the latest late tick
+    on_time_span         on_time_;
     std::uint64_t        last_request_ = 0;
     tick_observer*       observer_ = nullptr; // of the current tick
     std::uint64_t        visited_ = 0;        // rows, by the current system
@@ -165,8 +166,8 @@
 void end_lend(node& context, request_row const& request,
               store_reply const& reply);
 
-// Silence of others counts only while this process runs on time: what they sent
-// meanwhile may not have been read. The later of the two, within a bound.
+// Silence of others counts only while this process runs on time, see
+// `on_time_span`.
 instant count_silence_from(node const& context, instant word);
 bool    is_silent(node const& context, instant word); // too long to be well
 
--- a/core/core.hpp
+++ b/core/core.hpp
@@ -17,11 +17,12 @@
 #include "core/task_key.hpp" // job, task index, attempt
 
 // 2. Values
-#include "core/instant.hpp"    // point in time, microseconds
-#include "core/job_result.hpp" // what a caller gets back
-#include "core/job_spec.hpp"   // what a caller asks for
-#include "core/resources.hpp"  // processors, memory, accelerators
-#include "core/work_kind.hpp"  // work_kind, job_state, outcome
+#include "core/instant.hpp"      // point in time, microseconds
+#include "core/job_result.hpp"   // what a caller gets back
+#include "core/job_spec.hpp"     // what a caller asks for
+#include "core/on_time_span.hpp" // since when a process has run on time
+#include "core/resources.hpp"    // processors, memory, accelerators
+#include "core/work_kind.hpp"    // work_kind, job_state, outcome
 
 // 3. Parts of tables
 #include "core/column.hpp"    // one field, a cell per row
--- a/decide/target_unreached.hpp
+++ b/decide/target_unreached.hpp
@@ -11,7 +11,7 @@
 
 // The target gets no work. Until it joins, or until `lapse_deadline_`, when
 // every lease it may hold has lapsed, `capacity_` counts as used by each team
-// that has an upper limit.
+// that has an upper limit. With `never` the lapse is told with `target_lost`.
 struct target_unreached
 {
     target_id const target_;
--- a/entry/node.cpp
+++ b/entry/node.cpp
@@ -80,6 +80,8 @@
 
 void run_tick(node& context, instant now, std::vector<command>& output)
 {
+    context.on_time_ = context.on_time_.after_tick(
+        next_deadline(context), now, context.settings_.late_micros_);
     context.now_ = now;
     count(context, counter::ticks);
     for (system_entry const& system : systems)
--- a/entry/node_sessions.cpp
+++ b/entry/node_sessions.cpp
@@ -21,10 +21,38 @@
 
 // A target answers each lease batch at once, so more than two intervals of
 // silence mean that it, or the way to it, has stopped.
+std::int64_t silence_micros(settings const& values)
+{
+    return values.lease_renew_micros_ * 9 / 4;
+}
+
+// When to judge a target by a deadline that passed without word from it: what
+// it sent while this process ran late is read, and a broken link opened again,
+// before.
+instant put_off(node const& context, instant deadline)
+{
+    return context.on_time_.put_off(deadline, silence_micros(context.settings_),
+                                    context.settings_.late_bound_micros_);
+}
+
 instant find_silence_deadline(node const& context, std::size_t row)
+{
+    return put_off(context, context.sessions_.heard_[row].after(
+                                silence_micros(context.settings_)));
+}
+
+// Work of a target without a link starts elsewhere from then on.
+instant find_lapse(node const& context, std::size_t row)
+{
+    return put_off(context, context.sessions_.lapse_deadline_[row]);
+}
+
+// Leases granted on the latest clock of the target have ended already, so that
+// it would turn down all starts.
+bool has_old_clock(node const& context, std::size_t row)
 {
     return context.sessions_.heard_[row].after(
-        context.settings_.lease_renew_micros_ * 9 / 4);
+               context.settings_.lease_micros_) <= context.now_;
 }
 
 void post_to_owner(node& context, std::size_t session, decide::event input)
@@ -37,6 +65,16 @@
     }
 }
 
+// The lapse is judged here, since the shard can't tell whether this process ran
+// on time.
+void post_unreached(node& context, std::size_t row)
+{
+    listed_host const& host = context.sessions_.host_[row];
+    post_to_owner(context, row,
+                  decide::target_unreached{host.target_, host.capacity_,
+                                           instant::never()});
+}
+
 // 1. Opening and closing
 
 void open_session(node& context, std::size_t host)
@@ -46,11 +84,8 @@
     shard_id const     shard = find_shard_of(context, listed);
     std::size_t const  row = append_session(context.sessions_, listed, shard);
     // An earlier owner may have renewed its leases until it left the list.
-    instant const lapse = hosts.gone_deadline_[host];
-    context.sessions_.lapse_deadline_[row] = lapse;
-    post_to_owner(
-        context, row,
-        decide::target_unreached{listed.target_, listed.capacity_, lapse});
+    context.sessions_.lapse_deadline_[row] = hosts.gone_deadline_[host];
+    post_unreached(context, row);
     context.session_deadline_ = context.now_;
 }
 
@@ -268,6 +303,11 @@
         context.control_dirty_ = true;
         return;
     }
+    if (has_old_clock(context, *row))
+    {
+        sessions.renew_deadline_[*row] = context.now_; // with what waits
+        context.session_deadline_ = context.now_;
+    }
     sessions.clock_micros_[*row] = input.clock_micros_;
     sessions.heard_[*row] = context.now_;
     if (input.snapshot_)
@@ -297,10 +337,7 @@
     sessions.connect_deadline_[*row] = context.now_.after(reconnect_micros);
     context.session_deadline_ =
         std::min(context.session_deadline_, sessions.connect_deadline_[*row]);
-    post_to_owner(context, *row,
-                  decide::target_unreached{input.target_,
-                                           sessions.host_[*row].capacity_,
-                                           sessions.lapse_deadline_[*row]});
+    post_unreached(context, *row);
 }
 
 // 3. Orders
@@ -319,7 +356,8 @@
 }
 
 // The target's leases end `lease_micros` after the clock that is echoed, by its
-// own clock, which it read before this process heard it.
+// own clock, which it read before this process heard it. Orders wait while that
+// clock is too old, until the answer to the batch shows a new one.
 void send_batch(node& context, std::size_t row)
 {
     session_table&     sessions = context.sessions_;
@@ -328,7 +366,9 @@
         .target_ = sessions.index_.key(row),
         .echo_micros_ = sessions.clock_micros_[row],
         .lease_micros_ = lease,
-        .orders_ = std::exchange(sessions.orders_[row], {}),
+        .orders_ = has_old_clock(context, row)
+                       ? std::vector<decide::command>()
+                       : std::exchange(sessions.orders_[row], {}),
         .acknowledged_ends_ = std::exchange(sessions.acknowledged_[row], {})});
     sessions.lapse_deadline_[row] = sessions.heard_[row].after(lease);
     sessions.renew_deadline_[row] =
@@ -423,7 +463,7 @@
     session_table&    sessions = context.sessions_;
     checkers[static_cast<std::size_t>(sessions.phase_[row])](context, row);
     if (sessions.phase_[row] != session_phase::attached &&
-        sessions.lapse_deadline_[row] <= context.now_)
+        find_lapse(context, row) <= context.now_)
     {
         sessions.lapse_deadline_[row] = instant::never();
         lose_tasks(context, row);
@@ -438,8 +478,7 @@
         return std::min(sessions.renew_deadline_[row],
                         find_silence_deadline(context, row));
     }
-    return std::min(sessions.connect_deadline_[row],
-                    sessions.lapse_deadline_[row]);
+    return std::min(sessions.connect_deadline_[row], find_lapse(context, row));
 }
 
 // A shard is complete when each listed target was attached under its epoch, or
@@ -502,7 +541,7 @@
                 post_joined(context, *session);
             }
         }
-        if (hosts.gone_deadline_[row] > context.now_)
+        if (put_off(context, hosts.gone_deadline_[row]) > context.now_)
         {
             continue;
         }
--- a/entry/node_tables.hpp
+++ b/entry/node_tables.hpp
@@ -9,6 +9,7 @@
 #define FESCUEVANE_ENTRY_NODE_TABLES_HPP
 
 #include "core/instant.hpp"
+#include "core/on_time_span.hpp"
 #include "entry/answer_kind.hpp"
 #include "entry/command.hpp"
 #include "entry/counter.hpp"
@@ -51,6 +52,7 @@
     std::vector<event>   inbox_;  // posted since the last tick
     std::vector<command> outbox_; // of the current tick
     instant              now_;    // of the current tick
+    on_time_span         on_time_;
     counter_values       counters_ = {};
     std::mt19937_64      random_; // span ids, choice between equal shards
 
--- a/entry/settings.hpp
+++ b/entry/settings.hpp
@@ -37,6 +37,13 @@
     std::int64_t store_timeout_micros_ = 1'000'000; // of one read or commit
     std::int64_t stop_grace_micros_ = 30'000'000;   // of a graceful stop
 
+    // A tick that comes later than this after it was due shows that the process
+    // had no processor time. Processor quotas alone cause up to 100 ms.
+    std::int64_t late_micros_ = 250'000;
+    // Late spans put off the judgement of a target by no more than this, so
+    // that a process that is late again and again still notices what is gone.
+    std::int64_t late_bound_micros_ = 20'000'000;
+
     // Logs and traces
     std::string log_format_ = "text"; // or "json"
     std::string log_level_ = "info";  // debug, info, warn, error
--- a/tests/unit/node_failures_test.cpp
+++ b/tests/unit/node_failures_test.cpp
@@ -157,6 +157,91 @@
     CHECK(overlaps_ == 0);
 }
 
+// An owner without processor time and a store that is down, so that no other
+// process takes over meanwhile.
+struct late_owner_fixture : node_failures_fixture
+{
+    std::string first_; // target that the task runs on
+
+    late_owner_fixture()
+    {
+        set_run_time(3 * micros_per_second);
+        submit_and_start(owner_, make_request("east.0~a"));
+        first_ = find_target_of("east.0~a");
+        store_.down_ = true;
+    }
+
+    void check_ran_once()
+    {
+        run(20 * micros_per_second);
+        auto const answers = list_answers(owner_, next_call_);
+        REQUIRE(!answers.empty());
+        CHECK(answers.back().state_ == job_state::answered);
+        CHECK(answers.back().outcome_ == outcome::succeeded);
+        CHECK(count_starts("east.0~a") == 1);
+    }
+};
+
+// Guards against the end of a task that is taken for that of a lost run, so
+// that its caller gets no answer: the owner had no processor time, took its
+// targets for silent and their leases for lapsed before it read what they had
+// sent.
+TEST_CASE_FIXTURE(late_owner_fixture,
+                  "owner, late while a task ends, reads the end first")
+{
+    SUBCASE("for longer than a lease")
+    {
+        pause(owner_, 12 * micros_per_second);
+    }
+    SUBCASE("for two leases")
+    {
+        pause(owner_, 20 * micros_per_second);
+    }
+    check_ran_once();
+}
+
+// Guards against the same when the link to the target broke, and its leases
+// lapsed while the owner had no processor time to open another one.
+TEST_CASE_FIXTURE(late_owner_fixture,
+                  "owner, late with a broken link, reads the end first")
+{
+    target_fake const& target = targets_.at(first_);
+    post(owner_,
+         target_disconnected{target.listed_.target_, target.attachment_});
+    run(100 * micros_per_milli);
+    pause(owner_, 15 * micros_per_second);
+    check_ran_once();
+}
+
+// Guards against starts that an owner sends with a clock so old that their
+// leases have lapsed when they arrive.
+TEST_CASE_FIXTURE(late_owner_fixture,
+                  "owner, late, gives a call that waits a lease that holds")
+{
+    pause(owner_, 15 * micros_per_second);
+    CHECK(submit_and_wait(owner_, make_request("east.0~b")).outcome_ ==
+          outcome::succeeded);
+    CHECK(count_starts("east.0~b") == 1);
+}
+
+// Guards against work that waits without end for a target that is gone: each
+// late tick of its owner puts the judgement off.
+TEST_CASE_FIXTURE(node_failures_fixture,
+                  "owner, late again and again, gives up a target that is gone")
+{
+    set_run_time(60 * micros_per_second);
+    submit_and_start(owner_, make_request("east.0~a"));
+    targets_.at(find_target_of("east.0~a")).silent_ = true;
+    instant const limit = now_.after(40 * micros_per_second);
+    while (now_ < limit && count_starts("east.0~a") < 2)
+    {
+        run(2 * micros_per_second);
+        pause(owner_, 700 * micros_per_milli);
+    }
+    CHECK(count_starts("east.0~a") == 2);
+    CHECK(overlaps_ == 0);
+}
+
 // Guards against a wait for a lease of a process that is known to be gone.
 TEST_CASE_FIXTURE(node_failures_fixture,
                   "target, restarted, has its task retried at once")
--- a/tests/unit/node_fixture.hpp
+++ b/tests/unit/node_fixture.hpp
@@ -44,6 +44,8 @@
     bool                               store_cut_ = false; // for this node
     std::map<target_id, std::uint64_t> links_;             // attachments
     std::vector<command>               told_;
+    bool                               reads_ = true; // false: nothing arrives
+    std::vector<event>                 unread_; // arrived while it read nothing
 
     template <typename Command>
     std::vector<Command> list() const
@@ -112,6 +114,10 @@
     void         restart_target(std::string const& name);
     void set_isolated(std::string const& name, bool cut); // peers and store
 
+    // Time without processor time: the node neither ticks nor reads. What was
+    // sent meanwhile is read shortly after its next tick.
+    void pause(std::string const& name, std::int64_t micros);
+
     // Two nodes and two targets in "east", the same in "west"; ticket 1 sets
     // team "cafes" with key "k1", service "refills" and open service "lobby".
     void start_cell();
--- a/tests/unit/node_fixture_test.cpp
+++ b/tests/unit/node_fixture_test.cpp
@@ -25,6 +25,7 @@
 
 constexpr std::int64_t hop_micros = 500;
 constexpr std::int64_t store_micros = 2000;
+constexpr std::int64_t read_micros = 1000; // of what waited in the sockets
 constexpr std::int64_t minute = 60 * micros_per_second;
 
 // A node whose next deadline never moves would spin in the process.
@@ -95,6 +96,20 @@
     }
 }
 
+void node_fixture::pause(std::string const& name, std::int64_t micros)
+{
+    nodes_.at(name).paused_ = true;
+    nodes_.at(name).reads_ = false;
+    run(micros);
+    node_member& member = nodes_.at(name);
+    member.paused_ = false;
+    member.reads_ = true;
+    for (event const& input : std::exchange(member.unread_, {}))
+    {
+        send_event(name, read_micros, input);
+    }
+}
+
 void node_fixture::start_cell()
 {
     for (std::string const domain : {"east", "west"})
@@ -269,6 +284,11 @@
 void node_fixture::post(std::string const& node, event input)
 {
     node_member& member = nodes_.at(node);
+    if (!member.reads_)
+    {
+        member.unread_.push_back(std::move(input));
+        return;
+    }
     post_event(*member.node_, std::move(input));
     member.armed_ = true;
 }
