Keep orders other than starts for a target that falls silent

Callers could see a filler work on beside a task with a latency bound.

Cause: took back all orders that waited for a silent target, also those that pace a filler. The planner had noted the new pace and orders it again only on a change. Now only starts are taken back.

Evidence: "pace ordered, target silent for a moment, sent afterwards" failed before and passes now.

--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -923,20 +923,23 @@
 }
 
 // Starts that wait for a silent target were never sent, so they may go to
-// another one at once.
-void take_back_orders(node& context, target_id const& id, session_row& session)
+// another one at once. Other orders wait for the target.
+void take_back_starts(node& context, target_id const& id, session_row& session)
 {
-    std::deque<plan::command> orders;
-    orders.swap(session.orders_);
-    for (plan::command const& order : orders)
+    std::deque<plan::command> others;
+    for (plan::command& order : session.orders_)
     {
-        if (auto const* const start = std::get_if<plan::start_run>(&order))
+        auto const* const start = std::get_if<plan::start_run>(&order);
+        if (start == nullptr)
         {
-            session.runs_.erase(start->run_);
-            tell(context, session,
-                 plan::run_ended{start->run_, id, run_end::lost, ""});
+            others.push_back(std::move(order));
+            continue;
         }
+        session.runs_.erase(start->run_);
+        tell(context, session,
+             plan::run_ended{start->run_, id, run_end::lost, ""});
     }
+    session.orders_ = std::move(others);
 }
 
 // Tasks that last, or may have copies, have no result for which a silent target
@@ -988,7 +991,7 @@
 {
     session_row&  session = *context.sessions_.find(id);
     instant const give_up = find_give_up(context, session);
-    take_back_orders(context, id, session);
+    take_back_starts(context, id, session);
     settle_lapse(context, id, give_up);
     if (give_up > context.now_)
     {
--- a/tests/unit/cell_jobs_test.cpp
+++ b/tests/unit/cell_jobs_test.cpp
@@ -1,6 +1,7 @@
 // Purpose: tests of acceptance, journal, leases and recovery of one node.
 #include "cell_cluster_fixture.hpp"
 
+#include "cell/node.hpp"
 #include "cell/record_error.hpp"
 #include "cell/records.hpp"
 #include "core/job_progress.hpp"
@@ -308,6 +309,29 @@
           starts[0].start_.run_.stage_.job_);
 }
 
+// Guards against a filler that works on beside a task with a latency bound: its
+// pace was ordered while its target was silent, and the order was dropped.
+TEST_CASE_FIXTURE(silent_target_fixture,
+                  "pace ordered, target silent for a moment, sent afterwards")
+{
+    run_silent(3 * micros_per_second);
+    queue_order(*node_, {domain_id("east"), 0},
+                plan::pace_run{started_, target_id("t-1"), 0});
+    run_silent(200'000);
+    CHECK(take<send_pace>().empty());
+    for (int round = 0; round < 20; ++round)
+    {
+        run(20'000);
+        for (hold_target const& hold : take<hold_target>())
+        {
+            answer_hold(hold, {{started_, "", 1, 0}});
+        }
+    }
+    auto const paces = take<send_pace>();
+    REQUIRE(paces.size() == 1);
+    CHECK(paces[0].pace_.percent_ == 0);
+}
+
 // Guards against work that waits without end for a target that nobody reaches.
 TEST_CASE_FIXTURE(silent_target_fixture,
                   "target silent and listed for long, task starts elsewhere")
