Repeat a start at its deadline only, while its target answers

Callers could see owners busy with connections to targets that are gone, and a task run twice around the restart of a target.

Cause: repeated a start as soon as it failed. A target that is gone refuses connections at once, so each open start was sent in each tick for 1.5 s; and a target that starts again under its name takes a start that was meant for its earlier life.

--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -16,6 +16,7 @@
 #include <algorithm>
 #include <array>
 #include <set>
+#include <utility>
 
 namespace fescuevane::cell
 {
@@ -137,6 +138,7 @@
     tell(context, session, plan::target_gone{id});
     session.runs_.clear();
     session.orders_.clear();
+    session.repeats_.clear();
     session.unstored_.clear();
     session.forgotten_ = 0;
     session.processed_ = 0;
@@ -171,6 +173,7 @@
         session.open_ = false;
         session.runs_.clear();
         session.orders_.clear();
+        session.repeats_.clear();
         session.unstored_.clear();
         session.hold_ = 0;
     }
@@ -727,22 +730,6 @@
     }
 }
 
-// A start without an answer is sent again under its number while it is of use:
-// the target takes it for the same run, whether it has begun or not. False when
-// it isn't of use any more.
-bool repeat_start(node& context, session_row& session, order_row const& order)
-{
-    auto const run = session.runs_.find(order.run_);
-    if (run == session.runs_.end() || run->second.stop_wanted_ ||
-        session.phase_ != session_phase::attached ||
-        target_clock(session, context.now_) >= order.start_->lease_clock_ms_)
-    {
-        return false;
-    }
-    post_start(context, session, order.run_, *order.start_, true);
-    return true;
-}
-
 void confirm_start(node& context, session_row& session, order_row const& order)
 {
     auto const run = session.runs_.find(order.run_);
@@ -767,7 +754,7 @@
 }
 
 void leave_start_open(node& context, session_row& session,
-                      order_row const& order, order_reply const& reply)
+                      order_row const& order, std::string const& why)
 {
     auto const run = session.runs_.find(order.run_);
     if (run != session.runs_.end())
@@ -778,9 +765,7 @@
               {{"job", order.run_.stage_.job_.str()},
                {"run", std::to_string(order.run_.run_)},
                {"target", order.target_.str()},
-               {"error", reply.outcome_ == target_outcome::refused
-                             ? "refused, but may have run"
-                             : reply.error_}});
+               {"error", why}});
 }
 
 // True when a refused start may have run all the same: a run as high was there,
@@ -802,10 +787,13 @@
     {
         refuse_start(context, session, order, reply);
     }
-    else if (reply.outcome_ != target_outcome::unknown ||
-             !repeat_start(context, session, order))
+    else if (reply.outcome_ == target_outcome::unknown)
     {
-        leave_start_open(context, session, order, reply);
+        session.repeats_.push_back(order);
+    }
+    else
+    {
+        leave_start_open(context, session, order, "refused, but may have run");
     }
 }
 
@@ -919,7 +907,8 @@
 {
     record_row const* const record = context.records_.find(run.stage_.job_);
     return record == nullptr ||
-           has_single_result(record->job_->steps_.at(run.stage_.step_));
+           run.stage_.step_ >= record->job_->steps_.size() ||
+           has_single_result(record->job_->steps_[run.stage_.step_]);
 }
 
 // Starts that wait for a silent target were never sent, so they may go to
@@ -986,6 +975,53 @@
     tell_planner(context, id);
 }
 
+// True while a start without an answer is of use: the target is in reach at the
+// address that it was sent to, and still takes it.
+bool may_repeat(node const& context, session_row const& session,
+                order_row const& order)
+{
+    send_start const& start = *order.start_;
+    return is_answering(session) && session.info_->address_ == start.address_ &&
+           target_clock(session, context.now_) < start.lease_clock_ms_ &&
+           !may_be_released(*context.owned_.find(session.shard_));
+}
+
+// A start without an answer is sent again under its number: the target takes it
+// for the same run, whether it has begun or not. Not before the deadline of the
+// last sending, since a target that is gone refuses connections at once.
+void send_repeats(node& context, session_row& session)
+{
+    std::deque<order_row> later;
+    for (order_row const& order : std::exchange(session.repeats_, {}))
+    {
+        auto const run = session.runs_.find(order.run_);
+        if (run == session.runs_.end() || run->second.stop_wanted_ ||
+            run->second.confirmed_at_ != instant::never())
+        {
+            continue;
+        }
+        instant const due = order.start_->deadline_;
+        if (!may_repeat(context, session, order))
+        {
+            leave_start_open(context, session, order, "no answer");
+        }
+        else if (due > context.now_)
+        {
+            wake_at(context, due);
+            later.push_back(order);
+        }
+        else
+        {
+            log_event(context, "start_repeated",
+                      {{"job", order.run_.stage_.job_.str()},
+                       {"run", std::to_string(order.run_.run_)},
+                       {"target", order.target_.str()}});
+            post_start(context, session, order.run_, *order.start_, true);
+        }
+    }
+    session.repeats_ = std::move(later);
+}
+
 // False when the session was removed.
 bool settle_silent_target(node& context, target_id const& id)
 {
@@ -1075,6 +1111,10 @@
             continue;
         }
         send_stops(context, id, *session);
+        if (!session->repeats_.empty())
+        {
+            send_repeats(context, *session);
+        }
         while (session->phase_ == session_phase::attached &&
                session->open_orders_ < context.settings_.orders_open_ &&
                !session->orders_.empty() &&
--- a/cell/session_row.hpp
+++ b/cell/session_row.hpp
@@ -3,6 +3,7 @@
 #define FESCUEVANE_CELL_SESSION_ROW_HPP
 
 #include "cell/listed_target.hpp"
+#include "cell/order_row.hpp"
 #include "cell/session_phase.hpp"
 #include "cell/session_run.hpp"
 #include "cell/unstored_end.hpp"
@@ -41,14 +42,15 @@
     instant       hold_sent_;
     instant       hold_at_;            // next question
     bool          unanswered_ = false; // the latest question
-    bool          lapsed_ = false;     // its leases, while it is silent
+    bool          lapsed_ = false;     // its leases, until it answers
 
     // Runs and ends
     std::map<run_key, session_run> runs_;
     std::uint64_t                  forgotten_ = 0; // forgotten by the target
     std::uint64_t                  processed_ = 0; // highest end applied
     std::deque<unstored_end>       unstored_;
-    std::deque<plan::command>      orders_; // waiting
+    std::deque<plan::command>      orders_;  // waiting
+    std::deque<order_row>          repeats_; // starts without an answer
     std::uint32_t                  open_orders_ = 0;
 };
 
