Settle an open start by the clock of its target

Callers saw lasting tasks down for more than 6 s when all sendings of a start were lost.

Cause: one wait for two questions again.

Now a report with such a clock that lists neither the run nor its end shows that it never began: it is stopped at once, for safety, and over with the answer to the stop.

--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -364,7 +364,7 @@
 
 // Runs that the target should have and doesn't report are over.
 void apply_missing(node& context, session_row& session, target_id const& id,
-                   std::set<run_key> const& seen)
+                   std::set<run_key> const& seen, std::int64_t reply_clock_ms)
 {
     std::vector<run_key> gone;
     for (auto& [key, run] : session.runs_)
@@ -385,11 +385,17 @@
             run.confirmed_at_ == instant::never() &&
             run.stopped_at_.after(context.settings_.stop_micros_) <
                 session.hold_sent_;
+        // The target turns down a start that comes later than this.
+        run.absent_ =
+            run.absent_ ||
+            (!stopping && run.confirmed_at_ == instant::never() &&
+             run.start_until_ms_ != 0 && run.start_until_ms_ < reply_clock_ms);
         if (was_there || stopped)
         {
             gone.push_back(key);
         }
-        else if (!stopping && run.uncertain_at_ < session.hold_sent_)
+        else if (run.absent_ ||
+                 (!stopping && run.uncertain_at_ < session.hold_sent_))
         {
             // A stop also turns down a start that is still on its way.
             run.stop_wanted_ = true;
@@ -418,13 +424,14 @@
         session_run& known = session.runs_[key];
         known.confirmed_at_ = std::min(known.confirmed_at_, context.now_);
         known.uncertain_at_ = instant::never();
+        known.absent_ = false;
         tell(context, session,
              plan::run_seen{key, id, run.checkpoint_, run.percent_, run.load_});
     }
     constexpr std::size_t ends_per_reply = 500;
     if (reply.ends_.size() < ends_per_reply)
     {
-        apply_missing(context, session, id, seen);
+        apply_missing(context, session, id, seen, reply.clock_ms_);
     }
 }
 
@@ -683,6 +690,7 @@
         std::int64_t const useless =
             target_clock(session, context.now_) + values.start_valid_ms_;
         session.granted_ms_ = std::max(session.granted_ms_, useless);
+        session.runs_[start->run_].start_until_ms_ = useless;
         post_start(context, session, start->run_,
                    {.address_ = session.info_->address_,
                     .start_ = {.run_ = to_original(context, start->run_),
@@ -806,6 +814,14 @@
         return;
     }
     run->second.stop_open_ = false;
+    if (reply.outcome_ == target_outcome::done && run->second.absent_)
+    {
+        // It hadn't begun when no start could come any more.
+        session.runs_.erase(run);
+        tell(context, session,
+             plan::run_ended{order.run_, order.target_, run_end::lost, ""});
+        return;
+    }
     if (reply.outcome_ == target_outcome::done)
     {
         run->second.stopped_at_ = context.now_;
--- a/cell/session_run.hpp
+++ b/cell/session_run.hpp
@@ -11,12 +11,14 @@
 
 struct session_run
 {
-    instant confirmed_at_ = instant::never(); // the target has it
-    instant uncertain_at_ = instant::never(); // the start got no answer
-    instant stopped_at_ = instant::never();   // the target took the stop
-    bool    stop_wanted_ = false;
-    bool    stop_open_ = false; // an order to stop is in flight
-    instant stop_after_;        // next order to stop
+    instant      confirmed_at_ = instant::never(); // the target has it
+    instant      uncertain_at_ = instant::never(); // the start got no answer
+    instant      stopped_at_ = instant::never();   // the target took the stop
+    std::int64_t start_until_ms_ = 0; // then the target's clock turns it down
+    bool         absent_ = false;     // not listed after `start_until_ms_`
+    bool         stop_wanted_ = false;
+    bool         stop_open_ = false; // an order to stop is in flight
+    instant      stop_after_;        // next order to stop
 };
 
 } // namespace fescuevane::cell
--- a/tests/unit/cell_lasting_test.cpp
+++ b/tests/unit/cell_lasting_test.cpp
@@ -228,6 +228,10 @@
     {
         lost_starts_ = 2;
     }
+    SUBCASE("all of one run")
+    {
+        lost_starts_ = 4;
+    }
     run_targets(allowed_micros);
     CHECK_FALSE(find_runner().empty());
     CHECK(overlaps_ == 0);
