Start a lost run on another target where there is one

Cause: a target that lost an order was as good a choice as before, and targets that lose one often lose the next. It now counts as one where the task failed: taken only when no other fits.

Evidence: "run lost by its target, others have room, starts elsewhere" failed before and passes now.

--- a/plan/job_flow.cpp
+++ b/plan/job_flow.cpp
@@ -611,6 +611,15 @@
                         {
                             task.last_run_ = std::max(task.last_run_, key.run_);
                         });
+    if (end == run_end::lost)
+    {
+        // A target that lost a run may lose the next one, too.
+        stage.tasks_.change(key.index_,
+                            [&target](task_cell& task)
+                            {
+                                task.failed_on_ = target;
+                            });
+    }
     if (step.gang_ && end != run_end::done)
     {
         stop_stage_runs(context, key.stage_, "gang broken");
--- a/tests/unit/plan_lasting_test.cpp
+++ b/tests/unit/plan_lasting_test.cpp
@@ -57,5 +57,22 @@
     CHECK(starts[0].run_.stage_.job_ == job_id("j-2"));
 }
 
+// Guards against a task that is sent again and again to a target that loses
+// orders while others would take it.
+TEST_CASE_FIXTURE(lasting_fixture,
+                  "run lost by its target, others have room, starts elsewhere")
+{
+    set_target("t-2");
+    add_job("j-1", {make_lasting()});
+    tick();
+    auto const first = list<start_run>();
+    REQUIRE(first.size() == 1);
+    end(first[0], run_end::lost);
+    tick();
+    auto const second = list<start_run>();
+    REQUIRE(second.size() == 1);
+    CHECK(second[0].target_ != first[0].target_);
+}
+
 } // namespace
 } // namespace fescuevane::plan
