Count targets that are out of reach for a moment as able to run a stage

Callers could see tasks travel from shard to shard.

Cause: targets that are silent or not reached yet counted as ones that can never run a stage, so a stage was told as blocked right after a takeover or a short cut, and a blocked stage moves after 0.6 s, at any load, up to six times. Draining targets still count so.

--- a/plan/room.cpp
+++ b/plan/room.cpp
@@ -27,17 +27,29 @@
 
 } // namespace
 
-bool suits_stage(planner const& context, stage_view const& stage,
-                 target_row const& target)
+namespace
+{
+
+bool suits_kind(planner const& context, stage_view const& stage,
+                target_row const& target)
 {
     std::string const& label = stage.step_.required_label_;
-    return context.in_service_ && target.phase_ == target_phase::usable &&
+    return context.in_service_ &&
            target.service_ == stage.job_.spec_->service_ &&
            (label.empty() ||
             std::find(target.labels_.begin(), target.labels_.end(), label) !=
                 target.labels_.end());
 }
 
+} // namespace
+
+bool suits_stage(planner const& context, stage_view const& stage,
+                 target_row const& target)
+{
+    return target.phase_ == target_phase::usable &&
+           suits_kind(context, stage, target);
+}
+
 bool accepts_stage(planner const& context, stage_view const& stage,
                    target_row const& target)
 {
@@ -107,7 +119,9 @@
     auto const ticket = stage.row_.tickets_.find(id);
     bool const forbidden =
         ticket != stage.row_.tickets_.end() && !ticket->second.good_;
-    return !forbidden && suits_stage(context, stage, target);
+    // One that is out of reach may be back before the stage is elsewhere.
+    return !forbidden && target.phase_ != target_phase::draining &&
+           suits_kind(context, stage, target);
 }
 
 bool is_blocked(planner const& context, stage_view const& stage)
--- a/tests/unit/plan_lasting_test.cpp
+++ b/tests/unit/plan_lasting_test.cpp
@@ -74,5 +74,32 @@
     CHECK(second[0].target_ != first[0].target_);
 }
 
+// Guards against tasks that are handed from shard to shard: targets that were
+// out of reach for a moment counted as ones that can never run them.
+TEST_CASE_FIXTURE(lasting_fixture,
+                  "targets out of reach, task waits, isn't told as blocked")
+{
+    target_phase away = target_phase::silent;
+    bool         blocked = false;
+    SUBCASE("silent") {}
+    SUBCASE("not reached yet")
+    {
+        away = target_phase::attaching;
+    }
+    SUBCASE("leaving")
+    {
+        away = target_phase::draining;
+        blocked = true;
+    }
+    set_target("t-1", {4000, 8192, 0}, away);
+    add_job("j-1", {make_step(1)});
+    tick();
+    advance(micros_per_second);
+    tick();
+    auto const waiting = list_overflow(*planner_, now_, micros_per_second);
+    REQUIRE(waiting.size() == 1);
+    CHECK(waiting[0].blocked_ == blocked);
+}
+
 } // namespace
 } // namespace fescuevane::plan
