Let gangs move on to shards that are half empty

Cause: tasks that wait for room move once, since a second move of single tasks only moves the wait. For a gang each shard is another chance: which targets the policy service allows differs by shard, and a gang that just fits when its targets are empty doesn't get them while any other work comes in; room is kept for it for 4 s, work there runs 6 s on average.

Now a gang that was handed over before moves on, once to each shard and 6 times at most, while a shard is less than half full without it and below 0.9 with it. Full cells and single tasks behave as before.

--- a/cell/delegate_tasks.cpp
+++ b/cell/delegate_tasks.cpp
@@ -129,6 +129,16 @@
 // is full everywhere spent more on them than on starts.
 constexpr double max_delegate_load = 0.9;
 
+// A gang that was handed over before moves on to shards that are less loaded
+// than this without it, and where it wasn't yet. What it lacks is room on many
+// of the targets that the policy service allows, which differ in each shard.
+constexpr double max_spare_load = 0.5;
+
+// Tasks that wait for room move once: handing them on and on would only move
+// the wait. Blocked ones may have to try each shard, and so may gangs.
+constexpr std::int64_t max_depth = 1;
+constexpr std::int64_t max_far_depth = 6;
+
 double expect_load(shard_row const& shard, resources const& more)
 {
     resources const& capacity = shard.load_.capacity_;
@@ -162,6 +172,19 @@
     return (job.str() + '~').find(write_mark(shard) + '~') != std::string::npos;
 }
 
+bool may_take(shard_id const& id, shard_row const& shard,
+              plan::overflow const& tasks)
+{
+    if (tasks.blocked_)
+    {
+        return true;
+    }
+    bool const moved = plan::count_handovers(tasks.stage_.job_) >= max_depth;
+    return expect_load(shard, demand_of(tasks)) < max_delegate_load &&
+           (!moved || (expect_load(shard, {}) < max_spare_load &&
+                       !was_in(tasks.stage_.job_, id)));
+}
+
 // The shard with the lowest load, if it has room for the tasks; shards of other
 // failure domains count as more loaded. Tasks that this shard can never run go
 // to any that may be able to.
@@ -173,8 +196,6 @@
         plan::find_job(*context.owned_.find(from)->planner_, tasks.stage_.job_);
     std::set<shard_id> const unfit =
         list_unfit(context, job->service_, job->steps_.at(tasks.stage_.step_));
-    double const most =
-        tasks.blocked_ ? std::numeric_limits<double>::max() : max_delegate_load;
     std::optional<shard_id> best;
     std::pair<bool, double> least{true, std::numeric_limits<double>::max()};
     for (std::size_t row = 0; row < context.shards_.size(); ++row)
@@ -196,8 +217,8 @@
             load + (id.domain_ == from.domain_
                         ? 0
                         : context.settings_.remote_cost_)};
-        if (shard.load_.capacity_.cpu_millis() > 0 && load < most &&
-            cost < least)
+        if (shard.load_.capacity_.cpu_millis() > 0 &&
+            may_take(id, shard, tasks) && cost < least)
         {
             best = id;
             least = cost;
@@ -206,10 +227,15 @@
     return best;
 }
 
-// Tasks that wait for room move once: handing them on and on would only move
-// the wait. Blocked ones may have to try each shard.
-constexpr std::int64_t max_depth = 1;
-constexpr std::int64_t max_blocked_depth = 6;
+std::int64_t find_max_depth(plan::planner const&  planner,
+                            plan::overflow const& tasks)
+{
+    stage_key const&                        stage = tasks.stage_;
+    std::shared_ptr<staged_job const> const job =
+        plan::find_job(planner, stage.job_);
+    return tasks.blocked_ || job->steps_.at(stage.step_).gang_ ? max_far_depth
+                                                               : max_depth;
+}
 
 void begin_delegation(node& context, shard_id const& shard, owned_row& own,
                       plan::overflow const& tasks, shard_id const& target)
@@ -264,7 +290,7 @@
                                  context.settings_.overflow_micros_))
         {
             if (plan::count_handovers(tasks.stage_.job_) >=
-                (tasks.blocked_ ? max_blocked_depth : max_depth))
+                find_max_depth(*own.planner_, tasks))
             {
                 continue;
             }
--- a/tests/unit/cell_delegation_test.cpp
+++ b/tests/unit/cell_delegation_test.cpp
@@ -221,6 +221,72 @@
     }
 }
 
+// East is half full and holds a gang that another shard has handed over.
+struct moved_gang_fixture : delegation_fixture
+{
+    moved_gang_fixture()
+    {
+        west_.used_ = {4000, 1024, 0};
+        tell_west();
+        submit("aa01");
+        submit("aa02");
+        run_cell(500'000);
+        REQUIRE(running_.size() == 2);
+        west_.used_ = {};
+    }
+
+    void submit_gang(std::string const& name)
+    {
+        task_alias const alias{.stage_ = {job_id("bb01"), 0, 0},
+                               .indices_ = {0, 1, 2},
+                               .failures_ = {0, 0, 0},
+                               .checkpoints_ = {"", "", ""}};
+        post(peer_called{1,
+                         {.kind_ = call_kind::submit,
+                          .id_ = job_id(name),
+                          .shard_ = {domain_id("east"), 0},
+                          .job_ = std::make_shared<staged_job const>(staged_job{
+                              .id_ = job_id(name),
+                              .organisation_ = organisation_id("cafe"),
+                              .queue_ = queue_id("orders"),
+                              .service_ = service_id("desk"),
+                              .payload_ = "work",
+                              .steps_ = {{.count_ = 3,
+                                          .demand_ = {1000, 512, 0},
+                                          .gang_ = true}},
+                              .alias_ = alias}),
+                          .deadline_ = now_.after(micros_per_second)}});
+        run_cell(4 * micros_per_second);
+    }
+};
+
+// Guards against a gang that has moved once and lacks room for good, while
+// other shards stand almost empty.
+TEST_CASE_FIXTURE(moved_gang_fixture,
+                  "gang moved before, lacks room, moves on to an empty shard")
+{
+    SUBCASE("an empty shard, handed over")
+    {
+        submit_gang("bb01~1-1");
+        CHECK(list_delegated().size() == 1);
+    }
+    SUBCASE("a shard with work, stays")
+    {
+        west_.used_ = {2400, 1024, 0};
+        west_.capacity_ = {8000, 8192, 0};
+        west_.queued_ = {1800, 512, 0};
+        submit_gang("bb01~1-1");
+        CHECK(list_delegated().empty());
+    }
+    SUBCASE("an empty shard that it comes from, stays")
+    {
+        std::ostringstream mark;
+        mark << std::hex << compute_stable_hash("west.0") % 0x10000;
+        submit_gang("bb01~1-1-" + mark.str());
+        CHECK(list_delegated().empty());
+    }
+}
+
 // One host owns both shards. A task went from a job of east to west, and from
 // there back to east.
 struct returned_fixture : cell_fixture
