Let owners without urgent work ask long questions

Cause: the policy service answers one question of a host at a time. An answer took 1.6 to 1.9 s on average, the four open questions of each shard went to better-ranked steps, and a late step got none. Long questions went to an owner only when others would have taken 1 s longer, which an owner sees too late: it knows only its own questions.

Now an owner's handicap is 0.3 s instead of 1 s when it has asked no short question for 1 s. Owners with urgent work keep their turn for it, and only a host itself knows whether it has any.

--- a/cell/asker_row.hpp
+++ b/cell/asker_row.hpp
@@ -16,6 +16,7 @@
     instant      busy_until_;     // our own questions are answered
     std::int64_t lag_micros_ = 0; // latest answer above its expected time
     instant      lag_at_;         // when that was seen
+    instant      urgent_until_;   // short questions were asked lately
 };
 
 } // namespace fescuevane::cell
--- a/cell/drive_planners.cpp
+++ b/cell/drive_planners.cpp
@@ -211,18 +211,36 @@
                        });
 }
 
-// The policy service serves the questions of one host in turn. Long questions
-// go to hosts that own nothing, so that owners keep their turn for short ones:
-// a short question behind a long one is what makes urgent work late. Within
-// these bounds the host that gets the answer first is asked.
-host_id choose_asker(node const& context, std::int64_t micros)
+// Added to the time of a host's answer. Long questions go to hosts that own
+// nothing, so that owners keep their turn for short ones: a short question
+// behind a long one is what makes urgent work late. An owner without urgent
+// work takes the part that would wait elsewhere.
+std::int64_t find_handicap(node const& context, host_id const& id, bool is_long)
+{
+    settings const& values = context.settings_;
+    bool const      own = id == values.host_;
+    bool const      owner = own || owns_shard(context, id);
+    if (owner != is_long)
+    {
+        return 0;
+    }
+    asker_row const* const asker = context.askers_.find(id);
+    // Urgent work of other owners isn't known here.
+    bool const urgent =
+        !own || (asker != nullptr && asker->urgent_until_ > context.now_);
+    return is_long && !urgent ? values.advice_idle_micros_
+                              : values.advice_long_micros_;
+}
+
+// The policy service serves the questions of one host in turn. Of the hosts
+// that suit a question, the one that gets the answer first is asked.
+host_id choose_asker(node const& context, std::int64_t micros, bool is_long)
 {
     settings const& values = context.settings_;
-    bool const      is_long = micros > values.advice_owner_micros_;
     host_id         best = values.host_;
     instant         best_end =
         context.now_.after(expect_wait(context, values.host_) + micros +
-                           (is_long ? values.advice_long_micros_ : 0));
+                           find_handicap(context, values.host_, is_long));
     for (std::size_t row = 0; row < context.hosts_.size(); ++row)
     {
         host_row const& host = context.hosts_[row];
@@ -232,17 +250,13 @@
         {
             continue;
         }
-        bool const owner = owns_shard(context, id);
         // Other domains' owners use the host, too, unseen by this one.
-        std::int64_t penalty = host.domain_ == values.domain_
-                                   ? values.advice_hop_micros_
-                                   : values.advice_remote_micros_;
-        if (owner == is_long)
-        {
-            penalty += values.advice_long_micros_;
-        }
-        instant const end =
-            context.now_.after(expect_wait(context, id) + micros + penalty);
+        std::int64_t const penalty = host.domain_ == values.domain_
+                                         ? values.advice_hop_micros_
+                                         : values.advice_remote_micros_;
+        instant const      end =
+            context.now_.after(expect_wait(context, id) + micros + penalty +
+                               find_handicap(context, id, is_long));
         if (end < best_end)
         {
             best = id;
@@ -255,12 +269,18 @@
 void send_to_asker(node& context, shard_id const& shard,
                    plan::ask_advice const& question)
 {
-    std::int64_t const  micros = answer_micros(context, shard, question);
-    host_id const       asker = choose_asker(context, micros);
-    asker_row&          row = context.askers_.ensure(asker);
+    std::int64_t const micros = answer_micros(context, shard, question);
+    bool const    is_long = micros > context.settings_.advice_owner_micros_;
+    host_id const asker = choose_asker(context, micros, is_long);
+    asker_row&    row = context.askers_.ensure(asker);
     std::uint64_t const request = next_request(context);
     std::int64_t const  wait = expect_wait(context, asker);
     row.busy_until_ = std::max(row.busy_until_, context.now_).after(micros);
+    if (!is_long)
+    {
+        row.urgent_until_ =
+            context.now_.after(context.settings_.advice_urgent_micros_);
+    }
     context.questions_.ensure(request) = {
         shard, std::make_shared<plan::ask_advice const>(question), context.now_,
         asker, micros};
--- a/cell/settings.hpp
+++ b/cell/settings.hpp
@@ -85,6 +85,10 @@
     std::int64_t advice_long_micros_ = 1'000'000; // a wrong host's handicap
     std::int64_t advice_hop_micros_ = 5'000;      // to a host of the domain
     std::int64_t advice_remote_micros_ = 100'000; // to one of another domain
+    // An owner's handicap for long questions when it has asked no short one for
+    // the second of these times.
+    std::int64_t advice_idle_micros_ = 300'000;
+    std::int64_t advice_urgent_micros_ = 1'000'000;
     // Above the expected time. The service goes on with a question that nobody
     // waits for any more, so giving up early only adds load.
     std::int64_t advice_slack_micros_ = 4'000'000;
--- /dev/null
+++ b/tests/unit/cell_advice_test.cpp
@@ -0,0 +1,92 @@
+// Purpose: tests of the choice of the host that asks the policy service.
+#include "cell_pair_fixture.hpp"
+
+#include <doctest/doctest.h>
+
+namespace fescuevane::cell
+{
+namespace
+{
+
+// Questions about `checks` are long, those about `orders` short. The node and
+// host-2 own shards, host-3 owns nothing.
+struct asker_fixture : cell_pair_fixture
+{
+    asker_fixture()
+    {
+        auto config = std::make_shared<cell_config>(*make_config());
+        config->version_ = 2;
+        cell::queue_route checks = config->routes_[0];
+        config->routes_[0].policy_.advice_ = advice_policy{20, 0.3, 2000};
+        checks.policy_.id_ = queue_id("checks");
+        checks.policy_.advice_ = advice_policy{400, 6, 2000};
+        checks.prefix_ = "/checks/";
+        config->routes_.push_back(checks);
+        post(config_changed{config});
+        post(member_row_changed{
+            {{"member", "", "host/host-3"},
+             write_host({"127.0.0.1:7002", domain_id("west"), 1, 5}),
+             ++revision_}});
+        post(heartbeat_received{
+            {.host_ = host_id("host-3"), .incarnation_ = 5}});
+        west_.used_ = {4000, 8192, 0}; // jobs go to east
+        run_cell(100'000);
+    }
+
+    void submit_check(std::string const& id)
+    {
+        post(call_opened{.call_ = ++last_call_,
+                         .kind_ = call_kind::submit,
+                         .id_ = job_id(id),
+                         .job_ = std::make_shared<staged_job const>(staged_job{
+                             .id_ = job_id(id),
+                             .organisation_ = organisation_id("cafe"),
+                             .queue_ = queue_id("checks"),
+                             .service_ = service_id("desk"),
+                             .payload_ = "work",
+                             .steps_ = {{.count_ = 1,
+                                         .demand_ = {1000, 512, 0},
+                                         .estimate_ms_ = 1000}},
+                             .accepted_unix_ms_ = unix_ms_}),
+                         .deadline_ = now_.after(3 * micros_per_second)});
+    }
+
+    // Addresses of the hosts that were told to ask; empty: the node itself.
+    std::vector<std::string> list_askers()
+    {
+        std::vector<std::string> addresses;
+        for (send_question const& question : take<send_question>())
+        {
+            addresses.push_back(question.address_);
+        }
+        return addresses;
+    }
+};
+
+// Guards against steps that wait for the policy service while owners could ask:
+// the other hosts' turns were taken, and owners had no urgent work.
+TEST_CASE_FIXTURE(asker_fixture,
+                  "owner without urgent work, other host busy, asks itself")
+{
+    submit_check("aa01");
+    submit_check("aa02");
+    run(100'000);
+    CHECK(list_askers() == std::vector<std::string>{"127.0.0.1:7002", ""});
+}
+
+// Guards against urgent work behind a long question of its owner.
+TEST_CASE_FIXTURE(asker_fixture,
+                  "owner asked about urgent work, long questions go elsewhere")
+{
+    submit("aa00");
+    run(100'000);
+    CHECK(list_askers() == std::vector<std::string>{""});
+    submit_check("aa01");
+    submit_check("aa02");
+    run(100'000);
+    CHECK(list_askers() ==
+          std::vector<std::string>{"127.0.0.1:7002", "127.0.0.1:7002"});
+}
+
+} // namespace
+} // namespace fescuevane::cell
