Judge stalled and slow runs by reports read on time

What callers saw: an owner without processor time for 3 s stopped runs as stalled in its next tick, though they went on and their reports waited to be read. One that read a report 2 s after it was sent stopped a run as slow that was as fast as its siblings. Both throw work away and count a strike or half the speed against a target that is well.

Cause: plan/watch_runs.cpp counted the time since the latest progress by the clock alone, and took the time at which a report was read for that of its progress.

Change: the owner tells its planners when the process ran late (`on_time_changed`). A stall counts from the end of the late span on, put off by 10 s at most. Slowness is judged only by progress that was read at least 2 s after that span: by then each question sent before was answered or given up.

Why it works: questions go out all the time, so within the stall bound of 2.5 s after a late span a report is read that was sent after it, and a run that goes on shows a higher percent.

--- a/cell/drive_planners.cpp
+++ b/cell/drive_planners.cpp
@@ -340,6 +340,12 @@
     for (std::size_t row = 0; row < context.owned_.size(); ++row)
     {
         owned_row& own = context.owned_[row];
+        if (own.phase_ == owned_phase::serving &&
+            context.on_time_.since() == context.now_)
+        {
+            plan::post_event(*own.planner_,
+                             plan::on_time_changed{context.on_time_});
+        }
         // A shard that is handed over changes no job any more, so that its
         // journal gets clean; its next owner sees what ends meanwhile.
         if (own.phase_ != owned_phase::serving || own.releasing_)
--- a/plan/apply_events.cpp
+++ b/plan/apply_events.cpp
@@ -1,7 +1,7 @@
 // Purpose: system: moves posted events into the tables.
 //
 // Index of sections
-//   1. Configuration
+//   1. Configuration and process
 //   2. Targets
 //   3. Jobs
 //   4. Runs
@@ -22,7 +22,7 @@
 constexpr double credit_seconds = 3;
 constexpr double credit_floor = 3;
 
-// 1. Configuration
+// 1. Configuration and process
 
 void apply(planner& context, queues_set const& input)
 {
@@ -51,6 +51,11 @@
     context.in_service_ = input.in_service_;
 }
 
+void apply(planner& context, on_time_changed const& input)
+{
+    context.on_time_ = input.on_time_;
+}
+
 // 2. Targets
 
 void apply(planner& context, target_set const& input)
--- a/plan/event.hpp
+++ b/plan/event.hpp
@@ -9,6 +9,7 @@
 #include "plan/job_added.hpp"
 #include "plan/job_canceled.hpp"
 #include "plan/job_dropped.hpp"
+#include "plan/on_time_changed.hpp"
 #include "plan/organisations_set.hpp"
 #include "plan/queues_set.hpp"
 #include "plan/run_confirmed.hpp"
@@ -24,11 +25,11 @@
 namespace fescuevane::plan
 {
 
-using event =
-    std::variant<queues_set, organisations_set, target_set, target_gone,
-                 domain_set, job_added, job_canceled, job_dropped,
-                 run_confirmed, run_refused, run_ended, run_seen, advice_given,
-                 advice_failed, tasks_delegated, delegate_ended>;
+using event = std::variant<queues_set, organisations_set, target_set,
+                           target_gone, domain_set, job_added, job_canceled,
+                           job_dropped, run_confirmed, run_refused, run_ended,
+                           run_seen, advice_given, advice_failed,
+                           tasks_delegated, delegate_ended, on_time_changed>;
 
 } // namespace fescuevane::plan
 
--- a/plan/planner.hpp
+++ b/plan/planner.hpp
@@ -4,6 +4,7 @@
 #define FESCUEVANE_PLAN_PLANNER_HPP
 
 #include "core/instant.hpp"
+#include "core/on_time_span.hpp"
 #include "core/queue_policy.hpp"
 #include "core/table.hpp"
 #include "plan/command.hpp"
@@ -33,6 +34,7 @@
     std::vector<command> outbox_; // of the current tick
     instant              now_;    // of the current tick
     std::int64_t         unix_ms_ = 0;
+    on_time_span         on_time_;                 // of the process
     instant              wake_ = instant::never(); // earliest timed action
 
     table<queue_id, queue_policy>            queues_;
--- a/plan/settings.hpp
+++ b/plan/settings.hpp
@@ -27,6 +27,11 @@
     std::int64_t  probation_micros_ = 4'000'000;
     std::int64_t  refusal_pause_micros_ = 150'000;
     std::int64_t  stall_micros_ = 2'500'000; // without progress of a run
+    // Late spans of the process put off the judgement of a stall by no more.
+    std::int64_t late_bound_micros_ = 10'000'000;
+    // A question to a target is answered or given up within this time, so that
+    // reports which are read later after a late span were sent after it.
+    std::int64_t report_micros_ = 2'000'000;
 
     // Copies of slow tasks
     double       copy_factor_ = 1.7; // of the learnt run time
--- a/plan/watch_runs.cpp
+++ b/plan/watch_runs.cpp
@@ -35,7 +35,10 @@
 
 bool is_stalled(planner const& context, run_row const& run, double expected_ms)
 {
-    double const still_ms = elapsed_ms(context, run.progressed_at_);
+    // Reports that came while the process ran late may not have been read.
+    double const still_ms = elapsed_ms(
+        context, context.on_time_.count_silence_from(
+                     run.progressed_at_, context.settings_.late_bound_micros_));
     double const bound_ms = std::max(
         static_cast<double>(context.settings_.stall_micros_) / micros_per_milli,
         stall_share * expected_ms);
@@ -57,9 +60,21 @@
     return ran_ms * (100 - run.percent_) / done;
 }
 
+// True when the latest progress was read soon after it was made. A report that
+// waited in a socket makes a run look slower than it is.
+bool has_fresh_progress(planner const& context, run_row const& run)
+{
+    return context.on_time_.since().after(context.settings_.report_micros_) <=
+           run.progressed_at_;
+}
+
 bool is_slow(planner const& context, stage_key const& stage, run_row const& run,
              double expected_ms)
 {
+    if (!has_fresh_progress(context, run))
+    {
+        return false;
+    }
     bool const             siblings = context.stages_.find(stage)->samples_ > 0;
     image_row const* const image = context.images_.find(run.image_);
     if (!siblings && (image == nullptr || image->samples_ < min_samples))
