Choose ports of test cells outside those of outgoing connections

Cause: find_addresses took ports that the system gives to outgoing connections and closed them, so that a connection, or the next of the four calls for one cell, could get the same port.

Change: ports are taken in turn from 10240 to 32767, below the range of outgoing connections, each once in a process; cells that run together begin at different ones. The function moves to a file of its own, so that it can be tested.

--- a/tests/prove/cell.cpp
+++ b/tests/prove/cell.cpp
@@ -1,16 +1,13 @@
 // Purpose: the processes of one cell, started and stopped by the test.
 //
 // Index of sections
-//   1. Addresses and waiting
+//   1. Waiting
 //   2. Files
 //   3. Processes
 //   4. Links
 #include "tests/prove/cell.hpp"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
+#include "tests/prove/free_addresses.hpp"
 
 #include <algorithm>
 #include <csignal>
@@ -22,7 +19,7 @@
 namespace
 {
 
-// 1. Addresses and waiting
+// 1. Waiting
 
 constexpr std::int64_t micros_per_second = 1'000'000;
 constexpr std::int64_t stop_limit_micros = 10 * micros_per_second;
@@ -33,34 +30,6 @@
 constexpr std::int64_t target_slots = 8;
 constexpr int          targets_per_domain = 4;
 
-// All ports are held until the last one is known, so that they differ.
-std::vector<std::string> find_addresses(std::size_t count)
-{
-    std::vector<int>         sockets;
-    std::vector<std::string> found;
-    for (std::size_t i = 0; i < count; ++i)
-    {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof address;
-        int const handle = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        sockets.push_back(handle);
-        auto* const generic = reinterpret_cast<sockaddr*>(&address);
-        if (handle < 0 || bind(handle, generic, size) != 0 ||
-            getsockname(handle, generic, &size) != 0)
-        {
-            throw std::runtime_error("no free port");
-        }
-        found.push_back("127.0.0.1:" + std::to_string(ntohs(address.sin_port)));
-    }
-    for (int const handle : sockets)
-    {
-        close(handle);
-    }
-    return found;
-}
-
 gboolean wake_loop(gpointer /*data*/)
 {
     return G_SOURCE_CONTINUE;
