Keep the waiting attempt when its target lists an earlier one

What callers saw: a job whose target was counted as lost, and which came back with the end of the lost attempt before the next one had started, got neither an answer nor a new start.

Cause: replace_queued in decide/apply_task_events.cpp dropped the attempt that waits and then turned the found one down, since a later attempt was known. The task was left without any attempt, and a gang without one of its tasks.

Change: a found attempt that is earlier than the latest is turned down first, and the one that waits stays. An attempt with the same or a higher number replaces a waiting one as before.

--- a/decide/apply_task_events.cpp
+++ b/decide/apply_task_events.cpp
@@ -106,11 +106,15 @@
                       team, work_class);
 }
 
-// Makes room for the found attempt. False when another one is in flight, so
-// that the found one has to be stopped.
+// Makes room for the found attempt. False when a later one waits or has ended,
+// or another one is in flight, so that the found one has to be stopped.
 bool replace_queued(scheduler& context, std::size_t job, task_key const& found)
 {
     std::uint32_t& latest = context.jobs_.attempts_[job][found.index_];
+    if (latest > found.attempt_)
+    {
+        return false;
+    }
     if (auto const task = find_task(context, job, found.index_))
     {
         if (context.tasks_.phase_[*task] != task_phase::queued)
@@ -120,10 +124,6 @@
         unqueue_task(context, *task);
         remove_task(context.tasks_, *task);
     }
-    if (latest > found.attempt_)
-    {
-        return false; // a later attempt has ended
-    }
     latest = found.attempt_;
     return true;
 }
--- a/tests/unit/decide_takeover_test.cpp
+++ b/tests/unit/decide_takeover_test.cpp
@@ -57,6 +57,59 @@
     CHECK(last_result().target_ == target_id("target-9"));
 }
 
+// A target that was counted as lost, with a task of a job that waits for its
+// next attempt.
+struct returning_target_fixture : decide_fixture
+{
+    // Returns with the end of a task's first attempt, then the backoff passes.
+    std::vector<start_task> return_and_wait(job_spec const& spec,
+                                            std::size_t     index)
+    {
+        join_target("target-1");
+        post(job_submitted{spec});
+        tick();
+        start_task const lost = list<start_task>().at(index);
+        post(target_lost{lost.target_});
+        tick();
+        join_target("target-1");
+        post(task_recovered{spec, lost.task_, lost.target_, spec.demand_});
+        end(lost, outcome::succeeded);
+        advance(5 * micros_per_second);
+        tick();
+        return list<start_task>();
+    }
+};
+
+// Guards against a job that is neither answered nor started again: the attempt
+// that waited was dropped for the one that the target listed.
+TEST_CASE_FIXTURE(returning_target_fixture,
+                  "request, lost and listed by its target later, runs again")
+{
+    auto const again = return_and_wait(make_request("order-1"), 0);
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].task_.attempt_ == 2);
+    end(again[0], outcome::succeeded);
+    CHECK(last_result().state_ == job_state::answered);
+}
+
+// Guards against a process that fails an assertion: a gang was queued although
+// the waiting attempt of one of its tasks had been dropped.
+TEST_CASE_FIXTURE(returning_target_fixture,
+                  "gang, lost and one task listed later, runs again as a whole")
+{
+    std::size_t listed = 0;
+    SUBCASE("its first task")
+    {
+        listed = 0;
+    }
+    SUBCASE("its last task")
+    {
+        listed = 1;
+    }
+    auto const spec = make_job("match", work_kind::gang, 2);
+    CHECK(return_and_wait(spec, listed).size() == 2);
+}
+
 // Guards against "not run" for work that may run unseen.
 TEST_CASE_FIXTURE(takeover_fixture,
                   "may_run job, deadline while unreached, becomes unknown")
