Make room for gangs above their shard's part of a limit

Cause: give_part gives only what its shard doesn't want itself. With such a gang in every shard, or with single tasks that fill the limit in all of them, no shard gave, and single tasks took each bit of room that came free.

Change: a shard tells one claim for each organisation with its load: the work above its part that was owed first. Owners serve the earliest claim; other shards leave what it lacks unused and give it to that shard alone, which keeps it for the work. Turns are bounded and get longer, so that work which can't start doesn't hold room for ever. What is given still leaves its owner's use before the write, under the fence.

Before, with the new tests of tests/unit/cell_allotments_test.cpp on: 0 of 12 gangs started in 20 s, 0 of 6 larger ones in 30 s, a gang among single tasks not in 6 s, 0 of 12 after the death of an owner. Now all of them start, and the limit holds at every look.

The fixture of clusters can carry stops out, since a gang ends as a whole; other tests keep the former behaviour.

--- a/cell/drive_planners.cpp
+++ b/cell/drive_planners.cpp
@@ -33,6 +33,7 @@
     auto const shards = static_cast<double>(
         context.layouts_.size() * count_shards(context, shard.domain_));
     std::vector<organisation_share> organisations;
+    std::vector<plan::limit_turn>   turns;
     for (organisation_entry const& entry : context.config_->organisations_)
     {
         // Callers of an organisation aren't spread evenly over the domains.
@@ -41,10 +42,21 @@
             {entry.share_.id_, entry.share_.weight_ * uneven_factor / shards,
              scale_limit(entry.share_.limit_,
                          find_part(context, shard, entry.share_.id_))});
+        if (!entry.share_.limit_.is_zero())
+        {
+            auto const turn = context.turns_.find(entry.share_.id_);
+            turns.push_back(
+                {.organisation_ = entry.share_.id_,
+                 .limit_ = entry.share_.limit_,
+                 .withheld_ = find_withheld(context, shard, entry.share_),
+                 .granted_ = turn != context.turns_.end() &&
+                             turn->second.shard_ == shard});
+        }
     }
     plan::post_event(*own.planner_, plan::queues_set{std::move(queues)});
     plan::post_event(*own.planner_,
                      plan::organisations_set{std::move(organisations)});
+    plan::post_event(*own.planner_, plan::turns_set{std::move(turns)});
     plan::post_event(*own.planner_,
                      plan::domain_set{!context.out_.contains(shard.domain_)});
     own.plan_needed_ = true;
--- a/cell/move_allotments.cpp
+++ b/cell/move_allotments.cpp
@@ -44,7 +44,8 @@
     return limit <= 0 ? 0 : (amount * whole_limit + limit - 1) / limit;
 }
 
-// The part of a limit that an amount takes, rounded up.
+} // namespace
+
 std::int64_t measure_part(resources const& amount, resources const& limit)
 {
     return std::max(
@@ -67,8 +68,6 @@
                                              : part->second;
 }
 
-} // namespace
-
 std::int64_t find_part(node const& context, shard_id const& shard,
                        organisation_id const& organisation)
 {
@@ -96,6 +95,18 @@
             scale(limit.accelerators())};
 }
 
+resources const* find_limit(node const& context, organisation_id const& id)
+{
+    for (organisation_entry const& entry : context.config_->organisations_)
+    {
+        if (entry.share_.id_ == id)
+        {
+            return &entry.share_.limit_;
+        }
+    }
+    return nullptr;
+}
+
 // 2. Reading
 
 void apply_allotment_row(node& context, stored_row const& row)
@@ -189,18 +200,20 @@
     return found == shard.load_.organisations_.end() ? nullptr : &*found;
 }
 
-// Moves parts of one organisation's limit to the shard that lacks most. Empty
-// when there is nothing to give or to want.
-std::optional<allotment_record> give_part(node const&       context,
-                                          limit_view const& view)
+// A shard that lacks room.
+struct needy_shard
+{
+    shard_id const     shard_;
+    std::int64_t const lacking_; // thousandths
+};
+
+// The shard that lacks most of one organisation's limit.
+std::optional<needy_shard> find_neediest(node const&       context,
+                                         limit_view const& view)
 {
     organisation_id const& id = view.mine_.organisation_;
-    std::int64_t const     part = find_part(context, view.shard_, id);
-    std::int64_t const     used = measure_part(view.mine_.used_, view.limit_);
-    std::int64_t const     wanted =
-        measure_part(view.mine_.used_ + view.mine_.queued_, view.limit_);
-    shard_id     neediest;
-    std::int64_t most = 0;
+    shard_id               neediest;
+    std::int64_t           most = 0;
     for (std::size_t row = 0; row < context.shards_.size(); ++row)
     {
         shard_id const&                      other = context.shards_.key(row);
@@ -219,44 +232,79 @@
             neediest = other;
         }
     }
-    if (most == 0)
-    {
-        return std::nullopt;
-    }
-    // Where both lack room, each may have an equal part. What runs keeps its
-    // room until it ends.
+    return most == 0 ? std::nullopt
+                     : std::optional(needy_shard{neediest, most});
+}
+
+// What the shard gives up for another one. Where both lack room, each may have
+// an equal part. What runs keeps its room until it ends.
+std::int64_t count_spare(node const& context, limit_view const& view,
+                         shard_id const& neediest)
+{
+    organisation_id const& id = view.mine_.organisation_;
+    std::int64_t const     part = find_part(context, view.shard_, id);
+    std::int64_t const     wanted =
+        measure_part(view.mine_.used_ + view.mine_.queued_, view.limit_);
     std::int64_t spare = part - wanted;
     if (stored_part(context, neediest, id) < equal_part(context, neediest))
     {
         spare = std::max(spare, part - equal_part(context, view.shard_));
     }
-    std::int64_t const given = std::min({spare, part - used, most});
-    if (given <= 0)
-    {
-        return std::nullopt;
-    }
-    allotment_record record;
+    return spare;
+}
+
+// The row after the shard has given some of its part to another one.
+allotment_record write_gift(node const& context, limit_view const& view,
+                            shard_id const& receiver, std::int64_t given)
+{
+    organisation_id const& id = view.mine_.organisation_;
+    allotment_record       record;
     for (std::size_t row = 0; row < context.shards_.size(); ++row)
     {
         shard_id const& shard = context.shards_.key(row);
         record.parts_[shard] =
             static_cast<std::uint32_t>(stored_part(context, shard, id));
     }
-    record.parts_[view.shard_] = static_cast<std::uint32_t>(part - given);
-    record.parts_[neediest] += static_cast<std::uint32_t>(given);
+    record.parts_[view.shard_] =
+        static_cast<std::uint32_t>(find_part(context, view.shard_, id) - given);
+    record.parts_[receiver] += static_cast<std::uint32_t>(given);
     return record;
 }
 
-resources const* find_limit(node const& context, organisation_id const& id)
+// Moves parts of one organisation's limit: to the claim that is served until it
+// has enough, else to the shard that lacks most. Empty when there is nothing to
+// give or to want.
+std::optional<allotment_record> give_part(node const&       context,
+                                          limit_view const& view)
 {
-    for (organisation_entry const& entry : context.config_->organisations_)
+    organisation_id const& id = view.mine_.organisation_;
+    std::int64_t const     unused = find_part(context, view.shard_, id) -
+                                measure_part(view.mine_.used_, view.limit_);
+    auto const turn = context.turns_.find(id);
+    if (turn != context.turns_.end() && turn->second.shard_ == view.shard_)
     {
-        if (entry.share_.id_ == id)
-        {
-            return &entry.share_.limit_;
-        }
+        return std::nullopt;
     }
-    return nullptr;
+    if (turn != context.turns_.end() &&
+        count_lacking(context, turn->second, id) > 0)
+    {
+        shard_id const&    receiver = turn->second.shard_;
+        std::int64_t const given =
+            std::min(unused, count_lacking(context, turn->second, id));
+        return given <= 0
+                   ? std::nullopt
+                   : std::optional(write_gift(context, view, receiver, given));
+    }
+    auto const needy = find_neediest(context, view);
+    if (!needy)
+    {
+        return std::nullopt;
+    }
+    std::int64_t const given = std::min(
+        {count_spare(context, view, needy->shard_), unused, needy->lacking_});
+    return given <= 0
+               ? std::nullopt
+               : std::optional(write_gift(context, view, needy->shard_, given));
 }
 
 // Limits of one transaction.
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -14,6 +14,7 @@
 #include "cell/host_row.hpp"
 #include "cell/job_record.hpp"
 #include "cell/layout_row.hpp"
+#include "cell/limit_turn.hpp"
 #include "cell/order_row.hpp"
 #include "cell/owned_row.hpp"
 #include "cell/parked_call.hpp"
@@ -75,6 +76,8 @@
     std::map<std::uint64_t, shard_id>      probes_;      // request to shard
     table<host_id, asker_row>              askers_;
     table<organisation_id, allotment_row>  allotments_; // divided limits
+    std::map<organisation_id, limit_turn>  turns_;      // with a claim
+    instant turns_at_; // next choice of the claims that are served
 
     table<job_id, delegation_row>   delegations_;    // of owned jobs
     std::map<std::uint64_t, job_id> delegate_calls_; // call to delegation
@@ -113,6 +116,7 @@
 void load_shards(node& context);     // fence and read
 void drive_planners(node& context);  // plan ticks, their orders
 void delegate_tasks(node& context);  // tasks without room to other shards
+void grant_turns(node& context);     // claims to limits, one after another
 void move_allotments(node& context); // parts of limits to other shards
 void keep_sessions(node& context);   // leases and orders to targets
 void write_journal(node& context);   // jobs to the store
@@ -206,6 +210,20 @@
 std::int64_t find_part(node const& context, shard_id const& shard,
                        organisation_id const& organisation);
 resources    scale_limit(resources const& limit, std::int64_t part);
+// The part that the latest row gives.
+std::int64_t stored_part(node const& context, shard_id const& shard,
+                         organisation_id const& organisation);
+// The part of a limit that an amount takes, rounded up.
+std::int64_t measure_part(resources const& amount, resources const& limit);
+// What the shard that is served still lacks for its claim.
+std::int64_t count_lacking(node const& context, limit_turn const& turn,
+                           organisation_id const& organisation);
+// What a shard leaves unused of its part for the claim of another one.
+resources find_withheld(node const& context, shard_id const& shard,
+                        organisation_share const& share);
+// Null: not configured.
+resources const* find_limit(node const&            context,
+                            organisation_id const& organisation);
 
 // Sessions
 void open_sessions(node& context, shard_id const& shard);
--- a/peer/peer_codec.cpp
+++ b/peer/peer_codec.cpp
@@ -28,6 +28,17 @@
     return {from.cpu_millis(), from.memory_mib(), from.accelerators()};
 }
 
+std::optional<plan::limit_claim>
+read_claim(cell::v1::OrganisationLoad const& from)
+{
+    if (!from.has_claim())
+    {
+        return std::nullopt;
+    }
+    return plan::limit_claim{read_amounts(from.claim().demand()),
+                             from.claim().since_unix_ms()};
+}
+
 shard_id read_shard(std::string const& name)
 {
     try
@@ -70,6 +81,12 @@
             entry.set_organisation(load.organisation_.str());
             write_amounts(load.used_, *entry.mutable_used());
             write_amounts(load.queued_, *entry.mutable_queued());
+            if (load.claim_)
+            {
+                cell::v1::LimitClaim& claim = *entry.mutable_claim();
+                write_amounts(load.claim_->demand_, *claim.mutable_demand());
+                claim.set_since_unix_ms(load.claim_->since_unix_ms_);
+            }
         }
     }
     return message;
@@ -98,7 +115,8 @@
         {
             shard.load_.organisations_.push_back(
                 {organisation_id(entry.organisation()),
-                 read_amounts(entry.used()), read_amounts(entry.queued())});
+                 read_amounts(entry.used()), read_amounts(entry.queued()),
+                 read_claim(entry)});
         }
         beat.shards_.push_back(std::move(shard));
     }
--- a/plan/apply_events.cpp
+++ b/plan/apply_events.cpp
@@ -46,6 +46,23 @@
     }
 }
 
+void apply(planner& context, turns_set const& input)
+{
+    for (claim_row& row : context.claims_)
+    {
+        row.limit_ = resources();
+        row.withheld_ = resources();
+        row.granted_ = false;
+    }
+    for (limit_turn const& turn : input.turns_)
+    {
+        claim_row& row = context.claims_.ensure(turn.organisation_);
+        row.limit_ = turn.limit_;
+        row.withheld_ = turn.withheld_;
+        row.granted_ = turn.granted_;
+    }
+}
+
 void apply(planner& context, domain_set const& input)
 {
     context.in_service_ = input.in_service_;
--- a/plan/event.hpp
+++ b/plan/event.hpp
@@ -18,6 +18,7 @@
 #include "plan/target_gone.hpp"
 #include "plan/target_set.hpp"
 #include "plan/tasks_delegated.hpp"
+#include "plan/turns_set.hpp"
 
 #include <variant>
 
@@ -25,8 +26,8 @@
 {
 
 using event =
-    std::variant<queues_set, organisations_set, target_set, target_gone,
-                 domain_set, job_added, job_canceled, job_dropped,
+    std::variant<queues_set, organisations_set, turns_set, target_set,
+                 target_gone, domain_set, job_added, job_canceled, job_dropped,
                  run_confirmed, run_refused, run_ended, run_seen, advice_given,
                  advice_failed, tasks_delegated, delegate_ended>;
 
--- a/plan/explain_waits.cpp
+++ b/plan/explain_waits.cpp
@@ -83,7 +83,8 @@
         why += may_be_unseen(unseen, job, step) ? ", unseen targets" : "";
         why += stage.asked_ ? ", advice asked" : "";
         why += job.excess_ ? ", beyond the organisation's rate" : "";
-        why += is_within_limit(context, job.spec_->organisation_, step.demand_)
+        why += is_within_limit(context, job.spec_->organisation_, key,
+                               step.demand_)
                    ? ""
                    : ", at the organisation's limit";
         auto const index =
--- a/plan/organisation_load.hpp
+++ b/plan/organisation_load.hpp
@@ -4,15 +4,19 @@
 
 #include "core/ids.hpp"
 #include "core/resources.hpp"
+#include "plan/limit_claim.hpp"
+
+#include <optional>
 
 namespace fescuevane::plan
 {
 
 struct organisation_load
 {
-    organisation_id organisation_;
-    resources       used_;   // by what runs
-    resources       queued_; // by tasks that could start
+    organisation_id            organisation_;
+    resources                  used_;   // by what runs
+    resources                  queued_; // by tasks that could start
+    std::optional<limit_claim> claim_;  // to more than the shard's part
 
     friend bool operator==(organisation_load const&,
                            organisation_load const&) = default;
--- a/plan/place_tasks.cpp
+++ b/plan/place_tasks.cpp
@@ -128,7 +128,7 @@
 {
     stage_view const stage = view_stage(context, key);
     task_cell const& task = stage.row_.tasks_[index];
-    if (!is_within_limit(context, stage.job_.spec_->organisation_,
+    if (!is_within_limit(context, stage.job_.spec_->organisation_, key,
                          stage.step_.demand_))
     {
         return false;
@@ -192,7 +192,8 @@
     {
         stage_view const         stage = view_stage(context, key);
         std::optional<target_id> target;
-        if (is_within_limit(context, job.spec_->organisation_, step.demand_))
+        if (is_within_limit(context, job.spec_->organisation_, key,
+                            step.demand_))
         {
             target = choose_target(context,
                                    {stage, stage.row_.tasks_[index], {}, rack});
@@ -267,13 +268,6 @@
 constexpr std::int64_t reserve_micros = 4'000'000;
 constexpr std::int64_t reserve_pause_micros = 8'000'000; // until the next one
 
-bool may_use(stage_row const& stage, target_id const& target)
-{
-    auto const ticket = stage.tickets_.find(target);
-    return stage.tickets_.empty() ||
-           (ticket != stage.tickets_.end() && ticket->second.good_);
-}
-
 // True when the gang has waited long, and would start once all work that ends
 // by itself has ended.
 bool wants_reservation(planner const& context, stage_key const& key)
@@ -293,21 +287,11 @@
                                task.waiting_since_.after(
                                    reserve_after_micros) <= context.now_;
                     });
-    if (!waits_long || !is_within_limit(context, view.job_.spec_->organisation_,
-                                        step.demand_ * step.count_))
-    {
-        return false;
-    }
-    std::int64_t room = 0;
-    for (std::size_t row = 0; row < context.targets_.size(); ++row)
-    {
-        if (may_use(stage, context.targets_.key(row)) &&
-            accepts_stage(context, view, context.targets_[row]))
-        {
-            room += count_fitting_later(view, context.targets_[row]);
-        }
-    }
-    return room >= static_cast<std::int64_t>(step.count_);
+    return waits_long &&
+           is_within_limit(context, view.job_.spec_->organisation_, key,
+                           step.demand_ * step.count_) &&
+           count_room_later(context, view) >=
+               static_cast<std::int64_t>(step.count_);
 }
 
 void end_reservation(planner& context)
--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -10,6 +10,7 @@
 
 #include "core/job_progress.hpp"
 #include "plan/job_flow.hpp"
+#include "plan/limit_claims.hpp"
 #include "plan/load_summary.hpp"
 #include "plan/overflow.hpp"
 #include "plan/plan.hpp"
@@ -47,13 +48,14 @@
 
 std::span<system_entry const> list_systems()
 {
-    static constexpr std::array<system_entry, 9> systems = {{
+    static constexpr std::array<system_entry, 10> systems = {{
         {"apply_events", &apply_events},
         {"open_stages", &open_stages},
         {"count_unseen", &count_unseen},
         {"estimate_chains", &estimate_chains},
         {"watch_runs", &watch_runs},
         {"pace_fillers", &pace_fillers},
+        {"claim_limits", &claim_limits},
         {"request_advice", &request_advice},
         {"place_tasks", &place_tasks},
         {"explain_waits", &explain_waits},
@@ -358,7 +360,8 @@
         if (!organisation.limit_.is_zero())
         {
             sum.organisations_.push_back(
-                {id, organisation.used_ + organisation.unseen_, queued[id]});
+                {id, organisation.used_ + organisation.unseen_, queued[id],
+                 find_claim(context, id)});
         }
     }
     std::map<queue_id, std::uint32_t> waiting;
--- a/plan/planner.hpp
+++ b/plan/planner.hpp
@@ -6,6 +6,7 @@
 #include "core/instant.hpp"
 #include "core/queue_policy.hpp"
 #include "core/table.hpp"
+#include "plan/claim_row.hpp"
 #include "plan/command.hpp"
 #include "plan/event.hpp"
 #include "plan/image_row.hpp"
@@ -37,6 +38,7 @@
 
     table<queue_id, queue_policy>            queues_;
     table<organisation_id, organisation_row> organisations_;
+    table<organisation_id, claim_row>        claims_; // with a limit
     table<target_id, target_row>             targets_;
     table<job_id, job_row>                   jobs_;
     table<stage_key, stage_row>              stages_; // open ones only
@@ -78,6 +80,7 @@
 void estimate_chains(planner& context); // run times of what is left of jobs
 void watch_runs(planner& context);      // stalled runs, slow runs
 void pace_fillers(planner& context);    // beside tasks with a latency bound
+void claim_limits(planner& context);    // room for work above the shard's part
 void request_advice(planner& context);  // tickets ahead of need
 void place_tasks(planner& context);     // waiting tasks to targets
 void explain_waits(planner& context);   // what tasks that wait long wait for
--- a/plan/request_advice.cpp
+++ b/plan/request_advice.cpp
@@ -273,7 +273,7 @@
     std::int64_t const waiting = count_waiting(stage.row_);
     if (waiting == 0 ||
         (startable && !is_within_limit(context, stage.job_.spec_->organisation_,
-                                       stage.step_.demand_)))
+                                       key, stage.step_.demand_)))
     {
         return;
     }
--- a/plan/room.cpp
+++ b/plan/room.cpp
@@ -2,6 +2,7 @@
 #include "plan/room.hpp"
 
 #include "plan/job_flow.hpp"
+#include "plan/limit_claims.hpp"
 #include "plan/planner.hpp"
 #include "plan/stage_view.hpp"
 
@@ -20,9 +21,9 @@
     return demand <= 0 ? unlimited : std::max<std::int64_t>(0, room) / demand;
 }
 
-bool fits_limit(std::int64_t used, std::int64_t demand, std::int64_t limit)
+bool fits_amount(std::int64_t amount, std::int64_t limit)
 {
-    return limit <= 0 || used + demand <= limit;
+    return limit <= 0 || amount <= limit;
 }
 
 } // namespace
@@ -120,21 +121,41 @@
                context.now_.after(context.settings_.advice_margin_micros_);
 }
 
-bool is_within_limit(planner const& context, organisation_id const& id,
-                     resources const& demand)
+bool may_use(stage_row const& stage, target_id const& target)
 {
-    organisation_row const* const row = context.organisations_.find(id);
-    if (row == nullptr)
+    auto const ticket = stage.tickets_.find(target);
+    return stage.tickets_.empty() ||
+           (ticket != stage.tickets_.end() && ticket->second.good_);
+}
+
+std::int64_t count_room_later(planner const& context, stage_view const& stage)
+{
+    std::int64_t room = 0;
+    for (std::size_t row = 0; row < context.targets_.size(); ++row)
     {
-        return true;
+        if (may_use(stage.row_, context.targets_.key(row)) &&
+            accepts_stage(context, stage, context.targets_[row]))
+        {
+            room += count_fitting_later(stage, context.targets_[row]);
+        }
     }
-    resources const used = row->used_ + row->unseen_;
-    return fits_limit(used.cpu_millis(), demand.cpu_millis(),
-                      row->limit_.cpu_millis()) &&
-           fits_limit(used.memory_mib(), demand.memory_mib(),
-                      row->limit_.memory_mib()) &&
-           fits_limit(used.accelerators(), demand.accelerators(),
-                      row->limit_.accelerators());
+    return room;
+}
+
+bool fits_limit(resources const& amount, resources const& limit)
+{
+    return fits_amount(amount.cpu_millis(), limit.cpu_millis()) &&
+           fits_amount(amount.memory_mib(), limit.memory_mib()) &&
+           fits_amount(amount.accelerators(), limit.accelerators());
+}
+
+bool is_within_limit(planner const& context, organisation_id const& id,
+                     stage_key const& stage, resources const& demand)
+{
+    organisation_row const* const row = context.organisations_.find(id);
+    return row == nullptr || fits_limit(row->used_ + row->unseen_ + demand +
+                                            find_kept(context, id, stage),
+                                        row->limit_);
 }
 
 std::uint32_t count_on_target(planner const& context, stage_view const& stage,
--- a/plan/room.hpp
+++ b/plan/room.hpp
@@ -9,6 +9,7 @@
 
 namespace fescuevane
 {
+struct stage_key;
 struct step_spec;
 } // namespace fescuevane
 
@@ -16,6 +17,7 @@
 {
 
 struct planner;
+struct stage_row;
 struct stage_view;
 struct target_row;
 struct ticket_cell;
@@ -59,9 +61,19 @@
 // True when the ticket may still be used.
 bool is_valid(planner const& context, ticket_cell const& ticket);
 
-// True when the organisation may have `demand` more running.
+// False when the stage has tickets, but none for the target.
+bool may_use(stage_row const& stage, target_id const& target);
+
+// Tasks of the stage that its targets and tickets allow once all work that ends
+// by itself has ended.
+std::int64_t count_room_later(planner const& context, stage_view const& stage);
+
+// True when an amount stays within a limit; 0: there is no limit.
+bool fits_limit(resources const& amount, resources const& limit);
+
+// True when the organisation of a stage may have `demand` more of it running.
 bool is_within_limit(planner const& context, organisation_id const& id,
-                     resources const& demand);
+                     stage_key const& stage, resources const& demand);
 
 // Runs of the stage on one target, for a stage with a spread limit.
 std::uint32_t count_on_target(planner const& context, stage_view const& stage,
--- a/plan/stage_row.hpp
+++ b/plan/stage_row.hpp
@@ -27,6 +27,11 @@
     std::uint32_t              gang_run_ = 0; // number of the gang's latest run
     std::vector<std::uint32_t> gang_failures_; // run numbers
 
+    // Claims to room within the organisation's limit
+    std::uint32_t turns_ = 0;              // that passed without a start
+    std::int64_t  turn_ended_unix_ms_ = 0; // of the latest one
+    instant       claim_after_;
+
     std::unordered_map<target_id, ticket_cell> tickets_;
     bool    asked_ = false;      // a question is in flight
     bool    asked_long_ = false; // its answer is long
--- a/tests/unit/cell_allotments_test.cpp
+++ b/tests/unit/cell_allotments_test.cpp
@@ -170,12 +170,15 @@
 // organisation uses 400 cores at most times, and may use 1.9 times that.
 struct wide_fixture : cell_cluster_fixture
 {
-    resources const limit_{760'000, 0, 0};
-    resources const task_{18'000, 1024, 0};
-    int             submitted_ = 0;
+    resources const  limit_{760'000, 0, 0};
+    resources const  task_{18'000, 1024, 0};
+    int              submitted_ = 0;
+    std::vector<int> gangs_;        // of `submit_gangs`, numbers of submissions
+    std::int64_t     most_cpu_ = 0; // that ran at once, in `run_with_ends`
 
     wide_fixture()
     {
+        answers_stops_ = true; // a gang ends as a whole
         defaults_.domains_ = {domain_id("east"), domain_id("north"),
                               domain_id("west")};
         defaults_.targets_per_shard_ = 10;
@@ -218,13 +221,69 @@
     // True when the organisation's latest job, a gang, has started as a whole.
     bool has_started(std::uint32_t count)
     {
-        job_id const  id("aa" + std::to_string(1000 + submitted_ - 1));
+        return count_started(submitted_ - 1) >= count;
+    }
+
+    // Tasks of a job that have started, by the number of its submission.
+    std::uint32_t count_started(int number)
+    {
+        job_id const  id("aa" + std::to_string(1000 + number));
         std::uint32_t found = 0;
         for (auto const& [run, starts] : starts_)
         {
             found += run.stage_.job_ == id ? 1 : 0;
         }
-        return found >= count;
+        return found;
+    }
+
+    // Each shard queues single tasks beyond its part of the limit.
+    void fill_parts(int rounds)
+    {
+        for (int round = 0; round < rounds; ++round)
+        {
+            for (std::string const host : {"east-1", "north-1", "west-1"})
+            {
+                submit_tasks(host, 14, false);
+            }
+        }
+        run_with_ends(2 * micros_per_second);
+        REQUIRE(running_cpu() > limit_.cpu_millis() / 2);
+    }
+
+    // At each domain.
+    void submit_gangs(int each, std::uint32_t count)
+    {
+        for (int gang = 0; gang < each; ++gang)
+        {
+            for (std::string const host : {"east-1", "north-1", "west-1"})
+            {
+                gangs_.push_back(submitted_);
+                submit_tasks(host, count, true);
+            }
+        }
+    }
+
+    int count_started_gangs(std::uint32_t count)
+    {
+        int started = 0;
+        for (int const number : gangs_)
+        {
+            started += count_started(number) >= count ? 1 : 0;
+        }
+        return started;
+    }
+
+    // Runs for some time. Tasks end a second after their start.
+    void run_with_ends(std::int64_t micros)
+    {
+        constexpr std::int64_t step = 100'000;
+        constexpr std::int64_t age_ms = 1000;
+        for (std::int64_t passed = 0; passed < micros; passed += step)
+        {
+            run(step);
+            most_cpu_ = std::max(most_cpu_, running_cpu());
+            end_runs(age_ms);
+        }
     }
 };
 
@@ -248,5 +307,59 @@
     CHECK(running_cpu() <= limit_.cpu_millis());
 }
 
+// Guards against gangs that wait without end because each shard has one and so
+// none gives what it wants itself.
+TEST_CASE_FIXTURE(wide_fixture,
+                  "gangs above the part in all shards, all start in turn")
+{
+    fill_parts(10);
+    submit_gangs(4, 14);
+    run_with_ends(20 * micros_per_second);
+    CHECK(count_started_gangs(14) == 12);
+    CHECK(most_cpu_ <= limit_.cpu_millis());
+}
+
+// Guards against gangs that start only while nobody else needs the limit: each
+// takes most of it, so only one can run at a time.
+TEST_CASE_FIXTURE(wide_fixture,
+                  "gangs of most of the limit, one at a time, all start")
+{
+    fill_parts(10);
+    submit_gangs(2, 28); // 504 of 760 cores
+    run_with_ends(30 * micros_per_second);
+    CHECK(count_started_gangs(28) == 6);
+    CHECK(most_cpu_ <= limit_.cpu_millis());
+}
+
+// Guards against a gang that starves: single tasks of its organisation take
+// each bit of room that comes free, in its shard and in all others.
+TEST_CASE_FIXTURE(wide_fixture,
+                  "singles fill the limit everywhere, gang waits, starts")
+{
+    fill_parts(20);
+    submit_tasks("east-1", 14, true);
+    run_with_ends(6 * micros_per_second);
+    CHECK(has_started(14));
+    CHECK(most_cpu_ <= limit_.cpu_millis());
+    // The claim is over, so the singles have the limit again.
+    run_with_ends(2 * micros_per_second);
+    CHECK(running_cpu() > limit_.cpu_millis() / 2);
+}
+
+// Guards against claims that are lost, or kept for ever, with an owner, and
+// against work above the limit meanwhile.
+TEST_CASE_FIXTURE(wide_fixture,
+                  "gangs above the part, an owner is killed, all start")
+{
+    fill_parts(10);
+    submit_gangs(4, 14);
+    run_with_ends(3 * micros_per_second);
+    REQUIRE(count_started_gangs(14) < 12);
+    kill("north-1");
+    run_with_ends(40 * micros_per_second);
+    CHECK(count_started_gangs(14) == 12);
+    CHECK(most_cpu_ <= limit_.cpu_millis());
+}
+
 } // namespace
 } // namespace fescuevane::cell
--- a/tests/unit/cell_cluster_fixture.hpp
+++ b/tests/unit/cell_cluster_fixture.hpp
@@ -47,9 +47,10 @@
     std::map<row_key, stored_row>                  rows_;
     revision                                       revision_ = 0;
     std::uint64_t                                  journal_writes_ = 0;
-    instant                            now_ = instant(10 * micros_per_second);
-    std::int64_t                       unix_ms_ = 1'000'000;
-    std::uint64_t                      last_call_ = 0;
+    bool          answers_stops_ = false; // targets carry stops out
+    instant       now_ = instant(10 * micros_per_second);
+    std::int64_t  unix_ms_ = 1'000'000;
+    std::uint64_t last_call_ = 0;
     std::shared_ptr<cell_config const> config_ = cell_fixture::make_config();
 
     cell_cluster_fixture()
@@ -164,6 +165,22 @@
         }
     }
 
+    void stop_run(target_id const& target, run_key const& stopped)
+    {
+        std::vector<reported_run> rest;
+        for (reported_run const& run : running_[target])
+        {
+            if (run.run_ != stopped)
+            {
+                rest.push_back(run);
+                continue;
+            }
+            ended_[target].push_back(
+                {++ends_[target], stopped, run_end::stopped, ""});
+        }
+        running_[target].swap(rest);
+    }
+
     void forget_ends(hold_target const& hold)
     {
         std::vector<reported_end> rest;
@@ -287,6 +304,17 @@
                        order_reply{.request_ = start.request_,
                                    .outcome_ = target_outcome::done});
         }
+        void operator()(send_stop const& stop) const
+        {
+            if (!cluster_.answers_stops_)
+            {
+                return;
+            }
+            cluster_.stop_run(stop.stop_.target_, stop.stop_.run_);
+            post_event(*host_.node_,
+                       order_reply{.request_ = stop.request_,
+                                   .outcome_ = target_outcome::done});
+        }
         template <typename Other>
         void operator()(Other const& /*order*/) const
         {
--- a/tests/unit/peer_link_test.cpp
+++ b/tests/unit/peer_link_test.cpp
@@ -233,7 +233,20 @@
 
     static cell::heartbeat make_beat(std::string const& host)
     {
-        return {.host_ = host_id(host), .incarnation_ = 3};
+        plan::load_summary const load{
+            .capacity_ = {4000, 8192, 0},
+            .organisations_ = {
+                {organisation_id("bar"), {500, 0, 0}, {}, {}},
+                {organisation_id("cafe"),
+                 {1000, 512, 0},
+                 {2000, 1024, 0},
+                 plan::limit_claim{{2000, 1024, 0}, 1'000'007}}}};
+        return {.host_ = host_id(host),
+                .incarnation_ = 3,
+                .shards_ = {{.shard_ = {domain_id("east"), 1},
+                             .epoch_ = 2,
+                             .serving_ = true,
+                             .load_ = load}}};
     }
 
     void beat(std::string const& address, std::int64_t micros)
