Assign the rest of a limit that equal parts leave

Callers saw a gang that needs its organisation's whole limit, and is within it, wait without end while nothing else ran.

Cause: equal parts are rounded down to thousandths, so six shards have 996 and three 999; the rest belonged to no shard, and shards only move parts.

Change: the first writer of a row adds what no shard has to the receiver's part.

--- a/cell/move_allotments.cpp
+++ b/cell/move_allotments.cpp
@@ -253,6 +253,25 @@
     return spare;
 }
 
+// What belongs to no shard: equal parts are rounded down. Nothing while a
+// layout isn't known, since the shards of that domain have parts, too.
+std::int64_t count_unassigned(node const&             context,
+                              allotment_record const& record)
+{
+    bool const all_known =
+        std::all_of(context.layouts_.begin(), context.layouts_.end(),
+                    [](layout_row const& layout)
+                    {
+                        return layout.revision_ != 0;
+                    });
+    std::int64_t assigned = 0;
+    for (auto const& [shard, part] : record.parts_)
+    {
+        assigned += part;
+    }
+    return all_known ? std::max<std::int64_t>(0, whole_limit - assigned) : 0;
+}
+
 // The row after the shard has given some of its part to another one.
 allotment_record write_gift(node const& context, limit_view const& view,
                             shard_id const& receiver, std::int64_t given)
@@ -268,6 +287,8 @@
     record.parts_[view.shard_] =
         static_cast<std::uint32_t>(find_part(context, view.shard_, id) - given);
     record.parts_[receiver] += static_cast<std::uint32_t>(given);
+    record.parts_[receiver] +=
+        static_cast<std::uint32_t>(count_unassigned(context, record));
     return record;
 }
 
--- a/tests/unit/cell_allotments_test.cpp
+++ b/tests/unit/cell_allotments_test.cpp
@@ -361,5 +361,19 @@
     CHECK(most_cpu_ <= limit_.cpu_millis());
 }
 
+// Guards against a gang that never starts because it needs the whole limit:
+// equal parts are rounded down, so six of them made 996 thousandths.
+TEST_CASE_FIXTURE(wide_fixture,
+                  "gang as large as the limit, nothing else runs, starts")
+{
+    auto config = std::make_shared<cell_config>(*config_);
+    ++config->version_;
+    config->organisations_[0].share_.limit_ = {14 * 18'000, 0, 0};
+    post_all(config_changed{config});
+    submit_tasks("east-1", 14, true);
+    run(6 * micros_per_second);
+    CHECK(has_started(14));
+}
+
 } // namespace
 } // namespace fescuevane::cell
