--- a/plan/event.hpp
+++ b/plan/event.hpp
@@ -26,12 +26,11 @@
 namespace fescuevane::plan
 {
 
-using event =
-    std::variant<queues_set, organisations_set, turns_set, target_set,
-                 target_gone, domain_set, job_added, job_canceled, job_dropped,
-                 run_confirmed, run_refused, run_ended, run_seen, advice_given,
-                 advice_failed, tasks_delegated, delegate_ended,
-                 on_time_changed>;
+using event = std::variant<queues_set, organisations_set, turns_set, target_set,
+                           target_gone, domain_set, job_added, job_canceled,
+                           job_dropped, run_confirmed, run_refused, run_ended,
+                           run_seen, advice_given, advice_failed,
+                           tasks_delegated, delegate_ended, on_time_changed>;
 
 } // namespace fescuevane::plan
 
