Let lasting tasks start while room is kept for a claim

A lasting task whose run ended could have stayed down for a turn of 10 s or more, while its organisation's room was kept for a gang (claims to limits, decision 0011). Users accept 6 s.

Now a lasting task leaves nothing to a claim.

Evidence: "room kept for a claim elsewhere, lasting run ends, runs again" failed before and passes now.

--- a/plan/claim_limits.cpp
+++ b/plan/claim_limits.cpp
@@ -79,7 +79,8 @@
                     stage_key const& stage)
 {
     claim_row const* const claim = context.claims_.find(id);
-    if (claim == nullptr)
+    // A lasting task that was interrupted may not be down for a whole turn.
+    if (claim == nullptr || find_step(context, stage).perpetual_)
     {
         return {};
     }
--- a/plan/limit_claims.hpp
+++ b/plan/limit_claims.hpp
@@ -24,7 +24,7 @@
                                       organisation_id const& id);
 
 // What a stage has to leave to the claim that is served, of another stage or
-// another shard.
+// another shard. Lasting tasks leave nothing.
 resources find_kept(planner const& context, organisation_id const& id,
                     stage_key const& stage);
 
--- a/tests/unit/plan_lasting_test.cpp
+++ b/tests/unit/plan_lasting_test.cpp
@@ -101,5 +101,30 @@
     CHECK(waiting[0].blocked_ == blocked);
 }
 
+// Guards against a lasting task that stays down while its organisation's room
+// is kept for a gang, for 10 s or more.
+TEST_CASE_FIXTURE(
+    lasting_fixture,
+    "room kept for a claim elsewhere, lasting run ends, runs again")
+{
+    post(organisations_set{{{.id_ = organisation_id("cafe"),
+                             .weight_ = 100,
+                             .limit_ = {2000, 4096, 0}}}});
+    add_job("j-1", {make_lasting()});
+    tick();
+    confirm_starts();
+    auto const starts = list<start_run>();
+    REQUIRE(starts.size() == 1);
+    post(turns_set{{{.organisation_ = organisation_id("cafe"),
+                     .limit_ = {4000, 8192, 0},
+                     .withheld_ = {2000, 4096, 0}}}});
+    add_job("j-2", {make_step(1)});
+    end(starts[0], run_end::failed);
+    tick();
+    auto const again = list<start_run>();
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].run_.stage_.job_ == job_id("j-1"));
+}
+
 } // namespace
 } // namespace fescuevane::plan
