--- /dev/null
+++ b/cell/lease_clock.cpp
@@ -0,0 +1,88 @@
+// Purpose: when leases of targets have lapsed, by the targets' clocks.
+#include "cell/sessions.hpp"
+
+#include <algorithm>
+
+namespace fescuevane::cell
+{
+
+namespace
+{
+
+// Longest time for which work that nobody reported may go on.
+std::int64_t longest_lease_micros(settings const& values)
+{
+    return static_cast<std::int64_t>(static_cast<double>(values.lease_ms_) *
+                                     (1 + values.clock_drift_) *
+                                     micros_per_milli) +
+           values.clock_slack_ms_ * micros_per_milli;
+}
+
+double elapsed_ms(instant since, instant now)
+{
+    return static_cast<double>(since.remaining_until(now)) / micros_per_milli;
+}
+
+} // namespace
+
+// The target's clock now, as far as its last answer tells.
+std::int64_t target_clock(session_row const& session, instant now)
+{
+    return session.clock_ms_ +
+           static_cast<std::int64_t>(elapsed_ms(session.clock_at_, now));
+}
+
+namespace
+{
+
+// When the last lease that a former owner granted on a target that wasn't
+// reached has lapsed. A former owner that is cut off goes on renewing, until a
+// target of the shard shows it the higher epoch; so without any target in
+// reach there is no such time.
+instant unseen_lapse(node const& context, session_row const& session)
+{
+    instant const since = context.owned_.find(session.shard_)->exclusive_since_;
+    return since == instant::never()
+               ? since
+               : since.after(longest_lease_micros(context.settings_));
+}
+
+} // namespace
+
+// When no lease that was ever granted can still be running, even on a clock
+// that is slow.
+instant find_lapse(node const& context, session_row const& session)
+{
+    settings const& values = context.settings_;
+    if (session.clock_ms_ == 0)
+    {
+        return unseen_lapse(context, session);
+    }
+    double const wait_ms =
+        static_cast<double>(session.granted_ms_ + values.clock_slack_ms_ -
+                            session.clock_ms_) /
+        (1 - values.clock_drift_);
+    return session.clock_at_.after(
+        static_cast<std::int64_t>(wait_ms * micros_per_milli) +
+        micros_per_milli);
+}
+
+// When the work of a silent target may start elsewhere. Once its leases have
+// lapsed nothing runs there, but it may still list work that was done before.
+// While the list of targets names it, it is alive and most likely tells soon.
+instant find_give_up(node const& context, session_row const& session)
+{
+    instant const lapse = find_lapse(context, session);
+    return session.listed_ && lapse != instant::never()
+               ? count_silence_from(context, lapse)
+                     .after(context.settings_.listed_wait_micros_)
+               : lapse;
+}
+
+// True when the target answered the latest question, as far as is known.
+bool is_answering(session_row const& session)
+{
+    return session.phase_ == session_phase::attached && !session.unanswered_;
+}
+
+} // namespace fescuevane::cell
--- /dev/null
+++ b/cell/list_targets.cpp
@@ -0,0 +1,217 @@
+// Purpose: events: which targets there are, and sessions with them.
+#include "cell/sessions.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace fescuevane::cell
+{
+
+namespace
+{
+
+owned_row* find_owner(node& context, session_row const& session)
+{
+    owned_row* const own = context.owned_.find(session.shard_);
+    return own != nullptr && own->planner_ ? own : nullptr;
+}
+
+} // namespace
+
+void tell(node& context, session_row const& session, plan::event input)
+{
+    if (owned_row* const own = find_owner(context, session))
+    {
+        plan::post_event(*own->planner_, std::move(input));
+        own->plan_needed_ = true;
+    }
+}
+
+namespace
+{
+
+constexpr std::array<plan::target_phase, 3> planner_phases = {
+    plan::target_phase::attaching, plan::target_phase::usable,
+    plan::target_phase::silent};
+
+} // namespace
+
+void tell_planner(node& context, target_id const& id)
+{
+    session_row const& session = *context.sessions_.find(id);
+    plan::target_phase phase =
+        planner_phases.at(static_cast<std::size_t>(session.phase_));
+    if (phase == plan::target_phase::attaching && session.lapsed_)
+    {
+        phase = plan::target_phase::lapsed;
+    }
+    if (phase == plan::target_phase::usable &&
+        (!session.listed_ || session.info_->leaving_))
+    {
+        phase = plan::target_phase::draining;
+    }
+    tell(context, session,
+         plan::target_set{.id_ = id,
+                          .service_ = session.info_->service_,
+                          .rack_ = session.info_->rack_,
+                          .labels_ = session.info_->labels_,
+                          .capacity_ = session.info_->capacity_,
+                          .phase_ = phase});
+}
+
+namespace
+{
+
+// A reply to an order names its request only, so those of earlier sessions
+// would be taken for replies to the present one.
+void forget_orders(node& context, target_id const& id)
+{
+    // Backwards, since a removal moves the last row into the gap.
+    for (std::size_t row = context.orders_.size(); row-- > 0;)
+    {
+        if (context.orders_[row].target_ == id)
+        {
+            std::uint64_t const request = context.orders_.key(row);
+            context.orders_.remove(request);
+        }
+    }
+}
+
+void open_session(node& context, target_id const& id)
+{
+    forget_orders(context, id);
+    session_row& session = *context.sessions_.find(id);
+    owned_row&   own = *context.owned_.find(session.shard_);
+    if (own.predecessor_stopped_)
+    {
+        own.exclusive_since_ = std::min(own.exclusive_since_, context.now_);
+    }
+    session_row fresh;
+    fresh.info_ = session.info_;
+    fresh.listed_ = session.listed_;
+    fresh.unlisted_at_ = session.unlisted_at_;
+    fresh.shard_ = session.shard_;
+    fresh.open_ = true;
+    fresh.hold_at_ = context.now_;
+    fresh.contact_at_ = context.now_;
+    session = std::move(fresh);
+    tell_planner(context, id);
+}
+
+} // namespace
+
+void mark_silent(node& context, target_id const& id, std::string const& why)
+{
+    context.sessions_.find(id)->phase_ = session_phase::silent;
+    log_event(context, "target_silent", {{"target", id.str()}, {"error", why}});
+    tell_planner(context, id);
+}
+
+// The life of a target that was reached is over: what ran there has ended.
+void end_life(node& context, target_id const& id, std::string const& why)
+{
+    session_row& session = *context.sessions_.find(id);
+    if (session.born_unix_ms_ != 0 || !session.runs_.empty())
+    {
+        log_event(context, "target_life_ended",
+                  {{"target", id.str()},
+                   {"runs", std::to_string(session.runs_.size())},
+                   {"reason", why}});
+    }
+    tell(context, session, plan::target_gone{id});
+    session.runs_.clear();
+    session.orders_.clear();
+    session.repeats_.clear();
+    session.unstored_.clear();
+    session.forgotten_ = 0;
+    session.processed_ = 0;
+    session.granted_ms_ = 0;
+    session.clock_ms_ = 0;
+    session.born_unix_ms_ = 0;
+    session.phase_ = session_phase::silent;
+}
+
+void open_sessions(node& context, shard_id const& shard)
+{
+    for (std::size_t row = 0; row < context.sessions_.size(); ++row)
+    {
+        if (context.sessions_[row].shard_ == shard)
+        {
+            open_session(context, context.sessions_.key(row));
+        }
+    }
+}
+
+void close_sessions(node& context, shard_id const& shard)
+{
+    for (std::size_t row = 0; row < context.sessions_.size(); ++row)
+    {
+        session_row& session = context.sessions_[row];
+        if (session.shard_ != shard || !session.open_)
+        {
+            continue;
+        }
+        session.open_ = false;
+        session.runs_.clear();
+        session.orders_.clear();
+        session.repeats_.clear();
+        session.unstored_.clear();
+        session.hold_ = 0;
+    }
+}
+
+void apply(node& context, target_listed const& input)
+{
+    target_id const& id = input.target_.id_;
+    session_row&     session = context.sessions_.ensure(id);
+    if (session.info_ && session.listed_ && *session.info_ == input.target_)
+    {
+        return;
+    }
+    layout_row* const layout = context.layouts_.find(input.target_.domain_);
+    if (layout != nullptr && !session.info_)
+    {
+        layout->listed_at_ = context.now_;
+    }
+    bool const moved =
+        session.info_ && session.info_->address_ != input.target_.address_;
+    session.info_ = std::make_shared<listed_target const>(input.target_);
+    session.listed_ = true;
+    session.shard_ = shard_of(context, *session.info_).value_or(shard_id());
+    if (!owns(context, session.shard_, owned_phase::serving))
+    {
+        return;
+    }
+    if (!session.open_)
+    {
+        open_session(context, id);
+        return;
+    }
+    if (moved)
+    {
+        session.hold_ = 0;
+        session.hold_at_ = context.now_;
+    }
+    tell_planner(context, id);
+}
+
+void apply(node& context, target_unlisted const& input)
+{
+    session_row* const session = context.sessions_.find(input.id_);
+    if (session == nullptr)
+    {
+        return;
+    }
+    if (session->listed_)
+    {
+        session->listed_ = false;
+        session->unlisted_at_ = context.now_;
+    }
+    if (session->open_)
+    {
+        tell_planner(context, input.id_);
+    }
+}
+
+} // namespace fescuevane::cell
--- /dev/null
+++ b/cell/read_reports.cpp
@@ -0,0 +1,250 @@
+// Purpose: events: what targets report of runs and ends.
+#include "cell/hold_timing.hpp"
+#include "cell/sessions.hpp"
+#include "cell/tick_observer.hpp"
+
+#include <algorithm>
+#include <set>
+#include <vector>
+
+namespace fescuevane::cell
+{
+
+namespace
+{
+
+void apply_ends(node& context, session_row& session, target_id const& id,
+                hold_reply const& reply)
+{
+    std::vector<reported_end const*> ends;
+    for (reported_end const& end : reply.ends_)
+    {
+        if (end.number_ > session.processed_)
+        {
+            ends.push_back(&end);
+        }
+    }
+    std::sort(ends.begin(), ends.end(),
+              [](reported_end const* a, reported_end const* b)
+              {
+                  return a->number_ < b->number_;
+              });
+    for (reported_end const* end : ends)
+    {
+        run_key const run = to_local(context, session.shard_, end->run_);
+        session.processed_ = end->number_;
+        session.runs_.erase(run);
+        session.unstored_.push_back({end->number_, run.stage_.job_, 0});
+        tell(context, session,
+             plan::run_ended{run, id, end->end_, end->checkpoint_});
+    }
+}
+
+// Runs that the target should have and doesn't report are over.
+void apply_missing(node& context, session_row& session, target_id const& id,
+                   std::set<run_key> const& seen, std::int64_t reply_clock_ms)
+{
+    std::vector<run_key> gone;
+    for (auto& [key, run] : session.runs_)
+    {
+        if (seen.contains(key))
+        {
+            continue;
+        }
+        // A run that is being stopped may be missing before its end is listed.
+        bool const stopping =
+            run.stop_wanted_ || run.stopped_at_ != instant::never();
+        bool const was_there =
+            !stopping && run.confirmed_at_ < session.hold_sent_;
+        // One that was there ends in the list; stops of slow targets take
+        // long. One that never came leaves nothing behind.
+        bool const stopped =
+            run.stopped_at_ != instant::never() &&
+            run.confirmed_at_ == instant::never() &&
+            run.stopped_at_.after(context.settings_.stop_micros_) <
+                session.hold_sent_;
+        // The target turns down a start that comes later than this.
+        run.absent_ =
+            run.absent_ ||
+            (!stopping && run.confirmed_at_ == instant::never() &&
+             run.start_until_ms_ != 0 && run.start_until_ms_ < reply_clock_ms);
+        if (was_there || stopped)
+        {
+            gone.push_back(key);
+        }
+        else if (run.absent_ ||
+                 (!stopping && run.uncertain_at_ < session.hold_sent_))
+        {
+            // A stop also turns down a start that is still on its way.
+            run.stop_wanted_ = true;
+        }
+    }
+    for (run_key const& key : gone)
+    {
+        log_event(context, "run_missing",
+                  {{"job", key.stage_.job_.str()},
+                   {"run", std::to_string(key.run_)},
+                   {"target", id.str()}});
+        session.runs_.erase(key);
+        tell(context, session, plan::run_ended{key, id, run_end::lost, ""});
+    }
+}
+
+void apply_report(node& context, session_row& session, target_id const& id,
+                  hold_reply const& reply)
+{
+    apply_ends(context, session, id, reply);
+    std::set<run_key> seen;
+    for (reported_run const& run : reply.runs_)
+    {
+        run_key const key = to_local(context, session.shard_, run.run_);
+        seen.insert(key);
+        session_run& known = session.runs_[key];
+        known.confirmed_at_ = std::min(known.confirmed_at_, context.now_);
+        known.uncertain_at_ = instant::never();
+        known.absent_ = false;
+        tell(context, session,
+             plan::run_seen{key, id, run.checkpoint_, run.percent_, run.load_});
+    }
+    constexpr std::size_t ends_per_reply = 500;
+    if (reply.ends_.size() < ends_per_reply)
+    {
+        apply_missing(context, session, id, seen, reply.clock_ms_);
+    }
+}
+
+} // namespace
+
+// A reply that shows another epoch or another life. True when it ends here.
+bool apply_mismatch(node& context, session_row& session, target_id const& id,
+                    target_outcome outcome)
+{
+    if (outcome == target_outcome::superseded)
+    {
+        drop_shard(context, session.shard_, "a target obeys a higher epoch");
+        return true;
+    }
+    if (outcome == target_outcome::replaced)
+    {
+        end_life(context, id, "another life answers at its address");
+        constexpr std::int64_t replaced_micros = 500'000;
+        session.hold_at_ = context.now_.after(replaced_micros);
+        return true;
+    }
+    return false;
+}
+
+namespace
+{
+
+// A target obeys this owner, so a former one learns of it with its next call.
+void note_reached(node& context, shard_id const& shard)
+{
+    owned_row& own = *context.owned_.find(shard);
+    own.exclusive_since_ =
+        std::min(own.exclusive_since_,
+                 context.now_.after(context.settings_.fence_notice_micros_));
+}
+
+// Tells the observer how late a reply is judged, before it is applied.
+void observe_hold(node const& context, session_row const& session,
+                  hold_reply const& input)
+{
+    if (context.observer_ == nullptr)
+    {
+        return;
+    }
+    bool const answered = input.outcome_ == target_outcome::done;
+    std::optional<std::int64_t> left_micros;
+    if (answered && session.clock_ms_ != 0 && !session.runs_.empty())
+    {
+        // The reply may have waited for this tick while the clock went on.
+        std::int64_t const clock_ms =
+            std::max(input.clock_ms_, target_clock(session, context.now_));
+        left_micros = (session.granted_ms_ - clock_ms) * micros_per_milli;
+    }
+    context.observer_->judge_hold(
+        {.target_ = input.target_,
+         .answered_ = answered,
+         .age_micros_ = session.hold_sent_.remaining_until(context.now_),
+         .lease_left_micros_ = left_micros});
+    if (left_micros && *left_micros < 0)
+    {
+        context.observer_->lapse_lease(input.target_);
+    }
+}
+
+} // namespace
+
+void apply(node& context, hold_reply const& input)
+{
+    auto const probe = context.probes_.find(input.request_);
+    if (probe != context.probes_.end())
+    {
+        if (input.outcome_ != target_outcome::unknown)
+        {
+            shard_row& shard = *context.shards_.find(probe->second);
+            if (shard.reached_at_.remaining_until(context.now_) >
+                context.settings_.suspect_micros_)
+            {
+                shard.reached_since_ = context.now_;
+            }
+            shard.reached_at_ = context.now_;
+            wake_at(context, context.now_); // it may be claimed now
+        }
+        context.probes_.erase(probe);
+        return;
+    }
+    session_row* const session = context.sessions_.find(input.target_);
+    if (session == nullptr || !session->open_ ||
+        session->hold_ != input.request_)
+    {
+        return;
+    }
+    observe_hold(context, *session, input);
+    settings const& values = context.settings_;
+    session->hold_ = 0;
+    session->hold_at_ = context.now_.after(values.hold_retry_micros_);
+    if (apply_mismatch(context, *session, input.target_, input.outcome_))
+    {
+        return;
+    }
+    bool const leased = is_answering(*session) && session->clock_ms_ != 0;
+    session->unanswered_ = input.outcome_ != target_outcome::done;
+    if (session->unanswered_)
+    {
+        if (session->phase_ == session_phase::attached &&
+            count_silence_from(context, session->contact_at_)
+                    .remaining_until(context.now_) > values.silent_micros_)
+        {
+            mark_silent(context, input.target_, input.error_);
+        }
+        return;
+    }
+    if (session->born_unix_ms_ != 0 && input.born_unix_ms_ != 0 &&
+        session->born_unix_ms_ != input.born_unix_ms_)
+    {
+        end_life(context, input.target_, "started again");
+    }
+    bool const first = session->phase_ != session_phase::attached;
+    session->born_unix_ms_ = input.born_unix_ms_;
+    session->clock_ms_ = input.clock_ms_;
+    session->clock_at_ = context.now_;
+    session->contact_at_ = context.now_;
+    if (first)
+    {
+        session->lapsed_ = false;
+        session->phase_ = session_phase::attached;
+        tell_planner(context, input.target_);
+        note_reached(context, session->shard_);
+    }
+    apply_report(context, *session, input.target_, input);
+    bool const stored = session->unstored_.empty();
+    // While the target lists ends it answers at once, so the next question
+    // waits until their effect is stored and they may be forgotten.
+    session->hold_at_ = !leased || stored
+                            ? context.now_
+                            : context.now_.after(values.hold_unstored_micros_);
+}
+
+} // namespace fescuevane::cell
--- /dev/null
+++ b/cell/sessions.hpp
@@ -0,0 +1,41 @@
+// Purpose: parts of the work with targets that several systems share. Internal
+// to the package.
+#ifndef FESCUEVANE_CELL_SESSIONS_HPP
+#define FESCUEVANE_CELL_SESSIONS_HPP
+
+#include "cell/node.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace fescuevane::cell
+{
+
+// List of targets
+void tell(node& context, session_row const& session, plan::event input);
+void mark_silent(node& context, target_id const& id, std::string const& why);
+void end_life(node& context, target_id const& id, std::string const& why);
+
+// Clocks and leases
+std::int64_t target_clock(session_row const& session, instant now);
+instant      find_lapse(node const& context, session_row const& session);
+instant      find_give_up(node const& context, session_row const& session);
+bool         is_answering(session_row const& session);
+
+// Replies that show another epoch or another life. True when the reply ends
+// here.
+bool apply_mismatch(node& context, session_row& session, target_id const& id,
+                    target_outcome outcome);
+
+// Orders
+void post_start(node& context, session_row& session, run_key const& run,
+                send_start const& start, bool repeated);
+void send_order(node& context, target_id const& id, session_row& session,
+                plan::command const& order);
+void send_stops(node& context, target_id const& id, session_row& session);
+void leave_start_open(node& context, session_row& session,
+                      order_row const& order, std::string const& why);
+
+} // namespace fescuevane::cell
+
+#endif
