Record the targets of a shard before work starts on them

Cause: the targets on which an owner has granted leases were known to that owner alone. A process that starts while one of them is cut off, and so isn't listed, takes the shard over, doesn't ask that target, and starts its work elsewhere. Of attempts that failed there it knows nothing either.

Each shard now has a row that names these targets with their addresses. It is written under the fence of the shard before the first start is sent to a target, and changes with the list of targets, not with starts. A new owner reads it with the jobs, asks the targets that aren't listed as well, and waits for them as for listed ones. Targets that the row doesn't name have no work of former owners, so recovered work no longer waits for them.

With the reading of the row switched off, "target unlisted before owner started, its run isn't repeated" and "end on target unlisted before owner started, is read" fail; without the wait for the write, "row of leases not stored, nothing starts on the target" fails. The test of the names of the systems counts one more.

--- a/cell/claim_shards.cpp
+++ b/cell/claim_shards.cpp
@@ -453,6 +453,7 @@
             continue;
         }
         load_allotments(context, shard, own);
+        load_grants(context, shard, own);
         for (std::uint32_t index = 0; index < own.parts_.size(); ++index)
         {
             journal_part& part = own.parts_[index];
--- a/cell/drive_planners.cpp
+++ b/cell/drive_planners.cpp
@@ -116,6 +116,7 @@
 {
     owned_row& own = *context.owned_.find(shard);
     if (own.phase_ != owned_phase::loading || !own.allotments_loaded_ ||
+        !own.grants_.loaded_ ||
         !std::all_of(own.parts_.begin(), own.parts_.end(),
                      [](journal_part const& part)
                      {
@@ -131,7 +132,9 @@
               {{"shard", write_shard_name(shard)},
                {"epoch", std::to_string(own.epoch_)},
                {"jobs", std::to_string(context.records_.size())}});
+    adopt_granted(context, shard);
     open_sessions(context, shard);
+    note_grants_changed(context, shard, true);
     context.beat_at_ = context.now_; // callers wait for it
     std::vector<parked_call> parked;
     parked.swap(context.parked_);
--- a/cell/follow_members.cpp
+++ b/cell/follow_members.cpp
@@ -477,6 +477,12 @@
     case request_kind::lend:
         end_lend(context, request, input);
         break;
+    case request_kind::load_grants:
+        end_load_grants(context, request, input);
+        break;
+    case request_kind::record_grant:
+        end_record_grant(context, request, input);
+        break;
     case request_kind::abandoned:
         break;
     }
--- /dev/null
+++ b/cell/grant_ledger.hpp
@@ -0,0 +1,34 @@
+// Purpose: targets of an owned shard on which leases may run, as the store
+// names them.
+#ifndef FESCUEVANE_CELL_GRANT_LEDGER_HPP
+#define FESCUEVANE_CELL_GRANT_LEDGER_HPP
+
+#include "cell/listed_target.hpp"
+#include "core/ids.hpp"
+#include "core/instant.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+
+namespace fescuevane::cell
+{
+
+using granted_targets =
+    std::map<target_id, std::shared_ptr<listed_target const>>;
+
+struct grant_ledger
+{
+    bool            loaded_ = false;
+    bool            found_ = false; // a former owner has written the row
+    granted_targets stored_;
+    granted_targets writing_; // by `request_`
+    revision        revision_ = 0;
+    std::uint64_t   request_ = 0; // in flight, 0: none
+    instant         retry_at_;
+    instant         write_at_ = instant::never(); // something has changed
+};
+
+} // namespace fescuevane::cell
+
+#endif
--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -238,6 +238,7 @@
     if (!session.listed_)
     {
         tell(context, session, plan::target_gone{id});
+        note_grants_changed(context, session.shard_, false);
         context.sessions_.remove(id);
         return false;
     }
--- a/cell/lease_clock.cpp
+++ b/cell/lease_clock.cpp
@@ -56,7 +56,8 @@
     settings const& values = context.settings_;
     if (session.clock_ms_ == 0)
     {
-        return unseen_lapse(context, session);
+        return session.granted_before_ ? unseen_lapse(context, session)
+                                       : session.contact_at_;
     }
     double const wait_ms =
         static_cast<double>(session.granted_ms_ + values.clock_slack_ms_ -
@@ -73,7 +74,8 @@
 instant find_give_up(node const& context, session_row const& session)
 {
     instant const lapse = find_lapse(context, session);
-    return session.listed_ && lapse != instant::never()
+    bool const    granted = session.clock_ms_ != 0 || session.granted_before_;
+    return granted && session.listed_ && lapse != instant::never()
                ? count_silence_from(context, lapse)
                      .after(context.settings_.listed_wait_micros_)
                : lapse;
--- a/cell/list_targets.cpp
+++ b/cell/list_targets.cpp
@@ -47,7 +47,8 @@
         phase = plan::target_phase::lapsed;
     }
     if (phase == plan::target_phase::usable &&
-        (!session.listed_ || session.info_->leaving_))
+        (!session.listed_ || session.info_->leaving_ ||
+         !is_granted(context, id)))
     {
         phase = plan::target_phase::draining;
     }
@@ -78,6 +79,14 @@
     }
 }
 
+// A row is missing where no owner has started anything, or where earlier
+// versions did without writing it.
+bool may_be_granted(owned_row const& own, target_id const& id)
+{
+    grant_ledger const& ledger = own.grants_;
+    return ledger.found_ ? ledger.stored_.contains(id) : own.epoch_ > 1;
+}
+
 void open_session(node& context, target_id const& id)
 {
     forget_orders(context, id);
@@ -93,6 +102,7 @@
     fresh.unlisted_at_ = session.unlisted_at_;
     fresh.shard_ = session.shard_;
     fresh.open_ = true;
+    fresh.granted_before_ = may_be_granted(own, id);
     fresh.hold_at_ = context.now_;
     fresh.contact_at_ = context.now_;
     session = std::move(fresh);
@@ -129,6 +139,7 @@
     session.granted_ms_ = 0;
     session.clock_ms_ = 0;
     session.born_unix_ms_ = 0;
+    session.granted_before_ = false;
     session.phase_ = session_phase::silent;
 }
 
@@ -186,10 +197,12 @@
     if (!session.open_)
     {
         open_session(context, id);
+        note_grants_changed(context, session.shard_, true);
         return;
     }
     if (moved)
     {
+        note_grants_changed(context, session.shard_, true);
         session.hold_ = 0;
         session.hold_at_ = context.now_;
     }
--- a/cell/node.cpp
+++ b/cell/node.cpp
@@ -44,7 +44,7 @@
 namespace
 {
 
-constexpr std::array<system_entry, 13> list_systems = {{
+constexpr std::array<system_entry, 14> list_systems = {{
     {"apply_events", &apply_events},
     {"follow_members", &follow_members},
     {"lay_out_domains", &lay_out_domains},
@@ -54,6 +54,7 @@
     {"delegate_tasks", &delegate_tasks},
     {"grant_turns", &grant_turns},
     {"move_allotments", &move_allotments},
+    {"record_grants", &record_grants},
     {"keep_sessions", &keep_sessions},
     {"write_journal", &write_journal},
     {"route_calls", &route_calls},
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -117,6 +117,7 @@
 void load_shards(node& context);     // fence and read
 void drive_planners(node& context);  // plan ticks, their orders
 void delegate_tasks(node& context);  // tasks without room to other shards
+void record_grants(node& context);   // targets with leases, to the store
 void grant_turns(node& context);     // claims to limits, one after another
 void move_allotments(node& context); // parts of limits to other shards
 void keep_sessions(node& context);   // leases and orders to targets
@@ -170,6 +171,11 @@
 void end_lend(node& context, request_row const& request,
               store_reply const& reply);
 
+void end_load_grants(node& context, request_row const& request,
+                     store_reply const& reply);
+void end_record_grant(node& context, request_row const& request,
+                      store_reply const& reply);
+
 // Silence of others counts only while this process runs on time, see
 // `on_time_span`.
 instant count_silence_from(node const& context, instant word);
@@ -229,6 +235,13 @@
 resources const* find_limit(node const&            context,
                             organisation_id const& organisation);
 
+// Targets with leases
+void load_grants(node& context, shard_id const& shard, owned_row& own);
+void adopt_granted(node& context, shard_id const& shard);
+void note_grants_changed(node& context, shard_id const& shard, bool urgent);
+// True when the store names the target, so that work may start there.
+bool is_granted(node const& context, target_id const& target);
+
 // Sessions
 void open_sessions(node& context, shard_id const& shard);
 void close_sessions(node& context, shard_id const& shard);
--- a/cell/owned_row.hpp
+++ b/cell/owned_row.hpp
@@ -2,6 +2,7 @@
 #ifndef FESCUEVANE_CELL_OWNED_ROW_HPP
 #define FESCUEVANE_CELL_OWNED_ROW_HPP
 
+#include "cell/grant_ledger.hpp"
 #include "cell/journal_part.hpp"
 #include "cell/owned_phase.hpp"
 #include "cell/store_transact.hpp"
@@ -32,6 +33,8 @@
     bool                      releasing_ = false;
     bool release_unsettled_ = false; // one got no answer and may be performed
 
+    grant_ledger grants_;
+
     // Divided limits
     bool          allotments_loaded_ = false;
     std::string   allotments_from_;       // next key to read
--- /dev/null
+++ b/cell/record_grants.cpp
@@ -0,0 +1,264 @@
+// Purpose: system and events: keeps in the store on which targets of a shard
+// leases may run.
+//
+// Placements aren't stored, so only the targets know what runs. The next owner
+// has to reach each of them, or wait until nothing can run there any more. The
+// list of targets doesn't name those that are cut off from the store, so a
+// target is named in the row of its shard before the first start is sent to it.
+#include "cell/node.hpp"
+
+#include "cell/record_error.hpp"
+#include "cell/records.hpp"
+
+#include <algorithm>
+
+namespace fescuevane::cell
+{
+namespace
+{
+
+constexpr char const* grant_table = "grant";
+
+// The part of the fence row that a claim writes first.
+constexpr std::uint32_t grant_part = 0;
+
+// Targets that are gone are taken out with the next write, or after this time.
+constexpr std::int64_t trim_micros = 2'000'000;
+
+row_key key_of(shard_id const& shard)
+{
+    return {grant_table, std::to_string(grant_part), write_shard_name(shard)};
+}
+
+granted_targets list_open(node const& context, shard_id const& shard)
+{
+    granted_targets open;
+    for (std::size_t row = 0; row < context.sessions_.size(); ++row)
+    {
+        session_row const& session = context.sessions_[row];
+        if (session.open_ && session.shard_ == shard)
+        {
+            open[context.sessions_.key(row)] = session.info_;
+        }
+    }
+    return open;
+}
+
+bool names_same(granted_targets const& a, granted_targets const& b)
+{
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                      [](auto const& left, auto const& right)
+                      {
+                          return left.first == right.first &&
+                                 left.second->address_ ==
+                                     right.second->address_;
+                      });
+}
+
+void write_grant_row(node& context, shard_id const& shard, owned_row& own,
+                     granted_targets targets)
+{
+    grant_ledger& ledger = own.grants_;
+    ledger.request_ = next_request(context);
+    ledger.writing_ = std::move(targets);
+    context.requests_.ensure(ledger.request_) = {.kind_ =
+                                                     request_kind::record_grant,
+                                                 .shard_ = shard,
+                                                 .sent_ = context.now_};
+    context.outbox_.push_back(store_transact{
+        .request_ = ledger.request_,
+        .conditions_ = {{write_fence_key(shard, grant_part),
+                         own.parts_[grant_part].fence_},
+                        {key_of(shard), ledger.revision_}},
+        .writes_ = {{key_of(shard), write_grants(ledger.writing_)}},
+        .deadline_ = store_deadline(context)});
+}
+
+} // namespace
+
+bool is_granted(node const& context, target_id const& target)
+{
+    session_row const&     session = *context.sessions_.find(target);
+    owned_row const* const own = context.owned_.find(session.shard_);
+    if (own == nullptr)
+    {
+        return false;
+    }
+    auto const entry = own->grants_.stored_.find(target);
+    return entry != own->grants_.stored_.end() &&
+           entry->second->address_ == session.info_->address_;
+}
+
+void note_grants_changed(node& context, shard_id const& shard, bool urgent)
+{
+    if (owned_row* const own = context.owned_.find(shard))
+    {
+        own->grants_.write_at_ =
+            std::min(own->grants_.write_at_,
+                     urgent ? context.now_ : context.now_.after(trim_micros));
+        wake_at(context, own->grants_.write_at_);
+    }
+}
+
+void load_grants(node& context, shard_id const& shard, owned_row& own)
+{
+    grant_ledger& ledger = own.grants_;
+    if (ledger.loaded_ || ledger.request_ != 0)
+    {
+        return;
+    }
+    if (ledger.retry_at_ > context.now_)
+    {
+        wake_at(context, ledger.retry_at_);
+        return;
+    }
+    ledger.request_ = next_request(context);
+    context.requests_.ensure(ledger.request_) = {.kind_ =
+                                                     request_kind::load_grants,
+                                                 .shard_ = shard,
+                                                 .sent_ = context.now_};
+    row_key const key = key_of(shard);
+    context.outbox_.push_back(store_read{.request_ = ledger.request_,
+                                         .table_ = key.table_,
+                                         .part_ = key.part_,
+                                         .from_ = key.key_,
+                                         .to_ = key.key_ + "!",
+                                         .deadline_ = store_deadline(context)});
+}
+
+void end_load_grants(node& context, request_row const& request,
+                     store_reply const& reply)
+{
+    owned_row* const own = context.owned_.find(request.shard_);
+    if (own == nullptr)
+    {
+        return;
+    }
+    grant_ledger& ledger = own->grants_;
+    ledger.request_ = 0;
+    if (reply.outcome_ != store_outcome::done)
+    {
+        ledger.retry_at_ =
+            context.now_.after(context.settings_.store_retry_micros_);
+        return;
+    }
+    for (stored_row const& row : reply.rows_)
+    {
+        ledger.revision_ = row.revision_;
+        try
+        {
+            ledger.stored_ = read_grants(row.value_);
+            ledger.found_ = true;
+        }
+        catch (record_error const& error)
+        {
+            log_event(context, "row_unreadable",
+                      {{"key", row.key_.key_}, {"error", error.what()}});
+        }
+    }
+    ledger.loaded_ = true;
+    finish_loading(context, request.shard_);
+}
+
+// Targets that former owners started work on and that aren't listed now. They
+// are asked at the address that they had.
+void adopt_granted(node& context, shard_id const& shard)
+{
+    grant_ledger const& ledger = context.owned_.find(shard)->grants_;
+    std::size_t         unlisted = 0;
+    for (auto const& [id, info] : ledger.stored_)
+    {
+        session_row& session = context.sessions_.ensure(id);
+        if (!session.info_)
+        {
+            session.info_ = info;
+            session.listed_ = false;
+            session.unlisted_at_ = context.now_;
+            session.shard_ = shard;
+        }
+        unlisted += session.listed_ ? 0 : 1;
+    }
+    log_event(context, "grants_loaded",
+              {{"shard", write_shard_name(shard)},
+               {"found", ledger.found_ ? "true" : "false"},
+               {"targets", std::to_string(ledger.stored_.size())},
+               {"unlisted", std::to_string(unlisted)}});
+}
+
+void record_grants(node& context)
+{
+    for (std::size_t row = 0; row < context.owned_.size(); ++row)
+    {
+        owned_row&    own = context.owned_[row];
+        grant_ledger& ledger = own.grants_;
+        // A write of the fence row changes the revision that this one holds on.
+        if (own.phase_ != owned_phase::serving || ledger.request_ != 0 ||
+            ledger.write_at_ == instant::never() || own.releasing_ ||
+            may_be_released(own))
+        {
+            continue;
+        }
+        instant const due = std::max(ledger.write_at_, ledger.retry_at_);
+        if (due > context.now_)
+        {
+            wake_at(context, due);
+            continue;
+        }
+        shard_id const  shard = context.owned_.key(row);
+        granted_targets open = list_open(context, shard);
+        ledger.write_at_ = instant::never();
+        if (!names_same(open, ledger.stored_))
+        {
+            write_grant_row(context, shard, own, std::move(open));
+        }
+    }
+}
+
+void end_record_grant(node& context, request_row const& request,
+                      store_reply const& reply)
+{
+    owned_row* const own = context.owned_.find(request.shard_);
+    if (own == nullptr)
+    {
+        return;
+    }
+    grant_ledger& ledger = own->grants_;
+    ledger.request_ = 0;
+    if (reply.outcome_ == store_outcome::done)
+    {
+        ledger.revision_ = reply.revision_;
+        ledger.stored_ = std::move(ledger.writing_);
+        for (auto const& [id, info] : ledger.stored_)
+        {
+            session_row const* const session = context.sessions_.find(id);
+            if (session != nullptr && session->open_)
+            {
+                tell_planner(context, id);
+            }
+        }
+        return;
+    }
+    ledger.write_at_ = context.now_;
+    if (reply.outcome_ != store_outcome::conflict)
+    {
+        ledger.retry_at_ =
+            context.now_.after(context.settings_.store_retry_micros_);
+        return;
+    }
+    for (stored_row const& row : reply.rows_)
+    {
+        if (row.key_.table_ == grant_table)
+        {
+            // An earlier write without an answer was performed.
+            ledger.revision_ = row.revision_;
+        }
+        else if (row.revision_ != own->parts_[grant_part].fence_)
+        {
+            apply(context, member_row_changed{row});
+            drop_shard(context, request.shard_, "its fence row was changed");
+            return;
+        }
+    }
+}
+
+} // namespace fescuevane::cell
--- a/cell/records.cpp
+++ b/cell/records.cpp
@@ -1,7 +1,7 @@
 // Purpose: text of the rows that a cell keeps in the store.
 //
 // Index of sections
-//   1. Hosts, layouts, shards and limits
+//   1. Hosts, layouts, shards, limits and leases
 //   2. Specifications
 //   3. Jobs
 #include "cell/records.hpp"
@@ -35,7 +35,7 @@
 
 } // namespace
 
-// 1. Hosts, layouts, shards and limits
+// 1. Hosts, layouts, shards, limits and leases
 
 std::string write_host(host_record const& record)
 {
@@ -166,6 +166,55 @@
                  });
 }
 
+std::string write_grants(granted_targets const& targets)
+{
+    json rows = json::array();
+    for (auto const& [id, target] : targets)
+    {
+        rows.push_back({{"id", id.str()},
+                        {"address", target->address_},
+                        {"domain", target->domain_.str()},
+                        {"service", target->service_.str()},
+                        {"rack", target->rack_.str()},
+                        {"labels", target->labels_},
+                        {"cpu", target->capacity_.cpu_millis()},
+                        {"memory", target->capacity_.memory_mib()},
+                        {"accelerators", target->capacity_.accelerators()}});
+    }
+    return json{{"targets", rows}}.dump(-1, ' ', false,
+                                        json::error_handler_t::replace);
+}
+
+granted_targets read_grants(std::string const& text)
+{
+    return parse(
+        text,
+        [](json const& row)
+        {
+            granted_targets targets;
+            for (json const& target : row.at("targets"))
+            {
+                target_id const id(target.at("id").get<std::string>());
+                targets[id] =
+                    std::make_shared<listed_target const>(listed_target{
+                        .id_ = id,
+                        .address_ = target.at("address").get<std::string>(),
+                        .domain_ =
+                            domain_id(target.at("domain").get<std::string>()),
+                        .service_ =
+                            service_id(target.at("service").get<std::string>()),
+                        .rack_ = rack_id(target.at("rack").get<std::string>()),
+                        .labels_ =
+                            target.at("labels").get<std::vector<std::string>>(),
+                        .capacity_ = {
+                            target.at("cpu").get<std::int64_t>(),
+                            target.at("memory").get<std::int64_t>(),
+                            target.at("accelerators").get<std::int64_t>()}});
+            }
+            return targets;
+        });
+}
+
 // 2. Specifications
 
 namespace
--- a/cell/records.hpp
+++ b/cell/records.hpp
@@ -3,6 +3,7 @@
 #define FESCUEVANE_CELL_RECORDS_HPP
 
 #include "cell/allotment_record.hpp"
+#include "cell/grant_ledger.hpp"
 #include "cell/host_record.hpp"
 #include "cell/job_record.hpp"
 #include "cell/layout_record.hpp"
@@ -27,6 +28,9 @@
 std::string      write_allotment(allotment_record const& record);
 allotment_record read_allotment(std::string const& text);
 
+std::string     write_grants(granted_targets const& targets);
+granted_targets read_grants(std::string const& text);
+
 // The specification never changes, so its text is kept and joined with the
 // progress, which does.
 std::string write_spec(staged_job const& job);
--- a/cell/release_shards.cpp
+++ b/cell/release_shards.cpp
@@ -147,7 +147,7 @@
 void release_shard(node& context, shard_id const& shard, owned_row& own)
 {
     if (own.request_ != 0 || own.allotment_request_ != 0 ||
-        !is_journal_clean(own))
+        own.grants_.request_ != 0 || !is_journal_clean(own))
     {
         return;
     }
--- a/cell/request_row.hpp
+++ b/cell/request_row.hpp
@@ -15,17 +15,19 @@
 
 enum class request_kind : std::uint8_t
 {
-    announce,  // write the row of this host
-    claim,     // take a shard
-    fence,     // the same, in a further part
-    load,      // read the jobs of a part
-    journal,   // write jobs
-    release,   // hand a shard over
-    locate,    // find the shard of a job
-    layout,    // write the layout of a failure domain
-    allotment, // read the divided limits
-    lend,      // move parts of limits to other shards
-    abandoned  // the shard was dropped, so the reply changes nothing
+    announce,     // write the row of this host
+    claim,        // take a shard
+    fence,        // the same, in a further part
+    load,         // read the jobs of a part
+    journal,      // write jobs
+    release,      // hand a shard over
+    locate,       // find the shard of a job
+    layout,       // write the layout of a failure domain
+    allotment,    // read the divided limits
+    lend,         // move parts of limits to other shards
+    load_grants,  // read the targets with leases
+    record_grant, // write them
+    abandoned     // the shard was dropped, so the reply changes nothing
 };
 
 struct request_row
--- a/cell/session_row.hpp
+++ b/cell/session_row.hpp
@@ -31,7 +31,8 @@
     shard_id                             shard_;
 
     // Contact; only while the shard is owned
-    bool          open_ = false;
+    bool open_ = false;
+    bool granted_before_ = true; // a former owner may have started work there
     session_phase phase_ = session_phase::attaching;
     std::int64_t  born_unix_ms_ = 0; // life that was reached, 0: none yet
     std::int64_t  clock_ms_ = 0;     // of the target, at `clock_at_`
