Await the ends of silent targets that left the list

Cause: the work of a silent target waited for 8 s after the lapse of its leases only while the target was listed.

The wait no longer depends on the list. A target that said that it leaves and is gone from the list takes its ends along, so its work starts at the lapse.

"target silent, leaves the list, its end is awaited" failed before. "target falls silent, leaves the list, task starts elsewhere" expected the start at the lapse, which is the fault; it now expects none before the wait and one after it. The subcase of the shard taken over uses a target that said that it leaves, and keeps its bound.

--- a/cell/lease_clock.cpp
+++ b/cell/lease_clock.cpp
@@ -69,15 +69,17 @@
 }
 
 // When the work of a silent target may start elsewhere. Once its leases have
-// lapsed nothing runs there, but it may still list work that was done before.
-// While the list of targets names it, it is alive and most likely tells soon.
+// lapsed nothing runs there, but it may still list work that ended before. One
+// that is cut off leaves the list and comes back; one that said that it leaves
+// takes its list along.
 instant find_give_up(node const& context, session_row const& session)
 {
     instant const lapse = find_lapse(context, session);
     bool const    granted = session.clock_ms_ != 0 || session.granted_before_;
-    return granted && session.listed_ && lapse != instant::never()
+    bool const    left = !session.listed_ && session.info_->leaving_;
+    return granted && !left && lapse != instant::never()
                ? count_silence_from(context, lapse)
-                     .after(context.settings_.listed_wait_micros_)
+                     .after(context.settings_.unread_wait_micros_)
                : lapse;
 }
 
--- a/cell/settings.hpp
+++ b/cell/settings.hpp
@@ -70,9 +70,9 @@
     // Targets that left the list may still run work: those that are cut off
     // from the store leave it after three missed heartbeats.
     std::int64_t unlisted_keep_micros_ = 10'000'000;
-    // After the leases of a silent target have lapsed, while it is listed: cuts
+    // For unread ends of a silent target, from the lapse of its leases: cuts
     // between a target and its owner last several seconds.
-    std::int64_t listed_wait_micros_ = 8'000'000;
+    std::int64_t unread_wait_micros_ = 8'000'000;
     // Until a former owner has called a target that was reached: its longest
     // wait and the slack of the answer.
     std::int64_t  fence_notice_micros_ = 2'200'000;
--- a/tests/unit/cell_jobs_test.cpp
+++ b/tests/unit/cell_jobs_test.cpp
@@ -159,7 +159,10 @@
     CHECK(take<send_start>().empty()); // its lease may still hold
     list_target("t-2");
     post(target_unlisted{target_id("t-1")});
-    run_silent(4 * micros_per_second);
+    // The lease lapses, and then nobody has read an end for the wait.
+    run_silent(9 * micros_per_second);
+    CHECK(take<send_start>().empty());
+    run_silent(2 * micros_per_second);
     auto const again = take<send_start>();
     REQUIRE(again.size() == 1);
     CHECK(again[0].start_.target_ == target_id("t-2"));
@@ -196,6 +199,51 @@
     CHECK(find_answer(call)->phase_ == job_phase::completed);
 }
 
+// Guards against a task that is started again though its run has ended as done,
+// or after its last attempt: a target that is cut off leaves the list before
+// its leases lapse.
+TEST_CASE_FIXTURE(silent_target_fixture,
+                  "target silent, leaves the list, its end is awaited")
+{
+    list_target("t-2");
+    run_silent(4 * micros_per_second);
+    post(target_unlisted{target_id("t-1")});
+    run_silent(5 * micros_per_second);
+    CHECK(take<send_start>().empty());
+    bool reached = false;
+    for (int round = 0; round < 30 && !reached; ++round)
+    {
+        run(10'000);
+        for (hold_target const& hold : take<hold_target>())
+        {
+            if (hold.target_ == target_id("t-1"))
+            {
+                answer_hold(hold, {}, {{1, started_, run_end::done, ""}});
+                reached = true;
+            }
+        }
+    }
+    run(micros_per_second);
+    CHECK(take<send_start>().empty());
+    std::uint64_t const call = ask(call_kind::lookup, "aa01");
+    run(50'000);
+    REQUIRE(find_answer(call));
+    CHECK(find_answer(call)->phase_ == job_phase::completed);
+}
+
+// Guards against work that waits for a target which has said that it leaves, so
+// that nothing of it can be read any more.
+TEST_CASE_FIXTURE(silent_target_fixture,
+                  "leaving target gone from the list, task starts at the lapse")
+{
+    list_target("t-2");
+    list_target("t-1", true);
+    run_silent(3 * micros_per_second);
+    post(target_unlisted{target_id("t-1")});
+    run_silent(2 * micros_per_second);
+    CHECK(take<send_start>().size() == 1);
+}
+
 // Guards against a task that is started again though its run has ended as done:
 // the owner had no processor time and hadn't read what its target told.
 TEST_CASE_FIXTURE(silent_target_fixture,
--- a/tests/unit/cell_ownership_test.cpp
+++ b/tests/unit/cell_ownership_test.cpp
@@ -141,8 +141,9 @@
     CHECK(take<send_start>().empty());
     run_with(true, 5 * micros_per_second);
     CHECK(take<send_start>().empty()); // the former owner learns of it first
-    SUBCASE("the other target has left the list")
+    SUBCASE("the other target said that it leaves, and has left the list")
     {
+        list_target("t-1", true);
         post(target_unlisted{target_id("t-1")});
         run_with(true, 2 * micros_per_second);
         CHECK(take<send_start>().size() == 1);
