Count on a target being named only when a write has said so

A write of the row of leases without an answer may have been performed. When it took a target out that came back before the next write, the owner took the target for named and started work there; its successor would not have known of it. Now only targets that the row names with and without the open write count, a conflict tells what the row names, and the next write follows in any case. Failed writes are logged.

--- a/cell/grant_ledger.hpp
+++ b/cell/grant_ledger.hpp
@@ -20,9 +20,10 @@
 struct grant_ledger
 {
     bool            loaded_ = false;
-    bool            found_ = false; // a former owner has written the row
-    granted_targets stored_;
-    granted_targets writing_; // by `request_`
+    bool            found_ = false;     // a former owner has written the row
+    granted_targets stored_;            // named by the row for sure
+    granted_targets writing_;           // by `request_`
+    bool            unsettled_ = false; // a write got no answer
     revision        revision_ = 0;
     std::uint64_t   request_ = 0; // in flight, 0: none
     instant         retry_at_;
--- a/cell/record_grants.cpp
+++ b/cell/record_grants.cpp
@@ -11,6 +11,7 @@
 #include "cell/records.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace fescuevane::cell
 {
@@ -207,13 +208,63 @@
         shard_id const  shard = context.owned_.key(row);
         granted_targets open = list_open(context, shard);
         ledger.write_at_ = instant::never();
-        if (!names_same(open, ledger.stored_))
+        if (ledger.unsettled_ || !names_same(open, ledger.stored_))
         {
             write_grant_row(context, shard, own, std::move(open));
         }
     }
 }
 
+namespace
+{
+
+// The planner starts work only on targets that the row names.
+void set_stored(node& context, grant_ledger& ledger, granted_targets targets)
+{
+    granted_targets const before = std::exchange(ledger.stored_, targets);
+    targets.insert(before.begin(), before.end());
+    for (auto const& [id, info] : targets)
+    {
+        session_row const* const session = context.sessions_.find(id);
+        if (session != nullptr && session->open_)
+        {
+            tell_planner(context, id);
+        }
+    }
+}
+
+// A write without an answer may be performed later, so only the targets that
+// the row names with and without it are named for sure.
+granted_targets list_sure(grant_ledger const& ledger)
+{
+    granted_targets sure = ledger.stored_;
+    std::erase_if(sure,
+                  [&ledger](auto const& entry)
+                  {
+                      auto const written = ledger.writing_.find(entry.first);
+                      return written == ledger.writing_.end() ||
+                             written->second->address_ !=
+                                 entry.second->address_;
+                  });
+    return sure;
+}
+
+granted_targets read_stored(node& context, stored_row const& row)
+{
+    try
+    {
+        return row.revision_ == 0 ? granted_targets() : read_grants(row.value_);
+    }
+    catch (record_error const& error)
+    {
+        log_event(context, "row_unreadable",
+                  {{"key", row.key_.key_}, {"error", error.what()}});
+        return {};
+    }
+}
+
+} // namespace
+
 void end_record_grant(node& context, request_row const& request,
                       store_reply const& reply)
 {
@@ -227,15 +278,8 @@
     if (reply.outcome_ == store_outcome::done)
     {
         ledger.revision_ = reply.revision_;
-        ledger.stored_ = std::move(ledger.writing_);
-        for (auto const& [id, info] : ledger.stored_)
-        {
-            session_row const* const session = context.sessions_.find(id);
-            if (session != nullptr && session->open_)
-            {
-                tell_planner(context, id);
-            }
-        }
+        ledger.unsettled_ = false;
+        set_stored(context, ledger, ledger.writing_);
         return;
     }
     ledger.write_at_ = context.now_;
@@ -243,6 +287,15 @@
     {
         ledger.retry_at_ =
             context.now_.after(context.settings_.store_retry_micros_);
+        log_event(context, "grants_not_recorded",
+                  {{"shard", write_shard_name(request.shard_)},
+                   {"targets", std::to_string(ledger.writing_.size())},
+                   {"error", reply.error_}});
+        if (reply.outcome_ == store_outcome::unknown)
+        {
+            ledger.unsettled_ = true;
+            set_stored(context, ledger, list_sure(ledger));
+        }
         return;
     }
     for (stored_row const& row : reply.rows_)
@@ -251,6 +304,7 @@
         {
             // An earlier write without an answer was performed.
             ledger.revision_ = row.revision_;
+            set_stored(context, ledger, read_stored(context, row));
         }
         else if (row.revision_ != own->parts_[grant_part].fence_)
         {
--- a/tests/unit/cell_grants_test.cpp
+++ b/tests/unit/cell_grants_test.cpp
@@ -206,6 +206,56 @@
     CHECK(started.size() == 2);
 }
 
+// Guards against starts that the next owner can't know of: the write that took
+// the target out was performed without an answer, and the target came back.
+TEST_CASE_FIXTURE(grants_fixture,
+                  "target taken out without an answer, nothing starts on it")
+{
+    serve();
+    list_target("t-2");
+    run_targets(micros_per_second, true);
+    REQUIRE(list_stored().contains(target_id("t-2")));
+    post(target_unlisted{target_id("t-2")});
+    store_silent_ = true;
+    // Until the target is given up and taken out.
+    constexpr std::int64_t step = 100'000;
+    for (int round = 0; round < 300 && list_stored().contains(target_id("t-2"));
+         ++round)
+    {
+        run(step);
+        for (hold_target const& hold : take<hold_target>())
+        {
+            hold.target_ == target_id("t-1") ? answer_hold(hold)
+                                             : fail_hold(hold);
+        }
+    }
+    REQUIRE_FALSE(list_stored().contains(target_id("t-2")));
+    store_silent_ = false;
+    list_target("t-2");
+    std::set<target_id> started;
+    for (int round = 0; round < 100; ++round)
+    {
+        if (round == 50)
+        {
+            for (char const* const id : {"aa1", "aa2", "aa3", "aa4", "aa5"})
+            {
+                submit(id);
+            }
+        }
+        run(20'000);
+        for (send_start const& start : take<send_start>())
+        {
+            CHECK(list_stored().contains(start.start_.target_));
+            started.insert(start.start_.target_);
+        }
+        for (hold_target const& hold : take<hold_target>())
+        {
+            answer_hold(hold);
+        }
+    }
+    CHECK(started.contains(target_id("t-2")));
+}
+
 // Guards against rows that a new owner can't read.
 TEST_CASE("row of leases written and read is the same")
 {
