--- a/tests/unit/platform_targets_test.cpp
+++ b/tests/unit/platform_targets_test.cpp
@@ -357,6 +357,22 @@
     CHECK(unreadable_ == 0);
 }
 
+// Guards against work that is sent by an entry which another writer replaced:
+// it may be out of date, and hide that the target is about to leave.
+TEST_CASE_FIXTURE(
+    target_rows_fixture,
+    "known target, row turns unreadable, unlisted until it is back")
+{
+    change("t-1", make_row().dump());
+    change("t-1", "[[[[");
+    change("t-1", make_row().dump());
+    REQUIRE(events_.size() == 3);
+    REQUIRE(std::holds_alternative<cell::target_unlisted>(events_[1]));
+    CHECK(std::get<cell::target_unlisted>(events_[1]).id_ == target_id("t-1"));
+    CHECK(std::holds_alternative<cell::target_listed>(events_[2]));
+    CHECK(unreadable_ == 1);
+}
+
 // Guards against odd rows that nobody can trace to their writer.
 TEST_CASE_FIXTURE(target_rows_fixture,
                   "row unreadable, reason and readability change, logged each")
