Keep the shard of a target whose row moves it

Any writer may leave a row under the name of a known target. A row with a failure domain that the settings don't name, or with a rack of another shard, changed the shard of the session at once, while the session went on: the ends of its runs reached no planner, their jobs stayed as running, and the target got no work when its row was right again. The name of an unknown failure domain wasn't logged.

A target of an unknown failure domain makes no row of any table now and is logged once a domain, 20 at most. A row that would move an open session to another shard counts as if the target had left the list, and is logged.

A target that does come back under its name with another rack, at the same address, stays unlisted for as long as it answers there. Rack and failure domain stay with a target, so this isn't handled.

--- a/cell/list_targets.cpp
+++ b/cell/list_targets.cpp
@@ -172,14 +172,66 @@
     }
 }
 
+namespace
+{
+
+// Any writer may leave rows of targets, so their lines are bounded.
+constexpr std::size_t max_unknown_domains = 20;
+
+// The settings name all failure domains, so that rows create none.
+bool is_of_known_domain(node& context, listed_target const& target)
+{
+    if (context.layouts_.contains(target.domain_))
+    {
+        return true;
+    }
+    if (context.unknown_domains_.size() < max_unknown_domains &&
+        context.unknown_domains_.insert(target.domain_).second)
+    {
+        log_event(
+            context, "domain_unknown",
+            {{"domain", target.domain_.str()}, {"target", target.id_.str()}});
+    }
+    return false;
+}
+
+// Rack and failure domain stay with a target. A row that moves it comes from
+// another writer, and the ends of its runs have to reach their owner.
+bool stays_in_shard(node& context, session_row const& session,
+                    listed_target const& target)
+{
+    if (!session.open_ || shard_of(context, target) == session.shard_)
+    {
+        return true;
+    }
+    if (session.listed_)
+    {
+        log_event(context, "target_moved",
+                  {{"target", target.id_.str()},
+                   {"domain", target.domain_.str()},
+                   {"rack", target.rack_.str()}});
+    }
+    return false;
+}
+
+} // namespace
+
 void apply(node& context, target_listed const& input)
 {
-    target_id const& id = input.target_.id_;
-    session_row&     session = context.sessions_.ensure(id);
-    if (session.info_ && session.listed_ && *session.info_ == input.target_)
+    target_id const&   id = input.target_.id_;
+    session_row* const known = context.sessions_.find(id);
+    if (known != nullptr && known->info_ && known->listed_ &&
+        *known->info_ == input.target_)
+    {
+        return;
+    }
+    if (!is_of_known_domain(context, input.target_) ||
+        (known != nullptr && !stays_in_shard(context, *known, input.target_)))
     {
+        apply(context, target_unlisted{id});
         return;
     }
+    session_row&      session = context.sessions_.ensure(id);
     layout_row* const layout = context.layouts_.find(input.target_.domain_);
     if (layout != nullptr && !session.info_)
     {
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -56,6 +56,7 @@
 
     std::shared_ptr<cell_config const> config_; // null: none yet
     std::set<domain_id>                out_;    // taken out by operators
+    std::set<domain_id> unknown_domains_; // that rows of targets name, logged
 
     table<host_id, host_row>       hosts_;
     table<domain_id, layout_row>   layouts_; // one for each domain
