Refuse stored rows with values that don't fit

The readers of the cell's own rows took any value that JSON can hold. A job whose row has a deeply nested field ended each process that read it: its specification was written out again by recursion. Numbers were wrapped: a layout of 4 billion shards, an epoch of 2^64-1 that no later one exceeds, "east.99999999999" as a name of shard 0. The progress of a job could name steps, tasks and phases that it doesn't have, which answers to callers and planners look up.

Numbers must now be whole and fit, counts are bounded, and the parts of a job must agree. Unreadable rows are handled and logged as before.

The property of rows of leases reported a failure without failing its test: its result is checked now.

--- a/cell/records.cpp
+++ b/cell/records.cpp
@@ -9,7 +9,9 @@
 #include "cell/record_error.hpp"
 
 #include <nlohmann/json.hpp>
+#include <algorithm>
 #include <charconv>
+#include <system_error>
 #include <utility>
 
 namespace fescuevane::cell
@@ -33,6 +35,74 @@
     }
 }
 
+// Far above what is written here. Other writers may leave any number, and
+// tables grow with these counts.
+constexpr std::uint32_t max_shards = 10'000;
+constexpr std::uint32_t max_tasks = 100'000; // of one step
+constexpr std::uint32_t max_repeats = 1'000'000;
+constexpr double        max_cpu_share = 1024; // as in the settings
+
+// The library's conversions wrap numbers that don't fit.
+template <typename Number>
+Number read_number(json const& value)
+{
+    bool const whole = value.is_number_integer();
+    bool const fits =
+        whole && (value.is_number_unsigned()
+                      ? std::in_range<Number>(value.get<std::uint64_t>())
+                      : std::in_range<Number>(value.get<std::int64_t>()));
+    if (!fits)
+    {
+        throw record_error("stored row: expected a whole number in range");
+    }
+    return value.get<Number>();
+}
+
+template <typename Number>
+Number read_number(json const& row, char const* name)
+{
+    return read_number<Number>(row.at(name));
+}
+
+// Amounts, times and spans aren't negative.
+std::int64_t read_amount(json const& row, char const* name)
+{
+    auto const value = read_number<std::int64_t>(row.at(name));
+    if (value < 0)
+    {
+        throw record_error(std::string("stored row: ") + name + " below 0");
+    }
+    return value;
+}
+
+// Numbers that only rise. A row with the highest one would stay in force for
+// good, so those that fit in no signed number are refused.
+std::uint64_t read_term(json const& row, char const* name)
+{
+    return static_cast<std::uint64_t>(read_amount(row, name));
+}
+
+std::uint32_t read_count(json const& row, char const* name, std::uint32_t most)
+{
+    auto const value = read_number<std::uint32_t>(row.at(name));
+    if (value > most)
+    {
+        throw record_error(std::string("stored row: ") + name + " above " +
+                           std::to_string(most));
+    }
+    return value;
+}
+
+std::vector<std::uint32_t> read_numbers(json const& list)
+{
+    std::vector<std::uint32_t> numbers;
+    for (json const& value : list)
+    {
+        numbers.push_back(read_number<std::uint32_t>(value));
+    }
+    return numbers;
+}
+
 } // namespace
 
 // 1. Hosts, layouts, shards, limits and leases
@@ -46,6 +116,21 @@
         .dump();
 }
 
+namespace
+{
+
+double read_cpu_share(json const& row)
+{
+    auto const share = row.at("cpu").get<double>();
+    if (!(share >= 0 && share <= max_cpu_share))
+    {
+        throw record_error("host: processor share out of range");
+    }
+    return share;
+}
+
+} // namespace
+
 host_record read_host(std::string const& text)
 {
     return parse(text,
@@ -54,8 +139,7 @@
                      return host_record{
                          row.at("address").get<std::string>(),
                          domain_id(row.at("domain").get<std::string>()),
-                         row.at("cpu").get<double>(),
-                         row.at("incarnation").get<std::uint64_t>()};
+                         read_cpu_share(row), read_term(row, "incarnation")};
                  });
 }
 
@@ -75,9 +159,9 @@
                  {
                      return owner_record{
                          host_id(row.at("host").get<std::string>()),
-                         row.at("incarnation").get<std::uint64_t>(),
+                         read_term(row, "incarnation"),
                          row.at("address").get<std::string>(),
-                         row.at("epoch").get<std::uint64_t>(),
+                         read_term(row, "epoch"),
                          row.at("released").get<bool>(),
                          host_id(row.at("successor").get<std::string>())};
                  });
@@ -98,8 +182,12 @@
     std::size_t const dot = text.rfind('.');
     shard_id          shard;
     char const* const end = text.data() + text.size();
-    if (dot == std::string::npos ||
-        std::from_chars(text.data() + dot + 1, end, shard.index_).ptr != end)
+    if (dot == std::string::npos)
+    {
+        throw record_error("name of a shard: " + text);
+    }
+    auto const read = std::from_chars(text.data() + dot + 1, end, shard.index_);
+    if (read.ec != std::errc() || read.ptr != end || shard.index_ >= max_shards)
     {
         throw record_error("name of a shard: " + text);
     }
@@ -124,14 +212,15 @@
         [](json const& row)
         {
             layout_record record{.shards_ =
-                                     row.at("shards").get<std::uint32_t>()};
+                                     read_count(row, "shards", max_shards)};
             for (auto const& [rack, index] : row.at("racks").items())
             {
-                record.racks_[rack_id(rack)] = index.get<std::uint32_t>();
-                if (index >= record.shards_)
+                auto const shard = read_number<std::uint32_t>(index);
+                if (shard >= record.shards_)
                 {
                     throw record_error("layout: rack " + rack + " in no shard");
                 }
+                record.racks_[rack_id(rack)] = shard;
             }
             if (record.shards_ == 0)
             {
@@ -160,7 +249,7 @@
                      for (auto const& [shard, part] : row.at("parts").items())
                      {
                          record.parts_[read_shard_name(shard)] =
-                             part.get<std::uint32_t>();
+                             read_number<std::uint32_t>(part);
                      }
                      return record;
                  });
@@ -206,10 +295,9 @@
                         .rack_ = rack_id(target.at("rack").get<std::string>()),
                         .labels_ =
                             target.at("labels").get<std::vector<std::string>>(),
-                        .capacity_ = {
-                            target.at("cpu").get<std::int64_t>(),
-                            target.at("memory").get<std::int64_t>(),
-                            target.at("accelerators").get<std::int64_t>()}});
+                        .capacity_ = {read_amount(target, "cpu"),
+                                      read_amount(target, "memory"),
+                                      read_amount(target, "accelerators")}});
             }
             return targets;
         });
@@ -244,28 +332,45 @@
 
 step_spec read_step(json const& step)
 {
-    return step_spec{
-        .count_ = step.at("count").get<std::uint32_t>(),
-        .demand_ = resources(step.at("cpu").get<std::int64_t>(),
-                             step.at("memory").get<std::int64_t>(),
-                             step.at("accelerators").get<std::int64_t>()),
-        .estimate_ms_ = step.at("estimate").get<std::int64_t>(),
-        .after_ = step.at("after").get<std::vector<std::uint32_t>>(),
-        .checkpointing_ = step.at("checkpointing").get<bool>(),
-        .gang_ = step.at("gang").get<bool>(),
-        .same_rack_ = step.at("same_rack").get<bool>(),
-        .speculative_ = step.at("speculative").get<bool>(),
-        .perpetual_ = step.at("perpetual").get<bool>(),
-        .filler_ = step.at("filler").get<bool>(),
-        .required_label_ = step.at("label").get<std::string>(),
-        .near_rack_ = rack_id(step.at("near").get<std::string>()),
-        .spread_limit_ = step.at("spread").get<std::uint32_t>(),
-        .image_ = step.at("image").get<std::string>(),
-        .latency_target_ms_ = step.at("latency").get<std::int64_t>(),
-        .max_unavailable_ = step.at("unavailable").get<std::uint32_t>()};
-}
-
-std::optional<task_alias> read_alias(json const& alias, std::size_t steps)
+    return step_spec{.count_ = read_count(step, "count", max_tasks),
+                     .demand_ = resources(read_amount(step, "cpu"),
+                                          read_amount(step, "memory"),
+                                          read_amount(step, "accelerators")),
+                     .estimate_ms_ = read_amount(step, "estimate"),
+                     .after_ = read_numbers(step.at("after")),
+                     .checkpointing_ = step.at("checkpointing").get<bool>(),
+                     .gang_ = step.at("gang").get<bool>(),
+                     .same_rack_ = step.at("same_rack").get<bool>(),
+                     .speculative_ = step.at("speculative").get<bool>(),
+                     .perpetual_ = step.at("perpetual").get<bool>(),
+                     .filler_ = step.at("filler").get<bool>(),
+                     .required_label_ = step.at("label").get<std::string>(),
+                     .near_rack_ = rack_id(step.at("near").get<std::string>()),
+                     .spread_limit_ = read_count(step, "spread", max_tasks),
+                     .image_ = step.at("image").get<std::string>(),
+                     .latency_target_ms_ = read_amount(step, "latency"),
+                     .max_unavailable_ =
+                         read_count(step, "unavailable", max_tasks)};
+}
+
+// The latest of the steps.
+void check_step(std::vector<step_spec> const& steps)
+{
+    step_spec const& step = steps.back();
+    bool const       earlier =
+        std::all_of(step.after_.begin(), step.after_.end(),
+                    [&steps](std::uint32_t before)
+                    {
+                        return before + std::size_t{1} < steps.size();
+                    });
+    if (step.count_ == 0 || !earlier)
+    {
+        throw record_error("job: step without tasks, or after a later one");
+    }
+}
+
+std::optional<task_alias> read_alias(json const&                   alias,
+                                     std::vector<step_spec> const& steps)
 {
     if (alias.is_null())
     {
@@ -273,13 +378,14 @@
     }
     task_alias value{
         .stage_ = {job_id(alias.at("job").get<std::string>()),
-                   alias.at("occurrence").get<std::uint32_t>(),
-                   alias.at("step").get<std::uint32_t>()},
-        .indices_ = alias.at("indices").get<std::vector<std::uint32_t>>(),
-        .failures_ = alias.at("failures").get<std::vector<std::uint32_t>>(),
+                   read_number<std::uint32_t>(alias, "occurrence"),
+                   read_number<std::uint32_t>(alias, "step")},
+        .indices_ = read_numbers(alias.at("indices")),
+        .failures_ = read_numbers(alias.at("failures")),
         .checkpoints_ = alias.at("checkpoints").get<std::vector<std::string>>(),
-        .first_run_ = alias.at("first_run").get<std::uint32_t>()};
-    if (steps != 1 || value.failures_.size() != value.indices_.size() ||
+        .first_run_ = read_number<std::uint32_t>(alias, "first_run")};
+    if (steps.size() != 1 || steps.front().count_ != value.indices_.size() ||
+        value.failures_.size() != value.indices_.size() ||
         value.checkpoints_.size() != value.indices_.size())
     {
         throw record_error("alias: lists of different length");
@@ -293,6 +399,7 @@
     for (json const& step : spec.at("steps"))
     {
         steps.push_back(read_step(step));
+        check_step(steps);
     }
     return std::make_shared<staged_job const>(staged_job{
         .id_ = job_id(spec.at("id").get<std::string>()),
@@ -302,11 +409,11 @@
         .service_ = service_id(spec.at("service").get<std::string>()),
         .payload_ = spec.at("payload").get<std::string>(),
         .steps_ = steps,
-        .repeat_count_ = spec.at("repeat").get<std::uint32_t>(),
-        .first_due_unix_ms_ = spec.at("due").get<std::int64_t>(),
-        .interval_ms_ = spec.at("interval").get<std::int64_t>(),
-        .accepted_unix_ms_ = spec.at("accepted").get<std::int64_t>(),
-        .alias_ = read_alias(spec.at("alias"), steps.size())});
+        .repeat_count_ = read_count(spec, "repeat", max_repeats),
+        .first_due_unix_ms_ = read_amount(spec, "due"),
+        .interval_ms_ = read_amount(spec, "interval"),
+        .accepted_unix_ms_ = read_amount(spec, "accepted"),
+        .alias_ = read_alias(spec.at("alias"), steps)});
 }
 
 } // namespace
@@ -382,12 +489,13 @@
 
 task_progress read_task(json const& row)
 {
-    return {.occurrence_ = row.at("o").get<std::uint32_t>(),
-            .step_ = row.at("s").get<std::uint32_t>(),
-            .index_ = row.at("i").get<std::uint32_t>(),
+    return {.occurrence_ = read_number<std::uint32_t>(row, "o"),
+            .step_ = read_number<std::uint32_t>(row, "s"),
+            .index_ = read_number<std::uint32_t>(row, "i"),
             .done_ = row.value("d", false),
-            .last_run_ = row.at("r").get<std::uint32_t>(),
-            .failed_runs_ = row.value("f", std::vector<std::uint32_t>()),
+            .last_run_ = read_number<std::uint32_t>(row, "r"),
+            .failed_runs_ = row.contains("f") ? read_numbers(row.at("f"))
+                                              : std::vector<std::uint32_t>(),
             .checkpoint_ = row.value("c", std::string()),
             .delegate_ = job_id(row.value("x", std::string()))};
 }
@@ -397,6 +505,26 @@
 namespace
 {
 
+job_phase read_phase(json const& row)
+{
+    auto const phase = read_number<std::uint8_t>(row, "phase");
+    if (phase > static_cast<std::uint8_t>(job_phase::canceled))
+    {
+        throw record_error("job: unknown phase");
+    }
+    return static_cast<job_phase>(phase);
+}
+
+void check_task(task_progress const& task, staged_job const& job)
+{
+    if (task.step_ >= job.steps_.size() ||
+        task.index_ >= job.steps_[task.step_].count_ ||
+        task.occurrence_ >= std::max(job.repeat_count_, 1U))
+    {
+        throw record_error("job: progress of a task that it doesn't have");
+    }
+}
+
 constexpr std::string_view job_start = R"({"shard":")";
 
 } // namespace
@@ -430,27 +558,29 @@
 
 job_record read_job(std::string const& text)
 {
-    return parse(text,
-                 [](json const& row)
-                 {
-                     job_record record;
-                     record.shard_ =
-                         read_shard_name(row.at("shard").get<std::string>());
-                     record.progress_.phase_ =
-                         static_cast<job_phase>(row.at("phase").get<int>());
-                     for (json const& task : row.at("tasks"))
-                     {
-                         record.progress_.tasks_.push_back(read_task(task));
-                     }
-                     for (json const& delegate : row.at("delegates"))
-                     {
-                         record.progress_.delegates_.emplace_back(
-                             delegate.get<std::string>());
-                     }
-                     record.spec_text_ = row.at("spec").dump();
-                     record.job_ = read_spec_value(row.at("spec"));
-                     return record;
-                 });
+    return parse(
+        text,
+        [](json const& row)
+        {
+            job_record record;
+            record.shard_ = read_shard_name(row.at("shard").get<std::string>());
+            record.job_ = read_spec_value(row.at("spec"));
+            // Not the text of the row: what isn't read may be nested
+            // too deeply to be written again.
+            record.spec_text_ = write_spec(*record.job_);
+            record.progress_.phase_ = read_phase(row);
+            for (json const& task : row.at("tasks"))
+            {
+                record.progress_.tasks_.push_back(read_task(task));
+                check_task(record.progress_.tasks_.back(), *record.job_);
+            }
+            for (json const& delegate : row.at("delegates"))
+            {
+                record.progress_.delegates_.emplace_back(
+                    delegate.get<std::string>());
+            }
+            return record;
+        });
 }
 
 } // namespace fescuevane::cell
--- a/tests/unit/cell_cost_test.cpp
+++ b/tests/unit/cell_cost_test.cpp
@@ -184,8 +184,18 @@
     CHECK(find_answer(call).has_value());
 }
 
+// A cell of two failure domains; this node owns one of them.
+struct foreign_targets_fixture : cost_fixture
+{
+    foreign_targets_fixture()
+    {
+        settings_.domains_ = {domain_id("east"), domain_id("west")};
+        start(2);
+    }
+};
+
 // Guards against work in each tick for targets of other shards.
-TEST_CASE_FIXTURE(cost_fixture, "sessions, of other shards, skipped")
+TEST_CASE_FIXTURE(foreign_targets_fixture, "sessions, of other shards, skipped")
 {
     serve();
     for (int index = 0; index < 100; ++index)
@@ -198,7 +208,8 @@
 
 // Guards against targets of other shards that left the list and are kept for
 // ever, or are visited for ever when they return.
-TEST_CASE_FIXTURE(cost_fixture, "sessions, unlisted, forgotten after a while")
+TEST_CASE_FIXTURE(foreign_targets_fixture,
+                  "sessions, unlisted, forgotten after a while")
 {
     serve();
     post(target_listed{make_other("w-1")});
--- a/tests/unit/cell_grants_test.cpp
+++ b/tests/unit/cell_grants_test.cpp
@@ -209,7 +209,7 @@
 // Guards against rows that a new owner can't read.
 TEST_CASE("row of leases written and read is the same")
 {
-    rc::check(
+    CHECK(rc::check(
         [](std::vector<std::pair<std::uint16_t, std::uint16_t>> const& list)
         {
             granted_targets targets;
@@ -231,7 +231,7 @@
             {
                 RC_ASSERT(*read.at(id) == *info);
             }
-        });
+        }));
 }
 
 TEST_CASE("row of leases malformed, is an error")
--- /dev/null
+++ b/tests/unit/cell_records_test.cpp
@@ -0,0 +1,326 @@
+// Purpose: tests of stored rows that hold other values than this program
+// writes.
+#include "cell/allotment_record.hpp"
+#include "cell/grant_ledger.hpp"
+#include "cell/host_record.hpp"
+#include "cell/job_record.hpp"
+#include "cell/layout_record.hpp"
+#include "cell/owner_record.hpp"
+#include "cell/record_error.hpp"
+#include "cell/records.hpp"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+#include <rapidcheck.h>
+#include <array>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace fescuevane::cell
+{
+namespace
+{
+
+using nlohmann::json;
+
+json make_spec()
+{
+    return {{"id", "aa01"},
+            {"organisation", "cafe"},
+            {"queue", "orders"},
+            {"service", "desk"},
+            {"payload", "work"},
+            {"steps",
+             {{{"count", 2},
+               {"cpu", 1000},
+               {"memory", 512},
+               {"accelerators", 0},
+               {"estimate", 1000},
+               {"after", json::array()},
+               {"checkpointing", false},
+               {"gang", false},
+               {"same_rack", false},
+               {"speculative", false},
+               {"perpetual", false},
+               {"filler", false},
+               {"label", ""},
+               {"near", ""},
+               {"spread", 0},
+               {"image", ""},
+               {"latency", 0},
+               {"unavailable", 0}}}},
+            {"repeat", 0},
+            {"due", 0},
+            {"interval", 0},
+            {"accepted", 5},
+            {"alias", nullptr}};
+}
+
+json make_job()
+{
+    return {{"shard", "east.0"},
+            {"phase", 1},
+            {"delegates", json::array()},
+            {"tasks", {{{"o", 0}, {"s", 0}, {"i", 1}, {"r", 3}, {"f", {1}}}}},
+            {"spec", make_spec()}};
+}
+
+json make_alias()
+{
+    return {{"job", "bb01"},      {"occurrence", 0},
+            {"step", 0},          {"indices", {0, 1}},
+            {"failures", {0, 0}}, {"checkpoints", {"", ""}},
+            {"first_run", 1}};
+}
+
+json make_grants()
+{
+    return {{"targets",
+             {{{"id", "t-1"},
+               {"address", "10.0.0.1:80"},
+               {"domain", "east"},
+               {"service", "desk"},
+               {"rack", "r-1"},
+               {"labels", {"a", "r-1"}},
+               {"cpu", 4000},
+               {"memory", 512},
+               {"accelerators", 0}}}}};
+}
+
+// A kind of row: one that is valid, and its reader.
+struct row_kind
+{
+    json valid_;
+    void (*const read_)(std::string const&);
+};
+
+std::vector<row_kind> list_kinds()
+{
+    return {
+        {{{"address", "10.0.0.1:80"},
+          {"domain", "east"},
+          {"cpu", 0.5},
+          {"incarnation", 7}},
+         [](std::string const& text)
+         {
+             read_host(text);
+         }},
+        {{{"host", "host-1"},
+          {"incarnation", 7},
+          {"address", "10.0.0.1:80"},
+          {"epoch", 3},
+          {"released", false},
+          {"successor", ""}},
+         [](std::string const& text)
+         {
+             read_owner(text);
+         }},
+        {{{"shards", 2}, {"racks", {{"r-1", 0}, {"r-2", 1}}}},
+         [](std::string const& text)
+         {
+             read_layout(text);
+         }},
+        {{{"parts", {{"east.0", 40}}}},
+         [](std::string const& text)
+         {
+             read_allotment(text);
+         }},
+        {make_grants(),
+         [](std::string const& text)
+         {
+             read_grants(text);
+         }},
+        {make_job(),
+         [](std::string const& text)
+         {
+             read_job(text);
+         }},
+    };
+}
+
+std::string nest(std::string const& open, std::size_t levels)
+{
+    std::string text;
+    for (std::size_t level = 0; level < levels; ++level)
+    {
+        text += open;
+    }
+    return text;
+}
+
+TEST_CASE("stored rows, valid, read")
+{
+    for (row_kind const& kind : list_kinds())
+    {
+        CAPTURE(kind.valid_.dump());
+        CHECK_NOTHROW(kind.read_(kind.valid_.dump()));
+    }
+    json alias = make_job();
+    alias["spec"]["alias"] = make_alias();
+    CHECK_NOTHROW(read_job(alias.dump()));
+    // A job that was canceled before it came has nothing but its name.
+    json canceled = make_job();
+    canceled["phase"] = 4;
+    canceled["tasks"] = json::array();
+    canceled["spec"]["steps"] = json::array();
+    CHECK_NOTHROW(read_job(canceled.dump()));
+    job_record const job = read_job(make_job().dump());
+    CHECK(job.spec_text_ == write_spec(*job.job_));
+}
+
+// Guards against numbers that another type wraps or cuts: an epoch that no
+// later one exceeds, 4 billion shards or tasks, task 0 in place of another.
+TEST_CASE("stored rows, numbers out of range, refused")
+{
+    for (row_kind const& kind : list_kinds())
+    {
+        json const flat = kind.valid_.flatten();
+        for (auto const& [path, value] : flat.items())
+        {
+            if (!value.is_number())
+            {
+                continue;
+            }
+            for (char const* const number :
+                 {"-1", "1e30", "-1e30", "1e999", "18446744073709551615"})
+            {
+                json row = kind.valid_;
+                row[json::json_pointer(path)] = "@";
+                std::string text = row.dump();
+                text.replace(text.find("\"@\""), 3, number);
+                CAPTURE(text);
+                CHECK_THROWS_AS(kind.read_(text), record_error);
+            }
+        }
+    }
+}
+
+struct odd_value
+{
+    char const* path_;
+    json        value_;
+};
+
+// Guards against rows that a planner or a caller's answer reads beyond its
+// tables.
+TEST_CASE("row of a job, fields contradict each other, refused")
+{
+    json other_alias = make_alias();
+    other_alias["failures"] = {0};
+    json short_alias = make_alias();
+    for (char const* const list : {"indices", "failures", "checkpoints"})
+    {
+        short_alias[list] = {0};
+    }
+    short_alias["checkpoints"] = {""};
+    for (odd_value const& odd :
+         {odd_value{"/phase", 5}, odd_value{"/shard", "east."},
+          odd_value{"/shard", "east.99999999999"},
+          odd_value{"/shard", "east.-1"}, odd_value{"/shard", "east"},
+          odd_value{"/tasks/0/s", 1}, odd_value{"/tasks/0/i", 2},
+          odd_value{"/tasks/0/o", 1}, odd_value{"/spec/steps/0/after", {0}},
+          odd_value{"/spec/steps", json::array()},
+          odd_value{"/spec/steps/0/count", 0},
+          odd_value{"/spec/steps/0/count", 4'000'000'000U},
+          odd_value{"/spec/repeat", 4'000'000'000U},
+          odd_value{"/spec/alias", other_alias},
+          odd_value{"/spec/alias", short_alias}, odd_value{"/tasks", 7},
+          odd_value{"/delegates", {7}}})
+    {
+        json row = make_job();
+        row[json::json_pointer(odd.path_)] = odd.value_;
+        CAPTURE(row.dump());
+        CHECK_THROWS_AS(read_job(row.dump()), record_error);
+    }
+}
+
+// Guards against a layout that makes each host of a cell create shards until
+// its memory is used up.
+TEST_CASE("row of a layout, too many shards, refused")
+{
+    for (char const* const text :
+         {R"({"shards":4000000000,"racks":{}})", R"({"shards":0,"racks":{}})",
+          R"({"shards":1,"racks":{"r-1":1}})"})
+    {
+        CAPTURE(text);
+        CHECK_THROWS_AS(read_layout(text), record_error);
+    }
+}
+
+// Guards against a reader that ends by recursion.
+TEST_CASE("stored rows, nested deeply, refused")
+{
+    constexpr std::size_t levels = 1'000'000;
+    std::string const     deep = nest("[", levels) + nest("]", levels);
+    for (row_kind const& kind : list_kinds())
+    {
+        CHECK_THROWS_AS(kind.read_(nest("[", levels)), record_error);
+        CHECK_THROWS_AS(kind.read_(deep), record_error);
+        CHECK_THROWS_AS(kind.read_("{\"a\":\"\xff\"}"), record_error);
+        // A field that isn't read doesn't matter.
+        std::string const rest = kind.valid_.dump().substr(1);
+        CHECK_NOTHROW(kind.read_("{\"aaa\":" + deep + "," + rest));
+    }
+    json row = make_job();
+    row["spec"]["later"] = "@";
+    std::string text = row.dump();
+    text.replace(text.find("\"@\""), 3, deep);
+    CHECK_NOTHROW(read_job(text));
+}
+
+json make_random(int depth)
+{
+    switch (*rc::gen::inRange(0, depth > 0 ? 7 : 5))
+    {
+    case 0:
+        return nullptr;
+    case 1:
+        return *rc::gen::arbitrary<std::int64_t>();
+    case 2:
+        return *rc::gen::arbitrary<double>();
+    case 3:
+        return *rc::gen::string<std::string>();
+    case 4:
+        return *rc::gen::arbitrary<bool>();
+    case 5:
+        return json::array({make_random(depth - 1), make_random(depth - 1)});
+    default:
+        return json{{"east.0", make_random(depth - 1)},
+                    {"id", make_random(depth - 1)}};
+    }
+}
+
+// Guards against rows that end the reader with another error than the one that
+// is handled.
+TEST_CASE("stored rows, changed fields, read or refused")
+{
+    std::vector<row_kind> const kinds = list_kinds();
+    CHECK(rc::check(
+        [&kinds]
+        {
+            row_kind const& kind =
+                kinds[*rc::gen::inRange<std::size_t>(0, kinds.size())];
+            json const               flat = kind.valid_.flatten();
+            std::vector<std::string> paths;
+            for (auto const& [path, value] : flat.items())
+            {
+                paths.push_back(path);
+            }
+            json row = kind.valid_;
+            row[json::json_pointer(*rc::gen::elementOf(paths))] =
+                make_random(2);
+            try
+            {
+                kind.read_(
+                    row.dump(-1, ' ', false, json::error_handler_t::replace));
+            }
+            catch (record_error const&)
+            {
+                // It names no record.
+            }
+        }));
+}
+
+} // namespace
+} // namespace fescuevane::cell
