Hold room for lasting tasks that wait for a ticket

Cause: a stage asked the policy service only once an allowed target had room, other work took the room during the answer, and the ticket expired after 2 s without room.

A lasting task that waits holds room on one target that is known to allow it, for 4 s, then on another one. Room that comes free there is kept from other stages. The stage asks ahead of need about its allowed targets, also while they are full, and before tickets expire. Held room stays within an eighth of the room of the stage's allowed targets, but one task may always hold its own.

--- /dev/null
+++ b/plan/hold_room.cpp
@@ -0,0 +1,350 @@
+// Purpose: system: holds room for lasting tasks that wait for a ticket. A
+// ticket takes an answer of the policy service and expires soon; without a
+// hold other work takes the room while the answer is awaited.
+//
+// Index of sections
+//   1. Tasks that wait
+//   2. Choice of targets
+//   3. The table
+//   4. Queries
+#include "plan/job_flow.hpp"
+#include "plan/planner.hpp"
+#include "plan/room.hpp"
+#include "plan/room_holds.hpp"
+#include "plan/stage_view.hpp"
+#include "plan/unseen_work.hpp"
+
+#include <algorithm>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace fescuevane::plan
+{
+namespace
+{
+
+// Part of the room of a stage's allowed targets that may be held at once, so
+// that a flood of lasting tasks leaves room to other work. One task may always
+// hold its room, since it would wait without end on a few small targets.
+constexpr std::int64_t share_divisor = 8;
+
+// Then another target is tried. Covers an answer (0.5 to 1.3 s), a start and
+// the rest of the short runs of a busy shard.
+constexpr std::int64_t hold_micros = 4'000'000;
+
+// 1. Tasks that wait
+
+struct waiting_task
+{
+    instant       since_;
+    stage_key     stage_;
+    std::uint32_t index_ = 0;
+
+    friend auto operator<=>(waiting_task const&, waiting_task const&) = default;
+};
+
+bool may_hold(planner const& context, stage_key const& key,
+              unseen_work const& unseen)
+{
+    stage_view const view = view_stage(context, key);
+    return needs_ticket(view) &&
+           !may_be_unseen(unseen, view.job_, view.step_) &&
+           is_within_limit(context, view.job_.spec_->organisation_, key,
+                           view.step_.demand_);
+}
+
+// Lasting tasks that need a ticket, those that have waited longest first.
+std::vector<waiting_task> list_waiting_tasks(planner const& context)
+{
+    std::optional<unseen_work> unseen; // most ticks have no such task
+    std::vector<waiting_task>  waiting;
+    for (std::size_t row = 0; row < context.stages_.size(); ++row)
+    {
+        stage_row const& stage = context.stages_[row];
+        if (!stage.startable_ || count_waiting(stage) == 0)
+        {
+            continue;
+        }
+        stage_key const& key = context.stages_.key(row);
+        step_spec const& step = stage.spec_->steps_[key.step_];
+        if (!step.perpetual_ || step.filler_ || step.gang_)
+        {
+            continue;
+        }
+        if (!unseen)
+        {
+            unseen.emplace(find_unseen_work(context));
+        }
+        if (!may_hold(context, key, *unseen))
+        {
+            continue;
+        }
+        for (std::uint32_t index = 0; index < stage.tasks_.size(); ++index)
+        {
+            task_cell const& task = stage.tasks_[index];
+            if (is_waiting(task))
+            {
+                waiting.push_back({task.waiting_since_, key, index});
+            }
+        }
+    }
+    std::sort(waiting.begin(), waiting.end());
+    return waiting;
+}
+
+// 2. Choice of targets
+
+bool is_of(room_hold const& hold, waiting_task const& task)
+{
+    return hold.index_ == task.index_ && hold.stage_ == task.stage_;
+}
+
+// Only targets that the policy service is known to allow: of others, most
+// turn out to be forbidden, and room held there is lost.
+bool may_hold_on(planner const& context, stage_view const& stage,
+                 target_id const& id, target_row const& target)
+{
+    auto const ticket = stage.row_.tickets_.find(id);
+    return ticket != stage.row_.tickets_.end() && ticket->second.good_ &&
+           accepts_stage(context, stage, target) &&
+           limit_to_spread(context, stage, id,
+                           count_fitting_later(stage, target)) > 0;
+}
+
+double missing_share(std::int64_t wanted, std::int64_t free)
+{
+    return wanted <= 0
+               ? 0
+               : static_cast<double>(std::max<std::int64_t>(0, wanted - free)) /
+                     static_cast<double>(wanted);
+}
+
+// The part of the demand that the target lacks; 0: it fits now.
+double find_missing(resources const& demand, target_row const& target)
+{
+    resources const free = target.capacity_ - target.used_;
+    return std::max(
+        {missing_share(demand.cpu_millis(), free.cpu_millis()),
+         missing_share(demand.memory_mib(), free.memory_mib()),
+         missing_share(demand.accelerators(), free.accelerators())});
+}
+
+// Less is better.
+struct hold_choice
+{
+    bool        tried_ = false; // a hold there has just ended
+    double      missing_ = 0;
+    std::size_t row_ = 0; // of the target table
+
+    friend auto operator<=>(hold_choice const&, hold_choice const&) = default;
+};
+
+bool was_held(std::vector<room_hold> const& before, waiting_task const& task,
+              target_id const& target)
+{
+    return std::any_of(before.begin(), before.end(),
+                       [&](room_hold const& hold)
+                       {
+                           return hold.target_ == target && is_of(hold, task);
+                       });
+}
+
+std::vector<hold_choice> list_choices(planner const&                context,
+                                      std::vector<room_hold> const& before,
+                                      waiting_task const&           task)
+{
+    stage_view const         stage = view_stage(context, task.stage_);
+    std::vector<hold_choice> choices;
+    for (std::size_t row = 0; row < context.targets_.size(); ++row)
+    {
+        target_row const& target = context.targets_[row];
+        target_id const&  id = context.targets_.key(row);
+        if (target.held_.is_zero() && may_hold_on(context, stage, id, target))
+        {
+            double const missing = find_missing(stage.step_.demand_, target);
+            choices.push_back(
+                {missing > 0 && was_held(before, task, id), missing, row});
+        }
+    }
+    std::sort(choices.begin(), choices.end());
+    return choices;
+}
+
+// 3. The table
+
+void add_hold(planner& context, room_hold const& hold)
+{
+    target_row& target = *context.targets_.find(hold.target_);
+    target.held_ = hold.amount_;
+    context.holds_.push_back(hold);
+}
+
+void clear_held(planner& context, std::vector<room_hold> const& holds)
+{
+    for (room_hold const& hold : holds)
+    {
+        if (target_row* const target = context.targets_.find(hold.target_))
+        {
+            target->held_ = resources();
+        }
+    }
+}
+
+bool fits_now(planner const& context, room_hold const& hold)
+{
+    return find_missing(hold.amount_, *context.targets_.find(hold.target_)) ==
+           0;
+}
+
+// Keeps the hold of a task while it goes on, unless another target has room
+// before the held one.
+void keep_hold(planner& context, std::vector<room_hold> const& before,
+               waiting_task const& task)
+{
+    stage_view const stage = view_stage(context, task.stage_);
+    auto const       hold = std::find_if(
+              before.begin(), before.end(),
+              [&](room_hold const& known)
+              {
+            target_row const* const target =
+                context.targets_.find(known.target_);
+            return is_of(known, task) && known.until_ > context.now_ &&
+                   target != nullptr &&
+                   may_hold_on(context, stage, known.target_, *target);
+        });
+    if (hold == before.end())
+    {
+        return;
+    }
+    if (!fits_now(context, *hold))
+    {
+        auto const choices = list_choices(context, before, task);
+        if (!choices.empty() && choices[0].missing_ == 0)
+        {
+            return;
+        }
+    }
+    add_hold(context, *hold);
+}
+
+// True when `amount` more may be held on the targets that the stage may use.
+bool is_within_share(planner const& context, stage_view const& stage,
+                     resources const& amount)
+{
+    resources room;
+    resources held;
+    for (std::size_t row = 0; row < context.targets_.size(); ++row)
+    {
+        target_row const& target = context.targets_[row];
+        if (may_hold_on(context, stage, context.targets_.key(row), target))
+        {
+            room = room + target.capacity_;
+            held = held + target.held_;
+        }
+    }
+    return held.is_zero() || ((held + amount) * share_divisor).fits_in(room);
+}
+
+// False when no room may be held for the task.
+bool choose_hold(planner& context, std::vector<room_hold> const& before,
+                 waiting_task const& task)
+{
+    stage_view const stage = view_stage(context, task.stage_);
+    auto const       choices = list_choices(context, before, task);
+    if (choices.empty() ||
+        !is_within_share(context, stage, stage.step_.demand_))
+    {
+        return false;
+    }
+    add_hold(context,
+             {task.stage_, task.index_, context.targets_.key(choices[0].row_),
+              stage.step_.demand_, context.now_.after(hold_micros)});
+    return true;
+}
+
+bool has_hold(planner const& context, waiting_task const& task)
+{
+    return std::any_of(context.holds_.begin(), context.holds_.end(),
+                       [&task](room_hold const& hold)
+                       {
+                           return is_of(hold, task);
+                       });
+}
+
+} // namespace
+
+void hold_room(planner& context)
+{
+    std::vector<room_hold> before;
+    before.swap(context.holds_);
+    clear_held(context, before);
+    std::vector<waiting_task> const waiting = list_waiting_tasks(context);
+    for (waiting_task const& task : waiting)
+    {
+        keep_hold(context, before, task);
+    }
+    std::set<stage_key> lacking; // their other tasks need the same room
+    for (waiting_task const& task : waiting)
+    {
+        if (!lacking.contains(task.stage_) && !has_hold(context, task) &&
+            !choose_hold(context, before, task))
+        {
+            lacking.insert(task.stage_);
+        }
+    }
+    for (room_hold const& hold : context.holds_)
+    {
+        wake_at(context, hold.until_);
+    }
+}
+
+// 4. Queries
+
+resources find_free(planner const& context, stage_key const& stage,
+                    target_id const& id, target_row const& target)
+{
+    resources const free = target.capacity_ - target.used_;
+    if (target.held_.is_zero())
+    {
+        return free;
+    }
+    resources held = target.held_;
+    for (room_hold const& hold : context.holds_)
+    {
+        if (hold.target_ == id && hold.stage_ == stage)
+        {
+            held = held - hold.amount_;
+        }
+    }
+    // While runs end one after another, more is held than is free.
+    return max(resources(), free - held);
+}
+
+std::int64_t count_holds(planner const& context, stage_key const& stage)
+{
+    return std::count_if(context.holds_.begin(), context.holds_.end(),
+                         [&stage](room_hold const& hold)
+                         {
+                             return hold.stage_ == stage;
+                         });
+}
+
+void release_holds(planner& context, stage_key const& stage)
+{
+    std::vector<room_hold> before;
+    before.swap(context.holds_);
+    clear_held(context, before);
+    stage_row const* const row = context.stages_.find(stage);
+    for (room_hold const& hold : before)
+    {
+        if (hold.stage_ != stage ||
+            (row != nullptr && is_waiting(row->tasks_[hold.index_])))
+        {
+            add_hold(context, hold);
+        }
+    }
+}
+
+} // namespace fescuevane::plan
--- a/plan/place_tasks.cpp
+++ b/plan/place_tasks.cpp
@@ -8,6 +8,7 @@
 #include "plan/job_flow.hpp"
 #include "plan/planner.hpp"
 #include "plan/room.hpp"
+#include "plan/room_holds.hpp"
 #include "plan/stage_rank.hpp"
 #include "plan/stage_view.hpp"
 
@@ -462,6 +463,10 @@
         place_stage(context, rank.stage_);
         if (context.runs_.size() != runs)
         {
+            if (count_holds(context, rank.stage_) > 0)
+            {
+                release_holds(context, rank.stage_);
+            }
             most_free = find_most_free(context);
         }
     }
--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -48,7 +48,7 @@
 
 std::span<system_entry const> list_systems()
 {
-    static constexpr std::array<system_entry, 10> systems = {{
+    static constexpr std::array<system_entry, 11> systems = {{
         {"apply_events", &apply_events},
         {"open_stages", &open_stages},
         {"count_unseen", &count_unseen},
@@ -56,6 +56,7 @@
         {"watch_runs", &watch_runs},
         {"pace_fillers", &pace_fillers},
         {"claim_limits", &claim_limits},
+        {"hold_room", &hold_room},
         {"request_advice", &request_advice},
         {"place_tasks", &place_tasks},
         {"explain_waits", &explain_waits},
--- a/plan/planner.hpp
+++ b/plan/planner.hpp
@@ -13,6 +13,7 @@
 #include "plan/image_row.hpp"
 #include "plan/job_row.hpp"
 #include "plan/organisation_row.hpp"
+#include "plan/room_hold.hpp"
 #include "plan/run_table.hpp"
 #include "plan/settings.hpp"
 #include "plan/stage_row.hpp"
@@ -55,12 +56,13 @@
     std::uint32_t    short_questions_ = 0; // in flight, by the time of answers
     std::uint32_t    long_questions_ = 0;
     // Targets that are kept free for a gang that has waited long.
-    std::set<target_id> reserved_;
-    stage_key           reserved_for_; // without a job: none
-    instant             reserved_until_;
-    instant             reserve_after_; // next reservation
-    instant             explain_at_;    // next notes about long waits
-    instant             watch_at_;      // next look at runs
+    std::set<target_id>    reserved_;
+    stage_key              reserved_for_; // without a job: none
+    instant                reserved_until_;
+    instant                reserve_after_; // next reservation
+    std::vector<room_hold> holds_; // of tasks that wait, at most one a target
+    instant                explain_at_; // next notes about long waits
+    instant                watch_at_;   // next look at runs
 };
 
 // A step of the tick.
@@ -83,6 +85,7 @@
 void watch_runs(planner& context);      // stalled runs, slow runs
 void pace_fillers(planner& context);    // beside tasks with a latency bound
 void claim_limits(planner& context);    // room for work above the shard's part
+void hold_room(planner& context);       // for lasting tasks without a ticket
 void request_advice(planner& context);  // tickets ahead of need
 void place_tasks(planner& context);     // waiting tasks to targets
 void explain_waits(planner& context);   // what tasks that wait long wait for
--- a/plan/request_advice.cpp
+++ b/plan/request_advice.cpp
@@ -4,10 +4,12 @@
 #include "plan/job_flow.hpp"
 #include "plan/planner.hpp"
 #include "plan/room.hpp"
+#include "plan/room_holds.hpp"
 #include "plan/stage_rank.hpp"
 #include "plan/stage_view.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <optional>
 #include <tuple>
 #include <utility>
@@ -126,11 +128,27 @@
     free_room free;
     for (target_row const& target : context.targets_)
     {
-        free.push_back(target.capacity_ - target.used_);
+        free.push_back(target.capacity_ - target.used_ - target.held_);
     }
     return free;
 }
 
+// Held room counts as used for all but the stage that holds it.
+void return_held_room(planner const& context, stage_key const& key,
+                      free_room& free)
+{
+    for (room_hold const& hold : context.holds_)
+    {
+        if (hold.stage_ == key)
+        {
+            auto const& ids = context.targets_.keys();
+            auto const  row = static_cast<std::size_t>(
+                std::find(ids.begin(), ids.end(), hold.target_) - ids.begin());
+            free[row] = free[row] + hold.amount_;
+        }
+    }
+}
+
 // One target that a stage may use.
 struct candidate
 {
@@ -289,6 +307,7 @@
     stage_row&      stage = *context.stages_.find(key);
     stage.asked_ = true;
     stage.asked_long_ = is_long;
+    stage.asked_at_ = context.now_;
     ++(is_long ? context.long_questions_ : context.short_questions_);
     context.outbox_.push_back(ask_advice{key, std::move(targets),
                                          view.queue_->advice_->validity_ms_});
@@ -338,9 +357,52 @@
         }
     }
     std::sort(ranks.begin(), ranks.end());
+    if (!context.holds_.empty())
+    {
+        // Better-ranked stages can't use the room that they hold.
+        std::stable_partition(ranks.begin(), ranks.end(),
+                              [&context](stage_rank const& rank)
+                              {
+                                  return count_holds(context, rank.stage_) > 0;
+                              });
+    }
     return ranks;
 }
 
+// A stage that holds room asks ahead of need, so that tickets are at hand when
+// the room is there: also while its targets are full, and before its tickets
+// expire. Without room, only targets that it may use count.
+void ask_for_held_room(planner& context, stage_view const& stage,
+                       std::vector<candidate> candidates, bool is_long)
+{
+    std::vector<candidate> const later = list_later(context, stage, candidates);
+    std::copy_if(later.begin(), later.end(), std::back_inserter(candidates),
+                 [](candidate const& at)
+                 {
+                     return at.known_;
+                 });
+    advice_policy const& advice = *stage.queue_->advice_;
+    auto const           ahead_micros = static_cast<std::int64_t>(
+        (advice.decision_ms_ + lead_ms +
+         advice.per_target_ms_ * static_cast<double>(candidates.size())) *
+        micros_per_milli);
+    for (candidate& at : candidates)
+    {
+        if (at.ticketed_)
+        {
+            instant const until =
+                stage.row_.tickets_.at(context.targets_.key(at.row_))
+                    .valid_until_;
+            at.ticketed_ = until > context.now_.after(ahead_micros);
+            if (at.ticketed_)
+            {
+                wake_at(context, until.after(-ahead_micros));
+            }
+        }
+    }
+    ask(context, stage, candidates, is_long);
+}
+
 void request_for(planner& context, stage_key const& key, free_room& free)
 {
     stage_view const   stage = view_stage(context, key);
@@ -361,6 +423,11 @@
     {
         return;
     }
+    bool const holds = count_holds(context, key) > 0;
+    if (holds)
+    {
+        return_held_room(context, key, free);
+    }
     std::vector<candidate> candidates = list_candidates(context, stage, free);
     if (!startable)
     {
@@ -369,6 +436,11 @@
     }
     coverage const room = count_room(candidates);
     take_room(stage.step_, candidates, room.fitting_, waiting, free);
+    if (holds && asks)
+    {
+        ask_for_held_room(context, stage, std::move(candidates), is_long);
+        return;
+    }
     if (!asks || room.ticketed_ >= waiting)
     {
         return;
--- a/plan/room.cpp
+++ b/plan/room.cpp
@@ -4,6 +4,7 @@
 #include "plan/job_flow.hpp"
 #include "plan/limit_claims.hpp"
 #include "plan/planner.hpp"
+#include "plan/room_holds.hpp"
 #include "plan/stage_view.hpp"
 
 #include <algorithm>
@@ -83,12 +84,6 @@
                      divide(room.accelerators(), demand.accelerators())});
 }
 
-std::int64_t count_fitting(stage_view const& stage, target_row const& target)
-{
-    return count_fitting_in(stage.step_, target,
-                            target.capacity_ - target.used_);
-}
-
 std::int64_t count_fitting_later(stage_view const& stage,
                                  target_row const& target)
 {
@@ -99,7 +94,10 @@
 std::int64_t count_startable(planner const& context, stage_view const& stage,
                              target_id const& id, target_row const& target)
 {
-    return limit_to_spread(context, stage, id, count_fitting(stage, target));
+    return limit_to_spread(
+        context, stage, id,
+        count_fitting_in(stage.step_, target,
+                         find_free(context, stage.key_, id, target)));
 }
 
 std::int64_t limit_to_spread(planner const& context, stage_view const& stage,
--- a/plan/room.hpp
+++ b/plan/room.hpp
@@ -39,14 +39,13 @@
 std::int64_t count_fitting_in(step_spec const& step, target_row const& target,
                               resources const& room);
 
-// Tasks of the stage that fit beside what runs on the target.
-std::int64_t count_fitting(stage_view const& stage, target_row const& target);
-
-// The same once all work that ends by itself has ended.
+// Tasks of the stage that fit on the target once all work that ends by itself
+// has ended.
 std::int64_t count_fitting_later(stage_view const& stage,
                                  target_row const& target);
 
-// Like `count_fitting`, within the stage's limit for one target.
+// Tasks of the stage that fit beside what runs on the target and what is held
+// there for other stages, within the stage's limit for one target.
 std::int64_t count_startable(planner const& context, stage_view const& stage,
                              target_id const& id, target_row const& target);
 
--- /dev/null
+++ b/plan/room_hold.hpp
@@ -0,0 +1,28 @@
+// Purpose: room that is held on a target for a task that waits for a ticket.
+#ifndef FESCUEVANE_PLAN_ROOM_HOLD_HPP
+#define FESCUEVANE_PLAN_ROOM_HOLD_HPP
+
+#include "core/ids.hpp"
+#include "core/instant.hpp"
+#include "core/resources.hpp"
+#include "core/stage_key.hpp"
+
+#include <cstdint>
+
+namespace fescuevane::plan
+{
+
+struct room_hold
+{
+    stage_key const     stage_;
+    std::uint32_t const index_ = 0; // of the task
+    target_id const     target_;
+    resources const     amount_;
+    instant const       until_;
+
+    friend bool operator==(room_hold const&, room_hold const&) = default;
+};
+
+} // namespace fescuevane::plan
+
+#endif
--- /dev/null
+++ b/plan/room_holds.hpp
@@ -0,0 +1,33 @@
+// Purpose: queries and changes of held room. Internal to the package.
+#ifndef FESCUEVANE_PLAN_ROOM_HOLDS_HPP
+#define FESCUEVANE_PLAN_ROOM_HOLDS_HPP
+
+#include "core/ids.hpp"
+
+#include <cstdint>
+
+namespace fescuevane
+{
+class resources;
+struct stage_key;
+} // namespace fescuevane
+
+namespace fescuevane::plan
+{
+
+struct planner;
+struct target_row;
+
+// Room of a target that runs and holds of other stages leave.
+resources find_free(planner const& context, stage_key const& stage,
+                    target_id const& id, target_row const& target);
+
+// Targets on which the stage holds room.
+std::int64_t count_holds(planner const& context, stage_key const& stage);
+
+// Ends the stage's holds of tasks that don't wait any more.
+void release_holds(planner& context, stage_key const& stage);
+
+} // namespace fescuevane::plan
+
+#endif
--- a/plan/stage_row.hpp
+++ b/plan/stage_row.hpp
@@ -35,6 +35,7 @@
     std::unordered_map<target_id, ticket_cell> tickets_;
     bool    asked_ = false;      // a question is in flight
     bool    asked_long_ = false; // its answer is long
+    instant asked_at_;           // the latest question
     instant ask_after_;
 };
 
--- a/plan/target_row.hpp
+++ b/plan/target_row.hpp
@@ -25,6 +25,7 @@
     target_phase             phase_ = target_phase::attaching;
     resources                used_;        // fillers' processors not counted
     resources                lasting_;     // the part by runs that don't end
+    resources                held_;        // for tasks that wait for a ticket
     std::uint32_t            serving_ = 0; // runs with a latency bound
     std::uint32_t            fillers_ = 0;
     std::set<run_key>        foreign_; // runs of unknown jobs, being stopped
