Offer lasting tasks that have been down for 4 s to other shards

A lasting task could stay in a shard that didn't get it to run: one that waits for the end of other work doesn't count as blocked, so it moves once at most, and a stage with a question in flight wasn't listed at all. With questions ahead of need that is most of the time.

Lasting tasks that have waited for 4 s are now listed like blocked ones.

The test "lasting task down, question in flight, offered to others" failed before.

--- a/plan/overflow.hpp
+++ b/plan/overflow.hpp
@@ -16,7 +16,9 @@
     stage_key                  stage_;
     std::vector<std::uint32_t> indices_;
     resources                  demand_; // of one task
-    bool blocked_ = false; // no end of other work would make room here
+    // No end of other work would make room here, or not soon enough for tasks
+    // that last.
+    bool blocked_ = false;
 
     friend bool operator==(overflow const&, overflow const&) = default;
 };
--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -176,6 +176,11 @@
         micros_per_milli);
 }
 
+// Lasting tasks that have waited this long go to another shard that has room,
+// also when work here may end soon, or a question is in flight. Long enough for
+// a hold on room here to succeed on most busy shards.
+constexpr std::int64_t lasting_move_micros = 4'000'000;
+
 // Tasks that have waited for `micros`.
 std::vector<std::uint32_t> list_waiting(stage_row const& stage, instant now,
                                         std::int64_t micros)
@@ -229,6 +234,18 @@
         // Targets that weren't asked about count as allowed, so no answer
         // makes a blocked stage startable.
         tasks.blocked_ = is_blocked(context, view_stage(context, key));
+        if (!tasks.blocked_ && step.perpetual_ && !step.gang_)
+        {
+            std::vector<std::uint32_t> overdue =
+                list_waiting(stage, now, lasting_move_micros);
+            if (!overdue.empty())
+            {
+                tasks.blocked_ = true;
+                tasks.indices_ = std::move(overdue);
+                found.push_back(std::move(tasks));
+                continue;
+            }
+        }
         if (!tasks.blocked_)
         {
             tasks.indices_ =
--- a/tests/unit/plan_holds_test.cpp
+++ b/tests/unit/plan_holds_test.cpp
@@ -254,6 +254,33 @@
     check_phases();
 }
 
+// Guards against a lasting task that stays in a shard that doesn't get it to
+// run: it was left out while a question about it was in flight.
+TEST_CASE_FIXTURE(crowded_fixture,
+                  "lasting task down, question in flight, offered to others")
+{
+    allowed_.insert(target_id("t-2"));
+    short_micros_ = 30 * micros_per_second; // nothing ends in time
+    add_lasting("l-1");
+    play(2 * micros_per_second, false);
+    REQUIRE(lasting_.size() == 1);
+    play(3 * micros_per_second);
+    // The other target is full of short work.
+    set_target(lasting_[0].target_.str(), {4000, 8192, 0},
+               target_phase::draining);
+    end(lasting_[0], run_end::failed);
+    lasting_.clear();
+    play(4 * micros_per_second + 2 * tick_micros);
+    REQUIRE(lasting_.empty());
+    auto const waiting = list_overflow(*planner_, now_, 600'000);
+    CHECK(std::any_of(waiting.begin(), waiting.end(),
+                      [](overflow const& tasks)
+                      {
+                          return tasks.stage_.job_ == job_id("l-1") &&
+                                 tasks.blocked_;
+                      }));
+}
+
 // Twelve targets, all allowed and full of other work.
 struct flooded_fixture : crowded_fixture
 {
