Tell in the log what lasting tasks wait for

The line `waiting` counted room on targets that the policy service doesn't allow, so "with room 5, with ticket 0" didn't tell a full target from a missing ticket. For tasks that last it now adds the allowed targets, room, tickets and held room on them, and how long an answer has been awaited.

--- a/plan/explain_waits.cpp
+++ b/plan/explain_waits.cpp
@@ -2,6 +2,7 @@
 #include "plan/job_flow.hpp"
 #include "plan/planner.hpp"
 #include "plan/room.hpp"
+#include "plan/room_holds.hpp"
 #include "plan/stage_rank.hpp"
 #include "plan/stage_view.hpp"
 #include "plan/unseen_work.hpp"
@@ -46,6 +47,43 @@
            std::to_string(ticketed);
 }
 
+// For lasting tasks, targets that the policy service is known to allow, those
+// of them with room, with a ticket and with room held for the stage, and since
+// when an answer is awaited.
+std::string describe_allowed(planner const& context, stage_view const& stage)
+{
+    std::size_t allowed = 0;
+    std::size_t fitting = 0;
+    std::size_t ticketed = 0;
+    for (std::size_t row = 0; row < context.targets_.size(); ++row)
+    {
+        target_id const& id = context.targets_.key(row);
+        auto const       ticket = stage.row_.tickets_.find(id);
+        if (ticket == stage.row_.tickets_.end() || !ticket->second.good_)
+        {
+            continue;
+        }
+        ++allowed;
+        fitting +=
+            count_startable(context, stage, id, context.targets_[row]) > 0 ? 1
+                                                                           : 0;
+        ticketed += has_ticket(context, stage, id) ? 1 : 0;
+    }
+    std::string why = ", allowed " + std::to_string(allowed) + " (room " +
+                      std::to_string(fitting) + ", ticket " +
+                      std::to_string(ticketed) + ", held " +
+                      std::to_string(count_holds(context, stage.key_)) + ")";
+    if (stage.row_.asked_)
+    {
+        why +=
+            ", asked for " +
+            std::to_string(stage.row_.asked_at_.remaining_until(context.now_) /
+                           micros_per_milli) +
+            " ms";
+    }
+    return why;
+}
+
 } // namespace
 
 void explain_waits(planner& context)
@@ -80,6 +118,9 @@
         }
         job_row const& job = *context.jobs_.find(key.job_);
         std::string why = describe_targets(context, view_stage(context, key));
+        why += step.perpetual_ && needs_ticket(view_stage(context, key))
+                   ? describe_allowed(context, view_stage(context, key))
+                   : "";
         why += may_be_unseen(unseen, job, step) ? ", unseen targets" : "";
         why += stage.asked_ ? ", advice asked" : "";
         why += job.excess_ ? ", beyond the organisation's rate" : "";
--- a/tests/unit/plan_holds_test.cpp
+++ b/tests/unit/plan_holds_test.cpp
@@ -410,5 +410,25 @@
     CHECK(planner_->holds_[0].until_ > first.until_);
 }
 
+// Guards against lasting tasks that wait for a reason that no log tells.
+TEST_CASE_FIXTURE(flooded_fixture,
+                  "lasting task waits, note tells tickets and held room")
+{
+    fail_all(1);
+    planner_->explain_at_ = now_;
+    advance(micros_per_second);
+    tick();
+    auto const notes = list<note>();
+    auto const waiting = std::find_if(notes.begin(), notes.end(),
+                                      [](note const& one)
+                                      {
+                                          return one.what_ == "waiting";
+                                      });
+    REQUIRE(waiting != notes.end());
+    CHECK(waiting->why_.find("allowed 12 (room 12, ticket 0, held 1)") !=
+          std::string::npos);
+    CHECK(waiting->why_.find("asked for 1100 ms") != std::string::npos);
+}
+
 } // namespace
 } // namespace fescuevane::plan
