Leave held room to better-ranked work for 3 s

Holds kept room from all other stages, so urgent work waited behind a lasting task that had only just ended.

Better-ranked work now uses held room until the task has been down for 3 s, half of the time for which it may be down.

The test "room is held, better-ranked work comes, hold binds it later" failed before in its first case: 47 starts instead of 48.

--- a/plan/hold_room.cpp
+++ b/plan/hold_room.cpp
@@ -11,6 +11,7 @@
 #include "plan/planner.hpp"
 #include "plan/room.hpp"
 #include "plan/room_holds.hpp"
+#include "plan/stage_rank.hpp"
 #include "plan/stage_view.hpp"
 #include "plan/unseen_work.hpp"
 
@@ -34,6 +35,11 @@
 // the rest of the short runs of a busy shard.
 constexpr std::int64_t hold_micros = 4'000'000;
 
+// A task that has waited this long keeps its room also from better-ranked work,
+// which may take all room of a busy shard without end. Half of the 6 s for
+// which a lasting task may be down.
+constexpr std::int64_t firm_micros = 3'000'000;
+
 // 1. Tasks that wait
 
 struct waiting_task
@@ -258,9 +264,12 @@
     {
         return false;
     }
-    add_hold(context,
-             {task.stage_, task.index_, context.targets_.key(choices[0].row_),
-              stage.step_.demand_, context.now_.after(hold_micros)});
+    add_hold(context, {.stage_ = task.stage_,
+                       .index_ = task.index_,
+                       .target_ = context.targets_.key(choices[0].row_),
+                       .amount_ = stage.step_.demand_,
+                       .firm_at_ = task.since_.after(firm_micros),
+                       .until_ = context.now_.after(hold_micros)});
     return true;
 }
 
@@ -302,6 +311,19 @@
 
 // 4. Queries
 
+namespace
+{
+
+bool binds(planner const& context, room_hold const& hold,
+           stage_key const& stage)
+{
+    return hold.stage_ != stage &&
+           (hold.firm_at_ <= context.now_ ||
+            rank_stage(context, hold.stage_) < rank_stage(context, stage));
+}
+
+} // namespace
+
 resources find_free(planner const& context, stage_key const& stage,
                     target_id const& id, target_row const& target)
 {
@@ -310,16 +332,14 @@
     {
         return free;
     }
-    resources held = target.held_;
-    for (room_hold const& hold : context.holds_)
-    {
-        if (hold.target_ == id && hold.stage_ == stage)
+    bool const is_bound = std::any_of(
+        context.holds_.begin(), context.holds_.end(),
+        [&](room_hold const& hold)
         {
-            held = held - hold.amount_;
-        }
-    }
+            return hold.target_ == id && binds(context, hold, stage);
+        });
     // While runs end one after another, more is held than is free.
-    return max(resources(), free - held);
+    return is_bound ? max(resources(), free - target.held_) : free;
 }
 
 std::int64_t count_holds(planner const& context, stage_key const& stage)
--- a/plan/room_hold.hpp
+++ b/plan/room_hold.hpp
@@ -18,6 +18,7 @@
     std::uint32_t const index_ = 0; // of the task
     target_id const     target_;
     resources const     amount_;
+    instant const       firm_at_; // then better-ranked work leaves it, too
     instant const       until_;
 
     friend bool operator==(room_hold const&, room_hold const&) = default;
--- a/plan/room_holds.hpp
+++ b/plan/room_holds.hpp
@@ -18,7 +18,8 @@
 struct planner;
 struct target_row;
 
-// Room of a target that runs and holds of other stages leave.
+// Room of a target that runs and holds leave to a stage. Its own holds don't
+// count, nor those of worse-ranked stages until they are firm.
 resources find_free(planner const& context, stage_key const& stage,
                     target_id const& id, target_row const& target);
 
--- a/tests/unit/plan_holds_test.cpp
+++ b/tests/unit/plan_holds_test.cpp
@@ -340,6 +340,30 @@
     CHECK(list<start_run>().size() == 42); // of 48, six are held
 }
 
+// Guards against urgent work that waits behind a lasting task which has only
+// just ended; later the lasting task goes first, as it would wait without end.
+TEST_CASE_FIXTURE(flooded_fixture,
+                  "room is held, better-ranked work comes, hold binds it later")
+{
+    set_priority(0);
+    std::size_t  starts = 48;
+    std::int64_t down = 0;
+    SUBCASE("task has just ended") {}
+    SUBCASE("task has been down for 3 s")
+    {
+        down = 3 * micros_per_second;
+        starts = 47;
+    }
+    fail_all(1);
+    advance(down);
+    for (int job = 0; job < 8; ++job)
+    {
+        add_short();
+    }
+    tick();
+    CHECK(list<start_run>().size() == starts);
+}
+
 // Guards against room that stays held for tasks that need it no more.
 TEST_CASE_FIXTURE(flooded_fixture, "holder needs no room, holds are released")
 {
