Stop starts of a target's earlier life before their runs end

A task ran twice after its target crashed: its start had got no answer, the owner read that the target had begun another life, took the run for ended and started it elsewhere, and the new life then carried the old start out. The clock of a life begins at zero, so the order isn't too late for it, and it has neither seen the epoch nor turned the run down.

The session now keeps each start without an answer for 10 s. At another life its run is stopped there, and it has ended when the life has taken the stop and no later question shows it, or when the start would have arrived. Other runs end at once as before. A run that has ended is stopped likewise, but not told as ended a second time. The lease that such a start may bring counts when the new life falls silent, and a target that left the list is kept until its starts can't arrive any more.

--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -24,7 +24,8 @@
         lease = target_clock(session, context.now_) + values.lease_ms_;
         session.granted_ms_ = std::max(session.granted_ms_, lease);
     }
-    bool const         waits = answers && session.unstored_.empty();
+    bool const waits =
+        answers && session.unstored_.empty() && !awaits_late_starts(session);
     std::int64_t const wait_ms = waits ? values.hold_wait_ms_ : 0;
     session.hold_ = next_request(context);
     session.hold_sent_ = context.now_;
@@ -133,8 +134,13 @@
     }
     for (run_key const& key : lapsed)
     {
+        bool const told = !session.runs_.at(key).ended_;
         session.runs_.erase(key);
-        tell(context, session, plan::run_ended{key, id, run_end::lapsed, ""});
+        if (told)
+        {
+            tell(context, session,
+                 plan::run_ended{key, id, run_end::lapsed, ""});
+        }
     }
 }
 
@@ -235,7 +241,8 @@
         }
         end_life(context, id, "its leases have lapsed");
     }
-    if (!session.listed_)
+    // Another life may show up that has to turn late starts down.
+    if (!session.listed_ && !has_late_starts(context, session))
     {
         tell(context, session, plan::target_gone{id});
         note_grants_changed(context, session.shard_, false);
--- /dev/null
+++ b/cell/late_starts.cpp
@@ -0,0 +1,165 @@
+// Purpose: starts without an answer. The next life of their target may carry
+// them out: its clock begins at zero, so that they aren't too late for it, and
+// it knows neither epochs nor runs that were stopped.
+#include "cell/send_start.hpp"
+#include "cell/sessions.hpp"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace fescuevane::cell
+{
+
+namespace
+{
+
+bool may_arrive(node const& context, late_start const& start)
+{
+    return start.arrives_until_ > context.now_;
+}
+
+bool may_arrive(node const& context, session_row const& session,
+                run_key const& run)
+{
+    auto const found = session.late_starts_.find(run);
+    return found != session.late_starts_.end() &&
+           may_arrive(context, found->second);
+}
+
+// The latest end of a lease that the start brings to the present life.
+std::int64_t find_late_lease(node const& context, session_row const& session,
+                             late_start const& start)
+{
+    std::int64_t const left_ms =
+        context.now_.remaining_until(start.arrives_until_) / micros_per_milli;
+    return std::min(start.lease_clock_ms_, target_clock(session, context.now_) +
+                                               left_ms +
+                                               context.settings_.max_lease_ms_);
+}
+
+void note_open_starts(node const& context, target_id const& id,
+                      session_row& session)
+{
+    for (order_row const& order : context.orders_)
+    {
+        if (order.target_ == id && order.kind_ == order_kind::start)
+        {
+            note_late_start(context, session, order.run_, *order.start_);
+        }
+    }
+}
+
+} // namespace
+
+void note_late_start(node const& context, session_row& session,
+                     run_key const& run, send_start const& start)
+{
+    std::erase_if(session.late_starts_,
+                  [&context](auto const& entry)
+                  {
+                      return !may_arrive(context, entry.second);
+                  });
+    session.late_starts_[run] = {.arrives_until_ = start.deadline_.after(
+                                     context.settings_.late_order_micros_),
+                                 .born_unix_ms_ = session.born_unix_ms_,
+                                 .lease_clock_ms_ = start.lease_clock_ms_};
+}
+
+// Runs end with the life of their target, but not those that the next one may
+// still begin.
+void replace_life(node& context, target_id const& id)
+{
+    session_row& session = *context.sessions_.find(id);
+    note_open_starts(context, id, session);
+    forget_orders(context, id);
+    session.open_orders_ = 0;
+    std::map<run_key, session_run> kept;
+    std::vector<run_key>           ended;
+    for (auto const& [key, run] : session.runs_)
+    {
+        if (may_arrive(context, session, key))
+        {
+            kept.emplace(key, run);
+        }
+        else
+        {
+            ended.push_back(key);
+        }
+    }
+    if (kept.empty())
+    {
+        end_life(context, id, "started again");
+        return;
+    }
+    log_event(context, "target_life_ended",
+              {{"target", id.str()},
+               {"runs", std::to_string(ended.size())},
+               {"late_starts", std::to_string(kept.size())},
+               {"reason", "started again"}});
+    for (run_key const& key : ended)
+    {
+        tell(context, session, plan::run_ended{key, id, run_end::lost, ""});
+    }
+    reset_life(session);
+    session.runs_ = std::move(kept);
+}
+
+void stop_late_starts(node& context, session_row& session, target_id const& id)
+{
+    for (auto& [key, start] : session.late_starts_)
+    {
+        if (start.born_unix_ms_ == session.born_unix_ms_ ||
+            !may_arrive(context, start))
+        {
+            continue;
+        }
+        start.born_unix_ms_ = session.born_unix_ms_;
+        session_run stopped;
+        stopped.stop_wanted_ = true;
+        stopped.late_until_ = start.arrives_until_;
+        stopped.ended_ = !session.runs_.contains(key);
+        session.runs_[key] = stopped;
+        session.granted_ms_ = std::max(
+            session.granted_ms_, find_late_lease(context, session, start));
+        log_event(context, "late_start_stopped",
+                  {{"job", key.stage_.job_.str()},
+                   {"run", std::to_string(key.run_)},
+                   {"target", id.str()},
+                   {"ended", stopped.ended_ ? "true" : "false"}});
+    }
+}
+
+// True when the start can't begin the run any more: the target has turned it
+// down, or it would have arrived. One that is being stopped may be missing
+// before its end is listed.
+bool is_late_start_over(node const& context, session_row const& session,
+                        session_run const& run)
+{
+    return run.stopped_at_ != instant::never()
+               ? run.stopped_at_.after(context.settings_.stop_taken_micros_) <
+                     session.hold_sent_
+               : run.late_until_ < session.hold_sent_;
+}
+
+bool awaits_late_starts(session_row const& session)
+{
+    return !session.late_starts_.empty() &&
+           std::any_of(session.runs_.begin(), session.runs_.end(),
+                       [](auto const& entry)
+                       {
+                           return entry.second.late_until_ != instant::never();
+                       });
+}
+
+bool has_late_starts(node const& context, session_row const& session)
+{
+    return std::any_of(session.late_starts_.begin(), session.late_starts_.end(),
+                       [&context](auto const& entry)
+                       {
+                           return may_arrive(context, entry.second);
+                       });
+}
+
+} // namespace fescuevane::cell
--- a/cell/list_targets.cpp
+++ b/cell/list_targets.cpp
@@ -61,9 +61,6 @@
                           .phase_ = phase});
 }
 
-namespace
-{
-
 // A reply to an order names its request only, so those of earlier sessions
 // would be taken for replies to the present one.
 void forget_orders(node& context, target_id const& id)
@@ -79,6 +76,9 @@
     }
 }
 
+namespace
+{
+
 // A row is missing where no owner has started anything, or where earlier
 // versions did without writing it.
 bool may_be_granted(owned_row const& own, target_id const& id)
@@ -118,18 +118,8 @@
     tell_planner(context, id);
 }
 
-// The life of a target that was reached is over: what ran there has ended.
-void end_life(node& context, target_id const& id, std::string const& why)
+void reset_life(session_row& session)
 {
-    session_row& session = *context.sessions_.find(id);
-    if (session.born_unix_ms_ != 0 || !session.runs_.empty())
-    {
-        log_event(context, "target_life_ended",
-                  {{"target", id.str()},
-                   {"runs", std::to_string(session.runs_.size())},
-                   {"reason", why}});
-    }
-    tell(context, session, plan::target_gone{id});
     session.runs_.clear();
     session.orders_.clear();
     session.repeats_.clear();
@@ -143,6 +133,21 @@
     session.phase_ = session_phase::silent;
 }
 
+// The life of a target that was reached is over: what ran there has ended.
+void end_life(node& context, target_id const& id, std::string const& why)
+{
+    session_row& session = *context.sessions_.find(id);
+    if (session.born_unix_ms_ != 0 || !session.runs_.empty())
+    {
+        log_event(context, "target_life_ended",
+                  {{"target", id.str()},
+                   {"runs", std::to_string(session.runs_.size())},
+                   {"reason", why}});
+    }
+    tell(context, session, plan::target_gone{id});
+    reset_life(session);
+}
+
 void open_sessions(node& context, shard_id const& shard)
 {
     for (std::size_t row = 0; row < context.sessions_.size(); ++row)
--- a/cell/read_reports.cpp
+++ b/cell/read_reports.cpp
@@ -51,6 +51,14 @@
         {
             continue;
         }
+        if (run.late_until_ != instant::never())
+        {
+            if (is_late_start_over(context, session, run))
+            {
+                gone.push_back(key);
+            }
+            continue;
+        }
         // A run that is being stopped may be missing before its end is listed.
         bool const stopping =
             run.stop_wanted_ || run.stopped_at_ != instant::never();
@@ -85,8 +93,12 @@
                   {{"job", key.stage_.job_.str()},
                    {"run", std::to_string(key.run_)},
                    {"target", id.str()}});
+        bool const told = !session.runs_.at(key).ended_;
         session.runs_.erase(key);
-        tell(context, session, plan::run_ended{key, id, run_end::lost, ""});
+        if (told)
+        {
+            tell(context, session, plan::run_ended{key, id, run_end::lost, ""});
+        }
     }
 }
 
@@ -103,6 +115,7 @@
         known.confirmed_at_ = std::min(known.confirmed_at_, context.now_);
         known.uncertain_at_ = instant::never();
         known.absent_ = false;
+        known.ended_ = false;
         tell(context, session,
              plan::run_seen{key, id, run.checkpoint_, run.percent_, run.load_});
     }
@@ -224,13 +237,14 @@
     if (session->born_unix_ms_ != 0 && input.born_unix_ms_ != 0 &&
         session->born_unix_ms_ != input.born_unix_ms_)
     {
-        end_life(context, input.target_, "started again");
+        replace_life(context, input.target_);
     }
     bool const first = session->phase_ != session_phase::attached;
     session->born_unix_ms_ = input.born_unix_ms_;
     session->clock_ms_ = input.clock_ms_;
     session->clock_at_ = context.now_;
     session->contact_at_ = context.now_;
+    stop_late_starts(context, *session, input.target_);
     if (first)
     {
         session->lapsed_ = false;
@@ -239,9 +253,11 @@
         note_reached(context, session->shard_);
     }
     apply_report(context, *session, input.target_, input);
-    bool const stored = session->unstored_.empty();
+    bool const stored =
+        session->unstored_.empty() && !awaits_late_starts(*session);
     // While the target lists ends it answers at once, so the next question
-    // waits until their effect is stored and they may be forgotten.
+    // waits until their effect is stored and they may be forgotten. So it does
+    // while a stop is awaited.
     session->hold_at_ = !leased || stored
                             ? context.now_
                             : context.now_.after(values.hold_unstored_micros_);
--- a/cell/send_orders.cpp
+++ b/cell/send_orders.cpp
@@ -249,6 +249,7 @@
     }
     else if (reply.outcome_ == target_outcome::unknown)
     {
+        note_late_start(context, session, order.run_, *order.start_);
         session.repeats_.push_back(order);
     }
     else
--- a/cell/session_row.hpp
+++ b/cell/session_row.hpp
@@ -2,6 +2,7 @@
 #ifndef FESCUEVANE_CELL_SESSION_ROW_HPP
 #define FESCUEVANE_CELL_SESSION_ROW_HPP
 
+#include "cell/late_start.hpp"
 #include "cell/listed_target.hpp"
 #include "cell/order_row.hpp"
 #include "cell/session_phase.hpp"
@@ -50,8 +51,9 @@
     std::uint64_t                  forgotten_ = 0; // forgotten by the target
     std::uint64_t                  processed_ = 0; // highest end applied
     std::deque<unstored_end>       unstored_;
-    std::deque<plan::command>      orders_;  // waiting
-    std::deque<order_row>          repeats_; // starts without an answer
+    std::deque<plan::command>      orders_;      // waiting
+    std::deque<order_row>          repeats_;     // starts without an answer
+    std::map<run_key, late_start>  late_starts_; // outlives the target's life
     std::uint32_t                  open_orders_ = 0;
 };
 
--- a/cell/session_run.hpp
+++ b/cell/session_run.hpp
@@ -19,6 +19,10 @@
     bool         stop_wanted_ = false;
     bool         stop_open_ = false; // an order to stop is in flight
     instant      stop_after_;        // next order to stop
+    // Of a start that was sent to an earlier life of the target: until then it
+    // may be carried out by this one.
+    instant late_until_ = instant::never();
+    bool    ended_ = false; // for the planner, before the life that is told
 };
 
 } // namespace fescuevane::cell
--- a/cell/sessions.hpp
+++ b/cell/sessions.hpp
@@ -14,8 +14,20 @@
 // List of targets
 void tell(node& context, session_row const& session, plan::event input);
 void mark_silent(node& context, target_id const& id, std::string const& why);
+void reset_life(session_row& session);
+void forget_orders(node& context, target_id const& id);
 void end_life(node& context, target_id const& id, std::string const& why);
 
+// Starts that may still arrive
+void note_late_start(node const& context, session_row& session,
+                     run_key const& run, send_start const& start);
+void replace_life(node& context, target_id const& id);
+void stop_late_starts(node& context, session_row& session, target_id const& id);
+bool is_late_start_over(node const& context, session_row const& session,
+                        session_run const& run);
+bool awaits_late_starts(session_row const& session);
+bool has_late_starts(node const& context, session_row const& session);
+
 // Clocks and leases
 std::int64_t target_clock(session_row const& session, instant now);
 instant      find_lapse(node const& context, session_row const& session);
--- a/cell/settings.hpp
+++ b/cell/settings.hpp
@@ -59,6 +59,7 @@
 
     // Leases; clocks of targets may run slow by `clock_drift_`
     std::int64_t lease_ms_ = 4000;
+    std::int64_t max_lease_ms_ = 10'000; // targets shorten longer ones
     std::int64_t start_valid_ms_ = 1500; // a start that comes later is useless
     std::int64_t hold_wait_ms_ = 1500;   // for an end
     std::int64_t hold_slack_micros_ = 500'000; // answer after the wait
@@ -66,7 +67,12 @@
     std::int64_t hold_unstored_micros_ = 250'000; // while ends aren't stored
     std::int64_t stop_micros_ = 3'000'000;        // then a run never came
     std::int64_t order_micros_ = 500'000;         // deadline of an order
-    std::int64_t silent_micros_ = 2'300'000;      // without word from a target
+    // A stop takes at most as long by the platform's sites.
+    std::int64_t stop_taken_micros_ = 900'000;
+    // Orders without an answer are carried out seconds later; pauses of targets
+    // last up to 9 s in soaks.
+    std::int64_t late_order_micros_ = 10'000'000;
+    std::int64_t silent_micros_ = 2'300'000; // without word from a target
     // Targets that left the list may still run work: those that are cut off
     // from the store leave it after three missed heartbeats.
     std::int64_t unlisted_keep_micros_ = 10'000'000;
--- /dev/null
+++ b/tests/unit/cell_lives_test.cpp
@@ -0,0 +1,277 @@
+// Purpose: tests of orders that reach another life of a target than the one
+// that they were sent to.
+#include "cell_fixture.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace fescuevane::cell
+{
+namespace
+{
+
+// A task is told to start on t-1, then t-2 has room, too.
+struct lives_fixture : cell_fixture
+{
+    std::int64_t              born_ = 7; // of t-1
+    std::int64_t              up_unix_ms_ = 0;
+    bool                      reached_ = true;     // t-1
+    bool                      takes_stops_ = true; // t-1
+    std::vector<reported_run> running_;            // on t-1
+    std::vector<reported_end> ends_;               // on t-1
+    run_key                   run_;                // the first one
+    send_start                first_;              // of `run_`
+    std::vector<send_start>   starts_;             // the others
+    std::vector<send_stop>    stops_;
+    instant                   stopped_at_ = instant::never();
+
+    lives_fixture() : first_(send_first())
+    {
+        run_ = first_.start_.run_;
+        list_target("t-2");
+        run_targets(100'000);
+    }
+
+    send_start send_first()
+    {
+        serve();
+        submit("aa01");
+        run(50'000);
+        auto const starts = take<send_start>();
+        REQUIRE(starts.size() == 1);
+        return starts[0];
+    }
+
+    void lose(send_start const& start)
+    {
+        post(order_reply{.request_ = start.request_, .error_ = "no answer"});
+    }
+
+    void confirm(send_start const& start)
+    {
+        post(order_reply{.request_ = start.request_,
+                         .outcome_ = target_outcome::done});
+    }
+
+    // t-1 comes back under its name and knows nothing of before.
+    void restart()
+    {
+        ++born_;
+        up_unix_ms_ = unix_ms_;
+        running_.clear();
+        ends_.clear();
+        reached_ = true;
+    }
+
+    void answer(hold_target const& hold)
+    {
+        if (hold.target_ == target_id("t-2"))
+        {
+            answer_hold(hold);
+        }
+        else if (!reached_)
+        {
+            fail_hold(hold);
+        }
+        else
+        {
+            post(hold_reply{.request_ = hold.request_,
+                            .target_ = hold.target_,
+                            .outcome_ = target_outcome::done,
+                            .clock_ms_ = unix_ms_ - up_unix_ms_ + 1,
+                            .born_unix_ms_ = born_,
+                            .runs_ = running_,
+                            .ends_ = ends_});
+        }
+    }
+
+    void answer(send_stop const& stop)
+    {
+        stops_.push_back(stop);
+        bool const taken = takes_stops_ && reached_;
+        post(order_reply{.request_ = stop.request_,
+                         .outcome_ = taken ? target_outcome::done
+                                           : target_outcome::unknown});
+        if (taken)
+        {
+            stopped_at_ = std::min(stopped_at_, now_);
+        }
+    }
+
+    // Runs for some time while the targets answer. No start is answered.
+    void run_targets(std::int64_t micros)
+    {
+        constexpr std::int64_t step = 10'000;
+        for (std::int64_t passed = 0; passed < micros; passed += step)
+        {
+            for (hold_target const& hold : take<hold_target>())
+            {
+                answer(hold);
+            }
+            for (send_stop const& stop : take<send_stop>())
+            {
+                answer(stop);
+            }
+            for (send_start const& start : take<send_start>())
+            {
+                starts_.push_back(start);
+            }
+            run(step);
+        }
+    }
+
+    [[nodiscard]] bool stops_run() const
+    {
+        return std::any_of(stops_.begin(), stops_.end(),
+                           [this](send_stop const& stop)
+                           {
+                               return stop.stop_.run_ == run_;
+                           });
+    }
+};
+
+// Guards against a second run of a task whose start was carried out late, by
+// the next life of its target: it started elsewhere as soon as that life
+// answered.
+TEST_CASE_FIXTURE(lives_fixture,
+                  "start without an answer, target restarted, stopped first")
+{
+    takes_stops_ = false;
+    SUBCASE("it got no answer")
+    {
+        lose(first_);
+        run_targets(100'000);
+    }
+    SUBCASE("it is in flight") {}
+    SUBCASE("it was repeated and confirmed")
+    {
+        lose(first_);
+        run_targets(600'000);
+        REQUIRE(starts_.size() == 1);
+        REQUIRE(starts_[0].start_.run_ == run_);
+        confirm(starts_[0]);
+        starts_.clear();
+        running_.push_back({run_, "", 1, 0});
+        run_targets(500'000);
+    }
+    restart();
+    run_targets(3 * micros_per_second);
+    CHECK(starts_.empty());
+    CHECK(stops_run());
+    takes_stops_ = true;
+    SUBCASE("it doesn't come any more")
+    {
+        run_targets(settings_.stop_taken_micros_ + 600'000);
+        REQUIRE(starts_.size() == 1);
+        CHECK(starts_[0].start_.run_.run_ > run_.run_);
+    }
+    SUBCASE("it comes before the stop")
+    {
+        running_.push_back({run_, "", 1, 0});
+        run_targets(2 * micros_per_second);
+        CHECK(starts_.empty());
+        running_.clear();
+        ends_.push_back({1, run_, run_end::stopped, ""});
+        run_targets(100'000);
+        REQUIRE(starts_.size() == 1);
+        CHECK(starts_[0].start_.run_.run_ > run_.run_);
+    }
+}
+
+// Guards against a task that waits for a target that answers questions and no
+// order: after some time its late start can't come any more.
+TEST_CASE_FIXTURE(lives_fixture,
+                  "start without an answer, stops unanswered, starts elsewhere")
+{
+    lose(first_);
+    run_targets(100'000);
+    takes_stops_ = false;
+    restart();
+    run_targets(settings_.late_order_micros_ + micros_per_second);
+    CHECK(starts_.size() == 1);
+}
+
+// Guards against work that waits though nothing of it can come to the next
+// life.
+TEST_CASE_FIXTURE(lives_fixture,
+                  "start answered, target restarted, starts elsewhere at once")
+{
+    confirm(first_);
+    running_.push_back({run_, "", 1, 0});
+    run_targets(2 * micros_per_second);
+    SUBCASE("it runs") {}
+    SUBCASE("another start got no answer")
+    {
+        submit("aa02");
+        run_targets(100'000);
+        REQUIRE(starts_.size() == 1);
+        lose(starts_[0]);
+        starts_.clear();
+    }
+    takes_stops_ = false;
+    restart();
+    run_targets(100'000);
+    REQUIRE(starts_.size() == 1);
+    CHECK(starts_[0].start_.run_.stage_ == run_.stage_);
+    CHECK(!stops_run());
+}
+
+// Guards against a task that runs again after it was done: its first sending
+// was carried out by the next life of the target, which doesn't know of that
+// end.
+TEST_CASE_FIXTURE(lives_fixture,
+                  "repeated start, run done, target restarted, turned down")
+{
+    lose(first_);
+    run_targets(600'000);
+    REQUIRE(starts_.size() == 1);
+    confirm(starts_[0]);
+    ends_.push_back({1, run_, run_end::done, ""});
+    run_targets(500'000);
+    restart();
+    run_targets(500'000);
+    CHECK(stops_run());
+    CHECK(starts_.size() == 1);
+}
+
+// Guards against work that starts elsewhere while a late order has brought a
+// lease to the next life of its target, which can't be reached any more.
+TEST_CASE_FIXTURE(lives_fixture,
+                  "late start may hold a lease, target silent, lapse awaited")
+{
+    lose(first_);
+    run_targets(100'000);
+    takes_stops_ = false;
+    restart();
+    run_targets(200'000);
+    reached_ = false;
+    run_targets(settings_.late_order_micros_);
+    CHECK(starts_.empty());
+    constexpr std::int64_t longest_micros = 30 * micros_per_second;
+    run_targets(longest_micros);
+    CHECK(starts_.size() == 1);
+}
+
+// Guards against a target that comes back after it was given up: its next life
+// was told nothing of starts that were still on their way.
+TEST_CASE_FIXTURE(
+    lives_fixture,
+    "start without an answer, target removed and back, turned down")
+{
+    lose(first_);
+    run_targets(50'000);
+    reached_ = false;
+    list_target("t-1", true); // one that said that it leaves isn't awaited
+    post(target_unlisted{target_id("t-1")});
+    run_targets(8 * micros_per_second);
+    REQUIRE(starts_.size() <= 1);
+    restart();
+    list_target("t-1");
+    run_targets(500'000);
+    CHECK(stops_run());
+}
+
+} // namespace
+} // namespace fescuevane::cell
