Count leases that another life of a target got

A target that starts anew answers a question that was meant for its earlier life. The lease in it is a time on the earlier clock, far beyond the new one, so the target takes the longest lease that it allows, and so it does when a question without an answer arrives late. The owner counted no lease at all: when the new life fell silent, work that lasts started elsewhere seconds before its leases there had lapsed.

The lease of such questions now counts for the new life, up to the longest lease from the moment at which it may still arrive.

The new test of cell_lives_test.cpp failed with the count taken out: in both of its cases work started elsewhere 12.8 s after the restart, 18 s are needed (8 s of waiting for ends and a lease of 10 s). cell_tests passes, 135 cases.

--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -29,6 +29,7 @@
     std::int64_t const wait_ms = waits ? values.hold_wait_ms_ : 0;
     session.hold_ = next_request(context);
     session.hold_sent_ = context.now_;
+    session.hold_lease_ms_ = lease;
     context.outbox_.push_back(hold_target{
         .request_ = session.hold_,
         .target_ = id,
--- a/cell/late_starts.cpp
+++ b/cell/late_starts.cpp
@@ -67,11 +67,44 @@
                                  .lease_clock_ms_ = start.lease_clock_ms_};
 }
 
+// A lease for an earlier life is far beyond the clock of the next one, which
+// shortens it to the longest lease.
+void note_late_renewal(session_row& session, std::int64_t lease_clock_ms,
+                       instant arrives_until)
+{
+    late_start& renewal = session.late_renewal_;
+    renewal.arrives_until_ = std::max(renewal.arrives_until_, arrives_until);
+    renewal.lease_clock_ms_ = std::max(renewal.lease_clock_ms_, lease_clock_ms);
+    renewal.born_unix_ms_ = session.born_unix_ms_;
+}
+
+namespace
+{
+
+// Counts a lease that the present life may hold though an earlier one was
+// meant.
+void count_late_renewal(node const& context, session_row& session)
+{
+    late_start& renewal = session.late_renewal_;
+    if (renewal.born_unix_ms_ != session.born_unix_ms_ &&
+        may_arrive(context, renewal))
+    {
+        session.granted_ms_ = std::max(
+            session.granted_ms_, find_late_lease(context, session, renewal));
+        renewal.born_unix_ms_ = session.born_unix_ms_;
+    }
+}
+
+} // namespace
+
 // Runs end with the life of their target, but not those that the next one may
 // still begin.
 void replace_life(node& context, target_id const& id)
 {
     session_row& session = *context.sessions_.find(id);
+    // The question that this life answered has renewed leases, too.
+    note_late_renewal(session, session.hold_lease_ms_,
+                      context.now_.after(micros_per_milli));
     note_open_starts(context, id, session);
     forget_orders(context, id);
     session.open_orders_ = 0;
@@ -108,6 +141,7 @@
 
 void stop_late_starts(node& context, session_row& session, target_id const& id)
 {
+    count_late_renewal(context, session);
     for (auto& [key, start] : session.late_starts_)
     {
         if (start.born_unix_ms_ == session.born_unix_ms_ ||
--- a/cell/read_reports.cpp
+++ b/cell/read_reports.cpp
@@ -226,6 +226,11 @@
     session->unanswered_ = input.outcome_ != target_outcome::done;
     if (session->unanswered_)
     {
+        if (session->hold_lease_ms_ != 0)
+        {
+            note_late_renewal(*session, session->hold_lease_ms_,
+                              context.now_.after(values.late_order_micros_));
+        }
         if (session->phase_ == session_phase::attached &&
             count_silence_from(context, session->contact_at_)
                     .remaining_until(context.now_) > values.silent_micros_)
--- a/cell/session_row.hpp
+++ b/cell/session_row.hpp
@@ -43,6 +43,8 @@
     std::uint64_t hold_ = 0;       // request in flight, 0: none
     instant       hold_sent_;
     instant       hold_at_;            // next question
+    std::int64_t  hold_lease_ms_ = 0;  // that the latest question asked for
+    late_start    late_renewal_;       // by a question that got no answer
     bool          unanswered_ = false; // the latest question
     bool          lapsed_ = false;     // its leases, until it answers
 
--- a/cell/sessions.hpp
+++ b/cell/sessions.hpp
@@ -21,6 +21,8 @@
 // Starts that may still arrive
 void note_late_start(node const& context, session_row& session,
                      run_key const& run, send_start const& start);
+void note_late_renewal(session_row& session, std::int64_t lease_clock_ms,
+                       instant arrives_until);
 void replace_life(node& context, target_id const& id);
 void stop_late_starts(node& context, session_row& session, target_id const& id);
 bool is_late_start_over(node const& context, session_row const& session,
--- a/tests/unit/cell_lives_test.cpp
+++ b/tests/unit/cell_lives_test.cpp
@@ -273,5 +273,45 @@
     CHECK(stops_run());
 }
 
+// Guards against work that starts elsewhere while a renewal for the earlier
+// life keeps the next one's runs going: it is far beyond the clock of the
+// latter, so that it brings the longest lease.
+TEST_CASE_FIXTURE(lives_fixture,
+                  "renewal answered by the next life, target silent, awaited")
+{
+    confirm(first_);
+    running_.push_back({run_, "", 1, 0});
+    run_targets(micros_per_second);
+    post(target_unlisted{target_id("t-2")});
+    bool answered = true;
+    SUBCASE("the next life answers it") {}
+    SUBCASE("it gets no answer")
+    {
+        answered = false;
+    }
+    reached_ = answered;
+    run_targets(300'000); // questions of a silent target renew nothing
+    restart();
+    instant const up_at = now_;
+    run_targets(200'000);
+    REQUIRE(starts_.size() == 1);
+    REQUIRE(starts_[0].start_.target_ == target_id("t-1"));
+    confirm(starts_[0]);
+    running_.push_back({starts_[0].start_.run_, "", 1, 0});
+    starts_.clear();
+    run_targets(200'000);
+    reached_ = false;
+    list_target("t-2");
+    constexpr std::int64_t longest_micros = 60 * micros_per_second;
+    while (starts_.empty() && up_at.after(longest_micros) > now_)
+    {
+        run_targets(100'000);
+    }
+    REQUIRE(starts_.size() == 1);
+    CHECK(up_at.remaining_until(now_) >
+          settings_.unread_wait_micros_ +
+              settings_.max_lease_ms_ * micros_per_milli);
+}
+
 } // namespace
 } // namespace fescuevane::cell
