Keep runs that the next life of a target may have begun

The reply that shows a target's next life may be older than a confirmed start: the life answered the question, then it began the run. The owner took the run for one of the earlier life, ended it and started the task a second time.

Runs that were confirmed after the question was sent are kept until the next one shows whether they are there. The lease of their start counts like that of the question.

The first new test of cell_lives_test.cpp failed before: the run was started again and stopped where it ran. The second one passed before; it holds that a run of a former owner that a new life reports is stopped when its task runs elsewhere. cell_tests passes, 137 cases.

--- a/cell/late_starts.cpp
+++ b/cell/late_starts.cpp
@@ -39,6 +39,13 @@
                                                context.settings_.max_lease_ms_);
 }
 
+// The life that answered a question may have begun a run after that.
+bool may_be_newer(session_row const& session, session_run const& run)
+{
+    return run.confirmed_at_ != instant::never() &&
+           run.confirmed_at_ >= session.hold_sent_;
+}
+
 void note_open_starts(node const& context, target_id const& id,
                       session_row& session)
 {
@@ -103,8 +110,8 @@
 {
     session_row& session = *context.sessions_.find(id);
     // The question that this life answered has renewed leases, too.
-    note_late_renewal(session, session.hold_lease_ms_,
-                      context.now_.after(micros_per_milli));
+    instant const decided_until = context.now_.after(micros_per_milli);
+    note_late_renewal(session, session.hold_lease_ms_, decided_until);
     note_open_starts(context, id, session);
     forget_orders(context, id);
     session.open_orders_ = 0;
@@ -112,7 +119,12 @@
     std::vector<run_key>           ended;
     for (auto const& [key, run] : session.runs_)
     {
-        if (may_arrive(context, session, key))
+        if (may_be_newer(session, run))
+        {
+            note_late_renewal(session, run.start_until_ms_, decided_until);
+            kept.emplace(key, run);
+        }
+        else if (may_arrive(context, session, key))
         {
             kept.emplace(key, run);
         }
@@ -129,7 +141,7 @@
     log_event(context, "target_life_ended",
               {{"target", id.str()},
                {"runs", std::to_string(ended.size())},
-               {"late_starts", std::to_string(kept.size())},
+               {"kept", std::to_string(kept.size())},
                {"reason", "started again"}});
     for (run_key const& key : ended)
     {
--- a/tests/unit/cell_lives_test.cpp
+++ b/tests/unit/cell_lives_test.cpp
@@ -313,5 +313,56 @@
               settings_.max_lease_ms_ * micros_per_milli);
 }
 
+// Guards against a second run of a task whose start was confirmed by the next
+// life, after this one had answered a question: the reply to the question shows
+// that life without the run.
+TEST_CASE_FIXTURE(lives_fixture,
+                  "start confirmed by the next life, question older, kept")
+{
+    auto const holds = take<hold_target>();
+    auto const open = std::find_if(holds.begin(), holds.end(),
+                                   [](hold_target const& hold)
+                                   {
+                                       return hold.target_ == target_id("t-1");
+                                   });
+    REQUIRE(open != holds.end());
+    restart();
+    confirm(first_);
+    run(10'000);
+    answer(*open); // as it was before the start
+    running_.push_back({run_, "", 1, 0});
+    SUBCASE("it runs there")
+    {
+        run_targets(2 * micros_per_second);
+        CHECK(starts_.empty());
+        CHECK(!stops_run());
+    }
+    SUBCASE("it ran in the earlier life")
+    {
+        running_.clear();
+        run_targets(2 * micros_per_second);
+        CHECK(starts_.size() == 1);
+    }
+}
+
+// Guards against a run that goes on beside another one: a start of a former
+// owner was carried out before the next life was asked, and the task had
+// started elsewhere.
+TEST_CASE_FIXTURE(lives_fixture,
+                  "run of the next life, task runs elsewhere, stopped")
+{
+    confirm(first_);
+    running_.push_back({run_, "", 1, 0});
+    run_targets(micros_per_second);
+    restart();
+    run_targets(200'000);
+    REQUIRE(starts_.size() == 1);
+    confirm(starts_[0]);
+    running_.push_back({run_, "", 1, 0});
+    run_targets(200'000);
+    CHECK(stops_run());
+    CHECK(starts_.size() == 1);
+}
+
 } // namespace
 } // namespace fescuevane::cell
