--- a/tests/unit/plan_holds_test.cpp
+++ b/tests/unit/plan_holds_test.cpp
@@ -1,9 +1,10 @@
 // Purpose: tests of room that is held for tasks that last until they have a
 // ticket.
 #include "plan/planner.hpp"
-#include "plan_fixture.hpp"
+#include "plan_random_fixture.hpp"
 
 #include <doctest/doctest.h>
+#include <rapidcheck.h>
 
 #include <algorithm>
 #include <set>
@@ -454,5 +455,79 @@
     CHECK(waiting->why_.find("asked for 1100 ms") != std::string::npos);
 }
 
+// Random events on a queue with a policy service that allows two of the four
+// targets and answers one tick later.
+struct random_holds_fixture : plan_random_fixture
+{
+    std::vector<ask_advice> open_;
+    std::size_t             most_held_ = 0;
+
+    random_holds_fixture() { set_queue(advice_policy{580, 5, 2000}); }
+
+    void answer_questions()
+    {
+        for (ask_advice const& asked : open_)
+        {
+            std::vector<target_ticket> good;
+            for (target_id const& target : asked.targets_)
+            {
+                if (target == target_id("t-1") || target == target_id("t-2"))
+                {
+                    good.push_back({target, "ticket"});
+                }
+            }
+            post(advice_given{asked.stage_, asked.targets_, good,
+                              now_.after(2 * micros_per_second)});
+        }
+        open_ = list<ask_advice>();
+    }
+
+    void check_holds() const
+    {
+        std::set<target_id> held;
+        for (room_hold const& hold : planner_->holds_)
+        {
+            target_row const* const target =
+                planner_->targets_.find(hold.target_);
+            stage_row const* const stage = planner_->stages_.find(hold.stage_);
+            RC_ASSERT(target != nullptr);
+            RC_ASSERT(stage != nullptr);
+            RC_ASSERT(target->held_ == hold.amount_);
+            RC_ASSERT(is_waiting(stage->tasks_[hold.index_]));
+            RC_ASSERT(hold.until_ > now_);
+            RC_ASSERT(held.insert(hold.target_).second);
+        }
+        for (std::size_t row = 0; row < planner_->targets_.size(); ++row)
+        {
+            RC_ASSERT(planner_->targets_[row].held_.is_zero() !=
+                      held.contains(planner_->targets_.key(row)));
+        }
+    }
+
+    void play(std::vector<step> const& steps)
+    {
+        for (step const& value : steps)
+        {
+            answer_questions();
+            take_step(value);
+            check_holds();
+            most_held_ = std::max(most_held_, planner_->holds_.size());
+        }
+    }
+};
+
+// Guards against held room that is counted twice, or that stays on a target
+// after its task is gone: such room is lost to all work.
+TEST_CASE("random work with a policy service, holds match what waits")
+{
+    CHECK(rc::check(
+        []
+        {
+            random_holds_fixture shard;
+            shard.play(plan_random_fixture::generate_steps(200));
+            RC_CLASSIFY(shard.most_held_ > 0, "some room was held");
+        }));
+}
+
 } // namespace
 } // namespace fescuevane::plan
