Show that the plain interface repeats work of unlisted targets

A process that starts after a target was cut off and left the list doesn't know of it. When it takes the shard over it starts journaled batches again that still run there, until the leases of the former owner lapse.

--- a/tests/unit/node_failures_test.cpp
+++ b/tests/unit/node_failures_test.cpp
@@ -356,5 +356,34 @@
     CHECK(find_owner("east") == other_);
 }
 
+// Guards against tasks that run twice: a target that was cut off left the list
+// before its shard's new owner started, and ran on.
+TEST_CASE_FIXTURE(
+    node_failures_fixture,
+    "target unlisted before the owner started, its batch isn't repeated" *
+        doctest::test_suite("unlisted"))
+{
+    set_run_time(60 * micros_per_second);
+    submit("west1", make_batch("east.0~a", 1));
+    REQUIRE(run_until(
+        [&]
+        {
+            return count_starts("east.0~a") > 0;
+        },
+        10 * micros_per_second));
+    run(micros_per_second);
+    target_fake& target = targets_.at(find_target_of("east.0~a"));
+    target.silent_ = true;
+    target.unlisted_ = true;
+    for (std::string const name : {"east1", "east2"})
+    {
+        kill(name);
+        start(name, "east", 2);
+    }
+    run(20 * micros_per_second);
+    CHECK(overlaps_ == 0);
+    CHECK(count_starts("east.0~a") == 2);
+}
+
 } // namespace
 } // namespace fescuevane::entry
--- a/tests/unit/node_fixture.hpp
+++ b/tests/unit/node_fixture.hpp
@@ -86,6 +86,7 @@
 
     // Switches
     bool silent_ = false;          // all messages are lost, without notice
+    bool unlisted_ = false;        // the list of hosts doesn't name it
     bool breaks_on_start_ = false; // once: a batch with starts is lost and
                                    // the link breaks
 };
--- a/tests/unit/node_fixture_test.cpp
+++ b/tests/unit/node_fixture_test.cpp
@@ -223,7 +223,10 @@
     std::vector<listed_host> listed;
     for (auto const& [name, target] : targets_)
     {
-        listed.push_back(target.listed_);
+        if (!target.unlisted_)
+        {
+            listed.push_back(target.listed_);
+        }
     }
     for (auto const& [name, member] : nodes_)
     {
