End a handed-over task by a done end that is read late

Callers may see a task run again after it has ended as done (TWICE), and a job that goes on although all its tasks have. Cause: the run was given up after the wait for a silent target and the task handed to another shard; when the target came back, its done end was dropped, since the task had a delegate.

The end now marks the task as done. The delegate is canceled once all tasks that it stands for have ended, also by the next owner: the name of the delegate is kept with the done task until it has ended. A delegate that fails after that doesn't fail the job.

Tasks of a delegate that are still to run stay with it, so one of several that is done late may start there once more. A failed end that is read after the hand-over is counted by the shard that handed the task over only.

"task handed over, its done end read late, delegate canceled" and "done end read late, owner restarted, delegate canceled all the same" failed before.

--- a/cell/delegate_tasks.cpp
+++ b/cell/delegate_tasks.cpp
@@ -353,8 +353,10 @@
            record->saved_ >= row.change_;
 }
 
-// The job of which tasks were delegated has ended: so must they.
-bool is_parent_over(node const& context, delegation_row const& row)
+// The job of which tasks were delegated has ended, or the tasks have: so must
+// the delegate.
+bool is_parent_over(node const& context, job_id const& id,
+                    delegation_row const& row)
 {
     record_row const* const record = context.records_.find(row.stage_.job_);
     owned_row const* const  own = context.owned_.find(row.shard_);
@@ -368,7 +370,8 @@
         return true;
     }
     auto const phase = plan::find_phase(*own->planner_, row.stage_.job_);
-    return record->canceled_ || !phase || is_final(*phase);
+    return record->canceled_ || !phase || is_final(*phase) ||
+           plan::is_delegate_over(*own->planner_, row.stage_, id);
 }
 
 void abandon_call(node& context, delegation_row& row)
@@ -396,7 +399,7 @@
         row.phase_ = delegation_phase::submitting;
     }
     if (row.phase_ != delegation_phase::canceling &&
-        is_parent_over(context, row))
+        is_parent_over(context, id, row))
     {
         row.phase_ = delegation_phase::canceling;
         row.next_at_ = context.now_;
@@ -556,7 +559,7 @@
     std::map<std::pair<job_id, stage_key>, plan::overflow> found;
     for (task_progress const& task : record.progress_.tasks_)
     {
-        if (task.delegate_.empty() || task.done_)
+        if (task.delegate_.empty())
         {
             continue;
         }
--- a/plan/job_flow.cpp
+++ b/plan/job_flow.cpp
@@ -101,7 +101,7 @@
                  .last_run_ = task.last_run_,
                  .failed_runs_ = failed,
                  .checkpoint_ = task.done_ ? "" : task.checkpoint_,
-                 .delegate_ = task.done_ ? job_id() : task.delegate_});
+                 .delegate_ = task.delegate_});
         }
     }
 }
@@ -456,7 +456,7 @@
     else
     {
         task_cell const& task = stage.tasks_[at.key_.index_];
-        if (task.done_ || !task.delegate_.empty())
+        if (task.done_)
         {
             return;
         }
@@ -658,15 +658,21 @@
         return;
     }
     bool found = false;
+    bool open = false;
     stage->tasks_.change_all(
         [&](task_cell& task)
         {
-            if (task.delegate_ != delegate || task.done_)
+            if (task.delegate_ != delegate)
             {
                 return;
             }
             found = true;
             task.delegate_ = job_id();
+            if (task.done_)
+            {
+                return; // by an end that was read after the hand-over
+            }
+            open = true;
             task.waiting_since_ = context.now_;
             if (phase == job_phase::completed)
             {
@@ -679,7 +685,7 @@
         return;
     }
     context.outbox_.push_back(job_changed{key.job_});
-    if (phase == job_phase::failed)
+    if (open && phase == job_phase::failed)
     {
         close_job(context, key.job_, job_phase::failed);
     }
--- a/plan/plan.hpp
+++ b/plan/plan.hpp
@@ -71,6 +71,9 @@
 // Tasks of a stage that run elsewhere under the name `delegate`.
 overflow find_delegated(planner const& context, stage_key const& stage,
                         job_id const& delegate);
+// True when all of them have ended, by ends that this shard has read.
+bool is_delegate_over(planner const& context, stage_key const& stage,
+                      job_id const& delegate);
 // The job that is to run the tasks at another shard under the name `delegate`.
 std::shared_ptr<staged_job const> make_delegate(planner const&  context,
                                                 overflow const& tasks,
--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -254,7 +254,8 @@
     for (std::uint32_t index = 0;
          stage != nullptr && index < stage->tasks_.size(); ++index)
     {
-        if (stage->tasks_[index].delegate_ == delegate)
+        task_cell const& task = stage->tasks_[index];
+        if (task.delegate_ == delegate && !task.done_)
         {
             tasks.indices_.push_back(index);
         }
@@ -262,6 +263,23 @@
     return tasks;
 }
 
+bool is_delegate_over(planner const& context, stage_key const& key,
+                      job_id const& delegate)
+{
+    if (stage_row const* const stage = context.stages_.find(key))
+    {
+        return std::none_of(stage->tasks_.begin(), stage->tasks_.end(),
+                            [&delegate](task_cell const& task)
+                            {
+                                return task.delegate_ == delegate &&
+                                       !task.done_;
+                            });
+    }
+    // One that hasn't been opened yet may still have such tasks.
+    job_row const* const job = context.jobs_.find(key.job_);
+    return job != nullptr && key.occurrence_ < job->next_occurrence_;
+}
+
 std::shared_ptr<staged_job const> make_delegate(planner const&  context,
                                                 overflow const& tasks,
                                                 job_id const&   delegate)
--- /dev/null
+++ b/tests/unit/cell_attempts_test.cpp
@@ -0,0 +1,188 @@
+// Purpose: tests of attempts whose ends are read late.
+#include "cell_pair_fixture.hpp"
+#include "target_model.hpp"
+
+#include <doctest/doctest.h>
+#include <string>
+
+namespace fescuevane::cell
+{
+namespace
+{
+
+// East has t-1, which the test cuts off; attempts are limited to three.
+struct attempts_fixture : cell_pair_fixture
+{
+    target_model          t1_;
+    target_model          t2_; // once it is listed
+    bool                  reached_ = true;
+    bool                  west_takes_ = true;
+    std::vector<run_key>  starts_; // sent to any target
+    std::vector<job_call> moved_;
+    std::vector<job_call> canceled_;
+
+    void submit_step(bool copies)
+    {
+        post(call_opened{.call_ = ++last_call_,
+                         .kind_ = call_kind::submit,
+                         .id_ = job_id("aa01"),
+                         .job_ = std::make_shared<staged_job const>(staged_job{
+                             .id_ = job_id("aa01"),
+                             .organisation_ = organisation_id("cafe"),
+                             .queue_ = queue_id("orders"),
+                             .service_ = service_id("desk"),
+                             .payload_ = "work",
+                             .steps_ = {{.count_ = 1,
+                                         .demand_ = {1000, 512, 0},
+                                         .estimate_ms_ = 1000,
+                                         .speculative_ = copies}},
+                             .accepted_unix_ms_ = unix_ms_}),
+                         .deadline_ = now_.after(3 * micros_per_second)});
+    }
+
+    void answer_west(call_peer const& call)
+    {
+        auto& calls = call.call_.kind_ == call_kind::submit   ? moved_
+                      : call.call_.kind_ == call_kind::cancel ? canceled_
+                                                              : ignored_;
+        calls.push_back(call.call_);
+        post(peer_replied{call.request_,
+                          {.outcome_ = call.call_.kind_ == call_kind::submit
+                                           ? job_outcome::accepted
+                                       : call.call_.kind_ == call_kind::cancel
+                                           ? job_outcome::canceled
+                                           : job_outcome::unavailable}});
+    }
+
+    attempts_fixture() { run_all(500'000); } // its first orders are answered
+
+    void run_all(std::int64_t micros)
+    {
+        constexpr std::int64_t step = 50'000;
+        for (std::int64_t passed = 0; passed < micros; passed += step)
+        {
+            if (west_takes_)
+            {
+                tell_west();
+            }
+            run(step);
+            t1_.advance(unix_ms_);
+            t2_.advance(unix_ms_);
+            for (send_start const& start : take<send_start>())
+            {
+                starts_.push_back(start.start_.run_);
+                bool const is_t1 = start.start_.target_ == target_id("t-1");
+                bool const taken = (reached_ || !is_t1) &&
+                                   (is_t1 ? t1_ : t2_).take(start, unix_ms_);
+                post(order_reply{.request_ = start.request_,
+                                 .outcome_ = taken ? target_outcome::done
+                                                   : target_outcome::unknown});
+            }
+            for (hold_target const& hold : take<hold_target>())
+            {
+                bool const is_t1 = hold.target_ == target_id("t-1");
+                reached_ || !is_t1
+                    ? post((is_t1 ? t1_ : t2_).answer(hold, unix_ms_))
+                    : fail_hold(hold);
+            }
+            for (call_peer const& call : take<call_peer>())
+            {
+                answer_west(call);
+            }
+        }
+    }
+
+    job_phase find_phase()
+    {
+        auto const call = ask(call_kind::lookup, "aa01");
+        run_all(100'000);
+        auto const answer = find_answer(call);
+        return answer ? answer->phase_ : job_phase::pending;
+    }
+
+    // The task is at work as the given run; earlier ones have failed.
+    void fail_until(std::uint32_t last)
+    {
+        for (std::uint32_t run = 1; run < last; ++run)
+        {
+            t1_.end_all(run_end::failed);
+            run_all(micros_per_second);
+        }
+        REQUIRE(starts_.size() == last);
+        REQUIRE(t1_.running_.size() == 1);
+    }
+
+private:
+    std::vector<job_call> ignored_;
+};
+
+constexpr std::int64_t after_wait = 16 * micros_per_second;
+
+// The only target of east was cut off for longer than ends are awaited, and the
+// task was handed over.
+struct late_end_fixture : attempts_fixture
+{
+    late_end_fixture()
+    {
+        submit_step(false);
+        run_all(500'000);
+        INFO("starts " << starts_.size() << ", moved " << moved_.size());
+        REQUIRE(t1_.running_.size() == 1);
+        reached_ = false;
+    }
+
+    void hand_over()
+    {
+        run_all(after_wait);
+        REQUIRE(moved_.size() == 1);
+        REQUIRE(canceled_.empty());
+    }
+};
+
+// Guards against a task that runs again, and a job that goes on, after a done
+// end that was read: it was dropped when the task had been handed over.
+TEST_CASE_FIXTURE(late_end_fixture,
+                  "task handed over, its done end read late, delegate canceled")
+{
+    t1_.end_all(run_end::done);
+    hand_over();
+    reached_ = true;
+    run_all(micros_per_second);
+    CHECK(find_phase() == job_phase::completed);
+    REQUIRE(canceled_.size() == 1);
+    CHECK(canceled_[0].id_ == moved_[0].id_);
+}
+
+// Guards against a delegate that the next owner doesn't end.
+TEST_CASE_FIXTURE(
+    late_end_fixture,
+    "done end read late, owner restarted, delegate canceled all the same")
+{
+    t1_.end_all(run_end::done);
+    hand_over();
+    west_takes_ = false; // gives no answer any more
+    reached_ = true;
+    run_all(200'000);
+    start(2);
+    tell_west();
+    list_target("t-1");
+    west_takes_ = true;
+    run_all(5 * micros_per_second);
+    CHECK(find_phase() == job_phase::completed);
+    CHECK(!canceled_.empty());
+}
+
+// Guards against a job that is ended by a delegate whose task was done.
+TEST_CASE_FIXTURE(late_end_fixture,
+                  "task handed over, its failed end read late, counted")
+{
+    t1_.end_all(run_end::failed);
+    hand_over();
+    reached_ = true;
+    run_all(micros_per_second);
+    CHECK(canceled_.empty());
+    CHECK(find_phase() == job_phase::running);
+}
+
+} // namespace
+} // namespace fescuevane::cell
