Judge the runs of silent targets in one place, and log each judgement

`run_outlook` holds until when a run may go on and until when its end is awaited; the sessions judge by it in place of two instants and a flag. `run_judged` names run and reason: lapse, end of the wait, another life, missing in a complete report (before: `run_missing`), start never sent. `targets_known` is logged once after a takeover, when each target was reached or given up. `leases_lapsed` has the length of the silence.

--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -1,8 +1,10 @@
 // Purpose: system: leases, orders and reports of the targets of owned shards.
+#include "cell/records.hpp"
 #include "cell/sessions.hpp"
 #include "cell/tick_observer.hpp"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace fescuevane::cell
@@ -113,6 +115,7 @@
             continue;
         }
         session.runs_.erase(start->run_);
+        log_judged(context, id, start->run_, "its start was never sent");
         tell(context, session,
              plan::run_ended{start->run_, id, run_end::lost, ""});
     }
@@ -134,30 +137,39 @@
     for (run_key const& key : lapsed)
     {
         session.runs_.erase(key);
+        log_judged(context, id, key, "its lease has lapsed");
         tell(context, session, plan::run_ended{key, id, run_end::lapsed, ""});
     }
 }
 
 // Ends may be left on a silent target after the lapse, but no runs.
-void settle_lapse(node& context, target_id const& id, instant give_up)
+void settle_lapse(node& context, target_id const& id,
+                  run_outlook const& outlook)
 {
-    session_row&  session = *context.sessions_.find(id);
-    instant const lapse = find_lapse(context, session);
-    if (session.lapsed_ || lapse > context.now_)
+    session_row& session = *context.sessions_.find(id);
+    if (session.lapsed_)
     {
-        wake_at(context, session.lapsed_ ? instant::never() : lapse);
+        return;
+    }
+    if (judge_runs(outlook, context.now_) == run_certainty::may_run)
+    {
+        wake_at(context, outlook.lapses_at_);
         return;
     }
     session.lapsed_ = true;
     if (!session.runs_.empty())
     {
+        std::int64_t const held =
+            context.now_.remaining_until(outlook.settles_at_);
         log_event(
             context, "leases_lapsed",
             {{"target", id.str()},
              {"runs", std::to_string(session.runs_.size())},
              {"listed", session.listed_ ? "true" : "false"},
-             {"held_ms", std::to_string(context.now_.remaining_until(give_up) /
-                                        micros_per_milli)}});
+             {"silent_ms",
+              std::to_string(outlook.heard_at_.remaining_until(context.now_) /
+                             micros_per_milli)},
+             {"held_ms", std::to_string(held / micros_per_milli)}});
     }
     end_lapsed_runs(context, id, session);
     tell_planner(context, id);
@@ -213,13 +225,14 @@
 // False when the session was removed.
 bool settle_silent_target(node& context, target_id const& id)
 {
-    session_row&  session = *context.sessions_.find(id);
-    instant const give_up = find_give_up(context, session);
+    session_row& session = *context.sessions_.find(id);
     take_back_starts(context, id, session);
-    settle_lapse(context, id, give_up);
-    if (give_up > context.now_)
+    run_outlook const   outlook = find_outlook(context, session);
+    run_certainty const certainty = judge_runs(outlook, context.now_);
+    settle_lapse(context, id, outlook);
+    if (certainty != run_certainty::settled)
     {
-        wake_at(context, give_up);
+        wake_at(context, outlook.settles_at_);
         return true;
     }
     if (session.phase_ == session_phase::attaching)
@@ -260,6 +273,38 @@
     wake_at(context, due);
 }
 
+// Tells once how the first contact with the targets of a shard has ended.
+void log_first_contact(node& context, shard_id const& shard, owned_row& own)
+{
+    std::array<std::size_t, 3> phases{}; // in the order of `session_phase`
+    std::size_t                listed = 0;
+    std::size_t                granted_before = 0;
+    for (session_row const& session : context.sessions_)
+    {
+        if (session.open_ && session.shard_ == shard)
+        {
+            ++phases.at(static_cast<std::size_t>(session.phase_));
+            listed += session.listed_ ? 1 : 0;
+            granted_before += session.granted_before_ ? 1 : 0;
+        }
+    }
+    auto const count = [&phases](session_phase phase)
+    {
+        return phases.at(static_cast<std::size_t>(phase));
+    };
+    if (count(session_phase::attaching) > 0)
+    {
+        return;
+    }
+    own.targets_known_ = true;
+    log_event(context, "targets_known",
+              {{"shard", write_shard_name(shard)},
+               {"listed", std::to_string(listed)},
+               {"attached", std::to_string(count(session_phase::attached))},
+               {"granted", std::to_string(granted_before)},
+               {"silent", std::to_string(count(session_phase::silent))}});
+}
+
 } // namespace
 
 void keep_sessions(node& context)
@@ -325,6 +370,14 @@
             }
         }
     }
+    for (std::size_t row = 0; row < context.owned_.size(); ++row)
+    {
+        owned_row& own = context.owned_[row];
+        if (own.phase_ == owned_phase::serving && !own.targets_known_)
+        {
+            log_first_contact(context, context.owned_.key(row), own);
+        }
+    }
 }
 
 } // namespace fescuevane::cell
--- a/cell/lease_clock.cpp
+++ b/cell/lease_clock.cpp
@@ -68,19 +68,22 @@
         micros_per_milli);
 }
 
-// When the work of a silent target may start elsewhere. Once its leases have
-// lapsed nothing runs there, but it may still list work that ended before. One
-// that is cut off leaves the list and comes back; one that said that it leaves
-// takes its list along.
-instant find_give_up(node const& context, session_row const& session)
+// What may be true of the work on a target that doesn't answer. Once its leases
+// have lapsed nothing runs there, but it may still list work that ended before.
+// One that is cut off leaves the list and comes back; one that said that it
+// leaves takes its list along.
+run_outlook find_outlook(node const& context, session_row const& session)
 {
     instant const lapse = find_lapse(context, session);
     bool const    granted = session.clock_ms_ != 0 || session.granted_before_;
     bool const    left = !session.listed_ && session.info_->leaving_;
-    return granted && !left && lapse != instant::never()
-               ? count_silence_from(context, lapse)
-                     .after(context.settings_.unread_wait_micros_)
-               : lapse;
+    bool const    awaited = granted && !left && lapse != instant::never();
+    return {.heard_at_ = session.contact_at_,
+            .lapses_at_ = lapse,
+            .settles_at_ =
+                awaited ? count_silence_from(context, lapse)
+                              .after(context.settings_.unread_wait_micros_)
+                        : lapse};
 }
 
 // True when the target answered the latest question, as far as is known.
--- a/cell/list_targets.cpp
+++ b/cell/list_targets.cpp
@@ -129,6 +129,10 @@
                    {"runs", std::to_string(session.runs_.size())},
                    {"reason", why}});
     }
+    for (auto const& [key, run] : session.runs_)
+    {
+        log_judged(context, id, key, why);
+    }
     tell(context, session, plan::target_gone{id});
     session.runs_.clear();
     session.orders_.clear();
--- a/cell/owned_row.hpp
+++ b/cell/owned_row.hpp
@@ -34,6 +34,7 @@
     bool release_unsettled_ = false; // one got no answer and may be performed
 
     grant_ledger grants_;
+    bool         targets_known_ = false; // each was reached or given up
 
     // Divided limits
     bool          allotments_loaded_ = false;
--- a/cell/read_reports.cpp
+++ b/cell/read_reports.cpp
@@ -81,15 +81,29 @@
     }
     for (run_key const& key : gone)
     {
-        log_event(context, "run_missing",
-                  {{"job", key.stage_.job_.str()},
-                   {"run", std::to_string(key.run_)},
-                   {"target", id.str()}});
+        log_judged(context, id, key, "it is missing in a complete report");
         session.runs_.erase(key);
         tell(context, session, plan::run_ended{key, id, run_end::lost, ""});
     }
 }
 
+} // namespace
+
+void log_judged(node& context, target_id const& id, run_key const& run,
+                std::string const& why)
+{
+    log_event(context, "run_judged",
+              {{"job", run.stage_.job_.str()},
+               {"step", std::to_string(run.stage_.step_)},
+               {"index", std::to_string(run.index_)},
+               {"run", std::to_string(run.run_)},
+               {"target", id.str()},
+               {"reason", why}});
+}
+
+namespace
+{
+
 void apply_report(node& context, session_row& session, target_id const& id,
                   hold_reply const& reply)
 {
--- a/cell/sessions.hpp
+++ b/cell/sessions.hpp
@@ -4,6 +4,7 @@
 #define FESCUEVANE_CELL_SESSIONS_HPP
 
 #include "cell/node.hpp"
+#include "core/run_outlook.hpp"
 
 #include <cstdint>
 #include <string>
@@ -16,10 +17,14 @@
 void mark_silent(node& context, target_id const& id, std::string const& why);
 void end_life(node& context, target_id const& id, std::string const& why);
 
+// Runs without a reported end
+void log_judged(node& context, target_id const& id, run_key const& run,
+                std::string const& why);
+
 // Clocks and leases
 std::int64_t target_clock(session_row const& session, instant now);
 instant      find_lapse(node const& context, session_row const& session);
-instant      find_give_up(node const& context, session_row const& session);
+run_outlook  find_outlook(node const& context, session_row const& session);
 bool         is_answering(session_row const& session);
 
 // Replies that show another epoch or another life. True when the reply ends
--- /dev/null
+++ b/tests/unit/cell_histories_test.cpp
@@ -0,0 +1,290 @@
+// Purpose: random histories of a task: owners one after the other, targets out
+// of reach or with a second life, late orders and unread ends.
+#include "cell_fixture.hpp"
+#include "target_model.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+#include <array>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace fescuevane::cell
+{
+namespace
+{
+
+// Longer absences than this are given up, lease and wait together.
+constexpr std::int64_t most_away = 10 * micros_per_second;
+constexpr int          attempts = 3;
+
+struct target_state
+{
+    target_model            model_;
+    instant                 away_until_;
+    std::vector<send_start> late_; // carried out when it is in reach again
+};
+
+struct history_fixture : cell_fixture
+{
+    std::map<target_id, target_state> targets_{{target_id("t-1"), {}},
+                                               {target_id("t-2"), {}}};
+    std::uint64_t                     incarnation_ = 1;
+    // What has happened, whether the owner knows it or not
+    bool        done_ = false;
+    int         failed_ = 0;
+    std::string broken_;        // last broken rule
+    bool        judged_ = true; // by what has happened
+
+    explicit history_fixture(bool copies)
+    {
+        list_target("t-1");
+        list_target("t-2");
+        run_all(2 * micros_per_second);
+        post(call_opened{.call_ = ++last_call_,
+                         .kind_ = call_kind::submit,
+                         .id_ = job_id("aa01"),
+                         .job_ = std::make_shared<staged_job const>(staged_job{
+                             .id_ = job_id("aa01"),
+                             .organisation_ = organisation_id("cafe"),
+                             .queue_ = queue_id("orders"),
+                             .service_ = service_id("desk"),
+                             .payload_ = "work",
+                             .steps_ = {{.count_ = 1,
+                                         .demand_ = {1000, 512, 0},
+                                         .estimate_ms_ = 1000,
+                                         .speculative_ = copies}},
+                             .accepted_unix_ms_ = unix_ms_}),
+                         .deadline_ = now_.after(3 * micros_per_second)});
+        run_all(500'000);
+    }
+
+    void begin(target_state& target, send_start const& start)
+    {
+        if (target.model_.has(start.start_.run_) ||
+            !target.model_.take(start, unix_ms_) || !judged_)
+        {
+            return;
+        }
+        if (done_)
+        {
+            broken_ = "a start after a done end";
+        }
+        else if (failed_ >= attempts)
+        {
+            broken_ = "a start after the last failed attempt";
+        }
+    }
+
+    bool in_reach(target_state const& target) const
+    {
+        return target.away_until_ <= now_;
+    }
+
+    void serve_target(target_state& target)
+    {
+        target.model_.advance(unix_ms_);
+        if (in_reach(target))
+        {
+            for (send_start const& start : std::exchange(target.late_, {}))
+            {
+                begin(target, start);
+            }
+        }
+    }
+
+    void answer_start(send_start const& start)
+    {
+        target_state& target = targets_.at(start.start_.target_);
+        if (in_reach(target))
+        {
+            begin(target, start);
+            post(order_reply{.request_ = start.request_,
+                             .outcome_ = target_outcome::done});
+            return;
+        }
+        target.late_.push_back(start);
+        post(order_reply{.request_ = start.request_,
+                         .outcome_ = target_outcome::unknown});
+    }
+
+    void run_all(std::int64_t micros)
+    {
+        constexpr std::int64_t step = 50'000;
+        for (std::int64_t passed = 0; passed < micros; passed += step)
+        {
+            advance(step);
+            tick();
+            for (auto& [id, target] : targets_)
+            {
+                serve_target(target);
+            }
+            for (send_start const& start : take<send_start>())
+            {
+                answer_start(start);
+            }
+            for (send_stop const& stop : take<send_stop>())
+            {
+                stop_run(stop);
+            }
+            for (hold_target const& hold : take<hold_target>())
+            {
+                target_state& target = targets_.at(hold.target_);
+                in_reach(target) ? post(target.model_.answer(hold, unix_ms_))
+                                 : fail_hold(hold);
+            }
+        }
+    }
+
+    void stop_run(send_stop const& stop)
+    {
+        target_state& target = targets_.at(stop.stop_.target_);
+        if (in_reach(target) && target.model_.has(stop.stop_.run_))
+        {
+            target.model_.end(stop.stop_.run_, run_end::stopped);
+        }
+        post(order_reply{.request_ = stop.request_,
+                         .outcome_ = in_reach(target)
+                                         ? target_outcome::done
+                                         : target_outcome::unknown});
+    }
+
+    void end_runs(run_end how)
+    {
+        for (auto& [id, target] : targets_)
+        {
+            std::size_t const ended = target.model_.running_.size();
+            target.model_.end_all(how);
+            done_ = done_ || (how == run_end::done && ended > 0);
+            failed_ += how == run_end::failed ? static_cast<int>(ended) : 0;
+        }
+    }
+
+    // Steps of a history; `target` is one of the two.
+    void fail_runs(target_id const& /*target*/) { end_runs(run_end::failed); }
+    void finish_runs(target_id const& /*target*/) { end_runs(run_end::done); }
+    // Absences that follow each other closely would be one that is given up.
+    void cut_for(target_id const& target, std::int64_t micros)
+    {
+        target_state& state = targets_.at(target);
+        if (state.away_until_.after(2 * micros_per_second) <= now_)
+        {
+            state.away_until_ = now_.after(micros);
+        }
+    }
+    void cut(target_id const& target) { cut_for(target, most_away); }
+    void cut_shortly(target_id const& target)
+    {
+        cut_for(target, most_away / 2);
+    }
+    void unlist(target_id const& target) { post(target_unlisted{target}); }
+    void list(target_id const& target) { list_target(target.str()); }
+    void restart_owner(target_id const& /*target*/)
+    {
+        start(++incarnation_);
+        for (auto const& [id, target] : targets_)
+        {
+            if (in_reach(target))
+            {
+                list_target(id.str());
+            }
+        }
+    }
+
+    // The ends of the earlier life are gone, so they can't be read any more.
+    void crash(target_id const& target)
+    {
+        target_state& state = targets_.at(target);
+        state.model_.crash();
+        state.late_.clear();
+    }
+
+    std::optional<job_phase> find_phase()
+    {
+        auto const call = ask(call_kind::lookup, "aa01");
+        run_all(500'000);
+        auto const answer = find_answer(call);
+        return answer ? std::optional(answer->phase_) : std::nullopt;
+    }
+
+    // All targets come back; what starts now ends as done.
+    bool ends_in_time()
+    {
+        for (auto& [id, target] : targets_)
+        {
+            target.away_until_ = now_;
+            list_target(id.str());
+        }
+        constexpr int seconds = 30;
+        for (int second = 0; second < seconds && broken_.empty(); ++second)
+        {
+            run_all(micros_per_second);
+            end_runs(run_end::done);
+            auto const phase = find_phase();
+            if (phase && is_final(*phase))
+            {
+                return true;
+            }
+        }
+        return false;
+    }
+};
+
+using history_step = void (history_fixture::*)(target_id const&);
+
+constexpr std::array<history_step, 8> steps = {
+    &history_fixture::fail_runs,     &history_fixture::finish_runs,
+    &history_fixture::cut,           &history_fixture::cut_shortly,
+    &history_fixture::unlist,        &history_fixture::list,
+    &history_fixture::restart_owner, &history_fixture::crash};
+
+// Draws a history from those steps that `allowed` holds.
+void play(history_fixture& history, std::vector<history_step> const& allowed)
+{
+    int const length = *rc::gen::inRange(1, 12);
+    for (int step = 0; step < length && history.broken_.empty(); ++step)
+    {
+        auto const      kind = *rc::gen::elementOf(allowed);
+        target_id const target(*rc::gen::element<std::string>("t-1", "t-2"));
+        (history.*kind)(target);
+        history.run_all(*rc::gen::inRange(1, 40) * 100'000);
+    }
+}
+
+// Guards against runs after a done end, or after the last failed attempt, that
+// one owner, or its process before a restart, hadn't read; and against tasks
+// that wait without an end.
+TEST_CASE("random history, one result, no start too many and all end")
+{
+    CHECK(rc::check(
+        []
+        {
+            history_fixture           history(false);
+            std::vector<history_step> allowed(steps.begin(), steps.end());
+            // An end that is lost with a life counts for nobody.
+            std::erase(allowed, &history_fixture::crash);
+            play(history, allowed);
+            RC_ASSERT(history.broken_.empty());
+            RC_ASSERT(history.ends_in_time());
+            RC_ASSERT(history.broken_.empty());
+        }));
+}
+
+// Guards against tasks that wait without an end when a target comes back in a
+// second life.
+TEST_CASE("random history with second lives, all tasks end")
+{
+    CHECK(rc::check(
+        []
+        {
+            history_fixture history(*rc::gen::arbitrary<bool>());
+            history.judged_ = false; // lost ends, and copies, may be repeated
+            play(history, {steps.begin(), steps.end()});
+            RC_ASSERT(history.ends_in_time());
+        }));
+}
+
+} // namespace
+} // namespace fescuevane::cell
