Count attempts whose ends may be read later

A task that may have copies starts again at the lapse of a silent target. Its run was forgotten then, so callers may see a start after maxAttempts runs have ended as failed (BUDGET), and the task could be handed to another shard with a count from before an unread end.

The task now keeps the number of such a run until its end is read, the target reports completely without it, another life answers, or the wait for the target is over. Until then the task isn't handed over, isn't started while failed and unread attempts together reach the limit, and isn't given up; with attempts left it starts at the lapse as before. A new owner doesn't hand over recovered tasks with copies while unreached targets may list ends. Tasks that last are not affected.

"copies allowed, last end unread, not started again", "copies allowed, last end unread, settled by what is read" and "copies allowed, end unread, not handed over before" failed before with a fourth start or a hand-over. "copies allowed, attempts left, starts at the lapse" holds before and after.

--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -138,8 +138,10 @@
     {
         session.runs_.erase(key);
         log_judged(context, id, key, "its lease has lapsed");
-        tell(context, session, plan::run_ended{key, id, run_end::lapsed, ""});
+        tell(context, session,
+             plan::run_ended{key, id, run_end::lapsed, "", true});
     }
+    session.unread_ = session.unread_ || !lapsed.empty();
 }
 
 // Ends may be left on a silent target after the lapse, but no runs.
@@ -248,6 +250,7 @@
         }
         end_life(context, id, "its leases have lapsed");
     }
+    note_ends_read(context, id, session);
     if (!session.listed_)
     {
         tell(context, session, plan::target_gone{id});
--- a/cell/list_targets.cpp
+++ b/cell/list_targets.cpp
@@ -134,6 +134,7 @@
         log_judged(context, id, key, why);
     }
     tell(context, session, plan::target_gone{id});
+    session.unread_ = false; // the planner has settled them with the target
     session.runs_.clear();
     session.orders_.clear();
     session.repeats_.clear();
--- a/cell/read_reports.cpp
+++ b/cell/read_reports.cpp
@@ -101,6 +101,16 @@
                {"reason", why}});
 }
 
+// All ends of the target were read, or none is awaited any more.
+void note_ends_read(node& context, target_id const& id, session_row& session)
+{
+    if (session.unread_)
+    {
+        session.unread_ = false;
+        tell(context, session, plan::ends_read{id});
+    }
+}
+
 namespace
 {
 
@@ -124,6 +134,7 @@
     if (reply.ends_.size() < ends_per_reply)
     {
         apply_missing(context, session, id, seen, reply.clock_ms_);
+        note_ends_read(context, id, session);
     }
 }
 
--- a/cell/sessions.hpp
+++ b/cell/sessions.hpp
@@ -20,6 +20,7 @@
 // Runs without a reported end
 void log_judged(node& context, target_id const& id, run_key const& run,
                 std::string const& why);
+void note_ends_read(node& context, target_id const& id, session_row& session);
 
 // Clocks and leases
 std::int64_t target_clock(session_row const& session, instant now);
--- a/plan/apply_events.cpp
+++ b/plan/apply_events.cpp
@@ -102,9 +102,15 @@
     {
         end_run(context, run, input.id_, run_end::lost, "");
     }
+    settle_unread(context, input.id_);
     context.targets_.remove(input.id_);
 }
 
+void apply(planner& context, ends_read const& input)
+{
+    settle_unread(context, input.id_);
+}
+
 // 3. Jobs
 
 // An organisation's jobs beyond its weight, in jobs a second, step behind
@@ -241,6 +247,10 @@
 void apply(planner& context, run_ended const& input)
 {
     end_run(context, input.run_, input.target_, input.end_, input.checkpoint_);
+    if (input.unread_)
+    {
+        keep_unread(context, input.run_, input.target_);
+    }
 }
 
 // A report of a run that no open stage knows: of a job that has ended, or is
--- a/plan/event.hpp
+++ b/plan/event.hpp
@@ -6,6 +6,7 @@
 #include "plan/advice_given.hpp"
 #include "plan/delegate_ended.hpp"
 #include "plan/domain_set.hpp"
+#include "plan/ends_read.hpp"
 #include "plan/job_added.hpp"
 #include "plan/job_canceled.hpp"
 #include "plan/job_dropped.hpp"
@@ -26,11 +27,12 @@
 namespace fescuevane::plan
 {
 
-using event = std::variant<queues_set, organisations_set, turns_set, target_set,
-                           target_gone, domain_set, job_added, job_canceled,
-                           job_dropped, run_confirmed, run_refused, run_ended,
-                           run_seen, advice_given, advice_failed,
-                           tasks_delegated, delegate_ended, on_time_changed>;
+using event =
+    std::variant<queues_set, organisations_set, turns_set, target_set,
+                 target_gone, domain_set, job_added, job_canceled, job_dropped,
+                 run_confirmed, run_refused, run_ended, run_seen, advice_given,
+                 advice_failed, tasks_delegated, delegate_ended,
+                 on_time_changed, ends_read>;
 
 } // namespace fescuevane::plan
 
--- a/plan/job_flow.cpp
+++ b/plan/job_flow.cpp
@@ -8,11 +8,13 @@
 //   5. Estimates and strikes
 #include "plan/job_flow.hpp"
 
+#include "core/attempt_count.hpp"
 #include "plan/planner.hpp"
 #include "plan/room.hpp"
 
 #include <algorithm>
 #include <array>
+#include <set>
 #include <utility>
 
 namespace fescuevane::plan
@@ -93,15 +95,14 @@
         if (task.done_ || !failed.empty() || !task.checkpoint_.empty() ||
             !task.delegate_.empty())
         {
-            output.push_back(
-                {.occurrence_ = key.occurrence_,
-                 .step_ = key.step_,
-                 .index_ = index,
-                 .done_ = task.done_,
-                 .last_run_ = task.last_run_,
-                 .failed_runs_ = failed,
-                 .checkpoint_ = task.done_ ? "" : task.checkpoint_,
-                 .delegate_ = task.delegate_});
+            output.push_back({.occurrence_ = key.occurrence_,
+                              .step_ = key.step_,
+                              .index_ = index,
+                              .done_ = task.done_,
+                              .last_run_ = task.last_run_,
+                              .failed_runs_ = failed,
+                              .checkpoint_ = task.done_ ? "" : task.checkpoint_,
+                              .delegate_ = task.delegate_});
         }
     }
 }
@@ -487,6 +488,47 @@
     return is_new;
 }
 
+attempt_count count_attempts(planner const& context, run_key const& key)
+{
+    stage_row const&          stage = *context.stages_.find(key.stage_);
+    task_cell const&          task = stage.tasks_[key.index_];
+    job_row const&            job = *context.jobs_.find(key.stage_.job_);
+    queue_policy const* const queue = context.queues_.find(job.spec_->queue_);
+    std::size_t const         failed = find_step(context, key.stage_).gang_
+                                           ? stage.gang_failures_.size()
+                                           : task.failed_runs_.size();
+    return {.failed_ = static_cast<std::uint32_t>(failed) + task.failures_,
+            .unread_ = static_cast<std::uint32_t>(task.unread_runs_.size()),
+            .limit_ = queue == nullptr
+                          ? 1
+                          : std::max<std::uint32_t>(1, queue->max_attempts_)};
+}
+
+// Holds the task while its unread ends may be its last failures, and gives its
+// job up after the last one.
+void apply_limit(planner& context, run_key const& key, target_id const& target)
+{
+    stage_row& stage = *context.stages_.find(key.stage_);
+    if (find_step(context, key.stage_).perpetual_ ||
+        stage.tasks_[key.index_].done_)
+    {
+        return;
+    }
+    attempt_count const attempts = count_attempts(context, key);
+    stage.tasks_.change(key.index_,
+                        [&attempts](task_cell& task)
+                        {
+                            task.held_ =
+                                attempts.unread_ > 0 && !may_start(attempts);
+                        });
+    if (is_used_up(attempts))
+    {
+        log_note(context, "give up", key, target,
+                 std::to_string(attempts.failed_) + " runs failed");
+        close_job(context, key.stage_.job_, job_phase::failed);
+    }
+}
+
 void mark_failed(planner& context, end_context const& at)
 {
     stage_row& stage = *context.stages_.find(at.key_.stage_);
@@ -505,25 +547,33 @@
     {
         return;
     }
-    task_cell const& task = stage.tasks_[at.key_.index_];
-    auto const&      failed =
-        at.step_.gang_ ? stage.gang_failures_ : task.failed_runs_;
     context.outbox_.push_back(job_changed{at.key_.stage_.job_});
-    job_row const&            job = *context.jobs_.find(at.key_.stage_.job_);
-    queue_policy const* const queue = context.queues_.find(job.spec_->queue_);
-    std::uint32_t const       attempts =
-        queue == nullptr ? 1 : std::max<std::uint32_t>(1, queue->max_attempts_);
-    if (!at.step_.perpetual_ && !task.done_ &&
-        failed.size() + task.failures_ >= attempts)
-    {
-        log_note(context, "give up", at.key_, at.target_,
-                 std::to_string(failed.size()) + " runs failed");
-        close_job(context, at.key_.stage_.job_, job_phase::failed);
-    }
+    apply_limit(context, at.key_, at.target_);
 }
 
 void mark_interrupted(planner& /*context*/, end_context const& /*at*/) {}
 
+// The end of an attempt is known, or isn't awaited any more. False when it
+// wasn't unread.
+bool drop_unread(planner& context, run_key const& key, target_id const& target)
+{
+    target_row* const row = context.targets_.find(target);
+    if (row == nullptr || row->unread_.erase(key) == 0)
+    {
+        return false;
+    }
+    stage_row* const stage = context.stages_.find(key.stage_);
+    if (stage != nullptr && key.index_ < stage->tasks_.size())
+    {
+        stage->tasks_.change(key.index_,
+                             [&key](task_cell& task)
+                             {
+                                 std::erase(task.unread_runs_, key.run_);
+                             });
+    }
+    return true;
+}
+
 constexpr std::array<void (*)(planner&, end_context const&), 7> end_effects = {
     &mark_done,        &mark_failed,      &mark_interrupted, &mark_interrupted,
     &mark_interrupted, &mark_interrupted, &mark_interrupted};
@@ -580,6 +630,7 @@
         learn_run_time(context, key, *run);
     }
     remove_run(context, key);
+    bool const was_unread = drop_unread(context, key, target);
     if (!known || is_final(job->phase_))
     {
         return;
@@ -625,6 +676,50 @@
         stop_stage_runs(context, key.stage_, "gang broken");
     }
     end_effects.at(static_cast<std::size_t>(end))(context, {key, step, target});
+    if (was_unread && context.stages_.contains(key.stage_))
+    {
+        apply_limit(context, key, target);
+    }
+}
+
+void keep_unread(planner& context, run_key const& key, target_id const& target)
+{
+    target_row* const row = context.targets_.find(target);
+    stage_row* const  stage = context.stages_.find(key.stage_);
+    if (row == nullptr || stage == nullptr ||
+        key.index_ >= stage->tasks_.size() ||
+        find_step(context, key.stage_).perpetual_)
+    {
+        return;
+    }
+    row->unread_.insert(key);
+    stage->tasks_.change(key.index_,
+                         [&key](task_cell& task)
+                         {
+                             task.unread_runs_.push_back(key.run_);
+                         });
+    apply_limit(context, key, target);
+}
+
+void settle_unread(planner& context, target_id const& target)
+{
+    target_row const* const row = context.targets_.find(target);
+    if (row == nullptr)
+    {
+        return;
+    }
+    std::set<run_key> const unread = row->unread_;
+    for (run_key const& key : unread)
+    {
+        drop_unread(context, key, target);
+        stage_row const* const stage = context.stages_.find(key.stage_);
+        if (stage != nullptr && key.index_ < stage->tasks_.size())
+        {
+            log_note(context, "attempt_settled", key, target,
+                     "no end of it is awaited any more");
+            apply_limit(context, key, target);
+        }
+    }
 }
 
 // 4. Delegated tasks
--- a/plan/job_flow.hpp
+++ b/plan/job_flow.hpp
@@ -62,6 +62,12 @@
 void end_run(planner& context, run_key const& run, target_id const& target,
              run_end end, std::string const& checkpoint);
 
+// Keeps a run that was judged as over as an attempt whose end may be read yet.
+void keep_unread(planner& context, run_key const& run, target_id const& target);
+
+// No end of such runs on the target is awaited any more.
+void settle_unread(planner& context, target_id const& target);
+
 // Removes a run without an end: nothing of it has happened.
 void forget_run(planner& context, run_key const& run);
 
--- a/plan/place_tasks.cpp
+++ b/plan/place_tasks.cpp
@@ -368,7 +368,8 @@
         stage_row const* const stage = context.stages_.find(key.stage_);
         // Without an ended task nothing tells a slow run from a long one.
         if (stage == nullptr || stage->samples_ == 0 ||
-            stage->tasks_[key.index_].runs_ != 1)
+            stage->tasks_[key.index_].runs_ != 1 ||
+            stage->tasks_[key.index_].held_)
         {
             continue;
         }
--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -183,7 +183,9 @@
     for (std::uint32_t index = 0; index < stage.tasks_.size(); ++index)
     {
         task_cell const& task = stage.tasks_[index];
-        if (is_waiting(task) && task.waiting_since_.after(micros) <= now)
+        // An end that is read later has to count where the task is.
+        if (is_waiting(task) && task.unread_runs_.empty() &&
+            task.waiting_since_.after(micros) <= now)
         {
             indices.push_back(index);
         }
@@ -213,7 +215,9 @@
         stage_key const& key = context.stages_.key(row);
         job_row const&   job = *context.jobs_.find(key.job_);
         step_spec const& step = job.spec_->steps_[key.step_];
-        if (may_be_unseen(unseen, job, step))
+        // Also of tasks that may start before unread ends are known.
+        if (may_be_unseen(unseen, job, step) ||
+            (job.recovered_ && unseen.ends_ && !step.perpetual_))
         {
             continue;
         }
--- a/plan/run_ended.hpp
+++ b/plan/run_ended.hpp
@@ -16,7 +16,8 @@
     run_key const     run_;
     target_id const   target_;
     run_end const     end_ = run_end::done;
-    std::string const checkpoint_; // empty: none
+    std::string const checkpoint_;     // empty: none
+    bool const        unread_ = false; // judged: the target may list an end
 
     friend bool operator==(run_ended const&, run_ended const&) = default;
 };
--- a/tests/unit/cell_attempts_test.cpp
+++ b/tests/unit/cell_attempts_test.cpp
@@ -116,8 +116,108 @@
     std::vector<job_call> ignored_;
 };
 
+constexpr std::int64_t after_lapse = 7 * micros_per_second;
 constexpr std::int64_t after_wait = 16 * micros_per_second;
 
+// Guards against a start after the last attempt has failed: the end wasn't read
+// before the lapse, and the task may have copies, so it started at the lapse.
+TEST_CASE_FIXTURE(attempts_fixture,
+                  "copies allowed, last end unread, not started again")
+{
+    submit_step(true);
+    run_all(500'000);
+    fail_until(3);
+    reached_ = false;
+    t1_.end_all(run_end::failed);
+    list_target("t-2");
+    run_all(after_lapse);
+    CHECK(starts_.size() == 3);
+    CHECK(find_phase() == job_phase::running);
+    reached_ = true;
+    run_all(micros_per_second);
+    CHECK(starts_.size() == 3);
+    CHECK(find_phase() == job_phase::failed);
+}
+
+// Guards against a job that fails although its last attempt was done, and
+// against a wait without an end.
+TEST_CASE_FIXTURE(attempts_fixture,
+                  "copies allowed, last end unread, settled by what is read")
+{
+    submit_step(true);
+    run_all(500'000);
+    fail_until(3);
+    reached_ = false;
+    list_target("t-2");
+    SUBCASE("done")
+    {
+        t1_.end_all(run_end::done);
+        run_all(after_lapse);
+        reached_ = true;
+        run_all(micros_per_second);
+        CHECK(starts_.size() == 3);
+        CHECK(find_phase() == job_phase::completed);
+    }
+    SUBCASE("the lease has ended it")
+    {
+        run_all(after_lapse);
+        CHECK(starts_.size() == 3);
+        reached_ = true;
+        run_all(micros_per_second);
+        CHECK(starts_.size() == 4);
+    }
+    SUBCASE("a new life")
+    {
+        run_all(after_lapse);
+        t1_.crash();
+        reached_ = true;
+        run_all(micros_per_second);
+        CHECK(starts_.size() == 4);
+    }
+    SUBCASE("the target stays away, listed")
+    {
+        run_all(after_wait);
+        CHECK(starts_.size() == 4);
+    }
+    SUBCASE("the target stays away, not listed")
+    {
+        post(target_unlisted{target_id("t-1")});
+        run_all(after_wait);
+        CHECK(starts_.size() == 4);
+    }
+}
+
+// Guards against tasks with copies that wait for an end while attempts are
+// left (issue 17).
+TEST_CASE_FIXTURE(attempts_fixture,
+                  "copies allowed, attempts left, starts at the lapse")
+{
+    submit_step(true);
+    run_all(500'000);
+    reached_ = false;
+    list_target("t-2");
+    run_all(after_lapse);
+    CHECK(starts_.size() >= 2);
+}
+
+// Guards against a fourth start in another shard: the failed end was read after
+// the task had been handed over with the count of before.
+TEST_CASE_FIXTURE(attempts_fixture,
+                  "copies allowed, end unread, not handed over before")
+{
+    submit_step(true);
+    run_all(500'000);
+    fail_until(2);
+    reached_ = false;
+    t1_.end_all(run_end::failed);
+    run_all(after_lapse);
+    CHECK(moved_.empty());
+    reached_ = true;
+    run_all(2 * micros_per_second);
+    CHECK(moved_.empty());
+    CHECK(starts_.size() == 3);
+}
+
 // The only target of east was cut off for longer than ends are awaited, and the
 // task was handed over.
 struct late_end_fixture : attempts_fixture
