--- a/cell/read_reports.cpp
+++ b/cell/read_reports.cpp
@@ -89,11 +89,8 @@
     }
     for (run_key const& key : gone)
     {
-        log_event(context, "run_missing",
-                  {{"job", key.stage_.job_.str()},
-                   {"run", std::to_string(key.run_)},
-                   {"target", id.str()}});
         bool const told = !session.runs_.at(key).ended_;
+        log_judged(context, id, key, "it is missing in a complete report");
         session.runs_.erase(key);
         if (told)
         {
@@ -102,6 +99,33 @@
     }
 }
 
+} // namespace
+
+void log_judged(node& context, target_id const& id, run_key const& run,
+                std::string const& why)
+{
+    log_event(context, "run_judged",
+              {{"job", run.stage_.job_.str()},
+               {"step", std::to_string(run.stage_.step_)},
+               {"index", std::to_string(run.index_)},
+               {"run", std::to_string(run.run_)},
+               {"target", id.str()},
+               {"reason", why}});
+}
+
+// All ends of the target were read, or none is awaited any more.
+void note_ends_read(node& context, target_id const& id, session_row& session)
+{
+    if (session.unread_)
+    {
+        session.unread_ = false;
+        tell(context, session, plan::ends_read{id});
+    }
+}
+
+namespace
+{
+
 void apply_report(node& context, session_row& session, target_id const& id,
                   hold_reply const& reply)
 {
@@ -123,6 +147,7 @@
     if (reply.ends_.size() < ends_per_reply)
     {
         apply_missing(context, session, id, seen, reply.clock_ms_);
+        note_ends_read(context, id, session);
     }
 }
 
--- a/cell/session_row.hpp
+++ b/cell/session_row.hpp
@@ -50,6 +50,7 @@
 
     // Runs and ends
     std::map<run_key, session_run> runs_;
+    bool unread_ = false; // runs ended by the lapse, their ends may be listed
     std::uint64_t                  forgotten_ = 0; // forgotten by the target
     std::uint64_t                  processed_ = 0; // highest end applied
     std::deque<unstored_end>       unstored_;
--- a/cell/sessions.hpp
+++ b/cell/sessions.hpp
@@ -4,6 +4,7 @@
 #define FESCUEVANE_CELL_SESSIONS_HPP
 
 #include "cell/node.hpp"
+#include "core/run_outlook.hpp"
 
 #include <cstdint>
 #include <string>
@@ -30,10 +31,15 @@
 bool awaits_late_starts(session_row const& session);
 bool has_late_starts(node const& context, session_row const& session);
 
+// Runs without a reported end
+void log_judged(node& context, target_id const& id, run_key const& run,
+                std::string const& why);
+void note_ends_read(node& context, target_id const& id, session_row& session);
+
 // Clocks and leases
 std::int64_t target_clock(session_row const& session, instant now);
 instant      find_lapse(node const& context, session_row const& session);
-instant      find_give_up(node const& context, session_row const& session);
+run_outlook  find_outlook(node const& context, session_row const& session);
 bool         is_answering(session_row const& session);
 
 // Replies that show another epoch or another life. True when the reply ends
--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -189,7 +189,9 @@
     for (std::uint32_t index = 0; index < stage.tasks_.size(); ++index)
     {
         task_cell const& task = stage.tasks_[index];
-        if (is_waiting(task) && task.waiting_since_.after(micros) <= now)
+        // An end that is read later has to count where the task is.
+        if (is_waiting(task) && task.unread_runs_.empty() &&
+            task.waiting_since_.after(micros) <= now)
         {
             indices.push_back(index);
         }
@@ -219,7 +221,9 @@
         stage_key const& key = context.stages_.key(row);
         job_row const&   job = *context.jobs_.find(key.job_);
         step_spec const& step = job.spec_->steps_[key.step_];
-        if (may_be_unseen(unseen, job, step))
+        // Also of tasks that may start before unread ends are known.
+        if (may_be_unseen(unseen, job, step) ||
+            (job.recovered_ && unseen.ends_ && !step.perpetual_))
         {
             continue;
         }
@@ -272,7 +276,8 @@
     for (std::uint32_t index = 0;
          stage != nullptr && index < stage->tasks_.size(); ++index)
     {
-        if (stage->tasks_[index].delegate_ == delegate)
+        task_cell const& task = stage->tasks_[index];
+        if (task.delegate_ == delegate && !task.done_)
         {
             tasks.indices_.push_back(index);
         }
@@ -280,6 +285,23 @@
     return tasks;
 }
 
+bool is_delegate_over(planner const& context, stage_key const& key,
+                      job_id const& delegate)
+{
+    if (stage_row const* const stage = context.stages_.find(key))
+    {
+        return std::none_of(stage->tasks_.begin(), stage->tasks_.end(),
+                            [&delegate](task_cell const& task)
+                            {
+                                return task.delegate_ == delegate &&
+                                       !task.done_;
+                            });
+    }
+    // One that hasn't been opened yet may still have such tasks.
+    job_row const* const job = context.jobs_.find(key.job_);
+    return job != nullptr && key.occurrence_ < job->next_occurrence_;
+}
+
 std::shared_ptr<staged_job const> make_delegate(planner const&  context,
                                                 overflow const& tasks,
                                                 job_id const&   delegate)
