Offer a stage to all shards before it moves

A stage that its shard can't run was moved from shard to shard, 1.3 to 4.2 s a move, six times at most, and stayed for good in the last one.

A blocked stage, or a gang that has waited for some time, is now offered to all other shards at once. Each asks the policy service about its own targets and tells how many tasks fit now, with tickets, and how many later. The stage moves once, to the best answer; the round is repeated while there is none. Tasks that can't be run there after all, and of which no run can have begun, go back: the job that stands for them ends as canceled, and a look-up is told so only when that is stored. The bounds of six moves and of half a load, and the marks in names, are gone.

Three tests of the cell failed before: a gang and a wide step that one shard of eight may run (0 of 12 tasks started after 6 s), and both with lasting work in that shard (0 of 12 started 12 s after its end).

Not measured on the deployments yet.

--- a/bench/planner_fleet.cpp
+++ b/bench/planner_fleet.cpp
@@ -398,6 +398,9 @@
                     order.why_);
 }
 
+// No other shard offers jobs to the fleet.
+void planner_fleet::obey(plan::answer_offer const& /*order*/) {}
+
 // 5. Ticks
 
 planner_sample planner_fleet::tick()
--- a/bench/planner_fleet.hpp
+++ b/bench/planner_fleet.hpp
@@ -72,6 +72,7 @@
     void obey(plan::ask_advice const& order);
     void obey(plan::job_changed const& order);
     void obey(plan::note const& order);
+    void obey(plan::answer_offer const& order);
     void add_to_checksum(std::string const& text);
 
     std::mt19937_64                          random_;
--- a/cell/call_kind.hpp
+++ b/cell/call_kind.hpp
@@ -11,7 +11,8 @@
 {
     submit,
     lookup,
-    cancel
+    cancel,
+    offer // whether tasks could run, only between owners
 };
 
 } // namespace fescuevane::cell
--- a/cell/delegate_tasks.cpp
+++ b/cell/delegate_tasks.cpp
@@ -13,7 +13,6 @@
 #include "cell/node.hpp"
 
 #include "cell/records.hpp"
-#include "core/hashing.hpp"
 #include "plan/overflow.hpp"
 
 #include <algorithm>
@@ -22,7 +21,6 @@
 #include <map>
 #include <optional>
 #include <set>
-#include <sstream>
 #include <utility>
 
 namespace fescuevane::cell
@@ -129,15 +127,11 @@
 // is full everywhere spent more on them than on starts.
 constexpr double max_delegate_load = 0.9;
 
-// A gang that was handed over before moves on to shards that are less loaded
-// than this without it, and where it wasn't yet. What it lacks is room on many
-// of the targets that the policy service allows, which differ in each shard.
-constexpr double max_spare_load = 0.5;
-
 // Tasks that wait for room move once: handing them on and on would only move
-// the wait. Blocked ones may have to try each shard, and so may gangs.
+// the wait.
 constexpr std::int64_t max_depth = 1;
-constexpr std::int64_t max_far_depth = 6;
+
+} // namespace
 
 double expect_load(shard_row const& shard, resources const& more)
 {
@@ -150,75 +144,56 @@
     return std::max(cpu, memory);
 }
 
-resources demand_of(plan::overflow const& tasks)
+std::vector<shard_id> list_receivers(node const& context, shard_id const& from,
+                                     service_id const& service,
+                                     step_spec const&  step)
 {
-    return tasks.demand_ * static_cast<std::int64_t>(tasks.indices_.size());
-}
-
-// The name of a job that stands for tasks of another one holds a mark of each
-// shard that the tasks have left.
-std::string write_mark(shard_id const& shard)
-{
-    constexpr std::uint64_t mark_values = 0x10000;
-    std::ostringstream      text;
-    text << '-' << std::hex
-         << compute_stable_hash(write_shard_name(shard)) % mark_values;
-    return text.str();
+    std::set<shard_id> const unfit = list_unfit(context, service, step);
+    std::vector<shard_id>    found;
+    for (std::size_t row = 0; row < context.shards_.size(); ++row)
+    {
+        shard_id const&       id = context.shards_.key(row);
+        shard_row const&      shard = context.shards_[row];
+        bool const            heard = !is_silent(context, shard.confirmed_at_);
+        host_row const* const host = context.hosts_.find(shard.owner_);
+        if (id != from && !context.out_.contains(id.domain_) && heard &&
+            shard.serving_ && !unfit.contains(id) &&
+            (host == nullptr || (host->store_ok_ && !host->stopping_)) &&
+            shard.load_.capacity_.cpu_millis() > 0)
+        {
+            found.push_back(id);
+        }
+    }
+    return found;
 }
 
-bool was_in(job_id const& job, shard_id const& shard)
+namespace
 {
-    // Marks are followed by the next part of the name, or end it.
-    return (job.str() + '~').find(write_mark(shard) + '~') != std::string::npos;
-}
 
-bool may_take(shard_id const& id, shard_row const& shard,
-              plan::overflow const& tasks)
+resources demand_of(plan::overflow const& tasks)
 {
-    if (tasks.blocked_)
-    {
-        return true;
-    }
-    bool const moved = plan::count_handovers(tasks.stage_.job_) >= max_depth;
-    return expect_load(shard, demand_of(tasks)) < max_delegate_load &&
-           (!moved || (expect_load(shard, {}) < max_spare_load &&
-                       !was_in(tasks.stage_.job_, id)));
+    return tasks.demand_ * static_cast<std::int64_t>(tasks.indices_.size());
 }
 
 // The shard with the lowest load, if it has room for the tasks; shards of other
-// failure domains count as more loaded. Tasks that this shard can never run go
-// to any that may be able to.
+// failure domains count as more loaded.
 std::optional<shard_id> choose_delegate(node const&           context,
                                         shard_id const&       from,
                                         plan::overflow const& tasks)
 {
     std::shared_ptr<staged_job const> const job =
         plan::find_job(*context.owned_.find(from)->planner_, tasks.stage_.job_);
-    std::set<shard_id> const unfit =
-        list_unfit(context, job->service_, job->steps_.at(tasks.stage_.step_));
     std::optional<shard_id> best;
-    std::pair<bool, double> least{true, std::numeric_limits<double>::max()};
-    for (std::size_t row = 0; row < context.shards_.size(); ++row)
-    {
-        shard_id const&       id = context.shards_.key(row);
-        shard_row const&      shard = context.shards_[row];
-        bool const            heard = !is_silent(context, shard.confirmed_at_);
-        host_row const* const host = context.hosts_.find(shard.owner_);
-        if (id == from || context.out_.contains(id.domain_) || !heard ||
-            !shard.serving_ || unfit.contains(id) ||
-            (host != nullptr && (!host->store_ok_ || host->stopping_)))
-        {
-            continue;
-        }
-        double const load = expect_load(shard, demand_of(tasks));
-        // Shards that couldn't run the tasks before are tried last.
-        std::pair<bool, double> const cost{
-            was_in(tasks.stage_.job_, id),
-            load + (id.domain_ == from.domain_
-                        ? 0
-                        : context.settings_.remote_cost_)};
-        if (shard.load_.capacity_.cpu_millis() > 0 &&
-            may_take(id, shard, tasks) && cost < least)
+    double                  least = std::numeric_limits<double>::max();
+    for (shard_id const& id : list_receivers(
+             context, from, job->service_, job->steps_.at(tasks.stage_.step_)))
+    {
+        double const load =
+            expect_load(*context.shards_.find(id), demand_of(tasks));
+        double const cost =
+            load +
+            (id.domain_ == from.domain_ ? 0 : context.settings_.remote_cost_);
+        if (load < max_delegate_load && cost < least)
         {
             best = id;
             least = cost;
@@ -227,22 +202,14 @@
     return best;
 }
 
-std::int64_t find_max_depth(plan::planner const&  planner,
-                            plan::overflow const& tasks)
-{
-    stage_key const&                        stage = tasks.stage_;
-    std::shared_ptr<staged_job const> const job =
-        plan::find_job(planner, stage.job_);
-    return tasks.blocked_ || job->steps_.at(stage.step_).gang_ ? max_far_depth
-                                                               : max_depth;
-}
+} // namespace
 
 void begin_delegation(node& context, shard_id const& shard, owned_row& own,
                       plan::overflow const& tasks, shard_id const& target)
 {
     job_id const&   parent = tasks.stage_.job_;
     job_id const    id(parent.str() + "~" + std::to_string(own.epoch_) + "-" +
-                       std::to_string(next_request(context)) + write_mark(shard));
+                       std::to_string(next_request(context)));
     delegation_row& row = context.delegations_.ensure(id);
     row = delegation_row{.shard_ = shard,
                          .stage_ = tasks.stage_,
@@ -262,6 +229,23 @@
                {"shard", write_shard_name(target)}});
 }
 
+// The job ends here as canceled, which tells the shard that it comes from that
+// its tasks are back. That shard is told when the end is stored, so that no
+// later owner of this one starts them.
+void return_tasks(node& context, job_id const& delegate)
+{
+    record_row* const record = context.records_.find(delegate);
+    if (record == nullptr || !record->stored_ || record->canceled_)
+    {
+        return;
+    }
+    cancel_job(context, *record);
+    log_event(context, "tasks_returned", {{"job", delegate.str()}});
+}
+
+namespace
+{
+
 void find_overflow(node& context)
 {
     if (context.delegate_at_ > context.now_)
@@ -289,8 +273,12 @@
              plan::list_overflow(*own.planner_, context.now_,
                                  context.settings_.overflow_micros_))
         {
-            if (plan::count_handovers(tasks.stage_.job_) >=
-                find_max_depth(*own.planner_, tasks))
+            if (needs_offer(context, shard, tasks))
+            {
+                offer_stage(context, shard, tasks);
+                continue;
+            }
+            if (plan::count_handovers(tasks.stage_.job_) >= max_depth)
             {
                 continue;
             }
--- a/cell/drive_planners.cpp
+++ b/cell/drive_planners.cpp
@@ -284,6 +284,8 @@
 void send_to_asker(node& context, shard_id const& shard,
                    plan::ask_advice const& question)
 {
+    auto const job = plan::find_job(*context.owned_.find(shard)->planner_,
+                                    question.stage_.job_);
     std::int64_t const micros = answer_micros(context, shard, question);
     bool const    is_long = micros > context.settings_.advice_owner_micros_;
     host_id const asker = choose_asker(context, micros, is_long);
@@ -301,8 +303,8 @@
         asker, micros};
     context.outbox_.push_back(send_question{
         .request_ = request,
-        .question_ = {.stage_ =
-                          to_original(context, {question.stage_, 0, 0}).stage_,
+        .question_ = {.stage_ = job && job->alias_ ? job->alias_->stage_
+                                                   : question.stage_,
                       .targets_ = question.targets_,
                       .validity_ms_ = question.validity_ms_},
         .address_ = asker == context.settings_.host_
@@ -347,6 +349,11 @@
         send_to_asker(context_, shard_, order);
     }
 
+    void operator()(plan::answer_offer const& order) const
+    {
+        tell_offer(context_, shard_, order);
+    }
+
     void operator()(plan::job_changed const& order) const
     {
         mark_changed(context_, order.id_, false);
--- a/cell/job_answer.hpp
+++ b/cell/job_answer.hpp
@@ -16,6 +16,10 @@
     job_phase    phase_ = job_phase::pending; // when known
     std::int64_t retry_after_ms_ = 0;         // 0: not said
 
+    // Of an offer: tasks that could start, and could once other work has ended.
+    std::uint32_t fit_now_ = 0;
+    std::uint32_t fit_later_ = 0;
+
     friend bool operator==(job_answer const&, job_answer const&) = default;
 };
 
--- a/cell/job_call.hpp
+++ b/cell/job_call.hpp
@@ -15,11 +15,12 @@
 
 struct job_call
 {
-    call_kind const                         kind_ = call_kind::lookup;
-    job_id const                            id_;
-    shard_id const                          shard_;
-    std::shared_ptr<staged_job const> const job_; // of a submission, else null
-    instant const                           deadline_;
+    call_kind const kind_ = call_kind::lookup;
+    job_id const    id_;
+    shard_id const  shard_;
+    std::shared_ptr<staged_job const> const
+                  job_; // submitted or offered, else null
+    instant const deadline_;
 
     friend bool operator==(job_call const&, job_call const&) = default;
 };
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -15,6 +15,8 @@
 #include "cell/job_record.hpp"
 #include "cell/layout_row.hpp"
 #include "cell/limit_turn.hpp"
+#include "cell/offer_round_row.hpp"
+#include "cell/offered_row.hpp"
 #include "cell/order_row.hpp"
 #include "cell/owned_row.hpp"
 #include "cell/parked_call.hpp"
@@ -86,6 +88,10 @@
         aliases_; // tasks that owned jobs stand for, by their original names
     instant delegate_at_; // next look for tasks without room
 
+    table<stage_key, offer_round_row>  offer_rounds_;   // of owned shards
+    std::map<std::uint64_t, stage_key> offer_requests_; // without an answer
+    std::map<origin, offered_row>      offered_;        // to owned shards
+
     // Store
     bool          store_ok_ = true;
     instant       store_word_;       // latest answer
@@ -116,6 +122,7 @@
 void claim_shards(node& context);    // without an owner
 void load_shards(node& context);     // fence and read
 void drive_planners(node& context);  // plan ticks, their orders
+void offer_stages(node& context);    // stages that their shard can't run
 void delegate_tasks(node& context);  // tasks without room to other shards
 void record_grants(node& context);   // targets with leases, to the store
 void grant_turns(node& context);     // claims to limits, one after another
@@ -264,11 +271,40 @@
 bool                end_delegate_call(node& context, std::uint64_t call,
                                       job_answer const& answer); // false: another call
 
+// Load of a shard with `more` work, as a share of its capacity.
+double expect_load(shard_row const& shard, resources const& more);
+// Other shards that take tasks of the step now, whatever their room.
+std::vector<shard_id> list_receivers(node const& context, shard_id const& from,
+                                     service_id const& service,
+                                     step_spec const&  step);
+// Hands tasks over to another shard.
+void begin_delegation(node& context, shard_id const& shard, owned_row& own,
+                      plan::overflow const& tasks, shard_id const& target);
+// Hands the tasks of a job that stands for them back.
+void return_tasks(node& context, job_id const& delegate);
+
+// Offers
+// True for tasks that move only to a shard which has answered.
+bool needs_offer(node const& context, shard_id const& shard,
+                 plan::overflow const& tasks);
+void offer_stage(node& context, shard_id const& shard,
+                 plan::overflow const& tasks);
+bool end_offer(node& context, std::uint64_t request,
+               job_answer const& answer); // false: another request
+void serve_offer(node& context, origin const& from, job_call const& call);
+void tell_offer(node& context, shard_id const& shard,
+                plan::answer_offer const& answer);
+void expire_offers(node& context);
+
 // Calls
 void serve_call(node& context, origin const& from, job_call const& call);
 void answer_origin(node& context, origin const& to, job_answer const& answer);
 job_phase phase_of(node const& context, record_row const& record);
-void      answer_lookups(node& context, record_row& record);
+// False while the tasks of a canceled job may still start here: another owner
+// would find it as it was.
+bool is_phase_stored(record_row const& record);
+void cancel_job(node& context, record_row& record);
+void answer_lookups(node& context, record_row& record);
 void apply_answer(node& context, std::uint64_t call, job_answer const& answer);
 void open_call(node& context, std::uint64_t id, call_row call);
 void set_policies(node& context, shard_id const& shard);
--- /dev/null
+++ b/cell/offer_stages.cpp
@@ -0,0 +1,338 @@
+// Purpose: system: finds a shard for stages that their own shard can't run.
+//
+// A stage that is blocked, or a gang that has waited for some time, is offered
+// to all other shards at once: which targets the policy service allows it, and
+// what room they have, differ in each of them. It then moves once, to the shard
+// that could run the most of it. There is no last round: while no shard can run
+// the stage, they are asked again after a growing pause. Tasks that were moved
+// and can't be run there after all go back to the shard that they come from,
+// which asks anew.
+//
+// Index of sections
+//   1. Rounds
+//   2. Answers
+//   3. Decisions
+//   4. Ticks
+#include "cell/node.hpp"
+
+#include "cell/records.hpp"
+#include "plan/overflow.hpp"
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+namespace fescuevane::cell
+{
+namespace
+{
+
+// 1. Rounds
+
+// A stage that hasn't asked for this long starts with the shortest pause again.
+constexpr std::int64_t forget_micros = 30'000'000;
+
+// Doubles with each round, up to a bound.
+std::int64_t find_pause(settings const& values, std::uint32_t rounds)
+{
+    constexpr std::uint32_t max_doublings = 8;
+    return std::min(values.offer_pause_max_micros_,
+                    values.offer_pause_micros_
+                        << std::min(rounds, max_doublings));
+}
+
+// Name under which a stage is offered; the same in each round.
+job_id name_offer(stage_key const& stage)
+{
+    return job_id(stage.job_.str() + "~offer-" +
+                  std::to_string(stage.occurrence_) + "-" +
+                  std::to_string(stage.step_));
+}
+
+// Loads are as old as the latest heartbeat. A shard with too little room for a
+// part of the stage isn't asked: each offer costs it questions to the policy
+// service.
+bool may_have_room(shard_row const& shard, step_spec const& step,
+                   plan::overflow const& tasks)
+{
+    resources const room = tasks.blocked_
+                               ? shard.load_.capacity_
+                               : shard.load_.capacity_ - shard.load_.used_;
+    // Fillers use processors that others leave.
+    resources const    demand = step.filler_
+                                    ? resources(0, step.demand_.memory_mib(),
+                                                step.demand_.accelerators())
+                                    : step.demand_;
+    std::int64_t const needed =
+        step.gang_ ? static_cast<std::int64_t>(tasks.indices_.size()) : 1;
+    return (demand * needed).fits_in(room);
+}
+
+bool has_open_round(node const& context, shard_id const& shard)
+{
+    return std::any_of(context.offer_rounds_.begin(),
+                       context.offer_rounds_.end(),
+                       [&shard](offer_round_row const& round)
+                       {
+                           return round.open_ && round.shard_ == shard;
+                       });
+}
+
+void ask_shard(node& context, stage_key const& stage, offer_round_row& round,
+               shard_id const&                          shard,
+               std::shared_ptr<staged_job const> const& job)
+{
+    std::uint64_t const request = next_request(context);
+    round.asked_.emplace(request, shard);
+    context.offer_requests_.emplace(request, stage);
+    job_call const call{.kind_ = call_kind::offer,
+                        .id_ = job->id_,
+                        .shard_ = shard,
+                        .job_ = job,
+                        .deadline_ = round.answer_by_};
+    if (owns(context, shard, owned_phase::serving))
+    {
+        serve_offer(context, {false, request}, call);
+        return;
+    }
+    context.outbox_.push_back(
+        call_peer{request, context.shards_.find(shard)->address_, call});
+}
+
+void begin_round(node& context, shard_id const& shard,
+                 plan::overflow const& tasks)
+{
+    plan::planner const& planner = *context.owned_.find(shard)->planner_;
+    std::shared_ptr<staged_job const> const job =
+        plan::make_delegate(planner, tasks, name_offer(tasks.stage_));
+    step_spec const&      step = job->steps_.front();
+    std::vector<shard_id> receivers =
+        list_receivers(context, shard, job->service_, step);
+    std::erase_if(receivers,
+                  [&](shard_id const& receiver)
+                  {
+                      return !may_have_room(*context.shards_.find(receiver),
+                                            step, tasks);
+                  });
+    offer_round_row& round = context.offer_rounds_.ensure(tasks.stage_);
+    round.shard_ = shard;
+    round.open_ = true;
+    round.offers_.clear();
+    round.answer_by_ =
+        context.now_.after(context.settings_.offer_micros_ +
+                           context.settings_.offer_slack_micros_);
+    round.forget_at_ = context.now_.after(forget_micros);
+    log_event(context, "offer_round",
+              {{"job", tasks.stage_.job_.str()},
+               {"step", std::to_string(tasks.stage_.step_)},
+               {"tasks", std::to_string(tasks.indices_.size())},
+               {"blocked", tasks.blocked_ ? "true" : "false"},
+               {"round", std::to_string(round.rounds_)},
+               {"shards", std::to_string(receivers.size())}});
+    for (shard_id const& receiver : receivers)
+    {
+        ask_shard(context, tasks.stage_, round, receiver, job);
+    }
+    wake_at(context, context.now_);
+}
+
+void end_round(node& context, offer_round_row& round)
+{
+    for (auto const& [request, shard] : round.asked_)
+    {
+        context.offer_requests_.erase(request);
+    }
+    round.asked_.clear();
+    round.open_ = false;
+    round.next_at_ =
+        context.now_.after(find_pause(context.settings_, round.rounds_++));
+}
+
+} // namespace
+
+bool needs_offer(node const& context, shard_id const& shard,
+                 plan::overflow const& tasks)
+{
+    auto const job = plan::find_job(*context.owned_.find(shard)->planner_,
+                                    tasks.stage_.job_);
+    return tasks.blocked_ || job->steps_.at(tasks.stage_.step_).gang_;
+}
+
+void offer_stage(node& context, shard_id const& shard,
+                 plan::overflow const& tasks)
+{
+    plan::planner const& planner = *context.owned_.find(shard)->planner_;
+    bool const           moved =
+        plan::find_job(planner, tasks.stage_.job_)->alias_.has_value();
+    // A gang may move to room that ends of other work have to make.
+    if (moved && !tasks.blocked_ &&
+        tasks.since_.after(context.settings_.moved_gang_micros_) > context.now_)
+    {
+        return;
+    }
+    if (moved && plan::is_untouched(planner, tasks.stage_))
+    {
+        return_tasks(context, tasks.stage_.job_);
+        return;
+    }
+    offer_round_row const* const round =
+        context.offer_rounds_.find(tasks.stage_);
+    // One round at a time bounds what a shard costs the others.
+    if (!has_open_round(context, shard) &&
+        (round == nullptr || round->next_at_ <= context.now_))
+    {
+        begin_round(context, shard, tasks);
+    }
+}
+
+// 2. Answers
+
+bool end_offer(node& context, std::uint64_t request, job_answer const& answer)
+{
+    auto const found = context.offer_requests_.find(request);
+    if (found == context.offer_requests_.end())
+    {
+        return false;
+    }
+    offer_round_row* const round = context.offer_rounds_.find(found->second);
+    context.offer_requests_.erase(found);
+    if (round != nullptr)
+    {
+        auto const asked = round->asked_.find(request);
+        if (answer.outcome_ == job_outcome::known)
+        {
+            round->offers_.push_back(
+                {asked->second, answer.fit_now_, answer.fit_later_});
+        }
+        round->asked_.erase(asked);
+        wake_at(context, context.now_);
+    }
+    return true;
+}
+
+// 3. Decisions
+
+namespace
+{
+
+struct choice
+{
+    std::optional<shard_offer> best_;
+    bool all_now_ = false; // it has room and tickets for all of the tasks
+};
+
+// The most tasks that can start now, then those that can later; then the least
+// load. Tasks move to room that is still taken only when their own shard can't
+// run them at all.
+choice choose_offer(node const& context, shard_id const& from,
+                    step_spec const& step, plan::overflow const& tasks,
+                    offer_round_row const& round)
+{
+    auto const count = static_cast<std::uint32_t>(tasks.indices_.size());
+    std::uint32_t const         needed = step.gang_ ? count : 1;
+    std::vector<shard_id> const receivers = list_receivers(
+        context, from,
+        plan::find_job(*context.owned_.find(from)->planner_, tasks.stage_.job_)
+            ->service_,
+        step);
+    choice                                           chosen;
+    std::tuple<std::uint32_t, std::uint32_t, double> most;
+    for (shard_offer const& offer : round.offers_)
+    {
+        std::uint32_t const now =
+            offer.fit_now_ >= needed ? std::min(offer.fit_now_, count) : 0;
+        std::uint32_t const later = tasks.blocked_ && offer.fit_later_ >= needed
+                                        ? std::min(offer.fit_later_, count)
+                                        : 0;
+        std::tuple const    value(
+               now, later, -expect_load(*context.shards_.find(offer.shard_), {}));
+        bool const receives = std::find(receivers.begin(), receivers.end(),
+                                        offer.shard_) != receivers.end();
+        if (receives && now + later > 0 && (!chosen.best_ || value > most))
+        {
+            chosen = {offer, now == count};
+            most = value;
+        }
+    }
+    return chosen;
+}
+
+// Rounds of stages that run, have ended or are in another shard now.
+bool is_over(node const& context, stage_key const& stage,
+             offer_round_row const& round)
+{
+    owned_row const* const own = context.owned_.find(round.shard_);
+    return own == nullptr || own->phase_ != owned_phase::serving ||
+           own->releasing_ || !plan::find_job(*own->planner_, stage.job_) ||
+           (!round.open_ && round.forget_at_ <= context.now_);
+}
+
+void decide_round(node& context, stage_key const& stage, offer_round_row& round)
+{
+    shard_id const shard = round.shard_;
+    owned_row&     own = *context.owned_.find(shard);
+    if (own.plan_needed_)
+    {
+        wake_at(context, own.plan_after_);
+        return; // the planner may just be starting it
+    }
+    auto const tasks = plan::find_waiting(*own.planner_, stage);
+    if (!tasks)
+    {
+        end_round(context, round);
+        return;
+    }
+    step_spec const step =
+        plan::find_job(*own.planner_, stage.job_)->steps_.at(stage.step_);
+    choice const chosen = choose_offer(context, shard, step, *tasks, round);
+    if (!chosen.all_now_ && !round.asked_.empty() &&
+        round.answer_by_ > context.now_)
+    {
+        wake_at(context, round.answer_by_);
+        return;
+    }
+    log_event(
+        context, "offer_decided",
+        {{"job", stage.job_.str()},
+         {"step", std::to_string(stage.step_)},
+         {"answers", std::to_string(round.offers_.size())},
+         {"unanswered", std::to_string(round.asked_.size())},
+         {"shard",
+          chosen.best_ ? write_shard_name(chosen.best_->shard_) : "none"},
+         {"now", std::to_string(chosen.best_ ? chosen.best_->fit_now_ : 0)},
+         {"later",
+          std::to_string(chosen.best_ ? chosen.best_->fit_later_ : 0)}});
+    end_round(context, round);
+    if (chosen.best_ && context.store_ok_ && !context.stopping_)
+    {
+        begin_delegation(context, shard, own, *tasks, chosen.best_->shard_);
+    }
+}
+
+} // namespace
+
+// 4. Ticks
+
+void offer_stages(node& context)
+{
+    expire_offers(context);
+    std::vector<stage_key> const stages = context.offer_rounds_.keys();
+    for (stage_key const& stage : stages)
+    {
+        offer_round_row& round = *context.offer_rounds_.find(stage);
+        if (is_over(context, stage, round))
+        {
+            end_round(context, round);
+            context.offer_rounds_.remove(stage);
+        }
+        else if (round.open_)
+        {
+            decide_round(context, stage, round);
+        }
+    }
+}
+
+} // namespace fescuevane::cell
--- a/cell/route_calls.cpp
+++ b/cell/route_calls.cpp
@@ -338,6 +338,10 @@
 
 void apply(node& context, peer_replied const& input)
 {
+    if (end_offer(context, input.request_, input.answer_))
+    {
+        return;
+    }
     auto const passed = context.passed_.find(input.request_);
     if (passed == context.passed_.end())
     {
--- a/cell/serve_calls.cpp
+++ b/cell/serve_calls.cpp
@@ -87,6 +87,23 @@
         .value_or(record.phase_);
 }
 
+bool is_phase_stored(record_row const& record)
+{
+    return !record.canceled_ || record.saved_ >= record.cancel_change_;
+}
+
+void cancel_job(node& context, record_row& record)
+{
+    job_id const id = record.job_->id_;
+    record.canceled_ = true;
+    owned_row& own = *context.owned_.find(record.shard_);
+    plan::post_event(*own.planner_, plan::job_canceled{id});
+    own.plan_needed_ = true;
+    wake_at(context, context.now_);
+    mark_changed(context, id, true);
+    record.cancel_change_ = record.changed_;
+}
+
 namespace
 {
 
@@ -104,7 +121,7 @@
         return;
     }
     job_phase const phase = phase_of(context, *record);
-    if (record->job_->alias_ && !is_final(phase))
+    if (record->job_->alias_ && (!is_final(phase) || !is_phase_stored(*record)))
     {
         // Only the shard that handed the tasks on asks, and for their end.
         add_waiting_call(context, *context.records_.find(call.id_),
@@ -129,8 +146,7 @@
         return;
     }
     bool const ended = is_final(phase_of(context, *record));
-    if (ended &&
-        (!record->canceled_ || record->saved_ >= record->cancel_change_))
+    if (ended && is_phase_stored(*record))
     {
         answer_origin(context, from, {.outcome_ = job_outcome::canceled});
         return;
@@ -141,19 +157,13 @@
     {
         return;
     }
-    record->canceled_ = true;
-    owned_row& own = *context.owned_.find(record->shard_);
-    plan::post_event(*own.planner_, plan::job_canceled{call.id_});
-    own.plan_needed_ = true;
-    wake_at(context, context.now_);
+    cancel_job(context, *record);
     log_event(context, "job_canceled", {{"job", call.id_.str()}});
-    mark_changed(context, call.id_, true);
-    record->cancel_change_ = record->changed_;
 }
 
 // In the order of `call_kind`.
-constexpr std::array<void (*)(node&, origin const&, job_call const&), 3>
-    call_handlers = {&serve_submit, &serve_lookup, &serve_cancel};
+constexpr std::array<void (*)(node&, origin const&, job_call const&), 4>
+    call_handlers = {&serve_submit, &serve_lookup, &serve_cancel, &serve_offer};
 
 } // namespace
 
--- a/cell/settings.hpp
+++ b/cell/settings.hpp
@@ -103,6 +103,16 @@
     std::int64_t delegate_micros_ = 250'000;      // between looks
     std::int64_t delegate_poll_micros_ = 150'000; // of a job elsewhere
 
+    // Stages that their shard can't run are offered to all others. An answer
+    // takes two questions to the policy service, of up to 1.3 s each.
+    std::int64_t offer_micros_ = 2'500'000;
+    std::int64_t offer_slack_micros_ = 500'000;   // for the way of the answer
+    std::int64_t offer_pause_micros_ = 1'000'000; // to the next round, doubles
+    std::int64_t offer_pause_max_micros_ = 4'000'000;
+    // A gang that was moved waits so long for the end of other work: past the
+    // time in which room is kept for it.
+    std::int64_t moved_gang_micros_ = 8'000'000;
+
     // Calls
     std::int64_t answer_margin_micros_ = 200'000; // before a caller's deadline
     std::int64_t route_retry_micros_ = 60'000;
--- /dev/null
+++ b/cell/shard_offer.hpp
@@ -0,0 +1,23 @@
+// Purpose: what a shard could run of a stage of another shard.
+#ifndef FESCUEVANE_CELL_SHARD_OFFER_HPP
+#define FESCUEVANE_CELL_SHARD_OFFER_HPP
+
+#include "core/shard_id.hpp"
+
+#include <cstdint>
+
+namespace fescuevane::cell
+{
+
+struct shard_offer
+{
+    shard_id      shard_;
+    std::uint32_t fit_now_ = 0;   // tasks
+    std::uint32_t fit_later_ = 0; // once other work there has ended
+
+    friend bool operator==(shard_offer const&, shard_offer const&) = default;
+};
+
+} // namespace fescuevane::cell
+
+#endif
--- a/cell/write_journal.cpp
+++ b/cell/write_journal.cpp
@@ -175,7 +175,8 @@
     if (call.kind_ == call_kind::lookup)
     {
         return {.outcome_ = job_outcome::known,
-                .phase_ = phase_of(context, record)};
+                .phase_ = is_phase_stored(record) ? phase_of(context, record)
+                                                  : job_phase::running};
     }
     return {.outcome_ = job_outcome::uncertain};
 }
@@ -280,7 +281,7 @@
 void answer_lookups(node& context, record_row& record)
 {
     job_phase const phase = phase_of(context, record);
-    if (!is_final(phase))
+    if (!is_final(phase) || !is_phase_stored(record))
     {
         return;
     }
@@ -371,6 +372,7 @@
     {
         answer_waiting(context, *record, call_kind::cancel,
                        job_outcome::canceled);
+        answer_lookups(context, *record);
     }
     if (record->changed_ > record->saved_)
     {
--- a/peer/peer_codec.cpp
+++ b/peer/peer_codec.cpp
@@ -139,13 +139,13 @@
 
 cell::job_call decode_call(cell::v1::JobCall const& message, instant now)
 {
-    if (message.kind() < 0 || message.kind() > cell::v1::CANCEL)
+    if (message.kind() < 0 || message.kind() > cell::v1::OFFER)
     {
         throw peer_error("kind of a call: " + std::to_string(message.kind()));
     }
     auto const kind = static_cast<cell::call_kind>(message.kind());
     std::shared_ptr<staged_job const> job;
-    if (kind == cell::call_kind::submit)
+    if (kind == cell::call_kind::submit || kind == cell::call_kind::offer)
     {
         try
         {
@@ -169,6 +169,8 @@
     message.set_outcome(static_cast<std::uint32_t>(answer.outcome_));
     message.set_phase(static_cast<std::uint32_t>(answer.phase_));
     message.set_retry_after_ms(answer.retry_after_ms_);
+    message.set_fit_now(answer.fit_now_);
+    message.set_fit_later(answer.fit_later_);
     return message;
 }
 
@@ -183,7 +185,9 @@
     }
     return {.outcome_ = static_cast<cell::job_outcome>(message.outcome()),
             .phase_ = static_cast<job_phase>(message.phase()),
-            .retry_after_ms_ = message.retry_after_ms()};
+            .retry_after_ms_ = message.retry_after_ms(),
+            .fit_now_ = message.fit_now(),
+            .fit_later_ = message.fit_later()};
 }
 
 cell::v1::AdviceCall encode_question(cell::send_question const& question,
--- /dev/null
+++ b/plan/answer_offer.hpp
@@ -0,0 +1,23 @@
+// Purpose: command: tell how many tasks of an offered job could run here.
+#ifndef FESCUEVANE_PLAN_ANSWER_OFFER_HPP
+#define FESCUEVANE_PLAN_ANSWER_OFFER_HPP
+
+#include "core/ids.hpp"
+
+#include <cstdint>
+
+namespace fescuevane::plan
+{
+
+struct answer_offer
+{
+    job_id const        id_;
+    std::uint32_t const fit_now_ = 0;   // have room, and tickets where needed
+    std::uint32_t const fit_later_ = 0; // the same once other work has ended
+
+    friend bool operator==(answer_offer const&, answer_offer const&) = default;
+};
+
+} // namespace fescuevane::plan
+
+#endif
--- a/plan/apply_events.cpp
+++ b/plan/apply_events.cpp
@@ -8,6 +8,7 @@
 //   5. Advice
 #include "core/job_progress.hpp"
 #include "plan/job_flow.hpp"
+#include "plan/offers.hpp"
 #include "plan/planner.hpp"
 
 #include <algorithm>
@@ -157,6 +158,7 @@
     if (open && !timed)
     {
         open_occurrence(context, input.job_->id_);
+        take_over_offer(context, input.job_->id_);
     }
     if (open && timed)
     {
@@ -164,6 +166,11 @@
     }
 }
 
+void apply(planner& context, job_offered const& input)
+{
+    hold_offer(context, input);
+}
+
 void apply(planner& context, job_canceled const& input)
 {
     if (context.jobs_.contains(input.id_))
--- a/plan/command.hpp
+++ b/plan/command.hpp
@@ -2,6 +2,7 @@
 #ifndef FESCUEVANE_PLAN_COMMAND_HPP
 #define FESCUEVANE_PLAN_COMMAND_HPP
 
+#include "plan/answer_offer.hpp"
 #include "plan/ask_advice.hpp"
 #include "plan/job_changed.hpp"
 #include "plan/note.hpp"
@@ -14,8 +15,8 @@
 namespace fescuevane::plan
 {
 
-using command =
-    std::variant<start_run, stop_run, pace_run, ask_advice, job_changed, note>;
+using command = std::variant<start_run, stop_run, pace_run, ask_advice,
+                             job_changed, note, answer_offer>;
 
 } // namespace fescuevane::plan
 
--- a/plan/event.hpp
+++ b/plan/event.hpp
@@ -9,6 +9,7 @@
 #include "plan/job_added.hpp"
 #include "plan/job_canceled.hpp"
 #include "plan/job_dropped.hpp"
+#include "plan/job_offered.hpp"
 #include "plan/on_time_changed.hpp"
 #include "plan/organisations_set.hpp"
 #include "plan/queues_set.hpp"
@@ -28,8 +29,8 @@
 
 using event = std::variant<queues_set, organisations_set, turns_set, target_set,
                            target_gone, domain_set, job_added, job_canceled,
-                           job_dropped, run_confirmed, run_refused, run_ended,
-                           run_seen, advice_given, advice_failed,
+                           job_dropped, job_offered, run_confirmed, run_refused,
+                           run_ended, run_seen, advice_given, advice_failed,
                            tasks_delegated, delegate_ended, on_time_changed>;
 
 } // namespace fescuevane::plan
--- a/plan/job_flow.cpp
+++ b/plan/job_flow.cpp
@@ -162,6 +162,10 @@
 
 void start_successors(planner& context, job_id const& id)
 {
+    if (context.offers_.contains(id))
+    {
+        return; // its tasks are still at another shard
+    }
     job_row const& job = *context.jobs_.find(id);
     for (std::uint32_t occurrence = 0; occurrence < job.next_occurrence_;
          ++occurrence)
--- a/plan/overflow.hpp
+++ b/plan/overflow.hpp
@@ -2,6 +2,7 @@
 #ifndef FESCUEVANE_PLAN_OVERFLOW_HPP
 #define FESCUEVANE_PLAN_OVERFLOW_HPP
 
+#include "core/instant.hpp"
 #include "core/resources.hpp"
 #include "core/stage_key.hpp"
 
@@ -16,6 +17,7 @@
     stage_key                  stage_;
     std::vector<std::uint32_t> indices_;
     resources                  demand_; // of one task
+    instant                    since_;  // all of them wait
     bool blocked_ = false; // no end of other work would make room here
 
     friend bool operator==(overflow const&, overflow const&) = default;
--- a/plan/plan.hpp
+++ b/plan/plan.hpp
@@ -66,6 +66,13 @@
 // answers of the policy service. A gang is listed as a whole.
 std::vector<overflow> list_overflow(planner const& context, instant now,
                                     std::int64_t micros);
+// Tasks of a stage that wait now, however long; a gang as a whole or not at
+// all.
+std::optional<overflow> find_waiting(planner const&   context,
+                                     stage_key const& stage);
+// True when all tasks of a stage wait and no run of them can have begun in this
+// shard.
+bool is_untouched(planner const& context, stage_key const& stage);
 // Shards that handed the job's tasks on: each adds a part to the name.
 std::int64_t count_handovers(job_id const& job);
 // Tasks of a stage that run elsewhere under the name `delegate`.
--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -48,7 +48,7 @@
 
 std::span<system_entry const> list_systems()
 {
-    static constexpr std::array<system_entry, 10> systems = {{
+    static constexpr std::array<system_entry, 11> systems = {{
         {"apply_events", &apply_events},
         {"open_stages", &open_stages},
         {"count_unseen", &count_unseen},
@@ -58,6 +58,7 @@
         {"claim_limits", &claim_limits},
         {"request_advice", &request_advice},
         {"place_tasks", &place_tasks},
+        {"answer_offers", &answer_offers},
         {"explain_waits", &explain_waits},
     }};
     return systems;
@@ -191,6 +192,17 @@
     return indices;
 }
 
+// Since when all of the tasks wait.
+instant find_since(stage_row const& stage, overflow const& tasks)
+{
+    instant since;
+    for (std::uint32_t const index : tasks.indices_)
+    {
+        since = std::max(since, stage.tasks_[index].waiting_since_);
+    }
+    return since;
+}
+
 } // namespace
 
 std::int64_t count_handovers(job_id const& job)
@@ -240,12 +252,54 @@
         if (!tasks.indices_.empty() &&
             (!step.gang_ || tasks.indices_.size() == stage.tasks_.size()))
         {
+            tasks.since_ = find_since(stage, tasks);
             found.push_back(std::move(tasks));
         }
     }
     return found;
 }
 
+std::optional<overflow> find_waiting(planner const&   context,
+                                     stage_key const& key)
+{
+    stage_row const* const stage = context.stages_.find(key);
+    if (stage == nullptr || !stage->startable_)
+    {
+        return std::nullopt;
+    }
+    job_row const&   job = *context.jobs_.find(key.job_);
+    step_spec const& step = job.spec_->steps_[key.step_];
+    overflow         tasks{.stage_ = key, .demand_ = step.demand_};
+    tasks.indices_ = list_waiting(*stage, context.now_, 0);
+    if (tasks.indices_.empty() ||
+        (step.gang_ && tasks.indices_.size() != stage->tasks_.size()) ||
+        may_be_unseen(find_unseen_work(context), job, step))
+    {
+        return std::nullopt;
+    }
+    tasks.since_ = find_since(*stage, tasks);
+    tasks.blocked_ = is_blocked(context, view_stage(context, key));
+    return tasks;
+}
+
+bool is_untouched(planner const& context, stage_key const& key)
+{
+    stage_row const* const stage = context.stages_.find(key);
+    job_row const* const   job = context.jobs_.find(key.job_);
+    if (stage == nullptr || job->recovered_ || stage->gang_run_ != 0)
+    {
+        return false; // a former owner may have started runs
+    }
+    std::uint32_t const first =
+        std::max(context.settings_.run_base_,
+                 job->spec_->alias_ ? job->spec_->alias_->first_run_ : 0);
+    return std::all_of(stage->tasks_.begin(), stage->tasks_.end(),
+                       [first](task_cell const& task)
+                       {
+                           return is_waiting(task) && task.last_run_ <= first;
+                       });
+}
+
 overflow find_delegated(planner const& context, stage_key const& key,
                         job_id const& delegate)
 {
--- a/plan/planner.hpp
+++ b/plan/planner.hpp
@@ -12,6 +12,7 @@
 #include "plan/event.hpp"
 #include "plan/image_row.hpp"
 #include "plan/job_row.hpp"
+#include "plan/offer_row.hpp"
 #include "plan/organisation_row.hpp"
 #include "plan/run_table.hpp"
 #include "plan/settings.hpp"
@@ -44,6 +45,7 @@
     table<target_id, target_row>             targets_;
     table<job_id, job_row>                   jobs_;
     table<stage_key, stage_row>              stages_; // open ones only
+    table<job_id, offer_row>                 offers_; // of other shards
     run_table                                runs_;
     table<std::string, image_row>            images_; // learnt run times
 
@@ -85,6 +87,7 @@
 void claim_limits(planner& context);    // room for work above the shard's part
 void request_advice(planner& context);  // tickets ahead of need
 void place_tasks(planner& context);     // waiting tasks to targets
+void answer_offers(planner& context);   // of tasks of other shards
 void explain_waits(planner& context);   // what tasks that wait long wait for
 
 // Makes the next tick happen at `due` at the latest.
--- a/plan/request_advice.cpp
+++ b/plan/request_advice.cpp
@@ -2,6 +2,7 @@
 // takes longer the more targets it is asked about, and a ticket expires; so a
 // stage asks when its tasks are about to start, about targets that have room.
 #include "plan/job_flow.hpp"
+#include "plan/offers.hpp"
 #include "plan/planner.hpp"
 #include "plan/room.hpp"
 #include "plan/stage_rank.hpp"
@@ -171,7 +172,7 @@
         std::int64_t fitting =
             stage.row_.startable_
                 ? count_fitting_in(stage.step_, target, free[row])
-                : 1;
+                : count_fitting_later(stage, target);
         if (fitting == 0 || !accepts_stage(context, stage, target))
         {
             continue;
@@ -331,7 +332,8 @@
         stage_key const&     key = context.stages_.key(row);
         advice_policy const& advice = *queue->advice_;
         if (stage.startable_ ||
-            (may_ask(context, is_long_answer(context, advice)) &&
+            (!is_answered_offer(context, key.job_) &&
+             may_ask(context, is_long_answer(context, advice)) &&
              starts_soon(context, *stage.spec_, key, advice)))
         {
             ranks.push_back(rank_stage(context, key));
@@ -364,6 +366,10 @@
     std::vector<candidate> candidates = list_candidates(context, stage, free);
     if (!startable)
     {
+        if (is_offer_without_room(context, stage))
+        {
+            erase_known(candidates);
+        }
         ask(context, stage, candidates, is_long);
         return;
     }
--- /dev/null
+++ b/tests/unit/cell_offers_test.cpp
@@ -0,0 +1,299 @@
+// Purpose: tests of steps that their shard can't run: which shard they move to.
+#include "cell_cluster_fixture.hpp"
+
+#include "cell/node.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+#include <algorithm>
+#include <ostream>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace fescuevane::cell
+{
+namespace
+{
+
+// Eight shards of four targets, served by four hosts. A target has room for
+// four tasks.
+struct offers_fixture : cell_cluster_fixture
+{
+    static constexpr int          shards = 8;
+    static constexpr int          shard_targets = 4;
+    static constexpr std::int64_t run_ms = 500; // of tasks that end
+
+    offers_fixture()
+    {
+        defaults_.targets_per_shard_ = shard_targets;
+        answers_stops_ = true;
+        set_advice({400, 6, 2000});
+        for (char const* const host : {"h-1", "h-2", "h-3", "h-4"})
+        {
+            add_host(host, 1);
+        }
+        for (int rack = 0; rack < shards; ++rack)
+        {
+            for (int index = 0; index < shard_targets; ++index)
+            {
+                list_target("t-" + std::to_string(rack) + std::to_string(index),
+                            "r-" + std::to_string(rack));
+            }
+        }
+        run(8 * micros_per_second);
+        REQUIRE(list_all_served().size() == shards);
+    }
+
+    std::set<std::string> list_all_served()
+    {
+        std::set<std::string> served;
+        for (auto const& [name, address] : addresses_)
+        {
+            served.merge(list_served(name));
+        }
+        return served;
+    }
+
+    // Targets of a shard, in the order of their names.
+    std::vector<target_id> list_targets(std::uint32_t shard)
+    {
+        std::vector<target_id> found;
+        for (listed_target const& target : targets_)
+        {
+            if (shard_of(*find("h-1").node_, target) ==
+                shard_id{domain_id("east"), shard})
+            {
+                found.push_back(target.id_);
+            }
+        }
+        return found;
+    }
+
+    // Lets the policy service allow a job some targets of each shard.
+    void allow(std::string const& job, std::vector<std::size_t> const& targets)
+    {
+        std::set<target_id>& allowed = allowed_[job_id(job)];
+        for (std::uint32_t shard = 0; shard < targets.size(); ++shard)
+        {
+            std::vector<target_id> const all = list_targets(shard);
+            for (std::size_t index = 0; index < targets[shard]; ++index)
+            {
+                allowed.insert(all.at(index));
+            }
+        }
+    }
+
+    static step_spec make_step(std::uint32_t count, bool gang)
+    {
+        return {.count_ = count,
+                .demand_ = {1000, 512, 0},
+                .estimate_ms_ = run_ms,
+                .gang_ = gang};
+    }
+
+    // Tasks that fill a target each, for ever.
+    void submit_lasting(std::string const& id, std::uint32_t count)
+    {
+        lasting_.insert(job_id(id));
+        submit("h-1", id,
+               {{.count_ = count,
+                 .demand_ = {4000, 512, 0},
+                 .estimate_ms_ = run_ms,
+                 .perpetual_ = true}});
+    }
+
+    // Runs for some time while tasks end after `run_ms`.
+    void run_work(std::int64_t micros)
+    {
+        constexpr std::int64_t step = 100'000;
+        for (std::int64_t passed = 0; passed < micros; passed += step)
+        {
+            run(step);
+            end_runs(run_ms);
+        }
+    }
+
+    std::size_t count_started(std::string const& job) const
+    {
+        std::set<std::uint32_t> started;
+        for (auto const& [run, count] : starts_)
+        {
+            if (run.stage_.job_ == job_id(job))
+            {
+                started.insert(run.index_);
+            }
+        }
+        return started.size();
+    }
+
+    int count_starts(std::string const& job) const
+    {
+        int starts = 0;
+        for (auto const& [run, count] : starts_)
+        {
+            starts += run.stage_.job_ == job_id(job) ? count : 0;
+        }
+        return starts;
+    }
+
+    std::size_t count_running(std::string const& job) const
+    {
+        std::size_t running = 0;
+        for (auto const& [target, runs] : running_)
+        {
+            running += static_cast<std::size_t>(
+                std::count_if(runs.begin(), runs.end(),
+                              [&job](reported_run const& run)
+                              {
+                                  return run.run_.stage_.job_ == job_id(job);
+                              }));
+        }
+        return running;
+    }
+};
+
+// Guards against a gang that was moved from shard to shard, one to four seconds
+// each, and stayed at the sixth of them though another one could run it.
+TEST_CASE_FIXTURE(offers_fixture,
+                  "gang, one shard of eight may run it, started there soon")
+{
+    allow("aa01", {1, 1, 1, 1, 1, 1, 1, 4});
+    submit("h-1", "aa01", {make_step(12, true)});
+    run(6 * micros_per_second);
+    CHECK(count_started("aa01") == 12);
+    CHECK(bad_tickets_ == 0);
+}
+
+// Guards against the same for a step whose tasks start one by one.
+TEST_CASE_FIXTURE(
+    offers_fixture,
+    "wide step, one shard of eight may run it, started there soon")
+{
+    allow("aa01", {0, 0, 0, 0, 0, 0, 0, 3});
+    submit("h-1", "aa01", {make_step(12, false)});
+    run(6 * micros_per_second);
+    CHECK(count_started("aa01") == 12);
+    CHECK(bad_tickets_ == 0);
+}
+
+// Guards against a step that ends where it can't run: the only shard that may
+// run it had no room for good when it was asked or tried.
+TEST_CASE_FIXTURE(
+    offers_fixture,
+    "lasting work in the only shard, canceled late, step started then")
+{
+    bool gang = true;
+    SUBCASE("gang") {}
+    SUBCASE("single tasks")
+    {
+        gang = false;
+    }
+    allow("cc01", {0, 0, 0, 0, 0, 0, 0, 4});
+    submit_lasting("cc01", 4);
+    run(20 * micros_per_second);
+    REQUIRE(count_running("cc01") == 4);
+    allow("aa01", {0, 0, 0, 0, 0, 0, 0, 4});
+    submit("h-1", "aa01", {make_step(12, gang)});
+    run(20 * micros_per_second);
+    CHECK(count_started("aa01") == 0);
+    ask("h-1", call_kind::cancel, "cc01");
+    run(12 * micros_per_second);
+    CHECK(count_started("aa01") == 12);
+    CHECK(bad_tickets_ == 0);
+}
+
+// Jobs whose tasks end, with the targets that each may use in each shard.
+struct random_step
+{
+    std::uint32_t            count_ = 0;
+    bool                     gang_ = false;
+    std::vector<std::size_t> targets_;
+};
+
+std::ostream& operator<<(std::ostream& out, random_step const& step)
+{
+    out << step.count_ << (step.gang_ ? " in a gang" : " tasks") << ", targets";
+    for (std::size_t const targets : step.targets_)
+    {
+        out << ' ' << targets;
+    }
+    return out;
+}
+
+rc::Gen<random_step> arbitrary_step()
+{
+    return rc::gen::build<random_step>(
+        rc::gen::set(&random_step::count_,
+                     rc::gen::inRange<std::uint32_t>(1, 14)),
+        rc::gen::set(&random_step::gang_),
+        rc::gen::set(
+            &random_step::targets_,
+            rc::gen::container<std::vector<std::size_t>>(
+                offers_fixture::shards, rc::gen::weightedElement<std::size_t>(
+                                            {{6, 0}, {3, 1}, {1, 4}}))));
+}
+
+// True when some shard may run the step beside lasting tasks on the last
+// targets of the first shards.
+bool is_runnable(random_step const& step, std::size_t lasting)
+{
+    constexpr std::size_t target_tasks = 4;
+    std::size_t const     needed = step.gang_ ? step.count_ : 1;
+    for (std::size_t shard = 0; shard < step.targets_.size(); ++shard)
+    {
+        std::size_t const free = std::min<std::size_t>(
+            step.targets_[shard],
+            offers_fixture::shard_targets - (shard < lasting ? 1 : 0));
+        if (free * target_tasks >= needed)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+// Guards against any mixture of steps of which one stays where it can't run,
+// runs twice, or starts without a ticket.
+TEST_CASE("random steps and lasting work, load ends, runnable steps complete")
+{
+    CHECK(rc::check(
+        []
+        {
+            auto const lasting = *rc::gen::inRange<std::size_t>(0, 5);
+            auto const steps = *rc::gen::container<std::vector<random_step>>(
+                6, arbitrary_step());
+            offers_fixture cluster;
+            for (std::size_t shard = 0; shard < lasting; ++shard)
+            {
+                std::string const id = "cc0" + std::to_string(shard);
+                cluster.allowed_[job_id(id)].insert(
+                    cluster.list_targets(static_cast<std::uint32_t>(shard))
+                        .back());
+                cluster.submit_lasting(id, 1);
+            }
+            cluster.run_work(10 * micros_per_second);
+            for (std::size_t step = 0; step < steps.size(); ++step)
+            {
+                std::string const id = "aa0" + std::to_string(step);
+                cluster.allow(id, steps[step].targets_);
+                cluster.submit("h-" + std::to_string(1 + step % 4), id,
+                               {offers_fixture::make_step(steps[step].count_,
+                                                          steps[step].gang_)});
+            }
+            cluster.run_work(30 * micros_per_second);
+            for (std::size_t step = 0; step < steps.size(); ++step)
+            {
+                std::string const id = "aa0" + std::to_string(step);
+                auto const        starts =
+                    static_cast<std::size_t>(cluster.count_starts(id));
+                RC_ASSERT(starts == (is_runnable(steps[step], lasting)
+                                         ? steps[step].count_
+                                         : 0));
+            }
+            RC_ASSERT(cluster.bad_tickets_ == 0);
+        }));
+}
+
+} // namespace
+} // namespace fescuevane::cell
