Let targets that are cut off leave the list in random histories

The histories of a task passed on, where the wait for unread ends ended with the list: leaving the list was a step of its own that rarely met a cut. Now a target that is cut off leaves the list after three heartbeats and comes back.

--- a/tests/unit/cell_histories_test.cpp
+++ b/tests/unit/cell_histories_test.cpp
@@ -20,10 +20,15 @@
 constexpr std::int64_t most_away = 10 * micros_per_second;
 constexpr int          attempts = 3;
 
+// Three missed heartbeats of a target.
+constexpr std::int64_t unlisted_after = 4'500'000;
+
 struct target_state
 {
     target_model            model_;
     instant                 away_until_;
+    instant                 unlisted_at_; // when it is away then
+    bool                    listed_ = true;
     std::vector<send_start> late_; // carried out when it is in reach again
 };
 
@@ -83,8 +88,24 @@
         return target.away_until_ <= now_;
     }
 
-    void serve_target(target_state& target)
+    // One that is cut off leaves the list and comes back.
+    void list_or_unlist(target_id const& id, target_state& target)
+    {
+        bool const listed = in_reach(target) || target.unlisted_at_ > now_;
+        if (listed && !target.listed_)
+        {
+            list_target(id.str());
+        }
+        else if (!listed && target.listed_)
+        {
+            post(target_unlisted{id});
+        }
+        target.listed_ = listed;
+    }
+
+    void serve_target(target_id const& id, target_state& target)
     {
+        list_or_unlist(id, target);
         target.model_.advance(unix_ms_);
         if (in_reach(target))
         {
@@ -119,7 +140,7 @@
             tick();
             for (auto& [id, target] : targets_)
             {
-                serve_target(target);
+                serve_target(id, target);
             }
             for (send_start const& start : take<send_start>())
             {
@@ -172,6 +193,7 @@
         if (state.away_until_.after(2 * micros_per_second) <= now_)
         {
             state.away_until_ = now_.after(micros);
+            state.unlisted_at_ = now_.after(unlisted_after);
         }
     }
     void cut(target_id const& target) { cut_for(target, most_away); }
@@ -179,14 +201,12 @@
     {
         cut_for(target, most_away / 2);
     }
-    void unlist(target_id const& target) { post(target_unlisted{target}); }
-    void list(target_id const& target) { list_target(target.str()); }
     void restart_owner(target_id const& /*target*/)
     {
         start(++incarnation_);
         for (auto const& [id, target] : targets_)
         {
-            if (in_reach(target))
+            if (target.listed_)
             {
                 list_target(id.str());
             }
@@ -215,7 +235,6 @@
         for (auto& [id, target] : targets_)
         {
             target.away_until_ = now_;
-            list_target(id.str());
         }
         constexpr int seconds = 30;
         for (int second = 0; second < seconds && broken_.empty(); ++second)
@@ -234,10 +253,9 @@
 
 using history_step = void (history_fixture::*)(target_id const&);
 
-constexpr std::array<history_step, 8> steps = {
+constexpr std::array<history_step, 6> steps = {
     &history_fixture::fail_runs,     &history_fixture::finish_runs,
     &history_fixture::cut,           &history_fixture::cut_shortly,
-    &history_fixture::unlist,        &history_fixture::list,
     &history_fixture::restart_owner, &history_fixture::crash};
 
 // Draws a history from those steps that `allowed` holds.
