--- a/tests/unit/cell_attempts_test.cpp
+++ b/tests/unit/cell_attempts_test.cpp
@@ -40,18 +40,27 @@
                          .deadline_ = now_.after(3 * micros_per_second)});
     }
 
+    // West could run the tasks, accepts them, and lets them be canceled.
     void answer_west(call_peer const& call)
     {
-        auto& calls = call.call_.kind_ == call_kind::submit   ? moved_
-                      : call.call_.kind_ == call_kind::cancel ? canceled_
-                                                              : ignored_;
-        calls.push_back(call.call_);
-        post(peer_replied{call.request_,
-                          {.outcome_ = call.call_.kind_ == call_kind::submit
-                                           ? job_outcome::accepted
-                                       : call.call_.kind_ == call_kind::cancel
-                                           ? job_outcome::canceled
-                                           : job_outcome::unavailable}});
+        job_answer answer{.outcome_ = job_outcome::unavailable};
+        switch (call.call_.kind_)
+        {
+        case call_kind::submit:
+            moved_.push_back(call.call_);
+            answer.outcome_ = job_outcome::accepted;
+            break;
+        case call_kind::cancel:
+            canceled_.push_back(call.call_);
+            answer.outcome_ = job_outcome::canceled;
+            break;
+        case call_kind::offer:
+            answer = {.outcome_ = job_outcome::known, .fit_now_ = 1};
+            break;
+        case call_kind::lookup:
+            break; // asked again
+        }
+        post(peer_replied{call.request_, answer});
     }
 
     attempts_fixture() { run_all(500'000); } // its first orders are answered
@@ -111,9 +120,6 @@
         REQUIRE(starts_.size() == last);
         REQUIRE(t1_.running_.size() == 1);
     }
-
-private:
-    std::vector<job_call> ignored_;
 };
 
 constexpr std::int64_t after_lapse = 7 * micros_per_second;
