Don't wait for targets that left in order before their owner did

Cause: the row didn't say that a target leaves.

Now it does, so a new owner waits for the lapse of its leases only. A target that stays after all gets no start before the row says so.

"target said that it leaves, owner restarted, work goes on" failed before (no start within 7 s).

--- a/cell/list_targets.cpp
+++ b/cell/list_targets.cpp
@@ -249,6 +249,8 @@
     }
     bool const moved =
         session.info_ && session.info_->address_ != input.target_.address_;
+    bool const turned =
+        session.info_ && session.info_->leaving_ != input.target_.leaving_;
     session.info_ = std::make_shared<listed_target const>(input.target_);
     session.listed_ = true;
     session.shard_ = shard_of(context, *session.info_).value_or(shard_id());
@@ -262,9 +264,12 @@
         note_grants_changed(context, session.shard_, true);
         return;
     }
-    if (moved)
+    if (moved || turned)
     {
         note_grants_changed(context, session.shard_, true);
+    }
+    if (moved)
+    {
         session.hold_ = 0;
         session.hold_at_ = context.now_;
     }
--- a/cell/record_grants.cpp
+++ b/cell/record_grants.cpp
@@ -45,14 +45,20 @@
     return open;
 }
 
+// A successor asks an unlisted target at its address, and waits for the ends of
+// one that didn't say that it leaves.
+bool says_same(listed_target const& a, listed_target const& b)
+{
+    return a.address_ == b.address_ && a.leaving_ == b.leaving_;
+}
+
 bool names_same(granted_targets const& a, granted_targets const& b)
 {
     return std::equal(a.begin(), a.end(), b.begin(), b.end(),
                       [](auto const& left, auto const& right)
                       {
                           return left.first == right.first &&
-                                 left.second->address_ ==
-                                     right.second->address_;
+                                 says_same(*left.second, *right.second);
                       });
 }
 
@@ -87,7 +93,7 @@
     }
     auto const entry = own->grants_.stored_.find(target);
     return entry != own->grants_.stored_.end() &&
-           entry->second->address_ == session.info_->address_;
+           says_same(*entry->second, *session.info_);
 }
 
 void note_grants_changed(node& context, shard_id const& shard, bool urgent)
@@ -243,8 +249,7 @@
                   {
                       auto const written = ledger.writing_.find(entry.first);
                       return written == ledger.writing_.end() ||
-                             written->second->address_ !=
-                                 entry.second->address_;
+                             !says_same(*written->second, *entry.second);
                   });
     return sure;
 }
--- a/cell/records.cpp
+++ b/cell/records.cpp
@@ -268,7 +268,8 @@
                         {"labels", target->labels_},
                         {"cpu", target->capacity_.cpu_millis()},
                         {"memory", target->capacity_.memory_mib()},
-                        {"accelerators", target->capacity_.accelerators()}});
+                        {"accelerators", target->capacity_.accelerators()},
+                        {"leaving", target->leaving_}});
     }
     return json{{"targets", rows}}.dump(-1, ' ', false,
                                         json::error_handler_t::replace);
@@ -297,7 +298,8 @@
                             target.at("labels").get<std::vector<std::string>>(),
                         .capacity_ = {read_amount(target, "cpu"),
                                       read_amount(target, "memory"),
-                                      read_amount(target, "accelerators")}});
+                                      read_amount(target, "accelerators")},
+                        .leaving_ = target.value("leaving", false)});
             }
             return targets;
         });
--- a/cell/session_row.hpp
+++ b/cell/session_row.hpp
@@ -51,13 +51,13 @@
     // Runs and ends
     std::map<run_key, session_run> runs_;
     bool unread_ = false; // runs ended by the lapse, their ends may be listed
-    std::uint64_t                  forgotten_ = 0; // forgotten by the target
-    std::uint64_t                  processed_ = 0; // highest end applied
-    std::deque<unstored_end>       unstored_;
-    std::deque<plan::command>      orders_;      // waiting
-    std::deque<order_row>          repeats_;     // starts without an answer
-    std::map<run_key, late_start>  late_starts_; // outlives the target's life
-    std::uint32_t                  open_orders_ = 0;
+    std::uint64_t                 forgotten_ = 0; // forgotten by the target
+    std::uint64_t                 processed_ = 0; // highest end applied
+    std::deque<unstored_end>      unstored_;
+    std::deque<plan::command>     orders_;      // waiting
+    std::deque<order_row>         repeats_;     // starts without an answer
+    std::map<run_key, late_start> late_starts_; // outlives the target's life
+    std::uint32_t                 open_orders_ = 0;
 };
 
 } // namespace fescuevane::cell
--- a/tests/unit/cell_grants_test.cpp
+++ b/tests/unit/cell_grants_test.cpp
@@ -128,6 +128,42 @@
     CHECK(list_stored() == std::set{target_id("t-2")});
 }
 
+// Guards against work of a whole shard that waits for targets which were
+// replaced in order before its owner was: nothing of them can be read any more.
+TEST_CASE_FIXTURE(grants_fixture,
+                  "target said that it leaves, owner restarted, work goes on")
+{
+    start_job();
+    list_target("t-1", true);
+    run_targets(100'000, true, {{run_, "", 30, 0}});
+    take_over_without_t1();
+    run_targets(7 * micros_per_second, false);
+    CHECK(take<send_start>().size() == 1);
+}
+
+// Guards against the opposite: the target says no more that it leaves, and the
+// row still does, so that the next owner wouldn't wait for it.
+TEST_CASE_FIXTURE(grants_fixture,
+                  "target stays after all, nothing starts before it is stored")
+{
+    serve();
+    list_target("t-1", true);
+    run_targets(100'000, true);
+    store_held_ = true;
+    list_target("t-1");
+    run_targets(100'000, true);
+    REQUIRE_FALSE(held_.empty());
+    store_reply const late = held_.back();
+    held_.clear();
+    store_held_ = false;
+    submit("aa01");
+    run_targets(300'000, true);
+    CHECK(take<send_start>().empty());
+    post(late);
+    run_targets(300'000, true);
+    CHECK(take<send_start>().size() == 1);
+}
+
 // Guards against starts that the next owner can't know of.
 TEST_CASE_FIXTURE(grants_fixture,
                   "row of leases not stored, nothing starts on the target")
