Show starts on a target being taken out, and offers that crowd each other out

Both new tests fail at: the row of leases is taken for stored while the write that takes a target out is in flight, and three steps for each shard that no shard may run keep other steps from ever being moved.

--- a/tests/unit/cell_grants_test.cpp
+++ b/tests/unit/cell_grants_test.cpp
@@ -256,6 +256,49 @@
     CHECK(started.contains(target_id("t-2")));
 }
 
+// Guards against starts that the next owner can't know of: the target came back
+// while the write that takes it out was performed, but not answered yet.
+TEST_CASE_FIXTURE(grants_fixture,
+                  "target back while it is taken out, nothing starts on it")
+{
+    serve();
+    list_target("t-2");
+    run_targets(micros_per_second, true);
+    REQUIRE(list_stored().contains(target_id("t-2")));
+    post(target_unlisted{target_id("t-2")});
+    store_held_ = true;
+    constexpr std::int64_t step = 100'000;
+    for (int round = 0; round < 300 && list_stored().contains(target_id("t-2"));
+         ++round)
+    {
+        run(step);
+        for (hold_target const& hold : take<hold_target>())
+        {
+            hold.target_ == target_id("t-1") ? answer_hold(hold)
+                                             : fail_hold(hold);
+        }
+    }
+    REQUIRE_FALSE(list_stored().contains(target_id("t-2")));
+    store_held_ = false; // the answer to that write is still on its way
+    list_target("t-2");
+    for (char const* const id : {"aa1", "aa2", "aa3", "aa4", "aa5"})
+    {
+        submit(id);
+    }
+    for (int round = 0; round < 50; ++round)
+    {
+        run(20'000);
+        for (send_start const& start : take<send_start>())
+        {
+            CHECK(list_stored().contains(start.start_.target_));
+        }
+        for (hold_target const& hold : take<hold_target>())
+        {
+            answer_hold(hold);
+        }
+    }
+}
+
 // Guards against rows that a new owner can't read.
 TEST_CASE("row of leases written and read is the same")
 {
--- a/tests/unit/cell_offers_test.cpp
+++ b/tests/unit/cell_offers_test.cpp
@@ -203,6 +203,38 @@
     CHECK(bad_tickets_ == 0);
 }
 
+// Guards against steps that stay down beside a few that no shard may run: these
+// take the rounds and the offers that are kept, so that each round asks the
+// policy service anew and ends before its answers.
+TEST_CASE_FIXTURE(offers_fixture,
+                  "three steps a shard may run nowhere, other steps start soon")
+{
+    constexpr int hopeless = 3 * shards;
+    for (int job = 0; job < hopeless; ++job)
+    {
+        std::string const id = "bb" + std::to_string(100 + job);
+        allow(id, {0, 0, 0, 0, 0, 0, 0, 0});
+        submit("h-1", id, {make_step(1, false)});
+        run(50'000);
+    }
+    run(60 * micros_per_second);
+    std::vector<std::string> const jobs = {"aa01", "aa02", "aa03", "aa04",
+                                           "aa05", "aa06", "aa07", "aa08"};
+    for (std::string const& id : jobs)
+    {
+        allow(id, {0, 0, 0, 0, 0, 0, 0, 4});
+        submit("h-1", id, {make_step(1, false)});
+        run(50'000);
+    }
+    run_work(20 * micros_per_second);
+    for (std::string const& id : jobs)
+    {
+        CAPTURE(id);
+        CHECK(count_started(id) == 1);
+    }
+    CHECK(bad_tickets_ == 0);
+}
+
 // Jobs whose tasks end, with the targets that each may use in each shard.
 struct random_step
 {
