Take targets out of the named ones when the write is sent

It still counted as named, so work started on it that the next owner couldn't know of (TWICE). What a write takes out now counts as not named from its sending on.

"target back while it is taken out, nothing starts on it" failed before.

--- a/cell/grant_ledger.hpp
+++ b/cell/grant_ledger.hpp
@@ -23,7 +23,7 @@
     bool            found_ = false;     // a former owner has written the row
     granted_targets stored_;            // named by the row for sure
     granted_targets writing_;           // by `request_`
-    bool            unsettled_ = false; // a write got no answer
+    bool            unsettled_ = false; // by a write that isn't known as done
     revision        revision_ = 0;
     std::uint64_t   request_ = 0; // in flight, 0: none
     instant         retry_at_;
--- a/cell/record_grants.cpp
+++ b/cell/record_grants.cpp
@@ -62,12 +62,45 @@
                       });
 }
 
+// The planner starts work only on targets that the row names.
+void set_stored(node& context, grant_ledger& ledger, granted_targets targets)
+{
+    granted_targets const before = std::exchange(ledger.stored_, targets);
+    targets.insert(before.begin(), before.end());
+    for (auto const& [id, info] : targets)
+    {
+        session_row const* const session = context.sessions_.find(id);
+        if (session != nullptr && session->open_)
+        {
+            tell_planner(context, id);
+        }
+    }
+}
+
+// A write without an answer may be performed later, so only the targets that
+// the row names with and without it are named for sure.
+granted_targets list_sure(grant_ledger const& ledger)
+{
+    granted_targets sure = ledger.stored_;
+    std::erase_if(sure,
+                  [&ledger](auto const& entry)
+                  {
+                      auto const written = ledger.writing_.find(entry.first);
+                      return written == ledger.writing_.end() ||
+                             !says_same(*written->second, *entry.second);
+                  });
+    return sure;
+}
+
 void write_grant_row(node& context, shard_id const& shard, owned_row& own,
                      granted_targets targets)
 {
     grant_ledger& ledger = own.grants_;
     ledger.request_ = next_request(context);
     ledger.writing_ = std::move(targets);
+    // What the write takes out may come back before the answer does.
+    ledger.unsettled_ = true;
+    set_stored(context, ledger, list_sure(ledger));
     context.requests_.ensure(ledger.request_) = {.kind_ =
                                                      request_kind::record_grant,
                                                  .shard_ = shard,
@@ -224,36 +257,6 @@
 namespace
 {
 
-// The planner starts work only on targets that the row names.
-void set_stored(node& context, grant_ledger& ledger, granted_targets targets)
-{
-    granted_targets const before = std::exchange(ledger.stored_, targets);
-    targets.insert(before.begin(), before.end());
-    for (auto const& [id, info] : targets)
-    {
-        session_row const* const session = context.sessions_.find(id);
-        if (session != nullptr && session->open_)
-        {
-            tell_planner(context, id);
-        }
-    }
-}
-
-// A write without an answer may be performed later, so only the targets that
-// the row names with and without it are named for sure.
-granted_targets list_sure(grant_ledger const& ledger)
-{
-    granted_targets sure = ledger.stored_;
-    std::erase_if(sure,
-                  [&ledger](auto const& entry)
-                  {
-                      auto const written = ledger.writing_.find(entry.first);
-                      return written == ledger.writing_.end() ||
-                             !says_same(*written->second, *entry.second);
-                  });
-    return sure;
-}
-
 granted_targets read_stored(node& context, stored_row const& row)
 {
     try
@@ -296,11 +299,6 @@
                   {{"shard", write_shard_name(request.shard_)},
                    {"targets", std::to_string(ledger.writing_.size())},
                    {"error", reply.error_}});
-        if (reply.outcome_ == store_outcome::unknown)
-        {
-            ledger.unsettled_ = true;
-            set_stored(context, ledger, list_sure(ledger));
-        }
         return;
     }
     for (stored_row const& row : reply.rows_)
