Let stages take turns with their rounds, and keep what is known of steps

A shard held the answers of the policy service for 16 offers; more of them evicted each other, each round asked anew, and what wasn't known yet was told as no room. A shard also gave its one round at a time to the first stage of its table.

Answers are now kept for 200 steps without an offer, and the next round goes to the stage that has had none, or whose round ended longest ago.

--- a/cell/delegate_tasks.cpp
+++ b/cell/delegate_tasks.cpp
@@ -17,11 +17,13 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <limits>
 #include <map>
 #include <optional>
 #include <set>
 #include <utility>
+#include <vector>
 
 namespace fescuevane::cell
 {
@@ -246,6 +248,30 @@
 namespace
 {
 
+// Stages take turns with their rounds: those that have never had one first,
+// then those whose round has ended longest ago.
+void offer_in_turn(node& context, shard_id const& shard,
+                   std::vector<plan::overflow> const& offered)
+{
+    std::vector<std::pair<instant, plan::overflow const*>> turns;
+    for (plan::overflow const& tasks : offered)
+    {
+        offer_round_row const* const round =
+            context.offer_rounds_.find(tasks.stage_);
+        turns.emplace_back(round == nullptr ? instant() : round->next_at_,
+                           &tasks);
+    }
+    std::stable_sort(turns.begin(), turns.end(),
+                     [](auto const& a, auto const& b)
+                     {
+                         return a.first < b.first;
+                     });
+    for (auto const& [next_at, tasks] : turns)
+    {
+        offer_stage(context, shard, *tasks);
+    }
+}
+
 void find_overflow(node& context)
 {
     if (context.delegate_at_ > context.now_)
@@ -268,14 +294,21 @@
         {
             continue;
         }
+        std::vector<plan::overflow> const waiting = plan::list_overflow(
+            *own.planner_, context.now_, context.settings_.overflow_micros_);
+        std::vector<plan::overflow> offered;
+        std::copy_if(waiting.begin(), waiting.end(),
+                     std::back_inserter(offered),
+                     [&](plan::overflow const& tasks)
+                     {
+                         return needs_offer(context, shard, tasks);
+                     });
+        offer_in_turn(context, shard, offered);
         // One stage a look: the loads that hosts tell are a little old.
-        for (plan::overflow const& tasks :
-             plan::list_overflow(*own.planner_, context.now_,
-                                 context.settings_.overflow_micros_))
+        for (plan::overflow const& tasks : waiting)
         {
             if (needs_offer(context, shard, tasks))
             {
-                offer_stage(context, shard, tasks);
                 continue;
             }
             if (plan::count_handovers(tasks.stage_.job_) >= max_depth)
--- a/plan/answer_offers.cpp
+++ b/plan/answer_offers.cpp
@@ -57,12 +57,42 @@
 
 using ticket_map = std::unordered_map<target_id, ticket_cell>;
 
+// Steps of which the answers of the policy service are kept without an offer: a
+// shard that forgot them would ask anew in each round, and tell too little when
+// the answer is due.
+constexpr std::size_t max_known_steps = 200;
+
+void keep_known(planner& context, stage_key const& origin, ticket_map tickets)
+{
+    if (tickets.empty())
+    {
+        return;
+    }
+    if (!context.known_steps_.contains(origin))
+    {
+        context.known_order_.push_back(origin);
+    }
+    context.known_steps_[origin] = std::move(tickets);
+    while (context.known_order_.size() > max_known_steps)
+    {
+        context.known_steps_.erase(context.known_order_.front());
+        context.known_order_.pop_front();
+    }
+}
+
+ticket_map find_known(planner const& context, stage_key const& origin)
+{
+    auto const known = context.known_steps_.find(origin);
+    return known == context.known_steps_.end() ? ticket_map() : known->second;
+}
+
 // Removes an offer. Returns what the policy service has told of its stage.
 ticket_map drop_offer(planner& context, job_id const& id)
 {
     stage_key const key{id, 0, 0};
     stage_row&      stage = *context.stages_.find(key);
     ticket_map      tickets = std::move(stage.tickets_);
+    keep_known(context, context.offers_.find(id)->origin_, tickets);
     close_question(context, stage);
     context.stages_.remove(key);
     context.jobs_.remove(id);
@@ -204,7 +234,7 @@
         return; // the asking host was told nothing, and gives up in time
     }
     stage_key const& origin = job.alias_->stage_;
-    ticket_map       tickets;
+    ticket_map       tickets = find_known(context, origin);
     if (auto const earlier = find_offer(context, origin))
     {
         tickets = drop_offer(context, *earlier);
--- a/plan/planner.hpp
+++ b/plan/planner.hpp
@@ -20,10 +20,13 @@
 #include "plan/stage_row.hpp"
 #include "plan/target_row.hpp"
 
+#include <deque>
+#include <map>
 #include <set>
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -47,8 +50,13 @@
     table<job_id, job_row>                   jobs_;
     table<stage_key, stage_row>              stages_; // open ones only
     table<job_id, offer_row>                 offers_; // of other shards
-    run_table                                runs_;
-    table<std::string, image_row>            images_; // learnt run times
+    // What the policy service has told of steps that were offered, oldest
+    // first.
+    std::map<stage_key, std::unordered_map<target_id, ticket_cell>>
+                                  known_steps_;
+    std::deque<stage_key>         known_order_;
+    run_table                     runs_;
+    table<std::string, image_row> images_; // learnt run times
 
     // Next estimates of the chains of jobs; of ended jobs until they are due.
     std::set<std::pair<instant, job_id>> estimates_;
