--- a/tests/unit/cell_odd_rows_test.cpp
+++ b/tests/unit/cell_odd_rows_test.cpp
@@ -118,10 +118,11 @@
     }
     CHECK(count_lines("domain_unknown") == 1);
     CHECK_FALSE(held_targets().contains(target_id("t-odd")));
-    for (auto const& [key, row] : rows_)
+    for (auto const& entry : rows_)
     {
-        CAPTURE(key.key_);
-        CHECK(key.key_.find("atlantis") == std::string::npos);
+        std::string const& name = entry.first.key_;
+        CAPTURE(name);
+        CHECK(name.find("atlantis") == std::string::npos);
     }
 }
 
--- a/tests/unit/cell_records_test.cpp
+++ b/tests/unit/cell_records_test.cpp
@@ -259,8 +259,9 @@
         CHECK_THROWS_AS(kind.read_(deep), record_error);
         CHECK_THROWS_AS(kind.read_("{\"a\":\"\xff\"}"), record_error);
         // A field that isn't read doesn't matter.
-        std::string const rest = kind.valid_.dump().substr(1);
-        CHECK_NOTHROW(kind.read_("{\"aaa\":" + deep + "," + rest));
+        std::string text = R"({"aaa":)";
+        text.append(deep).append(",").append(kind.valid_.dump().substr(1));
+        CHECK_NOTHROW(kind.read_(text));
     }
     json row = make_job();
     row["spec"]["later"] = "@";
--- a/tests/unit/platform_odd_values_test.cpp
+++ b/tests/unit/platform_odd_values_test.cpp
@@ -56,8 +56,7 @@
           R"("targetMs":9007199254740991)", R"("cpu":1e999)", R"("cpu":1e30)",
           R"("antiAffinity":-1)", R"("maxUnavailable":4294967297)",
           R"("after":[-1])", R"("after":[4294967296])", R"("after":[1e30])",
-          R"("image":")"
-          "\xff\""})
+          "\"image\":\"\xff\""})
     {
         std::string const body =
             std::string(R"({"steps":[{"count":10000,)") + step + "}]}";
