Keep the failures of a gang when its tasks have checkpoints

Cause, by reading: the failed runs of a gang are stored with its first task; when a new owner reads the job, each further task that has something to tell, such as a checkpoint, replaces them by its own empty list. So the attempts are counted from zero after each change of owner.

--- a/plan/job_flow.cpp
+++ b/plan/job_flow.cpp
@@ -144,8 +144,12 @@
                 task.last_run_ = std::max(task.last_run_, known.last_run_);
                 task.checkpoint_ = known.checkpoint_;
                 task.delegate_ = known.delegate_;
-                (spec.gang_ ? stage.gang_failures_ : task.failed_runs_) =
-                    known.failed_runs_;
+                // Those of a gang stand with its first task alone.
+                if (!known.failed_runs_.empty())
+                {
+                    (spec.gang_ ? stage.gang_failures_ : task.failed_runs_) =
+                        known.failed_runs_;
+                }
                 stage.done_ += known.done_ ? 1 : 0;
             }
         }
--- a/tests/unit/plan_jobs_test.cpp
+++ b/tests/unit/plan_jobs_test.cpp
@@ -42,6 +42,36 @@
     CHECK(list<job_changed>().size() >= 1);
 }
 
+// Guards against attempts beyond the queue's bound after a change of owner: the
+// failures of a gang were lost when its tasks had checkpoints.
+TEST_CASE_FIXTURE(plan_fixture,
+                  "gang with checkpoints, read anew, failures still count")
+{
+    step_spec const gang{.count_ = 2,
+                         .demand_ = {1000, 512, 0},
+                         .estimate_ms_ = 1000,
+                         .checkpointing_ = true,
+                         .gang_ = true};
+    set_queue({}, 3);
+    set_target("t-1");
+    add_job("j-1", {gang},
+            {.phase_ = job_phase::running,
+             .tasks_ = {{.index_ = 0,
+                         .last_run_ = 2,
+                         .failed_runs_ = {1, 2},
+                         .checkpoint_ = "c"},
+                        {.index_ = 1, .last_run_ = 2, .checkpoint_ = "c"}}},
+            true);
+    tick();
+    auto const starts = list<start_run>();
+    REQUIRE(starts.size() == 2);
+    end(starts[0], run_end::failed);
+    end(starts[1], run_end::broken);
+    tick();
+    CHECK(list<start_run>().empty());
+    CHECK(find_phase(*planner_, job_id("j-1")) == job_phase::failed);
+}
+
 // Guards against attempts beyond the queue's bound.
 TEST_CASE_FIXTURE(plan_fixture, "task, all attempts fail, job failed")
 {
