Move what a withdrawn failure domain holds without rounds of questions

Stages of a shard whose failure domain is taken out go to the least loaded shard at once, as they did before rounds of questions; one that comes back is offered. Tasks that last have the first turn in any case.

Four open rounds for each shard instead of one were tried and dropped: the policy service had more questions than it could answer, and two tests of offers failed.

--- a/cell/delegate_tasks.cpp
+++ b/cell/delegate_tasks.cpp
@@ -248,17 +248,22 @@
 namespace
 {
 
-// Stages take turns with their rounds: those that have never had one first,
-// then those whose round has ended longest ago.
-void offer_in_turn(node& context, shard_id const& shard,
-                   std::vector<plan::overflow> const& offered)
+// Stages take turns: tasks that last first, since they may not be down; then
+// those that have never had a round, or not for the longest time.
+std::vector<plan::overflow const*>
+order_turns(node const& context, shard_id const& shard,
+            std::vector<plan::overflow> const& offered)
 {
-    std::vector<std::pair<instant, plan::overflow const*>> turns;
+    using turn = std::pair<bool, instant>; // doesn't last, end of its round
+    std::vector<std::pair<turn, plan::overflow const*>> turns;
     for (plan::overflow const& tasks : offered)
     {
         offer_round_row const* const round =
             context.offer_rounds_.find(tasks.stage_);
-        turns.emplace_back(round == nullptr ? instant() : round->next_at_,
+        auto const job = plan::find_job(*context.owned_.find(shard)->planner_,
+                                        tasks.stage_.job_);
+        turns.emplace_back(turn{!job->steps_.at(tasks.stage_.step_).perpetual_,
+                                round == nullptr ? instant() : round->next_at_},
                            &tasks);
     }
     std::stable_sort(turns.begin(), turns.end(),
@@ -266,9 +271,51 @@
                      {
                          return a.first < b.first;
                      });
-    for (auto const& [next_at, tasks] : turns)
+    std::vector<plan::overflow const*> ordered;
+    ordered.reserve(turns.size());
+    for (auto const& [at, tasks] : turns)
+    {
+        ordered.push_back(tasks);
+    }
+    return ordered;
+}
+
+// A shard whose failure domain is taken out has to move all that it holds, so
+// its stages don't wait for a round of questions each. One that comes back is
+// offered. True when the stage moves.
+bool leave_withdrawn_domain(node& context, shard_id const& shard,
+                            plan::overflow const& tasks)
+{
+    constexpr std::int64_t remember_micros = 30'000'000; // that it has moved
+    if (!context.out_.contains(shard.domain_) ||
+        context.offer_rounds_.contains(tasks.stage_) ||
+        plan::count_handovers(tasks.stage_.job_) >= max_depth)
+    {
+        return false;
+    }
+    std::optional<shard_id> const target =
+        choose_delegate(context, shard, tasks);
+    if (target)
     {
-        offer_stage(context, shard, *tasks);
+        offer_round_row& round = context.offer_rounds_.ensure(tasks.stage_);
+        round.shard_ = shard;
+        round.forget_at_ = context.now_.after(remember_micros);
+        begin_delegation(context, shard, *context.owned_.find(shard), tasks,
+                         *target);
+    }
+    return target.has_value();
+}
+
+void offer_in_turn(node& context, shard_id const& shard,
+                   std::vector<plan::overflow> const& offered)
+{
+    for (plan::overflow const* const tasks :
+         order_turns(context, shard, offered))
+    {
+        if (!leave_withdrawn_domain(context, shard, *tasks))
+        {
+            offer_stage(context, shard, *tasks);
+        }
     }
 }
 
--- a/tests/unit/cell_delegation_test.cpp
+++ b/tests/unit/cell_delegation_test.cpp
@@ -5,6 +5,7 @@
 #include "core/job_progress.hpp"
 
 #include <doctest/doctest.h>
+#include <set>
 
 namespace fescuevane::cell
 {
@@ -506,6 +507,42 @@
     CHECK(rounds <= 8);
 }
 
+// Guards against tasks that stay in a failure domain which was taken out: its
+// stages moved one by one, each after a round of questions to all shards.
+TEST_CASE_FIXTURE(cell_pair_fixture,
+                  "domain taken out, many stages wait, all move soon")
+{
+    west_.capacity_ = {64000, 81920, 0};
+    tell_west();
+    for (int job = 10; job < 26; ++job)
+    {
+        submit("aa" + std::to_string(job));
+        run_cell(100'000);
+        for (call_peer const& call : take<call_peer>())
+        {
+            post(peer_replied{call.request_,
+                              {.outcome_ = job_outcome::unavailable}});
+        }
+    }
+    REQUIRE(running_.size() == 4);
+    post(domain_withdrawn{domain_id("east"), true});
+    std::set<job_id> moved;
+    for (int round = 0; round < 60; ++round)
+    {
+        run_cell(100'000);
+        for (call_peer const& call : take<call_peer>())
+        {
+            if (call.call_.kind_ == call_kind::submit)
+            {
+                moved.insert(call.call_.id_);
+                post(peer_replied{call.request_,
+                                  {.outcome_ = job_outcome::accepted}});
+            }
+        }
+    }
+    CHECK(moved.size() >= 12);
+}
+
 // East is half full and holds a gang that another shard has handed over.
 struct moved_gang_fixture : delegation_fixture
 {
