Read the row of leases in one place, and sort stages to offer once

The row was read with the same handling of errors at a takeover and after a conflict, and each waiting stage was asked twice whether it needs an offer. Two tests of the row shared their beginning, which is part of the fixture now.

--- a/cell/delegate_tasks.cpp
+++ b/cell/delegate_tasks.cpp
@@ -17,7 +17,6 @@
 
 #include <algorithm>
 #include <array>
-#include <iterator>
 #include <limits>
 #include <map>
 #include <optional>
@@ -341,23 +340,19 @@
         {
             continue;
         }
-        std::vector<plan::overflow> const waiting = plan::list_overflow(
-            *own.planner_, context.now_, context.settings_.overflow_micros_);
         std::vector<plan::overflow> offered;
-        std::copy_if(waiting.begin(), waiting.end(),
-                     std::back_inserter(offered),
-                     [&](plan::overflow const& tasks)
-                     {
-                         return needs_offer(context, shard, tasks);
-                     });
+        std::vector<plan::overflow> waiting;
+        for (plan::overflow& tasks :
+             plan::list_overflow(*own.planner_, context.now_,
+                                 context.settings_.overflow_micros_))
+        {
+            (needs_offer(context, shard, tasks) ? offered : waiting)
+                .push_back(std::move(tasks));
+        }
         offer_in_turn(context, shard, offered);
         // One stage a look: the loads that hosts tell are a little old.
         for (plan::overflow const& tasks : waiting)
         {
-            if (needs_offer(context, shard, tasks))
-            {
-                continue;
-            }
             if (plan::count_handovers(tasks.stage_.job_) >= max_depth)
             {
                 continue;
--- a/cell/record_grants.cpp
+++ b/cell/record_grants.cpp
@@ -11,6 +11,7 @@
 #include "cell/records.hpp"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace fescuevane::cell
@@ -92,6 +93,21 @@
     return sure;
 }
 
+// Nothing when the row can't be read.
+std::optional<granted_targets> read_stored(node& context, stored_row const& row)
+{
+    try
+    {
+        return row.revision_ == 0 ? granted_targets() : read_grants(row.value_);
+    }
+    catch (record_error const& error)
+    {
+        log_event(context, "row_unreadable",
+                  {{"key", row.key_.key_}, {"error", error.what()}});
+        return std::nullopt;
+    }
+}
+
 void write_grant_row(node& context, shard_id const& shard, owned_row& own,
                      granted_targets targets)
 {
@@ -185,16 +201,11 @@
     for (stored_row const& row : reply.rows_)
     {
         ledger.revision_ = row.revision_;
-        try
+        if (auto targets = read_stored(context, row))
         {
-            ledger.stored_ = read_grants(row.value_);
+            ledger.stored_ = std::move(*targets);
             ledger.found_ = true;
         }
-        catch (record_error const& error)
-        {
-            log_event(context, "row_unreadable",
-                      {{"key", row.key_.key_}, {"error", error.what()}});
-        }
     }
     ledger.loaded_ = true;
     finish_loading(context, request.shard_);
@@ -254,25 +265,6 @@
     }
 }
 
-namespace
-{
-
-granted_targets read_stored(node& context, stored_row const& row)
-{
-    try
-    {
-        return row.revision_ == 0 ? granted_targets() : read_grants(row.value_);
-    }
-    catch (record_error const& error)
-    {
-        log_event(context, "row_unreadable",
-                  {{"key", row.key_.key_}, {"error", error.what()}});
-        return {};
-    }
-}
-
-} // namespace
-
 void end_record_grant(node& context, request_row const& request,
                       store_reply const& reply)
 {
@@ -307,7 +299,8 @@
         {
             // An earlier write without an answer was performed.
             ledger.revision_ = row.revision_;
-            set_stored(context, ledger, read_stored(context, row));
+            set_stored(context, ledger,
+                       read_stored(context, row).value_or(granted_targets()));
         }
         else if (row.revision_ != own->parts_[grant_part].fence_)
         {
--- a/tests/unit/cell_grants_test.cpp
+++ b/tests/unit/cell_grants_test.cpp
@@ -75,6 +75,33 @@
         }
     }
 
+    // The row names t-2 when it leaves the list.
+    void serve_and_unlist_t2()
+    {
+        serve();
+        list_target("t-2");
+        run_targets(micros_per_second, true);
+        REQUIRE(list_stored().contains(target_id("t-2")));
+        post(target_unlisted{target_id("t-2")});
+    }
+
+    // Runs until t-2, which is silent, is given up and taken out of the row.
+    void run_until_taken_out()
+    {
+        constexpr std::int64_t step = 100'000;
+        for (int round = 0;
+             round < 300 && list_stored().contains(target_id("t-2")); ++round)
+        {
+            run(step);
+            for (hold_target const& hold : take<hold_target>())
+            {
+                hold.target_ == target_id("t-1") ? answer_hold(hold)
+                                                 : fail_hold(hold);
+            }
+        }
+        REQUIRE_FALSE(list_stored().contains(target_id("t-2")));
+    }
+
     std::set<target_id> list_stored()
     {
         std::set<target_id> names;
@@ -247,25 +274,9 @@
 TEST_CASE_FIXTURE(grants_fixture,
                   "target taken out without an answer, nothing starts on it")
 {
-    serve();
-    list_target("t-2");
-    run_targets(micros_per_second, true);
-    REQUIRE(list_stored().contains(target_id("t-2")));
-    post(target_unlisted{target_id("t-2")});
+    serve_and_unlist_t2();
     store_silent_ = true;
-    // Until the target is given up and taken out.
-    constexpr std::int64_t step = 100'000;
-    for (int round = 0; round < 300 && list_stored().contains(target_id("t-2"));
-         ++round)
-    {
-        run(step);
-        for (hold_target const& hold : take<hold_target>())
-        {
-            hold.target_ == target_id("t-1") ? answer_hold(hold)
-                                             : fail_hold(hold);
-        }
-    }
-    REQUIRE_FALSE(list_stored().contains(target_id("t-2")));
+    run_until_taken_out();
     store_silent_ = false;
     list_target("t-2");
     std::set<target_id> started;
@@ -297,24 +308,9 @@
 TEST_CASE_FIXTURE(grants_fixture,
                   "target back while it is taken out, nothing starts on it")
 {
-    serve();
-    list_target("t-2");
-    run_targets(micros_per_second, true);
-    REQUIRE(list_stored().contains(target_id("t-2")));
-    post(target_unlisted{target_id("t-2")});
+    serve_and_unlist_t2();
     store_held_ = true;
-    constexpr std::int64_t step = 100'000;
-    for (int round = 0; round < 300 && list_stored().contains(target_id("t-2"));
-         ++round)
-    {
-        run(step);
-        for (hold_target const& hold : take<hold_target>())
-        {
-            hold.target_ == target_id("t-1") ? answer_hold(hold)
-                                             : fail_hold(hold);
-        }
-    }
-    REQUIRE_FALSE(list_stored().contains(target_id("t-2")));
+    run_until_taken_out();
     store_held_ = false; // the answer to that write is still on its way
     list_target("t-2");
     for (char const* const id : {"aa1", "aa2", "aa3", "aa4", "aa5"})
