Tell when a job was accepted in one place

The instant on this host's clock was worked out in three files from the time of day: at an acceptance, at a takeover, and, new, for an offer.

--- a/cell/drive_planners.cpp
+++ b/cell/drive_planners.cpp
@@ -67,14 +67,6 @@
 namespace
 {
 
-// The instant on this host's clock at which a job was accepted.
-instant accepted_at(node const& context, staged_job const& job)
-{
-    std::int64_t const age_ms =
-        std::max<std::int64_t>(0, context.unix_ms_ - job.accepted_unix_ms_);
-    return instant(context.now_.micros() - age_ms * micros_per_milli);
-}
-
 void load_job(node& context, request_row const& request, stored_row const& row)
 {
     if (!may_belong(row.value_, request.shard_))
--- a/cell/node.cpp
+++ b/cell/node.cpp
@@ -241,6 +241,13 @@
            context.settings_.suspect_micros_;
 }
 
+instant accepted_at(node const& context, staged_job const& job)
+{
+    std::int64_t const age_ms =
+        std::max<std::int64_t>(0, context.unix_ms_ - job.accepted_unix_ms_);
+    return instant(context.now_.micros() - age_ms * micros_per_milli);
+}
+
 void log_event(node& context, std::string event,
                std::vector<std::pair<std::string, std::string>> fields)
 {
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -139,6 +139,8 @@
 void          log_event(node& context, std::string event,
                         std::vector<std::pair<std::string, std::string>> fields);
 instant       store_deadline(node const& context);
+// The instant on this host's clock at which a job was accepted.
+instant accepted_at(node const& context, staged_job const& job);
 void drop_shard(node& context, shard_id const& shard, std::string const& why);
 bool owns(node const& context, shard_id const& shard, owned_phase at_least);
 std::uint32_t part_of(node const& context, job_id const& job);
--- a/cell/serve_offers.cpp
+++ b/cell/serve_offers.cpp
@@ -4,7 +4,6 @@
 #include "cell/records.hpp"
 #include "plan/answer_offer.hpp"
 
-#include <algorithm>
 #include <vector>
 
 namespace fescuevane::cell
@@ -45,16 +44,13 @@
 {
     owned_row& own = *context.owned_.find(call.shard_);
     context.offered_[from] = {call.shard_, call.id_, call.deadline_};
-    std::int64_t const age_ms = std::max<std::int64_t>(
-        0, context.unix_ms_ - call.job_->accepted_unix_ms_);
     plan::post_event(
         *own.planner_,
-        plan::job_offered{
-            .job_ = call.job_,
-            .accepted_at_ =
-                instant(context.now_.micros() - age_ms * micros_per_milli),
-            .answer_by_ = instant(call.deadline_.micros() -
-                                  context.settings_.offer_slack_micros_)});
+        plan::job_offered{.job_ = call.job_,
+                          .accepted_at_ = accepted_at(context, *call.job_),
+                          .answer_by_ =
+                              instant(call.deadline_.micros() -
+                                      context.settings_.offer_slack_micros_)});
     own.plan_needed_ = true;
     wake_at(context, context.now_);
 }
--- a/cell/write_journal.cpp
+++ b/cell/write_journal.cpp
@@ -332,14 +332,11 @@
         return;
     }
     add_alias(context, *record.job_);
-    owned_row&         own = *context.owned_.find(record.shard_);
-    std::int64_t const age_ms = std::max<std::int64_t>(
-        0, context.unix_ms_ - record.job_->accepted_unix_ms_);
+    owned_row& own = *context.owned_.find(record.shard_);
     plan::post_event(
         *own.planner_,
         plan::job_added{.job_ = record.job_,
-                        .accepted_at_ = instant(context.now_.micros() -
-                                                age_ms * micros_per_milli)});
+                        .accepted_at_ = accepted_at(context, *record.job_)});
     own.plan_needed_ = true;
     wake_at(context, context.now_);
     log_event(context, "job_accepted",
