Ask which job a run was started for before comparing run numbers

Cause: targets know handed-over tasks by their original names. Of the jobs of a shard that stand for a task, a run was taken for the one with the highest first run number below its own. A job that was sent back stays known, and may have a higher number than a later one with fewer of its tasks. The ends of the later job's runs then counted for the one that was sent back: they were taken note of at once, the run itself was missing in the next report, and the task started again without end. While such runs went on they were stopped as unknown, so the task could also never end (lost work) or fail more often than allowed.

A run now belongs to the job that its session started or saw it as; else to a job that may run the task now, the original among them; else to the one with the highest number, as before.

Evidence: the new test failed before (task running after its end, job not completed) and passes now.

--- a/cell/delegate_tasks.cpp
+++ b/cell/delegate_tasks.cpp
@@ -13,6 +13,7 @@
 #include "cell/node.hpp"
 
 #include "cell/records.hpp"
+#include "cell/sessions.hpp"
 #include "plan/overflow.hpp"
 
 #include <algorithm>
@@ -21,6 +22,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -78,10 +80,54 @@
     return {alias.stage_, alias.indices_.at(run.index_), run.run_};
 }
 
-// A task may have been in a shard, gone and come back: of the jobs of the shard
-// that stand for it, a run belongs to the one with the highest number below the
-// run's. Jobs of other shards that this host owns stand for runs elsewhere.
-run_key to_local(node const& context, shard_id const& shard, run_key const& run)
+namespace
+{
+
+// A job of a shard that a run may belong to, by how likely it is.
+struct run_candidate
+{
+    bool known_ = false; // this owner has started or seen the run as the job's
+    bool open_ = false;  // the job may run the task now
+    std::int64_t first_run_ = -1; // runs of the job have higher numbers
+    run_key      run_;            // as the job names it
+
+    friend auto rank(run_candidate const& candidate)
+    {
+        return std::tuple(candidate.known_, candidate.open_,
+                          candidate.first_run_);
+    }
+};
+
+bool may_run_task(node const& context, record_row const& record,
+                  run_key const& run)
+{
+    owned_row const* const own = context.owned_.find(record.shard_);
+    return !record.canceled_ && !is_final(record.phase_) && own != nullptr &&
+           own->planner_ &&
+           plan::is_task_open(*own->planner_, run.stage_, run.index_);
+}
+
+run_candidate make_candidate(node const& context, session_row const& session,
+                             run_key const& run, std::int64_t first_run)
+{
+    record_row const* const record = context.records_.find(run.stage_.job_);
+    return {.known_ = session.runs_.contains(run),
+            .open_ = record != nullptr && record->shard_ == session.shard_ &&
+                     may_run_task(context, *record, run),
+            .first_run_ = first_run,
+            .run_ = run};
+}
+
+} // namespace
+
+// A task may have been in a shard, gone and come back, also with other tasks
+// than before, so several jobs of the shard may stand for it, and those that
+// have ended stay known for some time. A run belongs to the job that it was
+// started for; else to one that may run the task now; else to the one with the
+// highest number below the run's. Jobs of other shards that this host owns
+// stand for runs elsewhere.
+run_key to_local(node const& context, session_row const& session,
+                 run_key const& run)
 {
     auto const stage = context.aliases_.find(run.stage_);
     if (stage == context.aliases_.end())
@@ -93,28 +139,34 @@
     {
         return run;
     }
-    run_key       local = run;
-    std::uint32_t best = 0;
+    constexpr std::int64_t no_alias = -1;
+    run_candidate best = make_candidate(context, session, run, no_alias);
     for (job_id const& id : jobs->second)
     {
         record_row const* const record = context.records_.find(id);
-        if (record == nullptr || record->shard_ != shard)
+        if (record == nullptr || record->shard_ != session.shard_)
         {
             continue;
         }
         task_alias const& alias = *record->job_->alias_;
-        if (alias.first_run_ >= run.run_ || alias.first_run_ < best)
+        if (alias.first_run_ >= run.run_)
         {
             continue;
         }
-        best = alias.first_run_;
         auto const at =
             std::find(alias.indices_.begin(), alias.indices_.end(), run.index_);
-        local = {{id, 0, 0},
-                 static_cast<std::uint32_t>(at - alias.indices_.begin()),
-                 run.run_};
+        run_candidate const candidate = make_candidate(
+            context, session,
+            {{id, 0, 0},
+             static_cast<std::uint32_t>(at - alias.indices_.begin()),
+             run.run_},
+            alias.first_run_);
+        if (rank(candidate) >= rank(best))
+        {
+            best = candidate;
+        }
     }
-    return local;
+    return best.run_;
 }
 
 // 2. Choice
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -264,8 +264,8 @@
 void    add_alias(node& context, staged_job const& job);
 void    remove_alias(node& context, staged_job const& job);
 run_key to_original(node const& context, run_key const& run);
-run_key to_local(node const& context, shard_id const& shard,
-                 run_key const& run); // as the targets of the shard name it
+run_key to_local(node const& context, session_row const& session,
+                 run_key const& run); // as the target of the session names it
 
 // Delegations
 void restore_delegations(node& context, job_record const& record);
--- a/cell/read_reports.cpp
+++ b/cell/read_reports.cpp
@@ -31,7 +31,7 @@
               });
     for (reported_end const* end : ends)
     {
-        run_key const run = to_local(context, session.shard_, end->run_);
+        run_key const run = to_local(context, session, end->run_);
         session.processed_ = end->number_;
         session.runs_.erase(run);
         session.unstored_.push_back({end->number_, run.stage_.job_, 0});
@@ -133,7 +133,7 @@
     std::set<run_key> seen;
     for (reported_run const& run : reply.runs_)
     {
-        run_key const key = to_local(context, session.shard_, run.run_);
+        run_key const key = to_local(context, session, run.run_);
         seen.insert(key);
         session_run& known = session.runs_[key];
         known.confirmed_at_ = std::min(known.confirmed_at_, context.now_);
--- a/plan/plan.hpp
+++ b/plan/plan.hpp
@@ -81,6 +81,10 @@
 // True when all of them have ended, by ends that this shard has read.
 bool is_delegate_over(planner const& context, stage_key const& stage,
                       job_id const& delegate);
+// False when the task has ended, was handed on, or its job has ended. True for
+// jobs that the planner hasn't read yet.
+bool is_task_open(planner const& context, stage_key const& stage,
+                  std::uint32_t index);
 // The job that is to run the tasks at another shard under the name `delegate`.
 std::shared_ptr<staged_job const> make_delegate(planner const&  context,
                                                 overflow const& tasks,
--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -356,6 +356,19 @@
     return job != nullptr && key.occurrence_ < job->next_occurrence_;
 }
 
+bool is_task_open(planner const& context, stage_key const& key,
+                  std::uint32_t index)
+{
+    if (stage_row const* const stage = context.stages_.find(key))
+    {
+        return index < stage->tasks_.size() && !stage->tasks_[index].done_ &&
+               stage->tasks_[index].delegate_.empty();
+    }
+    job_row const* const job = context.jobs_.find(key.job_);
+    return job == nullptr ||
+           (!is_final(job->phase_) && key.occurrence_ >= job->next_occurrence_);
+}
+
 std::shared_ptr<staged_job const> make_delegate(planner const&  context,
                                                 overflow const& tasks,
                                                 job_id const&   delegate)
--- a/tests/unit/cell_delegation_test.cpp
+++ b/tests/unit/cell_delegation_test.cpp
@@ -122,6 +122,86 @@
     }
 }
 
+// Jobs that another shard hands in for tasks of bb01.
+struct replaced_fixture : delegation_fixture
+{
+    std::uint64_t ends_ = 0;
+
+    void hand_in(std::string const&                id,
+                 std::vector<std::uint32_t> const& indices,
+                 std::uint32_t first_run, std::int64_t cpu_millis)
+    {
+        auto const count = static_cast<std::uint32_t>(indices.size());
+        post(peer_called{
+            ++last_call_,
+            {.kind_ = call_kind::submit,
+             .id_ = job_id(id),
+             .shard_ = {domain_id("east"), 0},
+             .job_ = std::make_shared<staged_job const>(staged_job{
+                 .id_ = job_id(id),
+                 .organisation_ = organisation_id("cafe"),
+                 .queue_ = queue_id("orders"),
+                 .service_ = service_id("desk"),
+                 .payload_ = "work",
+                 .steps_ = {{.count_ = count, .demand_ = {cpu_millis, 512, 0}}},
+                 .alias_ =
+                     task_alias{
+                         .stage_ = {job_id("bb01"), 0, 0},
+                         .indices_ = indices,
+                         .failures_ = {std::vector<std::uint32_t>(count)},
+                         .checkpoints_ = std::vector<std::string>(count),
+                         .first_run_ = first_run}}),
+             .deadline_ = now_.after(micros_per_second)}});
+        run_cell(200'000);
+    }
+
+    void cancel(std::string const& id)
+    {
+        post(peer_called{++last_call_,
+                         {.kind_ = call_kind::cancel,
+                          .id_ = job_id(id),
+                          .shard_ = {domain_id("east"), 0},
+                          .deadline_ = now_.after(micros_per_second)}});
+        run_cell(200'000);
+    }
+
+    // Ends the only run of the target.
+    void end_run(run_end how)
+    {
+        REQUIRE(running_.size() == 1);
+        run_key const ended = running_[0].run_;
+        running_.clear();
+        run(50'000);
+        for (hold_target const& hold : take<hold_target>())
+        {
+            answer_hold(hold, {}, {{++ends_, ended, how, ""}});
+        }
+        run_cell(500'000);
+    }
+};
+
+// Guards against a task that runs again after it was done: its end was taken
+// for that of a job which had stood for the task before and had been sent back.
+TEST_CASE_FIXTURE(
+    replaced_fixture,
+    "task sent back and handed in again, run is done, not started again")
+{
+    constexpr std::int64_t too_large = 8000;
+    constexpr std::int64_t small = 1000;
+    hand_in("bb01~1-1", {2, 3}, 2, too_large);
+    cancel("bb01~1-1");
+    hand_in("bb01~1-2", {3}, 0, small);
+    end_run(run_end::failed);
+    end_run(run_end::failed);
+    REQUIRE(running_.size() == 1);
+    CHECK(running_[0].run_.run_ == 3);
+    end_run(run_end::done);
+    CHECK(running_.empty());
+    CHECK(
+        read_job(rows_.at({"job", "0", "bb01~1-2"}).value_).progress_.phase_ ==
+        job_phase::completed);
+}
+
 // West gave no answer to a submission of tasks whose job was canceled then.
 struct canceled_fixture : delegation_fixture
 {
