Tell the end of a job once it is stored

Cause: owners answered look-ups with an end that only their memory held. The tasks of the job had been handed to a shard of another failure domain; its owner told the end at 27.2 s, the domain lost power at 27.1 to 34.3 s with the owner and the targets that listed the ends, and the next owner found the tasks open and started one of them at 41.5 s, while the shard that had handed them over had gone on with the later steps and completed the job at 29.1 s. Only canceled jobs waited for the store.

Now each end is told once the change that holds it is stored. The write starts at once when somebody waits for it. Callers wait 0.5 s at most, then they are told that the job runs; shards that handed tasks over wait until their call's deadline. While the store is away, steps after handed-over ones don't start.

--- a/cell/drive_planners.cpp
+++ b/cell/drive_planners.cpp
@@ -348,10 +348,16 @@
 
     void operator()(plan::job_changed const& order) const
     {
+        record_row* const record = context_.records_.find(order.id_);
+        if (record == nullptr)
+        {
+            return;
+        }
         mark_changed(context_, order.id_, false);
-        if (record_row* const record = context_.records_.find(order.id_))
+        note_end(context_, *record);
+        if (record->end_change_ != 0 && !record->waiting_.empty())
         {
-            answer_lookups(context_, *record);
+            hurry_write(context_, *record);
         }
     }
 
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -303,15 +303,17 @@
 void serve_call(node& context, origin const& from, job_call const& call);
 void answer_origin(node& context, origin const& to, job_answer const& answer);
 job_phase phase_of(node const& context, record_row const& record);
-// False while the tasks of a canceled job may still start here: another owner
-// would find it as it was.
+// False while another owner would find the job as it was before its end.
 bool is_phase_stored(record_row const& record);
+bool is_end_stored(node const& context, record_row const& record);
+void note_end(node& context, record_row& record); // after a change of the job
 void cancel_job(node& context, record_row& record);
 void answer_lookups(node& context, record_row& record);
 void apply_answer(node& context, std::uint64_t call, job_answer const& answer);
 void open_call(node& context, std::uint64_t id, call_row call);
 void set_policies(node& context, shard_id const& shard);
 void mark_changed(node& context, job_id const& job, bool urgent);
+void hurry_write(node& context, record_row const& record); // callers wait
 void add_waiting_call(node& context, record_row& record,
                       waiting_call const& call);
 void keep_result(node& context, record_row& record); // until it expires
--- a/cell/record_row.hpp
+++ b/cell/record_row.hpp
@@ -28,7 +28,7 @@
     bool          stored_ = false;    // accepted
     bool          uncertain_ = false; // a write got no answer
     bool          canceled_ = false;  // withdrawn, maybe not stored yet
-    std::uint64_t cancel_change_ = 0; // sequence of that change
+    std::uint64_t end_change_ = 0;    // sequence of the change that ended it
     std::uint64_t changed_ = 0;       // sequence of the latest change
     std::uint64_t written_ = 0;       // of the change in flight
     std::uint64_t saved_ = 0;         // of the latest stored change
--- a/cell/serve_calls.cpp
+++ b/cell/serve_calls.cpp
@@ -8,6 +8,7 @@
 
 #include "cell/records.hpp"
 
+#include <algorithm>
 #include <array>
 
 namespace fescuevane::cell
@@ -89,7 +90,20 @@
 
 bool is_phase_stored(record_row const& record)
 {
-    return !record.canceled_ || record.saved_ >= record.cancel_change_;
+    return record.saved_ >= record.end_change_;
+}
+
+bool is_end_stored(node const& context, record_row const& record)
+{
+    return is_final(phase_of(context, record)) && is_phase_stored(record);
+}
+
+void note_end(node& context, record_row& record)
+{
+    if (record.end_change_ == 0 && is_final(phase_of(context, record)))
+    {
+        record.end_change_ = record.changed_;
+    }
 }
 
 void cancel_job(node& context, record_row& record)
@@ -101,15 +115,20 @@
     own.plan_needed_ = true;
     wake_at(context, context.now_);
     mark_changed(context, id, true);
-    record.cancel_change_ = record.changed_;
+    record.end_change_ = record.changed_;
 }
 
 namespace
 {
 
+// A caller that asks for a job whose end isn't stored yet waits so long, which
+// a store that is well never takes. Without the store it is told that the job
+// runs.
+constexpr std::int64_t end_wait_micros = 500'000;
+
 void serve_lookup(node& context, origin const& from, job_call const& call)
 {
-    record_row const* const record = context.records_.find(call.id_);
+    record_row* const record = context.records_.find(call.id_);
     if (record == nullptr)
     {
         answer_origin(context, from, {.outcome_ = job_outcome::absent});
@@ -120,14 +139,29 @@
         answer_origin(context, from, refuse(context, job_outcome::unavailable));
         return;
     }
+    // An end that isn't stored may be undone by the loss of this process and of
+    // the target that lists it, so nobody is told of it.
     job_phase const phase = phase_of(context, *record);
-    if (record->job_->alias_ && (!is_final(phase) || !is_phase_stored(*record)))
+    bool const      unstored = is_final(phase) && !is_phase_stored(*record);
+    if (unstored)
+    {
+        hurry_write(context, *record);
+    }
+    if (record->job_->alias_ && (!is_final(phase) || unstored))
     {
         // Only the shard that handed the tasks on asks, and for their end.
-        add_waiting_call(context, *context.records_.find(call.id_),
+        add_waiting_call(context, *record,
                          {from, call_kind::lookup, call.deadline_});
         return;
     }
+    if (unstored)
+    {
+        add_waiting_call(
+            context, *record,
+            {from, call_kind::lookup,
+             std::min(call.deadline_, context.now_.after(end_wait_micros))});
+        return;
+    }
     answer_origin(context, from,
                   {.outcome_ = job_outcome::known, .phase_ = phase});
 }
@@ -145,16 +179,16 @@
         answer_origin(context, from, refuse(context, job_outcome::unavailable));
         return;
     }
-    bool const ended = is_final(phase_of(context, *record));
-    if (ended && is_phase_stored(*record))
+    if (is_end_stored(context, *record))
     {
         answer_origin(context, from, {.outcome_ = job_outcome::canceled});
         return;
     }
     add_waiting_call(context, *record,
                      {from, call_kind::cancel, call.deadline_});
-    if (record->canceled_)
+    if (is_final(phase_of(context, *record)))
     {
+        hurry_write(context, *record);
         return;
     }
     cancel_job(context, *record);
--- a/cell/write_journal.cpp
+++ b/cell/write_journal.cpp
@@ -55,6 +55,16 @@
         std::min(part.flush_at_, urgent ? context.now_ : gather_until(context));
 }
 
+void hurry_write(node& context, record_row const& record)
+{
+    if (owned_row* const own = context.owned_.find(record.shard_))
+    {
+        journal_part& part = own->parts_[record.part_];
+        part.flush_at_ = std::min(part.flush_at_, context.now_);
+        wake_at(context, context.now_);
+    }
+}
+
 void add_waiting_call(node& context, record_row& record,
                       waiting_call const& call)
 {
@@ -280,11 +290,11 @@
 // Answers the look-ups that wait for the end of a job.
 void answer_lookups(node& context, record_row& record)
 {
-    job_phase const phase = phase_of(context, record);
-    if (!is_final(phase) || !is_phase_stored(record))
+    if (!is_end_stored(context, record))
     {
         return;
     }
+    job_phase const phase = phase_of(context, record);
     std::erase_if(record.waiting_,
                   [&](waiting_call const& call)
                   {
@@ -364,8 +374,8 @@
     {
         accept_job(context, *record);
     }
-    // A write that was in flight when the cancel came doesn't hold it.
-    if (record->canceled_ && record->saved_ >= record->cancel_change_)
+    // A write that was in flight when the job ended doesn't hold its end.
+    if (is_end_stored(context, *record))
     {
         answer_waiting(context, *record, call_kind::cancel,
                        job_outcome::canceled);
@@ -380,7 +390,8 @@
         part.dirty_.erase(job);
     }
     auto const phase = plan::find_phase(*own.planner_, job);
-    if (phase && is_final(*phase) && record->expires_ == instant::never())
+    if (phase && is_final(*phase) && is_phase_stored(*record) &&
+        record->expires_ == instant::never())
     {
         record->phase_ = *phase;
         keep_result(context, *record);
--- a/tests/unit/cell_delegation_test.cpp
+++ b/tests/unit/cell_delegation_test.cpp
@@ -202,6 +202,29 @@
         job_phase::completed);
 }
 
+// Guards against tasks that run again after the shard which handed them over
+// was told of their end: the end wasn't stored, and was lost with the owner and
+// the target that listed it.
+TEST_CASE_FIXTURE(replaced_fixture,
+                  "tasks done, store away, end told once it is stored")
+{
+    hand_in("bb01~1-1", {3}, 0, 1000);
+    take<reply_peer>();
+    post(peer_called{++last_call_,
+                     {.kind_ = call_kind::lookup,
+                      .id_ = job_id("bb01~1-1"),
+                      .shard_ = {domain_id("east"), 0},
+                      .deadline_ = now_.after(3 * micros_per_second)}});
+    store_down_ = true;
+    end_run(run_end::done);
+    CHECK(take<reply_peer>().empty());
+    store_down_ = false;
+    run_cell(500'000);
+    auto const replies = take<reply_peer>();
+    REQUIRE(replies.size() == 1);
+    CHECK(replies[0].answer_.phase_ == job_phase::completed);
+}
+
 // West gave no answer to a submission of tasks whose job was canceled then.
 struct canceled_fixture : delegation_fixture
 {
--- a/tests/unit/cell_jobs_test.cpp
+++ b/tests/unit/cell_jobs_test.cpp
@@ -75,6 +75,37 @@
     CHECK(take<send_start>().size() == 1);
 }
 
+// Guards against a job that callers see as completed and that runs again: its
+// end wasn't stored, and was lost with the owner and the target that listed it.
+TEST_CASE_FIXTURE(cell_fixture,
+                  "job done, store away, shown as completed once stored")
+{
+    serve();
+    submit("aa01");
+    run(100'000);
+    std::vector<send_start> const starts = take<send_start>();
+    REQUIRE(starts.size() == 1);
+    post(order_reply{.request_ = starts[0].request_,
+                     .outcome_ = target_outcome::done});
+    store_down_ = true;
+    for (hold_target const& hold : take<hold_target>())
+    {
+        answer_hold(hold, {}, {{1, starts[0].start_.run_, run_end::done, ""}});
+    }
+    run(50'000);
+    std::uint64_t const early = ask(call_kind::lookup, "aa01");
+    run(micros_per_second);
+    REQUIRE(find_answer(early));
+    CHECK(find_answer(early)->phase_ == job_phase::running);
+    std::uint64_t const late = ask(call_kind::lookup, "aa01");
+    run(50'000);
+    CHECK_FALSE(find_answer(late));
+    store_down_ = false;
+    run(300'000);
+    REQUIRE(find_answer(late));
+    CHECK(find_answer(late)->phase_ == job_phase::completed);
+}
+
 TEST_CASE_FIXTURE(cell_fixture, "unknown job, looked up, absent")
 {
     serve();
