Resume all tasks of a gang from one checkpoint

Tasks of a gang were started with different checkpoints, or some with none, while targets take a checkpoint of any task for the whole gang and need the same one in all starts.

Cause: a report of a run set the checkpoint of its own task only. Ends that are listed set it for all tasks, so this showed when the targets of a gang went away without listing ends, and when a new owner or another shard took the tasks over with what had been reported of some of them.

A checkpoint now counts for all tasks of a gang as soon as it is reported, and those that were stored or handed over are made the same when the stage is opened.

Evidence: both new tests failed before (c-1 and c-2 in one gang; none and c after a change of owner) and pass now.

--- a/plan/apply_events.cpp
+++ b/plan/apply_events.cpp
@@ -322,14 +322,10 @@
         adopt_run(context, input.run_, input.target_, input.percent_);
     }
     note_progress(context, *context.runs_.find_state(input.run_), input);
-    stage_row* const stage = context.stages_.find(input.run_.stage_);
-    if (stage != nullptr && !input.checkpoint_.empty())
-    {
-        stage->tasks_.change(input.run_.index_,
-                             [&](task_cell& task)
-                             {
-                                 task.checkpoint_ = input.checkpoint_;
-                             });
+    if (stage_row* const stage = context.stages_.find(input.run_.stage_))
+    {
+        keep_checkpoint(*stage, find_step(context, input.run_.stage_),
+                        input.run_.index_, input.checkpoint_);
     }
 }
 
--- a/plan/job_flow.cpp
+++ b/plan/job_flow.cpp
@@ -107,6 +107,30 @@
     }
 }
 
+namespace
+{
+
+// What was stored or handed over may tell different checkpoints of a gang.
+void share_checkpoint(std::vector<task_cell>& tasks)
+{
+    auto const known = std::find_if(tasks.begin(), tasks.end(),
+                                    [](task_cell const& task)
+                                    {
+                                        return !task.checkpoint_.empty();
+                                    });
+    if (known == tasks.end())
+    {
+        return;
+    }
+    std::string const checkpoint = known->checkpoint_;
+    for (task_cell& task : tasks)
+    {
+        task.checkpoint_ = checkpoint;
+    }
+}
+
+} // namespace
+
 void open_occurrence(planner& context, job_id const& id)
 {
     job_row*            job = context.jobs_.find(id);
@@ -158,6 +182,10 @@
             continue; // stays in `closed_`
         }
         job->closed_.erase({occurrence, step});
+        if (spec.gang_)
+        {
+            share_checkpoint(tasks);
+        }
         stage.tasks_ = task_list(std::move(tasks));
         context.stages_.ensure({id, occurrence, step}) = std::move(stage);
         ++job->open_stages_;
@@ -407,6 +435,29 @@
     log_note(context, "stop", key, run->target_, why);
 }
 
+// Any task's checkpoint is valid for its whole gang, which has to resume from
+// the same one.
+void keep_checkpoint(stage_row& stage, step_spec const& step,
+                     std::uint32_t index, std::string const& checkpoint)
+{
+    if (checkpoint.empty() || stage.tasks_[index].checkpoint_ == checkpoint)
+    {
+        return;
+    }
+    auto const keep = [&checkpoint](task_cell& task)
+    {
+        task.checkpoint_ = checkpoint;
+    };
+    if (step.gang_)
+    {
+        stage.tasks_.change_all(keep);
+    }
+    else
+    {
+        stage.tasks_.change(index, keep);
+    }
+}
+
 void forget_run(planner& context, run_key const& key)
 {
     if (!remove_run(context, key))
@@ -650,21 +701,7 @@
         log_note(context, "lasting_run_ended", key, target,
                  end_names.at(static_cast<std::size_t>(end)));
     }
-    if (!checkpoint.empty())
-    {
-        auto const keep = [&checkpoint](task_cell& task)
-        {
-            task.checkpoint_ = checkpoint;
-        };
-        if (step.gang_)
-        {
-            stage.tasks_.change_all(keep);
-        }
-        else
-        {
-            stage.tasks_.change(key.index_, keep);
-        }
-    }
+    keep_checkpoint(stage, step, key.index_, checkpoint);
     stage.tasks_.change(key.index_,
                         [&key](task_cell& task)
                         {
--- a/plan/job_flow.hpp
+++ b/plan/job_flow.hpp
@@ -68,6 +68,10 @@
 // No end of such runs on the target is awaited any more.
 void settle_unread(planner& context, target_id const& target);
 
+// Takes note of a checkpoint of a task, which counts for its whole gang.
+void keep_checkpoint(stage_row& stage, step_spec const& step,
+                     std::uint32_t index, std::string const& checkpoint);
+
 // Removes a run without an end: nothing of it has happened.
 void forget_run(planner& context, run_key const& run);
 
--- a/tests/unit/plan_jobs_test.cpp
+++ b/tests/unit/plan_jobs_test.cpp
@@ -72,6 +72,57 @@
     CHECK(find_phase(*planner_, job_id("j-1")) == job_phase::failed);
 }
 
+// Guards against a gang whose tasks carry different checkpoints: its targets
+// reported them at different times, and none of them lists an end.
+TEST_CASE_FIXTURE(plan_fixture,
+                  "gang, targets go away, tasks resume from one checkpoint")
+{
+    set_target("t-1", {1000, 8192, 0});
+    set_target("t-2", {1000, 8192, 0});
+    add_job("j-1", {{.count_ = 2,
+                     .demand_ = {1000, 512, 0},
+                     .estimate_ms_ = 1000,
+                     .checkpointing_ = true,
+                     .gang_ = true}});
+    tick();
+    auto const starts = list<start_run>();
+    REQUIRE(starts.size() == 2);
+    post(run_seen{starts[0].run_, starts[0].target_, "c-1", 20, 0});
+    tick();
+    post(run_seen{starts[1].run_, starts[1].target_, "c-2", 40, 0});
+    tick();
+    post(target_gone{starts[0].target_});
+    post(target_gone{starts[1].target_});
+    set_target("t-3");
+    tick();
+    auto const again = list<start_run>();
+    REQUIRE(again.size() == 2);
+    CHECK(again[0].checkpoint_ == again[1].checkpoint_);
+    CHECK(again[0].checkpoint_ == "c-2");
+}
+
+// The same after a change of owner: the checkpoint of one task alone was
+// stored.
+TEST_CASE_FIXTURE(plan_fixture,
+                  "gang, checkpoint of one task stored, all resume from it")
+{
+    set_target("t-1");
+    add_job("j-1",
+            {{.count_ = 2,
+              .demand_ = {1000, 512, 0},
+              .estimate_ms_ = 1000,
+              .checkpointing_ = true,
+              .gang_ = true}},
+            {.phase_ = job_phase::running,
+             .tasks_ = {{.index_ = 1, .last_run_ = 2, .checkpoint_ = "c"}}},
+            true);
+    tick();
+    auto const starts = list<start_run>();
+    REQUIRE(starts.size() == 2);
+    CHECK(starts[0].checkpoint_ == "c");
+    CHECK(starts[1].checkpoint_ == "c");
+}
+
 // Guards against attempts beyond the queue's bound.
 TEST_CASE_FIXTURE(plan_fixture, "task, all attempts fail, job failed")
 {
