Give each owner of handed-over tasks run numbers of its own

A run number of a handed-over task could be given twice, by two owners of the shard that runs it one after the other.

Cause: an owner's numbers begin at 1,000 for each earlier owner of its shard, or at the last number of the shard that the task comes from, whichever is higher. Where that shard had changed its owner more often, the second one held for both owners here, and starts aren't stored. What a repeated number breaks, by reading: targets turn it down as old and the run is awaited for seconds, an end of the earlier run that is read late is taken for one that is known, and a failure of it isn't counted.

Both numbers are added now, so that the parts of owners stay apart above the numbers of the shard that the task comes from.

Evidence: in the new test two owners both gave 3001; now the later one gives a higher number.

--- a/plan/job_flow.cpp
+++ b/plan/job_flow.cpp
@@ -131,6 +131,12 @@
 
 } // namespace
 
+std::uint32_t find_first_run(planner const& context, staged_job const& job)
+{
+    return context.settings_.run_base_ +
+           (job.alias_ ? job.alias_->first_run_ : 0);
+}
+
 void open_occurrence(planner& context, job_id const& id)
 {
     job_row*            job = context.jobs_.find(id);
@@ -144,12 +150,11 @@
         for (std::uint32_t index = 0; index < spec.count_; ++index)
         {
             task_cell& task = tasks[index];
-            task.last_run_ = context.settings_.run_base_;
+            task.last_run_ = find_first_run(context, *job->spec_);
             task.waiting_since_ = context.now_;
             if (job->spec_->alias_)
             {
                 task_alias const& alias = *job->spec_->alias_;
-                task.last_run_ = std::max(task.last_run_, alias.first_run_);
                 task.failures_ = alias.failures_.at(index);
                 task.checkpoint_ = alias.checkpoints_.at(index);
             }
--- a/plan/job_flow.hpp
+++ b/plan/job_flow.hpp
@@ -14,6 +14,7 @@
 
 namespace fescuevane
 {
+struct staged_job;
 struct task_progress;
 } // namespace fescuevane
 
@@ -41,6 +42,11 @@
 void append_stage_progress(stage_key const& key, stage_row const& stage,
                            std::vector<task_progress>& output);
 
+// This owner's runs of the job have higher numbers. The numbers of a job that
+// was handed over begin above those of the shard that it comes from, and each
+// owner of this shard has a part of its own there as well.
+std::uint32_t find_first_run(planner const& context, staged_job const& job);
+
 // Opens the stages of the next occurrence of a job.
 void open_occurrence(planner& context, job_id const& job);
 
--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -312,9 +312,7 @@
     {
         return false; // a former owner may have started runs
     }
-    std::uint32_t const first =
-        std::max(context.settings_.run_base_,
-                 job->spec_->alias_ ? job->spec_->alias_->first_run_ : 0);
+    std::uint32_t const first = find_first_run(context, *job->spec_);
     return std::all_of(stage->tasks_.begin(), stage->tasks_.end(),
                        [first](task_cell const& task)
                        {
--- a/tests/unit/plan_jobs_test.cpp
+++ b/tests/unit/plan_jobs_test.cpp
@@ -299,5 +299,49 @@
     CHECK(again[0].run_.run_ == 1001);
 }
 
+// Starts of a job that was handed over, by an owner with these run numbers.
+struct numbered_fixture : plan_fixture
+{
+    explicit numbered_fixture(std::uint32_t run_base)
+        : plan_fixture({.run_base_ = run_base})
+    {
+    }
+
+    std::uint32_t start_delegate(std::uint32_t first_run)
+    {
+        set_target("t-1");
+        staged_job const job{.id_ = job_id("j-1~4-1"),
+                             .organisation_ = organisation_id("cafe"),
+                             .queue_ = queue_id("orders"),
+                             .service_ = service_id("desk"),
+                             .payload_ = "work",
+                             .steps_ = {make_step(1)},
+                             .alias_ =
+                                 task_alias{.stage_ = {job_id("j-1"), 0, 0},
+                                            .indices_ = {0},
+                                            .failures_ = {0},
+                                            .checkpoints_ = {""},
+                                            .first_run_ = first_run}};
+        post(job_added{.job_ = std::make_shared<staged_job const>(job),
+                       .accepted_at_ = now_,
+                       .recovered_ = true});
+        tick();
+        REQUIRE(list<start_run>().size() == 1);
+        return list<start_run>()[0].run_.run_;
+    }
+};
+
+// Guards against a run number that is given twice: the shard that handed the
+// task over had changed its owner more often than the one that runs it.
+TEST_CASE("delegate with high run numbers, owner changes, number is new")
+{
+    constexpr std::uint32_t first_run = 3000;
+    numbered_fixture        before(0);
+    numbered_fixture        after(1000);
+    std::uint32_t const     earlier = before.start_delegate(first_run);
+    CHECK(earlier > first_run);
+    CHECK(after.start_delegate(first_run) > earlier);
+}
+
 } // namespace
 } // namespace fescuevane::plan
