Send all starts of a gang before handing its shard over

Some tasks of a gang started and waited alone at their targets after their shard had moved to another host, as hosts do to balance load, too.

Cause: at most four orders go to one target at a time.

The next owner finds a part of the gang at work and can't start the rest before that has ended.

A release now waits until no start of a gang waits for its turn. Single tasks aren't awaited.

Evidence: of three starts of a gang one was sent before the release, now all are.

--- a/cell/release_shards.cpp
+++ b/cell/release_shards.cpp
@@ -144,10 +144,32 @@
                        });
 }
 
+bool is_gang_start(plan::command const& order)
+{
+    auto const* const start = std::get_if<plan::start_run>(&order);
+    return start != nullptr &&
+           start->job_->steps_.at(start->run_.stage_.step_).gang_;
+}
+
+// Starts that weren't sent end with the ownership. A gang of which some tasks
+// have started would wait for the others until its targets end it.
+bool awaits_gang_starts(node const& context, shard_id const& shard)
+{
+    return std::any_of(context.sessions_.begin(), context.sessions_.end(),
+                       [&shard](session_row const& session)
+                       {
+                           return session.open_ && session.shard_ == shard &&
+                                  std::any_of(session.orders_.begin(),
+                                              session.orders_.end(),
+                                              &is_gang_start);
+                       });
+}
+
 void release_shard(node& context, shard_id const& shard, owned_row& own)
 {
     if (own.request_ != 0 || own.allotment_request_ != 0 ||
-        own.grants_.request_ != 0 || !is_journal_clean(own))
+        own.grants_.request_ != 0 || !is_journal_clean(own) ||
+        (!may_be_released(own) && awaits_gang_starts(context, shard)))
     {
         return;
     }
--- a/tests/unit/cell_release_test.cpp
+++ b/tests/unit/cell_release_test.cpp
@@ -204,5 +204,78 @@
     CHECK(run_target(3 * micros_per_second) > 0);
 }
 
+// A gang of three, of which one start was sent.
+struct gang_release_fixture : release_fixture
+{
+    std::vector<send_start> starts_;
+
+    gang_release_fixture()
+    {
+        post(call_opened{.call_ = ++last_call_,
+                         .kind_ = call_kind::submit,
+                         .id_ = job_id("aa01"),
+                         .job_ = std::make_shared<staged_job const>(staged_job{
+                             .id_ = job_id("aa01"),
+                             .organisation_ = organisation_id("cafe"),
+                             .queue_ = queue_id("orders"),
+                             .service_ = service_id("desk"),
+                             .payload_ = "work",
+                             .steps_ = {{.count_ = 3,
+                                         .demand_ = {1000, 512, 0},
+                                         .estimate_ms_ = 1000,
+                                         .gang_ = true}},
+                             .accepted_unix_ms_ = unix_ms_}),
+                         .deadline_ = now_.after(3 * micros_per_second)});
+        run(200'000);
+        starts_ = take<send_start>();
+        REQUIRE(starts_.size() == 1); // the others wait for their turn
+    }
+};
+
+// Guards against tasks of a gang that wait alone at their targets: the shard
+// was handed over while other starts of the gang waited for their turn.
+TEST_CASE_FIXTURE(gang_release_fixture,
+                  "starts of a gang wait, shard is handed over, all are sent")
+{
+    post(stop_requested{});
+    std::size_t sent = 0;
+    for (int round = 0; round < 10 && !starts_.empty(); ++round)
+    {
+        sent += starts_.size();
+        run(50'000);
+        for (send_start const& start : starts_)
+        {
+            post(order_reply{.request_ = start.request_,
+                             .outcome_ = target_outcome::done});
+        }
+        run(50'000);
+        starts_ = take<send_start>();
+    }
+    CHECK(sent == 3);
+    CHECK(is_released());
+}
+
+// Guards against a shard that isn't handed over: a target gave no answer while
+// starts of a gang waited for their turn.
+TEST_CASE_FIXTURE(gang_release_fixture,
+                  "starts of a gang wait, target is silent, released in time")
+{
+    post(stop_requested{});
+    for (int round = 0; round < 40 && !is_released(); ++round)
+    {
+        run(100'000);
+        for (hold_target const& hold : take<hold_target>())
+        {
+            fail_hold(hold);
+        }
+        for (send_start const& start : take<send_start>())
+        {
+            post(order_reply{.request_ = start.request_,
+                             .outcome_ = target_outcome::unknown});
+        }
+    }
+    CHECK(is_released());
+}
+
 } // namespace
 } // namespace fescuevane::cell
