Take over work and plan it with a configuration only

A job was given up after the first of three attempts when its owner, started again, had read all rows but the configuration.

Cause: the configuration, the list of targets and the rows of hosts are read by feeds of their own. A host claimed shards with the last two. Its planner knew no queue, which it took for a limit of one attempt, no limits of organisations, and no need for tickets.

Shards that had an owner before are claimed with a configuration only. A first owner may claim without one, since there is no work yet, but its planner doesn't run before it knows one.

Evidence: both new tests failed before (job given up after one failure; a job that another host handed in started without a configuration) and pass now.

--- a/cell/claim_shards.cpp
+++ b/cell/claim_shards.cpp
@@ -292,6 +292,12 @@
     {
         shard_id const shard = context.shards_.key(index);
         shard_row&     row = context.shards_[index];
+        // Work of former owners is judged by the limits of its queue and its
+        // organisation.
+        if (row.epoch_ != 0 && !context.config_)
+        {
+            continue;
+        }
         if (!context.owned_.contains(shard) && may_claim(context, shard, row))
         {
             claim_shard(context, shard, row);
--- a/cell/drive_planners.cpp
+++ b/cell/drive_planners.cpp
@@ -382,7 +382,9 @@
         }
         // A shard that is handed over changes no job any more, so that its
         // journal gets clean; its next owner sees what ends meanwhile.
-        if (own.phase_ != owned_phase::serving || own.releasing_)
+        // Without a configuration no limit is known, nor who needs tickets.
+        if (own.phase_ != owned_phase::serving || own.releasing_ ||
+            !context.config_)
         {
             continue;
         }
--- a/tests/unit/cell_ownership_test.cpp
+++ b/tests/unit/cell_ownership_test.cpp
@@ -547,5 +547,97 @@
     CHECK(jobs["east.1"] > 10);
 }
 
+// A host that has started again reads all rows but the configuration.
+struct unconfigured_fixture : cell_fixture
+{
+    std::vector<send_start> starts_;
+
+    unconfigured_fixture()
+    {
+        start(1);
+        serve();
+        submit("aa01");
+        run(200'000);
+        starts_ = take<send_start>();
+        REQUIRE(starts_.size() == 1);
+        settings_.incarnation_ = 2;
+        commands_.clear();
+        needed_targets_ = true;
+        node_ = make_node(settings_, now_);
+        for (auto const& [key, row] : rows_)
+        {
+            if (key.table_ == "member")
+            {
+                post(member_row_changed{row});
+            }
+        }
+        list_target("t-1");
+        post(list_complete{member_list::members});
+        post(list_complete{member_list::targets});
+    }
+
+    // Runs while the target lists that the run has failed.
+    void run_failed(std::int64_t micros)
+    {
+        constexpr std::int64_t step = 50'000;
+        for (std::int64_t passed = 0; passed < micros; passed += step)
+        {
+            run(step);
+            for (hold_target const& hold : take<hold_target>())
+            {
+                answer_hold(hold, {},
+                            {{1, starts_[0].start_.run_, run_end::failed, ""}});
+            }
+        }
+    }
+};
+
+// Guards against a job that fails after its first attempt: its owner took the
+// shard over before it knew how many attempts the queue allows.
+TEST_CASE_FIXTURE(unconfigured_fixture,
+                  "shard of an earlier process, no configuration yet, run "
+                  "failed, starts again")
+{
+    run_failed(3 * micros_per_second);
+    post(config_changed{make_config()});
+    run_failed(3 * micros_per_second);
+    auto const again = take<send_start>();
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].start_.run_.run_ > starts_[0].start_.run_.run_);
+}
+
+// Guards against work beyond the limits of an organisation, and without
+// tickets: an owner that knew no configuration started a job that another host
+// took.
+TEST_CASE_FIXTURE(cell_fixture,
+                  "first owner, no configuration yet, job handed in, starts "
+                  "with the configuration")
+{
+    node_ = make_node(settings_, now_);
+    post(list_complete{member_list::members});
+    post(list_complete{member_list::targets});
+    serve();
+    post(peer_called{1,
+                     {.kind_ = call_kind::submit,
+                      .id_ = job_id("aa01"),
+                      .shard_ = {domain_id("east"), 0},
+                      .job_ = std::make_shared<staged_job const>(
+                          staged_job{.id_ = job_id("aa01"),
+                                     .organisation_ = organisation_id("cafe"),
+                                     .queue_ = queue_id("orders"),
+                                     .service_ = service_id("desk"),
+                                     .payload_ = "work",
+                                     .steps_ = {{.demand_ = {1000, 512, 0}}}}),
+                      .deadline_ = now_.after(micros_per_second)}});
+    run(200'000);
+    auto const replies = take<reply_peer>();
+    REQUIRE(replies.size() == 1);
+    REQUIRE(replies[0].answer_.outcome_ == job_outcome::accepted);
+    CHECK(take<send_start>().empty());
+    post(config_changed{make_config()});
+    run(100'000);
+    CHECK(take<send_start>().size() == 1);
+}
+
 } // namespace
 } // namespace fescuevane::cell
