--- a/plan/job_flow.cpp
+++ b/plan/job_flow.cpp
@@ -107,6 +107,36 @@
     }
 }
 
+namespace
+{
+
+// What was stored or handed over may tell different checkpoints of a gang.
+void share_checkpoint(std::vector<task_cell>& tasks)
+{
+    auto const known = std::find_if(tasks.begin(), tasks.end(),
+                                    [](task_cell const& task)
+                                    {
+                                        return !task.checkpoint_.empty();
+                                    });
+    if (known == tasks.end())
+    {
+        return;
+    }
+    std::string const checkpoint = known->checkpoint_;
+    for (task_cell& task : tasks)
+    {
+        task.checkpoint_ = checkpoint;
+    }
+}
+
+} // namespace
+
+std::uint32_t find_first_run(planner const& context, staged_job const& job)
+{
+    return context.settings_.run_base_ +
+           (job.alias_ ? job.alias_->first_run_ : 0);
+}
+
 void open_occurrence(planner& context, job_id const& id)
 {
     job_row*            job = context.jobs_.find(id);
@@ -120,12 +150,11 @@
         for (std::uint32_t index = 0; index < spec.count_; ++index)
         {
             task_cell& task = tasks[index];
-            task.last_run_ = context.settings_.run_base_;
+            task.last_run_ = find_first_run(context, *job->spec_);
             task.waiting_since_ = context.now_;
             if (job->spec_->alias_)
             {
                 task_alias const& alias = *job->spec_->alias_;
-                task.last_run_ = std::max(task.last_run_, alias.first_run_);
                 task.failures_ = alias.failures_.at(index);
                 task.checkpoint_ = alias.checkpoints_.at(index);
             }
@@ -158,6 +187,10 @@
             continue; // stays in `closed_`
         }
         job->closed_.erase({occurrence, step});
+        if (spec.gang_)
+        {
+            share_checkpoint(tasks);
+        }
         stage.tasks_ = task_list(std::move(tasks));
         context.stages_.ensure({id, occurrence, step}) = std::move(stage);
         ++job->open_stages_;
@@ -407,6 +440,29 @@
     log_note(context, "stop", key, run->target_, why);
 }
 
+// Any task's checkpoint is valid for its whole gang, which has to resume from
+// the same one.
+void keep_checkpoint(stage_row& stage, step_spec const& step,
+                     std::uint32_t index, std::string const& checkpoint)
+{
+    if (checkpoint.empty() || stage.tasks_[index].checkpoint_ == checkpoint)
+    {
+        return;
+    }
+    auto const keep = [&checkpoint](task_cell& task)
+    {
+        task.checkpoint_ = checkpoint;
+    };
+    if (step.gang_)
+    {
+        stage.tasks_.change_all(keep);
+    }
+    else
+    {
+        stage.tasks_.change(index, keep);
+    }
+}
+
 void forget_run(planner& context, run_key const& key)
 {
     if (!remove_run(context, key))
@@ -650,21 +706,7 @@
         log_note(context, "lasting_run_ended", key, target,
                  end_names.at(static_cast<std::size_t>(end)));
     }
-    if (!checkpoint.empty())
-    {
-        auto const keep = [&checkpoint](task_cell& task)
-        {
-            task.checkpoint_ = checkpoint;
-        };
-        if (step.gang_)
-        {
-            stage.tasks_.change_all(keep);
-        }
-        else
-        {
-            stage.tasks_.change(key.index_, keep);
-        }
-    }
+    keep_checkpoint(stage, step, key.index_, checkpoint);
     stage.tasks_.change(key.index_,
                         [&key](task_cell& task)
                         {
--- a/plan/job_flow.hpp
+++ b/plan/job_flow.hpp
@@ -14,6 +14,7 @@
 
 namespace fescuevane
 {
+struct staged_job;
 struct task_progress;
 } // namespace fescuevane
 
@@ -41,6 +42,11 @@
 void append_stage_progress(stage_key const& key, stage_row const& stage,
                            std::vector<task_progress>& output);
 
+// This owner's runs of the job have higher numbers. The numbers of a job that
+// was handed over begin above those of the shard that it comes from, and each
+// owner of this shard has a part of its own there as well.
+std::uint32_t find_first_run(planner const& context, staged_job const& job);
+
 // Opens the stages of the next occurrence of a job.
 void open_occurrence(planner& context, job_id const& job);
 
@@ -68,6 +74,10 @@
 // No end of such runs on the target is awaited any more.
 void settle_unread(planner& context, target_id const& target);
 
+// Takes note of a checkpoint of a task, which counts for its whole gang.
+void keep_checkpoint(stage_row& stage, step_spec const& step,
+                     std::uint32_t index, std::string const& checkpoint);
+
 // Removes a run without an end: nothing of it has happened.
 void forget_run(planner& context, run_key const& run);
 
