Don't tick on while a call that is due has no owner

Callers saw nothing, but a process ran ticks without a pause from the time when a call was due to be passed again until its shard had an owner that takes work, up to seconds at a change of owner.

expire_calls counted the past time of such a call as the next deadline. The call waits for an owner only, and refresh_routes routes it again when there is one, so the time no longer counts.

--- a/entry/node_calls.cpp
+++ b/entry/node_calls.cpp
@@ -630,14 +630,17 @@
         }
         else
         {
+            // A call that is due waits for nothing but an owner, and a new one
+            // routes it again. Its own time would be due in each tick.
             instant const resend = context.calls_.resend_deadline_[row];
-            if (resend <= context.now_)
+            bool const    due = resend <= context.now_;
+            if (due)
             {
                 context.to_route_.push_back(context.calls_.index_.key(row));
             }
             context.expire_deadline_ =
                 std::min({context.expire_deadline_, expiry,
-                          std::max(resend, context.now_)});
+                          due ? instant::never() : resend});
         }
     }
 }
--- a/tests/unit/node_failures_test.cpp
+++ b/tests/unit/node_failures_test.cpp
@@ -356,6 +356,24 @@
     CHECK(find_owner("east") == other_);
 }
 
+// Guards against ticks without a pause while a call is due to be passed again
+// and its shard has no owner. The fixture fails a deadline that doesn't move.
+TEST_CASE_FIXTURE(node_failures_fixture,
+                  "call, no owner when it is passed again, waits for one")
+{
+    set_run_time(20 * micros_per_second);
+    auto const call = submit_and_start("west1", make_request("east.0~a"));
+    nodes_.at("west1").store_cut_ = true;
+    kill("east1");
+    kill("east2");
+    kill("west2");
+    run(5 * micros_per_second);
+    CHECK(list_answers("west1", call).empty());
+    start("east1", "east", 2);
+    REQUIRE(wait("west1", call));
+    CHECK(count_starts("east.0~a") == 1);
+}
+
 // Guards against tasks that run twice: a target that was cut off left the list
 // before its shard's new owner started, and ran on.
 TEST_CASE_FIXTURE(
