Name targets with leases in the store in the plain interface

Callers saw a batch run twice: a target that was cut off left the list of hosts before new processes read it, so they started its batch again while its leases held.

Starts aren't stored, and a new owner knew only listed targets. As in the cell (decision 0012), a row for each shard now names the targets on which leases may run. The state package writes it under the owner's row (record_grants); until it names a target, the scheduler counts that target as unreached and idle: it gets no work, and its capacity isn't charged.

Without a complete row it waits for all listed ones, as before. A handover waits for the open commit of the row, whose condition would fail afterwards.

The test of suite "unlisted" failed each time before and passes unchanged. Of the new tests of node_grants_test.cpp, these failed while the step that they guard was taken out: work on a target before its row is written, work that waits for a target that was never reached, a task repeated although its unlisted target could be reached, and one repeated while its listed target was cut off. The cases of an unreadable row and of a target taken out have no such run. All 38 cases of node_tests pass, 53 of state_tests and 50 of decide_tests.

--- a/decide/apply_job_events.cpp
+++ b/decide/apply_job_events.cpp
@@ -56,7 +56,7 @@
     {
         return;
     }
-    if (context.targets_.unreached_ > 0)
+    if (context.targets_.unknown_ > 0)
     {
         hold_job(context, job);
         return;
@@ -213,7 +213,7 @@
     std::size_t const team =
         find_or_append_team(context.teams_, spec.key_.team_);
     bool const may_run = input.may_run_ && spec.task_count_ > 0;
-    if (may_run && (context.targets_.unreached_ > 0 || !spec.idempotent_))
+    if (may_run && (context.targets_.unknown_ > 0 || !spec.idempotent_))
     {
         hold_job(context, append_submitted(context, spec, team));
         return;
--- a/decide/apply_target_events.cpp
+++ b/decide/apply_target_events.cpp
@@ -71,7 +71,7 @@
     std::size_t const row =
         find_or_append_target(context.targets_, input.target_);
     unreach_target(context.targets_, row, input.capacity_,
-                   input.lapse_deadline_);
+                   input.lapse_deadline_, input.idle_);
     add_timer(context.timers_, input.lapse_deadline_, timer_kind::lapse, {},
               input.target_);
 }
--- a/decide/release_held_jobs.cpp
+++ b/decide/release_held_jobs.cpp
@@ -67,7 +67,7 @@
 
 void release_held_jobs(scheduler& context)
 {
-    if (context.targets_.unreached_ > 0 || context.held_jobs_.empty())
+    if (context.targets_.unknown_ > 0 || context.held_jobs_.empty())
     {
         return;
     }
--- a/decide/target_table.cpp
+++ b/decide/target_table.cpp
@@ -22,6 +22,8 @@
     else
     {
         table.unreached_ += static_cast<std::size_t>(sign);
+        table.unknown_ +=
+            static_cast<std::size_t>(table.idle_[row] == 0 ? sign : 0);
     }
     table.total_charged_ = table.total_charged_ + table.charged_[row] * sign;
 }
@@ -37,6 +39,7 @@
     visit(table.reached_);
     visit(table.seen_);
     visit(table.leaving_);
+    visit(table.idle_);
     visit(table.held_);
     visit(table.charged_);
     visit(table.lapse_deadline_);
@@ -97,6 +100,7 @@
     table.slots_[row] = joined.slots_;
     table.free_slots_[row] = table.slots_[row] - used_slots;
     table.reached_[row] = 1;
+    table.idle_[row] = 0;
     table.seen_[row] = 1;
     table.leaving_[row] = 0;
     table.charged_[row] = resources();
@@ -106,13 +110,16 @@
 }
 
 void unreach_target(target_table& table, std::size_t row,
-                    resources const& capacity, instant lapse_deadline)
+                    resources const& capacity, instant lapse_deadline,
+                    bool idle)
 {
     add_to_totals(table, row, -1);
     resources const used = table.capacity_[row] - table.free_[row];
     table.reached_[row] = 0;
+    table.idle_[row] = idle ? 1 : 0;
     table.charged_[row] =
-        max(max(capacity, table.capacity_[row]) - used, resources());
+        idle ? resources()
+             : max(max(capacity, table.capacity_[row]) - used, resources());
     table.lapse_deadline_[row] = lapse_deadline;
     add_to_totals(table, row, 1);
     update_room(table, row);
--- a/decide/target_table.hpp
+++ b/decide/target_table.hpp
@@ -31,6 +31,7 @@
     column<std::uint8_t>          reached_;    // 1: reached under this epoch
     column<std::uint8_t>          seen_;       // 1: reached at least once
     column<std::uint8_t>          leaving_;    // 1: gets no new work
+    column<std::uint8_t>          idle_;       // 1: unreached, runs nothing
     column<std::uint8_t>          held_;       // 1: for the reserving gang
     column<resources>             charged_;    // unproven, while unreached
     column<instant>               lapse_deadline_;     // while unreached
@@ -45,6 +46,7 @@
     resources     total_used_;    // reserved on all targets
     resources     total_charged_; //
     std::size_t   unreached_ = 0; // rows that aren't reached
+    std::size_t   unknown_ = 0;   // of these, rows that may run tasks
     std::size_t   on_probation_ = 0;
 };
 
@@ -57,9 +59,10 @@
                   target_joined const& joined);
 
 // Marks a target as unreached; it charges what is not reserved of the larger
-// of `capacity` and its known capacity.
+// of `capacity` and its known capacity, unless it is idle.
 void unreach_target(target_table& table, std::size_t row,
-                    resources const& capacity, instant lapse_deadline);
+                    resources const& capacity, instant lapse_deadline,
+                    bool idle);
 
 // Takes and returns one slot and `amount` of a target's capacity.
 void reserve_on_target(target_table& table, std::size_t row,
--- a/decide/target_unreached.hpp
+++ b/decide/target_unreached.hpp
@@ -17,6 +17,7 @@
     target_id const target_;
     resources const capacity_; // zero when it was never seen
     instant const   lapse_deadline_;
+    bool const      idle_ = false; // runs nothing, so no capacity is counted
 
     friend bool operator==(target_unreached const&,
                            target_unreached const&) = default;
--- a/entry/driver_table.hpp
+++ b/entry/driver_table.hpp
@@ -13,6 +13,8 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <set>
 #include <vector>
 
 namespace fescuevane::entry
@@ -26,12 +28,18 @@
     column<std::map<team_id, resources>> allotments_; // of limited teams
     // Journaled jobs that the scheduler has not been told yet.
     column<std::vector<job_key>> restored_;
-    column<std::uint8_t>         dirty_;    // events were posted
-    column<std::uint8_t>         ready_;    // takes work
-    column<std::uint8_t>         complete_; // every target attached
-    column<instant>              acquired_;
-    column<instant>              ready_deadline_; // takes work then
-    column<instant>              load_deadline_;  // next load report
+    column<std::uint8_t>         dirty_;   // events were posted
+    column<std::uint8_t>         ready_;   // takes work
+    column<std::uint8_t>         regrant_; // targets with leases changed
+    // Targets that the stored row of leases names for sure: work starts on
+    // these only.
+    column<std::set<target_id>> recorded_;
+    // Targets with leases of former owners; without a value, any may have some.
+    column<std::optional<std::set<target_id>>> former_;
+    column<std::uint8_t> complete_; // every target attached
+    column<instant>      acquired_;
+    column<instant>      ready_deadline_; // takes work then
+    column<instant>      load_deadline_;  // next load report
 };
 
 } // namespace fescuevane::entry
--- a/entry/node.cpp
+++ b/entry/node.cpp
@@ -63,7 +63,7 @@
 namespace
 {
 
-constexpr std::array<system_entry, 10> systems = {{
+constexpr std::array<system_entry, 11> systems = {{
     {"apply inbox", &apply_inbox},
     {"run control", &run_control},
     {"follow hosts", &follow_hosts},
@@ -71,6 +71,7 @@
     {"route calls", &route_calls},
     {"drive shards", &drive_shards},
     {"keep sessions", &keep_sessions},
+    {"want grants", &want_grants},
     {"expire records", &expire_records},
     {"expire calls", &expire_calls},
     {"greet peers", &greet_peers},
--- a/entry/node_inbox.cpp
+++ b/entry/node_inbox.cpp
@@ -204,6 +204,11 @@
     take_recorded(context, order);
 }
 
+void obey(node& context, state::grants_recorded const& order)
+{
+    take_recorded(context, order);
+}
+
 void obey(node& context, state::peers_changed const& order)
 {
     set_peers(context, order);
--- a/entry/node_owner.cpp
+++ b/entry/node_owner.cpp
@@ -188,6 +188,9 @@
     drivers.restored_.append({});
     drivers.dirty_.append(1);
     drivers.ready_.append(0);
+    drivers.regrant_.append(1);
+    drivers.recorded_.append({});
+    drivers.former_.append({});
     drivers.complete_.append(0);
     drivers.acquired_.append(context.now_);
     drivers.ready_deadline_.append(context.now_.after(ready_wait_micros));
@@ -201,6 +204,7 @@
     {
         restore_record(context, row, entry);
     }
+    adopt_grants(context, row, input.grants_);
     open_sessions(context, input.shard_);
     context.routes_stale_ = true;
 }
@@ -221,6 +225,9 @@
     drivers.restored_.remove_by_moving_last(*row);
     drivers.dirty_.remove_by_moving_last(*row);
     drivers.ready_.remove_by_moving_last(*row);
+    drivers.regrant_.remove_by_moving_last(*row);
+    drivers.recorded_.remove_by_moving_last(*row);
+    drivers.former_.remove_by_moving_last(*row);
     drivers.complete_.remove_by_moving_last(*row);
     drivers.acquired_.remove_by_moving_last(*row);
     drivers.ready_deadline_.remove_by_moving_last(*row);
--- a/entry/node_sessions.cpp
+++ b/entry/node_sessions.cpp
@@ -71,8 +71,42 @@
 {
     listed_host const& host = context.sessions_.host_[row];
     post_to_owner(context, row,
-                  decide::target_unreached{host.target_, host.capacity_,
-                                           instant::never()});
+                  decide::target_unreached{
+                      .target_ = host.target_,
+                      .capacity_ = host.capacity_,
+                      .lapse_deadline_ = instant::never(),
+                      .idle_ = context.sessions_.may_run_[row] == 0});
+}
+
+// The row of leases has to name other targets.
+void note_grants(node& context, std::size_t row)
+{
+    auto const driver =
+        context.drivers_.index_.find(context.sessions_.shard_[row]);
+    if (driver)
+    {
+        context.drivers_.regrant_[*driver] = 1;
+    }
+}
+
+bool may_hold_leases(node const& context, shard_id const& shard,
+                     target_id const& target)
+{
+    auto const driver = context.drivers_.index_.find(shard);
+    if (!driver)
+    {
+        return true;
+    }
+    auto const& former = context.drivers_.former_[*driver];
+    return !former || former->contains(target);
+}
+
+bool is_recorded(node const& context, std::size_t row)
+{
+    auto const driver =
+        context.drivers_.index_.find(context.sessions_.shard_[row]);
+    return driver && context.drivers_.recorded_[*driver].contains(
+                         context.sessions_.index_.key(row));
 }
 
 // 1. Opening and closing
@@ -85,12 +119,25 @@
     std::size_t const  row = append_session(context.sessions_, listed, shard);
     // An earlier owner may have renewed its leases until it left the list.
     context.sessions_.lapse_deadline_[row] = hosts.gone_deadline_[host];
+    context.sessions_.may_run_[row] =
+        may_hold_leases(context, shard, listed.target_) ? 1 : 0;
+    note_grants(context, row);
     post_unreached(context, row);
     context.session_deadline_ = context.now_;
 }
 
+} // namespace
+
+// A target that the stored row of leases doesn't name yet gets no work: it
+// counts as unreached.
 void post_joined(node& context, std::size_t row)
 {
+    if (!is_recorded(context, row))
+    {
+        post_unreached(context, row);
+        return;
+    }
+    context.sessions_.may_run_[row] = 1;
     listed_host const& host = context.sessions_.host_[row];
     post_to_owner(context, row,
                   decide::target_joined{host.target_, host.rack_,
@@ -101,6 +148,9 @@
     }
 }
 
+namespace
+{
+
 void finish_task_span(node& context, task_key const& task)
 {
     auto const span = context.task_spans_.find(task);
@@ -127,6 +177,8 @@
     context.sessions_.tasks_[row].clear();
     context.sessions_.orders_[row].clear();
     context.sessions_.acknowledged_[row].clear();
+    context.sessions_.may_run_[row] = 0;
+    note_grants(context, row);
     post_to_owner(context, row,
                   decide::target_lost{context.sessions_.index_.key(row)});
 }
@@ -280,6 +332,7 @@
     sessions.phase_[row] = session_phase::attached;
     sessions.renew_deadline_[row] = context.now_;
     post_joined(context, row);
+    note_grants(context, row);
     reject_missing(context, row, input);
     context.session_deadline_ = context.now_;
 }
@@ -338,6 +391,7 @@
     context.session_deadline_ =
         std::min(context.session_deadline_, sessions.connect_deadline_[*row]);
     post_unreached(context, *row);
+    note_grants(context, *row);
 }
 
 // 3. Orders
@@ -481,14 +535,15 @@
     return std::min(sessions.connect_deadline_[row], find_lapse(context, row));
 }
 
-// A shard is complete when each listed target was attached under its epoch, or
-// is known to run nothing. Only then is a restriction in force on all of it.
+// A shard is complete when each target was attached under its epoch, or is
+// known to run nothing. Only then is a restriction in force on all of it.
 bool is_complete(node const& context, shard_id const& shard)
 {
     session_table const& sessions = context.sessions_;
     for (std::size_t row = 0; row < sessions.index_.size(); ++row)
     {
-        if (sessions.shard_[row] == shard && sessions.incarnation_[row] == 0)
+        if (sessions.shard_[row] == shard && sessions.incarnation_[row] == 0 &&
+            sessions.may_run_[row] != 0)
         {
             return false;
         }
@@ -536,11 +591,19 @@
         else if (session && context.sessions_.host_[*session] != listed)
         {
             context.sessions_.host_.replace(*session, listed);
+            note_grants(context, *session);
             if (context.sessions_.phase_[*session] == session_phase::attached)
             {
                 post_joined(context, *session);
             }
         }
+        if (session && hosts.gone_deadline_[row] == instant::never() &&
+            context.sessions_.incarnation_[*session] == 0)
+        {
+            // Opened before the list was read. A former owner may still renew
+            // the leases of a listed target.
+            context.sessions_.lapse_deadline_[*session] = instant::never();
+        }
         if (put_off(context, hosts.gone_deadline_[row]) > context.now_)
         {
             continue;
--- a/entry/node_tables.hpp
+++ b/entry/node_tables.hpp
@@ -113,6 +113,7 @@
 void route_calls(node& context);    // calls to owners
 void drive_shards(node& context);   // schedulers and their commands
 void keep_sessions(node& context);  // links, leases, batches to targets
+void want_grants(node& context);    // targets that may get work
 void expire_records(node& context); // journal entries no longer needed
 void expire_calls(node& context);   // calls whose wait is over
 void greet_peers(node& context);    // heartbeats
@@ -148,6 +149,7 @@
 void retry_transfer(node& context, job_key const& job);
 
 // Targets (node_sessions.cpp)
+void post_joined(node& context, std::size_t session);
 void open_sessions(node& context, shard_id const& shard);
 void close_sessions(node& context, shard_id const& shard);
 void take_report(node& context, target_reported const& input);
@@ -156,6 +158,12 @@
 void acknowledge_end(node& context, target_id const& target,
                      task_key const& task);
 
+// Rows of leases (node_grants.cpp)
+// Before `open_sessions`: targets with leases of former owners.
+void adopt_grants(node& context, std::size_t driver,
+                  state::grant_record const& found);
+void take_recorded(node& context, state::grants_recorded const& input);
+
 // Peers (node_peers.cpp)
 void take_peer(node& context, peer_received const& input);
 void set_peers(node& context, state::peers_changed const& input);
--- a/entry/session_table.cpp
+++ b/entry/session_table.cpp
@@ -18,6 +18,7 @@
     table.clock_micros_.append(0);
     table.heard_.append(instant());
     table.lapse_deadline_.append(instant::never());
+    table.may_run_.append(0);
     table.tasks_.append({});
     table.orders_.append({});
     table.acknowledged_.append({});
@@ -37,6 +38,7 @@
     table.clock_micros_.remove_by_moving_last(row);
     table.heard_.remove_by_moving_last(row);
     table.lapse_deadline_.remove_by_moving_last(row);
+    table.may_run_.remove_by_moving_last(row);
     table.tasks_.remove_by_moving_last(row);
     table.orders_.remove_by_moving_last(row);
     table.acknowledged_.remove_by_moving_last(row);
--- a/entry/session_table.hpp
+++ b/entry/session_table.hpp
@@ -33,6 +33,7 @@
     column<std::int64_t>       clock_micros_;     // of the target, last heard
     column<instant>            heard_;            // last batch from it
     column<instant>            lapse_deadline_;   // of its leases
+    column<std::uint8_t>       may_run_;          // 1: leases may run there
     column<std::set<task_key>> tasks_; // sent and not known to have ended
     column<std::vector<decide::command>> orders_;       // for the next batch
     column<std::vector<task_key>>        acknowledged_; // for the next batch
--- a/state/apply_events.cpp
+++ b/state/apply_events.cpp
@@ -109,6 +109,11 @@
     queue_record(context, input);
 }
 
+void apply(control& context, grants_wanted const& input)
+{
+    want_grants(context, input);
+}
+
 void apply(control& context, shard_ready const& input)
 {
     shard_table& shards = context.shards_;
--- a/state/claim_shards.cpp
+++ b/state/claim_shards.cpp
@@ -70,6 +70,7 @@
     shards.load_number_[shard] = 0;
     context.shards_changed_ = true;
     drop_records(context, id, reason);
+    drop_grants(context, id);
     drop_loads(context, id);
     commit_key const ack{.purpose_ = commit_purpose::ack, .shard_ = id};
     if (auto const row = context.commits_.index_.find(ack))
@@ -93,7 +94,7 @@
     {
         try
         {
-            if (!row.deleted_)
+            if (!row.deleted_ && row.key_ != format_grant_key(shard))
             {
                 jobs.push_back(read_job(shard, row.value_, context.now_));
             }
@@ -106,6 +107,28 @@
     return jobs;
 }
 
+grant_record read_grant_row(control& context, shard_id const& shard,
+                            rows_read const& journal)
+{
+    auto const row =
+        std::find_if(journal.rows_.begin(), journal.rows_.end(),
+                     [key = format_grant_key(shard)](table_row const& each)
+                     {
+                         return each.key_ == key && !each.deleted_;
+                     });
+    if (row == journal.rows_.end())
+    {
+        // Nothing runs before the first owner.
+        return {.complete_ =
+                    context.shards_
+                        .served_epoch_[*context.shards_.index_.find(shard)] ==
+                    1};
+    }
+    grant_record found = read_grants(row->value_);
+    context.malformed_rows_ += found.complete_ ? 0 : 1;
+    return found;
+}
+
 } // namespace
 
 void finish_loading(control& context, shard_id const& shard,
@@ -125,9 +148,11 @@
     context.changed_shards_.insert(shard);
     context.acks_changed_ = true;
     context.shards_changed_ = true;
+    grant_record const grants = read_grant_row(context, shard, journal);
+    load_grants(context, shard, grants);
     context.outbox_.push_back(
         shard_acquired{shard, shards.served_epoch_[row],
-                       read_journal(context, shard, journal)});
+                       read_journal(context, shard, journal), grants});
 }
 
 // 2. Candidates
@@ -417,8 +442,8 @@
                        .epoch_ = context.shards_.served_epoch_[shard] + 1})}});
 }
 
-// The row is rewritten once the open journal commit has ended: afterwards its
-// condition would fail.
+// The row is rewritten once the open commits that hold on it have ended:
+// afterwards their condition would fail.
 void advance_handovers(control& context)
 {
     for (std::size_t row = 0; row < context.shards_.index_.size(); ++row)
@@ -427,6 +452,8 @@
         if (context.shards_.phase_[row] == shard_phase::handing_over &&
             !has_commit(context,
                         {.purpose_ = commit_purpose::journal, .shard_ = id}) &&
+            !has_commit(context,
+                        {.purpose_ = commit_purpose::grant, .shard_ = id}) &&
             !has_commit(context,
                         {.purpose_ = commit_purpose::handover, .shard_ = id}))
         {
--- a/state/command.hpp
+++ b/state/command.hpp
@@ -5,6 +5,7 @@
 #include "state/allotments_changed.hpp"
 #include "state/commit_rows.hpp"
 #include "state/config_changed.hpp"
+#include "state/grants_recorded.hpp"
 #include "state/job_recorded.hpp"
 #include "state/peers_changed.hpp"
 #include "state/read_rows.hpp"
@@ -17,9 +18,10 @@
 namespace fescuevane::state
 {
 
-using command = std::variant<read_rows, commit_rows, shard_acquired,
-                             shard_released, config_changed, allotments_changed,
-                             job_recorded, ticket_progress, peers_changed>;
+using command =
+    std::variant<read_rows, commit_rows, shard_acquired, shard_released,
+                 config_changed, allotments_changed, job_recorded,
+                 grants_recorded, ticket_progress, peers_changed>;
 
 } // namespace fescuevane::state
 
--- a/state/commit_purpose.hpp
+++ b/state/commit_purpose.hpp
@@ -17,11 +17,12 @@
     accept,    // the accepted number
     ack,       // of a shard
     ticket,    // of a call
+    grant,     // of a shard, the targets with leases
     allotment, // of a team
     journal    // of a shard
 };
 
-constexpr std::size_t commit_purpose_count = 8;
+constexpr std::size_t commit_purpose_count = 9;
 
 } // namespace fescuevane::state
 
--- a/state/control.cpp
+++ b/state/control.cpp
@@ -77,6 +77,7 @@
     {"claim shards", &claim_shards},
     {"adjust allotments", &adjust_allotments},
     {"acknowledge tickets", &acknowledge_tickets},
+    {"record grants", &record_grants},
     {"batch journal", &batch_journal},
     {"exchange rows", &exchange_rows},
 }};
--- a/state/control.hpp
+++ b/state/control.hpp
@@ -14,6 +14,7 @@
 #include "state/commit_table.hpp"
 #include "state/config.hpp"
 #include "state/filing_table.hpp"
+#include "state/grant_table.hpp"
 #include "state/journal_table.hpp"
 #include "state/load_table.hpp"
 #include "state/peer_table.hpp"
@@ -32,7 +33,7 @@
 
 // 1. Context
 
-constexpr std::size_t system_count = 9;
+constexpr std::size_t system_count = 10;
 
 struct control
 {
@@ -52,6 +53,7 @@
     filing_table    filings_;
     allotment_table allotments_;
     load_table      loads_;
+    grant_table     grants_;
     journal_table   journals_;
     commit_table    commits_;
     store_client    store_;
@@ -95,11 +97,13 @@
 instant claim_shards(control& context);        // claims, handover, loading
 instant adjust_allotments(control& context);   // parts of limits
 instant acknowledge_tickets(control& context); // acks and acceptance
+instant record_grants(control& context);       // targets with leases
 instant batch_journal(control& context);       // records to commits
 instant exchange_rows(control& context);       // commits and reads
 
 // 3. Rows of the platform
 
+struct grant_record;
 struct table_row;
 
 // Applies a row of the prefix `control/` when it is newer than the known one.
@@ -155,6 +159,14 @@
 void note_load(control& context, load_noted const& load);
 void drop_loads(control& context, shard_id const& shard);
 
+// Rows of leases: read with the journal, written before the first start on a
+// target.
+void load_grants(control& context, shard_id const& shard,
+                 grant_record const& found);
+void want_grants(control& context, grants_wanted const& input);
+void end_grants(control& context, shard_id const& shard); // commit applied
+void drop_grants(control& context, shard_id const& shard);
+
 void queue_record(control& context, job_record const& record);
 void drop_records(control& context, shard_id const& shard,
                   std::string const& reason);
--- a/state/end_commit.cpp
+++ b/state/end_commit.cpp
@@ -94,6 +94,11 @@
     request_read(context);
 }
 
+void settle_grants(control& context, commit_key const& key)
+{
+    end_grants(context, key.shard_);
+}
+
 void tell_records(control& context, shard_id const& shard, bool recorded,
                   std::string const& reason)
 {
@@ -128,6 +133,7 @@
     {"accept", &do_nothing, &read_again},
     {"ack", &do_nothing, &lose_shard},
     {"ticket", &tell_committed, &tell_conflict},
+    {"grant", &settle_grants, &lose_shard},
     {"allotment", &pause_team, &retry_team},
     {"journal", &tell_recorded, &tell_unrecorded},
 }};
--- a/state/event.hpp
+++ b/state/event.hpp
@@ -3,6 +3,7 @@
 #define FESCUEVANE_STATE_EVENT_HPP
 
 #include "state/commit_ended.hpp"
+#include "state/grants_wanted.hpp"
 #include "state/job_record.hpp"
 #include "state/load_noted.hpp"
 #include "state/peer_seen.hpp"
@@ -19,9 +20,10 @@
 namespace fescuevane::state
 {
 
-using event = std::variant<rows_read, commit_ended, store_failed, peer_seen,
-                           state_received, ticket_filed, load_noted, job_record,
-                           shard_ready, shard_fenced, stop_requested>;
+using event =
+    std::variant<rows_read, commit_ended, store_failed, peer_seen,
+                 state_received, ticket_filed, load_noted, job_record,
+                 grants_wanted, shard_ready, shard_fenced, stop_requested>;
 
 } // namespace fescuevane::state
 
--- a/state/row_json.cpp
+++ b/state/row_json.cpp
@@ -3,17 +3,21 @@
 // Index of sections
 //   1. Owners and acknowledgements
 //   2. Allotments
-//   3. Bytes
-//   4. Jobs
+//   3. Targets with leases
+//   4. Bytes
+//   5. Jobs
 #include "state/row_json.hpp"
 
 #include "core/names.hpp"
 #include "state/ack_value.hpp"
+#include "state/grant_record.hpp"
 #include "state/job_record.hpp"
 #include "state/owner_value.hpp"
+#include "state/row_error.hpp"
 
 #include <nlohmann/json.hpp>
 #include <string_view>
+#include <utility>
 
 namespace fescuevane::state
 {
@@ -126,7 +130,103 @@
     return parts;
 }
 
-// 3. Bytes
+// 3. Targets with leases
+
+std::string write_grants(std::vector<granted_target> const& targets)
+{
+    json list = json::array();
+    for (granted_target const& target : targets)
+    {
+        list.push_back({{"target", target.target_.str()},
+                        {"domain", target.domain_.str()},
+                        {"rack", target.rack_.str()},
+                        {"address", target.address_},
+                        {"capacity", write_resources(target.capacity_)},
+                        {"slots", target.slots_}});
+    }
+    return dump_json({{"targets", std::move(list)}});
+}
+
+namespace
+{
+
+// Far above any target. Sums of the capacities of a shard must not overflow.
+constexpr std::int64_t max_capacity = 1'000'000'000'000;
+constexpr std::int64_t max_slots = 1'000'000;
+
+// The library's conversions wrap numbers that don't fit.
+std::int64_t read_number(json const& value, std::int64_t least,
+                         std::int64_t most)
+{
+    bool const whole =
+        value.is_number_integer() &&
+        (!value.is_number_unsigned() ||
+         std::in_range<std::int64_t>(value.get<std::uint64_t>()));
+    if (!whole || value.get<std::int64_t>() < least ||
+        value.get<std::int64_t>() > most)
+    {
+        throw row_error("expected a whole number from " +
+                        std::to_string(least) + " to " + std::to_string(most));
+    }
+    return value.get<std::int64_t>();
+}
+
+resources read_capacity(json const& value)
+{
+    return {read_number(value.at(0), 0, max_capacity),
+            read_number(value.at(1), 0, max_capacity),
+            read_number(value.at(2), 0, max_capacity)};
+}
+
+granted_target read_grant(json const& value)
+{
+    return {.target_ = target_id(value.at("target").get<std::string>()),
+            .domain_ = domain_id(value.at("domain").get<std::string>()),
+            .rack_ = rack_id(value.at("rack").get<std::string>()),
+            .address_ = value.at("address").get<std::string>(),
+            .capacity_ = read_capacity(value.at("capacity")),
+            .slots_ = static_cast<std::uint32_t>(
+                read_number(value.at("slots"), 0, max_slots))};
+}
+
+// False when the entry can't be read.
+bool append_grant(std::vector<granted_target>& targets, json const& value)
+{
+    try
+    {
+        targets.push_back(read_grant(value));
+        return true;
+    }
+    catch (json::exception const&)
+    {
+        return false;
+    }
+    catch (row_error const&)
+    {
+        return false;
+    }
+}
+
+} // namespace
+
+grant_record read_grants(std::string const& text)
+{
+    std::vector<granted_target> targets;
+    json const                  value = json::parse(text, nullptr, false);
+    auto const                  list = value.find("targets");
+    if (list == value.end() || !list->is_array())
+    {
+        return {};
+    }
+    bool complete = true;
+    for (json const& entry : *list)
+    {
+        complete = append_grant(targets, entry) && complete;
+    }
+    return {std::move(targets), complete};
+}
+
+// 4. Bytes
 
 namespace
 {
@@ -196,7 +296,7 @@
         decode_base64(value.at(field).get<std::string>()));
 }
 
-// 4. Jobs
+// 5. Jobs
 
 json write_spec(job_spec const& spec, instant now)
 {
--- a/state/row_json.hpp
+++ b/state/row_json.hpp
@@ -8,11 +8,14 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace fescuevane::state
 {
 
 struct ack_value;
+struct grant_record;
+struct granted_target;
 struct job_record;
 struct owner_value;
 struct shard_owner;
@@ -27,6 +30,11 @@
 std::string write_parts(part_map const& parts, std::uint64_t ticket);
 part_map    read_parts(std::string const& text);
 
+// Never throws: what can't be read makes the record incomplete, and an odd
+// entry costs only itself.
+std::string  write_grants(std::vector<granted_target> const& targets);
+grant_record read_grants(std::string const& text);
+
 // Deadlines are written as the time that remains at `now`.
 std::string write_job(job_record const& record, instant now);
 job_record  read_job(shard_id const& shard, std::string const& text,
--- a/state/row_key.cpp
+++ b/state/row_key.cpp
@@ -48,6 +48,13 @@
     return format_path("job/", shard) + "/";
 }
 
+// With the journal, so that one read tells a new owner both. Keys of jobs have
+// one part more.
+std::string format_grant_key(shard_id const& shard)
+{
+    return format_journal_prefix(shard) + "targets";
+}
+
 std::string format_job_key(shard_id const& shard, job_key const& job)
 {
     return format_journal_prefix(shard) + job.team_.str() + "/" +
--- a/state/row_key.hpp
+++ b/state/row_key.hpp
@@ -35,6 +35,7 @@
 std::string format_allotment_key(team_id const& team);    // control/allotment/
 std::string format_host_key(host_id const& host);         // control/host/<id>
 std::string format_journal_prefix(shard_id const& shard); // job/<domain>/<i>/
+std::string format_grant_key(shard_id const& shard);      // job/<d>/<i>/targets
 std::string format_job_key(shard_id const& shard, job_key const& job);
 
 // The part of a key after its prefix.
--- a/state/shard_acquired.hpp
+++ b/state/shard_acquired.hpp
@@ -4,6 +4,7 @@
 
 #include "core/ids.hpp"
 #include "core/shard_id.hpp"
+#include "state/grant_record.hpp"
 #include "state/job_record.hpp"
 
 #include <vector>
@@ -16,7 +17,8 @@
 {
     shard_id const                shard_;
     epoch const                   epoch_ = 0;
-    std::vector<job_record> const jobs_; // of the journal
+    std::vector<job_record> const jobs_;   // of the journal
+    grant_record const            grants_; // of former owners
 
     friend bool operator==(shard_acquired const&,
                            shard_acquired const&) = default;
