Refuse numbers out of range in stored rows of the plain interface

A row that another writer left with an epoch at the end of the range kept a shard without an owner: epochs only rise, and the next one wrapped to 0. Amounts, counts and numbers of tickets wrapped or overflowed sums, and a number of tasks of 4 billion would be added one by one.

The JSON library's conversions wrap what doesn't fit, and nothing was checked after them. The readers of row_json.cpp now read whole numbers within bounds and throw row_error; such a row counts as malformed and the next commit replaces it.

--- a/state/claim_shards.cpp
+++ b/state/claim_shards.cpp
@@ -11,6 +11,7 @@
 #include "state/control.hpp"
 #include "state/host_load.hpp"
 #include "state/owner_value.hpp"
+#include "state/row_error.hpp"
 #include "state/row_json.hpp"
 #include "state/row_key.hpp"
 #include "state/table_row.hpp"
@@ -103,6 +104,10 @@
         {
             ++context.malformed_rows_;
         }
+        catch (row_error const&)
+        {
+            ++context.malformed_rows_;
+        }
     }
     return jobs;
 }
--- a/state/merge_row.cpp
+++ b/state/merge_row.cpp
@@ -2,6 +2,7 @@
 #include "state/ack_value.hpp"
 #include "state/control.hpp"
 #include "state/owner_value.hpp"
+#include "state/row_error.hpp"
 #include "state/row_json.hpp"
 #include "state/row_key.hpp"
 #include "state/table_row.hpp"
@@ -229,6 +230,10 @@
         {
             ++context.malformed_rows_;
         }
+        catch (row_error const&)
+        {
+            ++context.malformed_rows_;
+        }
         catch (ticket_error const&)
         {
             ++context.malformed_rows_;
--- a/state/row_json.cpp
+++ b/state/row_json.cpp
@@ -33,6 +33,39 @@
     return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+// Far above what is written here. Other writers may leave any number; sums over
+// all shards of a fleet have to stay within 64 bits, and tables grow with
+// counts.
+constexpr std::int64_t max_amount = std::int64_t{1} << 40;
+constexpr std::int64_t max_slots = 1'000'000;
+constexpr std::int64_t max_tasks = 100'000; // as callers may ask for
+
+// Epochs only rise and the next one is one higher, so the highest possible one
+// would leave a shard without an owner for good.
+constexpr std::int64_t max_epoch = 1'000'000'000'000;
+
+// The library's conversions wrap numbers that don't fit.
+std::int64_t read_number(json const& value, std::int64_t least,
+                         std::int64_t most)
+{
+    bool const whole =
+        value.is_number_integer() &&
+        (!value.is_number_unsigned() ||
+         std::in_range<std::int64_t>(value.get<std::uint64_t>()));
+    if (!whole || value.get<std::int64_t>() < least ||
+        value.get<std::int64_t>() > most)
+    {
+        throw row_error("expected a whole number from " +
+                        std::to_string(least) + " to " + std::to_string(most));
+    }
+    return value.get<std::int64_t>();
+}
+
+epoch read_epoch(json const& row)
+{
+    return static_cast<epoch>(read_number(row.at("epoch"), 0, max_epoch));
+}
+
 } // namespace
 
 // 1. Owners and acknowledgements
@@ -52,8 +85,9 @@
     return {.host_ = host_id(value.at("host").get<std::string>()),
             .domain_ = domain_id(value.at("domain").get<std::string>()),
             .address_ = value.at("address").get<std::string>(),
-            .incarnation_ = value.at("incarnation").get<std::uint64_t>(),
-            .epoch_ = value.at("epoch").get<epoch>()};
+            .incarnation_ = static_cast<std::uint64_t>(
+                read_number(value.at("incarnation"), 0, INT64_MAX)),
+            .epoch_ = read_epoch(value)};
 }
 
 std::string write_ack(ack_value const& value)
@@ -64,8 +98,9 @@
 ack_value read_ack(std::string const& text)
 {
     json const value = json::parse(text);
-    return {.number_ = value.at("number").get<ticket_number>(),
-            .epoch_ = value.at("epoch").get<epoch>()};
+    return {.number_ = static_cast<ticket_number>(
+                read_number(value.at("number"), 0, INT64_MAX)),
+            .epoch_ = read_epoch(value)};
 }
 
 // 2. Allotments
@@ -80,8 +115,9 @@
 
 resources read_resources(json const& value)
 {
-    return {value.at(0).get<std::int64_t>(), value.at(1).get<std::int64_t>(),
-            value.at(2).get<std::int64_t>()};
+    return {read_number(value.at(0), 0, max_amount),
+            read_number(value.at(1), 0, max_amount),
+            read_number(value.at(2), 0, max_amount)};
 }
 
 } // namespace
@@ -150,41 +186,13 @@
 namespace
 {
 
-// Far above any target. Sums of the capacities of a shard must not overflow.
-constexpr std::int64_t max_capacity = 1'000'000'000'000;
-constexpr std::int64_t max_slots = 1'000'000;
-
-// The library's conversions wrap numbers that don't fit.
-std::int64_t read_number(json const& value, std::int64_t least,
-                         std::int64_t most)
-{
-    bool const whole =
-        value.is_number_integer() &&
-        (!value.is_number_unsigned() ||
-         std::in_range<std::int64_t>(value.get<std::uint64_t>()));
-    if (!whole || value.get<std::int64_t>() < least ||
-        value.get<std::int64_t>() > most)
-    {
-        throw row_error("expected a whole number from " +
-                        std::to_string(least) + " to " + std::to_string(most));
-    }
-    return value.get<std::int64_t>();
-}
-
-resources read_capacity(json const& value)
-{
-    return {read_number(value.at(0), 0, max_capacity),
-            read_number(value.at(1), 0, max_capacity),
-            read_number(value.at(2), 0, max_capacity)};
-}
-
 granted_target read_grant(json const& value)
 {
     return {.target_ = target_id(value.at("target").get<std::string>()),
             .domain_ = domain_id(value.at("domain").get<std::string>()),
             .rack_ = rack_id(value.at("rack").get<std::string>()),
             .address_ = value.at("address").get<std::string>(),
-            .capacity_ = read_capacity(value.at("capacity")),
+            .capacity_ = read_resources(value.at("capacity")),
             .slots_ = static_cast<std::uint32_t>(
                 read_number(value.at("slots"), 0, max_slots))};
 }
@@ -321,21 +329,23 @@
 job_spec read_spec(json const& value, instant now)
 {
     auto const kind = parse_work_kind(value.at("kind").get<std::string>());
-    return {
-        .key_ = {team_id(value.at("team").get<std::string>()),
-                 job_id(value.at("job").get<std::string>())},
-        .service_ = service_id(value.at("service").get<std::string>()),
-        .kind_ = kind.value_or(work_kind::request),
-        .task_count_ = value.at("tasks").get<std::uint32_t>(),
-        .demand_ = read_resources(value.at("demand")),
-        .idempotent_ = value.at("idempotent").get<bool>(),
-        .start_deadline_ =
-            value.contains("start_within_micros")
-                ? now.after(value.at("start_within_micros").get<std::int64_t>())
-                : instant::never(),
-        .declared_run_micros_ = value.at("run_micros").get<std::int64_t>(),
-        .payload_ = read_bytes(value, "payload"),
-        .traceparent_ = value.at("traceparent").get<std::string>()};
+    return {.key_ = {team_id(value.at("team").get<std::string>()),
+                     job_id(value.at("job").get<std::string>())},
+            .service_ = service_id(value.at("service").get<std::string>()),
+            .kind_ = kind.value_or(work_kind::request),
+            .task_count_ = static_cast<std::uint32_t>(
+                read_number(value.at("tasks"), 1, max_tasks)),
+            .demand_ = read_resources(value.at("demand")),
+            .idempotent_ = value.at("idempotent").get<bool>(),
+            .start_deadline_ =
+                value.contains("start_within_micros")
+                    ? now.after(read_number(value.at("start_within_micros"), 0,
+                                            INT64_MAX))
+                    : instant::never(),
+            .declared_run_micros_ =
+                read_number(value.at("run_micros"), 0, INT64_MAX),
+            .payload_ = read_bytes(value, "payload"),
+            .traceparent_ = value.at("traceparent").get<std::string>()};
 }
 
 json write_result(job_result const& result)
@@ -358,11 +368,12 @@
     return {.key_ = key,
             .state_ = state.value_or(job_state::unknown),
             .outcome_ = ended.value_or(outcome::failed),
-            .attempt_ = value.at("attempt").get<std::uint32_t>(),
+            .attempt_ = static_cast<std::uint32_t>(
+                read_number(value.at("attempt"), 0, UINT32_MAX)),
             .body_ = read_bytes(value, "body"),
             .reason_ = value.at("reason").get<std::string>(),
             .retry_after_micros_ =
-                value.at("retry_after_micros").get<std::int64_t>(),
+                read_number(value.at("retry_after_micros"), 0, INT64_MAX),
             .target_ = target_id(value.at("target").get<std::string>()),
             .owner_ = host_id(value.at("owner").get<std::string>())};
 }
--- a/state/row_json.hpp
+++ b/state/row_json.hpp
@@ -1,5 +1,6 @@
 // Purpose: values of the platform's rows as JSON. Internal to the package. The
-// readers throw `nlohmann::json::exception` for malformed text.
+// readers throw `nlohmann::json::exception` for malformed text and `row_error`
+// for numbers out of range.
 #ifndef FESCUEVANE_STATE_ROW_JSON_HPP
 #define FESCUEVANE_STATE_ROW_JSON_HPP
 
