Check entries of the host list of the plain interface

One entry of the list with a capacity at the end of the range overflowed the sums over all targets, and one with a port out of range was connected to again and again. decode_hosts took any value.

An entry without names, with an address that isn't an IP and a port from 1 to 65535, or with amounts or slots out of range now counts as not listed; the others stay. The function is part of the codec of links, where a test reaches it.

--- a/entry/link_codec.cpp
+++ b/entry/link_codec.cpp
@@ -4,10 +4,14 @@
 //   1. Peers, encoding
 //   2. Peers, decoding
 //   3. Targets
+//   4. Hosts
 #include "entry/link_codec.hpp"
 
 #include "core/core.hpp"
+#include "entry/hosts_listed.hpp"
+#include "entry/settings_address.hpp"
 #include "peer.pb.h"
+#include "platform.pb.h"
 #include "wire/wire.hpp"
 
 namespace fescuevane::entry
@@ -241,4 +245,51 @@
     }
 }
 
+// 4. Hosts
+
+namespace
+{
+
+// As amounts of tasks; sums over all targets have to stay within 64 bits.
+constexpr std::int64_t  max_capacity = std::int64_t{1} << 40;
+constexpr std::uint32_t max_slots = 1'000'000;
+
+bool is_amount(std::int64_t value)
+{
+    return value >= 0 && value <= max_capacity;
+}
+
+bool is_sound(platform::v1::Host const& host)
+{
+    auto const address = split_address(host.address());
+    return !host.target().empty() && !host.failure_domain().empty() &&
+           address && address->second != 0 && is_amount(host.cpu_millis()) &&
+           is_amount(host.memory_mib()) && is_amount(host.accelerators()) &&
+           host.slots() <= max_slots;
+}
+
+} // namespace
+
+hosts_listed decode_hosts(platform::v1::ListReply const& reply)
+{
+    std::vector<listed_host> hosts;
+    for (platform::v1::Host const& host : reply.hosts())
+    {
+        if (!is_sound(host))
+        {
+            continue;
+        }
+        hosts.push_back(
+            {.target_ = target_id(host.target()),
+             .domain_ = domain_id(host.failure_domain()),
+             .rack_ = rack_id(host.rack()),
+             .address_ = host.address(),
+             .leaving_ = host.state() == platform::v1::HOST_LEAVING,
+             .capacity_ = resources(host.cpu_millis(), host.memory_mib(),
+                                    host.accelerators()),
+             .slots_ = host.slots()});
+    }
+    return {std::move(hosts)};
+}
+
 } // namespace fescuevane::entry
--- a/entry/link_codec.hpp
+++ b/entry/link_codec.hpp
@@ -15,6 +15,11 @@
 class PeerBatch;
 } // namespace fescuevane::v1
 
+namespace platform::v1
+{
+class ListReply;
+} // namespace platform::v1
+
 namespace fescuevane::entry
 {
 
@@ -31,6 +36,9 @@
 void encode_orders(send_target const& orders, instant now,
                    v1::OwnerBatch& batch);
 
+// Hosts. Never throws: an entry with an odd value counts as not listed.
+hosts_listed decode_hosts(platform::v1::ListReply const& reply);
+
 } // namespace fescuevane::entry
 
 #endif
--- a/entry/platform_link.cpp
+++ b/entry/platform_link.cpp
@@ -3,6 +3,7 @@
 
 #include "entry/channel.hpp"
 #include "entry/event_queue.hpp"
+#include "entry/link_codec.hpp"
 #include "wire/wire.hpp"
 
 #include <grpcpp/grpcpp.h>
@@ -48,24 +49,6 @@
     events.push(state::store_failed{request});
 }
 
-hosts_listed decode_hosts(platform::v1::ListReply const& reply)
-{
-    std::vector<listed_host> hosts;
-    for (platform::v1::Host const& host : reply.hosts())
-    {
-        hosts.push_back(
-            {.target_ = target_id(host.target()),
-             .domain_ = domain_id(host.failure_domain()),
-             .rack_ = rack_id(host.rack()),
-             .address_ = host.address(),
-             .leaving_ = host.state() == platform::v1::HOST_LEAVING,
-             .capacity_ = resources(host.cpu_millis(), host.memory_mib(),
-                                    host.accelerators()),
-             .slots_ = host.slots()});
-    }
-    return {std::move(hosts)};
-}
-
 } // namespace
 
 platform_link::platform_link(std::string const&           address,
--- a/tests/unit/node_link_codec_test.cpp
+++ b/tests/unit/node_link_codec_test.cpp
@@ -1,8 +1,10 @@
 // Purpose: tests of the codec of the batches between nodes.
+#include "entry/hosts_listed.hpp"
 #include "entry/link_codec.hpp"
 #include "tests/unit/wire_fixture.hpp"
 
 #include <peer.pb.h>
+#include <platform.pb.h>
 
 #include <doctest/doctest.h>
 
@@ -189,5 +191,115 @@
     }
 }
 
+// Guards against one odd entry of the list that costs the others, overflows
+// sums of capacities, or names an address that nothing can be sent to.
+TEST_CASE("host list, an odd entry, counts as not listed")
+{
+    struct odd_host
+    {
+        char const* const fault_;
+        void (*const spoil_)(platform::v1::Host&);
+    };
+    odd_host const table[] = {
+        {"no target",
+         [](platform::v1::Host& h)
+         {
+             h.clear_target();
+         }},
+        {"no domain",
+         [](platform::v1::Host& h)
+         {
+             h.clear_failure_domain();
+         }},
+        {"no address",
+         [](platform::v1::Host& h)
+         {
+             h.clear_address();
+         }},
+        {"no port",
+         [](platform::v1::Host& h)
+         {
+             h.set_address("127.0.0.1");
+         }},
+        {"port 0",
+         [](platform::v1::Host& h)
+         {
+             h.set_address("127.0.0.1:0");
+         }},
+        {"port 65536",
+         [](platform::v1::Host& h)
+         {
+             h.set_address("127.0.0.1:65536");
+         }},
+        {"port -1",
+         [](platform::v1::Host& h)
+         {
+             h.set_address("127.0.0.1:-1");
+         }},
+        {"long port",
+         [](platform::v1::Host& h)
+         {
+             h.set_address("127.0.0.1:" + std::string(100'000, '9'));
+         }},
+        {"name",
+         [](platform::v1::Host& h)
+         {
+             h.set_address("east:80");
+         }},
+        {"cpu",
+         [](platform::v1::Host& h)
+         {
+             h.set_cpu_millis(INT64_MAX);
+         }},
+        {"cpu below 0",
+         [](platform::v1::Host& h)
+         {
+             h.set_cpu_millis(-1);
+         }},
+        {"memory",
+         [](platform::v1::Host& h)
+         {
+             h.set_memory_mib(INT64_MAX);
+         }},
+        {"memory below 0",
+         [](platform::v1::Host& h)
+         {
+             h.set_memory_mib(INT64_MIN);
+         }},
+        {"accelerators",
+         [](platform::v1::Host& h)
+         {
+             h.set_accelerators(INT64_MAX);
+         }},
+        {"slots",
+         [](platform::v1::Host& h)
+         {
+             h.set_slots(UINT32_MAX);
+         }},
+    };
+    platform::v1::Host good;
+    good.set_target("t-1");
+    good.set_failure_domain("east");
+    good.set_rack("r-1");
+    good.set_address("127.0.0.1:80");
+    good.set_cpu_millis(4000);
+    good.set_memory_mib(8192);
+    good.set_slots(8);
+    for (odd_host const& row : table)
+    {
+        CAPTURE(std::string(row.fault_));
+        platform::v1::ListReply reply;
+        platform::v1::Host&     odd = *reply.add_hosts();
+        odd = good;
+        odd.set_target("t-2");
+        row.spoil_(odd);
+        *reply.add_hosts() = good;
+        auto const hosts = decode_hosts(reply).hosts_;
+        REQUIRE(hosts.size() == 1);
+        CHECK(hosts[0].target_ == target_id("t-1"));
+        CHECK(hosts[0].capacity_ == resources(4000, 8192, 0));
+    }
+}
+
 } // namespace
 } // namespace fescuevane::entry
