Offer single tasks that wait long for room to other shards

A wide step started a few tasks at a time on the few targets that its shard is allowed, while the allowed targets of other shards were idle.

Cause: a step whose shard is allowed a single target doesn't count as blocked, so it was never offered. It could move once, as a whole and without a question, to the least loaded shard: not at all when it is larger than 0.9 of a shard, and never again from where it had moved to.

Only as many leave as the other shard has room and tickets for now, so that each round adds starts. Shards with a load above 0.9 aren't asked, and without another shard there is no round, so that a full cell asks the policy service nothing more than before.

Evidence: the new test, 40 tasks of 6 s, one allowed target in seven shards and four in the eighth, of four tasks each.

--- a/cell/delegate_tasks.cpp
+++ b/cell/delegate_tasks.cpp
@@ -12,6 +12,7 @@
 //   4. Recovery
 #include "cell/node.hpp"
 
+#include "cell/delegate_load.hpp"
 #include "cell/records.hpp"
 #include "cell/sessions.hpp"
 #include "plan/overflow.hpp"
@@ -174,14 +175,8 @@
 namespace
 {
 
-// A shard takes tasks of another one while its load, with what waits there,
-// stays below this share of its capacity. Above it, the tasks would only wait
-// there: each hand-over costs writes and calls on both sides, and a cell that
-// is full everywhere spent more on them than on starts.
-constexpr double max_delegate_load = 0.9;
-
-// Tasks that wait for room move once: handing them on and on would only move
-// the wait.
+// Tasks move without an answer of the other shard once: handing them on and on
+// would only move the wait.
 constexpr std::int64_t max_depth = 1;
 
 } // namespace
@@ -405,10 +400,6 @@
         // One stage a look: the loads that hosts tell are a little old.
         for (plan::overflow const& tasks : waiting)
         {
-            if (plan::count_handovers(tasks.stage_.job_) >= max_depth)
-            {
-                continue;
-            }
             std::optional<shard_id> const target =
                 choose_delegate(context, shard, tasks);
             if (target)
@@ -416,6 +407,7 @@
                 begin_delegation(context, shard, own, tasks, *target);
                 break;
             }
+            offer_stage(context, shard, tasks);
         }
     }
 }
--- a/cell/offer_stages.cpp
+++ b/cell/offer_stages.cpp
@@ -6,7 +6,8 @@
 // that could run the most of it. There is no last round: while no shard can run
 // the stage, they are asked again after a growing pause. Tasks that were moved
 // and can't be run there after all go back to the shard that they come from,
-// which asks anew.
+// which asks anew. Single tasks that have waited long for room are offered,
+// too: their shard may be allowed few targets while others are idle.
 //
 // Index of sections
 //   1. Rounds
@@ -15,6 +16,7 @@
 //   4. Ticks
 #include "cell/node.hpp"
 
+#include "cell/delegate_load.hpp"
 #include "cell/records.hpp"
 #include "plan/overflow.hpp"
 
@@ -52,12 +54,24 @@
                   std::to_string(stage.step_));
 }
 
+// True for tasks that their shard starts one after another, as room comes free.
+bool waits_for_room(step_spec const& step, plan::overflow const& tasks)
+{
+    return !tasks.blocked_ && !step.gang_ && !step.perpetual_;
+}
+
 // Loads are as old as the latest heartbeat. A shard with too little room for a
 // part of the stage isn't asked: each offer costs it questions to the policy
-// service.
+// service. Tasks that their own shard will start aren't worth a question to a
+// shard that is nearly full.
 bool may_have_room(shard_row const& shard, step_spec const& step,
                    plan::overflow const& tasks)
 {
+    if (waits_for_room(step, tasks) &&
+        expect_load(shard, tasks.demand_) >= max_delegate_load)
+    {
+        return false;
+    }
     resources const room = tasks.blocked_
                                ? shard.load_.capacity_
                                : shard.load_.capacity_ - shard.load_.used_;
@@ -117,6 +131,10 @@
                       return !may_have_room(*context.shards_.find(receiver),
                                             step, tasks);
                   });
+    if (receivers.empty() && waits_for_room(step, tasks))
+    {
+        return;
+    }
     offer_round_row& round = context.offer_rounds_.ensure(tasks.stage_);
     round.shard_ = shard;
     round.open_ = true;
@@ -158,22 +176,25 @@
 {
     auto const job = plan::find_job(*context.owned_.find(shard)->planner_,
                                     tasks.stage_.job_);
-    return tasks.blocked_ || job->steps_.at(tasks.stage_.step_).gang_;
+    return tasks.blocked_ || job->alias_ ||
+           job->steps_.at(tasks.stage_.step_).gang_;
 }
 
 void offer_stage(node& context, shard_id const& shard,
                  plan::overflow const& tasks)
 {
     plan::planner const& planner = *context.owned_.find(shard)->planner_;
-    bool const           moved =
-        plan::find_job(planner, tasks.stage_.job_)->alias_.has_value();
-    // A gang may move to room that ends of other work have to make.
-    if (moved && !tasks.blocked_ &&
+    auto const           job = plan::find_job(planner, tasks.stage_.job_);
+    bool const           moved = job->alias_.has_value();
+    bool const           is_single =
+        waits_for_room(job->steps_.at(tasks.stage_.step_), tasks);
+    // Tasks may move to room that ends of other work have to make.
+    if ((moved || is_single) && !tasks.blocked_ &&
         tasks.since_.after(context.settings_.moved_gang_micros_) > context.now_)
     {
         return;
     }
-    if (moved && plan::is_untouched(planner, tasks.stage_))
+    if (moved && !is_single && plan::is_untouched(planner, tasks.stage_))
     {
         return_tasks(context, tasks.stage_.job_);
         return;
@@ -260,6 +281,18 @@
     return chosen;
 }
 
+// Single tasks leave only for room that is there now: the others have as much
+// to expect where they are.
+plan::overflow limit_to_offer(step_spec const& step, plan::overflow tasks,
+                              shard_offer const& offer)
+{
+    if (waits_for_room(step, tasks) && tasks.indices_.size() > offer.fit_now_)
+    {
+        tasks.indices_.resize(offer.fit_now_);
+    }
+    return tasks;
+}
+
 // Rounds of stages that run, have ended or are in another shard now.
 bool is_over(node const& context, stage_key const& stage,
              offer_round_row const& round)
@@ -308,7 +341,9 @@
     end_round(context, round);
     if (chosen.best_ && context.store_ok_ && !context.stopping_)
     {
-        begin_delegation(context, shard, own, *tasks, chosen.best_->shard_);
+        begin_delegation(context, shard, own,
+                         limit_to_offer(step, *tasks, *chosen.best_),
+                         chosen.best_->shard_);
     }
 }
 
--- a/tests/unit/cell_offers_test.cpp
+++ b/tests/unit/cell_offers_test.cpp
@@ -114,6 +114,32 @@
         }
     }
 
+    // The same for runs that take `age_ms` and report their progress.
+    void run_long_work(std::int64_t micros, std::int64_t age_ms)
+    {
+        constexpr std::int64_t step = 100'000;
+        constexpr std::int64_t percent = 100;
+        for (std::int64_t passed = 0; passed < micros; passed += step)
+        {
+            run(step);
+            end_runs(age_ms);
+            for (auto& [target, runs] : running_)
+            {
+                std::vector<reported_run> reported;
+                for (reported_run const& run : runs)
+                {
+                    std::int64_t const ran_ms =
+                        unix_ms_ - started_.at(run.run_);
+                    reported.push_back(
+                        {run.run_, "",
+                         static_cast<std::int32_t>(ran_ms * percent / age_ms),
+                         0});
+                }
+                runs.swap(reported);
+            }
+        }
+    }
+
     std::size_t count_started(std::string const& job) const
     {
         std::set<std::uint32_t> started;
@@ -177,6 +203,21 @@
     CHECK(bad_tickets_ == 0);
 }
 
+// Guards against a wide step that stays in a shard which is allowed one target,
+// and starts there a few tasks at a time, while the others are idle.
+TEST_CASE_FIXTURE(
+    offers_fixture,
+    "wide step, one allowed target here and more elsewhere, all started soon")
+{
+    constexpr std::int64_t age_ms = 6000;
+    allow("aa01", {1, 1, 1, 1, 1, 1, 1, 4});
+    submit("h-1", "aa01", {make_step(40, false)});
+    run_long_work(35 * micros_per_second, age_ms);
+    CHECK(count_started("aa01") == 40);
+    CHECK(count_starts("aa01") == 40);
+    CHECK(bad_tickets_ == 0);
+}
+
 // Guards against a step that ends where it can't run: the only shard that may
 // run it had no room for good when it was asked or tried.
 TEST_CASE_FIXTURE(
