Take starts back that wait for a target whose address changes

Starts that waited for a target, since it already had as many open orders as it may, were sent to its new address before the store's row of leases named that address. An owner that took over then couldn't ask the target, and could start its work again.

Cause: a change of address made the planner wait for the row, but not the orders that it had given before.

They are taken back when the address changes, or when the target says that it leaves or stays after all, as for a silent target: they were never sent, so that the planner starts the work again once the row is stored, or elsewhere.

--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -103,8 +103,10 @@
            has_single_result(record->job_->steps_[run.stage_.step_]);
 }
 
-// Starts that wait for a silent target were never sent, so they may go to
-// another one at once. Other orders wait for the target.
+} // namespace
+
+// Starts that wait for a target were never sent, so they may go to another one
+// at once. Other orders wait for the target.
 void take_back_starts(node& context, target_id const& id, session_row& session)
 {
     std::deque<plan::command> others;
@@ -124,6 +126,9 @@
     session.orders_ = std::move(others);
 }
 
+namespace
+{
+
 // Tasks that last, or may have copies, have no result for which a silent target
 // must be awaited: they start elsewhere as soon as nothing can run there.
 void end_lapsed_runs(node& context, target_id const& id, session_row& session)
--- a/cell/list_targets.cpp
+++ b/cell/list_targets.cpp
@@ -266,6 +266,8 @@
     }
     if (moved || turned)
     {
+        // They would reach a target that the store names differently.
+        take_back_starts(context, id, session);
         note_grants_changed(context, session.shard_, true);
     }
     if (moved)
--- a/cell/sessions.hpp
+++ b/cell/sessions.hpp
@@ -53,6 +53,7 @@
 void send_order(node& context, target_id const& id, session_row& session,
                 plan::command const& order);
 void send_stops(node& context, target_id const& id, session_row& session);
+void take_back_starts(node& context, target_id const& id, session_row& session);
 void leave_start_open(node& context, session_row& session,
                       order_row const& order, std::string const& why);
 
--- a/tests/unit/cell_grants_test.cpp
+++ b/tests/unit/cell_grants_test.cpp
@@ -245,6 +245,40 @@
     CHECK(take<send_start>().size() == 1);
 }
 
+// Guards against starts that the next owner can't know of: they waited for a
+// target, and were sent to its new address, which the row didn't name yet.
+TEST_CASE_FIXTURE(grants_fixture,
+                  "target has another address, starts wait until it is stored")
+{
+    settings_.orders_open_ = 1;
+    start(1);
+    serve();
+    for (char const* const id : {"aa01", "aa02"})
+    {
+        submit(id);
+    }
+    run(100'000);
+    auto const first = take<send_start>();
+    REQUIRE(first.size() == 1);
+    store_held_ = true;
+    post(target_listed{{.id_ = target_id("t-1"),
+                        .address_ = "127.0.0.1:8001",
+                        .domain_ = domain_id("east"),
+                        .service_ = service_id("desk"),
+                        .rack_ = rack_id("r-1"),
+                        .capacity_ = {4000, 8192, 0}}});
+    run(20'000);
+    post(order_reply{.request_ = first[0].request_,
+                     .outcome_ = target_outcome::done});
+    run(100'000);
+    CHECK(take<send_start>().empty());
+    release_store();
+    run(100'000);
+    auto const second = take<send_start>();
+    REQUIRE(second.size() == 1);
+    CHECK(second[0].address_ == "127.0.0.1:8001");
+}
+
 // Guards against a second owner's row that is overwritten by a late write.
 TEST_CASE_FIXTURE(grants_fixture,
                   "write of the row unanswered, target is usable after a while")
