Count late runs for jobs that haven't ended first

A late end of a task that was handed to another shard counted for a job of this shard that had been sent back long before, and was dropped: the task's done end was lost, and the task could run again.

Cause: a run for which no job may start the task now was taken for one of the job with the highest number below it, ended or not.

Jobs that haven't ended come before those that have.

--- a/cell/delegate_tasks.cpp
+++ b/cell/delegate_tasks.cpp
@@ -89,32 +89,30 @@
 {
     bool known_ = false; // this owner has started or seen the run as the job's
     bool open_ = false;  // the job may run the task now
+    bool unended_ = false;        // the job has others, or runs it elsewhere
     std::int64_t first_run_ = -1; // runs of the job have higher numbers
     run_key      run_;            // as the job names it
 
     friend auto rank(run_candidate const& candidate)
     {
-        return std::tuple(candidate.known_, candidate.open_,
+        return std::tuple(candidate.known_, candidate.open_, candidate.unended_,
                           candidate.first_run_);
     }
 };
 
-bool may_run_task(node const& context, record_row const& record,
-                  run_key const& run)
-{
-    owned_row const* const own = context.owned_.find(record.shard_);
-    return !record.canceled_ && !is_final(record.phase_) && own != nullptr &&
-           own->planner_ &&
-           plan::is_task_open(*own->planner_, run.stage_, run.index_);
-}
-
 run_candidate make_candidate(node const& context, session_row const& session,
                              run_key const& run, std::int64_t first_run)
 {
     record_row const* const record = context.records_.find(run.stage_.job_);
+    bool const              unended = record != nullptr &&
+                         record->shard_ == session.shard_ &&
+                         !is_final(phase_of(context, *record));
     return {.known_ = session.runs_.contains(run),
-            .open_ = record != nullptr && record->shard_ == session.shard_ &&
-                     may_run_task(context, *record, run),
+            .open_ =
+                unended && plan::is_task_open(
+                               *context.owned_.find(session.shard_)->planner_,
+                               run.stage_, run.index_),
+            .unended_ = unended,
             .first_run_ = first_run,
             .run_ = run};
 }
@@ -124,9 +122,9 @@
 // A task may have been in a shard, gone and come back, also with other tasks
 // than before, so several jobs of the shard may stand for it, and those that
 // have ended stay known for some time. A run belongs to the job that it was
-// started for; else to one that may run the task now; else to the one with the
-// highest number below the run's. Jobs of other shards that this host owns
-// stand for runs elsewhere.
+// started for; else to one that may run the task now; else to one that hasn't
+// ended; else to the one with the highest number below the run's. Jobs of other
+// shards that this host owns stand for runs elsewhere.
 run_key to_local(node const& context, session_row const& session,
                  run_key const& run)
 {
