--- a/tests/unit/cell_cluster_fixture.hpp
+++ b/tests/unit/cell_cluster_fixture.hpp
@@ -73,6 +73,9 @@
         defaults_.domains_ = {domain_id("east")};
         defaults_.targets_per_shard_ = 2;
     }
+    virtual ~cell_cluster_fixture() = default;
+    cell_cluster_fixture(cell_cluster_fixture const&) = delete;
+    cell_cluster_fixture& operator=(cell_cluster_fixture const&) = delete;
 
     // 1. Hosts and targets
 
@@ -297,41 +300,20 @@
         }
         void operator()(hold_target const& hold) const
         {
-            epoch&     fence = cluster_.fences_[hold.target_];
-            bool const old = hold.fence_ != 0 && hold.fence_ < fence;
-            fence = std::max(fence, hold.fence_);
-            cluster_.forget_ends(hold);
-            post_event(*host_.node_,
-                       hold_reply{.request_ = hold.request_,
-                                  .target_ = hold.target_,
-                                  .outcome_ = old ? target_outcome::superseded
-                                                  : target_outcome::done,
-                                  .clock_ms_ = cluster_.unix_ms_,
-                                  .born_unix_ms_ = 7,
-                                  .runs_ = cluster_.running_[hold.target_],
-                                  .ends_ = cluster_.ended_[hold.target_]});
+            post_event(*host_.node_, cluster_.answer_hold(hold));
         }
         void operator()(send_start const& start) const
         {
             ++cluster_.starts_[start.start_.run_];
             cluster_.check_ticket(start);
-            cluster_.started_[start.start_.run_] = cluster_.unix_ms_;
-            cluster_.running_[start.start_.target_].push_back(
-                {start.start_.run_, "", 1, 0});
-            post_event(*host_.node_,
-                       order_reply{.request_ = start.request_,
-                                   .outcome_ = target_outcome::done});
+            post_event(*host_.node_, cluster_.answer_start(start));
         }
         void operator()(send_stop const& stop) const
         {
-            if (!cluster_.answers_stops_)
+            if (cluster_.answers_stops_)
             {
-                return;
+                post_event(*host_.node_, cluster_.answer_stop(stop));
             }
-            cluster_.stop_run(stop.stop_.target_, stop.stop_.run_);
-            post_event(*host_.node_,
-                       order_reply{.request_ = stop.request_,
-                                   .outcome_ = target_outcome::done});
         }
         void operator()(send_question const& question) const
         {
@@ -343,6 +325,38 @@
         }
     };
 
+    // Targets answer at once and keep their leases; other fixtures may replace
+    // them.
+
+    virtual hold_reply answer_hold(hold_target const& hold)
+    {
+        epoch&     fence = fences_[hold.target_];
+        bool const old = hold.fence_ != 0 && hold.fence_ < fence;
+        fence = std::max(fence, hold.fence_);
+        forget_ends(hold);
+        return {.request_ = hold.request_,
+                .target_ = hold.target_,
+                .outcome_ =
+                    old ? target_outcome::superseded : target_outcome::done,
+                .clock_ms_ = unix_ms_,
+                .born_unix_ms_ = 7,
+                .runs_ = running_[hold.target_],
+                .ends_ = ended_[hold.target_]};
+    }
+
+    virtual order_reply answer_start(send_start const& start)
+    {
+        started_[start.start_.run_] = unix_ms_;
+        running_[start.start_.target_].push_back({start.start_.run_, "", 1, 0});
+        return {.request_ = start.request_, .outcome_ = target_outcome::done};
+    }
+
+    virtual order_reply answer_stop(send_stop const& stop)
+    {
+        stop_run(stop.stop_.target_, stop.stop_.run_);
+        return {.request_ = stop.request_, .outcome_ = target_outcome::done};
+    }
+
     // 3. Store
 
     store_reply transact(store_transact const& write)
--- a/tests/unit/target_model.hpp
+++ b/tests/unit/target_model.hpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <list>
+#include <string>
 #include <vector>
 
 namespace fescuevane::cell
@@ -22,14 +23,14 @@
     std::list<reported_end> ends_;
     std::uint64_t           last_end_ = 0;
 
-    void end(run_key const& run, run_end how)
+    void end(run_key const& run, run_end how, std::string const& saved = "")
     {
         std::erase_if(running_,
                       [&run](reported_run const& entry)
                       {
                           return entry.run_ == run;
                       });
-        ends_.push_back({++last_end_, run, how, ""});
+        ends_.push_back({++last_end_, run, how, saved});
     }
 
     void end_all(run_end how)
