--- a/tests/unit/cell_delegation_test.cpp
+++ b/tests/unit/cell_delegation_test.cpp
@@ -224,583 +224,574 @@
     auto const replies = take<reply_peer>();
     REQUIRE(replies.size() == 1);
     CHECK(replies[0].answer_.phase_ == job_phase::completed);
-    // Guards against an end that counts for a job which has ended: its task was
-    // handed to west, and an earlier job of it had been sent back from here.
-    TEST_CASE_FIXTURE(replaced_fixture,
-                      "task at another shard, run isn't of the job sent back")
+}
+
+// Guards against an end that counts for a job which has ended: its task was
+// handed to west, and an earlier job of it had been sent back from here.
+TEST_CASE_FIXTURE(replaced_fixture,
+                  "task at another shard, run isn't of the job sent back")
+{
+    constexpr std::int64_t too_large = 8000;
+    west_.used_ = {4000, 1024, 0};
+    tell_west();
+    for (int job = 0; job < 4; ++job)
+    {
+        submit("aa0" + std::to_string(job)); // they fill the shard
+    }
+    run_cell(200'000);
+    submit("bb01");
+    run_cell(100'000);
+    hand_in("bb01~1-1", {0}, 1, too_large);
+    cancel("bb01~1-1");
+    west_.used_ = {};
+    run_cell(2 * micros_per_second);
+    REQUIRE(list_delegated().size() == 1);
+    run_key const run{{job_id("bb01"), 0, 0}, 0, 2};
+    CHECK(to_local(*node_, *node_->sessions_.find(target_id("t-1")), run) ==
+          run);
+}
+
+// West gave no answer to a submission of tasks whose job was canceled then.
+struct canceled_fixture : delegation_fixture
+{
+    std::vector<job_call> submitted_;
+
+    canceled_fixture()
     {
-        constexpr std::int64_t too_large = 8000;
         west_.used_ = {4000, 1024, 0};
         tell_west();
-        for (int job = 0; job < 4; ++job)
+        for (int job = 0; job < 5; ++job)
         {
-            submit("aa0" + std::to_string(job)); // they fill the shard
+            submit("aa0" + std::to_string(job)); // four of them fit
         }
         run_cell(200'000);
-        submit("bb01");
-        run_cell(100'000);
-        hand_in("bb01~1-1", {0}, 1, too_large);
-        cancel("bb01~1-1");
         west_.used_ = {};
         run_cell(2 * micros_per_second);
-        REQUIRE(list_delegated().size() == 1);
-        run_key const run{{job_id("bb01"), 0, 0}, 0, 2};
-        CHECK(to_local(*node_, *node_->sessions_.find(target_id("t-1")), run) ==
-              run);
+        submitted_ = list_delegated();
+        REQUIRE(!submitted_.empty());
+        ask(call_kind::cancel, submitted_[0].job_->alias_->stage_.job_.str());
     }
 
-    // West gave no answer to a submission of tasks whose job was canceled then.
-    struct canceled_fixture : delegation_fixture
+    // Runs while west knows none of the jobs that it is asked about.
+    void run_absent(std::int64_t micros)
     {
-        std::vector<job_call> submitted_;
-
-        canceled_fixture()
+        constexpr std::int64_t step = 100'000;
+        for (std::int64_t passed = 0; passed < micros; passed += step)
         {
-            west_.used_ = {4000, 1024, 0};
-            tell_west();
-            for (int job = 0; job < 5; ++job)
+            run_cell(step);
+            for (call_peer const& call : take<call_peer>())
             {
-                submit("aa0" + std::to_string(job)); // four of them fit
+                if (call.call_.kind_ != call_kind::submit)
+                {
+                    post(peer_replied{call.request_,
+                                      {.outcome_ = job_outcome::absent}});
+                }
             }
-            run_cell(200'000);
-            west_.used_ = {};
-            run_cell(2 * micros_per_second);
-            submitted_ = list_delegated();
-            REQUIRE(!submitted_.empty());
-            ask(call_kind::cancel,
-                submitted_[0].job_->alias_->stage_.job_.str());
         }
+    }
 
-        // Runs while west knows none of the jobs that it is asked about.
-        void run_absent(std::int64_t micros)
+    // The node is the owner of west from here on.
+    void become_west()
+    {
+        settings_.host_ = host_id("host-2");
+        settings_.address_ = "127.0.0.1:7001";
+        settings_.domain_ = domain_id("west");
+        start(5);
+        post(target_listed{{.id_ = target_id("t-west"),
+                            .address_ = "127.0.0.1:8001",
+                            .domain_ = domain_id("west"),
+                            .service_ = service_id("desk"),
+                            .rack_ = rack_id("r-2"),
+                            .capacity_ = {4000, 8192, 0}}});
+        running_.clear();
+        commands_.clear();
+        for (int round = 0; round < 30; ++round)
         {
-            constexpr std::int64_t step = 100'000;
-            for (std::int64_t passed = 0; passed < micros; passed += step)
+            run(100'000);
+            for (hold_target const& hold : take<hold_target>())
             {
-                run_cell(step);
-                for (call_peer const& call : take<call_peer>())
-                {
-                    if (call.call_.kind_ != call_kind::submit)
-                    {
-                        post(peer_replied{call.request_,
-                                          {.outcome_ = job_outcome::absent}});
-                    }
-                }
+                answer_hold(hold);
             }
         }
+        run(20'000);
+    }
 
-        // The node is the owner of west from here on.
-        void become_west()
-        {
-            settings_.host_ = host_id("host-2");
-            settings_.address_ = "127.0.0.1:7001";
-            settings_.domain_ = domain_id("west");
-            start(5);
-            post(target_listed{{.id_ = target_id("t-west"),
+    // Starts of west's target after a submission from host-1.
+    std::size_t count_starts(job_call const& call)
+    {
+        post(peer_called{1,
+                         {.kind_ = call_kind::submit,
+                          .id_ = call.id_,
+                          .shard_ = {domain_id("west"), 0},
+                          .job_ = call.job_,
+                          .deadline_ = now_.after(micros_per_second)}});
+        run(100'000);
+        auto const replies = take<reply_peer>();
+        REQUIRE(replies.size() == 1);
+        CHECK(replies[0].answer_.outcome_ == job_outcome::accepted);
+        return take<send_start>().size();
+    }
+};
+
+// Guards against tasks of a canceled job that run: their submission was
+// accepted after the cancel had found nothing.
+TEST_CASE_FIXTURE(canceled_fixture,
+                  "cancel finds no job, submitted late, nothing is started")
+{
+    run_absent(500'000); // the cancel of the job is stored
+    SUBCASE("the store answers")
+    {
+        run_absent(4 * micros_per_second);
+    }
+    SUBCASE("the store's answers are lost for some time")
+    {
+        store_silent_ = true;
+        run_absent(4 * micros_per_second);
+        store_silent_ = false;
+        run_absent(500'000);
+    }
+    SUBCASE("the shard gets a new owner")
+    {
+        run_absent(4 * micros_per_second);
+        start(2);
+        list_target("t-1");
+        running_.clear();
+        run_absent(micros_per_second);
+        CHECK(std::none_of(commands_.begin(), commands_.end(),
+                           [](command const& order)
+                           {
+                               auto const* const line =
+                                   std::get_if<log_line>(&order);
+                               return line != nullptr &&
+                                      line->event_ == "row_unreadable";
+                           }));
+    }
+    become_west();
+    job_call const other{.id_ = job_id("bb01"),
+                         .job_ = std::make_shared<staged_job const>(staged_job{
+                             .id_ = job_id("bb01"),
+                             .organisation_ = organisation_id("cafe"),
+                             .queue_ = queue_id("orders"),
+                             .service_ = service_id("desk"),
+                             .payload_ = "work",
+                             .steps_ = {{.demand_ = {1000, 512, 0}}}})};
+    CHECK(count_starts(other) == 1);
+    CHECK(count_starts(submitted_[0]) == 0);
+}
+
+// The node owns east, which has no target with the label. West and north
+// are owned by another host.
+struct blocked_fixture : cell_fixture
+{
+    blocked_fixture()
+    {
+        settings_.domains_ = {domain_id("east"), domain_id("north"),
+                              domain_id("west")};
+        start(1);
+        for (char const* const domain : {"north", "west"})
+        {
+            post(member_row_changed{
+                {{"member", "", std::string("host/") + domain},
+                 write_host({"127.0.0.1:7001", domain_id(domain), 1, 5}),
+                 ++revision_}});
+            post(target_listed{{.id_ = target_id(std::string("t-") + domain),
                                 .address_ = "127.0.0.1:8001",
-                                .domain_ = domain_id("west"),
+                                .domain_ = domain_id(domain),
                                 .service_ = service_id("desk"),
                                 .rack_ = rack_id("r-2"),
+                                .labels_ = {"fast"},
                                 .capacity_ = {4000, 8192, 0}}});
-            running_.clear();
-            commands_.clear();
-            for (int round = 0; round < 30; ++round)
-            {
-                run(100'000);
-                for (hold_target const& hold : take<hold_target>())
-                {
-                    answer_hold(hold);
-                }
-            }
-            run(20'000);
         }
+        tell_loads();
+        serve();
+    }
 
-        // Starts of west's target after a submission from host-1.
-        std::size_t count_starts(job_call const& call)
-        {
-            post(peer_called{1,
-                             {.kind_ = call_kind::submit,
-                              .id_ = call.id_,
-                              .shard_ = {domain_id("west"), 0},
-                              .job_ = call.job_,
-                              .deadline_ = now_.after(micros_per_second)}});
-            run(100'000);
-            auto const replies = take<reply_peer>();
-            REQUIRE(replies.size() == 1);
-            CHECK(replies[0].answer_.outcome_ == job_outcome::accepted);
-            return take<send_start>().size();
-        }
-    };
-
-    // Guards against tasks of a canceled job that run: their submission was
-    // accepted after the cancel had found nothing.
-    TEST_CASE_FIXTURE(canceled_fixture,
-                      "cancel finds no job, submitted late, nothing is started")
+    void tell_loads()
     {
-        run_absent(500'000); // the cancel of the job is stored
-        SUBCASE("the store answers")
-        {
-            run_absent(4 * micros_per_second);
-        }
-        SUBCASE("the store's answers are lost for some time")
-        {
-            store_silent_ = true;
-            run_absent(4 * micros_per_second);
-            store_silent_ = false;
-            run_absent(500'000);
-        }
-        SUBCASE("the shard gets a new owner")
-        {
-            run_absent(4 * micros_per_second);
-            start(2);
-            list_target("t-1");
-            running_.clear();
-            run_absent(micros_per_second);
-            CHECK(std::none_of(commands_.begin(), commands_.end(),
-                               [](command const& order)
-                               {
-                                   auto const* const line =
-                                       std::get_if<log_line>(&order);
-                                   return line != nullptr &&
-                                          line->event_ == "row_unreadable";
-                               }));
-        }
-        become_west();
-        job_call const other{
-            .id_ = job_id("bb01"),
-            .job_ = std::make_shared<staged_job const>(
-                staged_job{.id_ = job_id("bb01"),
-                           .organisation_ = organisation_id("cafe"),
-                           .queue_ = queue_id("orders"),
-                           .service_ = service_id("desk"),
-                           .payload_ = "work",
-                           .steps_ = {{.demand_ = {1000, 512, 0}}}})};
-        CHECK(count_starts(other) == 1);
-        CHECK(count_starts(submitted_[0]) == 0);
-    }
-
-    // The node owns east, which has no target with the label. West and north
-    // are owned by another host.
-    struct blocked_fixture : cell_fixture
-    {
-        blocked_fixture()
-        {
-            settings_.domains_ = {domain_id("east"), domain_id("north"),
-                                  domain_id("west")};
-            start(1);
-            for (char const* const domain : {"north", "west"})
-            {
-                post(member_row_changed{
-                    {{"member", "", std::string("host/") + domain},
-                     write_host({"127.0.0.1:7001", domain_id(domain), 1, 5}),
-                     ++revision_}});
-                post(
-                    target_listed{{.id_ = target_id(std::string("t-") + domain),
-                                   .address_ = "127.0.0.1:8001",
-                                   .domain_ = domain_id(domain),
-                                   .service_ = service_id("desk"),
-                                   .rack_ = rack_id("r-2"),
-                                   .labels_ = {"fast"},
-                                   .capacity_ = {4000, 8192, 0}}});
-            }
-            tell_loads();
-            serve();
-        }
-
-        void tell_loads()
-        {
-            tell("north",
-                 {.capacity_ = {4000, 8192, 0}, .used_ = {2000, 0, 0}});
-            tell("west", {.capacity_ = {4000, 8192, 0}});
-        }
+        tell("north", {.capacity_ = {4000, 8192, 0}, .used_ = {2000, 0, 0}});
+        tell("west", {.capacity_ = {4000, 8192, 0}});
+    }
 
-        void tell(std::string const& domain, plan::load_summary const& load)
-        {
-            post(heartbeat_received{
-                {.host_ = host_id(domain),
-                 .incarnation_ = 5,
-                 .shards_ = {{.shard_ = {domain_id(domain), 0},
-                              .epoch_ = 1,
-                              .serving_ = true,
-                              .load_ = load}}}});
-        }
+    void tell(std::string const& domain, plan::load_summary const& load)
+    {
+        post(heartbeat_received{{.host_ = host_id(domain),
+                                 .incarnation_ = 5,
+                                 .shards_ = {{.shard_ = {domain_id(domain), 0},
+                                              .epoch_ = 1,
+                                              .serving_ = true,
+                                              .load_ = load}}}});
+    }
 
-        // Runs while the other shards are well. Calls of the node stay in
-        // `commands_`.
-        void run_beside(std::int64_t micros)
+    // Runs while the other shards are well. Calls of the node stay in
+    // `commands_`.
+    void run_beside(std::int64_t micros)
+    {
+        constexpr std::int64_t step = 100'000;
+        for (std::int64_t passed = 0; passed < micros; passed += step)
         {
-            constexpr std::int64_t step = 100'000;
-            for (std::int64_t passed = 0; passed < micros; passed += step)
+            tell_loads();
+            run(step);
+            for (hold_target const& hold : take<hold_target>())
             {
-                tell_loads();
-                run(step);
-                for (hold_target const& hold : take<hold_target>())
-                {
-                    answer_hold(hold);
-                }
+                answer_hold(hold);
             }
         }
+    }
 
-        std::vector<call_peer> list_calls(call_kind kind)
+    std::vector<call_peer> list_calls(call_kind kind)
+    {
+        std::vector<call_peer> found;
+        for (command const& order : commands_)
         {
-            std::vector<call_peer> found;
-            for (command const& order : commands_)
+            auto const* const call = std::get_if<call_peer>(&order);
+            if (call != nullptr && call->call_.kind_ == kind)
             {
-                auto const* const call = std::get_if<call_peer>(&order);
-                if (call != nullptr && call->call_.kind_ == kind)
-                {
-                    found.push_back(*call);
-                }
+                found.push_back(*call);
             }
-            return found;
-        }
-
-        void submit_labelled(std::string const& id)
-        {
-            post(call_opened{.call_ = ++last_call_,
-                             .kind_ = call_kind::submit,
-                             .id_ = job_id(id),
-                             .job_ = std::make_shared<staged_job const>(
-                                 make_labelled(id, std::nullopt)),
-                             .deadline_ = now_.after(3 * micros_per_second)});
-        }
-
-        static staged_job make_labelled(std::string const&        id,
-                                        std::optional<task_alias> alias)
-        {
-            return {.id_ = job_id(id),
-                    .organisation_ = organisation_id("cafe"),
-                    .queue_ = queue_id("orders"),
-                    .service_ = service_id("desk"),
-                    .payload_ = "work",
-                    .steps_ = {{.count_ = 1,
-                                .demand_ = {1000, 512, 0},
-                                .required_label_ = "fast"}},
-                    .alias_ = std::move(alias)};
         }
+        return found;
+    }
 
-        void call_east(std::uint64_t call, call_kind kind,
-                       std::string const&                id,
-                       std::shared_ptr<staged_job const> job = nullptr)
-        {
-            post(peer_called{call,
-                             {.kind_ = kind,
-                              .id_ = job_id(id),
-                              .shard_ = {domain_id("east"), 0},
-                              .job_ = std::move(job),
-                              .deadline_ = now_.after(3 * micros_per_second)}});
-        }
+    void submit_labelled(std::string const& id)
+    {
+        post(call_opened{.call_ = ++last_call_,
+                         .kind_ = call_kind::submit,
+                         .id_ = job_id(id),
+                         .job_ = std::make_shared<staged_job const>(
+                             make_labelled(id, std::nullopt)),
+                         .deadline_ = now_.after(3 * micros_per_second)});
+    }
 
-        // Another shard hands tasks over that east can't run.
-        void hand_over(std::string const& id)
-        {
-            call_east(1, call_kind::submit, id,
-                      std::make_shared<staged_job const>(make_labelled(
-                          id, task_alias{.stage_ = {job_id("bb01"), 0, 0},
-                                         .indices_ = {0},
-                                         .failures_ = {0},
-                                         .checkpoints_ = {""}})));
-            run_beside(200'000);
-            REQUIRE(take<reply_peer>().size() == 1);
-        }
+    static staged_job make_labelled(std::string const&        id,
+                                    std::optional<task_alias> alias)
+    {
+        return {.id_ = job_id(id),
+                .organisation_ = organisation_id("cafe"),
+                .queue_ = queue_id("orders"),
+                .service_ = service_id("desk"),
+                .payload_ = "work",
+                .steps_ = {{.count_ = 1,
+                            .demand_ = {1000, 512, 0},
+                            .required_label_ = "fast"}},
+                .alias_ = std::move(alias)};
+    }
 
-        std::optional<job_phase> stored_phase(std::string const& id)
-        {
-            auto const row = rows_.find({"job", "0", id});
-            return row == rows_.end()
-                       ? std::nullopt
-                       : std::optional(
-                             read_job(row->second.value_).progress_.phase_);
-        }
-    };
+    void call_east(std::uint64_t call, call_kind kind, std::string const& id,
+                   std::shared_ptr<staged_job const> job = nullptr)
+    {
+        post(peer_called{call,
+                         {.kind_ = kind,
+                          .id_ = job_id(id),
+                          .shard_ = {domain_id("east"), 0},
+                          .job_ = std::move(job),
+                          .deadline_ = now_.after(3 * micros_per_second)}});
+    }
 
-    // Guards against tasks that wander from shard to shard and stay in the last
-    // one, though none of them was ever able to run them.
-    TEST_CASE_FIXTURE(blocked_fixture,
-                      "tasks blocked, handed over, go back and no further")
-    {
-        hand_over("bb01~1-1");
-        call_east(2, call_kind::lookup, "bb01~1-1");
-        run_beside(4 * micros_per_second);
-        CHECK(list_calls(call_kind::submit).empty());
-        CHECK(list_calls(call_kind::offer).empty());
-        CHECK(stored_phase("bb01~1-1") == job_phase::canceled);
-        auto const replies = take<reply_peer>();
-        REQUIRE(replies.size() == 1);
-        CHECK(replies[0].answer_.phase_ == job_phase::canceled);
-        // A submission that comes late finds the end of the job.
-        hand_over("bb01~1-1");
-        run_beside(micros_per_second);
-        CHECK(take<send_start>().empty());
-        CHECK(stored_phase("bb01~1-1") == job_phase::canceled);
-    }
-
-    // Guards against a task that runs twice: it was told as returned, and the
-    // next owner found it waiting, since the return wasn't stored.
-    TEST_CASE_FIXTURE(
-        blocked_fixture,
-        "tasks go back, store is silent, not told before it answers")
-    {
-        hand_over("bb01~1-1");
-        call_east(2, call_kind::lookup, "bb01~1-1");
-        store_held_ = true;
-        run_beside(2'500'000);
-        call_east(3, call_kind::lookup, "bb01~1-1");
-        run_beside(200'000);
-        for (reply_peer const& reply : take<reply_peer>())
-        {
-            CHECK(!is_final(reply.answer_.phase_));
-        }
-        release_store();
+    // Another shard hands tasks over that east can't run.
+    void hand_over(std::string const& id)
+    {
+        call_east(1, call_kind::submit, id,
+                  std::make_shared<staged_job const>(make_labelled(
+                      id, task_alias{.stage_ = {job_id("bb01"), 0, 0},
+                                     .indices_ = {0},
+                                     .failures_ = {0},
+                                     .checkpoints_ = {""}})));
         run_beside(200'000);
-        auto const replies = take<reply_peer>();
-        REQUIRE(!replies.empty());
-        CHECK(replies[0].answer_.phase_ == job_phase::canceled);
+        REQUIRE(take<reply_peer>().size() == 1);
     }
 
-    // Guards against tasks that are moved before it is known which shard can
-    // run them.
-    TEST_CASE_FIXTURE(blocked_fixture,
-                      "tasks blocked, others asked, moved to the best answer")
+    std::optional<job_phase> stored_phase(std::string const& id)
     {
-        submit_labelled("aa01");
-        // Jobs go to a shard that can run them; this one is left in east.
-        for (int round = 0; round < 5; ++round)
-        {
-            run_beside(100'000);
-            for (call_peer const& call : take<call_peer>())
-            {
-                if (call.call_.kind_ == call_kind::submit)
-                {
-                    post(peer_replied{call.request_,
-                                      {.outcome_ = job_outcome::unavailable}});
-                }
-            }
-        }
-        std::vector<call_peer> asked;
-        for (int round = 0; round < 30 && asked.empty(); ++round)
-        {
-            run_beside(100'000);
-            asked = list_calls(call_kind::offer);
-        }
-        REQUIRE(asked.size() == 2);
-        CHECK(list_calls(call_kind::submit).empty());
-        std::string best;
-        auto const  answer = [&](std::string const& now_domain)
-        {
-            for (call_peer const& call : asked)
-            {
-                bool const now = call.call_.shard_.domain_.str() == now_domain;
-                post(peer_replied{call.request_,
-                                  {.outcome_ = job_outcome::known,
-                                   .fit_now_ = now ? 1U : 0U,
-                                   .fit_later_ = 1}});
-            }
-            best = now_domain;
-        };
-        SUBCASE("the emptier one could run them now")
-        {
-            answer("west");
-        }
-        SUBCASE("the other one could run them now")
-        {
-            answer("north");
-        }
-        SUBCASE("both could later")
-        {
-            answer("");
-            best = "west";
-        }
-        take<call_peer>();
-        run_beside(500'000);
-        auto const moved = list_calls(call_kind::submit);
-        REQUIRE(!moved.empty());
-        CHECK(moved[0].call_.shard_.domain_.str() == best);
+        auto const row = rows_.find({"job", "0", id});
+        return row == rows_.end()
+                   ? std::nullopt
+                   : std::optional(
+                         read_job(row->second.value_).progress_.phase_);
     }
+};
 
-    // Guards against a step that is given up after the last shard: no shard
-    // could run it when it was asked.
-    TEST_CASE_FIXTURE(blocked_fixture,
-                      "no shard can run the tasks, asked again after a pause")
+// Guards against tasks that wander from shard to shard and stay in the last
+// one, though none of them was ever able to run them.
+TEST_CASE_FIXTURE(blocked_fixture,
+                  "tasks blocked, handed over, go back and no further")
+{
+    hand_over("bb01~1-1");
+    call_east(2, call_kind::lookup, "bb01~1-1");
+    run_beside(4 * micros_per_second);
+    CHECK(list_calls(call_kind::submit).empty());
+    CHECK(list_calls(call_kind::offer).empty());
+    CHECK(stored_phase("bb01~1-1") == job_phase::canceled);
+    auto const replies = take<reply_peer>();
+    REQUIRE(replies.size() == 1);
+    CHECK(replies[0].answer_.phase_ == job_phase::canceled);
+    // A submission that comes late finds the end of the job.
+    hand_over("bb01~1-1");
+    run_beside(micros_per_second);
+    CHECK(take<send_start>().empty());
+    CHECK(stored_phase("bb01~1-1") == job_phase::canceled);
+}
+
+// Guards against a task that runs twice: it was told as returned, and the
+// next owner found it waiting, since the return wasn't stored.
+TEST_CASE_FIXTURE(blocked_fixture,
+                  "tasks go back, store is silent, not told before it answers")
+{
+    hand_over("bb01~1-1");
+    call_east(2, call_kind::lookup, "bb01~1-1");
+    store_held_ = true;
+    run_beside(2'500'000);
+    call_east(3, call_kind::lookup, "bb01~1-1");
+    run_beside(200'000);
+    for (reply_peer const& reply : take<reply_peer>())
     {
-        submit_labelled("aa01");
-        int rounds = 0;
-        for (int round = 0; round < 150; ++round)
-        {
-            run_beside(100'000);
-            for (call_peer const& call : take<call_peer>())
-            {
-                bool const offer = call.call_.kind_ == call_kind::offer;
-                rounds += offer && call.call_.shard_.domain_.str() == "west";
-                post(peer_replied{
-                    call.request_,
-                    {.outcome_ = offer ? job_outcome::known
-                                       : job_outcome::unavailable}});
-            }
-        }
-        CHECK(rounds >= 4);
-        CHECK(rounds <= 8);
+        CHECK(!is_final(reply.answer_.phase_));
     }
+    release_store();
+    run_beside(200'000);
+    auto const replies = take<reply_peer>();
+    REQUIRE(!replies.empty());
+    CHECK(replies[0].answer_.phase_ == job_phase::canceled);
+}
 
-    // Guards against tasks that stay in a failure domain which was taken out:
-    // its stages moved one by one, each after a round of questions to all
-    // shards.
-    TEST_CASE_FIXTURE(cell_pair_fixture,
-                      "domain taken out, many stages wait, all move soon")
+// Guards against tasks that are moved before it is known which shard can
+// run them.
+TEST_CASE_FIXTURE(blocked_fixture,
+                  "tasks blocked, others asked, moved to the best answer")
+{
+    submit_labelled("aa01");
+    // Jobs go to a shard that can run them; this one is left in east.
+    for (int round = 0; round < 5; ++round)
     {
-        west_.capacity_ = {64000, 81920, 0};
-        tell_west();
-        for (int job = 10; job < 26; ++job)
+        run_beside(100'000);
+        for (call_peer const& call : take<call_peer>())
         {
-            submit("aa" + std::to_string(job));
-            run_cell(100'000);
-            for (call_peer const& call : take<call_peer>())
+            if (call.call_.kind_ == call_kind::submit)
             {
                 post(peer_replied{call.request_,
                                   {.outcome_ = job_outcome::unavailable}});
             }
         }
-        REQUIRE(running_.size() == 4);
-        post(domain_withdrawn{domain_id("east"), true});
-        std::set<job_id> moved;
-        for (int round = 0; round < 60; ++round)
-        {
-            run_cell(100'000);
-            for (call_peer const& call : take<call_peer>())
-            {
-                if (call.call_.kind_ == call_kind::submit)
-                {
-                    moved.insert(call.call_.id_);
-                    post(peer_replied{call.request_,
-                                      {.outcome_ = job_outcome::accepted}});
-                }
-            }
-        }
-        CHECK(moved.size() >= 12);
     }
-
-    // East is half full and holds a gang that another shard has handed over.
-    struct moved_gang_fixture : delegation_fixture
+    std::vector<call_peer> asked;
+    for (int round = 0; round < 30 && asked.empty(); ++round)
+    {
+        run_beside(100'000);
+        asked = list_calls(call_kind::offer);
+    }
+    REQUIRE(asked.size() == 2);
+    CHECK(list_calls(call_kind::submit).empty());
+    std::string best;
+    auto const  answer = [&](std::string const& now_domain)
     {
-        moved_gang_fixture()
+        for (call_peer const& call : asked)
         {
-            west_.used_ = {4000, 1024, 0};
-            tell_west();
-            submit("aa01");
-            submit("aa02");
-            run_cell(500'000);
-            REQUIRE(running_.size() == 2);
-            west_.used_ = {};
-            post(peer_called{
-                1,
-                {.kind_ = call_kind::submit,
-                 .id_ = job_id("bb01~1-1"),
-                 .shard_ = {domain_id("east"), 0},
-                 .job_ = std::make_shared<staged_job const>(staged_job{
-                     .id_ = job_id("bb01~1-1"),
-                     .organisation_ = organisation_id("cafe"),
-                     .queue_ = queue_id("orders"),
-                     .service_ = service_id("desk"),
-                     .payload_ = "work",
-                     .steps_ = {{.count_ = 3,
-                                 .demand_ = {1000, 512, 0},
-                                 .gang_ = true}},
-                     .alias_ = task_alias{.stage_ = {job_id("bb01"), 0, 0},
-                                          .indices_ = {0, 1, 2},
-                                          .failures_ = {0, 0, 0},
-                                          .checkpoints_ = {"", "", ""}}}),
-                 .deadline_ = now_.after(micros_per_second)}});
+            bool const now = call.call_.shard_.domain_.str() == now_domain;
+            post(peer_replied{call.request_,
+                              {.outcome_ = job_outcome::known,
+                               .fit_now_ = now ? 1U : 0U,
+                               .fit_later_ = 1}});
         }
+        best = now_domain;
     };
+    SUBCASE("the emptier one could run them now")
+    {
+        answer("west");
+    }
+    SUBCASE("the other one could run them now")
+    {
+        answer("north");
+    }
+    SUBCASE("both could later")
+    {
+        answer("");
+        best = "west";
+    }
+    take<call_peer>();
+    run_beside(500'000);
+    auto const moved = list_calls(call_kind::submit);
+    REQUIRE(!moved.empty());
+    CHECK(moved[0].call_.shard_.domain_.str() == best);
+}
 
-    // Guards against a gang that has moved once and lacks room for good, while
-    // other shards stand almost empty.
-    TEST_CASE_FIXTURE(moved_gang_fixture,
-                      "gang moved before, lacks room for long, goes back")
+// Guards against a step that is given up after the last shard: no shard
+// could run it when it was asked.
+TEST_CASE_FIXTURE(blocked_fixture,
+                  "no shard can run the tasks, asked again after a pause")
+{
+    submit_labelled("aa01");
+    int rounds = 0;
+    for (int round = 0; round < 150; ++round)
     {
-        run_cell(4 * micros_per_second);
-        CHECK(list_delegated().empty());
-        auto const stored = [this]
+        run_beside(100'000);
+        for (call_peer const& call : take<call_peer>())
         {
-            return read_job(rows_.at({"job", "0", "bb01~1-1"}).value_)
-                .progress_.phase_;
-        };
-        CHECK(stored() != job_phase::canceled);
-        run_cell(6 * micros_per_second);
-        CHECK(list_delegated().empty());
-        CHECK(stored() == job_phase::canceled);
+            bool const offer = call.call_.kind_ == call_kind::offer;
+            rounds += offer && call.call_.shard_.domain_.str() == "west";
+            post(peer_replied{call.request_,
+                              {.outcome_ = offer ? job_outcome::known
+                                                 : job_outcome::unavailable}});
+        }
     }
+    CHECK(rounds >= 4);
+    CHECK(rounds <= 8);
+}
 
-    // One host owns both shards. A task went from a job of east to west, and
-    // from there back to east.
-    struct returned_fixture : cell_fixture
+// Guards against tasks that stay in a failure domain which was taken out:
+// its stages moved one by one, each after a round of questions to all
+// shards.
+TEST_CASE_FIXTURE(cell_pair_fixture,
+                  "domain taken out, many stages wait, all move soon")
+{
+    west_.capacity_ = {64000, 81920, 0};
+    tell_west();
+    for (int job = 10; job < 26; ++job)
     {
-        job_id const gone_ = job_id("bb01~1-1");     // stands for it in west
-        job_id const back_ = job_id("bb01~1-1~1-2"); // stands for it in east
-
-        returned_fixture()
+        submit("aa" + std::to_string(job));
+        run_cell(100'000);
+        for (call_peer const& call : take<call_peer>())
         {
-            settings_.domains_ = {domain_id("east"), domain_id("west")};
-            store_job(gone_, domain_id("west"), back_);
-            store_job(back_, domain_id("east"), job_id());
-            for (char const* const domain : {"east", "west"})
-            {
-                row_key const key{"member", "0",
-                                  std::string("shard/") + domain + ".0"};
-                rows_[key] = {
-                    key,
-                    write_owner({host_id("host-1"), 1, "127.0.0.1:7000", 4}),
-                    ++revision_};
-            }
-            start(2);
-            list_target("t-1");
-            run(micros_per_second);
+            post(peer_replied{call.request_,
+                              {.outcome_ = job_outcome::unavailable}});
         }
-
-        void store_job(job_id const& id, domain_id const& domain,
-                       job_id const& delegate)
+    }
+    REQUIRE(running_.size() == 4);
+    post(domain_withdrawn{domain_id("east"), true});
+    std::set<job_id> moved;
+    for (int round = 0; round < 60; ++round)
+    {
+        run_cell(100'000);
+        for (call_peer const& call : take<call_peer>())
         {
-            staged_job const job{
-                .id_ = id,
-                .organisation_ = organisation_id("cafe"),
-                .queue_ = queue_id("orders"),
-                .service_ = service_id("desk"),
-                .payload_ = "work",
-                .steps_ = {{.count_ = 1, .demand_ = {1000, 512, 0}}},
-                .accepted_unix_ms_ = unix_ms_,
-                .alias_ = task_alias{.stage_ = {job_id("bb01"), 0, 0},
-                                     .indices_ = {3},
-                                     .failures_ = {0},
-                                     .checkpoints_ = {""},
-                                     .first_run_ = 7}};
-            job_progress progress;
-            if (!delegate.empty())
+            if (call.call_.kind_ == call_kind::submit)
             {
-                progress.tasks_.push_back({.delegate_ = delegate});
+                moved.insert(call.call_.id_);
+                post(peer_replied{call.request_,
+                                  {.outcome_ = job_outcome::accepted}});
             }
-            row_key const key{"job", "0", id.str()};
-            rows_[key] = {key,
-                          write_job({domain, 0}, write_spec(job), progress),
-                          ++revision_};
         }
+    }
+    CHECK(moved.size() >= 12);
+}
+
+// East is half full and holds a gang that another shard has handed over.
+struct moved_gang_fixture : delegation_fixture
+{
+    moved_gang_fixture()
+    {
+        west_.used_ = {4000, 1024, 0};
+        tell_west();
+        submit("aa01");
+        submit("aa02");
+        run_cell(500'000);
+        REQUIRE(running_.size() == 2);
+        west_.used_ = {};
+        post(peer_called{
+            1,
+            {.kind_ = call_kind::submit,
+             .id_ = job_id("bb01~1-1"),
+             .shard_ = {domain_id("east"), 0},
+             .job_ = std::make_shared<staged_job const>(staged_job{
+                 .id_ = job_id("bb01~1-1"),
+                 .organisation_ = organisation_id("cafe"),
+                 .queue_ = queue_id("orders"),
+                 .service_ = service_id("desk"),
+                 .payload_ = "work",
+                 .steps_ =
+                     {{.count_ = 3, .demand_ = {1000, 512, 0}, .gang_ = true}},
+                 .alias_ = task_alias{.stage_ = {job_id("bb01"), 0, 0},
+                                      .indices_ = {0, 1, 2},
+                                      .failures_ = {0, 0, 0},
+                                      .checkpoints_ = {"", "", ""}}}),
+             .deadline_ = now_.after(micros_per_second)}});
+    }
+};
+
+// Guards against a gang that has moved once and lacks room for good, while
+// other shards stand almost empty.
+TEST_CASE_FIXTURE(moved_gang_fixture,
+                  "gang moved before, lacks room for long, goes back")
+{
+    run_cell(4 * micros_per_second);
+    CHECK(list_delegated().empty());
+    auto const stored = [this]
+    {
+        return read_job(rows_.at({"job", "0", "bb01~1-1"}).value_)
+            .progress_.phase_;
     };
+    CHECK(stored() != job_phase::canceled);
+    run_cell(6 * micros_per_second);
+    CHECK(list_delegated().empty());
+    CHECK(stored() == job_phase::canceled);
+}
+
+// One host owns both shards. A task went from a job of east to west, and
+// from there back to east.
+struct returned_fixture : cell_fixture
+{
+    job_id const gone_ = job_id("bb01~1-1");     // stands for it in west
+    job_id const back_ = job_id("bb01~1-1~1-2"); // stands for it in east
 
-    // Guards against a task that runs twice: its end was taken for that of the
-    // job which stands for it in another shard of the same host, and was
-    // forgotten.
-    TEST_CASE_FIXTURE(
-        returned_fixture,
-        "host owns both shards, returned task ends, job completed")
-    {
-        run_key const run_of_task{{job_id("bb01"), 0, 0}, 3, 9};
-        auto const    holds = take<hold_target>();
-        REQUIRE(!holds.empty());
-        answer_hold(holds.back(), {}, {{1, run_of_task, run_end::done, ""}});
+    returned_fixture()
+    {
+        settings_.domains_ = {domain_id("east"), domain_id("west")};
+        store_job(gone_, domain_id("west"), back_);
+        store_job(back_, domain_id("east"), job_id());
+        for (char const* const domain : {"east", "west"})
+        {
+            row_key const key{"member", "0",
+                              std::string("shard/") + domain + ".0"};
+            rows_[key] = {
+                key, write_owner({host_id("host-1"), 1, "127.0.0.1:7000", 4}),
+                ++revision_};
+        }
+        start(2);
+        list_target("t-1");
         run(micros_per_second);
-        CHECK(take<send_start>().empty());
-        CHECK(read_job(rows_.at({"job", "0", back_.str()}).value_)
-                  .progress_.phase_ == job_phase::completed);
     }
 
+    void store_job(job_id const& id, domain_id const& domain,
+                   job_id const& delegate)
+    {
+        staged_job const job{
+            .id_ = id,
+            .organisation_ = organisation_id("cafe"),
+            .queue_ = queue_id("orders"),
+            .service_ = service_id("desk"),
+            .payload_ = "work",
+            .steps_ = {{.count_ = 1, .demand_ = {1000, 512, 0}}},
+            .accepted_unix_ms_ = unix_ms_,
+            .alias_ = task_alias{.stage_ = {job_id("bb01"), 0, 0},
+                                 .indices_ = {3},
+                                 .failures_ = {0},
+                                 .checkpoints_ = {""},
+                                 .first_run_ = 7}};
+        job_progress progress;
+        if (!delegate.empty())
+        {
+            progress.tasks_.push_back({.delegate_ = delegate});
+        }
+        row_key const key{"job", "0", id.str()};
+        rows_[key] = {key, write_job({domain, 0}, write_spec(job), progress),
+                      ++revision_};
+    }
+};
+
+// Guards against a task that runs twice: its end was taken for that of the
+// job which stands for it in another shard of the same host, and was
+// forgotten.
+TEST_CASE_FIXTURE(returned_fixture,
+                  "host owns both shards, returned task ends, job completed")
+{
+    run_key const run_of_task{{job_id("bb01"), 0, 0}, 3, 9};
+    auto const    holds = take<hold_target>();
+    REQUIRE(!holds.empty());
+    answer_hold(holds.back(), {}, {{1, run_of_task, run_end::done, ""}});
+    run(micros_per_second);
+    CHECK(take<send_start>().empty());
+    CHECK(
+        read_job(rows_.at({"job", "0", back_.str()}).value_).progress_.phase_ ==
+        job_phase::completed);
+}
+
 } // namespace
 } // namespace fescuevane::cell
