--- a/tests/unit/cell_cluster_fixture.hpp
+++ b/tests/unit/cell_cluster_fixture.hpp
@@ -55,10 +55,14 @@
     std::map<row_key, stored_row>                  rows_;
     revision                                       revision_ = 0;
     std::uint64_t                                  journal_writes_ = 0;
-    bool          answers_stops_ = false; // targets carry stops out
-    instant       now_ = instant(10 * micros_per_second);
-    std::int64_t  unix_ms_ = 1'000'000;
-    std::uint64_t last_call_ = 0;
+    bool                     answers_stops_ = false; // targets carry stops out
+    std::int64_t             tick_micros_ = 10'000;
+    std::set<target_id>      away_;  // out of reach
+    std::map<target_id, int> lives_; // earlier ones
+    std::set<domain_id>      out_;   // withdrawn
+    instant                  now_ = instant(10 * micros_per_second);
+    std::int64_t             unix_ms_ = 1'000'000;
+    std::uint64_t            last_call_ = 0;
     std::shared_ptr<cell_config const> config_ = cell_fixture::make_config();
 
     // Policy service: targets that it allows a job; it allows all to others.
@@ -109,6 +113,10 @@
         {
             post_event(*host.node_, target_listed{target});
         }
+        for (domain_id const& domain : out_)
+        {
+            post_event(*host.node_, domain_withdrawn{domain, true});
+        }
         post_event(*host.node_, list_complete{member_list::members});
         post_event(*host.node_, list_complete{member_list::targets});
     }
@@ -212,10 +220,10 @@
 
     // 2. Time
 
-    // Ticks every 10 ms for some time. Messages arrive with the next tick.
+    // Ticks for some time. Messages arrive with the next tick.
     void run(std::int64_t micros)
     {
-        constexpr std::int64_t step = 10'000;
+        std::int64_t const step = tick_micros_;
         for (std::int64_t passed = 0; passed < micros; passed += step)
         {
             for (auto& [address, host] : members_)
@@ -297,22 +305,38 @@
         }
         void operator()(hold_target const& hold) const
         {
+            if (cluster_.away_.contains(hold.target_))
+            {
+                post_event(*host_.node_,
+                           hold_reply{.request_ = hold.request_,
+                                      .target_ = hold.target_,
+                                      .outcome_ = target_outcome::unknown});
+                return;
+            }
             epoch&     fence = cluster_.fences_[hold.target_];
             bool const old = hold.fence_ != 0 && hold.fence_ < fence;
             fence = std::max(fence, hold.fence_);
             cluster_.forget_ends(hold);
-            post_event(*host_.node_,
-                       hold_reply{.request_ = hold.request_,
-                                  .target_ = hold.target_,
-                                  .outcome_ = old ? target_outcome::superseded
-                                                  : target_outcome::done,
-                                  .clock_ms_ = cluster_.unix_ms_,
-                                  .born_unix_ms_ = 7,
-                                  .runs_ = cluster_.running_[hold.target_],
-                                  .ends_ = cluster_.ended_[hold.target_]});
+            post_event(
+                *host_.node_,
+                hold_reply{.request_ = hold.request_,
+                           .target_ = hold.target_,
+                           .outcome_ = old ? target_outcome::superseded
+                                           : target_outcome::done,
+                           .clock_ms_ = cluster_.unix_ms_,
+                           .born_unix_ms_ = 7 + cluster_.lives_[hold.target_],
+                           .runs_ = cluster_.running_[hold.target_],
+                           .ends_ = cluster_.ended_[hold.target_]});
         }
         void operator()(send_start const& start) const
         {
+            if (cluster_.away_.contains(start.start_.target_))
+            {
+                post_event(*host_.node_,
+                           order_reply{.request_ = start.request_,
+                                       .outcome_ = target_outcome::unknown});
+                return;
+            }
             ++cluster_.starts_[start.start_.run_];
             cluster_.check_ticket(start);
             cluster_.started_[start.start_.run_] = cluster_.unix_ms_;
@@ -328,6 +352,13 @@
             {
                 return;
             }
+            if (cluster_.away_.contains(stop.stop_.target_))
+            {
+                post_event(*host_.node_,
+                           order_reply{.request_ = stop.request_,
+                                       .outcome_ = target_outcome::unknown});
+                return;
+            }
             cluster_.stop_run(stop.stop_.target_, stop.stop_.run_);
             post_event(*host_.node_,
                        order_reply{.request_ = stop.request_,
