--- a/tests/unit/cell_offers_test.cpp
+++ b/tests/unit/cell_offers_test.cpp
@@ -218,6 +218,18 @@
     CHECK(bad_tickets_ == 0);
 }
 
+// Guards against a gang that waits without an end since each shard may run
+// only a part of it, while together they have room for all of it.
+TEST_CASE_FIXTURE(offers_fixture,
+                  "gang, larger than what any shard may run, started" *
+                      doctest::test_suite("wide_gangs"))
+{
+    allow("aa01", {3, 3, 3, 3, 3, 3, 3, 3});
+    submit("h-1", "aa01", {make_step(13, true)});
+    run(30 * micros_per_second);
+    CHECK(count_started("aa01") == 13);
+}
+
 // Guards against a step that ends where it can't run: the only shard that may
 // run it had no room for good when it was asked or tried.
 TEST_CASE_FIXTURE(
