--- a/cell/settings.hpp
+++ b/cell/settings.hpp
@@ -115,8 +115,9 @@
     std::int64_t offer_slack_micros_ = 500'000;   // for the way of the answer
     std::int64_t offer_pause_micros_ = 1'000'000; // to the next round, doubles
     std::int64_t offer_pause_max_micros_ = 4'000'000;
-    // A gang that was moved waits so long for the end of other work: past the
-    // time in which room is kept for it.
+    // A gang that was moved, and tasks that start one by one, wait so long for
+    // the end of other work before they are offered: past the time in which
+    // room is kept for a gang.
     std::int64_t moved_gang_micros_ = 8'000'000;
 
     // Calls
