--- a/tests/unit/state_odd_rows_test.cpp
+++ b/tests/unit/state_odd_rows_test.cpp
@@ -50,8 +50,11 @@
               R"("capacity":[1,1,1],"slots":4294967297})")})
     {
         CAPTURE(odd.substr(0, 100));
-        grant_record const found =
-            read_grants(R"({"targets":[)" + odd + "," + good_grant + "]}");
+        grant_record const found = read_grants(std::string(R"({"targets":[)")
+                                                   .append(odd)
+                                                   .append(",")
+                                                   .append(good_grant)
+                                                   .append("]}"));
         CHECK_FALSE(found.complete_);
         REQUIRE(found.targets_.size() == 1);
         CHECK(found.targets_[0].target_ == target_id("t-1"));
