Say what gangs and recovered tasks wait for

The lines now tell allowed targets with room and ticket at once, reservations, unseen targets by phase, and held tasks. Not measured yet.

--- a/plan/explain_waits.cpp
+++ b/plan/explain_waits.cpp
@@ -47,14 +47,15 @@
            std::to_string(ticketed);
 }
 
-// For lasting tasks, targets that the policy service is known to allow, those
-// of them with room, with a ticket and with room held for the stage, and since
-// when an answer is awaited.
+// For lasting tasks and gangs, targets that the policy service is known to
+// allow, those of them with room, with a ticket, with both, and with room held
+// for the stage, and since when an answer is awaited.
 std::string describe_allowed(planner const& context, stage_view const& stage)
 {
     std::size_t allowed = 0;
     std::size_t fitting = 0;
     std::size_t ticketed = 0;
+    std::size_t both = 0;
     for (std::size_t row = 0; row < context.targets_.size(); ++row)
     {
         target_id const& id = context.targets_.key(row);
@@ -63,16 +64,20 @@
         {
             continue;
         }
+        bool const has_room =
+            count_startable(context, stage, id, context.targets_[row]) > 0;
+        bool const valid = has_ticket(context, stage, id);
         ++allowed;
-        fitting +=
-            count_startable(context, stage, id, context.targets_[row]) > 0 ? 1
-                                                                           : 0;
-        ticketed += has_ticket(context, stage, id) ? 1 : 0;
+        fitting += has_room ? 1 : 0;
+        ticketed += valid ? 1 : 0;
+        both += has_room && valid ? 1 : 0;
     }
     std::string why = ", allowed " + std::to_string(allowed) + " (room " +
                       std::to_string(fitting) + ", ticket " +
-                      std::to_string(ticketed) + ", held " +
+                      std::to_string(ticketed) + ", both " +
+                      std::to_string(both) + ", held " +
                       std::to_string(count_holds(context, stage.key_)) + ")";
+    why += context.reserved_for_ == stage.key_ ? ", reserved" : "";
     if (stage.row_.asked_)
     {
         why +=
@@ -84,6 +89,43 @@
     return why;
 }
 
+// Tasks that can't start since an end of an earlier run may be read yet. They
+// don't count as waiting, so nothing else tells about them.
+void explain_held_tasks(planner& context, stage_key const& key,
+                        stage_row const& stage)
+{
+    for (std::uint32_t index = 0; index < stage.tasks_.size(); ++index)
+    {
+        task_cell const& task = stage.tasks_[index];
+        if (task.held_ && !task.done_ && task.runs_ == 0 &&
+            task.waiting_since_.after(long_wait_micros) <= context.now_)
+        {
+            context.outbox_.push_back(note{
+                "held",
+                {key, index, task.last_run_},
+                {},
+                "ends not read: " + std::to_string(task.unread_runs_.size()) +
+                    ", failed: " + std::to_string(task.failed_runs_.size())});
+        }
+    }
+}
+
+// What a new owner hasn't heard of yet.
+std::string describe_unseen(planner const& context)
+{
+    auto const count = [&context](target_phase phase)
+    {
+        return std::to_string(std::count_if(context.targets_.begin(),
+                                            context.targets_.end(),
+                                            [phase](target_row const& target)
+                                            {
+                                                return target.phase_ == phase;
+                                            }));
+    };
+    return ", unseen targets: attaching " + count(target_phase::attaching) +
+           ", lapsed " + count(target_phase::lapsed);
+}
+
 } // namespace
 
 void explain_waits(planner& context)
@@ -98,7 +140,12 @@
     {
         stage_row const& stage = context.stages_[row];
         stage_key const& key = context.stages_.key(row);
-        if (!stage.startable_ || count_waiting(stage) == 0)
+        if (!stage.startable_)
+        {
+            continue;
+        }
+        explain_held_tasks(context, key, stage);
+        if (count_waiting(stage) == 0)
         {
             continue;
         }
@@ -118,10 +165,13 @@
         }
         job_row const& job = *context.jobs_.find(key.job_);
         std::string why = describe_targets(context, view_stage(context, key));
-        why += step.perpetual_ && needs_ticket(view_stage(context, key))
+        why += (step.perpetual_ || step.gang_) &&
+                       needs_ticket(view_stage(context, key))
                    ? describe_allowed(context, view_stage(context, key))
                    : "";
-        why += may_be_unseen(unseen, job, step) ? ", unseen targets" : "";
+        why += job.recovered_ && (unseen.runs_ || unseen.ends_)
+                   ? describe_unseen(context)
+                   : "";
         why += stage.asked_ ? ", advice asked" : "";
         why += job.excess_ ? ", beyond the organisation's rate" : "";
         why += is_within_limit(context, job.spec_->organisation_, key,
