--- a/cell/call_kind.hpp
+++ b/cell/call_kind.hpp
@@ -12,7 +12,11 @@
     submit,
     lookup,
     cancel,
-    offer // whether tasks could run, only between owners
+    // Only between owners
+    offer,        // whether tasks could run
+    await_part,   // until a part of a gang has room and tickets
+    start_part,   // now that all parts have
+    withdraw_part // stops it; it goes back to the shard of the gang
 };
 
 } // namespace fescuevane::cell
--- a/cell/claim_shards.cpp
+++ b/cell/claim_shards.cpp
@@ -519,6 +519,7 @@
     close_sessions(context, shard);
     abandon_requests(context, shard);
     drop_delegations(context, shard);
+    drop_spreads(context, shard);
     std::vector<job_id> jobs;
     for (std::size_t row = 0; row < context.records_.size(); ++row)
     {
--- a/cell/delegate_tasks.cpp
+++ b/cell/delegate_tasks.cpp
@@ -250,8 +250,8 @@
 
 } // namespace
 
-void begin_delegation(node& context, shard_id const& shard, owned_row& own,
-                      plan::overflow const& tasks, shard_id const& target)
+job_id begin_delegation(node& context, shard_id const& shard, owned_row& own,
+                        plan::overflow const& tasks, shard_id const& target)
 {
     job_id const&   parent = tasks.stage_.job_;
     job_id const    id(parent.str() + "~" + std::to_string(own.epoch_) + "-" +
@@ -262,7 +262,8 @@
                          .target_ = target,
                          .job_ = plan::make_delegate(*own.planner_, tasks, id)};
     plan::post_event(*own.planner_,
-                     plan::tasks_delegated{tasks.stage_, tasks.indices_, id});
+                     plan::tasks_delegated{tasks.stage_, tasks.indices_, id,
+                                           tasks.gang_run_});
     own.plan_needed_ = true;
     // Counted until the next heartbeat tells the load anew.
     shard_row& other = *context.shards_.find(target);
@@ -273,6 +274,8 @@
                {"tasks", std::to_string(tasks.indices_.size())},
                {"blocked", tasks.blocked_ ? "true" : "false"},
                {"shard", write_shard_name(target)}});
+    note_place(context, id, target);
+    return id;
 }
 
 // The job ends here as canceled, which tells the shard that it comes from that
@@ -672,6 +675,7 @@
         plan::overflow& tasks = found[{task.delegate_, stage}];
         tasks.stage_ = stage;
         tasks.indices_.push_back(task.index_);
+        tasks.gang_run_ = task.gang_run_;
     }
     for (job_id const& delegate : record.progress_.delegates_)
     {
@@ -686,6 +690,10 @@
                              .target_ = record.shard_,
                              .phase_ = delegation_phase::running,
                              .next_at_ = context.now_};
+        if (tasks.gang_run_ != 0)
+        {
+            restore_spread(context, record.shard_, name.second, name.first);
+        }
     }
 }
 
--- a/cell/job_answer.hpp
+++ b/cell/job_answer.hpp
@@ -16,9 +16,11 @@
     job_phase    phase_ = job_phase::pending; // when known
     std::int64_t retry_after_ms_ = 0;         // 0: not said
 
-    // Of an offer: tasks that could start, and could once other work has ended.
+    // Of an offer: tasks that could start, that could once other work has
+    // ended, and that have room now, with or without tickets.
     std::uint32_t fit_now_ = 0;
     std::uint32_t fit_later_ = 0;
+    std::uint32_t fit_free_ = 0;
 
     friend bool operator==(job_answer const&, job_answer const&) = default;
 };
--- a/cell/node.cpp
+++ b/cell/node.cpp
@@ -44,7 +44,7 @@
 namespace
 {
 
-constexpr std::array<system_entry, 15> list_systems = {{
+constexpr std::array<system_entry, 17> list_systems = {{
     {"apply_events", &apply_events},
     {"follow_members", &follow_members},
     {"lay_out_domains", &lay_out_domains},
@@ -53,6 +53,8 @@
     {"drive_planners", &drive_planners},
     {"offer_stages", &offer_stages},
     {"delegate_tasks", &delegate_tasks},
+    {"spread_gangs", &spread_gangs},
+    {"answer_parts", &answer_parts},
     {"grant_turns", &grant_turns},
     {"move_allotments", &move_allotments},
     {"record_grants", &record_grants},
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -11,6 +11,7 @@
 #include "cell/delegation_row.hpp"
 #include "cell/due_queue.hpp"
 #include "cell/event.hpp"
+#include "cell/gang_spread_row.hpp"
 #include "cell/host_row.hpp"
 #include "cell/job_record.hpp"
 #include "cell/layout_row.hpp"
@@ -20,6 +21,8 @@
 #include "cell/order_row.hpp"
 #include "cell/owned_row.hpp"
 #include "cell/parked_call.hpp"
+#include "cell/part_call_row.hpp"
+#include "cell/part_request.hpp"
 #include "cell/question_row.hpp"
 #include "cell/record_row.hpp"
 #include "cell/request_row.hpp"
@@ -41,6 +44,7 @@
 {
 
 class tick_observer;
+struct gang_share;
 
 struct node
 {
@@ -93,6 +97,10 @@
     std::map<std::uint64_t, stage_key> offer_requests_; // without an answer
     std::map<origin, offered_row>      offered_;        // to owned shards
 
+    table<stage_key, gang_spread_row>     spreads_;       // of owned shards
+    std::map<std::uint64_t, part_request> part_requests_; // without an answer
+    std::map<origin, part_call_row>       part_calls_;    // to owned shards
+
     // Store
     bool          store_ok_ = true;
     instant       store_word_;       // latest answer
@@ -125,6 +133,8 @@
 void drive_planners(node& context);  // plan ticks, their orders
 void offer_stages(node& context);    // stages that their shard can't run
 void delegate_tasks(node& context);  // tasks without room to other shards
+void spread_gangs(node& context);    // over several shards
+void answer_parts(node& context);    // of gangs, here
 void record_grants(node& context);   // targets with leases, to the store
 void grant_turns(node& context);     // claims to limits, one after another
 void move_allotments(node& context); // parts of limits to other shards
@@ -280,9 +290,10 @@
 std::vector<shard_id> list_receivers(node const& context, shard_id const& from,
                                      service_id const& service,
                                      step_spec const&  step);
-// Hands tasks over to another shard.
-void begin_delegation(node& context, shard_id const& shard, owned_row& own,
-                      plan::overflow const& tasks, shard_id const& target);
+// Hands tasks over to another shard, or a part of a gang to any. Returns the
+// name of the job that stands for them.
+job_id begin_delegation(node& context, shard_id const& shard, owned_row& own,
+                        plan::overflow const& tasks, shard_id const& target);
 // Hands the tasks of a job that stands for them back.
 void return_tasks(node& context, job_id const& delegate);
 
@@ -299,6 +310,17 @@
                 plan::answer_offer const& answer);
 void expire_offers(node& context);
 
+// Gangs on several shards
+void spread_gang(node& context, shard_id const& shard,
+                 plan::overflow const&          tasks,
+                 std::vector<gang_share> const& shares);
+void restore_spread(node& context, shard_id const& shard,
+                    stage_key const& stage, job_id const& part);
+void drop_spreads(node& context, shard_id const& shard);
+void serve_part(node& context, origin const& from, job_call const& call);
+bool end_part_call(node& context, std::uint64_t request,
+                   job_answer const& answer); // false: another request
+
 // Calls
 void serve_call(node& context, origin const& from, job_call const& call);
 void answer_origin(node& context, origin const& to, job_answer const& answer);
--- a/cell/offer_stages.cpp
+++ b/cell/offer_stages.cpp
@@ -17,7 +17,10 @@
 #include "cell/node.hpp"
 
 #include "cell/delegate_load.hpp"
+#include "cell/gang_share.hpp"
+#include "cell/gang_shares.hpp"
 #include "cell/records.hpp"
+#include "plan/gang_room.hpp"
 #include "plan/overflow.hpp"
 
 #include <algorithm>
@@ -60,6 +63,14 @@
     return !tasks.blocked_ && !step.gang_ && !step.perpetual_;
 }
 
+// A gang may run on several shards, so each is asked that could run some of it.
+step_spec describe_part(step_spec const& step)
+{
+    return step.gang_ ? step_spec{.demand_ = step.demand_,
+                                  .required_label_ = step.required_label_}
+                      : step;
+}
+
 // Loads are as old as the latest heartbeat. A shard with too little room for a
 // part of the stage isn't asked: each offer costs it questions to the policy
 // service. Tasks that their own shard will start aren't worth a question to a
@@ -76,13 +87,11 @@
                                ? shard.load_.capacity_
                                : shard.load_.capacity_ - shard.load_.used_;
     // Fillers use processors that others leave.
-    resources const    demand = step.filler_
-                                    ? resources(0, step.demand_.memory_mib(),
-                                                step.demand_.accelerators())
-                                    : step.demand_;
-    std::int64_t const needed =
-        step.gang_ ? static_cast<std::int64_t>(tasks.indices_.size()) : 1;
-    return (demand * needed).fits_in(room);
+    resources const demand = step.filler_
+                                 ? resources(0, step.demand_.memory_mib(),
+                                             step.demand_.accelerators())
+                                 : step.demand_;
+    return demand.fits_in(room);
 }
 
 bool has_open_round(node const& context, shard_id const& shard)
@@ -124,7 +133,7 @@
         plan::make_delegate(planner, tasks, name_offer(tasks.stage_));
     step_spec const&      step = job->steps_.front();
     std::vector<shard_id> receivers =
-        list_receivers(context, shard, job->service_, step);
+        list_receivers(context, shard, job->service_, describe_part(step));
     std::erase_if(receivers,
                   [&](shard_id const& receiver)
                   {
@@ -225,8 +234,8 @@
         auto const asked = round->asked_.find(request);
         if (answer.outcome_ == job_outcome::known)
         {
-            round->offers_.push_back(
-                {asked->second, answer.fit_now_, answer.fit_later_});
+            round->offers_.push_back({asked->second, answer.fit_now_,
+                                      answer.fit_later_, answer.fit_free_});
         }
         round->asked_.erase(asked);
         wake_at(context, context.now_);
@@ -293,6 +302,68 @@
     return tasks;
 }
 
+// What the shards that take tasks now could run of a gang, its own included.
+std::vector<shard_offer>
+list_gang_room(node const& context, shard_id const& from, step_spec const& step,
+               plan::overflow const& tasks, offer_round_row const& round)
+{
+    plan::planner const&        planner = *context.owned_.find(from)->planner_;
+    std::vector<shard_id> const receivers = list_receivers(
+        context, from, plan::find_job(planner, tasks.stage_.job_)->service_,
+        describe_part(step));
+    std::vector<shard_offer> found;
+    for (shard_offer const& offer : round.offers_)
+    {
+        if (std::find(receivers.begin(), receivers.end(), offer.shard_) !=
+            receivers.end())
+        {
+            found.push_back(offer);
+        }
+    }
+    if (!context.out_.contains(from.domain_))
+    {
+        plan::gang_room const own =
+            plan::count_gang_room(planner, tasks.stage_);
+        found.push_back({from, 0, own.later_, own.free_});
+    }
+    return found;
+}
+
+// A gang that needs most of what one shard could run meets room and tickets
+// there at one moment only by luck, so it goes to several shards that could run
+// half as much again.
+constexpr std::uint64_t spare_divisor = 2;
+
+bool has_spare(std::uint64_t room, std::uint64_t count)
+{
+    return room >= count + count / spare_divisor;
+}
+
+// Shards that are to run the gang together. Empty: none, or one of them alone.
+std::vector<gang_share> choose_shares(node const& context, shard_id const& from,
+                                      step_spec const&       step,
+                                      plan::overflow const&  tasks,
+                                      offer_round_row const& round,
+                                      choice const&          chosen)
+{
+    if (!step.gang_ || chosen.all_now_)
+    {
+        return {};
+    }
+    auto const count = static_cast<std::uint32_t>(tasks.indices_.size());
+    std::vector<shard_offer> const room =
+        list_gang_room(context, from, step, tasks, round);
+    bool const goes_alone =
+        chosen.best_ && (has_spare(chosen.best_->fit_later_, count) ||
+                         !has_spare(sum_later(room), count));
+    if (sum_free(room) < count && (!tasks.blocked_ || goes_alone))
+    {
+        return {};
+    }
+    std::vector<gang_share> shares = divide_gang(room, count);
+    return shares.size() > 1 ? shares : std::vector<gang_share>();
+}
+
 // Rounds of stages that run, have ended or are in another shard now.
 bool is_over(node const& context, stage_key const& stage,
              offer_round_row const& round)
@@ -338,8 +409,18 @@
          {"now", std::to_string(chosen.best_ ? chosen.best_->fit_now_ : 0)},
          {"later",
           std::to_string(chosen.best_ ? chosen.best_->fit_later_ : 0)}});
+    std::vector<gang_share> const shares =
+        choose_shares(context, shard, step, *tasks, round, chosen);
     end_round(context, round);
-    if (chosen.best_ && context.store_ok_ && !context.stopping_)
+    if (!context.store_ok_ || context.stopping_)
+    {
+        return;
+    }
+    if (!shares.empty())
+    {
+        spread_gang(context, shard, *tasks, shares);
+    }
+    else if (chosen.best_)
     {
         begin_delegation(context, shard, own,
                          limit_to_offer(step, *tasks, *chosen.best_),
--- a/cell/records.cpp
+++ b/cell/records.cpp
@@ -385,7 +385,11 @@
         .indices_ = read_numbers(alias.at("indices")),
         .failures_ = read_numbers(alias.at("failures")),
         .checkpoints_ = alias.at("checkpoints").get<std::vector<std::string>>(),
-        .first_run_ = read_number<std::uint32_t>(alias, "first_run")};
+        .first_run_ = read_number<std::uint32_t>(alias, "first_run"),
+        // Rows of earlier versions have no such field.
+        .gang_run_ = alias.contains("gang_run")
+                         ? read_number<std::uint32_t>(alias, "gang_run")
+                         : 0};
     if (steps.size() != 1 || steps.front().count_ != value.indices_.size() ||
         value.failures_.size() != value.indices_.size() ||
         value.checkpoints_.size() != value.indices_.size())
@@ -436,7 +440,8 @@
                  {"indices", job.alias_->indices_},
                  {"failures", job.alias_->failures_},
                  {"checkpoints", job.alias_->checkpoints_},
-                 {"first_run", job.alias_->first_run_}};
+                 {"first_run", job.alias_->first_run_},
+                 {"gang_run", job.alias_->gang_run_}};
     }
     // Payloads are text of callers; bytes that aren't UTF-8 are replaced at
     // the door already.
@@ -486,6 +491,10 @@
     {
         row["x"] = task.delegate_.str();
     }
+    if (task.gang_run_ != 0)
+    {
+        row["g"] = task.gang_run_;
+    }
     return row;
 }
 
@@ -499,7 +508,9 @@
             .failed_runs_ = row.contains("f") ? read_numbers(row.at("f"))
                                               : std::vector<std::uint32_t>(),
             .checkpoint_ = row.value("c", std::string()),
-            .delegate_ = job_id(row.value("x", std::string()))};
+            .delegate_ = job_id(row.value("x", std::string())),
+            .gang_run_ =
+                row.contains("g") ? read_number<std::uint32_t>(row, "g") : 0};
 }
 
 } // namespace
--- a/cell/route_calls.cpp
+++ b/cell/route_calls.cpp
@@ -338,7 +338,8 @@
 
 void apply(node& context, peer_replied const& input)
 {
-    if (end_offer(context, input.request_, input.answer_))
+    if (end_offer(context, input.request_, input.answer_) ||
+        end_part_call(context, input.request_, input.answer_))
     {
         return;
     }
--- a/cell/serve_calls.cpp
+++ b/cell/serve_calls.cpp
@@ -196,8 +196,9 @@
 }
 
 // In the order of `call_kind`.
-constexpr std::array<void (*)(node&, origin const&, job_call const&), 4>
-    call_handlers = {&serve_submit, &serve_lookup, &serve_cancel, &serve_offer};
+constexpr std::array<void (*)(node&, origin const&, job_call const&), 7>
+    call_handlers = {&serve_submit, &serve_lookup, &serve_cancel, &serve_offer,
+                     &serve_part,   &serve_part,   &serve_part};
 
 } // namespace
 
--- a/cell/settings.hpp
+++ b/cell/settings.hpp
@@ -120,6 +120,19 @@
     // room is kept for a gang.
     std::int64_t moved_gang_micros_ = 8'000'000;
 
+    // Gangs on several shards
+    std::int64_t spread_place_micros_ = 4'000'000; // to hand the parts over
+    // For room and tickets in all shards at once: other work there has to end.
+    std::int64_t spread_gather_micros_ = 12'000'000;
+    std::int64_t spread_await_micros_ = 2'000'000; // one call of these
+    // What a part says of its tickets holds for so long.
+    std::int64_t spread_ready_micros_ = 400'000;
+    // A task whose gang isn't complete ends after 3 s. A part may have to ask
+    // for a ticket again (0.6 s); then parts without an answer are stopped.
+    std::int64_t spread_start_micros_ = 1'000'000;
+    std::int64_t spread_slack_micros_ = 300'000; // for the way of the answer
+    std::int64_t spread_retry_micros_ = 200'000;
+
     // Calls
     std::int64_t answer_margin_micros_ = 200'000; // before a caller's deadline
     std::int64_t route_retry_micros_ = 60'000;
--- a/cell/shard_offer.hpp
+++ b/cell/shard_offer.hpp
@@ -14,6 +14,7 @@
     shard_id      shard_;
     std::uint32_t fit_now_ = 0;   // tasks
     std::uint32_t fit_later_ = 0; // once other work there has ended
+    std::uint32_t fit_free_ = 0;  // now, with or without tickets
 
     friend bool operator==(shard_offer const&, shard_offer const&) = default;
 };
--- /dev/null
+++ b/cell/spread_gangs.cpp
@@ -0,0 +1,410 @@
+// Purpose: system: runs gangs that no single shard can hold on several shards.
+//
+// The shard of the gang hands parts of it, under one run number, to shards that
+// together can run it; each part is a job of its own, like other tasks that are
+// handed over, and outlives the owners on both sides. The parts gather room and
+// tickets. Once all of them say that they have both, all are told to start; a
+// target has to wait for the rest of the gang only for as long as these calls
+// take. When one of them doesn't start, or its run ends, the others are taken
+// back, and the gang waits again once nothing of its run is left anywhere.
+//
+// Index of sections
+//   1. Parts
+//   2. Calls
+//   3. Phases
+//   4. Ticks
+#include "cell/node.hpp"
+
+#include "cell/gang_share.hpp"
+#include "cell/records.hpp"
+#include "plan/overflow.hpp"
+
+#include <algorithm>
+#include <array>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace fescuevane::cell
+{
+
+// 1. Parts
+
+void spread_gang(node& context, shard_id const& shard,
+                 plan::overflow const&          tasks,
+                 std::vector<gang_share> const& shares)
+{
+    owned_row&          own = *context.owned_.find(shard);
+    std::uint32_t const run =
+        plan::find_next_gang_run(*own.planner_, tasks.stage_);
+    gang_spread_row& row = context.spreads_.ensure(tasks.stage_);
+    row = {.shard_ = shard,
+           .phase_ = spread_phase::placing,
+           .until_ =
+               context.now_.after(context.settings_.spread_place_micros_)};
+    auto next = tasks.indices_.begin();
+    for (gang_share const& share : shares)
+    {
+        plan::overflow part{.stage_ = tasks.stage_,
+                            .demand_ = tasks.demand_,
+                            .since_ = tasks.since_,
+                            .blocked_ = tasks.blocked_,
+                            .gang_run_ = run};
+        part.indices_.assign(next, next + share.tasks_);
+        next += share.tasks_;
+        row.parts_[begin_delegation(context, shard, own, part, share.shard_)];
+    }
+    log_event(context, "gang_spread",
+              {{"job", tasks.stage_.job_.str()},
+               {"step", std::to_string(tasks.stage_.step_)},
+               {"run", std::to_string(run)},
+               {"tasks", std::to_string(tasks.indices_.size())},
+               {"parts", std::to_string(shares.size())}});
+    wake_at(context, context.now_);
+}
+
+void restore_spread(node& context, shard_id const& shard,
+                    stage_key const& stage, job_id const& part)
+{
+    gang_spread_row& row = context.spreads_.ensure(stage);
+    row.shard_ = shard;
+    row.phase_ = spread_phase::gathering;
+    row.until_ = context.now_.after(context.settings_.spread_gather_micros_);
+    row.parts_[part];
+}
+
+void drop_spreads(node& context, shard_id const& shard)
+{
+    std::vector<stage_key> const stages = context.spreads_.keys();
+    for (stage_key const& stage : stages)
+    {
+        if (context.spreads_.find(stage)->shard_ == shard)
+        {
+            context.spreads_.remove(stage);
+        }
+    }
+}
+
+// 2. Calls
+
+namespace
+{
+
+// Where a part is, as far as it is known.
+std::optional<shard_id> find_shard(node const& context, job_id const& part)
+{
+    if (record_row const* const record = context.records_.find(part))
+    {
+        return record->shard_;
+    }
+    auto const place = context.places_.find(part);
+    return place == context.places_.end() ? std::nullopt
+                                          : std::optional(place->second);
+}
+
+void call_part(node& context, stage_key const& stage, job_id const& id,
+               spread_part& part, call_kind kind, instant deadline)
+{
+    part.next_at_ = std::max(
+        deadline, context.now_.after(context.settings_.spread_retry_micros_));
+    wake_at(context, part.next_at_);
+    std::optional<shard_id> const shard = find_shard(context, id);
+    if (!shard || !context.shards_.contains(*shard))
+    {
+        part.next_at_ =
+            context.now_.after(context.settings_.spread_retry_micros_);
+        wake_at(context, part.next_at_);
+        return;
+    }
+    std::uint64_t const request = next_request(context);
+    part.request_ = request;
+    context.part_requests_[request] = {stage, id};
+    job_call const call{
+        .kind_ = kind, .id_ = id, .shard_ = *shard, .deadline_ = deadline};
+    if (owns(context, *shard, owned_phase::serving))
+    {
+        serve_part(context, {false, request}, call);
+        return;
+    }
+    context.outbox_.push_back(
+        call_peer{request, context.shards_.find(*shard)->address_, call});
+}
+
+} // namespace
+
+bool end_part_call(node& context, std::uint64_t request,
+                   job_answer const& answer)
+{
+    auto const found = context.part_requests_.find(request);
+    if (found == context.part_requests_.end())
+    {
+        return false;
+    }
+    part_request const asked = found->second;
+    context.part_requests_.erase(found);
+    gang_spread_row* const row = context.spreads_.find(asked.stage_);
+    if (row == nullptr || !row->parts_.contains(asked.part_))
+    {
+        return true;
+    }
+    spread_part& part = row->parts_.at(asked.part_);
+    if (part.request_ != request)
+    {
+        return true; // a later call was made meanwhile
+    }
+    part.request_ = 0;
+    part.next_at_ = context.now_.after(context.settings_.spread_retry_micros_);
+    if (answer.outcome_ == job_outcome::known)
+    {
+        part.started_ = answer.phase_ == job_phase::running;
+        part.ready_until_ =
+            part.started_ ? instant::never()
+            : answer.phase_ == job_phase::pending
+                ? context.now_.after(context.settings_.spread_ready_micros_)
+                : instant();
+        part.over_ = is_final(answer.phase_);
+    }
+    else if (row->phase_ == spread_phase::starting)
+    {
+        part.over_ = true;
+    }
+    wake_at(context, context.now_);
+    return true;
+}
+
+// 3. Phases
+
+namespace
+{
+
+void enter(node& context, stage_key const& stage, gang_spread_row& row,
+           spread_phase phase, std::int64_t micros, char const* why)
+{
+    row.phase_ = phase;
+    row.until_ = context.now_.after(micros);
+    for (auto& [id, part] : row.parts_)
+    {
+        part.request_ = 0;
+        part.next_at_ = context.now_;
+    }
+    log_event(context, "gang_phase",
+              {{"job", stage.job_.str()},
+               {"step", std::to_string(stage.step_)},
+               {"parts", std::to_string(row.parts_.size())},
+               {"phase", why}});
+    wake_at(context, context.now_);
+}
+
+void withdraw(node& context, stage_key const& stage, gang_spread_row& row,
+              char const* why)
+{
+    enter(context, stage, row, spread_phase::withdrawing, 0, why);
+}
+
+template <typename Check>
+bool all_parts(gang_spread_row const& row, Check const& check)
+{
+    return std::all_of(row.parts_.begin(), row.parts_.end(),
+                       [&check](auto const& entry)
+                       {
+                           return check(entry.second);
+                       });
+}
+
+bool has_over(gang_spread_row const& row)
+{
+    return !all_parts(row,
+                      [](spread_part const& part)
+                      {
+                          return !part.over_;
+                      });
+}
+
+// Calls each part that `needs` it and has no call in flight.
+template <typename Needs>
+void call_parts(node& context, stage_key const& stage, gang_spread_row& row,
+                call_kind kind, instant deadline, Needs const& needs)
+{
+    for (auto& [id, part] : row.parts_)
+    {
+        if (!needs(part))
+        {
+            continue;
+        }
+        if (part.next_at_ > context.now_)
+        {
+            wake_at(context, part.next_at_);
+            continue;
+        }
+        call_part(context, stage, id, part, kind, deadline);
+    }
+}
+
+bool is_accepted(node const& context, job_id const& part)
+{
+    return context.delegations_.find(part)->phase_ == delegation_phase::running;
+}
+
+void follow_placing(node& context, stage_key const& stage, gang_spread_row& row)
+{
+    bool const placed =
+        std::all_of(row.parts_.begin(), row.parts_.end(),
+                    [&context](auto const& entry)
+                    {
+                        return is_accepted(context, entry.first);
+                    });
+    if (placed)
+    {
+        enter(context, stage, row, spread_phase::gathering,
+              context.settings_.spread_gather_micros_, "gathering");
+    }
+    else if (row.until_ <= context.now_)
+    {
+        withdraw(context, stage, row, "not accepted in time");
+    }
+}
+
+void follow_gathering(node& context, stage_key const& stage,
+                      gang_spread_row& row)
+{
+    auto const is_ready = [&context](spread_part const& part)
+    {
+        return part.ready_until_ > context.now_;
+    };
+    if (has_over(row))
+    {
+        withdraw(context, stage, row, "a part is over");
+        return;
+    }
+    if (all_parts(row, is_ready))
+    {
+        enter(context, stage, row, spread_phase::starting,
+              context.settings_.spread_start_micros_, "starting");
+        return;
+    }
+    if (row.until_ <= context.now_)
+    {
+        // Parts of a former owner may run while one of them can't be asked.
+        bool const some_run = !all_parts(row,
+                                         [](spread_part const& part)
+                                         {
+                                             return !part.started_;
+                                         });
+        if (some_run)
+        {
+            enter(context, stage, row, spread_phase::running, 0, "running");
+        }
+        else
+        {
+            withdraw(context, stage, row, "no room and tickets in time");
+        }
+        return;
+    }
+    instant const deadline = std::min(
+        row.until_, context.now_.after(context.settings_.spread_await_micros_));
+    call_parts(context, stage, row, call_kind::await_part, deadline,
+               [&is_ready](spread_part const& part)
+               {
+                   return !is_ready(part);
+               });
+    for (auto const& [id, part] : row.parts_)
+    {
+        if (is_ready(part))
+        {
+            wake_at(context, part.ready_until_);
+        }
+    }
+}
+
+void follow_starting(node& context, stage_key const& stage,
+                     gang_spread_row& row)
+{
+    bool const started = all_parts(row,
+                                   [](spread_part const& part)
+                                   {
+                                       return part.started_;
+                                   });
+    if (started)
+    {
+        enter(context, stage, row, spread_phase::running, 0, "running");
+        return;
+    }
+    instant const answer_by =
+        row.until_.after(context.settings_.spread_slack_micros_);
+    if (has_over(row) || answer_by <= context.now_)
+    {
+        withdraw(context, stage, row, "a part didn't start");
+        return;
+    }
+    wake_at(context, answer_by);
+    call_parts(context, stage, row, call_kind::start_part, row.until_,
+               [](spread_part const& part)
+               {
+                   return !part.started_;
+               });
+}
+
+void follow_running(node& /*context*/, stage_key const& /*stage*/,
+                    gang_spread_row& /*row*/)
+{
+}
+
+void follow_withdrawing(node& context, stage_key const& stage,
+                        gang_spread_row& row)
+{
+    call_parts(context, stage, row, call_kind::withdraw_part,
+               context.now_.after(context.settings_.spread_retry_micros_),
+               [](spread_part const& /*part*/)
+               {
+                   return true;
+               });
+}
+
+// In the order of `spread_phase`.
+constexpr std::array<void (*)(node&, stage_key const&, gang_spread_row&), 5>
+    phase_systems = {&follow_placing, &follow_gathering, &follow_starting,
+                     &follow_running, &follow_withdrawing};
+
+// False once the gang is none of this host's concern any more.
+bool follow_spread(node& context, stage_key const& stage, gang_spread_row& row)
+{
+    owned_row const* const own = context.owned_.find(row.shard_);
+    if (own == nullptr || own->phase_ != owned_phase::serving)
+    {
+        return own != nullptr;
+    }
+    std::erase_if(row.parts_,
+                  [&context](auto const& entry)
+                  {
+                      return !context.delegations_.contains(entry.first);
+                  });
+    if (row.parts_.empty())
+    {
+        return false;
+    }
+    if (row.phase_ != spread_phase::withdrawing && !own->plan_needed_ &&
+        !plan::is_spread_whole(*own->planner_, stage))
+    {
+        withdraw(context, stage, row, "a part has ended");
+    }
+    phase_systems.at(static_cast<std::size_t>(row.phase_))(context, stage, row);
+    return true;
+}
+
+} // namespace
+
+// 4. Ticks
+
+void spread_gangs(node& context)
+{
+    std::vector<stage_key> const stages = context.spreads_.keys();
+    for (stage_key const& stage : stages)
+    {
+        if (!follow_spread(context, stage, *context.spreads_.find(stage)))
+        {
+            context.spreads_.remove(stage);
+        }
+    }
+}
+
+} // namespace fescuevane::cell
--- a/core/task_alias.hpp
+++ b/core/task_alias.hpp
@@ -21,6 +21,9 @@
     std::vector<std::uint32_t> failures_;      // runs that failed before
     std::vector<std::string>   checkpoints_;   // to resume from, empty: none
     std::uint32_t              first_run_ = 0; // later runs have higher numbers
+    // Part of a gang over several shards: the one run that it may have, the
+    // same in all of them. 0: the tasks are no such part.
+    std::uint32_t gang_run_ = 0;
 
     friend bool operator==(task_alias const&, task_alias const&) = default;
 };
--- a/core/task_progress.hpp
+++ b/core/task_progress.hpp
@@ -23,6 +23,7 @@
     std::vector<std::uint32_t> failed_runs_;
     std::string                checkpoint_;
     job_id                     delegate_; // job that runs the task elsewhere
+    std::uint32_t gang_run_ = 0;          // its only run, for a part of a gang
 
     friend bool operator==(task_progress const&,
                            task_progress const&) = default;
--- a/peer/peer_codec.cpp
+++ b/peer/peer_codec.cpp
@@ -139,7 +139,7 @@
 
 cell::job_call decode_call(cell::v1::JobCall const& message, instant now)
 {
-    if (message.kind() < 0 || message.kind() > cell::v1::OFFER)
+    if (message.kind() < 0 || message.kind() > cell::v1::WITHDRAW_PART)
     {
         throw peer_error("kind of a call: " + std::to_string(message.kind()));
     }
@@ -171,6 +171,7 @@
     message.set_retry_after_ms(answer.retry_after_ms_);
     message.set_fit_now(answer.fit_now_);
     message.set_fit_later(answer.fit_later_);
+    message.set_fit_free(answer.fit_free_);
     return message;
 }
 
@@ -187,7 +188,8 @@
             .phase_ = static_cast<job_phase>(message.phase()),
             .retry_after_ms_ = message.retry_after_ms(),
             .fit_now_ = message.fit_now(),
-            .fit_later_ = message.fit_later()};
+            .fit_later_ = message.fit_later(),
+            .fit_free_ = message.fit_free()};
 }
 
 cell::v1::AdviceCall encode_question(cell::send_question const& question,
--- a/plan/answer_offer.hpp
+++ b/plan/answer_offer.hpp
@@ -14,6 +14,7 @@
     job_id const        id_;
     std::uint32_t const fit_now_ = 0;   // have room, and tickets where needed
     std::uint32_t const fit_later_ = 0; // the same once other work has ended
+    std::uint32_t const fit_free_ = 0;  // have room, with or without tickets
 
     friend bool operator==(answer_offer const&, answer_offer const&) = default;
 };
--- a/plan/answer_offers.cpp
+++ b/plan/answer_offers.cpp
@@ -155,7 +155,8 @@
     for (std::size_t row = 0; row < context.targets_.size(); ++row)
     {
         auto const ticket = stage.row_.tickets_.find(context.targets_.key(row));
-        if (ticket != stage.row_.tickets_.end() && ticket->second.good_)
+        if (!needs_ticket(stage) ||
+            (ticket != stage.row_.tickets_.end() && ticket->second.good_))
         {
             room += count_free(context, stage, row);
         }
@@ -189,6 +190,7 @@
     }
     offer.answered_ = true;
     std::int64_t const count = stage.step_.count_;
+    std::int64_t const free = count_allowed_room(context, stage);
     bool const         within_limit =
         is_within_limit(context, stage.job_.spec_->organisation_, key,
                         stage.step_.demand_ * count_needed(stage.step_));
@@ -196,7 +198,8 @@
         answer_offer{id,
                      static_cast<std::uint32_t>(
                          within_limit ? std::min(room.now_, count) : 0),
-                     static_cast<std::uint32_t>(std::min(room.later_, count))});
+                     static_cast<std::uint32_t>(std::min(room.later_, count)),
+                     static_cast<std::uint32_t>(std::min(free, count))});
 }
 
 // Makes way for one more offer. False when all are still to be answered.
--- a/plan/apply_events.cpp
+++ b/plan/apply_events.cpp
@@ -9,6 +9,7 @@
 #include "core/job_progress.hpp"
 #include "plan/job_flow.hpp"
 #include "plan/offers.hpp"
+#include "plan/parts.hpp"
 #include "plan/planner.hpp"
 
 #include <algorithm>
@@ -165,6 +166,10 @@
     {
         open_occurrence(context, input.job_->id_);
         take_over_offer(context, input.job_->id_);
+        if (is_part(*input.job_))
+        {
+            begin_part(context, input.job_->id_);
+        }
     }
     if (open && timed)
     {
@@ -331,7 +336,7 @@
 
 void apply(planner& context, tasks_delegated const& input)
 {
-    delegate_tasks(context, input.stage_, input.indices_, input.delegate_);
+    delegate_tasks(context, input);
 }
 
 void apply(planner& context, delegate_ended const& input)
@@ -339,6 +344,16 @@
     end_delegate(context, input.stage_, input.delegate_, input.phase_);
 }
 
+void apply(planner& context, part_ordered const& input)
+{
+    order_part(context, input);
+}
+
+void apply(planner& context, part_withdrawn const& input)
+{
+    withdraw_part(context, input);
+}
+
 // 5. Advice
 
 void apply(planner& context, advice_given const& input)
--- a/plan/event.hpp
+++ b/plan/event.hpp
@@ -13,6 +13,8 @@
 #include "plan/job_offered.hpp"
 #include "plan/on_time_changed.hpp"
 #include "plan/organisations_set.hpp"
+#include "plan/part_ordered.hpp"
+#include "plan/part_withdrawn.hpp"
 #include "plan/queues_set.hpp"
 #include "plan/run_confirmed.hpp"
 #include "plan/run_ended.hpp"
@@ -33,7 +35,7 @@
                  target_gone, domain_set, job_added, job_canceled, job_dropped,
                  job_offered, run_confirmed, run_refused, run_ended, run_seen,
                  advice_given, advice_failed, tasks_delegated, delegate_ended,
-                 on_time_changed, ends_read>;
+                 on_time_changed, ends_read, part_ordered, part_withdrawn>;
 
 } // namespace fescuevane::plan
 
--- a/plan/explain_waits.cpp
+++ b/plan/explain_waits.cpp
@@ -74,9 +74,9 @@
     }
     std::string why = ", allowed " + std::to_string(allowed) + " (room " +
                       std::to_string(fitting) + ", ticket " +
-                      std::to_string(ticketed) + ", both " +
-                      std::to_string(both) + ", held " +
-                      std::to_string(count_holds(context, stage.key_)) + ")";
+                      std::to_string(ticketed) + ", held " +
+                      std::to_string(count_holds(context, stage.key_)) +
+                      "), both " + std::to_string(both);
     why += context.reserved_for_ == stage.key_ ? ", reserved" : "";
     if (stage.row_.asked_)
     {
--- a/plan/job_flow.cpp
+++ b/plan/job_flow.cpp
@@ -9,8 +9,10 @@
 #include "plan/job_flow.hpp"
 
 #include "core/attempt_count.hpp"
+#include "plan/parts.hpp"
 #include "plan/planner.hpp"
 #include "plan/room.hpp"
+#include "plan/tasks_delegated.hpp"
 
 #include <algorithm>
 #include <array>
@@ -102,7 +104,8 @@
                               .last_run_ = task.last_run_,
                               .failed_runs_ = failed,
                               .checkpoint_ = task.done_ ? "" : task.checkpoint_,
-                              .delegate_ = task.delegate_});
+                              .delegate_ = task.delegate_,
+                              .gang_run_ = task.delegate_run_});
         }
     }
 }
@@ -133,6 +136,10 @@
 
 std::uint32_t find_first_run(planner const& context, staged_job const& job)
 {
+    if (is_part(job))
+    {
+        return job.alias_->gang_run_ - 1;
+    }
     return context.settings_.run_base_ +
            (job.alias_ ? job.alias_->first_run_ : 0);
 }
@@ -173,6 +180,7 @@
                 task.last_run_ = std::max(task.last_run_, known.last_run_);
                 task.checkpoint_ = known.checkpoint_;
                 task.delegate_ = known.delegate_;
+                task.delegate_run_ = known.gang_run_;
                 // Those of a gang stand with its first task alone.
                 if (!known.failed_runs_.empty())
                 {
@@ -579,6 +587,10 @@
         return;
     }
     attempt_count const attempts = count_attempts(context, key);
+    if (stage.part_ != part_phase::none)
+    {
+        return; // its attempts are counted by the shard of the gang
+    }
     stage.tasks_.change(key.index_,
                         [&attempts](task_cell& task)
                         {
@@ -774,26 +786,56 @@
 
 // 4. Delegated tasks
 
-void delegate_tasks(planner& context, stage_key const& key,
-                    std::vector<std::uint32_t> const& indices,
-                    job_id const&                     delegate)
+void delegate_tasks(planner& context, tasks_delegated const& input)
 {
-    stage_row* const stage = context.stages_.find(key);
+    stage_row* const stage = context.stages_.find(input.stage_);
     if (stage == nullptr)
     {
         return;
     }
-    for (std::uint32_t const index : indices)
+    stage->gang_run_ = std::max(stage->gang_run_, input.gang_run_);
+    for (std::uint32_t const index : input.indices_)
     {
         stage->tasks_.change(index,
-                             [&delegate](task_cell& task)
+                             [&input](task_cell& task)
                              {
-                                 task.delegate_ = delegate;
+                                 task.delegate_ = input.delegate_;
+                                 task.delegate_run_ = input.gang_run_;
+                                 task.last_run_ =
+                                     std::max(task.last_run_, input.gang_run_);
                              });
     }
-    context.outbox_.push_back(job_changed{key.job_});
+    context.outbox_.push_back(job_changed{input.stage_.job_});
 }
 
+namespace
+{
+
+// One end as done stands for all tasks of a gang, and one failure for a failed
+// attempt of it.
+void end_part_of_gang(planner& context, stage_key const& key, std::uint32_t run,
+                      job_phase phase)
+{
+    stage_row& stage = *context.stages_.find(key);
+    if (phase == job_phase::completed)
+    {
+        stage.tasks_.change_all(
+            [](task_cell& task)
+            {
+                task.done_ = true;
+            });
+        stage.done_ = static_cast<std::uint32_t>(stage.tasks_.size());
+        close_stage(context, key);
+    }
+    else if (phase == job_phase::failed &&
+             add_failure(stage.gang_failures_, run))
+    {
+        apply_limit(context, {key, 0, run}, {});
+    }
+}
+
+} // namespace
+
 void end_delegate(planner& context, stage_key const& key,
                   job_id const& delegate, job_phase phase)
 {
@@ -802,8 +844,9 @@
     {
         return;
     }
-    bool found = false;
-    bool open = false;
+    std::uint32_t gang_run = 0; // of a part of a gang
+    bool          found = false;
+    bool          open = false;
     stage->tasks_.change_all(
         [&](task_cell& task)
         {
@@ -812,6 +855,7 @@
                 return;
             }
             found = true;
+            gang_run = std::exchange(task.delegate_run_, 0);
             task.delegate_ = job_id();
             if (task.done_)
             {
@@ -819,7 +863,7 @@
             }
             open = true;
             task.waiting_since_ = context.now_;
-            if (phase == job_phase::completed)
+            if (phase == job_phase::completed && gang_run == 0)
             {
                 task.done_ = true;
                 ++stage->done_;
@@ -830,6 +874,11 @@
         return;
     }
     context.outbox_.push_back(job_changed{key.job_});
+    if (gang_run != 0)
+    {
+        end_part_of_gang(context, key, gang_run, phase);
+        return;
+    }
     if (open && phase == job_phase::failed)
     {
         close_job(context, key.job_, job_phase::failed);
--- a/plan/job_flow.hpp
+++ b/plan/job_flow.hpp
@@ -25,6 +25,7 @@
 struct planner;
 struct run_row;
 struct stage_row;
+struct tasks_delegated;
 
 // Occurrences of a job, at least one.
 std::uint32_t count_occurrences(job_row const& job);
@@ -86,9 +87,7 @@
 
 // Marks tasks as handed to another shard, and takes note of what became of
 // them.
-void delegate_tasks(planner& context, stage_key const& stage,
-                    std::vector<std::uint32_t> const& indices,
-                    job_id const&                     delegate);
+void delegate_tasks(planner& context, tasks_delegated const& input);
 void end_delegate(planner& context, stage_key const& stage,
                   job_id const& delegate, job_phase phase);
 
--- a/plan/overflow.hpp
+++ b/plan/overflow.hpp
@@ -21,6 +21,8 @@
     // No end of other work would make room here, or not soon enough for tasks
     // that last.
     bool blocked_ = false;
+    // For a part of a gang, the only run that it may have.
+    std::uint32_t gang_run_ = 0;
 
     friend bool operator==(overflow const&, overflow const&) = default;
 };
--- /dev/null
+++ b/plan/parts.hpp
@@ -0,0 +1,39 @@
+// Purpose: parts of gangs that run on several shards. Internal to the package.
+#ifndef FESCUEVANE_PLAN_PARTS_HPP
+#define FESCUEVANE_PLAN_PARTS_HPP
+
+#include "core/ids.hpp"
+
+namespace fescuevane
+{
+struct staged_job;
+struct stage_key;
+} // namespace fescuevane
+
+namespace fescuevane::plan
+{
+
+struct part_ordered;
+struct part_withdrawn;
+struct planner;
+struct stage_row;
+
+// True for a job that stands for a part of a gang.
+bool is_part(staged_job const& job);
+
+// A part gathers room from now on. One of a former owner may have started, and
+// never starts again.
+void begin_part(planner& context, job_id const& id);
+
+// True when the stage may start now, as far as other shards are concerned.
+bool may_start_gang(planner const& context, stage_row const& stage);
+
+// The run of a part has begun.
+void note_part_started(stage_row& stage);
+
+void order_part(planner& context, part_ordered const& input);
+void withdraw_part(planner& context, part_withdrawn const& input);
+
+} // namespace fescuevane::plan
+
+#endif
--- a/plan/place_tasks.cpp
+++ b/plan/place_tasks.cpp
@@ -6,6 +6,7 @@
 //   3. Gangs
 //   4. Copies
 #include "plan/job_flow.hpp"
+#include "plan/parts.hpp"
 #include "plan/planner.hpp"
 #include "plan/room.hpp"
 #include "plan/room_holds.hpp"
@@ -209,6 +210,7 @@
     }
     if (begun.size() == step.count_)
     {
+        note_part_started(*context.stages_.find(key));
         return true;
     }
     for (run_key const& key_of_run : begun)
@@ -231,6 +233,10 @@
 void place_gang(planner& context, stage_key const& key)
 {
     stage_row const& stage = *context.stages_.find(key);
+    if (!may_start_gang(context, stage))
+    {
+        return;
+    }
     for (task_cell const& task : stage.tasks_)
     {
         if (!is_waiting(task))
--- a/plan/plan.hpp
+++ b/plan/plan.hpp
@@ -35,6 +35,8 @@
 struct planner;      // all tables of one shard, see planner.hpp
 struct load_summary; // for routing
 struct overflow;     // tasks without room
+struct gang_room;    // of a gang, here
+enum class part_state : std::uint8_t;
 
 // Destroys the context; a functor, so that callers need not see its tables.
 struct planner_deleter
@@ -89,6 +91,15 @@
 std::shared_ptr<staged_job const> make_delegate(planner const&  context,
                                                 overflow const& tasks,
                                                 job_id const&   delegate);
+// Tasks of a waiting gang that the shard's own targets have room for.
+gang_room count_gang_room(planner const& context, stage_key const& stage);
+// Number of the next run of a gang.
+std::uint32_t find_next_gang_run(planner const&   context,
+                                 stage_key const& stage);
+// False when tasks of a gang that was handed over in parts are back.
+bool is_spread_whole(planner const& context, stage_key const& stage);
+// State of a part of a gang of another shard.
+part_state find_part(planner const& context, job_id const& part);
 
 } // namespace fescuevane::plan
 
--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -48,13 +48,14 @@
 
 std::span<system_entry const> list_systems()
 {
-    static constexpr std::array<system_entry, 12> systems = {{
+    static constexpr std::array<system_entry, 13> systems = {{
         {"apply_events", &apply_events},
         {"open_stages", &open_stages},
         {"count_unseen", &count_unseen},
         {"estimate_chains", &estimate_chains},
         {"watch_runs", &watch_runs},
         {"pace_fillers", &pace_fillers},
+        {"follow_parts", &follow_parts},
         {"claim_limits", &claim_limits},
         {"hold_room", &hold_room},
         {"request_advice", &request_advice},
@@ -226,7 +227,8 @@
     for (std::size_t row = 0; row < context.stages_.size(); ++row)
     {
         stage_row const& stage = context.stages_[row];
-        if (!stage.startable_ || count_waiting(stage) == 0)
+        if (!stage.startable_ || count_waiting(stage) == 0 ||
+            stage.part_ != part_phase::none)
         {
             continue;
         }
@@ -332,6 +334,7 @@
         if (task.delegate_ == delegate && !task.done_)
         {
             tasks.indices_.push_back(index);
+            tasks.gang_run_ = task.delegate_run_;
         }
     }
     return tasks;
@@ -377,6 +380,7 @@
     step_spec const&  step = job.steps_[key.step_];
     task_alias        alias;
     alias.stage_ = job.alias_ ? job.alias_->stage_ : key;
+    alias.gang_run_ = tasks.gang_run_;
     for (std::uint32_t const index : tasks.indices_)
     {
         task_cell const& task = stage.tasks_[index];
--- a/plan/planner.hpp
+++ b/plan/planner.hpp
@@ -94,6 +94,7 @@
 void estimate_chains(planner& context); // run times of what is left of jobs
 void watch_runs(planner& context);      // stalled runs, slow runs
 void pace_fillers(planner& context);    // beside tasks with a latency bound
+void follow_parts(planner& context);    // of gangs over several shards
 void claim_limits(planner& context);    // room for work above the shard's part
 void hold_room(planner& context);       // for lasting tasks without a ticket
 void request_advice(planner& context);  // tickets ahead of need
--- a/plan/stage_row.hpp
+++ b/plan/stage_row.hpp
@@ -5,6 +5,7 @@
 #include "core/ids.hpp"
 #include "core/instant.hpp"
 #include "core/staged_job.hpp"
+#include "plan/part_phase.hpp"
 #include "plan/task_list.hpp"
 #include "plan/ticket_cell.hpp"
 
@@ -26,6 +27,8 @@
     bool                       startable_ = false; // predecessors have ended
     std::uint32_t              gang_run_ = 0; // number of the gang's latest run
     std::vector<std::uint32_t> gang_failures_; // run numbers
+    part_phase                 part_ = part_phase::none;
+    instant                    part_until_; // it starts before, or ends
 
     // Claims to room within the organisation's limit
     std::uint32_t turns_ = 0;              // that passed without a start
--- a/plan/task_cell.hpp
+++ b/plan/task_cell.hpp
@@ -21,11 +21,12 @@
     std::vector<std::uint32_t> unread_runs_; // whose ends may be listed yet
     target_id                  failed_on_;   // latest failure or stall
     bool moved_ = false; // was stopped once because its target seemed slow
-    std::string   checkpoint_;    // latest, empty: none
-    instant       ready_at_;      // not started before
-    instant       waiting_since_; // last started, ended or opened
-    job_id        delegate_;      // job that runs it at another shard
-    std::uint32_t failures_ = 0;  // before the job was handed to this shard
+    std::string   checkpoint_;       // latest, empty: none
+    instant       ready_at_;         // not started before
+    instant       waiting_since_;    // last started, ended or opened
+    job_id        delegate_;         // job that runs it at another shard
+    std::uint32_t delegate_run_ = 0; // its only run, for a part of a gang
+    std::uint32_t failures_ = 0;     // before the job was handed to this shard
     bool held_ = false; // unread ends may be the last failures that it may have
 };
 
--- a/plan/tasks_delegated.hpp
+++ b/plan/tasks_delegated.hpp
@@ -16,6 +16,7 @@
     stage_key const                  stage_;
     std::vector<std::uint32_t> const indices_;
     job_id const                     delegate_; // job that stands for them
+    std::uint32_t const gang_run_ = 0; // of all parts of a gang, 0: no part
 
     friend bool operator==(tasks_delegated const&,
                            tasks_delegated const&) = default;
--- a/tests/unit/cell_cluster_fixture.hpp
+++ b/tests/unit/cell_cluster_fixture.hpp
@@ -71,6 +71,7 @@
     std::multimap<std::int64_t, passed_advice> advice_due_;  // by `unix_ms_`
     int                                        bad_tickets_ = 0; // of starts
     std::set<job_id>                           lasting_; // jobs without an end
+    std::map<stage_key, std::size_t>           gangs_;   // tasks of each
 
     cell_cluster_fixture()
     {
@@ -168,19 +169,54 @@
         }
     }
 
+    // Since when a run works: the tasks of a gang do once all are there.
+    std::optional<std::int64_t> find_begin(run_key const& run) const
+    {
+        auto const gang = gangs_.find(run.stage_);
+        if (gang == gangs_.end())
+        {
+            return started_.at(run);
+        }
+        std::size_t  present = 0;
+        std::int64_t begin = 0;
+        for (auto const& [target, runs] : running_)
+        {
+            for (reported_run const& other : runs)
+            {
+                if (other.run_.stage_ == run.stage_ &&
+                    other.run_.run_ == run.run_)
+                {
+                    ++present;
+                    begin = std::max(begin, started_.at(other.run_));
+                }
+            }
+        }
+        return present == gang->second ? std::optional(begin) : std::nullopt;
+    }
+
     // Runs of at least this age end, each task of a step some time after the
     // one before. They are reported until forgotten.
     void end_runs(std::int64_t age_ms, std::int64_t apart_ms = 0)
     {
+        std::set<run_key> due;
+        for (auto const& [target, runs] : running_)
+        {
+            for (reported_run const& run : runs)
+            {
+                auto const begin = find_begin(run.run_);
+                if (begin && !lasting_.contains(run.run_.stage_.job_) &&
+                    *begin + age_ms + apart_ms * run.run_.index_ <= unix_ms_)
+                {
+                    due.insert(run.run_);
+                }
+            }
+        }
         for (auto& [target, runs] : running_)
         {
             std::vector<reported_run> rest;
             for (reported_run const& run : runs)
             {
-                if (lasting_.contains(run.run_.stage_.job_) ||
-                    started_.at(run.run_) + age_ms +
-                            apart_ms * run.run_.index_ >
-                        unix_ms_)
+                if (!due.contains(run.run_))
                 {
                     rest.push_back(run);
                     continue;
@@ -552,6 +588,13 @@
                          std::vector<step_spec> steps = {
                              {.demand_ = {1000, 512, 0}, .estimate_ms_ = 1000}})
     {
+        for (std::uint32_t step = 0; step < steps.size(); ++step)
+        {
+            if (steps[step].gang_)
+            {
+                gangs_[{job_id(id), 0, step}] = steps[step].count_;
+            }
+        }
         post_event(
             *find(host).node_,
             call_opened{.call_ = ++last_call_,
--- /dev/null
+++ b/tests/unit/cell_spread_test.cpp
@@ -0,0 +1,258 @@
+// Purpose: tests of gangs that run on several shards.
+#include "cell_offers_fixture.hpp"
+
+#include <doctest/doctest.h>
+#include <algorithm>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace fescuevane::cell
+{
+namespace
+{
+
+// A gang of 13 tasks, of which each shard may run four.
+struct spread_fixture : offers_fixture
+{
+    static constexpr std::uint32_t width = 13;
+    static constexpr std::int64_t  long_run_ms = 16'000;
+
+    std::string const       id_ = "aa01";
+    std::set<std::uint32_t> begun_;        // numbers of runs
+    int                     overlaps_ = 0; // starts beside an earlier run
+    int                     late_ = 0; // starts over a second after the first
+
+    spread_fixture() { allow(id_, {1, 1, 1, 1, 1, 1, 1, 1}); }
+
+    order_reply answer_start(send_start const& start) override
+    {
+        run_key const& run = start.start_.run_;
+        if (run.stage_.job_ == job_id(id_))
+        {
+            begun_.insert(run.run_);
+            for (auto const& [target, runs] : running_)
+            {
+                for (reported_run const& other : runs)
+                {
+                    overlaps_ += other.run_.stage_ == run.stage_ &&
+                                         other.run_.run_ != run.run_
+                                     ? 1
+                                     : 0;
+                }
+            }
+            for (auto const& [other, at] : started_)
+            {
+                late_ += other.stage_ == run.stage_ && other.run_ == run.run_ &&
+                                 at + 1000 < unix_ms_
+                             ? 1
+                             : 0;
+            }
+        }
+        return offers_fixture::answer_start(start);
+    }
+
+    void submit_gang() { submit("h-1", id_, {make_step(width, true)}); }
+
+    // Ticks until all tasks of the gang run, or for ten seconds.
+    void run_until_started()
+    {
+        constexpr int steps = 100;
+        for (int step = 0; step < steps && count_running(id_) < width; ++step)
+        {
+            run(100'000);
+        }
+    }
+
+    // One task of the gang fails, which breaks the others.
+    void fail_gang()
+    {
+        bool failed = false;
+        for (auto& [target, runs] : running_)
+        {
+            std::vector<reported_run> rest;
+            for (reported_run const& run : runs)
+            {
+                if (run.run_.stage_.job_ != job_id(id_))
+                {
+                    rest.push_back(run);
+                    continue;
+                }
+                ended_[target].push_back(
+                    {++ends_[target], run.run_,
+                     failed ? run_end::broken : run_end::failed, ""});
+                failed = true;
+            }
+            runs.swap(rest);
+        }
+    }
+
+    std::optional<job_phase> look_up(std::string const& host)
+    {
+        std::uint64_t const call = ask(host, call_kind::lookup, id_);
+        run(3 * micros_per_second);
+        auto const answer = find_answer(host, call);
+        return answer ? std::optional(answer->phase_) : std::nullopt;
+    }
+
+    // Hosts that own the shards of the gang's running tasks.
+    std::set<std::string> list_hosts_at_work()
+    {
+        std::set<std::string> hosts;
+        for (auto const& [target, runs] : running_)
+        {
+            for (reported_run const& run : runs)
+            {
+                if (run.run_.stage_.job_ == job_id(id_))
+                {
+                    hosts.insert(find_owner(target));
+                }
+            }
+        }
+        return hosts;
+    }
+
+    std::string find_owner(target_id const& target)
+    {
+        for (auto const& [name, address] : addresses_)
+        {
+            for (std::uint32_t shard = 0; shard < shards; ++shard)
+            {
+                std::vector<target_id> const all = list_targets(shard);
+                if (std::find(all.begin(), all.end(), target) != all.end() &&
+                    find(name).node_ &&
+                    owns(*find(name).node_, {domain_id("east"), shard},
+                         owned_phase::serving))
+                {
+                    return name;
+                }
+            }
+        }
+        return "";
+    }
+};
+
+// Guards against parts of a gang that start under different numbers, or so far
+// apart that the first ones end alone.
+TEST_CASE_FIXTURE(spread_fixture,
+                  "wide gang, submitted, all parts start as one run")
+{
+    submit_gang();
+    run_until_started();
+    CHECK(count_running(id_) == width);
+    CHECK(begun_.size() == 1);
+    CHECK(late_ == 0);
+    CHECK(bad_tickets_ == 0);
+    run(micros_per_second);
+    end_runs(run_ms);
+    run(2 * micros_per_second);
+    CHECK(look_up("h-2") == job_phase::completed);
+    CHECK(count_starts(id_) == width);
+}
+
+// Guards against a gang that starts again while parts of its last run are left,
+// and against a failure that counts for each of its parts, or for none.
+TEST_CASE_FIXTURE(spread_fixture,
+                  "wide gang, a task fails each time, given up at the limit")
+{
+    constexpr std::size_t max_attempts = 3;
+    submit_gang();
+    for (std::size_t attempt = 1; attempt <= max_attempts; ++attempt)
+    {
+        CAPTURE(attempt);
+        run_until_started();
+        REQUIRE(count_running(id_) == width);
+        CHECK(begun_.size() == attempt);
+        fail_gang();
+        run(micros_per_second);
+    }
+    run(20 * micros_per_second);
+    CHECK(begun_.size() == max_attempts);
+    CHECK(overlaps_ == 0);
+    CHECK(look_up("h-2") == job_phase::failed);
+}
+
+// Guards against tasks that run on after their job was canceled, in shards that
+// only have parts of it.
+TEST_CASE_FIXTURE(spread_fixture, "wide gang, canceled, all parts stop")
+{
+    submit_gang();
+    run_until_started();
+    REQUIRE(count_running(id_) == width);
+    ask("h-3", call_kind::cancel, id_);
+    run(2 * micros_per_second);
+    CHECK(count_running(id_) == 0);
+    run(10 * micros_per_second);
+    CHECK(count_starts(id_) == width);
+}
+
+// Guards against a gang that runs twice, or is lost, when an owner of one of
+// its parts or of the gang dies while it runs.
+TEST_CASE_FIXTURE(spread_fixture,
+                  "wide gang, a host dies while it runs, ends once")
+{
+    std::string host;
+    SUBCASE("h-1")
+    {
+        host = "h-1";
+    }
+    SUBCASE("h-2")
+    {
+        host = "h-2";
+    }
+    SUBCASE("h-3")
+    {
+        host = "h-3";
+    }
+    SUBCASE("h-4")
+    {
+        host = "h-4";
+    }
+    submit_gang();
+    run_until_started();
+    REQUIRE(count_running(id_) == width);
+    kill(host);
+    run_long_work(3 * micros_per_second, long_run_ms);
+    start(host);
+    run_long_work(10 * micros_per_second, long_run_ms);
+    CHECK(count_running(id_) == width);
+    run_long_work(10 * micros_per_second, long_run_ms);
+    CHECK(look_up("h-2") == job_phase::completed);
+    CHECK(count_starts(id_) == width);
+    CHECK(overlaps_ == 0);
+}
+
+// Guards against a gang that waits without end, or runs twice, when all hosts
+// lose power while its parts are handed over, gather room, start or run.
+TEST_CASE_FIXTURE(spread_fixture,
+                  "wide gang, all hosts restart at any moment, ends")
+{
+    constexpr std::int64_t step_micros = 400'000;
+    constexpr int          moments = 12;
+    for (int moment = 1; moment <= moments; ++moment)
+    {
+        CAPTURE(moment);
+        spread_fixture cell;
+        cell.submit_gang();
+        cell.run(moment * step_micros);
+        for (auto const& [name, address] : cell.addresses_)
+        {
+            cell.kill(name);
+        }
+        cell.run(micros_per_second);
+        for (auto const& [name, address] : cell.addresses_)
+        {
+            cell.start(name);
+        }
+        for (int second = 0; second < 60; ++second)
+        {
+            cell.run_work(micros_per_second);
+        }
+        CHECK(cell.overlaps_ == 0);
+        CHECK(cell.look_up("h-2") == job_phase::completed);
+    }
+}
+
+} // namespace
+} // namespace fescuevane::cell
