--- a/cell/spread_gangs.cpp
+++ b/cell/spread_gangs.cpp
@@ -21,6 +21,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -73,6 +74,20 @@
     row.parts_[part];
 }
 
+namespace
+{
+
+void remove_spread(node& context, stage_key const& stage)
+{
+    for (auto const& [id, part] : context.spreads_.find(stage)->parts_)
+    {
+        context.part_requests_.erase(part.request_);
+    }
+    context.spreads_.remove(stage);
+}
+
+} // namespace
+
 void drop_spreads(node& context, shard_id const& shard)
 {
     std::vector<stage_key> const stages = context.spreads_.keys();
@@ -80,7 +95,7 @@
     {
         if (context.spreads_.find(stage)->shard_ == shard)
         {
-            context.spreads_.remove(stage);
+            remove_spread(context, stage);
         }
     }
 }
@@ -102,20 +117,28 @@
                                           : std::optional(place->second);
 }
 
+// An answer to an earlier call tells nothing any more.
+void abandon_call(node& context, spread_part& part)
+{
+    context.part_requests_.erase(part.request_);
+    part.request_ = 0;
+}
+
 void call_part(node& context, stage_key const& stage, job_id const& id,
                spread_part& part, call_kind kind, instant deadline)
 {
-    part.next_at_ = std::max(
-        deadline, context.now_.after(context.settings_.spread_retry_micros_));
-    wake_at(context, part.next_at_);
+    abandon_call(context, part);
+    part.next_at_ = context.now_.after(context.settings_.spread_retry_micros_);
     std::optional<shard_id> const shard = find_shard(context, id);
-    if (!shard || !context.shards_.contains(*shard))
+    bool const loading = shard && context.owned_.contains(*shard) &&
+                         !owns(context, *shard, owned_phase::serving);
+    if (!shard || loading || !context.shards_.contains(*shard))
     {
-        part.next_at_ =
-            context.now_.after(context.settings_.spread_retry_micros_);
         wake_at(context, part.next_at_);
         return;
     }
+    part.next_at_ = std::max(deadline, part.next_at_);
+    wake_at(context, part.next_at_);
     std::uint64_t const request = next_request(context);
     part.request_ = request;
     context.part_requests_[request] = {stage, id};
@@ -184,7 +207,7 @@
     row.until_ = context.now_.after(micros);
     for (auto& [id, part] : row.parts_)
     {
-        part.request_ = 0;
+        abandon_call(context, part);
         part.next_at_ = context.now_;
     }
     log_event(context, "gang_phase",
@@ -373,11 +396,15 @@
     {
         return own != nullptr;
     }
-    std::erase_if(row.parts_,
-                  [&context](auto const& entry)
-                  {
-                      return !context.delegations_.contains(entry.first);
-                  });
+    for (auto at = row.parts_.begin(); at != row.parts_.end();)
+    {
+        bool const ended = !context.delegations_.contains(at->first);
+        if (ended)
+        {
+            abandon_call(context, at->second);
+        }
+        at = ended ? row.parts_.erase(at) : std::next(at);
+    }
     if (row.parts_.empty())
     {
         return false;
@@ -402,7 +429,7 @@
     {
         if (!follow_spread(context, stage, *context.spreads_.find(stage)))
         {
-            context.spreads_.remove(stage);
+            remove_spread(context, stage);
         }
     }
 }
