--- a/cell/delegate_tasks.cpp
+++ b/cell/delegate_tasks.cpp
@@ -254,7 +254,7 @@
                         plan::overflow const& tasks, shard_id const& target)
 {
     job_id const&   parent = tasks.stage_.job_;
-    job_id const    id(parent.str() + "~" + std::to_string(own.epoch_) + "-" +
+    job_id          id(parent.str() + "~" + std::to_string(own.epoch_) + "-" +
                        std::to_string(next_request(context)));
     delegation_row& row = context.delegations_.ensure(id);
     row = delegation_row{.shard_ = shard,
--- a/cell/gang_shares.cpp
+++ b/cell/gang_shares.cpp
@@ -85,6 +85,7 @@
                          std::tuple(a.fit_free_, a.fit_later_, b.shard_);
               });
     std::vector<gang_share> shares;
+    shares.reserve(offers.size());
     for (shard_offer const& offer : offers)
     {
         shares.push_back({offer.shard_, 0});
--- a/cell/spread_part.hpp
+++ b/cell/spread_part.hpp
@@ -11,7 +11,7 @@
 
 struct spread_part
 {
-    instant       ready_until_;   // it has room and tickets, as it told
+    instant       ready_until_; // it has room and tickets, as it told
     bool          started_ = false;
     bool          over_ = false; // it won't start
     std::uint64_t request_ = 0;  // in flight, 0: none
--- a/plan/request_advice.cpp
+++ b/plan/request_advice.cpp
@@ -443,8 +443,8 @@
     coverage const room = count_room(candidates);
     take_room(stage.step_, candidates, room.fitting_, waiting, free);
     // All parts of a gang have to have tickets at the same moment.
-    bool const gathers = stage.row_.part_ != part_phase::none &&
-                         room.fitting_ >= waiting;
+    bool const gathers =
+        stage.row_.part_ != part_phase::none && room.fitting_ >= waiting;
     if ((holds || gathers) && asks)
     {
         ask_for_held_room(context, stage, std::move(candidates), is_long);
--- a/plan/settings.hpp
+++ b/plan/settings.hpp
@@ -43,8 +43,9 @@
     // Parts of gangs over several shards: for room and tickets. Longer than the
     // shard of the gang waits for all parts.
     std::int64_t part_gather_micros_ = 15'000'000;
-    // A part is ready while its tickets are valid for longer: its shard compares
-    // this with what the other parts tell, and the order to start takes its way.
+    // A part is ready while its tickets are valid for longer: its shard
+    // compares this with what the other parts tell, and the order to start
+    // takes its way.
     std::int64_t part_ready_micros_ = 700'000;
 
     // Timed jobs
