Ask a gang's own shard what it could run of it

A shard too small for all of a gang asks the policy service about none of its targets, so the room in it was never counted when the gang was divided. A gang that needed some of it never started.

A round of a blocked gang now offers it to its own shard as well.

Test "gang needs room in every shard, submitted, started": 0 of 32 tasks before, 32 of 32 now.

--- a/cell/offer_stages.cpp
+++ b/cell/offer_stages.cpp
@@ -140,6 +140,12 @@
                       return !may_have_room(*context.shards_.find(receiver),
                                             step, tasks);
                   });
+    // A shard that can't run all of a gang asks the policy service about none
+    // of its targets, but may run a part of it.
+    if (step.gang_ && tasks.blocked_ && !context.out_.contains(shard.domain_))
+    {
+        receivers.push_back(shard);
+    }
     if (receivers.empty() && waits_for_room(step, tasks))
     {
         return;
@@ -307,10 +313,15 @@
 list_gang_room(node const& context, shard_id const& from, step_spec const& step,
                plan::overflow const& tasks, offer_round_row const& round)
 {
-    plan::planner const&        planner = *context.owned_.find(from)->planner_;
-    std::vector<shard_id> const receivers = list_receivers(
+    plan::planner const&  planner = *context.owned_.find(from)->planner_;
+    std::vector<shard_id> receivers = list_receivers(
         context, from, plan::find_job(planner, tasks.stage_.job_)->service_,
         describe_part(step));
+    bool const takes_own = !context.out_.contains(from.domain_);
+    if (takes_own)
+    {
+        receivers.push_back(from);
+    }
     std::vector<shard_offer> found;
     for (shard_offer const& offer : round.offers_)
     {
@@ -320,7 +331,12 @@
             found.push_back(offer);
         }
     }
-    if (!context.out_.contains(from.domain_))
+    bool const answered = std::any_of(found.begin(), found.end(),
+                                      [&from](shard_offer const& offer)
+                                      {
+                                          return offer.shard_ == from;
+                                      });
+    if (takes_own && !answered)
     {
         plan::gang_room const own =
             plan::count_gang_room(planner, tasks.stage_);
--- a/tests/unit/cell_spread_test.cpp
+++ b/tests/unit/cell_spread_test.cpp
@@ -56,10 +56,10 @@
     void submit_gang() { submit("h-1", id_, {make_step(width, true)}); }
 
     // Ticks until all tasks of the gang run, or for ten seconds.
-    void run_until_started()
+    void run_until_started(std::size_t tasks = width)
     {
         constexpr int steps = 100;
-        for (int step = 0; step < steps && count_running(id_) < width; ++step)
+        for (int step = 0; step < steps && count_running(id_) < tasks; ++step)
         {
             run(100'000);
         }
@@ -151,6 +151,18 @@
     CHECK(count_starts(id_) == width);
 }
 
+// Guards against a gang that never starts because its own shard, too small for
+// all of it, doesn't learn which of its targets are allowed.
+TEST_CASE_FIXTURE(spread_fixture,
+                  "gang needs room in every shard, submitted, started")
+{
+    constexpr std::uint32_t all = 32;
+    submit("h-1", id_, {make_step(all, true)});
+    run_until_started(all);
+    CHECK(count_running(id_) == all);
+    CHECK(begun_.size() == 1);
+}
+
 // Guards against a gang that starts again while parts of its last run are left,
 // and against a failure that counts for each of its parts, or for none.
 TEST_CASE_FIXTURE(spread_fixture,
