Start no part of a gang whose other parts were canceled

A cancel reaches the parts of a gang one by one.

The gang is withdrawn once one of its parts has ended or is being canceled.

--- a/cell/spread_gangs.cpp
+++ b/cell/spread_gangs.cpp
@@ -388,6 +388,25 @@
     phase_systems = {&follow_placing, &follow_gathering, &follow_starting,
                      &follow_running, &follow_withdrawing};
 
+// False when some parts have ended, or are to end with the job of the gang: the
+// others may not start.
+bool drop_ended(node& context, gang_spread_row& row)
+{
+    bool whole = true;
+    for (auto at = row.parts_.begin(); at != row.parts_.end();)
+    {
+        delegation_row const* const part = context.delegations_.find(at->first);
+        whole = whole && part != nullptr &&
+                part->phase_ != delegation_phase::canceling;
+        if (part == nullptr)
+        {
+            abandon_call(context, at->second);
+        }
+        at = part == nullptr ? row.parts_.erase(at) : std::next(at);
+    }
+    return whole;
+}
+
 // False once the gang is none of this host's concern any more.
 bool follow_spread(node& context, stage_key const& stage, gang_spread_row& row)
 {
@@ -396,21 +415,14 @@
     {
         return own != nullptr;
     }
-    for (auto at = row.parts_.begin(); at != row.parts_.end();)
-    {
-        bool const ended = !context.delegations_.contains(at->first);
-        if (ended)
-        {
-            abandon_call(context, at->second);
-        }
-        at = ended ? row.parts_.erase(at) : std::next(at);
-    }
+    bool const whole = drop_ended(context, row);
     if (row.parts_.empty())
     {
         return false;
     }
-    if (row.phase_ != spread_phase::withdrawing && !own->plan_needed_ &&
-        !plan::is_spread_whole(*own->planner_, stage))
+    bool const all_delegated =
+        own->plan_needed_ || plan::is_spread_whole(*own->planner_, stage);
+    if (row.phase_ != spread_phase::withdrawing && !(whole && all_delegated))
     {
         withdraw(context, stage, row, "a part has ended");
     }
--- a/tests/unit/cell_cluster_fixture.hpp
+++ b/tests/unit/cell_cluster_fixture.hpp
@@ -55,14 +55,16 @@
     std::map<row_key, stored_row>                  rows_;
     revision                                       revision_ = 0;
     std::uint64_t                                  journal_writes_ = 0;
-    bool                     answers_stops_ = false; // targets carry stops out
-    std::int64_t             tick_micros_ = 10'000;
-    std::set<target_id>      away_;  // out of reach
-    std::map<target_id, int> lives_; // earlier ones
-    std::set<domain_id>      out_;   // withdrawn
-    instant                  now_ = instant(10 * micros_per_second);
-    std::int64_t             unix_ms_ = 1'000'000;
-    std::uint64_t            last_call_ = 0;
+    bool answers_stops_ = false; // targets carry stops out
+    int  lost_every_ = 0; // calls between hosts, and answers; 0: none are lost
+    int  messages_ = 0;   // between hosts, without heartbeats
+    std::int64_t                       tick_micros_ = 10'000;
+    std::set<target_id>                away_;  // out of reach
+    std::map<target_id, int>           lives_; // earlier ones
+    std::set<domain_id>                out_;   // withdrawn
+    instant                            now_ = instant(10 * micros_per_second);
+    std::int64_t                       unix_ms_ = 1'000'000;
+    std::uint64_t                      last_call_ = 0;
     std::shared_ptr<cell_config const> config_ = cell_fixture::make_config();
 
     // Policy service: targets that it allows a job; it allows all to others.
@@ -324,7 +326,7 @@
         void operator()(call_peer const& call) const
         {
             member const& other = cluster_.members_.at(call.address_);
-            if (other.node_)
+            if (other.node_ && !cluster_.lose_message())
             {
                 cluster_.passed_[++cluster_.last_call_] = {address_,
                                                            call.request_};
@@ -336,7 +338,7 @@
         {
             passed_call const& call = cluster_.passed_.at(reply.call_);
             member const&      other = cluster_.members_.at(call.from_);
-            if (other.node_)
+            if (other.node_ && !cluster_.lose_message())
             {
                 post_event(*other.node_,
                            peer_replied{call.request_, reply.answer_});
@@ -376,6 +378,11 @@
         }
     };
 
+    bool lose_message()
+    {
+        return lost_every_ > 0 && ++messages_ % lost_every_ == 0;
+    }
+
     // Targets answer at once and keep their leases; other fixtures may replace
     // them.
 
