Take targets without work out of the row of leases

A shard's row named each target of the list that its owner had a session with, also one that never answered or had been given up. Each further owner then waited 12.4 s for it, lease and unread ends, and neither started nor offered any recovered task of the shard meanwhile. The wait began again with each change of owner.

The row now names such a target until nothing of it is awaited any more, by the judgement that ends the wait of the present owner, or 2.3 s after it was listed without an answer. Once it answers it is named again before work starts on it.

cell_known_in_part_test covers steps of 25 tasks of which 24 were stored when all hosts lost power.

--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -262,6 +262,10 @@
         end_life(context, id, "its leases have lapsed");
     }
     note_ends_read(context, id, session);
+    if (is_granted(context, id) && !may_have_work(context, session))
+    {
+        note_grants_changed(context, session.shard_, false);
+    }
     // Another life may show up that has to turn late starts down.
     if (!session.listed_ && !has_late_starts(context, session))
     {
--- a/cell/lease_clock.cpp
+++ b/cell/lease_clock.cpp
@@ -92,4 +92,20 @@
     return session.phase_ == session_phase::attached && !session.unanswered_;
 }
 
+// False for a target that doesn't answer and of which nothing is awaited: it
+// never answered, or the wait for its unread ends is over.
+bool may_have_work(node const& context, session_row const& session)
+{
+    if (session.phase_ == session_phase::attached || !session.runs_.empty() ||
+        has_late_starts(context, session))
+    {
+        return true;
+    }
+    // One that was just listed gets work with its first answer.
+    return session.contact_at_.after(context.settings_.silent_micros_) >
+               context.now_ ||
+           judge_runs(find_outlook(context, session), context.now_) !=
+               run_certainty::settled;
+}
+
 } // namespace fescuevane::cell
--- a/cell/read_reports.cpp
+++ b/cell/read_reports.cpp
@@ -280,6 +280,11 @@
         session->lapsed_ = false;
         session->phase_ = session_phase::attached;
         tell_planner(context, input.target_);
+        // The row may not name a target that was silent for long.
+        if (!is_granted(context, input.target_))
+        {
+            note_grants_changed(context, session->shard_, true);
+        }
         note_reached(context, session->shard_);
     }
     apply_report(context, *session, input.target_, input);
--- a/cell/record_grants.cpp
+++ b/cell/record_grants.cpp
@@ -9,6 +9,7 @@
 
 #include "cell/record_error.hpp"
 #include "cell/records.hpp"
+#include "cell/sessions.hpp"
 
 #include <algorithm>
 #include <optional>
@@ -32,13 +33,15 @@
     return {grant_table, std::to_string(grant_part), write_shard_name(shard)};
 }
 
+// A target without work isn't named: each further owner would wait for it.
 granted_targets list_open(node const& context, shard_id const& shard)
 {
     granted_targets open;
     for (std::size_t row = 0; row < context.sessions_.size(); ++row)
     {
         session_row const& session = context.sessions_[row];
-        if (session.open_ && session.shard_ == shard)
+        if (session.open_ && session.shard_ == shard &&
+            may_have_work(context, session))
         {
             open[context.sessions_.key(row)] = session.info_;
         }
--- a/cell/sessions.hpp
+++ b/cell/sessions.hpp
@@ -41,6 +41,7 @@
 instant      find_lapse(node const& context, session_row const& session);
 run_outlook  find_outlook(node const& context, session_row const& session);
 bool         is_answering(session_row const& session);
+bool         may_have_work(node const& context, session_row const& session);
 
 // Replies that show another epoch or another life. True when the reply ends
 // here.
--- /dev/null
+++ b/tests/unit/cell_known_in_part_test.cpp
@@ -0,0 +1,465 @@
+// Purpose: tests of steps that were known in part when all hosts lost power.
+#include "cell_offers_fixture.hpp"
+
+#include "cell/records.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace fescuevane::cell
+{
+namespace
+{
+
+// A step of single tasks ran in one shard. All ends but that of the last task
+// were stored; its target was cut off before its end was read.
+struct known_in_part_fixture : offers_fixture
+{
+    static constexpr std::uint32_t width = 25;
+    static constexpr std::uint32_t last = 17;
+    // The lease of a target that isn't reached lapses after 4.4 s, and unread
+    // ends are awaited for 8 s more; then the policy service is asked.
+    static constexpr std::int64_t after_wait = 16 * micros_per_second;
+
+    std::vector<std::vector<target_id>> lists_;    // targets of each shard
+    target_id                           lost_;     // target of the last task
+    std::uint32_t                       home_ = 0; // its shard
+    int starts_before_ = 0; // of the last task, before the power failed
+
+    known_in_part_fixture()
+    {
+        for (std::uint32_t shard = 0; shard < shards; ++shard)
+        {
+            lists_.push_back(list_targets(shard));
+        }
+    }
+
+    // The policy service allows the step one target of another shard only.
+    void allow_elsewhere()
+    {
+        allowed_[job_id("aa01")] = {lists_.at((home_ + 3) % shards).at(1)};
+    }
+
+    // Each shard has one more target, which never answers.
+    void list_silent_targets()
+    {
+        for (std::uint32_t shard = 0; shard < shards; ++shard)
+        {
+            std::string const name = "t-silent-" + std::to_string(shard);
+            away_.insert(target_id(name));
+            list_target(name, "r-" + std::to_string(shard));
+        }
+    }
+
+    static bool is_last(run_key const& run) { return run.index_ == last; }
+
+    // Ends the runs of the last task, or of all others.
+    void end_tasks(bool of_last, run_end how)
+    {
+        for (auto& [target, runs] : running_)
+        {
+            std::vector<reported_run> rest;
+            for (reported_run const& run : runs)
+            {
+                if (is_last(run.run_) != of_last)
+                {
+                    rest.push_back(run);
+                    continue;
+                }
+                ended_[target].push_back({++ends_[target], run.run_, how, ""});
+            }
+            runs.swap(rest);
+        }
+    }
+
+    target_id find_last() const
+    {
+        for (auto const& [target, runs] : running_)
+        {
+            if (std::any_of(runs.begin(), runs.end(),
+                            [](reported_run const& run)
+                            {
+                                return is_last(run.run_);
+                            }))
+            {
+                return target;
+            }
+        }
+        return {};
+    }
+
+    std::uint32_t find_shard(target_id const& target) const
+    {
+        auto const found = std::find_if(
+            lists_.begin(), lists_.end(),
+            [&target](std::vector<target_id> const& all)
+            {
+                return std::find(all.begin(), all.end(), target) != all.end();
+            });
+        return static_cast<std::uint32_t>(found - lists_.begin());
+    }
+
+    // Until all tasks but the last are stored as done and the power fails.
+    void run_until_power_fails(run_end how, bool copies = false)
+    {
+        submit("h-1", "aa01",
+               {{.count_ = width,
+                 .demand_ = {500, 256, 0},
+                 .estimate_ms_ = run_ms,
+                 .speculative_ = copies}});
+        run(3 * micros_per_second);
+        REQUIRE(count_started("aa01") == width);
+        end_tasks(false, run_end::done);
+        run(2 * micros_per_second);
+        lost_ = find_last();
+        REQUIRE(lost_ != target_id());
+        home_ = find_shard(lost_);
+        away_.insert(lost_);
+        end_tasks(true, how);
+        run(100'000);
+        starts_before_ = count_last_starts();
+        for (auto const& [name, address] : addresses_)
+        {
+            kill(name);
+        }
+    }
+
+    void start_hosts(std::int64_t after_micros = 2 * micros_per_second)
+    {
+        run(after_micros);
+        for (auto const& [name, address] : addresses_)
+        {
+            start(name);
+        }
+    }
+
+    void unlist(target_id const& target)
+    {
+        std::vector<listed_target> rest;
+        for (listed_target const& listed : targets_)
+        {
+            if (listed.id_ != target)
+            {
+                rest.push_back(listed);
+            }
+        }
+        targets_.swap(rest);
+        post_all(target_unlisted{target});
+    }
+
+    void crash(target_id const& target)
+    {
+        ++lives_[target];
+        ends_[target] = 0;
+        running_[target].clear();
+        ended_[target].clear();
+    }
+
+    // Since the power failed.
+    int count_last_starts() const
+    {
+        int starts = 0;
+        for (auto const& [run, count] : starts_)
+        {
+            starts += is_last(run) ? count : 0;
+        }
+        return starts - starts_before_;
+    }
+
+    // The task has started; it ends, and so does its job.
+    void check_last_runs_once()
+    {
+        run_work(5 * micros_per_second);
+        CHECK(count_last_starts() == 1);
+        CHECK(is_over());
+        run_work(after_wait);
+        CHECK(count_last_starts() == 1);
+    }
+
+    void list_again(std::vector<listed_target> listed)
+    {
+        targets_.swap(listed);
+        for (listed_target const& target : targets_)
+        {
+            post_all(target_listed{target});
+        }
+    }
+
+    // Another target of the shard.
+    target_id find_other() const
+    {
+        std::vector<target_id> const& all = lists_.at(home_);
+        return all.front() == lost_ ? all.back() : all.front();
+    }
+
+    void lose_shard()
+    {
+        for (target_id const& target : lists_.at(home_))
+        {
+            away_.insert(target);
+            unlist(target);
+        }
+    }
+
+    // Targets that the store names for a shard.
+    std::set<target_id> list_named(shard_id const& shard) const
+    {
+        std::set<target_id> names;
+        row_key const       key{"grant", "0", write_shard_name(shard)};
+        for (auto const& [id, info] : read_grants(rows_.at(key).value_))
+        {
+            names.insert(id);
+        }
+        return names;
+    }
+
+    bool is_over()
+    {
+        auto const call = ask("h-2", call_kind::lookup, "aa01");
+        run(50'000);
+        auto const answer = find_answer("h-2", call);
+        return answer && is_final(answer->phase_);
+    }
+
+    // Milliseconds until the last task starts again, or its job ends; none
+    // within the given time.
+    std::optional<std::int64_t> find_restart_ms(std::int64_t micros)
+    {
+        constexpr std::int64_t step = 100'000;
+        int const              before = count_last_starts();
+        std::int64_t const     begin = unix_ms_;
+        for (std::int64_t passed = 0; passed < micros; passed += step)
+        {
+            run_work(step);
+            if (count_last_starts() > before || is_over())
+            {
+                return unix_ms_ - begin;
+            }
+        }
+        return std::nullopt;
+    }
+};
+
+// For work that waits for no target.
+constexpr std::int64_t at_once = 3 * micros_per_second;
+
+// Guards against a task that stays down after its target is gone.
+TEST_CASE_FIXTURE(known_in_part_fixture,
+                  "last end unread, target gone, task starts once elsewhere")
+{
+    run_until_power_fails(run_end::failed);
+    unlist(lost_);
+    start_hosts();
+    CHECK(find_restart_ms(after_wait));
+    check_last_runs_once();
+}
+
+// Guards against the same while the store goes on listing the target.
+TEST_CASE_FIXTURE(known_in_part_fixture,
+                  "last end unread, target listed and silent, starts elsewhere")
+{
+    run_until_power_fails(run_end::lapsed);
+    start_hosts();
+    CHECK(find_restart_ms(after_wait));
+    check_last_runs_once();
+}
+
+// Guards against a task that is held for its own shard, which may run it on no
+// other target.
+TEST_CASE_FIXTURE(
+    known_in_part_fixture,
+    "target gone, shard allowed no other, starts in another shard")
+{
+    run_until_power_fails(run_end::failed);
+    unlist(lost_);
+    allow_elsewhere();
+    start_hosts();
+    CHECK(find_restart_ms(after_wait));
+    check_last_runs_once();
+}
+
+// Guards against the same for a task that may have copies: it doesn't wait for
+// unread ends in its own shard, but does before it is handed over.
+TEST_CASE_FIXTURE(known_in_part_fixture,
+                  "task with copies, shard allowed no other, starts elsewhere")
+{
+    run_until_power_fails(run_end::failed, true);
+    unlist(lost_);
+    allow_elsewhere();
+    start_hosts();
+    CHECK(find_restart_ms(after_wait));
+    check_last_runs_once();
+}
+
+// Guards against a wait for the ends of an earlier life, which are gone.
+TEST_CASE_FIXTURE(known_in_part_fixture,
+                  "target back with a second life, task starts at once")
+{
+    run_until_power_fails(run_end::done);
+    start_hosts();
+    crash(lost_);
+    away_.clear();
+    CHECK(find_restart_ms(at_once));
+    check_last_runs_once();
+}
+
+// Guards against a done task that starts again, and a job that stays open.
+TEST_CASE_FIXTURE(known_in_part_fixture,
+                  "target cut off and back, done end is read, job ends")
+{
+    run_until_power_fails(run_end::done);
+    std::vector<listed_target> const listed = targets_;
+    unlist(lost_);
+    start_hosts();
+    run_work(8 * micros_per_second);
+    CHECK(count_last_starts() == 0);
+    list_again(listed);
+    away_.clear();
+    CHECK(find_restart_ms(at_once));
+    CHECK(count_last_starts() == 0);
+    CHECK(is_over());
+}
+
+// Guards against a failed attempt that keeps the task down.
+TEST_CASE_FIXTURE(known_in_part_fixture,
+                  "target cut off and back, failed end is read, task starts")
+{
+    run_until_power_fails(run_end::failed);
+    std::vector<listed_target> const listed = targets_;
+    unlist(lost_);
+    start_hosts();
+    run_work(8 * micros_per_second);
+    CHECK(count_last_starts() == 0);
+    list_again(listed);
+    away_.clear();
+    CHECK(find_restart_ms(at_once));
+    check_last_runs_once();
+}
+
+// Guards against work of a whole shard that waits for a target on which none
+// was ever started: the owner before had named it in the row of leases.
+TEST_CASE_FIXTURE(known_in_part_fixture,
+                  "other target never answered, task starts at once")
+{
+    list_silent_targets();
+    run_work(5 * micros_per_second);
+    run_until_power_fails(run_end::failed);
+    crash(lost_);
+    away_.erase(lost_);
+    start_hosts();
+    CHECK(find_restart_ms(at_once));
+    check_last_runs_once();
+}
+
+// Guards against a wait that begins again with each owner: the one before had
+// given the target up.
+TEST_CASE_FIXTURE(known_in_part_fixture,
+                  "other target given up before, task starts at once")
+{
+    for (std::vector<target_id> const& targets : lists_)
+    {
+        away_.insert(targets.back());
+    }
+    run_work(20 * micros_per_second);
+    run_until_power_fails(run_end::failed);
+    crash(lost_);
+    away_.erase(lost_);
+    start_hosts();
+    CHECK(find_restart_ms(at_once));
+    check_last_runs_once();
+}
+
+// Guards against starts that the next owner can't know of: a target that was
+// given up is back, and the store doesn't name it yet.
+TEST_CASE_FIXTURE(known_in_part_fixture,
+                  "target given up and back, named before work starts on it")
+{
+    target_id const given_up = lists_.front().front();
+    shard_id const  shard{domain_id("east"), 0};
+    away_.insert(given_up);
+    run_work(20 * micros_per_second);
+    REQUIRE_FALSE(list_named(shard).contains(given_up));
+    allowed_[job_id("aa01")] = {given_up};
+    submit("h-1", "aa01", {make_step(1, false)});
+    run_work(micros_per_second);
+    away_.clear();
+    constexpr std::int64_t step = 10'000;
+    constexpr std::int64_t most = 10 * micros_per_second;
+    for (std::int64_t passed = 0; passed < most && starts_.empty();
+         passed += step)
+    {
+        run(step);
+    }
+    CHECK(starts_.size() == 1);
+    CHECK(list_named(shard).contains(given_up));
+}
+
+// Guards against a task that stays down while another target of its shard
+// comes and goes.
+TEST_CASE_FIXTURE(known_in_part_fixture,
+                  "other target flaps, task starts nevertheless")
+{
+    run_until_power_fails(run_end::failed);
+    std::int64_t period = 0;
+    SUBCASE("shorter than a silence")
+    {
+        period = 500'000;
+    }
+    SUBCASE("shorter than a lease")
+    {
+        period = 3 * micros_per_second;
+    }
+    SUBCASE("longer than a lease")
+    {
+        period = 6 * micros_per_second;
+    }
+    target_id const other = find_other();
+    unlist(lost_);
+    start_hosts();
+    bool started = false;
+    for (std::int64_t passed = 0; passed < after_wait && !started;
+         passed += 2 * period)
+    {
+        away_.insert(other);
+        started = find_restart_ms(period).has_value();
+        away_.erase(other);
+        started = started || find_restart_ms(period).has_value();
+    }
+    CHECK(started);
+    check_last_runs_once();
+}
+
+// Guards against a task that is lost with the failure domain that its shard
+// belongs to.
+TEST_CASE_FIXTURE(known_in_part_fixture,
+                  "failure domain taken out and back, task starts")
+{
+    run_until_power_fails(run_end::failed);
+    unlist(lost_);
+    out_.insert(domain_id("east"));
+    start_hosts();
+    run_work(4 * micros_per_second);
+    out_.clear();
+    post_all(domain_withdrawn{domain_id("east"), false});
+    CHECK(find_restart_ms(after_wait));
+    check_last_runs_once();
+}
+
+// Guards against a wait without an end: no target of the shard can be reached.
+TEST_CASE_FIXTURE(known_in_part_fixture,
+                  "all targets of the shard gone, task starts in another shard")
+{
+    run_until_power_fails(run_end::failed);
+    lose_shard();
+    start_hosts();
+    CHECK(find_restart_ms(after_wait));
+    check_last_runs_once();
+}
+
+} // namespace
+} // namespace fescuevane::cell
