Write the stack of a fatal signal to standard error

Change: SIGSEGV, SIGBUS, SIGILL, SIGFPE and SIGABRT write the stack of their thread and the addresses relative to the executable before the default action is taken.

--- a/entry/main.cpp
+++ b/entry/main.cpp
@@ -5,6 +5,7 @@
 #include "entry/settings.hpp"
 #include "entry/settings_error.hpp"
 #include "entry/settings_file.hpp"
+#include "io/fatal_signals.hpp"
 #include "platform/process.hpp"
 
 #include <CLI/CLI.hpp>
@@ -28,6 +29,7 @@
         std::cout << print_settings(values);
         return 0;
     }
+    fescuevane::io::write_stack_on_fatal_signals();
     // New at each start, so that no commit id of an earlier process recurs.
     values.state_.incarnation_ = static_cast<std::uint64_t>(g_get_real_time());
     process entry(values);
