Give attempts to connect a second, and cancel open calls at the end of a link

Cause: the library takes its least pause between attempts, 100 ms here, for the time-out of an attempt. A host that answers later ("connection attempt timed out before receiving SETTINGS frame") loses all that waited. The end of a link waited for the deadlines of its open calls: after a stop's last 0.9 s the process was killed instead.

Change: an attempt may take 1 s; pauses after refused ones stay. The link cancels its open calls when it ends.

--- a/peer/peer_link.cpp
+++ b/peer/peer_link.cpp
@@ -21,6 +21,7 @@
 #include <chrono>
 #include <map>
 #include <mutex>
+#include <set>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -32,10 +33,15 @@
 
 using cell::v1::Cell;
 
-// A host that is back is reached again within this time.
+// Pauses between attempts to connect that were turned down.
 constexpr int reconnect_min_ms = 100;
 constexpr int reconnect_max_ms = 400;
 
+// An attempt to connect ends after this time, and what waited for it fails. A
+// host without processor time takes over 100 ms to answer one; one that is back
+// is reached again within this time.
+constexpr int connect_timeout_ms = 1000;
+
 // A connection that is silent for this long while calls on it reach their
 // deadlines is given up. A lost answer may leave it open and silent for ever.
 constexpr std::int64_t silent_micros = 2'000'000;
@@ -107,6 +113,8 @@
     instant                     answered_at_; // latest answer on it
 };
 
+using context_set = std::set<grpc::ClientContext*>;
+
 } // namespace
 
 struct peer_link::state
@@ -117,6 +125,7 @@
     std::unique_ptr<grpc::Server>                server_;
     std::thread                                  thread_;
     std::map<std::string, channel_row>           channels_; // by address
+    context_set                                  outgoing_; // open calls
     std::map<std::uint64_t, std::function<void(cell::job_answer const&)>>
         open_; // calls of other hosts that wait
     std::map<std::uint64_t, std::function<void(cell::advice_reply const&)>>
@@ -317,9 +326,11 @@
     using done_function =
         std::function<void(grpc::Status const&, Reply const&)>;
 
-    outgoing(instant deadline, done_function done) : done_(std::move(done))
+    outgoing(context_set& open, instant deadline, done_function done)
+        : open_(open), done_(std::move(done))
     {
         context_.set_deadline(to_time_point(deadline));
+        open_.insert(&context_);
     }
 
     grpc::ClientContext& context() { return context_; }
@@ -332,11 +343,13 @@
 
     void complete(bool /*ok*/) override
     {
+        open_.erase(&context_);
         done_(status_, reply_);
         delete this;
     }
 
 private:
+    context_set&                                            open_;
     grpc::ClientContext                                     context_;
     Reply                                                   reply_;
     grpc::Status                                            status_;
@@ -356,7 +369,8 @@
         arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
         arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS,
                          reconnect_min_ms);
-        arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, reconnect_min_ms);
+        // The library's least pause is in fact the time-out of an attempt.
+        arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, connect_timeout_ms);
         arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, reconnect_max_ms);
         arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, keepalive_ms);
         arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, keepalive_timeout_ms);
@@ -464,10 +478,15 @@
 }
 
 // Completions that are still queued in the main loop are dropped; the process
-// is about to leave.
+// is about to leave. It can't wait for the deadlines of its calls: the queue
+// ends with the last of them, and the process may be killed before.
 peer_link::~peer_link()
 {
     *state_->alive_ = false;
+    for (grpc::ClientContext* const open : state_->outgoing_)
+    {
+        open->TryCancel();
+    }
     state_->server_->Shutdown(std::chrono::system_clock::now());
     state_->queue_->Shutdown();
     state_->thread_.join();
@@ -477,7 +496,7 @@
                      instant deadline)
 {
     auto* const call = new outgoing<cell::v1::Heartbeat>(
-        deadline,
+        state_->outgoing_, deadline,
         [this, address](grpc::Status const&        status,
                         cell::v1::Heartbeat const& reply)
         {
@@ -504,7 +523,7 @@
                      cell::job_call const& call)
 {
     auto* const out = new outgoing<cell::v1::JobAnswer>(
-        call.deadline_.after(call_slack_micros),
+        state_->outgoing_, call.deadline_.after(call_slack_micros),
         [this, request, address](grpc::Status const&        status,
                                  cell::v1::JobAnswer const& reply)
         {
@@ -555,7 +574,7 @@
 void peer_link::ask(cell::send_question const& question)
 {
     auto* const out = new outgoing<cell::v1::AdviceAnswer>(
-        question.deadline_.after(call_slack_micros),
+        state_->outgoing_, question.deadline_.after(call_slack_micros),
         [this, request = question.request_, address = question.address_](
             grpc::Status const& status, cell::v1::AdviceAnswer const& reply)
         {
--- a/tests/unit/peer_link_test.cpp
+++ b/tests/unit/peer_link_test.cpp
@@ -15,6 +15,7 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <string>
@@ -53,12 +54,19 @@
     std::uint16_t port_ = 0;
 };
 
-// Passes bytes between its connections and a port, in the main loop.
+// Passes bytes between its connections and a port, in the main loop. Each
+// connection passes nothing until some time after it was opened.
 class relay
 {
 public:
-    explicit relay(std::uint16_t to)
+    explicit relay(std::uint16_t to, std::int64_t delay_micros = 0)
         : to_(to)
+        , delay_micros_(delay_micros)
+        , opening_(
+              [this]
+              {
+                  open_due_pipes();
+              })
         , accepting_(g_unix_fd_add(listener_.get(), G_IO_IN, &on_accept, this))
     {
     }
@@ -87,6 +95,7 @@
                 g_source_remove(own->source_);
                 own->source_ = 0;
             }
+            own->opens_at_ = instant::never();
         }
     }
 
@@ -95,6 +104,7 @@
     {
         int const from_;
         int const to_;
+        instant   opens_at_; // never: it is open or was closed
         guint     source_ = 0;
     };
 
@@ -133,13 +143,32 @@
 
     void add_pipe(int from, int to)
     {
-        pipes_.push_back(std::make_unique<pipe>(pipe{from, to}));
-        pipes_.back()->source_ =
-            g_unix_fd_add(from, G_IO_IN, &on_bytes, pipes_.back().get());
+        pipes_.push_back(std::make_unique<pipe>(
+            pipe{from, to, io::read_clock().after(delay_micros_)}));
+        open_due_pipes();
+    }
+
+    void open_due_pipes()
+    {
+        instant const now = io::read_clock();
+        instant       next = instant::never();
+        for (auto const& own : pipes_)
+        {
+            if (own->opens_at_ <= now)
+            {
+                own->opens_at_ = instant::never();
+                own->source_ =
+                    g_unix_fd_add(own->from_, G_IO_IN, &on_bytes, own.get());
+            }
+            next = std::min(next, own->opens_at_);
+        }
+        opening_.arm(next);
     }
 
     std::uint16_t const                to_;
+    std::int64_t const                 delay_micros_;
     listener                           listener_;
+    io::timer                          opening_;
     guint                              accepting_;
     std::vector<std::unique_ptr<pipe>> pipes_;
     std::size_t                        connections_ = 0;
@@ -161,8 +190,9 @@
     std::uint16_t const other_port_ = find_port();
     std::string const   other_address_ = name_address(other_port_);
 
-    std::vector<cell::heartbeat>    beats_;  // heard by the first host
-    std::vector<cell::heartbeat>    others_; // heard by the other one
+    std::vector<cell::heartbeat>    beats_;      // heard by the first host
+    std::vector<cell::heartbeat>    others_;     // heard by the other one
+    std::size_t                     called_ = 0; // the first host, by others
     std::vector<std::uint64_t>      replied_;
     std::vector<cell::job_answer>   answers_;
     std::vector<cell::advice_reply> advice_;
@@ -184,7 +214,11 @@
                 {
                     return make_beat("host-1");
                 },
-                .called_ = [](std::uint64_t, cell::job_call const&) {},
+                .called_ =
+                    [this](std::uint64_t, cell::job_call const&)
+                {
+                    ++called_; // and isn't answered
+                },
                 .replied_ =
                     [this](std::uint64_t           request,
                            cell::job_answer const& answer)
@@ -294,6 +328,29 @@
     CHECK(others_.back() == make_beat("host-1"));
 }
 
+// Guards against heartbeats that are lost while a host is slow: an attempt to
+// connect was ended after 100 ms, and what waited for it failed.
+TEST_CASE_FIXTURE(link_fixture,
+                  "first connection is slow, heartbeats, each answered")
+{
+    start_other();
+    constexpr std::int64_t delay_micros = 300'000;
+    relay                  between(other_port_, delay_micros);
+    constexpr std::size_t  count = 50;
+    for (std::size_t row = 0; row < count; ++row)
+    {
+        beat(name_address(between.port()), 10 * micros_per_second);
+    }
+    CHECK(run_until(
+        [this]
+        {
+            return beats_.size() == count;
+        },
+        10 * micros_per_second));
+    CHECK(others_.size() == count);
+    CHECK(between.connections() == 1);
+}
+
 TEST_CASE_FIXTURE(link_fixture,
                   "other host is well, call and question, answers")
 {
@@ -406,5 +463,52 @@
     CHECK(answers_[1].retry_after_ms_ == 7);
 }
 
+// Guards against a process that is killed at the end of its grace time: it
+// waited for the deadlines of calls that it had open.
+TEST_CASE_FIXTURE(link_fixture, "call is open, link ends, at once")
+{
+    start_other();
+    relay             between(other_port_);
+    std::string const address = name_address(between.port());
+    beat(address, 10 * micros_per_second);
+    REQUIRE(run_until(
+        [this]
+        {
+            return !beats_.empty();
+        },
+        10 * micros_per_second));
+    between.silence();
+    link_->call(4, address,
+                {.kind_ = cell::call_kind::lookup,
+                 .id_ = job_id("aa01"),
+                 .shard_ = {domain_id("east"), 0},
+                 .deadline_ = io::read_clock().after(10 * micros_per_second)});
+    instant const begun = io::read_clock();
+    link_.reset();
+    CHECK(begun.remaining_until(io::read_clock()) < 5 * micros_per_second);
+    CHECK(answers_.empty());
+}
+
+// The same for calls of other hosts that wait for their answers.
+TEST_CASE_FIXTURE(link_fixture,
+                  "call of other host is open, link ends, at once")
+{
+    start_other();
+    other_->call(4, address_,
+                 {.kind_ = cell::call_kind::lookup,
+                  .id_ = job_id("aa01"),
+                  .shard_ = {domain_id("east"), 0},
+                  .deadline_ = io::read_clock().after(10 * micros_per_second)});
+    REQUIRE(run_until(
+        [this]
+        {
+            return called_ == 1;
+        },
+        5 * micros_per_second));
+    instant const begun = io::read_clock();
+    link_.reset();
+    CHECK(begun.remaining_until(io::read_clock()) < 5 * micros_per_second);
+}
+
 } // namespace
 } // namespace fescuevane::peer
