--- a/tests/unit/cell_spread_test.cpp
+++ b/tests/unit/cell_spread_test.cpp
@@ -23,6 +23,9 @@
     std::set<std::uint32_t> begun_;        // numbers of runs
     int                     overlaps_ = 0; // starts beside an earlier run
     int                     late_ = 0; // starts over a second after the first
+    bool instant_ = false; // tasks of the gang end when all of them are there
+    bool was_done_ = false;
+    int  repeats_ = 0; // starts after a run was done
 
     spread_fixture() { allow(id_, {1, 1, 1, 1, 1, 1, 1, 1}); }
 
@@ -32,6 +35,7 @@
         if (run.stage_.job_ == job_id(id_))
         {
             begun_.insert(run.run_);
+            repeats_ += was_done_ ? 1 : 0;
             for (auto const& [target, runs] : running_)
             {
                 for (reported_run const& other : runs)
@@ -50,7 +54,13 @@
                              : 0;
             }
         }
-        return offers_fixture::answer_start(start);
+        order_reply const reply = offers_fixture::answer_start(start);
+        if (instant_ && find_begin(run))
+        {
+            end_runs(0);
+            was_done_ = true;
+        }
+        return reply;
     }
 
     void submit_gang() { submit("h-1", id_, {make_step(width, true)}); }
@@ -266,5 +276,87 @@
     }
 }
 
+struct marked_fixture : spread_fixture
+{
+    bool has_row(std::string const& key, bool whole, std::string const& text)
+    {
+        return std::any_of(
+            rows_.begin(), rows_.end(),
+            [&](auto const& row)
+            {
+                return row.first.table_ == "job" &&
+                       (whole ? row.first.key_ == key
+                              : row.first.key_.starts_with(key)) &&
+                       row.second.value_.find(text) != std::string::npos;
+            });
+    }
+
+    // Restarts all hosts once the marks of the parts are stored, and before a
+    // shard has accepted one of them. `shard` may run no task of the gang.
+    void restart_when_marked(std::uint32_t shard)
+    {
+        constexpr int            steps = 1000;
+        std::vector<std::size_t> targets(shards, 2);
+        targets.at(shard) = 0;
+        allowed_.clear();
+        allow(id_, targets);
+        submit_gang();
+        for (int step = 0; step < steps && !has_row(id_, true, "\"g\":");
+             ++step)
+        {
+            run(tick_micros_);
+        }
+        REQUIRE(has_row(id_, true, "\"g\":"));
+        REQUIRE(!has_row(id_ + "~", false, ""));
+        for (auto const& [name, address] : addresses_)
+        {
+            kill(name);
+        }
+        run(micros_per_second);
+        for (auto const& [name, address] : addresses_)
+        {
+            start(name);
+        }
+    }
+};
+
+// Guards against parts whose runs are taken for those of another job, and
+// stopped, since the first run of a part that is handed in again is given as
+// higher than the one it may have.
+TEST_CASE("wide gang, hosts restart after its marks are stored, starts once")
+{
+    for (std::uint32_t shard = 0; shard < spread_fixture::shards; ++shard)
+    {
+        CAPTURE(shard);
+        marked_fixture cell;
+        cell.restart_when_marked(shard);
+        for (int second = 0; second < 60; ++second)
+        {
+            cell.run_work(micros_per_second);
+        }
+        CHECK(cell.overlaps_ == 0);
+        CHECK(cell.look_up("h-2") == job_phase::completed);
+        CHECK(cell.count_starts(cell.id_) == spread_fixture::width);
+    }
+}
+
+// The same for tasks that end before their target's next report: guards against
+// ends that nobody counts, so that what is done starts again.
+TEST_CASE(
+    "short wide gang, hosts restart after its marks are stored, done once")
+{
+    for (std::uint32_t shard = 0; shard < spread_fixture::shards; ++shard)
+    {
+        CAPTURE(shard);
+        marked_fixture cell;
+        cell.restart_when_marked(shard);
+        cell.instant_ = true;
+        cell.run(60 * micros_per_second);
+        CHECK(cell.was_done_);
+        CHECK(cell.repeats_ == 0);
+        CHECK(cell.look_up("h-2") == job_phase::completed);
+    }
+}
+
 } // namespace
 } // namespace fescuevane::cell
