Hold room for gangs until all of it is there

Cause: nothing was held from an answer of the policy service to the start of a gang. The reservation kept whole targets for 4 s while other work ran for 6 s, and tickets of 2 s were asked for when there was room, not for all tasks at one moment.

Change: hold_gangs holds room for just as many tasks as the gang has, on targets that are known to allow it, those with room first, then those whose work ends first. Older gangs choose first. All tickets are asked for when the last place is expected within the time of an answer, and renewed. A part of a gang holds at once, a gang with a claim from the begin of its turn. The reservation is removed. A gang without a place for each task begins no runs that are taken back in the same tick.

--- a/plan/answer_offers.cpp
+++ b/plan/answer_offers.cpp
@@ -93,24 +93,19 @@
     stage_row&      stage = *context.stages_.find(key);
     ticket_map      tickets = std::move(stage.tickets_);
     keep_known(context, context.offers_.find(id)->origin_, tickets);
-    close_question(context, stage);
+    close_questions(context, stage);
     context.stages_.remove(key);
     context.jobs_.remove(id);
     context.offers_.remove(id);
     return tickets;
 }
 
-bool is_reserved(planner const& context, target_id const& target)
-{
-    return context.reserved_.contains(target);
-}
-
 std::int64_t count_free(planner const& context, stage_view const& stage,
                         std::size_t row)
 {
     target_row const& target = context.targets_[row];
     target_id const&  id = context.targets_.key(row);
-    return accepts_stage(context, stage, target) && !is_reserved(context, id)
+    return accepts_stage(context, stage, target)
                ? count_startable(context, stage, id, target)
                : 0;
 }
--- a/plan/apply_events.cpp
+++ b/plan/apply_events.cpp
@@ -359,7 +359,7 @@
 void apply(planner& context, advice_given const& input)
 {
     stage_row* const stage = context.stages_.find(input.stage_);
-    if (stage == nullptr || !stage->asked_)
+    if (stage == nullptr || stage->asked_ == 0)
     {
         return;
     }
@@ -378,7 +378,7 @@
 void apply(planner& context, advice_failed const& input)
 {
     stage_row* const stage = context.stages_.find(input.stage_);
-    if (stage == nullptr || !stage->asked_)
+    if (stage == nullptr || stage->asked_ == 0)
     {
         return;
     }
--- a/plan/explain_waits.cpp
+++ b/plan/explain_waits.cpp
@@ -77,8 +77,15 @@
                       std::to_string(ticketed) + ", held " +
                       std::to_string(count_holds(context, stage.key_)) +
                       "), both " + std::to_string(both);
-    why += context.reserved_for_ == stage.key_ ? ", reserved" : "";
-    if (stage.row_.asked_)
+    if (stage.row_.room_at_ != instant::never())
+    {
+        why +=
+            ", all room in " +
+            std::to_string(context.now_.remaining_until(stage.row_.room_at_) /
+                           micros_per_milli) +
+            " ms";
+    }
+    if (stage.row_.asked_ > 0)
     {
         why +=
             ", asked for " +
@@ -172,7 +179,7 @@
         why += job.recovered_ && (unseen.runs_ || unseen.ends_)
                    ? describe_unseen(context)
                    : "";
-        why += stage.asked_ ? ", advice asked" : "";
+        why += stage.asked_ > 0 ? ", advice asked" : "";
         why += job.excess_ ? ", beyond the organisation's rate" : "";
         why += is_within_limit(context, job.spec_->organisation_, key,
                                step.demand_)
--- a/plan/hold_room.cpp
+++ b/plan/hold_room.cpp
@@ -104,7 +104,8 @@
 
 bool is_of(room_hold const& hold, waiting_task const& task)
 {
-    return hold.index_ == task.index_ && hold.stage_ == task.stage_;
+    return hold.tasks_ == 0 && hold.index_ == task.index_ &&
+           hold.stage_ == task.stage_;
 }
 
 // Only targets that the policy service is known to allow: of others, most
@@ -141,6 +142,7 @@
 struct hold_choice
 {
     bool        tried_ = false; // a hold there has just ended
+    bool        gang_ = false;  // its room is held for a gang
     double      missing_ = 0;
     std::size_t row_ = 0; // of the target table
 
@@ -161,7 +163,8 @@
                                       std::vector<room_hold> const& before,
                                       waiting_task const&           task)
 {
-    stage_view const         stage = view_stage(context, task.stage_);
+    stage_view const stage = view_stage(context, task.stage_);
+    bool const       is_firm = task.since_.after(firm_micros) <= context.now_;
     std::vector<hold_choice> choices;
     for (std::size_t row = 0; row < context.targets_.size(); ++row)
     {
@@ -170,8 +173,8 @@
         if (target.held_.is_zero() && may_hold_on(context, stage, id, target))
         {
             double const missing = find_missing(stage.step_.demand_, target);
-            choices.push_back(
-                {missing > 0 && was_held(before, task, id), missing, row});
+            choices.push_back({missing > 0 && was_held(before, task, id),
+                               target.gang_held_ && !is_firm, missing, row});
         }
     }
     std::sort(choices.begin(), choices.end());
@@ -180,13 +183,6 @@
 
 // 3. The table
 
-void add_hold(planner& context, room_hold const& hold)
-{
-    target_row& target = *context.targets_.find(hold.target_);
-    target.held_ = hold.amount_;
-    context.holds_.push_back(hold);
-}
-
 void clear_held(planner& context, std::vector<room_hold> const& holds)
 {
     for (room_hold const& hold : holds)
@@ -273,6 +269,37 @@
     return true;
 }
 
+bool has_gang_holds_only(planner const& context)
+{
+    return std::all_of(context.holds_.begin(), context.holds_.end(),
+                       [](room_hold const& hold)
+                       {
+                           return hold.tasks_ > 0;
+                       });
+}
+
+// A lasting task may have taken what was held for a gang, which then needs
+// another place.
+void keep_gang_holds(planner& context, std::vector<room_hold> const& before)
+{
+    for (room_hold const& hold : before)
+    {
+        if (hold.tasks_ == 0)
+        {
+            continue;
+        }
+        target_row const* const target = context.targets_.find(hold.target_);
+        if (target != nullptr && target->held_.is_zero())
+        {
+            add_hold(context, hold);
+        }
+        else
+        {
+            context.gang_look_at_ = context.now_;
+        }
+    }
+}
+
 bool has_hold(planner const& context, waiting_task const& task)
 {
     return std::any_of(context.holds_.begin(), context.holds_.end(),
@@ -286,10 +313,14 @@
 
 void hold_room(planner& context)
 {
+    std::vector<waiting_task> const waiting = list_waiting_tasks(context);
+    if (waiting.empty() && has_gang_holds_only(context))
+    {
+        return;
+    }
     std::vector<room_hold> before;
     before.swap(context.holds_);
     clear_held(context, before);
-    std::vector<waiting_task> const waiting = list_waiting_tasks(context);
     for (waiting_task const& task : waiting)
     {
         keep_hold(context, before, task);
@@ -307,6 +338,7 @@
     {
         wake_at(context, hold.until_);
     }
+    keep_gang_holds(context, before);
 }
 
 // 4. Queries
@@ -314,9 +346,28 @@
 namespace
 {
 
+// A lasting task may be down for 6 s only, so room that is held for a gang is
+// left to it in time.
+bool has_urgent_task(planner const& context, stage_key const& key)
+{
+    stage_row const& stage = *context.stages_.find(key);
+    return find_step(context, key).perpetual_ &&
+           std::any_of(stage.tasks_.begin(), stage.tasks_.end(),
+                       [&context](task_cell const& task)
+                       {
+                           return is_waiting(task) &&
+                                  task.waiting_since_.after(firm_micros) <=
+                                      context.now_;
+                       });
+}
+
 bool binds(planner const& context, room_hold const& hold,
            stage_key const& stage)
 {
+    if (hold.tasks_ > 0)
+    {
+        return hold.stage_ != stage && !has_urgent_task(context, stage);
+    }
     return hold.stage_ != stage &&
            (hold.firm_at_ <= context.now_ ||
             rank_stage(context, hold.stage_) < rank_stage(context, stage));
@@ -325,23 +376,29 @@
 } // namespace
 
 resources find_free(planner const& context, stage_key const& stage,
-                    target_id const& id, target_row const& target)
+                    target_row const& target)
 {
     resources const free = target.capacity_ - target.used_;
     if (target.held_.is_zero())
     {
         return free;
     }
-    bool const is_bound = std::any_of(
-        context.holds_.begin(), context.holds_.end(),
-        [&](room_hold const& hold)
-        {
-            return hold.target_ == id && binds(context, hold, stage);
-        });
+    bool const is_bound = binds(context, context.holds_[target.hold_], stage);
     // While runs end one after another, more is held than is free.
     return is_bound ? max(resources(), free - target.held_) : free;
 }
 
+void add_hold(planner& context, room_hold const& hold)
+{
+    if (target_row* const target = context.targets_.find(hold.target_))
+    {
+        target->held_ = hold.amount_;
+        target->hold_ = context.holds_.size();
+        target->gang_held_ = hold.tasks_ > 0;
+        context.holds_.push_back(hold);
+    }
+}
+
 std::int64_t count_holds(planner const& context, stage_key const& stage)
 {
     return std::count_if(context.holds_.begin(), context.holds_.end(),
@@ -367,4 +424,22 @@
     }
 }
 
+void release_gang_holds(planner& context)
+{
+    std::vector<room_hold> before;
+    before.swap(context.holds_);
+    clear_held(context, before);
+    for (room_hold const& hold : before)
+    {
+        if (hold.tasks_ == 0)
+        {
+            add_hold(context, hold);
+        }
+        else if (target_row* const target = context.targets_.find(hold.target_))
+        {
+            target->gang_held_ = false;
+        }
+    }
+}
+
 } // namespace fescuevane::plan
--- a/plan/job_flow.cpp
+++ b/plan/job_flow.cpp
@@ -62,14 +62,22 @@
 
 void close_question(planner& context, stage_row& stage)
 {
-    if (stage.asked_)
+    if (stage.asked_ > 0)
     {
-        stage.asked_ = false;
+        --stage.asked_;
         --(stage.asked_long_ ? context.long_questions_
                              : context.short_questions_);
     }
 }
 
+void close_questions(planner& context, stage_row& stage)
+{
+    while (stage.asked_ > 0)
+    {
+        close_question(context, stage);
+    }
+}
+
 std::uint32_t count_occurrences(job_row const& job)
 {
     return std::max<std::uint32_t>(1, job.spec_->repeat_count_);
@@ -259,7 +267,7 @@
     std::vector<task_progress> tasks;
     append_stage_progress(key, *context.stages_.find(key), tasks);
     job.closed_[{key.occurrence_, key.step_}] = std::move(tasks);
-    close_question(context, *context.stages_.find(key));
+    close_questions(context, *context.stages_.find(key));
     context.stages_.remove(key);
     --job.open_stages_;
     start_successors(context, key.job_);
@@ -295,7 +303,7 @@
             stage_row* const stage = context.stages_.find(key);
             if (stage != nullptr)
             {
-                close_question(context, *stage);
+                close_questions(context, *stage);
             }
             context.stages_.remove(key);
         }
--- a/plan/job_flow.hpp
+++ b/plan/job_flow.hpp
@@ -38,6 +38,7 @@
 
 // Takes note that no question about a stage is in flight any more.
 void close_question(planner& context, stage_row& stage);
+void close_questions(planner& context, stage_row& stage); // all of them
 
 // Appends the tasks of a stage that have something to tell.
 void append_stage_progress(stage_key const& key, stage_row const& stage,
--- a/plan/place_tasks.cpp
+++ b/plan/place_tasks.cpp
@@ -96,9 +96,7 @@
             continue;
         }
         target_id const& id = context.targets_.key(row);
-        bool const       reserved = context.reserved_.contains(id) &&
-                              want.stage_.key_ != context.reserved_for_;
-        if (reserved || want.excluded_.contains(id) ||
+        if (want.excluded_.contains(id) ||
             (want.rack_ && target.rack_ != *want.rack_) ||
             !accepts_stage(context, want.stage_, target) ||
             !has_ticket(context, want.stage_, id) ||
@@ -230,6 +228,25 @@
     return false;
 }
 
+// Most tries end here, before runs are begun and taken back.
+bool has_place_for_all(planner const& context, stage_key const& key)
+{
+    stage_view const stage = view_stage(context, key);
+    std::int64_t     missing = stage.step_.count_;
+    for (std::size_t row = 0; row < context.targets_.size() && missing > 0;
+         ++row)
+    {
+        target_row const& target = context.targets_[row];
+        target_id const&  id = context.targets_.key(row);
+        if (accepts_stage(context, stage, target) &&
+            has_ticket(context, stage, id))
+        {
+            missing -= count_startable(context, stage, id, target);
+        }
+    }
+    return missing <= 0;
+}
+
 void place_gang(planner& context, stage_key const& key)
 {
     stage_row const& stage = *context.stages_.find(key);
@@ -249,6 +266,10 @@
             return;
         }
     }
+    if (!has_place_for_all(context, key))
+    {
+        return;
+    }
     if (find_step(context, key).same_rack_)
     {
         std::set<rack_id> racks;
@@ -267,94 +288,6 @@
     start_gang(context, key, {});
 }
 
-// A gang needs its room at once, while single tasks take each part of it as it
-// comes free. So what a gang may use is kept for it when it has waited long;
-// for one gang at a time, the best-ranked one, and for a bounded time: room
-// that is kept for a gang which can't start is lost to all others.
-constexpr std::int64_t reserve_after_micros = 3'000'000;
-constexpr std::int64_t reserve_micros = 4'000'000;
-constexpr std::int64_t reserve_pause_micros = 8'000'000; // until the next one
-
-// True when the gang has waited long, and would start once all work that ends
-// by itself has ended.
-bool wants_reservation(planner const& context, stage_key const& key)
-{
-    step_spec const& step = find_step(context, key);
-    if (!step.gang_)
-    {
-        return false;
-    }
-    stage_view const view = view_stage(context, key);
-    stage_row const& stage = view.row_;
-    bool const       waits_long =
-        std::all_of(stage.tasks_.begin(), stage.tasks_.end(),
-                    [&context](task_cell const& task)
-                    {
-                        return is_waiting(task) &&
-                               task.waiting_since_.after(
-                                   reserve_after_micros) <= context.now_;
-                    });
-    return waits_long &&
-           is_within_limit(context, view.job_.spec_->organisation_, key,
-                           step.demand_ * step.count_) &&
-           count_room_later(context, view) >=
-               static_cast<std::int64_t>(step.count_);
-}
-
-void end_reservation(planner& context)
-{
-    context.reserved_for_ = stage_key();
-    context.reserve_after_ = context.now_.after(reserve_pause_micros);
-}
-
-void reserve_for_gang(planner& context, std::vector<stage_rank> const& ranks)
-{
-    context.reserved_.clear();
-    auto const still_waits = [&context, &ranks]
-    {
-        return std::any_of(ranks.begin(), ranks.end(),
-                           [&context](stage_rank const& rank)
-                           {
-                               return rank.stage_ == context.reserved_for_;
-                           });
-    };
-    if (!context.reserved_for_.job_.empty() &&
-        (context.reserved_until_ <= context.now_ || !still_waits()))
-    {
-        end_reservation(context);
-    }
-    if (context.reserved_for_.job_.empty() &&
-        context.reserve_after_ <= context.now_)
-    {
-        auto const gang =
-            std::find_if(ranks.begin(), ranks.end(),
-                         [&context](stage_rank const& rank)
-                         {
-                             return wants_reservation(context, rank.stage_);
-                         });
-        if (gang != ranks.end())
-        {
-            context.reserved_for_ = gang->stage_;
-            context.reserved_until_ = context.now_.after(reserve_micros);
-        }
-    }
-    if (context.reserved_for_.job_.empty())
-    {
-        return;
-    }
-    wake_at(context, context.reserved_until_);
-    stage_view const stage = view_stage(context, context.reserved_for_);
-    for (std::size_t row = 0; row < context.targets_.size(); ++row)
-    {
-        target_id const& id = context.targets_.key(row);
-        if (may_use(stage.row_, id) &&
-            accepts_stage(context, stage, context.targets_[row]))
-        {
-            context.reserved_.insert(id);
-        }
-    }
-}
-
 // 4. Copies
 
 // Runs that take far longer than others of their image and may have a copy.
@@ -484,7 +417,6 @@
 void place_tasks(planner& context)
 {
     std::vector<stage_rank> const ranks = rank_waiting_stages(context);
-    reserve_for_gang(context, ranks);
     if (!ranks.empty())
     {
         wake_at(context, find_soonest_end_of_pause(context));
--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -48,7 +48,7 @@
 
 std::span<system_entry const> list_systems()
 {
-    static constexpr std::array<system_entry, 13> systems = {{
+    static constexpr std::array<system_entry, 14> systems = {{
         {"apply_events", &apply_events},
         {"open_stages", &open_stages},
         {"count_unseen", &count_unseen},
@@ -58,6 +58,7 @@
         {"follow_parts", &follow_parts},
         {"claim_limits", &claim_limits},
         {"hold_room", &hold_room},
+        {"hold_gangs", &hold_gangs},
         {"request_advice", &request_advice},
         {"place_tasks", &place_tasks},
         {"answer_offers", &answer_offers},
@@ -267,7 +268,7 @@
         if (!tasks.blocked_)
         {
             tasks.indices_ =
-                stage.asked_
+                stage.asked_ > 0
                     ? std::vector<std::uint32_t>()
                     : list_waiting(stage, now,
                                    wait + overflow_answers *
--- a/plan/planner.hpp
+++ b/plan/planner.hpp
@@ -65,11 +65,8 @@
     bool             in_service_ = true; // of the failure domain
     std::uint32_t    short_questions_ = 0; // in flight, by the time of answers
     std::uint32_t    long_questions_ = 0;
-    // Targets that are kept free for a gang that has waited long.
-    std::set<target_id>    reserved_;
-    stage_key              reserved_for_; // without a job: none
-    instant                reserved_until_;
-    instant                reserve_after_; // next reservation
+    std::vector<stage_key> holding_gangs_; // oldest first
+    instant                gang_look_at_;  // next choice of their places
     std::vector<room_hold> holds_; // of tasks that wait, at most one a target
     instant                explain_at_; // next notes about long waits
     instant                watch_at_;   // next look at runs
@@ -97,6 +94,7 @@
 void follow_parts(planner& context);    // of gangs over several shards
 void claim_limits(planner& context);    // room for work above the shard's part
 void hold_room(planner& context);       // for lasting tasks without a ticket
+void hold_gangs(planner& context);      // room of all tasks of a gang
 void request_advice(planner& context);  // tickets ahead of need
 void place_tasks(planner& context);     // waiting tasks to targets
 void answer_offers(planner& context);   // of tasks of other shards
--- a/plan/request_advice.cpp
+++ b/plan/request_advice.cpp
@@ -6,6 +6,7 @@
 #include "plan/planner.hpp"
 #include "plan/room.hpp"
 #include "plan/room_holds.hpp"
+#include "plan/run_rest.hpp"
 #include "plan/stage_rank.hpp"
 #include "plan/stage_view.hpp"
 
@@ -46,28 +47,12 @@
     return answer_ms(context, advice) > context.settings_.advice_long_ms_;
 }
 
-// Rest of one run. The share of its work that it has done tells more than the
-// estimate, which is often off by a factor of several.
 template <typename Expect>
 double rest_of_run_ms(planner const& context, run_row const& run,
                       Expect const& expect_ms)
 {
-    constexpr int min_percent = 5; // below it the rate is too rough
-    int const     done = run.percent_ - run.base_percent_;
-    double const  ran_ms =
-        static_cast<double>(run.started_at_.remaining_until(context.now_)) /
-        micros_per_milli;
-    if (run.base_percent_ < 0 || done < min_percent)
-    {
-        return expect_ms() - ran_ms;
-    }
-    double const until_report_ms =
-        static_cast<double>(run.base_at_.remaining_until(run.progressed_at_)) /
-        micros_per_milli;
-    double const since_report_ms =
-        static_cast<double>(run.progressed_at_.remaining_until(context.now_)) /
-        micros_per_milli;
-    return until_report_ms * (100 - run.percent_) / done - since_report_ms;
+    auto const rest = find_rest_by_progress_ms(context, run);
+    return rest ? *rest : expect_ms() - count_ran_ms(context, run);
 }
 
 // True when all tasks of a stage have started and end within `bound_ms`, as far
@@ -286,6 +271,18 @@
                   });
 }
 
+void send_question(planner& context, stage_view const& view,
+                   std::vector<target_id> targets, bool is_long)
+{
+    stage_row& stage = *context.stages_.find(view.key_);
+    ++stage.asked_;
+    stage.asked_long_ = is_long;
+    stage.asked_at_ = context.now_;
+    ++(is_long ? context.long_questions_ : context.short_questions_);
+    context.outbox_.push_back(ask_advice{view.key_, std::move(targets),
+                                         view.queue_->advice_->validity_ms_});
+}
+
 // Room comes and goes while the policy service answers, and a question takes
 // longer than a target in it. So it names all targets that the stage may use,
 // those with room first.
@@ -300,18 +297,10 @@
             targets.push_back(context.targets_.key(at.row_));
         }
     }
-    if (targets.empty())
+    if (!targets.empty())
     {
-        return;
+        send_question(context, view, std::move(targets), is_long);
     }
-    stage_key const key = view.key_;
-    stage_row&      stage = *context.stages_.find(key);
-    stage.asked_ = true;
-    stage.asked_long_ = is_long;
-    stage.asked_at_ = context.now_;
-    ++(is_long ? context.long_questions_ : context.short_questions_);
-    context.outbox_.push_back(ask_advice{key, std::move(targets),
-                                         view.queue_->advice_->validity_ms_});
 }
 
 bool lacks_tickets(std::vector<candidate> const& candidates)
@@ -332,8 +321,8 @@
         stage_row const& stage = context.stages_[row];
         bool const       later = stage.ask_after_ > context.now_;
         // Most stages end here, before the look-ups.
-        if (!later &&
-            ((stage.asked_ && !stage.startable_) || count_waiting(stage) == 0))
+        if (!later && ((stage.asked_ > 0 && !stage.startable_) ||
+                       count_waiting(stage) == 0))
         {
             continue;
         }
@@ -371,23 +360,48 @@
     return ranks;
 }
 
-// A stage that holds room asks ahead of need, so that tickets are at hand when
-// the room is there: also while its targets are full, and before its tickets
-// expire. Without room, only targets that it may use count.
-void ask_for_held_room(planner& context, stage_view const& stage,
-                       std::vector<candidate> candidates, bool is_long)
+bool is_held_for(planner const& context, stage_key const& key, std::size_t row)
+{
+    target_row const& target = context.targets_[row];
+    return !target.held_.is_zero() &&
+           context.holds_[target.hold_].stage_ == key;
+}
+
+// Targets on which the stage holds room, also while they are full.
+std::vector<candidate> list_held(planner const&    context,
+                                 stage_view const& stage)
+{
+    std::vector<candidate> held;
+    for (std::size_t row = 0; row < context.targets_.size(); ++row)
+    {
+        if (!is_held_for(context, stage.key_, row))
+        {
+            continue;
+        }
+        auto const ticket = stage.row_.tickets_.find(context.targets_.key(row));
+        held.push_back({context.holds_[context.targets_[row].hold_].tasks_, row,
+                        true,
+                        ticket != stage.row_.tickets_.end() &&
+                            is_valid(context, ticket->second)});
+    }
+    return held;
+}
+
+// Time of an answer about some targets, and what a start takes after it.
+std::int64_t count_ahead_micros(stage_view const& stage, std::size_t targets)
 {
-    std::vector<candidate> const later = list_later(context, stage, candidates);
-    std::copy_if(later.begin(), later.end(), std::back_inserter(candidates),
-                 [](candidate const& at)
-                 {
-                     return at.known_;
-                 });
     advice_policy const& advice = *stage.queue_->advice_;
-    auto const           ahead_micros = static_cast<std::int64_t>(
+    return static_cast<std::int64_t>(
         (advice.decision_ms_ + lead_ms +
-         advice.per_target_ms_ * static_cast<double>(candidates.size())) *
+         advice.per_target_ms_ * static_cast<double>(targets)) *
         micros_per_milli);
+}
+
+// Tickets that end before an answer would be there have to be renewed now.
+void mark_expiring(planner& context, stage_view const& stage,
+                   std::int64_t            ahead_micros,
+                   std::vector<candidate>& candidates)
+{
     for (candidate& at : candidates)
     {
         if (at.ticketed_)
@@ -402,6 +416,90 @@
             }
         }
     }
+}
+
+// A gang that holds room asks once all of it is there when the answer comes,
+// about all held targets at one moment, so that no ticket ends before the last
+// one is there. Other targets with room may stand in for a held one. False:
+// it is too early.
+bool ask_for_gang(planner& context, stage_view const& stage,
+                  std::vector<candidate> candidates, bool is_long)
+{
+    std::int64_t ahead_micros = count_ahead_micros(
+        stage, std::min<std::size_t>(stage.step_.count_,
+                                     context.settings_.advice_targets_));
+    instant const ask_at = stage.row_.room_at_.after(-ahead_micros);
+    if (ask_at > context.now_)
+    {
+        wake_at(context, ask_at);
+        return false;
+    }
+    if (stage.row_.part_ != part_phase::none)
+    {
+        // It has to stay ready until the other parts are.
+        ahead_micros += context.settings_.part_ready_micros_;
+    }
+    std::erase_if(candidates,
+                  [&](candidate const& at)
+                  {
+                      return !at.known_ ||
+                             is_held_for(context, stage.key_, at.row_);
+                  });
+    std::vector<candidate> held = list_held(context, stage);
+    candidates.insert(candidates.begin(), held.begin(), held.end());
+    mark_expiring(context, stage, ahead_micros, candidates);
+    bool const held_lack =
+        std::any_of(candidates.begin(), candidates.begin() + held.size(),
+                    [](candidate const& at)
+                    {
+                        return !at.ticketed_;
+                    });
+    if (!held_lack)
+    {
+        return true;
+    }
+    std::size_t const      most = context.settings_.advice_targets_;
+    std::vector<target_id> targets;
+    std::size_t            number = 0;
+    for (candidate const& at : candidates)
+    {
+        // Only held targets are worth a further question.
+        bool const is_spare = number++ >= held.size();
+        if (at.ticketed_ || (is_spare && targets.size() >= most))
+        {
+            continue;
+        }
+        if (targets.size() == most)
+        {
+            if (!may_ask(context, is_long))
+            {
+                return true;
+            }
+            send_question(context, stage, std::exchange(targets, {}), is_long);
+        }
+        targets.push_back(context.targets_.key(at.row_));
+    }
+    if (may_ask(context, is_long))
+    {
+        send_question(context, stage, std::move(targets), is_long);
+    }
+    return true;
+}
+
+// A stage that holds room asks ahead of need, so that tickets are at hand when
+// the room is there: also while its targets are full, and before its tickets
+// expire. Without room, only targets that it may use count.
+void ask_for_held_room(planner& context, stage_view const& stage,
+                       std::vector<candidate> candidates, bool is_long)
+{
+    std::vector<candidate> const later = list_later(context, stage, candidates);
+    std::copy_if(later.begin(), later.end(), std::back_inserter(candidates),
+                 [](candidate const& at)
+                 {
+                     return at.known_;
+                 });
+    mark_expiring(context, stage, count_ahead_micros(stage, candidates.size()),
+                  candidates);
     ask(context, stage, candidates, is_long);
 }
 
@@ -410,22 +508,40 @@
     stage_view const   stage = view_stage(context, key);
     bool const         startable = stage.row_.startable_;
     std::int64_t const waiting = count_waiting(stage.row_);
+    bool const         holds_gang =
+        stage.step_.gang_ && stage.row_.room_at_ != instant::never();
     if (waiting == 0 ||
-        (startable && !is_within_limit(context, stage.job_.spec_->organisation_,
-                                       key, stage.step_.demand_)))
+        (startable && !holds_gang &&
+         !is_within_limit(context, stage.job_.spec_->organisation_, key,
+                          stage.step_.demand_)))
     {
         return;
     }
     bool const is_long =
         needs_ticket(stage) && is_long_answer(context, *stage.queue_->advice_);
     // A stage that room is kept for may be of a queue without a policy service.
-    bool const asks =
-        needs_ticket(stage) && !stage.row_.asked_ && may_ask(context, is_long);
+    bool const asks = needs_ticket(stage) && stage.row_.asked_ == 0 &&
+                      may_ask(context, is_long);
     if (!startable && !asks)
     {
         return;
     }
     bool const holds = count_holds(context, key) > 0;
+    if (holds_gang)
+    {
+        // Worse-ranked stages don't get what is held.
+        free_room own = free;
+        return_held_room(context, key, own);
+        std::vector<candidate> candidates =
+            list_candidates(context, stage, own);
+        if (asks && !ask_for_gang(context, stage, candidates, is_long))
+        {
+            // Which other targets it may use is known in time, then.
+            erase_known(candidates);
+            ask(context, stage, candidates, is_long);
+        }
+        return;
+    }
     if (holds)
     {
         return_held_room(context, key, free);
@@ -454,9 +570,7 @@
     {
         return;
     }
-    // Room is kept for a gang with a reservation until its tickets are there.
-    bool const lacks_room = stage.step_.gang_ && room.fitting_ < waiting &&
-                            key != context.reserved_for_;
+    bool const lacks_room = stage.step_.gang_ && room.fitting_ < waiting;
     if (lacks_room ? is_blocked(context, stage) : !lacks_tickets(candidates))
     {
         return;
@@ -480,11 +594,6 @@
     }
     std::vector<stage_rank> const ranks = rank_asking_stages(context);
     free_room                     free = list_free_room(context);
-    if (context.stages_.contains(context.reserved_for_))
-    {
-        // Better-ranked stages can't use the room that is kept for it.
-        request_for(context, context.reserved_for_, free);
-    }
     for (stage_rank const& rank : ranks)
     {
         request_for(context, rank.stage_, free);
--- a/plan/room.cpp
+++ b/plan/room.cpp
@@ -97,7 +97,7 @@
     return limit_to_spread(
         context, stage, id,
         count_fitting_in(stage.step_, target,
-                         find_free(context, stage.key_, id, target)));
+                         find_free(context, stage.key_, target)));
 }
 
 std::int64_t limit_to_spread(planner const& context, stage_view const& stage,
--- a/plan/room_hold.hpp
+++ b/plan/room_hold.hpp
@@ -1,4 +1,4 @@
-// Purpose: room that is held on a target for a task that waits for a ticket.
+// Purpose: room that is held on a target for tasks that wait for tickets.
 #ifndef FESCUEVANE_PLAN_ROOM_HOLD_HPP
 #define FESCUEVANE_PLAN_ROOM_HOLD_HPP
 
@@ -15,7 +15,8 @@
 struct room_hold
 {
     stage_key const     stage_;
-    std::uint32_t const index_ = 0; // of the task
+    std::uint32_t const index_ = 0; // of a lasting task
+    std::int64_t const  tasks_ = 0; // of a gang; 0: held for a lasting task
     target_id const     target_;
     resources const     amount_;
     instant const       firm_at_; // then better-ranked work leaves it, too
--- a/plan/room_holds.hpp
+++ b/plan/room_holds.hpp
@@ -16,12 +16,16 @@
 {
 
 struct planner;
+struct room_hold;
 struct target_row;
 
 // Room of a target that runs and holds leave to a stage. Its own holds don't
 // count, nor those of worse-ranked stages until they are firm.
 resources find_free(planner const& context, stage_key const& stage,
-                    target_id const& id, target_row const& target);
+                    target_row const& target);
+
+// Holds room on a target without a hold, unless the target is gone.
+void add_hold(planner& context, room_hold const& hold);
 
 // Targets on which the stage holds room.
 std::int64_t count_holds(planner const& context, stage_key const& stage);
@@ -29,6 +33,9 @@
 // Ends the stage's holds of tasks that don't wait any more.
 void release_holds(planner& context, stage_key const& stage);
 
+// Ends the holds of all gangs.
+void release_gang_holds(planner& context);
+
 } // namespace fescuevane::plan
 
 #endif
--- /dev/null
+++ b/plan/run_rest.hpp
@@ -0,0 +1,24 @@
+// Purpose: expected rest of a run. Internal to the package.
+#ifndef FESCUEVANE_PLAN_RUN_REST_HPP
+#define FESCUEVANE_PLAN_RUN_REST_HPP
+
+#include <optional>
+
+namespace fescuevane::plan
+{
+
+struct planner;
+struct run_row;
+
+// Time that the run has taken so far.
+double count_ran_ms(planner const& context, run_row const& run);
+
+// Rest of a run by the share of its work that it has done, which tells more
+// than the estimate: that is often off by a factor of several. None while too
+// little of it is done to tell.
+std::optional<double> find_rest_by_progress_ms(planner const& context,
+                                               run_row const& run);
+
+} // namespace fescuevane::plan
+
+#endif
--- a/plan/stage_row.hpp
+++ b/plan/stage_row.hpp
@@ -35,11 +35,18 @@
     std::int64_t  turn_ended_unix_ms_ = 0; // of the latest one
     instant       claim_after_;
 
+    // Room held for a gang
+    instant       hold_until_ = instant::never(); // never: it holds none
+    instant       room_at_ = instant::never();    // all of it is expected
+    instant       hold_after_;
+    instant       hold_ended_at_;   // of the latest one without a start
+    std::uint32_t holds_ended_ = 0; // without a start
+
     std::unordered_map<target_id, ticket_cell> tickets_;
-    bool    asked_ = false;      // a question is in flight
-    bool    asked_long_ = false; // its answer is long
-    instant asked_at_;           // the latest question
-    instant ask_after_;
+    std::uint32_t asked_ = 0;          // questions in flight
+    bool          asked_long_ = false; // their answers are long
+    instant       asked_at_;           // the latest question
+    instant       ask_after_;
 };
 
 // Tasks to start here.
--- a/plan/target_row.hpp
+++ b/plan/target_row.hpp
@@ -8,6 +8,7 @@
 #include "core/run_key.hpp"
 #include "plan/target_phase.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <set>
 #include <string>
@@ -23,10 +24,12 @@
     std::vector<std::string> labels_;
     resources                capacity_;
     target_phase             phase_ = target_phase::attaching;
-    resources                used_;        // fillers' processors not counted
-    resources                lasting_;     // the part by runs that don't end
-    resources                held_;        // for tasks that wait for a ticket
-    std::uint32_t            serving_ = 0; // runs with a latency bound
+    resources                used_;     // fillers' processors not counted
+    resources                lasting_;  // the part by runs that don't end
+    resources                held_;     // for tasks that wait for tickets
+    std::size_t              hold_ = 0; // row of its hold, when held
+    bool                     gang_held_ = false; // latest hold is of a gang
+    std::uint32_t            serving_ = 0;       // runs with a latency bound
     std::uint32_t            fillers_ = 0;
     std::set<run_key>        foreign_; // runs of unknown jobs, being stopped
     std::set<run_key>        unread_;  // runs whose ends may be listed yet
--- /dev/null
+++ b/tests/unit/plan_gang_holds_test.cpp
@@ -0,0 +1,490 @@
+// Purpose: tests of room that is held for gangs until all of it is there and
+// has tickets.
+#include "plan/limit_claims.hpp"
+#include "plan/part_state.hpp"
+#include "plan/planner.hpp"
+#include "plan/room_holds.hpp"
+#include "plan_fixture.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace fescuevane::plan
+{
+namespace
+{
+
+constexpr std::int64_t  tick_micros = 100'000;
+constexpr std::int64_t  answer_micros = 600'000; // of the policy service
+constexpr std::uint32_t targets = 45;
+constexpr std::uint32_t allowed = 16; // 35% of the targets
+constexpr std::uint32_t wide = 15;    // tasks of a gang, one fits on a target
+constexpr std::int64_t single_cores = 2; // of a single task, four fill a target
+
+// A shard whose targets are full of single tasks of 4 to 6.4 s. Its gangs need
+// tickets of 2 s, and the policy service allows each of them some targets.
+struct gang_holds_fixture : plan_fixture
+{
+    struct question
+    {
+        ask_advice asked_;
+        instant    answer_at_;
+    };
+
+    struct single_run
+    {
+        start_run started_;
+        instant   started_at_;
+        instant   end_at_;
+    };
+
+    std::map<job_id, std::set<target_id>>    allowed_;
+    std::vector<question>                    questions_;
+    std::vector<single_run>                  runs_;
+    std::map<job_id, std::vector<start_run>> gangs_; // starts
+    std::map<job_id, instant>                started_at_;
+    std::vector<start_run>                   lasting_;    // starts
+    std::set<job_id>                         unanswered_; // questions fail
+    std::uint32_t                            next_job_ = 0;
+    std::uint32_t                            waiting_singles_ = 16; // at least
+    std::int64_t                             single_micros_ = 4'000'000;
+    double                                   idle_core_seconds_ = 0; // held
+    std::size_t                              claims_passed_ = 0;
+
+    gang_holds_fixture()
+    {
+        post(queues_set{{{.id_ = queue_id("orders"),
+                          .service_ = service_id("desk"),
+                          .max_attempts_ = 3,
+                          .slack_factor_ = 1.5,
+                          .objective_ms_ = 250},
+                         {.id_ = queue_id("feeds"),
+                          .service_ = service_id("desk"),
+                          .max_attempts_ = 3,
+                          .slack_factor_ = 2,
+                          .objective_ms_ = 1000,
+                          .advice_ = advice_policy{580, 5, 2000}}}});
+        for (std::uint32_t target = 1; target <= targets; ++target)
+        {
+            set_target(name_target(target), {8000, 49'152, 0});
+        }
+    }
+
+    static std::string name_target(std::uint32_t number)
+    {
+        return "t-" + std::to_string(number);
+    }
+
+    void allow(std::string const& job, std::uint32_t first,
+               std::uint32_t count = allowed)
+    {
+        for (std::uint32_t target = first; target < first + count; ++target)
+        {
+            allowed_[job_id(job)].insert(target_id(name_target(target)));
+        }
+    }
+
+    static std::shared_ptr<staged_job const>
+    make_gang(std::string const& id, std::uint32_t count,
+              std::int64_t accepted_unix_ms, std::optional<task_alias> alias)
+    {
+        return std::make_shared<staged_job const>(
+            staged_job{.id_ = job_id(id),
+                       .organisation_ = organisation_id("bank"),
+                       .queue_ = queue_id("feeds"),
+                       .service_ = service_id("desk"),
+                       .payload_ = "work",
+                       .steps_ = {{.count_ = count,
+                                   .demand_ = {4000, 34'000, 0},
+                                   .estimate_ms_ = 3000,
+                                   .gang_ = true}},
+                       .accepted_unix_ms_ = accepted_unix_ms,
+                       .alias_ = std::move(alias)});
+    }
+
+    void add_gang(std::string const& id, std::uint32_t count = wide)
+    {
+        post(job_added{.job_ = make_gang(id, count, unix_ms_, {}),
+                       .accepted_at_ = now_});
+    }
+
+    // Some tasks of a gang that another shard runs with the rest of them.
+    void add_part(std::string const& id, std::uint32_t count = wide)
+    {
+        task_alias alias{.stage_ = {job_id("far"), 0, 0}, .gang_run_ = 1};
+        for (std::uint32_t index = 0; index < count; ++index)
+        {
+            alias.indices_.push_back(index);
+            alias.failures_.push_back(0);
+            alias.checkpoints_.emplace_back();
+        }
+        post(job_added{.job_ = make_gang(id, count, unix_ms_, alias),
+                       .accepted_at_ = now_});
+    }
+
+    void add_single()
+    {
+        step_spec const step{.count_ = 4,
+                             .demand_ = {1000 * single_cores, 8000, 0},
+                             .estimate_ms_ = 1000};
+        add_job("s-" + std::to_string(next_job_++), {step});
+    }
+
+    void answer_questions()
+    {
+        std::vector<question> rest;
+        for (question const& open : questions_)
+        {
+            if (open.answer_at_ > now_)
+            {
+                rest.push_back(open);
+                continue;
+            }
+            ask_advice const& asked = open.asked_;
+            if (unanswered_.contains(asked.stage_.job_))
+            {
+                post(advice_failed{asked.stage_});
+                continue;
+            }
+            std::vector<target_ticket> good;
+            for (target_id const& target : asked.targets_)
+            {
+                if (allowed_[asked.stage_.job_].contains(target))
+                {
+                    good.push_back({target, "ticket"});
+                }
+            }
+            post(advice_given{
+                asked.stage_, asked.targets_, good,
+                now_.after(asked.validity_ms_ * micros_per_milli)});
+        }
+        questions_.swap(rest);
+    }
+
+    int percent_of(single_run const& run) const
+    {
+        return static_cast<int>(100 * run.started_at_.remaining_until(now_) /
+                                run.started_at_.remaining_until(run.end_at_));
+    }
+
+    void end_runs()
+    {
+        std::vector<single_run> rest;
+        for (single_run const& run : runs_)
+        {
+            if (run.end_at_ <= now_)
+            {
+                end(run.started_, run_end::done);
+            }
+            else
+            {
+                // A run without progress counts as stalled.
+                post(run_seen{run.started_.run_, run.started_.target_, "",
+                              percent_of(run), 0});
+                rest.push_back(run);
+            }
+        }
+        runs_.swap(rest);
+    }
+
+    void take_starts()
+    {
+        for (start_run const& start : list<start_run>())
+        {
+            job_id const& job = start.run_.stage_.job_;
+            if (start.job_->steps_[0].gang_)
+            {
+                gangs_[job].push_back(start);
+                started_at_.emplace(job, now_);
+                continue;
+            }
+            if (start.job_->steps_[0].perpetual_)
+            {
+                lasting_.push_back(start);
+                continue;
+            }
+            std::int64_t const spread = next_spread_++ % 13 * 2 * tick_micros;
+            runs_.push_back({start, now_, now_.after(single_micros_ + spread)});
+        }
+    }
+
+    void count_idle()
+    {
+        for (target_row const& target : planner_->targets_)
+        {
+            std::int64_t const free =
+                target.capacity_.cpu_millis() - target.used_.cpu_millis();
+            idle_core_seconds_ +=
+                static_cast<double>(std::min(free, target.held_.cpu_millis())) /
+                1000 * static_cast<double>(tick_micros) / micros_per_second;
+        }
+    }
+
+    // Lets time pass while single tasks come.
+    void play(std::int64_t micros)
+    {
+        for (instant const until = now_.after(micros); now_ < until;)
+        {
+            answer_questions();
+            end_runs();
+            while (count_waiting_singles() + added_ * 4 < waiting_singles_)
+            {
+                add_single();
+                ++added_;
+            }
+            added_ = 0;
+            tick();
+            confirm_starts();
+            take_starts();
+            count_idle();
+            for (ask_advice const& asked : list<ask_advice>())
+            {
+                questions_.push_back({asked, now_.after(answer_micros)});
+            }
+            for (note const& one : list<note>())
+            {
+                claims_passed_ += one.what_ == "claim_passed" ? 1 : 0;
+            }
+            advance(tick_micros);
+        }
+    }
+
+    std::size_t count_waiting_singles() const
+    {
+        std::size_t waiting = 0;
+        for (stage_row const& stage : planner_->stages_)
+        {
+            if (!stage.spec_->steps_[0].gang_)
+            {
+                waiting += static_cast<std::size_t>(count_waiting(stage));
+            }
+        }
+        return waiting;
+    }
+
+    std::size_t count_started(std::string const& job)
+    {
+        return gangs_[job_id(job)].size();
+    }
+
+    std::size_t   added_ = 0;
+    std::uint32_t next_spread_ = 0;
+};
+
+// Guards against a gang that never meets its room and its tickets at one
+// moment: nothing was held from an answer to the start. One of 15 waited for
+// 26 s on a shard that could run it, and the day ended.
+TEST_CASE("gang on a busy shard, phases of the other work, starts in time")
+{
+    for (std::int64_t phase = 0; phase < 8; ++phase)
+    {
+        CAPTURE(phase);
+        gang_holds_fixture shard;
+        shard.allow("g-1", 10);
+        shard.play(7 * micros_per_second + 3 * phase * tick_micros);
+        shard.add_gang("g-1");
+        // 3 s until room is held, 6.4 s for the longest run, and an answer.
+        shard.play(12 * micros_per_second);
+        CHECK(shard.count_started("g-1") == wide);
+    }
+}
+
+// Guards against short work that takes each bit of room before an answer.
+TEST_CASE_FIXTURE(gang_holds_fixture,
+                  "gang beside short single tasks, all targets in turn, starts")
+{
+    single_micros_ = 300'000;
+    allow("g-1", 1);
+    play(5 * micros_per_second);
+    add_gang("g-1");
+    play(8 * micros_per_second);
+    CHECK(count_started("g-1") == wide);
+}
+
+// Guards against a gang that waits in a shard with room: tickets for a part of
+// its targets ended before those for the others came, since the other work
+// moved from target to target.
+TEST_CASE_FIXTURE(gang_holds_fixture,
+                  "one of its targets is busy at each look, gang starts")
+{
+    waiting_singles_ = 0;
+    single_micros_ = 1'000'000;
+    allow("g-1", 1);
+    for (std::uint32_t target = allowed + 1; target <= targets; ++target)
+    {
+        set_target(name_target(target), {8000, 49'152, 0},
+                   target_phase::draining);
+    }
+    add_gang("g-1");
+    // Each takes five of eight cores, so the gang's task doesn't fit beside it.
+    step_spec const large{
+        .count_ = 1, .demand_ = {5000, 8000, 0}, .estimate_ms_ = 1000};
+    for (int round = 0; round < 80; ++round)
+    {
+        add_job("large-" + std::to_string(round), {large});
+        play(tick_micros);
+    }
+    CHECK(count_started("g-1") == wide);
+}
+
+// Guards against two gangs that each hold a part of the room which both need.
+TEST_CASE_FIXTURE(
+    gang_holds_fixture,
+    "two gangs want the same targets, both start, older one first")
+{
+    allow("g-1", 10);
+    allow("g-2", 10);
+    play(7 * micros_per_second);
+    add_gang("g-2"); // the order of names isn't that of time
+    play(tick_micros);
+    add_gang("g-1");
+    play(12 * micros_per_second);
+    REQUIRE(count_started("g-2") == wide);
+    // Its tasks go on for 3 s; then the other one has its turn.
+    play(3 * micros_per_second);
+    for (start_run const& start : gangs_[job_id("g-2")])
+    {
+        end(start, run_end::done);
+    }
+    play(12 * micros_per_second);
+    CHECK(count_started("g-1") == wide);
+}
+
+// Guards against a younger gang that keeps the room an older one needs.
+TEST_CASE_FIXTURE(gang_holds_fixture,
+                  "younger gang holds room, older gang comes, holds it instead")
+{
+    allow("g-1", 10);
+    allow("g-2", 10);
+    play(7 * micros_per_second);
+    std::int64_t const earlier = unix_ms_ - 1;
+    add_gang("g-2");
+    play(4 * micros_per_second);
+    REQUIRE(count_holds(*planner_, {job_id("g-2"), 0, 0}) == wide);
+    // Accepted earlier, and handed to this shard now.
+    post(job_added{.job_ = make_gang("g-1", wide, earlier, {}),
+                   .accepted_at_ = now_});
+    play(4 * micros_per_second);
+    REQUIRE(started_at_.empty());
+    CHECK(count_holds(*planner_, {job_id("g-1"), 0, 0}) == wide);
+    CHECK(count_holds(*planner_, {job_id("g-2"), 0, 0}) == 0);
+}
+
+// Guards against a part whose shard never tells that it is ready: its tickets
+// ended one after another while it waited for room.
+TEST_CASE_FIXTURE(gang_holds_fixture,
+                  "part of a gang on a busy shard, ready in time, starts")
+{
+    allow("p-1", 10);
+    play(7 * micros_per_second);
+    add_part("p-1");
+    instant const until = now_.after(10 * micros_per_second);
+    while (now_ < until &&
+           find_part(*planner_, job_id("p-1")) != part_state::ready)
+    {
+        play(tick_micros);
+    }
+    REQUIRE(find_part(*planner_, job_id("p-1")) == part_state::ready);
+    // It stays so while the other parts aren't ready.
+    std::size_t ready = 0;
+    for (int round = 0; round < 20; ++round)
+    {
+        play(tick_micros);
+        ready += find_part(*planner_, job_id("p-1")) == part_state::ready;
+    }
+    CHECK(ready >= 18);
+    CHECK(count_started("p-1") == 0);
+    post(part_ordered{job_id("p-1"), now_.after(micros_per_second)});
+    play(5 * tick_micros);
+    CHECK(count_started("p-1") == wide);
+}
+
+// Guards against a shard that idles for gangs which can't start.
+TEST_CASE_FIXTURE(gang_holds_fixture,
+                  "gangs never get tickets, idle held room stays bounded")
+{
+    for (int gang = 1; gang <= 8; ++gang)
+    {
+        std::string const id = "g-" + std::to_string(gang);
+        allow(id, 10);
+        allow(id, 28);
+    }
+    play(7 * micros_per_second);
+    for (int gang = 1; gang <= 8; ++gang)
+    {
+        add_gang("g-" + std::to_string(gang));
+        play(tick_micros);
+    }
+    play(4 * micros_per_second);
+    for (auto const& [id, targets_of] : allowed_)
+    {
+        unanswered_.insert(id);
+    }
+    idle_core_seconds_ = 0;
+    constexpr std::int64_t seconds = 30;
+    play(seconds * micros_per_second);
+    // 45 targets of 8 cores.
+    CHECK(idle_core_seconds_ < 0.25 * 8 * targets * seconds);
+}
+
+// Guards against lasting tasks that are down while room is held for a gang.
+TEST_CASE_FIXTURE(gang_holds_fixture,
+                  "gang holds all free room, lasting task ends, runs again")
+{
+    allow("g-1", 1, targets);
+    for (std::uint32_t target = wide + 1; target <= targets; ++target)
+    {
+        set_target(name_target(target), {8000, 49'152, 0},
+                   target_phase::draining);
+    }
+    post(job_added{.job_ = std::make_shared<staged_job const>(
+                       staged_job{.id_ = job_id("l-1"),
+                                  .organisation_ = organisation_id("bank"),
+                                  .queue_ = queue_id("orders"),
+                                  .service_ = service_id("desk"),
+                                  .payload_ = "work",
+                                  .steps_ = {{.count_ = 1,
+                                              .demand_ = {2000, 8000, 0},
+                                              .estimate_ms_ = 1000,
+                                              .perpetual_ = true}}}),
+                   .accepted_at_ = now_});
+    play(tick_micros);
+    REQUIRE(lasting_.size() == 1);
+    start_run const first = lasting_[0];
+    play(7 * micros_per_second);
+    add_gang("g-1");
+    unanswered_.insert(job_id("g-1"));
+    play(6 * micros_per_second);
+    end(first, run_end::failed);
+    play(5 * micros_per_second);
+    CHECK(lasting_.size() == 2);
+}
+
+// Guards against a turn of a claim that passes while runs of other
+// organisations hold the room, and tickets end before the limit is raised.
+TEST_CASE_FIXTURE(gang_holds_fixture,
+                  "gang above the part, busy shard, starts in its turn")
+{
+    organisation_id const bank{"bank"};
+    resources const       whole{4000 * wide, 0, 0};
+    allow("g-1", 10);
+    post(organisations_set{{{bank, 100, {4000 * (wide - 5), 0, 0}}}});
+    post(turns_set{{{.organisation_ = bank, .limit_ = whole}}});
+    play(7 * micros_per_second);
+    add_gang("g-1");
+    play(3 * micros_per_second);
+    REQUIRE(find_claim(*planner_, bank).has_value());
+    post(turns_set{
+        {{.organisation_ = bank, .limit_ = whole, .granted_ = true}}});
+    play(3 * micros_per_second);
+    post(organisations_set{{{bank, 100, whole}}});
+    play(6'800'000);
+    CHECK(count_started("g-1") == wide);
+    CHECK(claims_passed_ == 0);
+}
+
+} // namespace
+} // namespace fescuevane::plan
