--- a/tests/unit/plan_gang_holds_test.cpp
+++ b/tests/unit/plan_gang_holds_test.cpp
@@ -486,5 +486,43 @@
     CHECK(claims_passed_ == 0);
 }
 
+// Guards against a tick that takes long while many gangs wait: places are
+// chosen by the rest of the runs on each target that a gang may use.
+TEST_CASE_FIXTURE(gang_holds_fixture,
+                  "many gangs wait long, runs are read for few of them")
+{
+    waiting_singles_ = 400;
+    for (int gang = 1; gang <= 100; ++gang)
+    {
+        allow("g-" + std::to_string(gang), 1, targets);
+    }
+    play(7 * micros_per_second);
+    for (int gang = 1; gang <= 100; ++gang)
+    {
+        add_gang("g-" + std::to_string(gang));
+    }
+    // Questions of all gangs are answered before.
+    play(14 * micros_per_second);
+    std::uint64_t reads = 0;
+    for (int round = 0; round < 10; ++round)
+    {
+        advance(tick_micros);
+        begin_tick(*planner_, now_, unix_ms_);
+        for (system_entry const& system : list_systems())
+        {
+            std::uint64_t const before = planner_->runs_.reads();
+            system.run_(*planner_);
+            if (system.name_ == "hold_gangs")
+            {
+                reads = std::max(reads, planner_->runs_.reads() - before);
+            }
+        }
+        end_tick(*planner_, commands_);
+    }
+    CHECK(!planner_->holding_gangs_.empty());
+    // Four runs a target, each read to tell its end and its room.
+    CHECK(reads <= 3 * 3 * 4 * targets);
+}
+
 } // namespace
 } // namespace fescuevane::plan
