Withdraw parts of a gang that no shard accepted before a change of owner

A later owner doesn't know which shard a part was meant for, so it handed the part in to the home shard of its name. Two parts met in one shard, both counted the same room as theirs, and the gang started in part: 21 starts for 13 tasks.

Such a part is canceled now, and the gang is divided anew.

--- a/cell/delegate_tasks.cpp
+++ b/cell/delegate_tasks.cpp
@@ -549,6 +549,13 @@
     }
 }
 
+// True for a part of a gang that runs on several shards.
+bool is_part(node const& context, job_id const& id, stage_key const& gang)
+{
+    gang_spread_row const* const spread = context.spreads_.find(gang);
+    return spread != nullptr && spread->parts_.contains(id);
+}
+
 // No shard has accepted the job, but an earlier submission may still be on its
 // way or be stored late. A row that says that the job was canceled stops it.
 void refuse_delegate(node& context, job_id const& id, shard_id const& shard)
@@ -611,6 +618,13 @@
         {
             refuse_delegate(context, id, row->shard_);
         }
+        else if (!row->job_ && is_part(context, id, row->stage_))
+        {
+            // The shard that was to run it is known to the former owner only.
+            row->phase_ = delegation_phase::canceling;
+            row->next_at_ = context.now_;
+            wake_at(context, context.now_);
+        }
         else
         {
             row->phase_ = delegation_phase::submitting;
--- a/tests/unit/cell_spread_test.cpp
+++ b/tests/unit/cell_spread_test.cpp
@@ -270,7 +270,9 @@
     start(host);
     run_until_started();
     run_long_work(10 * micros_per_second, long_run_ms);
+    CHECK(begun_.size() == 1);
     CHECK(count_running(id_) == width);
+    CHECK(count_starts(id_) == width);
 }
 
 // Guards against a gang that waits without end, or runs twice, when all hosts
