--- a/tests/unit/cell_records_test.cpp
+++ b/tests/unit/cell_records_test.cpp
@@ -169,6 +169,40 @@
     CHECK(job.spec_text_ == write_spec(*job.job_));
 }
 
+// Guards against parts of a gang that a later owner takes for other tasks, or
+// that it can't read from rows of an earlier version.
+TEST_CASE("row of a job, run of a gang's part, kept, and zero in old rows")
+{
+    json old = make_job();
+    old["spec"]["alias"] = make_alias();
+    job_record const without = read_job(old.dump());
+    CHECK(without.job_->alias_->gang_run_ == 0);
+    CHECK(without.progress_.tasks_.at(0).gang_run_ == 0);
+
+    json row = old;
+    row["spec"]["alias"]["gang_run"] = 1007;
+    row["tasks"][0]["x"] = "cc01";
+    row["tasks"][0]["g"] = 1008;
+    job_record const part = read_job(row.dump());
+    CHECK(part.job_->alias_->gang_run_ == 1007);
+    CHECK(part.progress_.tasks_.at(0).gang_run_ == 1008);
+    job_record const again =
+        read_job(write_job(part.shard_, part.spec_text_, part.progress_));
+    CHECK(*again.job_ == *part.job_);
+    CHECK(again.progress_ == part.progress_);
+
+    for (char const* const path : {"/spec/alias/gang_run", "/tasks/0/g"})
+    {
+        for (json const& odd : {json(-1), json("7"), json(4'294'967'296)})
+        {
+            json bad = row;
+            bad[json::json_pointer(path)] = odd;
+            CAPTURE(bad.dump());
+            CHECK_THROWS_AS(read_job(bad.dump()), record_error);
+        }
+    }
+}
+
 // Guards against numbers that another type wraps or cuts: an epoch that no
 // later one exceeds, 4 billion shards or tasks, task 0 in place of another.
 TEST_CASE("stored rows, numbers out of range, refused")
--- /dev/null
+++ b/tests/unit/peer_codec_test.cpp
@@ -0,0 +1,74 @@
+// Purpose: tests of the encoding of messages between the hosts of a cell.
+#include "peer/peer_codec.hpp"
+
+#include "cell/call_kind.hpp"
+#include "cell/job_answer.hpp"
+#include "cell/job_call.hpp"
+#include "core/instant.hpp"
+#include "core/staged_job.hpp"
+#include "peer/peer_error.hpp"
+#include "wire/generated/cell.pb.h"
+
+#include <doctest/doctest.h>
+
+namespace fescuevane::peer
+{
+namespace
+{
+
+struct codec_fixture
+{
+    instant const now_ = instant(10 * micros_per_second);
+};
+
+// Guards against a call about a part of a gang that its shard takes for another
+// kind, or with another time to start by.
+TEST_CASE_FIXTURE(codec_fixture, "calls about parts, encoded, the same again")
+{
+    for (cell::call_kind const kind :
+         {cell::call_kind::await_part, cell::call_kind::start_part,
+          cell::call_kind::withdraw_part})
+    {
+        cell::job_call const call{.kind_ = kind,
+                                  .id_ = job_id("aa01~1-7"),
+                                  .shard_ = {domain_id("east"), 3},
+                                  .deadline_ = now_.after(micros_per_second)};
+        cell::job_call const read = decode_call(encode_call(call, now_), now_);
+        CHECK(read.kind_ == kind);
+        CHECK(read.id_ == call.id_);
+        CHECK(read.shard_ == call.shard_);
+        CHECK(read.deadline_ == call.deadline_);
+    }
+}
+
+// Guards against a call that a host without its handler serves as another one.
+TEST_CASE_FIXTURE(codec_fixture, "call, kind of a later version, refused")
+{
+    cell::v1::JobCall message =
+        encode_call({.kind_ = cell::call_kind::withdraw_part,
+                     .id_ = job_id("aa01"),
+                     .shard_ = {domain_id("east"), 0},
+                     .deadline_ = now_},
+                    now_);
+    message.set_kind(
+        static_cast<cell::v1::CallKind>(cell::v1::WITHDRAW_PART + 1));
+    CHECK_THROWS_AS(decode_call(message, now_), peer_error);
+}
+
+// Guards against free room that gets lost, or that a host of an earlier version
+// seems to have.
+TEST_CASE_FIXTURE(codec_fixture,
+                  "answer, free room, kept, none in old messages")
+{
+    cell::job_answer const answer{.outcome_ = cell::job_outcome::known,
+                                  .fit_now_ = 3,
+                                  .fit_later_ = 9,
+                                  .fit_free_ = 5};
+    cell::v1::JobAnswer    message = encode_answer(answer);
+    CHECK(decode_answer(message) == answer);
+    message.clear_fit_free();
+    CHECK(decode_answer(message).fit_free_ == 0);
+}
+
+} // namespace
+} // namespace fescuevane::peer
