--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -397,7 +397,7 @@
     }
     if (tasks.gang_run_ != 0)
     {
-        // Its tasks have been given that number when it is handed in again.
+        // Its tasks already carry the number of its run when it is made anew.
         alias.first_run_ = tasks.gang_run_ - 1;
     }
     step_spec const only{.count_ =
