End the wait for a former owner whose host has started again

An owner that takes a shard over from another host learns by the answer of a target that the former owner renews no leases any more. With no target of the shard in reach it never did, and recovered tasks of the shard stayed down for good, also when the former owner's host had started again since, as after a power failure of all hosts.

A higher incarnation of the former owner's host, in its row or heartbeat, now tells the same.

A former owner's host that stays away for good still keeps such a shard down.

--- a/cell/claim_shards.cpp
+++ b/cell/claim_shards.cpp
@@ -267,8 +267,13 @@
         own.epoch_ = std::max(own.epoch_, known + 1);
     }
     own.parts_.resize(context.settings_.job_parts_);
-    own.predecessor_stopped_ = row.epoch_ == 0 || row.released_ ||
-                               row.owner_ == context.settings_.host_;
+    own.predecessor_ = row.owner_;
+    own.predecessor_incarnation_ = row.owner_incarnation_;
+    host_row const* const before = context.hosts_.find(row.owner_);
+    own.predecessor_stopped_ =
+        row.epoch_ == 0 || row.released_ ||
+        row.owner_ == context.settings_.host_ ||
+        (before != nullptr && before->incarnation_ > row.owner_incarnation_);
     log_event(context, "claim",
               {{"shard", write_shard_name(shard)},
                {"epoch", std::to_string(own.epoch_)},
--- a/cell/follow_members.cpp
+++ b/cell/follow_members.cpp
@@ -45,6 +45,24 @@
 namespace
 {
 
+// Tells shards taken over from an earlier process of the host that it doesn't
+// renew leases any more. A shard without a target in reach learns it by nothing
+// else.
+void note_incarnation(node& context, host_id const& id,
+                      std::uint64_t incarnation)
+{
+    for (owned_row& own : context.owned_)
+    {
+        if (own.predecessor_ != id || own.predecessor_stopped_ ||
+            own.predecessor_incarnation_ >= incarnation)
+        {
+            continue;
+        }
+        own.predecessor_stopped_ = true;
+        own.exclusive_since_ = std::min(own.exclusive_since_, context.now_);
+    }
+}
+
 void apply_host_row(node& context, stored_row const& row)
 {
     host_id const id(row.key_.key_.substr(std::string(host_prefix).size()));
@@ -65,6 +83,7 @@
     host.domain_ = record.domain_;
     host.cpu_share_ = record.cpu_share_;
     host.incarnation_ = std::max(host.incarnation_, record.incarnation_);
+    note_incarnation(context, id, host.incarnation_);
 }
 
 void apply_shard_row(node& context, stored_row const& row)
@@ -218,6 +237,7 @@
             return; // of a process that has ended
         }
         host->incarnation_ = beat.incarnation_;
+        note_incarnation(context, beat.host_, beat.incarnation_);
         host->heard_at_ = context.now_;
         host->heard_ = true;
         host->store_ok_ = beat.store_ok_;
--- a/cell/owned_row.hpp
+++ b/cell/owned_row.hpp
@@ -21,9 +21,12 @@
 
 struct owned_row
 {
-    owned_phase phase_ = owned_phase::claiming;
-    epoch       epoch_ = 0;
-    bool        predecessor_stopped_ = false; // it released the shard, or is us
+    owned_phase   phase_ = owned_phase::claiming;
+    epoch         epoch_ = 0;
+    host_id       predecessor_;
+    std::uint64_t predecessor_incarnation_ = 0;
+    // It released the shard, is us, or its host has started again.
+    bool    predecessor_stopped_ = false;
     instant exclusive_since_ = instant::never(); // no other owner renews leases
     plan::planner_ptr         planner_;
     std::vector<journal_part> parts_;
--- a/tests/unit/cell_known_in_part_test.cpp
+++ b/tests/unit/cell_known_in_part_test.cpp
@@ -138,6 +138,24 @@
         }
     }
 
+    void start_hosts_but(std::string const& absent)
+    {
+        run(2 * micros_per_second);
+        for (auto const& [name, address] : addresses_)
+        {
+            if (name != absent)
+            {
+                start(name);
+            }
+        }
+    }
+
+    // Host that the store names as the owner of the shard of the last task.
+    std::string find_owner()
+    {
+        return stored_owner("east." + std::to_string(home_)).host_.str();
+    }
+
     void unlist(target_id const& target)
     {
         std::vector<listed_target> rest;
@@ -461,5 +479,34 @@
     check_last_runs_once();
 }
 
+// Guards against the same when another host claims the shard: nothing tells it
+// by a target that the former owner doesn't renew leases any more.
+TEST_CASE_FIXTURE(known_in_part_fixture,
+                  "all targets gone, owner's host back late, task starts")
+{
+    run_until_power_fails(run_end::failed);
+    lose_shard();
+    std::string const owner = find_owner();
+    start_hosts_but(owner);
+    run_work(6 * micros_per_second);
+    REQUIRE(find_owner() != owner);
+    start(owner);
+    CHECK(find_restart_ms(after_wait));
+    check_last_runs_once();
+}
+
+// Guards against the same when the host is back before the shard is claimed.
+TEST_CASE_FIXTURE(known_in_part_fixture,
+                  "all targets gone, owner's host back and stopping, starts")
+{
+    run_until_power_fails(run_end::failed);
+    lose_shard();
+    std::string const owner = find_owner();
+    start_hosts();
+    post_event(*find(owner).node_, stop_requested{});
+    CHECK(find_restart_ms(after_wait));
+    check_last_runs_once();
+}
+
 } // namespace
 } // namespace fescuevane::cell
