--- a/cell/cell.hpp
+++ b/cell/cell.hpp
@@ -22,6 +22,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace fescuevane::cell
@@ -62,7 +63,10 @@
 bool                           has_config(node const& context);
 bool                           is_ready(node const& context); // takes calls
 bool                           owns_shards(node const& context);
-bool          is_stopped(node const& context); // nothing left to hand over
+bool is_stopped(node const& context); // nothing left to hand over
+// Shards that are left, and how many of them wait for what, for the log.
+std::vector<std::pair<std::string, std::string>>
+              describe_stop(node const& context);
 std::uint64_t config_version(node const& context);
 std::uint32_t max_body_bytes(node const& context);
 std::uint32_t count_waiting(node const& context, queue_id const& queue);
--- a/cell/release_shards.cpp
+++ b/cell/release_shards.cpp
@@ -10,7 +10,9 @@
 #include "cell/records.hpp"
 
 #include <algorithm>
+#include <array>
 #include <optional>
+#include <utility>
 
 namespace fescuevane::cell
 {
@@ -165,11 +167,49 @@
                        });
 }
 
+// What a release waits for.
+struct release_wait
+{
+    char const* name_;
+    bool (*holds_)(node const& context, shard_id const& shard,
+                   owned_row const& own);
+};
+
+constexpr std::array<release_wait, 5> release_waits = {{
+    {"owner_row",
+     [](node const&, shard_id const&, owned_row const& own)
+     {
+         return own.request_ != 0;
+     }},
+    {"allotments",
+     [](node const&, shard_id const&, owned_row const& own)
+     {
+         return own.allotment_request_ != 0;
+     }},
+    {"grants",
+     [](node const&, shard_id const&, owned_row const& own)
+     {
+         return own.grants_.request_ != 0;
+     }},
+    {"journal",
+     [](node const&, shard_id const&, owned_row const& own)
+     {
+         return !is_journal_clean(own);
+     }},
+    {"gang_starts",
+     [](node const& context, shard_id const& shard, owned_row const& own)
+     {
+         return !may_be_released(own) && awaits_gang_starts(context, shard);
+     }},
+}};
+
 void release_shard(node& context, shard_id const& shard, owned_row& own)
 {
-    if (own.request_ != 0 || own.allotment_request_ != 0 ||
-        own.grants_.request_ != 0 || !is_journal_clean(own) ||
-        (!may_be_released(own) && awaits_gang_starts(context, shard)))
+    if (std::any_of(release_waits.begin(), release_waits.end(),
+                    [&](release_wait const& wait)
+                    {
+                        return wait.holds_(context, shard, own);
+                    }))
     {
         return;
     }
@@ -227,6 +267,29 @@
     }
 }
 
+std::vector<std::pair<std::string, std::string>>
+describe_stop(node const& context)
+{
+    std::vector<std::pair<std::string, std::string>> waits = {
+        {"shards", std::to_string(context.owned_.size())}};
+    for (release_wait const& wait : release_waits)
+    {
+        std::size_t count = 0;
+        for (std::size_t row = 0; row < context.owned_.size(); ++row)
+        {
+            count += wait.holds_(context, context.owned_.key(row),
+                                 context.owned_[row])
+                         ? 1
+                         : 0;
+        }
+        if (count > 0)
+        {
+            waits.emplace_back(wait.name_, std::to_string(count));
+        }
+    }
+    return waits;
+}
+
 void apply(node& context, stop_requested const& /*input*/)
 {
     if (!context.stopping_)
--- a/tests/unit/cell_release_test.cpp
+++ b/tests/unit/cell_release_test.cpp
@@ -4,6 +4,10 @@
 #include "cell/records.hpp"
 
 #include <doctest/doctest.h>
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
 
 namespace fescuevane::cell
 {
@@ -170,6 +174,36 @@
     CHECK(make_heartbeat(*node_).shards_.empty());
 }
 
+// Guards against stops that take long and don't tell why.
+TEST_CASE_FIXTURE(release_fixture,
+                  "release without an answer, is described as what a stop "
+                  "waits for")
+{
+    using fields = std::vector<std::pair<std::string, std::string>>;
+    CHECK(describe_stop(*node_) == fields{{"shards", "1"}});
+    store_held_ = true;
+    post(stop_requested{});
+    tick();
+    CHECK(describe_stop(*node_) == fields{{"shards", "1"}, {"owner_row", "1"}});
+    release_store();
+    run(20'000);
+    CHECK(describe_stop(*node_) == fields{{"shards", "0"}});
+}
+
+// The same for a row of the journal.
+TEST_CASE_FIXTURE(release_fixture,
+                  "journal without an answer, is described as what a stop "
+                  "waits for")
+{
+    store_held_ = true;
+    submit("aa01");
+    post(stop_requested{});
+    tick();
+    auto const waits = describe_stop(*node_);
+    CHECK(std::count(waits.begin(), waits.end(),
+                     std::pair<std::string, std::string>("journal", "1")) == 1);
+}
+
 // Guards against a store that is slow to come back: stopping hosts asked it
 // again with each refusal.
 TEST_CASE_FIXTURE(release_fixture,
