Let the tests of links listen on another port when theirs was taken

Cause: the fixture finds a free port and listens on it later; in 2 of 102 runs of peer_tests, three at a time beside builds, another process had taken it ("can't listen on").

Change: the fixture takes another port then. What the tests check is as before.

--- a/tests/unit/peer_link_test.cpp
+++ b/tests/unit/peer_link_test.cpp
@@ -8,6 +8,7 @@
 #include "cell/send_question.hpp"
 #include "io/main_loop.hpp"
 #include "io/timer.hpp"
+#include "peer/peer_error.hpp"
 
 #include <arpa/inet.h>
 #include <doctest/doctest.h>
@@ -186,9 +187,9 @@
 
 struct link_fixture
 {
-    std::string const   address_ = name_address(find_port());
-    std::uint16_t const other_port_ = find_port();
-    std::string const   other_address_ = name_address(other_port_);
+    std::string   address_;
+    std::uint16_t other_port_ = 0; // set by start_other
+    std::string   other_address_;
 
     std::vector<cell::heartbeat>    beats_;      // heard by the first host
     std::vector<cell::heartbeat>    others_;     // heard by the other one
@@ -201,8 +202,8 @@
 
     link_fixture()
     {
-        link_.emplace(
-            address_,
+        std::uint16_t const port = listen_on_free_port(
+            link_,
             peer_handlers{
                 .beat_ =
                     [this](cell::heartbeat const& beat)
@@ -232,12 +233,33 @@
                 {
                     advice_.push_back(reply);
                 }});
+        address_ = name_address(port);
+    }
+
+    // Another process may take a free port before the link listens on it.
+    static std::uint16_t listen_on_free_port(std::optional<peer_link>& link,
+                                             peer_handlers const&      handlers)
+    {
+        constexpr int attempts = 20;
+        for (int attempt = 1;; ++attempt)
+        {
+            std::uint16_t const port = find_port();
+            try
+            {
+                link.emplace(name_address(port), handlers);
+                return port;
+            }
+            catch (peer_error const&)
+            {
+                REQUIRE(attempt < attempts);
+            }
+        }
     }
 
     void start_other()
     {
-        other_.emplace(
-            other_address_,
+        other_port_ = listen_on_free_port(
+            other_,
             peer_handlers{
                 .beat_ =
                     [this](cell::heartbeat const& beat)
@@ -263,6 +285,7 @@
                     other_->advise(call, {.answered_ = true});
                 },
                 .advised_ = [](cell::advice_reply const&) {}});
+        other_address_ = name_address(other_port_);
     }
 
     static cell::heartbeat make_beat(std::string const& host)
