Test that a gang wider than a question has all tickets at once

Cause: questions side by side for a gang that holds more targets than one question names had no test.

Change: a test with a gang of 40 on 45 busy targets, 30 in a question.

--- a/tests/unit/plan_gang_holds_test.cpp
+++ b/tests/unit/plan_gang_holds_test.cpp
@@ -53,6 +53,7 @@
     std::int64_t                             single_micros_ = 4'000'000;
     double                                   idle_core_seconds_ = 0; // held
     std::size_t                              claims_passed_ = 0;
+    std::size_t most_asked_ = 0; // questions of one tick
 
     gang_holds_fixture()
     {
@@ -240,6 +241,7 @@
             confirm_starts();
             take_starts();
             count_idle();
+            most_asked_ = std::max(most_asked_, list<ask_advice>().size());
             for (ask_advice const& asked : list<ask_advice>())
             {
                 questions_.push_back({asked, now_.after(answer_micros)});
@@ -463,6 +465,20 @@
     CHECK(lasting_.size() == 2);
 }
 
+// Guards against a gang wider than a question, whose first tickets end while
+// the answer about its other targets is awaited.
+TEST_CASE_FIXTURE(gang_holds_fixture,
+                  "gang wider than a question, asked about at once, starts")
+{
+    constexpr std::uint32_t wider = 40; // a question names 30 targets
+    allow("g-1", 1, targets);
+    play(7 * micros_per_second);
+    add_gang("g-1", wider);
+    play(12 * micros_per_second);
+    CHECK(count_started("g-1") == wider);
+    CHECK(most_asked_ == 2);
+}
+
 // Guards against a turn of a claim that passes while runs of other
 // organisations hold the room, and tickets end before the limit is raised.
 TEST_CASE_FIXTURE(gang_holds_fixture,
