Judge hand-overs of recovered tasks by one predicate

A round of offers began only when no unread end of the step was awaited, but its end judged tasks with copies by whether they may run, so one that began before a target lapsed, or for a target that was listed since, could move a task whose failed end is read later and would count at the wrong shard.

Both now use may_have_unread_end.

--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -236,9 +236,7 @@
         stage_key const& key = context.stages_.key(row);
         job_row const&   job = *context.jobs_.find(key.job_);
         step_spec const& step = job.spec_->steps_[key.step_];
-        // Also of tasks that may start before unread ends are known.
-        if (may_be_unseen(unseen, job, step) ||
-            (job.recovered_ && unseen.ends_ && !step.perpetual_))
+        if (may_have_unread_end(unseen, job, step))
         {
             continue;
         }
@@ -298,7 +296,7 @@
     tasks.indices_ = list_waiting(*stage, context.now_, 0);
     if (tasks.indices_.empty() ||
         (step.gang_ && tasks.indices_.size() != stage->tasks_.size()) ||
-        may_be_unseen(find_unseen_work(context), job, step))
+        may_have_unread_end(find_unseen_work(context), job, step))
     {
         return std::nullopt;
     }
--- a/plan/unseen_work.hpp
+++ b/plan/unseen_work.hpp
@@ -28,6 +28,15 @@
            (has_single_result(step) ? unseen.ends_ : unseen.runs_);
 }
 
+// True while a task of the step can't be handed over: an unread end of it
+// counts where the task is. That holds also for tasks that may start before,
+// but not for those that last, since their ends count for nothing.
+inline bool may_have_unread_end(unseen_work const& unseen, job_row const& job,
+                                step_spec const& step)
+{
+    return job.recovered_ && (step.perpetual_ ? unseen.runs_ : unseen.ends_);
+}
+
 } // namespace fescuevane::plan
 
 #endif
--- a/tests/unit/plan_placement_test.cpp
+++ b/tests/unit/plan_placement_test.cpp
@@ -453,6 +453,30 @@
     }
 }
 
+// Guards against a failure that is read late and counts where the task was, and
+// not where it is: the end of a round of offers judged otherwise than its
+// begin.
+TEST_CASE_FIXTURE(plan_fixture,
+                  "task with copies taken over, ends unread, not handed over")
+{
+    set_target("t-1");
+    set_target("t-2", {4000, 8192, 0}, target_phase::lapsed);
+    step_spec const step{.demand_ = {8000, 512, 0}, // too large for both
+                         .estimate_ms_ = 1000,
+                         .speculative_ = true};
+    add_job("j-1", {step}, {}, true);
+    tick();
+    advance(2 * micros_per_second);
+    tick();
+    stage_key const stage{job_id("j-1"), 0, 0};
+    CHECK(list_overflow(*planner_, now_, micros_per_second).empty());
+    CHECK_FALSE(find_waiting(*planner_, stage));
+    set_target("t-2", {4000, 8192, 0}, target_phase::silent);
+    tick();
+    CHECK(list_overflow(*planner_, now_, micros_per_second).size() == 1);
+    CHECK(find_waiting(*planner_, stage));
+}
+
 // Guards against work above an organisation's limit after a change of owner:
 // runs on targets that weren't reached yet were not counted.
 TEST_CASE_FIXTURE(plan_fixture,
