--- a/tests/unit/cell_spread_test.cpp
+++ b/tests/unit/cell_spread_test.cpp
@@ -398,5 +398,97 @@
     }
 }
 
+// Guards against a gang that starves beside single tasks of its organisation:
+// each of its parts claims room within the limit, and only one claim of an
+// organisation has its turn at a time.
+TEST_CASE("wide gang of half the limit, single tasks queue everywhere, starts" *
+          doctest::test_suite("limit_gangs"))
+{
+    constexpr std::int64_t age_ms = 1000;
+    std::size_t            targets = 0;
+    SUBCASE("one shard may hold it")
+    {
+        targets = 4;
+    }
+    SUBCASE("several shards have to")
+    {
+        targets = 2;
+    }
+    spread_fixture cell;
+    auto           config = std::make_shared<cell_config>(*cell.config_);
+    ++config->version_;
+    config->organisations_[0].share_.limit_ = {26'000, 0, 0};
+    cell.config_ = config;
+    cell.post_all(config_changed{config});
+    cell.run(2 * micros_per_second);
+    int singles = 0;
+    int first = -1;
+    for (int tenth = 0; tenth < 900 && first < 0; ++tenth)
+    {
+        for (std::string const host : {"h-1", "h-2", "h-3", "h-4"})
+        {
+            if (tenth % 10 == 0)
+            {
+                cell.submit(host, "cc" + std::to_string(1000 + singles++),
+                            {{.count_ = 6,
+                              .demand_ = {1000, 512, 0},
+                              .estimate_ms_ = 1000}});
+            }
+        }
+        if (tenth == 50)
+        {
+            cell.allowed_.clear();
+            cell.allow(cell.id_, std::vector<std::size_t>(
+                                     spread_fixture::shards, targets));
+            cell.submit_gang();
+        }
+        cell.run(100'000);
+        cell.end_runs(age_ms);
+        if (cell.count_started(cell.id_) == spread_fixture::width)
+        {
+            first = tenth;
+        }
+    }
+    CHECK(first >= 0);
+}
+
+// Guards against wide gangs that keep each other from starting: the parts of
+// all of them ask the policy service in turn, and tickets end before a gang has
+// all of its own.
+TEST_CASE_FIXTURE(
+    offers_fixture,
+    "32 wide gangs, room for eight at once, all start in a minute" *
+        doctest::test_suite("many_gangs"))
+{
+    constexpr int           gangs = 32;
+    constexpr std::uint32_t width = 13;
+    constexpr std::int64_t  age_ms = 2000;
+    std::set<std::string>   waiting;
+    for (int gang = 0; gang < gangs; ++gang)
+    {
+        std::string const id = "bb" + std::to_string(100 + gang);
+        // One target of each shard, with room for four tasks.
+        for (std::uint32_t shard = 0; shard < shards; ++shard)
+        {
+            allowed_[job_id(id)].insert(
+                list_targets(shard).at((gang + shard) % shard_targets));
+        }
+        submit("h-" + std::to_string(1 + gang % 4), id,
+               {make_step(width, true)});
+        waiting.insert(id);
+    }
+    for (int tenth = 0; tenth < 600; ++tenth)
+    {
+        run(100'000);
+        end_runs(age_ms);
+        std::erase_if(waiting,
+                      [this](std::string const& id)
+                      {
+                          return count_running(id) == width;
+                      });
+    }
+    CHECK(waiting.size() == 0);
+}
+
 } // namespace
 } // namespace fescuevane::cell
--- a/tests/unit/node_calls_test.cpp
+++ b/tests/unit/node_calls_test.cpp
@@ -15,6 +15,15 @@
 {
     node_calls_fixture() { start_cell(); }
 
+    static job_spec make_gang(std::string const& id, std::uint32_t tasks)
+    {
+        return {.key_ = {team_id("cafes"), job_id(id)},
+                .service_ = service_id("refills"),
+                .kind_ = work_kind::gang,
+                .task_count_ = tasks,
+                .demand_ = {1000, 512, 0}};
+    }
+
     // Loses the next message of a kind between the two "east" nodes.
     template <typename Message>
     void drop_next(std::string const& from, std::string const& to)
@@ -142,5 +151,27 @@
     }
 }
 
+// Guards against a gang that is refused by the shard that it came to, though
+// targets of the cell have room for it.
+TEST_CASE_FIXTURE(node_calls_fixture,
+                  "gang, larger than its shard, cell has room, is run" *
+                      doctest::test_suite("wide_gangs"))
+{
+    SUBCASE("another shard can run it")
+    {
+        for (std::string const name : {"t-west3", "t-west4"})
+        {
+            add_target(name, "west");
+        }
+        run(5 * micros_per_second);
+    }
+    SUBCASE("only both shards together can run it") {}
+    // A shard with two targets has room for 8.
+    auto const result = submit_and_wait("east1", make_gang("east.0~gang", 10));
+    CAPTURE(result.reason_);
+    CHECK(result.state_ == job_state::answered);
+    CHECK(count_starts("east.0~gang") == 10);
+}
+
 } // namespace
 } // namespace fescuevane::entry
