Make no claims to limits for parts of gangs

Claims of an organisation are served one after another, while other shards give what they have to spare. The parts of one gang start together, so each took its turn alone and made the others give up what they had gathered.

Parts make no claim and wait for what is spare.

--- a/plan/claim_limits.cpp
+++ b/plan/claim_limits.cpp
@@ -150,8 +150,10 @@
         stage_row const& stage = context.stages_[row];
         claim_row* const claim =
             context.claims_.find(stage.spec_->organisation_);
+        // Claims are served one after another, but the parts of a gang start
+        // together, and each would have to give to the claims of the others.
         if (claim == nullptr || claim->limit_.is_zero() || !stage.startable_ ||
-            count_waiting(stage) == 0)
+            stage.part_ != part_phase::none || count_waiting(stage) == 0)
         {
             continue;
         }
--- a/tests/unit/cell_spread_histories_test.cpp
+++ b/tests/unit/cell_spread_histories_test.cpp
@@ -598,6 +598,29 @@
         }));
 }
 
+// Guards against parts that hold each other up: claims to the limit are served
+// one after another, and each makes the other parts give what they have.
+TEST_CASE("gang on several shards, limit is tight beside other work, starts")
+{
+    constexpr int  seconds = 35; // the other work takes about 25
+    spread_history history(1);
+    auto           config = std::make_shared<cell_config>(*history.config_);
+    ++config->version_;
+    config->organisations_[0].share_.limit_ = {14'000, 0, 0};
+    history.config_ = config;
+    history.post_all(config_changed{config});
+    history.run_all(2 * micros_per_second);
+    history.submit_gang("aa01", {1, 1, 1, 1, 1, 1, 1, 1}, 13);
+    for (int job = 0; job < 6; ++job)
+    {
+        history.submit("h-3", "bb1" + std::to_string(job),
+                       {spread_history::make_step(60, false)});
+    }
+    history.run_all(seconds * micros_per_second);
+    CHECK(history.done_.contains(job_id("aa01")));
+    CHECK(history.broken_ == "");
+}
+
 // Histories that broke a rule before.
 TEST_CASE("history of gangs that failed before, each runs once and ends")
 {
