--- a/tests/unit/cell_known_in_part_test.cpp
+++ b/tests/unit/cell_known_in_part_test.cpp
@@ -532,8 +532,8 @@
     // A target forgets an end when its effect is stored.
     hold_reply answer_hold(hold_target const& hold) override
     {
-        bool const       listed = lists_done(hold.target_);
-        hold_reply const reply = known_in_part_fixture::answer_hold(hold);
+        bool const listed = lists_done(hold.target_);
+        hold_reply reply = known_in_part_fixture::answer_hold(hold);
         done_stored_ = done_stored_ || (listed && !lists_done(hold.target_));
         return reply;
     }
