--- a/tests/unit/cell_spread_test.cpp
+++ b/tests/unit/cell_spread_test.cpp
@@ -54,7 +54,7 @@
                              : 0;
             }
         }
-        order_reply const reply = offers_fixture::answer_start(start);
+        order_reply reply = offers_fixture::answer_start(start);
         if (instant_ && find_begin(run))
         {
             end_runs(0);
