Send configurations of a soak one after another

The logs of the hosts show that four had version 13 in force at 1250.09 to 1250.12 s, while each of the seven processes that started at 1250.1 s and later read version 10 from the store. Only the soak's operator writes that row: it sent versions 10 and 13 within 0.25 s on two connections, without waiting for an answer, and the store wrote them in the other order. A host can't know better.

The operator now sends the next version once the store has answered for the one before, as the users' operator does. Versions, bounds and checks are unchanged.

--- a/tests/soak/operator.cpp
+++ b/tests/soak/operator.cpp
@@ -45,12 +45,20 @@
         });
 }
 
-// Each version adds a route of its own name and removes that of the one before.
-// The key that ends in the version is withdrawn by the next one.
-void send_config(soak_run& run)
+namespace
 {
-    constexpr std::int64_t most_steps = 3;
-    run.sent_version_ += draw(run, 1, most_steps);
+
+// The next version is sent once the store has answered for this one: on
+// connections of their own they could be written in the other order.
+void send_next_config(soak_run& run)
+{
+    if (run.config_open_ || run.configs_due_.empty())
+    {
+        return;
+    }
+    run.config_open_ = true;
+    run.sent_version_ = run.configs_due_.front();
+    run.configs_due_.pop_front();
     std::string const version = std::to_string(run.sent_version_);
     run.history_.limits_ = {
         {"limited", resources(run.options_.limit_millis_, 0, 0)},
@@ -92,9 +100,23 @@
                 {.sent_ = sent.micros(),
                  .acknowledged_ = io::read_clock().micros(),
                  .version_ = sent_version});
+            run.config_open_ = false;
+            send_next_config(run);
         });
 }
 
+} // namespace
+
+// Each version adds a route of its own name and removes that of the one before.
+// The key that ends in the version is withdrawn by the next one.
+void send_config(soak_run& run)
+{
+    constexpr std::int64_t most_steps = 3;
+    run.planned_version_ += draw(run, 1, most_steps);
+    run.configs_due_.push_back(run.planned_version_);
+    send_next_config(run);
+}
+
 void probe_configs(soak_run& run, instant now)
 {
     constexpr std::int64_t gap_micros = 100'000;
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -51,12 +51,15 @@
     instant asks_finally_at_ = instant::never();
     instant gives_up_at_ = instant::never();
 
-    instant      next_job_at_;
-    instant      next_series_at_;
-    instant      next_probe_at_;
-    store_faults store_faults_;
-    std::int64_t sent_version_ = 0; // of the configuration
-    int          unexpected_ends_ = 0;
+    instant                  next_job_at_;
+    instant                  next_series_at_;
+    instant                  next_probe_at_;
+    store_faults             store_faults_;
+    std::int64_t             sent_version_ = 0;    // of the configuration
+    std::int64_t             planned_version_ = 0; // the latest one to be sent
+    std::deque<std::int64_t> configs_due_;         // planned, oldest first
+    bool                     config_open_ = false; // without an answer
+    int                      unexpected_ends_ = 0;
 
     // Failure domains that are out, since the acknowledgement.
     std::map<std::string, instant> evacuated_;
