Keep a job in the shard that its row names when a host takes that shard over

Cause: a caller's host tries a submission at a second shard when the first one gives no clear answer. The first write may have been stored. If the owner of the second shard then takes over the first, loading replaced its open record of the submission by the stored one, but left the job among those that the second shard has to write. The next write stored the job's row under the second shard, while this host ran it in the first. The next owner of the second shard started it again. The call that waited with the replaced record got no answer.

Change: loading drops an open submission to another shard of the host, and tells its callers that the job is accepted, as the row shows.

--- a/cell/drive_planners.cpp
+++ b/cell/drive_planners.cpp
@@ -68,6 +68,23 @@
 namespace
 {
 
+// The job may have been submitted to another shard of this host as well, whose
+// write is still open. The row shows which shard accepted it.
+void drop_open_submission(node& context, job_id const& id)
+{
+    record_row* const record = context.records_.find(id);
+    if (record == nullptr)
+    {
+        return;
+    }
+    if (owned_row* const own = context.owned_.find(record->shard_))
+    {
+        own->parts_[record->part_].dirty_.erase(id);
+    }
+    answer_waiting(context, *record, call_kind::submit, job_outcome::accepted);
+    context.records_.remove(id);
+}
+
 void load_job(node& context, request_row const& request, stored_row const& row)
 {
     if (!may_belong(row.value_, request.shard_))
@@ -79,7 +96,8 @@
     {
         return;
     }
-    owned_row&  own = *context.owned_.find(request.shard_);
+    owned_row& own = *context.owned_.find(request.shard_);
+    drop_open_submission(context, record.job_->id_);
     record_row& known = context.records_.ensure(record.job_->id_);
     known = record_row{.shard_ = record.shard_,
                        .part_ = request.part_,
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -347,6 +347,9 @@
                     record_row const& record); // for waiting callers
 void add_waiting_call(node& context, record_row& record,
                       waiting_call const& call);
+// Answers the waiting calls of one kind.
+void answer_waiting(node& context, record_row& record, call_kind kind,
+                    job_outcome outcome);
 void keep_result(node& context, record_row& record); // until it expires
 
 } // namespace fescuevane::cell
--- a/cell/write_journal.cpp
+++ b/cell/write_journal.cpp
@@ -310,9 +310,6 @@
                   });
 }
 
-namespace
-{
-
 void answer_waiting(node& context, record_row& record, call_kind kind,
                     job_outcome outcome)
 {
@@ -329,6 +326,9 @@
                   });
 }
 
+namespace
+{
+
 // The job is in the store, so it is accepted. One whose row is final already
 // needs no planner.
 void accept_job(node& context, record_row& record)
