Read the jobs of a shard in steps that a slow link carries

Cause: a new owner reads the table of jobs in pages of 500 rows or 1 MB. Over 2 Mbit/s a page takes 4 s, while the deadline of a call to the store is 2.5 s at most. So each read timed out and was repeated in full, the store counted as lost in between, and no shard was ever served. Rows of ended jobs, which are kept for 180 s, repeated the whole specification.

Change: a read names a number of rows, 50 at first. It is halved after a read without a reply and doubled after one that arrived, up to 200. The row of an ended job has no specification, since it serves look-ups only.

--- a/cell/claim_shards.cpp
+++ b/cell/claim_shards.cpp
@@ -486,6 +486,10 @@
                 wake_at(context, part.retry_at_);
                 continue;
             }
+            if (part.load_rows_ == 0)
+            {
+                part.load_rows_ = context.settings_.load_rows_first_;
+            }
             part.request_ = next_request(context);
             context.requests_.ensure(part.request_) = {.kind_ =
                                                            request_kind::load,
@@ -497,6 +501,7 @@
                            .table_ = "job",
                            .part_ = std::to_string(index),
                            .from_ = part.load_from_,
+                           .limit_ = part.load_rows_,
                            .deadline_ = store_deadline(context)});
         }
     }
--- a/cell/drive_planners.cpp
+++ b/cell/drive_planners.cpp
@@ -167,6 +167,10 @@
     part.request_ = 0;
     if (reply.outcome_ != store_outcome::done)
     {
+        if (reply.outcome_ == store_outcome::unknown)
+        {
+            part.load_rows_ = std::max(1U, part.load_rows_ / 2);
+        }
         part.retry_at_ =
             context.now_.after(context.settings_.store_retry_micros_);
         return;
@@ -184,7 +188,10 @@
         }
         part.load_from_ = row.key_.key_ + '!'; // after this key
     }
-    part.loaded_ = !reply.truncated_ || reply.rows_.empty();
+    bool const is_full = reply.rows_.size() >= part.load_rows_;
+    part.loaded_ = reply.rows_.empty() || (!reply.truncated_ && !is_full);
+    part.load_rows_ =
+        std::min(2 * part.load_rows_, context.settings_.load_rows_max_);
     finish_loading(context, request.shard_);
 }
 
--- a/cell/settings.hpp
+++ b/cell/settings.hpp
@@ -37,6 +37,11 @@
     std::int64_t  journal_shard_micros_ = 12'000;
     std::uint32_t journal_jobs_ = 30;                // in one transaction
     std::int64_t  result_keep_micros_ = 180'000'000; // of ended jobs
+    // Rows of jobs in one read of a takeover. A read without a reply is
+    // repeated with half as many, since a slow link may not carry more by the
+    // deadline.
+    std::uint32_t load_rows_first_ = 50;
+    std::uint32_t load_rows_max_ = 200;
 
     // A tick that runs later than this after it was due means that the process
     // got no processor time. CPU quotas alone cause delays of up to 100 ms.
--- a/cell/write_journal.cpp
+++ b/cell/write_journal.cpp
@@ -137,6 +137,18 @@
     return jobs;
 }
 
+// The row of an ended job serves look-ups only, and each takeover reads it, so
+// it doesn't repeat the specification.
+std::string write_row(node const& context, record_row const& record)
+{
+    job_progress const progress = progress_of(context, record);
+    return write_job(record.shard_,
+                     is_final(progress.phase_)
+                         ? write_spec(staged_job{.id_ = record.job_->id_})
+                         : record.spec_text_,
+                     progress);
+}
+
 void write_part(node& context, shard_id const& shard, std::uint32_t index)
 {
     owned_row&                own = *context.owned_.find(shard);
@@ -159,9 +171,7 @@
         record.written_ = record.changed_;
         conditions.push_back({key, record.revision_});
         writes.push_back({key,
-                          expired ? std::string()
-                                  : write_job(shard, record.spec_text_,
-                                              progress_of(context, record)),
+                          expired ? std::string() : write_row(context, record),
                           expired});
     }
     part.request_ = next_request(context);
--- a/tests/unit/cell_jobs_test.cpp
+++ b/tests/unit/cell_jobs_test.cpp
@@ -106,6 +106,34 @@
     CHECK(find_answer(late)->phase_ == job_phase::completed);
 }
 
+// Guards against takeovers that read the payloads of all jobs that ended within
+// the last minutes.
+TEST_CASE_FIXTURE(cell_fixture,
+                  "job done and stored, its row has no payload, next owner "
+                  "shows it as completed")
+{
+    serve();
+    submit("aa01");
+    run(100'000);
+    std::vector<send_start> const starts = take<send_start>();
+    REQUIRE(starts.size() == 1);
+    post(order_reply{.request_ = starts[0].request_,
+                     .outcome_ = target_outcome::done});
+    for (hold_target const& hold : take<hold_target>())
+    {
+        answer_hold(hold, {}, {{1, starts[0].start_.run_, run_end::done, ""}});
+    }
+    run(300'000);
+    row_key const row{"job", "0", "aa01"};
+    CHECK(read_job(rows_.at(row).value_).job_->payload_.empty());
+    start(2);
+    serve();
+    std::uint64_t const call = ask(call_kind::lookup, "aa01");
+    run(50'000);
+    REQUIRE(find_answer(call));
+    CHECK(find_answer(call)->phase_ == job_phase::completed);
+}
+
 TEST_CASE_FIXTURE(cell_fixture, "unknown job, looked up, absent")
 {
     serve();
