Request tickets for parts of gangs only once their room is reserved

Seen: cell_many_gangs, of 32 gangs over several shards 2 have started after a minute, though there is room for eight at a time.

Cause: each part that found room, reserved or not, renewed its tickets until the other parts were ready. The policy service serves one request of a host at a time, so the parts of the gang that held all of its room waited for answers longer than a ticket is valid.

Change: a part without reservations asks only about targets of which it doesn't know whether they are allowed. Older gangs reserve first in every shard, so the requests go to the gang that can start.

--- a/plan/request_advice.cpp
+++ b/plan/request_advice.cpp
@@ -516,6 +516,19 @@
     send_request_for(context, stage, candidates, is_long);
 }
 
+// A part of a gang reserves room on targets that are known to be allowed. Until
+// it has, it would renew its tickets again and again, and so delay the requests
+// for parts of older gangs.
+void learn_allowed_targets(planner& context, stage_view const& stage,
+                           std::vector<candidate> candidates, bool is_long)
+{
+    std::vector<candidate> const later =
+        list_later_candidates(context, stage, candidates);
+    candidates.insert(candidates.end(), later.begin(), later.end());
+    erase_known_targets(candidates);
+    send_request_for(context, stage, candidates, is_long);
+}
+
 void request_for_stage(planner& context, stage_key const& key, free_room& free)
 {
     stage_view const   stage = view_stage(context, key);
@@ -571,10 +584,16 @@
     }
     coverage const room = count_room(candidates);
     take_room(stage.step_, candidates, room.fitting_, waiting, free);
-    // All parts of a gang have to have tickets at the same moment.
-    bool const gathers =
-        stage.row_.part_ != part_phase::none && room.fitting_ >= waiting;
-    if ((has_reservations || gathers) && may_send)
+    if (stage.row_.part_ != part_phase::none && !has_reservations)
+    {
+        if (may_send)
+        {
+            learn_allowed_targets(context, stage, std::move(candidates),
+                                  is_long);
+        }
+        return;
+    }
+    if (has_reservations && may_send)
     {
         request_for_reserved_room(context, stage, std::move(candidates),
                                   is_long);
--- a/tests/unit/cell_spread_test.cpp
+++ b/tests/unit/cell_spread_test.cpp
@@ -451,42 +451,68 @@
     CHECK(first >= 0);
 }
 
-// Guards against wide gangs that keep each other from starting: the parts of
-// all of them request advice in turn, and tickets expire before a gang has all
-// of its own.
-TEST_CASE_FIXTURE(
-    offers_fixture,
-    "32 wide gangs, room for eight at once, all start in a minute" *
-        doctest::test_suite("many_gangs"))
+// Wide gangs, one after another of the hosts, with room for eight at once.
+struct many_gangs_fixture : offers_fixture
 {
-    constexpr int           gangs = 32;
-    constexpr std::uint32_t width = 13;
-    constexpr std::int64_t  age_ms = 2000;
-    std::set<std::string>   waiting;
-    for (int gang = 0; gang < gangs; ++gang)
+    static constexpr std::uint32_t width = 13;
+    static constexpr std::int64_t  age_ms = 2000;
+
+    std::set<std::string> waiting_; // jobs of which the gang hasn't started
+
+    void submit_gangs(int gangs)
     {
-        std::string const id = "bb" + std::to_string(100 + gang);
-        // One target of each shard, with room for four tasks.
-        for (std::uint32_t shard = 0; shard < shards; ++shard)
+        for (int gang = 0; gang < gangs; ++gang)
         {
-            allowed_[job_id(id)].insert(
-                list_targets(shard).at((gang + shard) % shard_targets));
+            std::string const id = "bb" + std::to_string(100 + gang);
+            // One target of each shard, with room for four tasks.
+            for (std::uint32_t shard = 0; shard < shards; ++shard)
+            {
+                allowed_[job_id(id)].insert(
+                    list_targets(shard).at((gang + shard) % shard_targets));
+            }
+            submit("h-" + std::to_string(1 + gang % 4), id,
+                   {make_step(width, true)});
+            waiting_.insert(id);
         }
-        submit("h-" + std::to_string(1 + gang % 4), id,
-               {make_step(width, true)});
-        waiting.insert(id);
     }
-    for (int tenth = 0; tenth < 600; ++tenth)
+
+    void run_tenths(int tenths)
     {
-        run(100'000);
-        end_runs(age_ms);
-        std::erase_if(waiting,
-                      [this](std::string const& id)
-                      {
-                          return count_running(id) == width;
-                      });
+        for (int tenth = 0; tenth < tenths; ++tenth)
+        {
+            run(100'000);
+            end_runs(age_ms);
+            std::erase_if(waiting_,
+                          [this](std::string const& id)
+                          {
+                              return count_running(id) == width;
+                          });
+        }
     }
-    CHECK(waiting.size() == 0);
+};
+
+// Guards against wide gangs that keep each other from starting: the parts of
+// all of them request advice in turn, and tickets expire before a gang has all
+// of its own.
+TEST_CASE_FIXTURE(
+    many_gangs_fixture,
+    "32 wide gangs, room for eight at once, all start in a minute" *
+        doctest::test_suite("many_gangs"))
+{
+    submit_gangs(32);
+    run_tenths(600);
+    CHECK(waiting_.size() == 0);
+}
+
+// Guards against the same with fewer gangs: parts that can't reserve room
+// renewed their tickets, and delayed the requests of those that hold theirs.
+TEST_CASE_FIXTURE(
+    many_gangs_fixture,
+    "16 wide gangs, room for eight at once, all start in a minute")
+{
+    submit_gangs(16);
+    run_tenths(600);
+    CHECK(waiting_.size() == 0);
 }
 
 } // namespace
