Let more long requests to the policy service be in flight in large cells

Cause: a planner has at most four long requests in flight, whatever the number of hosts. After the return of all hosts every stage needs tickets, a reply takes 0.4 to 0.8 s, and 6 replies a second reached the shard, half of them for offers of other shards. Each host may have one request of its own served at a time, so most of the 32 hosts without a shard were idle.

Change: the new system limit_advice divides the hosts that own nothing among the shards, once a second; 4 as before at least, 16 at most.

--- a/cell/node.cpp
+++ b/cell/node.cpp
@@ -44,12 +44,13 @@
 namespace
 {
 
-constexpr std::array<system_entry, 17> list_systems = {{
+constexpr std::array<system_entry, 18> list_systems = {{
     {"apply_events", &apply_events},
     {"follow_members", &follow_members},
     {"lay_out_domains", &lay_out_domains},
     {"claim_shards", &claim_shards},
     {"load_shards", &load_shards},
+    {"limit_advice", &limit_advice},
     {"drive_planners", &drive_planners},
     {"offer_stages", &offer_stages},
     {"delegate_tasks", &delegate_tasks},
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -88,6 +88,7 @@
     table<organisation_id, allotment_row> allotments_; // how limits are divided
     std::map<organisation_id, active_limit_claim> turns_; // active claims
     instant choose_claims_at_; // next choice of active claims
+    instant advice_limit_at_;  // next count of the hosts that may send requests
 
     table<job_id, delegation_row>   delegations_;    // of owned jobs
     std::map<std::uint64_t, job_id> delegate_calls_; // call to delegation
@@ -132,6 +133,7 @@
 void lay_out_domains(node& context); // divides domains into shards
 void claim_shards(node& context);    // claims shards without an owner
 void load_shards(node& context);     // fences and reads claimed shards
+void limit_advice(node& context);    // requests in flight of each planner
 void drive_planners(node& context);  // ticks of planners and their orders
 void offer_stages(node& context);    // offers stages that their shard can't run
 void delegate_tasks(node& context);  // moves tasks without room to other shards
--- a/cell/owned_row.hpp
+++ b/cell/owned_row.hpp
@@ -33,7 +33,8 @@
     std::uint64_t             request_ = 0; // writes the owner row, 0: none
     bool                      plan_needed_ = false;
     instant                   plan_after_; // next tick of the planner
-    bool                      releasing_ = false;
+    std::uint32_t advice_limit_ = 0;       // of long requests; 0: not set yet
+    bool          releasing_ = false;
     bool release_unconfirmed_ = false; // without a reply, may take effect
 
     grant_ledger grants_;
--- a/plan/apply_events.cpp
+++ b/plan/apply_events.cpp
@@ -76,6 +76,11 @@
     context.on_time_ = input.on_time_;
 }
 
+void apply(planner& context, advice_limit_changed const& input)
+{
+    context.max_long_requests_ = input.long_requests_;
+}
+
 // 2. Targets
 
 void apply(planner& context, target_set const& input)
--- a/plan/event.hpp
+++ b/plan/event.hpp
@@ -4,6 +4,7 @@
 
 #include "plan/advice_failed.hpp"
 #include "plan/advice_given.hpp"
+#include "plan/advice_limit_changed.hpp"
 #include "plan/delegate_ended.hpp"
 #include "plan/domain_service_changed.hpp"
 #include "plan/job_added.hpp"
@@ -36,7 +37,8 @@
                  job_canceled, job_dropped, job_offered, run_confirmed,
                  run_refused, run_ended, run_seen, advice_given, advice_failed,
                  tasks_delegated, delegate_ended, on_time_changed,
-                 unreported_ends_settled, part_ordered, part_withdrawn>;
+                 unreported_ends_settled, part_ordered, part_withdrawn,
+                 advice_limit_changed>;
 
 } // namespace fescuevane::plan
 
--- a/plan/request_advice.cpp
+++ b/plan/request_advice.cpp
@@ -37,10 +37,9 @@
 
 bool may_request(planner const& context, bool is_long)
 {
-    return is_long
-               ? context.long_requests_ < context.settings_.max_long_requests_
-               : context.short_requests_ <
-                     context.settings_.max_short_requests_;
+    return is_long ? context.long_requests_ < context.max_long_requests_
+                   : context.short_requests_ <
+                         context.settings_.max_short_requests_;
 }
 
 bool is_long_request(planner const& context, advice_policy const& advice)
--- a/tests/unit/cell_advice_test.cpp
+++ b/tests/unit/cell_advice_test.cpp
@@ -90,5 +90,44 @@
           std::vector<std::string>{"127.0.0.1:7002", "127.0.0.1:7002"});
 }
 
+// Guards against tasks that wait for tickets beside free targets while most
+// hosts of a large cell are idle.
+TEST_CASE_FIXTURE(
+    advice_proxy_fixture,
+    "twelve idle hosts and two shards, many long requests, six are "
+    "in flight")
+{
+    for (int host = 4; host <= 14; ++host)
+    {
+        std::string const name = "host-" + std::to_string(host);
+        post(member_row_changed{
+            {{"member", "", "host/" + name},
+             write_host({"127.0.0.1:" + std::to_string(7000 + host),
+                         domain_id("east"), 1, 5}),
+             ++revision_}});
+    }
+    for (char const* const target : {"t-2", "t-3", "t-4"})
+    {
+        list_target(target);
+    }
+    for (int round = 0; round < 12; ++round) // longer than between two counts
+    {
+        for (int host = 3; host <= 14; ++host)
+        {
+            post(heartbeat_received{
+                {.host_ = host_id("host-" + std::to_string(host)),
+                 .incarnation_ = 5}});
+        }
+        run_cell(100'000);
+    }
+    take<send_question>();
+    for (int job = 0; job < 9; ++job)
+    {
+        submit_check("aa" + std::to_string(10 + job));
+    }
+    run(100'000);
+    CHECK(list_advice_proxies().size() == 6);
+}
+
 } // namespace
 } // namespace fescuevane::cell
--- a/tests/unit/plan_advice_test.cpp
+++ b/tests/unit/plan_advice_test.cpp
@@ -76,6 +76,27 @@
     }
 }
 
+// Guards against tasks that wait for tickets beside free targets while most
+// hosts of a large cell, which could query the policy service, are idle.
+TEST_CASE_FIXTURE(
+    advice_fixture,
+    "limit of long requests raised, many stages wait, as many are "
+    "asked about")
+{
+    constexpr std::uint32_t limit = 7;
+    for (int target = 0; target < 20; ++target)
+    {
+        set_target("t-" + std::to_string(10 + target));
+    }
+    post(advice_limit_changed{limit});
+    for (int job = 0; job < 9; ++job)
+    {
+        add_check("c-" + std::to_string(job), 1);
+    }
+    tick();
+    CHECK(list<advice_request>().size() == limit);
+}
+
 // Guards against tickets that expire unused and load the policy service while
 // other stages could start. It happens when each waiting stage requests tickets
 // for the same room.
