Go on loading a shard after a reply without a usable row

Found in review: a reply that is truncated and whose rows all had to be left out counted as the end of the table, so a takeover lost the jobs after them.

Change: only a reply that is neither truncated nor full ends the table. Without a key to go on from, the read is repeated after a pause with twice the rows.

--- a/cell/drive_planners.cpp
+++ b/cell/drive_planners.cpp
@@ -189,7 +189,14 @@
         part.load_from_ = row.key_.key_ + '!'; // after this key
     }
     bool const is_full = reply.rows_.size() >= part.load_rows_;
-    part.loaded_ = reply.rows_.empty() || (!reply.truncated_ && !is_full);
+    part.loaded_ = !reply.truncated_ && !is_full;
+    if (reply.truncated_ && reply.rows_.empty())
+    {
+        // All rows had to be left out, so there is no key to go on from. A
+        // larger read reaches later ones.
+        part.retry_at_ =
+            context.now_.after(context.settings_.store_retry_micros_);
+    }
     part.load_rows_ =
         std::min(2 * part.load_rows_, context.settings_.load_rows_max_);
     finish_loading(context, request.shard_);
--- a/tests/unit/cell_loading_test.cpp
+++ b/tests/unit/cell_loading_test.cpp
@@ -19,6 +19,7 @@
     static constexpr int job_count = 120;
     std::size_t          carried_rows_ = 10;
     std::size_t          largest_reply_ = 0; // in rows, of those that arrived
+    std::size_t          unusable_rows_ = 0; // first ones, left out of replies
 
     slow_link_fixture()
     {
@@ -56,19 +57,30 @@
     void answer_job_read(store_read const& read)
     {
         std::vector<stored_row> found;
+        std::size_t             passed = 0; // rows of the table
+        std::size_t             read_rows = 0;
         bool                    truncated = false;
         for (auto const& [key, row] : rows_)
         {
-            if (key.table_ != "job" || key.key_ < read.from_)
+            if (key.table_ != "job")
             {
                 continue;
             }
-            truncated = read.limit_ > 0 && found.size() == read.limit_;
+            bool const usable = passed++ >= unusable_rows_;
+            if (key.key_ < read.from_)
+            {
+                continue;
+            }
+            truncated = read.limit_ > 0 && read_rows == read.limit_;
             if (truncated)
             {
                 break;
             }
-            found.push_back(row);
+            ++read_rows;
+            if (usable)
+            {
+                found.push_back(row);
+            }
         }
         if (found.size() > carried_rows_)
         {
@@ -141,6 +153,24 @@
     CHECK(largest_reply_ > 10);
 }
 
+// Guards against jobs that are lost to a takeover: a reply whose rows all had
+// to be left out was taken for the end of the table.
+TEST_CASE_FIXTURE(slow_link_fixture,
+                  "first reply without a usable row, shard claimed, later jobs "
+                  "are known")
+{
+    carried_rows_ = job_count;
+    unusable_rows_ = settings_.load_rows_first_;
+    run_until_serving(15 * micros_per_second);
+    REQUIRE(is_serving());
+    auto const call =
+        ask(call_kind::lookup, "aa" + std::to_string(1000 + job_count - 1));
+    reads_lost_ = true; // of a look-up of the row
+    run(50'000);
+    REQUIRE(find_answer(call));
+    CHECK(find_answer(call)->outcome_ == job_outcome::known);
+}
+
 // Guards against a job that is missed at the border of two reads.
 TEST_CASE_FIXTURE(slow_link_fixture,
                   "as many jobs as a read may return, shard claimed, the last "
