Bound what one job with many occurrences does to its owner

A job with 20,160 occurrences due was accepted, and no host of the cell answered any more.

Cause: all due occurrences were opened in one tick, and for each of them every step of every open occurrence was looked at again. close_job and write_progress walked all occurrences, too.

Change: the next occurrence opens while few tasks of the job wait to start, a bounded number in each tick (decision 0016). The stages of a job are found by its open ones. Progress keeps ended steps and done tasks as ranges, and tasks with the same progress share an entry of the row. Rows of earlier versions are read. A run, an end or a delegate of an occurrence that isn't open yet opens it, so that a later owner with fewer open occurrences neither stops the run nor drops the end.

Also fixed: the delegate of a task that was reported as done here stayed in the row of its job after it had ended.

--- a/cell/records.hpp
+++ b/cell/records.hpp
@@ -10,6 +10,7 @@
 #include "cell/owner_record.hpp"
 #include "cell/row_key.hpp"
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -32,10 +33,12 @@
 granted_targets read_grants(std::string const& text);
 
 // The specification of a job never changes, so its encoded text is kept and
-// joined with the progress.
+// joined with the progress. Checkpoints that don't fit in `max_bytes` are left
+// out; nothing else is, so the text may be longer.
 std::string write_spec(staged_job const& job);
 std::string write_job(shard_id const& shard, std::string const& spec_text,
-                      job_progress const& progress);
+                      job_progress const& progress,
+                      std::size_t         max_bytes = std::string::npos);
 job_record  read_job(std::string const& text);
 // False when the text certainly belongs to a job of another shard. Checks only
 // the first field, which costs much less than parsing the whole text.
--- a/plan/answer_offers.cpp
+++ b/plan/answer_offers.cpp
@@ -252,9 +252,10 @@
     job_row row;
     row.spec_ = input.job_;
     row.accepted_at_ = input.accepted_at_;
+    row.next_occurrence_ = 1;
     context.jobs_.ensure(job.id_) = std::move(row);
     context.estimates_.emplace(context.now_, job.id_);
-    open_occurrence(context, job.id_);
+    open_occurrence(context, job.id_, 0);
     context.stages_.find({job.id_, 0, 0})->tickets_ = std::move(tickets);
 }
 
--- a/plan/apply_events.cpp
+++ b/plan/apply_events.cpp
@@ -146,6 +146,20 @@
     return false;
 }
 
+// Opens the occurrences that a former owner of a timed job had opened.
+void open_stored(planner& context, job_added const& input)
+{
+    job_id const& id = input.job_->id_;
+    for (task_progress const& task : input.progress_.tasks_)
+    {
+        open_reported(context, {id, task.occurrence_, task.step_});
+    }
+    for (auto const& [place, tasks] : input.progress_.done_tasks_)
+    {
+        open_reported(context, {id, place.first, place.second});
+    }
+}
+
 void apply(planner& context, job_added const& input)
 {
     if (context.jobs_.contains(input.job_->id_))
@@ -159,9 +173,11 @@
     job.recovered_ = input.recovered_;
     job.over_rate_ = !input.recovered_ && !input.job_->alias_ &&
                      exceeds_rate(context, input.job_->organisation_);
+    job.ended_steps_ = input.progress_.ended_steps_;
+    job.closed_done_ = input.progress_.done_tasks_;
     for (task_progress const& task : input.progress_.tasks_)
     {
-        job.closed_progress_[{task.occurrence_, task.step_}].push_back(task);
+        job.closed_tasks_[{task.occurrence_, task.step_}].push_back(task);
     }
     bool const open = !is_final(job.phase_);
     bool const timed = input.job_->repeat_count_ > 0;
@@ -172,7 +188,8 @@
     }
     if (open && !timed)
     {
-        open_occurrence(context, input.job_->id_);
+        context.jobs_.find(input.job_->id_)->next_occurrence_ = 1;
+        open_occurrence(context, input.job_->id_, 0);
         take_over_offer(context, input.job_->id_);
         if (is_part(*input.job_))
         {
@@ -182,6 +199,7 @@
     if (open && timed)
     {
         context.timed_.insert(input.job_->id_);
+        open_stored(context, input);
     }
 }
 
@@ -266,6 +284,7 @@
 
 void apply(planner& context, run_ended const& input)
 {
+    open_reported(context, input.run_.stage_);
     end_run(context, input.run_, input.target_, input.end_, input.checkpoint_);
     if (input.unread_)
     {
@@ -319,6 +338,7 @@
 
 void apply(planner& context, run_seen const& input)
 {
+    open_reported(context, input.run_.stage_);
     run_row const* const run = context.runs_.find(input.run_);
     if (run != nullptr && run->target_ != input.target_)
     {
--- a/plan/job_flow.cpp
+++ b/plan/job_flow.cpp
@@ -9,6 +9,7 @@
 #include "plan/job_flow.hpp"
 
 #include "core/attempt_count.hpp"
+#include "core/job_progress.hpp"
 #include "plan/parts.hpp"
 #include "plan/planner.hpp"
 #include "plan/room.hpp"
@@ -95,7 +96,7 @@
 }
 
 void append_stage_progress(stage_key const& key, stage_row const& stage,
-                           std::vector<task_progress>& output)
+                           job_progress& output)
 {
     for (std::uint32_t index = 0; index < stage.tasks_.size(); ++index)
     {
@@ -103,18 +104,23 @@
         auto const&      failed = stage.gang_failures_.empty() || index != 0
                                       ? task.failed_runs_
                                       : stage.gang_failures_;
-        if (task.done_ || !failed.empty() || !task.checkpoint_.empty() ||
-            !task.delegate_.empty())
+        if (task.done_)
+        {
+            output.done_tasks_[{key.occurrence_, key.step_}] += index;
+        }
+        if (!task.delegate_.empty() ||
+            (!task.done_ && (!failed.empty() || !task.checkpoint_.empty())))
         {
-            output.push_back({.occurrence_ = key.occurrence_,
-                              .step_ = key.step_,
-                              .index_ = index,
-                              .done_ = task.done_,
-                              .last_run_ = task.last_run_,
-                              .failed_runs_ = failed,
-                              .checkpoint_ = task.done_ ? "" : task.checkpoint_,
-                              .delegate_ = task.delegate_,
-                              .gang_run_ = task.delegate_run_});
+            output.tasks_.push_back(
+                {.occurrence_ = key.occurrence_,
+                 .step_ = key.step_,
+                 .index_ = index,
+                 .done_ = task.done_,
+                 .last_run_ = task.last_run_,
+                 .failed_runs_ = failed,
+                 .checkpoint_ = task.done_ ? "" : task.checkpoint_,
+                 .delegate_ = task.delegate_,
+                 .gang_run_ = task.delegate_run_});
         }
     }
 }
@@ -154,125 +160,234 @@
            (job.alias_ ? job.alias_->first_run_ : 0);
 }
 
-void open_occurrence(planner& context, job_id const& id)
+bool is_opened(job_row const& job, std::uint32_t occurrence)
 {
-    job_row*            job = context.jobs_.find(id);
-    std::uint32_t const occurrence = job->next_occurrence_++;
-    for (std::uint32_t step = 0; step < job->spec_->steps_.size(); ++step)
+    return occurrence < job.next_occurrence_ ||
+           job.opened_early_.contains(occurrence);
+}
+
+bool is_due(planner const& context, job_row const& job,
+            std::uint32_t occurrence)
+{
+    staged_job const& spec = *job.spec_;
+    return spec.repeat_count_ == 0 ||
+           spec.first_due_unix_ms_ + spec.interval_ms_ * occurrence -
+                   context.settings_.early_start_ms_ <=
+               context.unix_ms_;
+}
+
+namespace
+{
+
+bool has_ended(job_row const& job, std::uint32_t occurrence, std::uint32_t step)
+{
+    auto const ended = job.ended_steps_.find(step);
+    return ended != job.ended_steps_.end() &&
+           boost::icl::contains(ended->second, occurrence);
+}
+
+std::vector<task_cell> make_tasks(planner const& context, job_row const& job,
+                                  step_spec const& spec)
+{
+    std::vector<task_cell> tasks(spec.count_);
+    for (std::uint32_t index = 0; index < spec.count_; ++index)
     {
-        step_spec const& spec = job->spec_->steps_[step];
-        stage_row        stage;
-        stage.spec_ = job->spec_;
-        std::vector<task_cell> tasks(spec.count_);
-        for (std::uint32_t index = 0; index < spec.count_; ++index)
+        task_cell& task = tasks[index];
+        task.last_run_ = find_first_run(context, *job.spec_);
+        task.waiting_since_ = context.now_;
+        if (job.spec_->alias_)
         {
-            task_cell& task = tasks[index];
-            task.last_run_ = find_first_run(context, *job->spec_);
-            task.waiting_since_ = context.now_;
-            if (job->spec_->alias_)
-            {
-                task_alias const& alias = *job->spec_->alias_;
-                task.failures_ = alias.failures_.at(index);
-                task.checkpoint_ = alias.checkpoints_.at(index);
-            }
+            task_alias const& alias = *job.spec_->alias_;
+            task.failures_ = alias.failures_.at(index);
+            task.checkpoint_ = alias.checkpoints_.at(index);
         }
-        auto const stored = job->closed_progress_.find({occurrence, step});
-        if (stored != job->closed_progress_.end())
+    }
+    return tasks;
+}
+
+void restore_task(stage_row& stage, task_cell& task, bool is_gang,
+                  task_progress const& known)
+{
+    task.done_ = task.done_ || known.done_;
+    task.last_run_ = std::max(task.last_run_, known.last_run_);
+    task.checkpoint_ = known.checkpoint_;
+    task.delegate_ = known.delegate_;
+    task.delegate_run_ = known.gang_run_;
+    // Failures of a gang are stored with its first task only.
+    if (!known.failed_runs_.empty())
+    {
+        (is_gang ? stage.gang_failures_ : task.failed_runs_) =
+            known.failed_runs_;
+    }
+}
+
+// Moves the stored progress of a stage into its tasks.
+void restore_progress(job_row& job, stage_key const& key, stage_row& stage,
+                      std::vector<task_cell>& tasks)
+{
+    std::pair const place(key.occurrence_, key.step_);
+    if (auto const done = job.closed_done_.extract(place))
+    {
+        for (auto const& range : done.mapped())
         {
-            for (task_progress const& known : stored->second)
+            for (std::size_t index = range.lower();
+                 index < std::min<std::size_t>(range.upper(), tasks.size());
+                 ++index)
             {
-                if (known.index_ >= spec.count_)
-                {
-                    continue;
-                }
-                task_cell& task = tasks[known.index_];
-                task.done_ = known.done_;
-                task.last_run_ = std::max(task.last_run_, known.last_run_);
-                task.checkpoint_ = known.checkpoint_;
-                task.delegate_ = known.delegate_;
-                task.delegate_run_ = known.gang_run_;
-                // Failures of a gang are stored with its first task only.
-                if (!known.failed_runs_.empty())
-                {
-                    (spec.gang_ ? stage.gang_failures_ : task.failed_runs_) =
-                        known.failed_runs_;
-                }
-                stage.done_ += known.done_ ? 1 : 0;
+                tasks[index].done_ = true;
             }
         }
-        if (stage.done_ == spec.count_)
-        {
-            continue; // has ended, stays in `closed_progress_`
-        }
-        job->closed_progress_.erase({occurrence, step});
-        if (spec.gang_)
+    }
+    if (auto const stored = job.closed_tasks_.extract(place))
+    {
+        bool const is_gang = job.spec_->steps_[key.step_].gang_;
+        for (task_progress const& known : stored.mapped())
         {
-            share_checkpoint(tasks);
+            if (known.index_ < tasks.size())
+            {
+                restore_task(stage, tasks[known.index_], is_gang, known);
+            }
         }
-        stage.tasks_ = task_list(std::move(tasks));
-        context.stages_.ensure({id, occurrence, step}) = std::move(stage);
-        ++job->open_stages_;
     }
-    start_successors(context, id);
+    stage.done_ =
+        static_cast<std::uint32_t>(std::count_if(tasks.begin(), tasks.end(),
+                                                 [](task_cell const& task)
+                                                 {
+                                                     return task.done_;
+                                                 }));
 }
 
-void start_successors(planner& context, job_id const& id)
+void open_stage(planner& context, stage_key const& key)
+{
+    job_row& job = *context.jobs_.find(key.job_);
+    if (has_ended(job, key.occurrence_, key.step_))
+    {
+        return;
+    }
+    step_spec const&       spec = job.spec_->steps_[key.step_];
+    std::vector<task_cell> tasks = make_tasks(context, job, spec);
+    stage_row              stage;
+    stage.spec_ = job.spec_;
+    restore_progress(job, key, stage, tasks);
+    if (stage.done_ == spec.count_)
+    {
+        job.ended_steps_[key.step_] += key.occurrence_;
+        return;
+    }
+    if (spec.gang_)
+    {
+        share_checkpoint(tasks);
+    }
+    stage.tasks_ = task_list(std::move(tasks));
+    context.stages_.ensure(key) = std::move(stage);
+    job.open_stages_.emplace(key.occurrence_, key.step_);
+    job.open_tasks_ += spec.count_;
+}
+
+} // namespace
+
+void open_occurrence(planner& context, job_id const& id,
+                     std::uint32_t occurrence)
+{
+    std::size_t const steps = context.jobs_.find(id)->spec_->steps_.size();
+    for (std::uint32_t step = 0; step < steps; ++step)
+    {
+        open_stage(context, {id, occurrence, step});
+    }
+    start_successors(context, id, occurrence);
+}
+
+void open_reported(planner& context, stage_key const& stage)
+{
+    job_row* const job = context.jobs_.find(stage.job_);
+    if (job != nullptr && !is_final(job->phase_) &&
+        stage.occurrence_ < count_occurrences(*job) &&
+        !is_opened(*job, stage.occurrence_))
+    {
+        job->opened_early_.insert(stage.occurrence_);
+        open_occurrence(context, stage.job_, stage.occurrence_);
+    }
+}
+
+void start_successors(planner& context, job_id const& id,
+                      std::uint32_t occurrence)
 {
     if (context.offers_.contains(id))
     {
         return; // its tasks still belong to another shard
     }
     job_row const& job = *context.jobs_.find(id);
-    for (std::uint32_t occurrence = 0; occurrence < job.next_occurrence_;
-         ++occurrence)
+    if (!is_due(context, job, occurrence))
     {
-        for (std::uint32_t step = 0; step < job.spec_->steps_.size(); ++step)
+        return;
+    }
+    for (auto place = job.open_stages_.lower_bound({occurrence, 0});
+         place != job.open_stages_.end() && place->first == occurrence; ++place)
+    {
+        stage_row& stage =
+            *context.stages_.find({id, occurrence, place->second});
+        if (stage.startable_)
         {
-            stage_row* const stage =
-                context.stages_.find({id, occurrence, step});
-            if (stage == nullptr || stage->startable_)
-            {
-                continue;
-            }
-            auto const& after = job.spec_->steps_[step].after_;
-            stage->startable_ = std::none_of(
-                after.begin(), after.end(),
-                [&](std::uint32_t before)
-                {
-                    return context.stages_.contains({id, occurrence, before});
-                });
-            stage->tasks_.change_all(
-                [&context](task_cell& task)
-                {
-                    task.waiting_since_ = context.now_;
-                });
+            continue;
         }
+        auto const& after = job.spec_->steps_[place->second].after_;
+        stage.startable_ = std::none_of(
+            after.begin(), after.end(),
+            [&](std::uint32_t before)
+            {
+                return job.open_stages_.contains({occurrence, before});
+            });
+        stage.tasks_.change_all(
+            [&context](task_cell& task)
+            {
+                task.waiting_since_ = context.now_;
+            });
     }
 }
 
-namespace
-{
-
-// A job is complete when every occurrence was opened and no stage is open.
 void finish_job_if_complete(planner& context, job_id const& id)
 {
-    job_row& job = *context.jobs_.find(id);
-    if (job.open_stages_ == 0 && job.next_occurrence_ == count_occurrences(job))
+    job_row const& job = *context.jobs_.find(id);
+    if (job.open_stages_.empty() &&
+        job.next_occurrence_ == count_occurrences(job))
     {
         close_job(context, id, job_phase::completed);
     }
 }
 
-void close_stage(planner& context, stage_key const& key)
+namespace
+{
+
+// Removes a stage from the tables.
+void remove_stage(planner& context, job_row& job, stage_key const& key)
 {
-    job_row&                   job = *context.jobs_.find(key.job_);
-    std::vector<task_progress> tasks;
-    append_stage_progress(key, *context.stages_.find(key), tasks);
-    job.closed_progress_[{key.occurrence_, key.step_}] = std::move(tasks);
     close_advice_requests(context, *context.stages_.find(key));
     context.stages_.remove(key);
-    --job.open_stages_;
-    start_successors(context, key.job_);
+    job.open_stages_.erase({key.occurrence_, key.step_});
+    job.open_tasks_ -= job.spec_->steps_[key.step_].count_;
+}
+
+// A later owner has to end the delegates of tasks that were reported as done
+// after they were delegated.
+void keep_delegated(job_row& job, stage_key const& key, stage_row const& stage)
+{
+    job_progress progress;
+    append_stage_progress(key, stage, progress);
+    if (!progress.tasks_.empty())
+    {
+        job.closed_tasks_[{key.occurrence_, key.step_}] =
+            std::move(progress.tasks_);
+    }
+}
+
+void close_stage(planner& context, stage_key const& stage)
+{
+    stage_key const key = stage; // the argument may belong to a removed row
+    job_row&        job = *context.jobs_.find(key.job_);
+    keep_delegated(job, key, *context.stages_.find(key));
+    job.ended_steps_[key.step_] += key.occurrence_;
+    remove_stage(context, job, key);
+    start_successors(context, key.job_, key.occurrence_);
     finish_job_if_complete(context, key.job_);
 }
 
@@ -296,22 +411,14 @@
         return;
     }
     job.phase_ = phase;
-    for (std::uint32_t occurrence = 0; occurrence < job.next_occurrence_;
-         ++occurrence)
+    while (!job.open_stages_.empty())
     {
-        for (std::uint32_t step = 0; step < job.spec_->steps_.size(); ++step)
-        {
-            stage_key const  key{id, occurrence, step};
-            stage_row* const stage = context.stages_.find(key);
-            if (stage != nullptr)
-            {
-                close_advice_requests(context, *stage);
-            }
-            context.stages_.remove(key);
-        }
+        auto const [occurrence, step] = *job.open_stages_.begin();
+        remove_stage(context, job, {id, occurrence, step});
     }
-    job.open_stages_ = 0;
-    job.closed_progress_.clear();
+    job.ended_steps_.clear();
+    job.closed_tasks_.clear();
+    job.closed_done_.clear();
     for (run_key const& run : list_runs(context, id))
     {
         order_stop(context, run, "job ended");
@@ -851,14 +958,42 @@
     }
 }
 
+// Removes the delegate of tasks of an ended stage.
+void drop_closed_delegate(planner& context, stage_key const& key,
+                          job_id const& delegate)
+{
+    job_row* const job = context.jobs_.find(key.job_);
+    if (job == nullptr)
+    {
+        return;
+    }
+    auto const tasks = job->closed_tasks_.find({key.occurrence_, key.step_});
+    if (tasks == job->closed_tasks_.end())
+    {
+        return;
+    }
+    std::erase_if(tasks->second,
+                  [&delegate](task_progress const& task)
+                  {
+                      return task.delegate_ == delegate;
+                  });
+    if (tasks->second.empty())
+    {
+        job->closed_tasks_.erase(tasks);
+    }
+    context.outbox_.push_back(job_changed{key.job_});
+}
+
 } // namespace
 
 void end_delegate(planner& context, stage_key const& key,
                   job_id const& delegate, job_phase phase)
 {
+    open_reported(context, key);
     stage_row* const stage = context.stages_.find(key);
     if (stage == nullptr)
     {
+        drop_closed_delegate(context, key, delegate);
         return;
     }
     std::uint32_t gang_run = 0; // 0: not a part of a gang
--- a/plan/job_flow.hpp
+++ b/plan/job_flow.hpp
@@ -14,8 +14,8 @@
 
 namespace fescuevane
 {
+struct job_progress;
 struct staged_job;
-struct task_progress;
 } // namespace fescuevane
 
 namespace fescuevane::plan
@@ -41,21 +41,39 @@
 void close_advice_request(planner& context, stage_row& stage);
 void close_advice_requests(planner& context, stage_row& stage);
 
-// Appends the progress of those tasks of a stage that are done, delegated, or
-// have a failure or a checkpoint.
+// Adds the progress of those tasks of a stage that are done, delegated, or have
+// a failure or a checkpoint.
 void append_stage_progress(stage_key const& key, stage_row const& stage,
-                           std::vector<task_progress>& output);
+                           job_progress& output);
 
 // Lower bound of the run numbers of a job: this owner's runs have higher ones.
 // The numbers of a delegated job begin above those of the shard that delegated
 // it, and each owner of this shard has a range of its own above them.
 std::uint32_t find_first_run(planner const& context, staged_job const& job);
 
-// Opens the stages of the next occurrence of a job.
-void open_occurrence(planner& context, job_id const& job);
+// True once the stages of an occurrence were opened, also after they ended.
+bool is_opened(job_row const& job, std::uint32_t occurrence);
 
-// Marks stages as startable when all of their predecessors have ended.
-void start_successors(planner& context, job_id const& job);
+// True when the tasks of an occurrence may start.
+bool is_due(planner const& context, job_row const& job,
+            std::uint32_t occurrence);
+
+// Opens those stages of an occurrence that haven't ended. The occurrence must
+// not have been opened before.
+void open_occurrence(planner& context, job_id const& job,
+                     std::uint32_t occurrence);
+
+// Opens the occurrence of a stage that a target or another shard reported, if
+// the job has it and it isn't open. A former owner may have opened it earlier.
+void open_reported(planner& context, stage_key const& stage);
+
+// Marks stages of an occurrence as startable when it is due and all of their
+// predecessors have ended.
+void start_successors(planner& context, job_id const& job,
+                      std::uint32_t occurrence);
+
+// Completes a job when every occurrence was opened and no stage is open.
+void finish_job_if_complete(planner& context, job_id const& job);
 
 // Orders the start of a run and charges it to its target and organisation.
 void begin_run(planner& context, run_key const& run, target_id const& target,
--- a/plan/job_row.hpp
+++ b/plan/job_row.hpp
@@ -2,6 +2,7 @@
 #ifndef FESCUEVANE_PLAN_JOB_ROW_HPP
 #define FESCUEVANE_PLAN_JOB_ROW_HPP
 
+#include "core/index_ranges.hpp"
 #include "core/instant.hpp"
 #include "core/job_phase.hpp"
 #include "core/job_progress.hpp"
@@ -10,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -25,7 +27,14 @@
     bool          over_rate_ = false;   // above its organisation's rate
     std::uint32_t runs_ = 0;            // its rows in the run table
     std::uint32_t next_occurrence_ = 0; // first one that isn't open yet
-    std::uint32_t open_stages_ = 0;     // its rows in the stage table
+    std::uint64_t open_tasks_ = 0;      // tasks of its open stages
+
+    // Occurrences from `next_occurrence_` on that are open, since a target
+    // reported a run of them.
+    std::set<std::uint32_t> opened_early_;
+
+    // Its rows in the stage table, by occurrence and step.
+    std::set<std::pair<std::uint32_t, std::uint32_t>> open_stages_;
 
     // Expected milliseconds from the start of each step to the end of the last
     // step that depends on it; that of the job is the longest one.
@@ -33,11 +42,17 @@
     double              critical_path_ms_ = 0;
     instant             critical_paths_until_; // next estimate after
 
-    // Progress of stages that aren't open: ended ones, and recovered ones that
-    // haven't been opened yet.
+    // Occurrences in which a step has ended, by step.
+    std::map<std::uint32_t, index_ranges> ended_steps_;
+
+    // Progress in stages that aren't open, by occurrence and step: all stored
+    // progress of those that haven't been opened yet, and delegated tasks of
+    // ended ones.
     std::map<std::pair<std::uint32_t, std::uint32_t>,
              std::vector<task_progress>>
-        closed_progress_;
+        closed_tasks_;
+    std::map<std::pair<std::uint32_t, std::uint32_t>, index_ranges>
+        closed_done_;
 };
 
 } // namespace fescuevane::plan
--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -127,26 +127,17 @@
     {
         return progress;
     }
-    for (auto const& [place, tasks] : row.closed_progress_)
+    progress.ended_steps_ = row.ended_steps_;
+    progress.done_tasks_ = row.closed_done_;
+    for (auto const& [place, tasks] : row.closed_tasks_)
     {
-        if (!context.stages_.contains({job, place.first, place.second}))
-        {
-            progress.tasks_.insert(progress.tasks_.end(), tasks.begin(),
-                                   tasks.end());
-        }
+        progress.tasks_.insert(progress.tasks_.end(), tasks.begin(),
+                               tasks.end());
     }
-    for (std::uint32_t occurrence = 0; occurrence < row.next_occurrence_;
-         ++occurrence)
+    for (auto const& [occurrence, step] : row.open_stages_)
     {
-        for (std::uint32_t step = 0; step < row.spec_->steps_.size(); ++step)
-        {
-            stage_key const  key{job, occurrence, step};
-            stage_row const* stage = context.stages_.find(key);
-            if (stage != nullptr)
-            {
-                append_stage_progress(key, *stage, progress.tasks_);
-            }
-        }
+        stage_key const key{job, occurrence, step};
+        append_stage_progress(key, *context.stages_.find(key), progress);
     }
     return progress;
 }
@@ -185,6 +176,10 @@
 // Long enough for a reservation here to succeed on most busy shards.
 constexpr std::int64_t long_running_move_micros = 4'000'000;
 
+// Tasks of a stage that move to another shard as one job, unless they are a
+// gang: the row of that job names each of them.
+constexpr std::size_t max_moved_tasks = 500;
+
 // Indices of the tasks that have waited for at least `micros`.
 std::vector<std::uint32_t> list_waiting(stage_row const& stage, instant now,
                                         std::int64_t micros)
@@ -204,6 +199,11 @@
     return indices;
 }
 
+void limit_moved(overflow& tasks)
+{
+    tasks.indices_.resize(std::min(tasks.indices_.size(), max_moved_tasks));
+}
+
 // Time since which all of the tasks have been waiting.
 instant find_waiting_since(stage_row const& stage, overflow const& tasks)
 {
@@ -262,6 +262,7 @@
             {
                 tasks.blocked_ = true;
                 tasks.indices_ = std::move(overdue);
+                limit_moved(tasks);
                 found.push_back(std::move(tasks));
                 continue;
             }
@@ -275,6 +276,10 @@
                                                            advice_reply_micros(
                                                                context, job));
         }
+        if (!step.gang_)
+        {
+            limit_moved(tasks);
+        }
         if (!tasks.indices_.empty() &&
             (!step.gang_ || tasks.indices_.size() == stage.tasks_.size()))
         {
@@ -303,6 +308,10 @@
     {
         return std::nullopt;
     }
+    if (!step.gang_)
+    {
+        limit_moved(tasks);
+    }
     tasks.since_ = find_waiting_since(*stage, tasks);
     tasks.blocked_ = is_blocked(context, view_stage(context, key));
     return tasks;
@@ -356,7 +365,7 @@
     }
     // A stage that hasn't been opened yet may still have delegated tasks.
     job_row const* const job = context.jobs_.find(key.job_);
-    return job != nullptr && key.occurrence_ < job->next_occurrence_;
+    return job != nullptr && is_opened(*job, key.occurrence_);
 }
 
 bool is_task_open(planner const& context, stage_key const& key,
@@ -369,7 +378,7 @@
     }
     job_row const* const job = context.jobs_.find(key.job_);
     return job == nullptr ||
-           (!is_final(job->phase_) && key.occurrence_ >= job->next_occurrence_);
+           (!is_final(job->phase_) && !is_opened(*job, key.occurrence_));
 }
 
 std::shared_ptr<staged_job const> make_delegate(planner const&  context,
--- a/tests/unit/cell_records_test.cpp
+++ b/tests/unit/cell_records_test.cpp
@@ -65,6 +65,21 @@
             {"spec", make_spec()}};
 }
 
+// As written since tasks with the same progress share an entry.
+json make_grouped_job()
+{
+    json spec = make_spec();
+    spec["repeat"] = 4;
+    return {
+        {"shard", "east.0"},
+        {"phase", 1},
+        {"delegates", json::array()},
+        {"ended", {{0, {0, 2}}}},
+        {"groups", {{{"o", 2}, {"s", 0}, {"n", {1, 1}}, {"r", 3}, {"f", {1}}}}},
+        {"checkpoints", {{2, 0, 0, "c-1"}}},
+        {"spec", spec}};
+}
+
 json make_alias()
 {
     return {{"job", "bb01"},      {"occurrence", 0},
@@ -135,6 +150,11 @@
          {
              read_job(text);
          }},
+        {make_grouped_job(),
+         [](std::string const& text)
+         {
+             read_job(text);
+         }},
     };
 }
 
@@ -273,6 +293,29 @@
     }
 }
 
+TEST_CASE("row of a job, grouped progress of tasks that don't exist, refused")
+{
+    for (contradictory_value const& entry :
+         {contradictory_value{"/groups/0/n", {1, 2}},
+          contradictory_value{"/groups/0/n", {3, 1}},
+          contradictory_value{"/groups/0/n", {4'294'967'295U, 1}},
+          contradictory_value{"/groups/0/s", 1},
+          contradictory_value{"/groups/0/o", 4},
+          contradictory_value{"/ended/0/0", 1},
+          contradictory_value{"/ended/0/1", {0, 5}},
+          contradictory_value{"/ended", {7}},
+          contradictory_value{"/checkpoints/0", {2, 0, 2, "c-1"}},
+          contradictory_value{"/checkpoints/0", {2, 1, 0, "c-1"}},
+          contradictory_value{"/checkpoints/0", {4, 0, 0, "c-1"}},
+          contradictory_value{"/checkpoints/0", {2, 0, 0}}})
+    {
+        json row = make_grouped_job();
+        row[json::json_pointer(entry.path_)] = entry.value_;
+        CAPTURE(row.dump());
+        CHECK_THROWS_AS(read_job(row.dump()), record_error);
+    }
+}
+
 // Guards against a layout that makes each host of a cell create shards until
 // its memory is exhausted.
 TEST_CASE("row of a layout, too many shards, refused")
