--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -344,14 +344,16 @@
 void apply_answer(node& context, std::uint64_t call, job_answer const& answer);
 void open_call(node& context, std::uint64_t id, call_row call);
 void set_policies(node& context, shard_id const& shard);
-void mark_changed(node& context, job_id const& job, bool urgent);
-void expedite_write(node&             context,
-                    record_row const& record); // for waiting callers
-void add_waiting_call(node& context, record_row& record,
-                      waiting_call const& call);
-void answer_waiting(node& context, record_row& record, call_kind kind,
-                    job_outcome outcome);
-void keep_result(node& context, record_row& record); // until it expires
+// Longest text of a row, in bytes before its encoding for the store.
+std::size_t max_row_text(node const& context);
+void        mark_changed(node& context, job_id const& job, bool urgent);
+void        expedite_write(node&             context,
+                           record_row const& record); // for waiting callers
+void        add_waiting_call(node& context, record_row& record,
+                             waiting_call const& call);
+void        answer_waiting(node& context, record_row& record, call_kind kind,
+                           job_outcome outcome);
+void        keep_result(node& context, record_row& record); // until it expires
 
 } // namespace fescuevane::cell
 
--- a/cell/serve_calls.cpp
+++ b/cell/serve_calls.cpp
@@ -4,8 +4,8 @@
 //   1. Replies
 //   2. Submissions
 //   3. Look-ups and cancellations
+#include "cell/cell.hpp"
 #include "cell/node.hpp"
-
 #include "cell/records.hpp"
 
 #include <algorithm>
@@ -63,6 +63,12 @@
         answer_origin(context, from, refuse(context, job_outcome::unavailable));
         return;
     }
+    if (!fits_in_row(context, *call.job_))
+    {
+        log_event(context, "job_too_large", {{"job", call.id_.str()}});
+        answer_origin(context, from, refuse(context, job_outcome::unavailable));
+        return;
+    }
     record_row& record = context.records_.ensure(call.id_);
     record = record_row{.shard_ = call.shard_,
                         .part_ = part_of(context, call.id_),
--- a/cell/settings.hpp
+++ b/cell/settings.hpp
@@ -5,6 +5,7 @@
 #include "core/ids.hpp"
 #include "plan/settings.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -35,8 +36,12 @@
     // performs 150 transactions a second, some of which are left for urgent
     // writes.
     std::int64_t  journal_shard_micros_ = 12'000;
-    std::uint32_t journal_jobs_ = 30;                // in one transaction
-    std::int64_t  result_keep_micros_ = 180'000'000; // of ended jobs
+    std::uint32_t journal_jobs_ = 30; // in one transaction
+    // Limits of the store, in bytes of encoded values: of a row, and of all
+    // rows of a transaction with some space left for keys and conditions.
+    std::size_t  row_bytes_ = 65'536;
+    std::size_t  transaction_bytes_ = 900'000;
+    std::int64_t result_keep_micros_ = 180'000'000; // of ended jobs
     // Rows of jobs in one read of a takeover. A read without a reply is
     // repeated with half as many, and one that succeeds is followed by a read
     // of twice as many. With payloads of 4,000 bytes, 50 rows take about 1.2 s
--- a/cell/write_journal.cpp
+++ b/cell/write_journal.cpp
@@ -8,8 +8,8 @@
 //   1. Changes
 //   2. Transactions
 //   3. Replies
+#include "cell/cell.hpp"
 #include "cell/node.hpp"
-
 #include "cell/record_error.hpp"
 #include "cell/records.hpp"
 
@@ -80,6 +80,17 @@
 
 // 2. Transactions
 
+std::size_t max_row_text(node const& context)
+{
+    return context.settings_.row_bytes_ / 4 * 3;
+}
+
+bool fits_in_row(node const& context, staged_job const& job)
+{
+    // The other half is for the progress.
+    return write_spec(job).size() <= max_row_text(context) / 2;
+}
+
 namespace
 {
 
@@ -146,7 +157,63 @@
                      is_final(progress.phase_)
                          ? write_spec(staged_job{.id_ = record.job_->id_})
                          : record.spec_text_,
-                     progress);
+                     progress, max_row_text(context));
+}
+
+// Size of a text in the encoding of the store.
+std::size_t encoded_bytes(std::string const& text)
+{
+    return (text.size() + 2) / 3 * 4;
+}
+
+// The store refuses the row. The other jobs of the part are still written, and
+// the job is written again when its progress changes.
+void pass_over(node& context, journal_part& part, job_id const& job,
+               std::size_t bytes)
+{
+    part.dirty_.erase(job);
+    log_event(context, "row_too_large",
+              {{"job", job.str()},
+               {"bytes", std::to_string(bytes)},
+               {"limit", std::to_string(context.settings_.row_bytes_)}});
+}
+
+// Rows of one transaction, with their jobs.
+struct journal_batch
+{
+    std::vector<job_id>        jobs_;
+    std::vector<row_condition> conditions_;
+    std::vector<row_write>     writes_;
+};
+
+journal_batch write_rows(node& context, journal_part& part,
+                         std::vector<job_id> const& jobs)
+{
+    journal_batch batch;
+    std::size_t   bytes = 0;
+    for (job_id const& job : jobs)
+    {
+        record_row& record = *context.records_.find(job);
+        bool const  expired = record.expires_ <= context.now_;
+        std::string text = expired ? std::string() : write_row(context, record);
+        std::size_t const size = encoded_bytes(text);
+        if (size > context.settings_.row_bytes_)
+        {
+            pass_over(context, part, job, size);
+            continue;
+        }
+        bytes += size;
+        if (bytes > context.settings_.transaction_bytes_)
+        {
+            break; // the others stay dirty
+        }
+        record.written_ = record.changed_;
+        row_key const key = key_of(record);
+        batch.jobs_.push_back(job);
+        batch.conditions_.push_back({key, record.revision_});
+        batch.writes_.push_back({key, std::move(text), expired});
+    }
+    return batch;
 }
 
 void write_part(node& context, shard_id const& shard, std::uint32_t index)
@@ -160,31 +227,26 @@
         part.flush_at_ = instant::never();
         return;
     }
-    std::vector<row_condition> conditions = {
-        {write_fence_key(shard, index), part.fence_}};
-    std::vector<row_write> writes;
-    for (job_id const& job : jobs)
+    journal_batch batch = write_rows(context, part, jobs);
+    if (batch.jobs_.empty())
     {
-        record_row&   record = *context.records_.find(job);
-        row_key const key = key_of(record);
-        bool const    expired = record.expires_ <= context.now_;
-        record.written_ = record.changed_;
-        conditions.push_back({key, record.revision_});
-        writes.push_back({key,
-                          expired ? std::string() : write_row(context, record),
-                          expired});
+        part.flush_at_ = context.now_;
+        wake_at(context, context.now_);
+        return;
     }
+    batch.conditions_.insert(batch.conditions_.begin(),
+                             {write_fence_key(shard, index), part.fence_});
     part.request_ = next_request(context);
     part.flush_at_ = instant::never();
     context.requests_.ensure(part.request_) = {.kind_ = request_kind::journal,
                                                .shard_ = shard,
                                                .part_ = index,
-                                               .jobs_ = jobs,
+                                               .jobs_ = batch.jobs_,
                                                .sent_ = context.now_};
     context.outbox_.push_back(
         store_transact{.request_ = part.request_,
-                       .conditions_ = std::move(conditions),
-                       .writes_ = std::move(writes),
+                       .conditions_ = std::move(batch.conditions_),
+                       .writes_ = std::move(batch.writes_),
                        .deadline_ = store_deadline(context)});
 }
 
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -112,6 +112,24 @@
           cell::target_outcome::unknown);
 }
 
+// Guards against a job whose open occurrence exceeds the memory of a host.
+TEST_CASE("job, more tasks than a host can hold open, refused with the limit")
+{
+    staged_job const header{.id_ = job_id("aa01")};
+    auto const       write = [](std::size_t steps)
+    {
+        std::string body = R"({"steps":[)";
+        for (std::size_t step = 0; step < steps; ++step)
+        {
+            body += std::string(step == 0 ? "" : ",") + R"({"count":10000})";
+        }
+        return body + "]}";
+    };
+    CHECK_NOTHROW(decode_job(write(10), header));
+    CHECK_THROWS_WITH_AS(decode_job(write(11), header),
+                         "steps: at most 100000 tasks in all", platform_error);
+}
+
 TEST_CASE("settings, a key is missing or wrong, refused with its name")
 {
     std::string const good =
@@ -123,6 +141,14 @@
     CHECK(parse_settings(good, 5).cell_.lease_ms_ == 4000);
     CHECK(parse_settings(good + "policy_service: '10.0.0.8:80'\n", 5)
               .policy_service_ == "10.0.0.8:80");
+    CHECK(parse_settings(good, 5).cell_.row_bytes_ == 65'536);
+    CHECK(parse_settings(good + "row_bytes: 131072\n", 5).cell_.row_bytes_ ==
+          131'072);
+    for (char const* const bytes : {"0", "-1", "lots", "1e12"})
+    {
+        CHECK_THROWS_AS(parse_settings(good + "row_bytes: " + bytes, 5),
+                        platform_error);
+    }
     for (char const* const bad :
          {"[1]", "{", "host: a-1", "store: nowhere", "first_port: -1"})
     {
