Apply the policy under which a job was accepted once its queue is removed

Cause: the limit of attempts came from the planner's table of queues. A planner made before the removal kept the queue, one made after it took 1 for the limit.

Change: a job keeps the policy of its queue and the limit of its organisation with its specification. The configured queue applies while there is one, the accepted policy otherwise. Planners drop queues and limits that aren't configured, so that it doesn't matter when an owner started. The limit of an organisation that is no longer configured is that of its latest accepted job in the shard. Tasks of a job of an earlier version wait after a failed attempt until their queue is configured.

--- a/cell/cell.hpp
+++ b/cell/cell.hpp
@@ -70,6 +70,8 @@
 std::vector<std::pair<std::string, std::string>>
               describe_stop(node const& context);
 std::uint64_t config_version(node const& context);
+// Limit of an organisation in all shards, 0: unlimited or not configured.
+resources     limit_of(node const& context, organisation_id const& id);
 std::uint32_t max_body_bytes(node const& context);
 
 // False when a row of the store can't hold the job and its progress: its stored
--- a/cell/drive_planners.cpp
+++ b/cell/drive_planners.cpp
@@ -12,12 +12,61 @@
 #include "cell/records.hpp"
 
 #include <algorithm>
+#include <map>
+#include <set>
 
 namespace fescuevane::cell
 {
 
 // 1. Policies
 
+namespace
+{
+
+// Sets `removed_limits_` of an owned shard.
+void find_removed_organisations(node const& context, shard_id const& shard,
+                                owned_row& own)
+{
+    std::set<organisation_id> configured;
+    for (organisation_entry const& entry : context.config_->organisations_)
+    {
+        configured.insert(entry.share_.id_);
+    }
+    std::map<organisation_id, staged_job const*> latest;
+    for (record_row const& record : context.records_)
+    {
+        staged_job const& job = *record.job_;
+        if (record.shard_ != shard || !job.policy_ ||
+            job.organisation_.empty() || configured.contains(job.organisation_))
+        {
+            continue;
+        }
+        staged_job const*& known = latest[job.organisation_];
+        if (known == nullptr ||
+            known->accepted_unix_ms_ < job.accepted_unix_ms_)
+        {
+            known = &job;
+        }
+    }
+    own.removed_limits_.clear();
+    for (auto const& [id, job] : latest)
+    {
+        own.removed_limits_[id] = job->policy_->limit_;
+    }
+}
+
+} // namespace
+
+void set_configuration(node& context, shard_id const& shard)
+{
+    owned_row* const own = context.owned_.find(shard);
+    if (own != nullptr && context.config_)
+    {
+        find_removed_organisations(context, shard, *own);
+        set_policies(context, shard);
+    }
+}
+
 void set_policies(node& context, shard_id const& shard)
 {
     owned_row& own = *context.owned_.find(shard);
@@ -32,7 +81,12 @@
     }
     auto const shards = static_cast<double>(
         context.layouts_.size() * count_shards(context, shard.domain_));
-    std::vector<organisation_share>       organisations;
+    std::vector<organisation_share> organisations;
+    for (auto const& [id, limit] : own.removed_limits_)
+    {
+        organisations.push_back(
+            {id, 0, scale_limit(limit, find_part(context, shard, id))});
+    }
     std::vector<plan::active_limit_claim> turns;
     for (organisation_entry const& entry : context.config_->organisations_)
     {
@@ -144,6 +198,7 @@
                {"epoch", std::to_string(own.epoch_)},
                {"jobs", std::to_string(context.records_.size())}});
     adopt_granted(context, shard);
+    set_configuration(context, shard); // its jobs are known now
     open_sessions(context, shard);
     note_grants_changed(context, shard, true);
     context.heartbeat_at_ = context.now_; // report at once, callers wait
@@ -212,21 +267,17 @@
 std::int64_t estimate_reply_micros(node const& context, shard_id const& shard,
                                    plan::advice_request const& query)
 {
-    auto const job = plan::find_job(*context.owned_.find(shard)->planner_,
-                                    query.stage_.job_);
-    for (queue_route const& route : context.config_->routes_)
+    auto const policy = plan::find_policy(*context.owned_.find(shard)->planner_,
+                                          query.stage_.job_);
+    if (!policy || !policy->advice_)
     {
-        if (job && route.policy_.id_ == job->queue_ && route.policy_.advice_)
-        {
-            advice_policy const& advice = *route.policy_.advice_;
-            return static_cast<std::int64_t>(
-                (advice.decision_ms_ +
-                 advice.per_target_ms_ *
-                     static_cast<double>(query.targets_.size())) *
-                micros_per_milli);
-        }
+        return 0;
     }
-    return 0;
+    return static_cast<std::int64_t>(
+        (policy->advice_->decision_ms_ +
+         policy->advice_->per_target_ms_ *
+             static_cast<double>(query.targets_.size())) *
+        micros_per_milli);
 }
 
 // Time until the earlier requests of an advice proxy are answered.
--- a/cell/follow_members.cpp
+++ b/cell/follow_members.cpp
@@ -529,7 +529,7 @@
               {{"version", std::to_string(input.config_->version_)}});
     for (std::size_t row = 0; row < context.owned_.size(); ++row)
     {
-        set_policies(context, context.owned_.key(row));
+        set_configuration(context, context.owned_.key(row));
     }
 }
 
--- a/cell/job_records.cpp
+++ b/cell/job_records.cpp
@@ -11,6 +11,7 @@
 
 #include <boost/algorithm/hex.hpp>
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <tuple>
 #include <utility>
@@ -97,6 +98,17 @@
     return row.contains(name) ? read_count(row, name, max) : 0;
 }
 
+json write_resources(resources const& amounts)
+{
+    return {amounts.cpu_millis(), amounts.memory_mib(), amounts.accelerators()};
+}
+
+resources read_resources(json const& row)
+{
+    return {read_amount(row.at(0)), read_amount(row.at(1)),
+            read_amount(row.at(2))};
+}
+
 step_spec read_step(json const& step)
 {
     return step_spec{
@@ -192,6 +204,73 @@
     return value;
 }
 
+json write_policy(std::optional<accepted_policy> const& policy)
+{
+    if (!policy)
+    {
+        return nullptr;
+    }
+    queue_policy const& queue = policy->queue_;
+    json                row{{"service", queue.service_.str()},
+             {"priority", queue.priority_},
+             {"attempts", queue.max_attempts_},
+             {"slack", queue.slack_factor_},
+             {"objective", queue.objective_ms_},
+             {"limit", write_resources(policy->limit_)}};
+    if (queue.advice_)
+    {
+        row["advice"] = {queue.advice_->decision_ms_,
+                         queue.advice_->per_target_ms_,
+                         queue.advice_->validity_ms_};
+    }
+    return row;
+}
+
+double read_real(json const& value)
+{
+    constexpr double most = 1e9; // as in the configuration
+    auto const       number = value.get<double>();
+    if (!(number >= 0 && number <= most))
+    {
+        throw record_error("stored row: expected a number in range");
+    }
+    return number;
+}
+
+std::int32_t read_priority(json const& row)
+{
+    return static_cast<std::int32_t>(
+        read_count(row, "priority", std::numeric_limits<std::int32_t>::max()));
+}
+
+advice_policy read_advice(json const& row)
+{
+    return {.decision_ms_ = read_real(row.at(0)),
+            .per_target_ms_ = read_real(row.at(1)),
+            .validity_ms_ = read_amount(row.at(2))};
+}
+
+std::optional<accepted_policy> read_policy(json const& spec)
+{
+    // Rows written by earlier versions lack this field.
+    if (!spec.contains("policy") || spec.at("policy").is_null())
+    {
+        return std::nullopt;
+    }
+    json const& row = spec.at("policy");
+    return accepted_policy{
+        .queue_ = {.id_ = queue_id(spec.at("queue").get<std::string>()),
+                   .service_ = service_id(row.at("service").get<std::string>()),
+                   .priority_ = read_priority(row),
+                   .max_attempts_ = read_number<std::uint32_t>(row, "attempts"),
+                   .slack_factor_ = read_real(row.at("slack")),
+                   .objective_ms_ = read_amount(row, "objective"),
+                   .advice_ = row.contains("advice")
+                                  ? std::optional(read_advice(row.at("advice")))
+                                  : std::nullopt},
+        .limit_ = read_resources(row.at("limit"))};
+}
+
 std::shared_ptr<staged_job const> read_spec_value(json const& spec)
 {
     std::vector<step_spec> steps;
@@ -212,7 +291,8 @@
         .first_due_unix_ms_ = read_amount(spec, "due"),
         .interval_ms_ = read_amount(spec, "interval"),
         .accepted_unix_ms_ = read_amount(spec, "accepted"),
-        .alias_ = read_alias(spec.at("alias"), steps)});
+        .alias_ = read_alias(spec.at("alias"), steps),
+        .policy_ = read_policy(spec)});
 }
 
 } // namespace
@@ -248,7 +328,8 @@
                 {"due", job.first_due_unix_ms_},
                 {"interval", job.interval_ms_},
                 {"accepted", job.accepted_unix_ms_},
-                {"alias", std::move(alias)}}
+                {"alias", std::move(alias)},
+                {"policy", write_policy(job.policy_)}}
         .dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
--- a/cell/node.cpp
+++ b/cell/node.cpp
@@ -195,6 +195,13 @@
     return context.config_ ? context.config_->version_ : 0;
 }
 
+resources limit_of(node const& context, organisation_id const& id)
+{
+    resources const* const limit =
+        context.config_ ? find_limit(context, id) : nullptr;
+    return limit == nullptr ? resources() : *limit;
+}
+
 std::uint32_t max_body_bytes(node const& context)
 {
     return context.config_ ? context.config_->max_body_bytes_
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -343,7 +343,10 @@
 void answer_lookups(node& context, record_row& record);
 void apply_answer(node& context, std::uint64_t call, job_answer const& answer);
 void open_call(node& context, std::uint64_t id, call_row call);
+// Gives a planner its policies: at any change of them, and at a change of the
+// configuration or of the jobs that a shard begins with.
 void set_policies(node& context, shard_id const& shard);
+void set_configuration(node& context, shard_id const& shard);
 // Longest text of a row, in bytes before its encoding for the store.
 std::size_t max_row_text(node const& context);
 void        mark_changed(node& context, job_id const& job, bool urgent);
--- a/cell/owned_row.hpp
+++ b/cell/owned_row.hpp
@@ -48,6 +48,9 @@
     std::shared_ptr<store_transact const> transfer_; // open one, null: none
     // Own parts after the open transfer.
     std::map<organisation_id, std::int64_t> remaining_parts_;
+    // Limits of organisations that have jobs in the shard and are no longer
+    // configured: those under which their latest jobs were accepted.
+    std::map<organisation_id, resources> removed_limits_;
 };
 
 } // namespace fescuevane::cell
--- a/cell/row_json.hpp
+++ b/cell/row_json.hpp
@@ -51,14 +51,19 @@
 }
 
 // Reads a quantity, time or duration, which is never negative.
-inline std::int64_t read_amount(nlohmann::json const& row, char const* name)
+inline std::int64_t read_amount(nlohmann::json const& value)
 {
-    auto const value = read_number<std::int64_t>(row.at(name));
-    if (value < 0)
+    auto const amount = read_number<std::int64_t>(value);
+    if (amount < 0)
     {
-        throw record_error(std::string("stored row: ") + name + " below 0");
+        throw record_error("stored row: expected an amount of at least 0");
     }
-    return value;
+    return amount;
+}
+
+inline std::int64_t read_amount(nlohmann::json const& row, char const* name)
+{
+    return read_amount(row.at(name));
 }
 
 // Reads a number that only increases. A row with the highest value would stay
--- a/core/staged_job.hpp
+++ b/core/staged_job.hpp
@@ -2,6 +2,7 @@
 #ifndef FESCUEVANE_CORE_STAGED_JOB_HPP
 #define FESCUEVANE_CORE_STAGED_JOB_HPP
 
+#include "core/accepted_policy.hpp"
 #include "core/ids.hpp"
 #include "core/step_spec.hpp"
 #include "core/task_alias.hpp"
@@ -28,6 +29,8 @@
     std::int64_t const              interval_ms_ = 0; // between occurrences
     std::int64_t const              accepted_unix_ms_ = 0;
     std::optional<task_alias> const alias_; // stands for tasks of another job
+    // None in jobs that earlier versions stored.
+    std::optional<accepted_policy> const policy_;
 
     friend bool operator==(staged_job const&, staged_job const&) = default;
 };
--- a/plan/apply_events.cpp
+++ b/plan/apply_events.cpp
@@ -29,10 +29,17 @@
 
 void apply(planner& context, queues_set const& input)
 {
+    // Removed queues don't stay: a planner that is made now wouldn't have them.
+    std::vector<queue_id> const known = context.queues_.keys();
+    for (queue_id const& id : known)
+    {
+        context.queues_.remove(id);
+    }
     for (queue_policy const& queue : input.queues_)
     {
         context.queues_.ensure(queue.id_) = queue;
     }
+    apply_attempt_limits(context);
 }
 
 void apply(planner& context, organisations_set const& input)
@@ -40,6 +47,7 @@
     for (organisation_row& row : context.organisations_)
     {
         row.weight_ = 0;
+        row.limit_ = resources();
     }
     for (organisation_share const& share : input.organisations_)
     {
--- a/plan/job_flow.cpp
+++ b/plan/job_flow.cpp
@@ -17,6 +17,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <set>
 #include <utility>
 
@@ -85,6 +86,12 @@
     return std::max<std::uint32_t>(1, job.spec_->repeat_count_);
 }
 
+queue_policy const* find_policy(planner const& context, staged_job const& job)
+{
+    queue_policy const* const queue = context.queues_.find(job.queue_);
+    return queue == nullptr && job.policy_ ? &job.policy_->queue_ : queue;
+}
+
 step_spec const& find_step(planner const& context, stage_key const& key)
 {
     return context.jobs_.find(key.job_)->spec_->steps_[key.step_];
@@ -679,19 +686,27 @@
     return is_new;
 }
 
+// While the limit isn't known, a task may have had its last attempt, and a job
+// that is failed can't be taken back. Such a task waits.
+bool awaits_limit(planner const& context, job_row const& job,
+                  std::size_t attempts)
+{
+    return attempts > 0 && find_policy(context, *job.spec_) == nullptr;
+}
+
 attempt_count count_attempts(planner const& context, run_key const& key)
 {
     stage_row const&          stage = *context.stages_.find(key.stage_);
     task_cell const&          task = stage.tasks_[key.index_];
     job_row const&            job = *context.jobs_.find(key.stage_.job_);
-    queue_policy const* const queue = context.queues_.find(job.spec_->queue_);
+    queue_policy const* const queue = find_policy(context, *job.spec_);
     std::size_t const         failed = find_step(context, key.stage_).gang_
                                            ? stage.gang_failures_.size()
                                            : task.failed_runs_.size();
     return {.failed_ = static_cast<std::uint32_t>(failed) + task.failures_,
             .unread_ = static_cast<std::uint32_t>(task.unreported_runs_.size()),
             .limit_ = queue == nullptr
-                          ? 1
+                          ? std::numeric_limits<std::uint32_t>::max()
                           : std::max<std::uint32_t>(1, queue->max_attempts_)};
 }
 
@@ -711,12 +726,15 @@
     {
         return; // the shard that owns the gang counts its attempts
     }
-    stage.tasks_.change(key.index_,
-                        [&attempts](task_cell& task)
-                        {
-                            task.held_ =
-                                attempts.unread_ > 0 && !may_start(attempts);
-                        });
+    bool const held =
+        (attempts.unread_ > 0 && !may_start(attempts)) ||
+        awaits_limit(context, *context.jobs_.find(key.stage_.job_),
+                     attempts.failed_ + attempts.unread_);
+    auto const hold = [held](task_cell& task)
+    {
+        task.held_ = held;
+    };
+    stage.tasks_.change(key.index_, hold);
     if (is_used_up(attempts))
     {
         log_note(context, "give up", key, target,
@@ -725,6 +743,42 @@
     }
 }
 
+} // namespace
+
+void apply_attempt_limits(planner& context)
+{
+    std::vector<run_key> tasks;
+    for (std::size_t row = 0; row < context.stages_.size(); ++row)
+    {
+        stage_row const& stage = context.stages_[row];
+        stage_key const& key = context.stages_.key(row);
+        if (stage.spec_->policy_ || context.offers_.contains(key.job_))
+        {
+            continue; // its limit was known all the time
+        }
+        for (std::uint32_t index = 0; index < stage.tasks_.size(); ++index)
+        {
+            task_cell const& task = stage.tasks_[index];
+            if (task.held_ || !task.failed_runs_.empty() ||
+                task.failures_ > 0 ||
+                (index == 0 && !stage.gang_failures_.empty()))
+            {
+                tasks.push_back({key, index, task.last_run_});
+            }
+        }
+    }
+    for (run_key const& task : tasks)
+    {
+        if (context.stages_.contains(task.stage_))
+        {
+            apply_attempt_limit(context, task, {});
+        }
+    }
+}
+
+namespace
+{
+
 void mark_failed(planner& context, end_context const& at)
 {
     stage_row& stage = *context.stages_.find(at.key_.stage_);
--- a/plan/job_flow.hpp
+++ b/plan/job_flow.hpp
@@ -15,6 +15,7 @@
 namespace fescuevane
 {
 struct job_progress;
+struct queue_policy;
 struct staged_job;
 } // namespace fescuevane
 
@@ -30,6 +31,13 @@
 // Number of occurrences of a job, at least one.
 std::uint32_t count_occurrences(job_row const& job);
 
+// The policy of a job's queue: the configured one, or else the one under which
+// the job was accepted. Null when neither is known.
+queue_policy const* find_policy(planner const& context, staged_job const& job);
+
+// Fails or holds back the tasks of jobs whose limit of attempts was not known.
+void apply_attempt_limits(planner& context);
+
 // The step of an open stage; its job must have a row.
 step_spec const& find_step(planner const& context, stage_key const& key);
 
--- a/plan/plan.hpp
+++ b/plan/plan.hpp
@@ -63,6 +63,9 @@
 std::shared_ptr<staged_job const> find_job(planner const& context,
                                            job_id const&  job);
 job_progress write_progress(planner const& context, job_id const& job);
+// The policy that the planner applies to a job; none when it isn't known.
+std::optional<queue_policy> find_policy(planner const& context,
+                                        job_id const&  job);
 bool has_runs(planner const& context, job_id const& job); // started, not ended
 load_summary summarize_load(planner const& context);
 // Stages with tasks that have waited for room longer than `micros` plus the
--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -119,6 +119,15 @@
     return row == nullptr ? nullptr : row->spec_;
 }
 
+std::optional<queue_policy> find_policy(planner const& context,
+                                        job_id const&  job)
+{
+    job_row const* const      row = context.jobs_.find(job);
+    queue_policy const* const queue =
+        row == nullptr ? nullptr : find_policy(context, *row->spec_);
+    return queue == nullptr ? std::nullopt : std::optional(*queue);
+}
+
 job_progress write_progress(planner const& context, job_id const& job)
 {
     job_row const& row = *context.jobs_.find(job);
@@ -159,7 +168,7 @@
 
 std::int64_t advice_reply_micros(planner const& context, job_row const& job)
 {
-    queue_policy const* const queue = context.queues_.find(job.spec_->queue_);
+    queue_policy const* const queue = find_policy(context, *job.spec_);
     if (queue == nullptr || !queue->advice_)
     {
         return 0;
@@ -435,7 +444,8 @@
                    .payload_ = job.payload_,
                    .steps_ = {only},
                    .accepted_unix_ms_ = job.accepted_unix_ms_,
-                   .alias_ = std::move(alias)});
+                   .alias_ = std::move(alias),
+                   .policy_ = job.policy_});
 }
 
 // 5. Load
--- a/plan/request_advice.cpp
+++ b/plan/request_advice.cpp
@@ -334,8 +334,7 @@
         {
             continue;
         }
-        queue_policy const* const queue =
-            context.queues_.find(stage.spec_->queue_);
+        queue_policy const* const queue = find_policy(context, *stage.spec_);
         if (queue == nullptr || !queue->advice_)
         {
             continue;
--- a/plan/stage_rank.cpp
+++ b/plan/stage_rank.cpp
@@ -79,7 +79,7 @@
 stage_rank rank_stage(planner const& context, stage_key const& key)
 {
     job_row const&            job = *context.jobs_.find(key.job_);
-    queue_policy const* const queue = context.queues_.find(job.spec_->queue_);
+    queue_policy const* const queue = find_policy(context, *job.spec_);
     std::int32_t const priority = queue == nullptr ? 0 : queue->priority_;
     if (job.spec_->steps_[key.step_].perpetual_)
     {
--- a/plan/stage_view.cpp
+++ b/plan/stage_view.cpp
@@ -15,7 +15,7 @@
             *context.stages_.find(key),
             job,
             step,
-            context.queues_.find(job.spec_->queue_),
+            find_policy(context, *job.spec_),
             step.spread_limit_ == 0
                 ? run_table::rows()
                 : context.runs_.of_origin(origin_of(job, key))};
--- a/tests/unit/cell_records_test.cpp
+++ b/tests/unit/cell_records_test.cpp
@@ -70,6 +70,13 @@
 {
     json spec = make_spec();
     spec["repeat"] = 4;
+    spec["policy"] = {{"service", "desk"},
+                      {"priority", 1},
+                      {"attempts", 3},
+                      {"slack", 1.5},
+                      {"objective", 250},
+                      {"limit", {4000, 0, 0}},
+                      {"advice", {10.0, 1.5, 2000}}};
     return {
         {"shard", "east.0"},
         {"phase", 1},
@@ -293,6 +300,18 @@
     }
 }
 
+// Guards against a policy that the next owner reads in another way.
+TEST_CASE("row of a job, accepted policy, kept, and unknown in old rows")
+{
+    CHECK_FALSE(read_job(make_job().dump()).job_->policy_);
+    job_record const record = read_job(make_grouped_job().dump());
+    REQUIRE(record.job_->policy_);
+    CHECK(record.job_->policy_->queue_.max_attempts_ == 3);
+    CHECK(record.job_->policy_->queue_.advice_->validity_ms_ == 2000);
+    CHECK(record.job_->policy_->limit_ == resources(4000, 0, 0));
+    CHECK(*read_spec(write_spec(*record.job_)) == *record.job_);
+}
+
 TEST_CASE("row of a job, grouped progress of tasks that don't exist, refused")
 {
     for (contradictory_value const& entry :
