Serve shards and answer calls in time while all hosts are stopping

Hosts are stopped in turn, two rolls that overlap.

Cause: a stopping host released its shards although no host could take them, and then held calls for shards without an owner until the calls' deadlines. The deadline of the stop was not used, and the process waited for open calls without a limit, until it was killed with them.

Deadlines of calls end before the process leaves. When no host can own a shard, its calls are refused at once with a time to come back. The process leaves shortly before it would be killed also with shards left, and a second SIGTERM doesn't extend its grace time.

--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -119,6 +119,7 @@
     instant heartbeat_at_;
     instant balance_at_; // next search for better owners
     bool    stopping_ = false;
+    instant leave_at_ = instant::never(); // deadline of the stop
 };
 
 struct system_entry
@@ -343,6 +344,11 @@
 void answer_lookups(node& context, record_row& record);
 void apply_answer(node& context, std::uint64_t call, job_answer const& answer);
 void open_call(node& context, std::uint64_t id, call_row call);
+// True if the host could take a shard over now. It is another one than this.
+bool is_eligible_successor(node const& context, host_id const& id,
+                           host_row const& host);
+// Bounds the deadlines of all calls by that of a stop.
+void bound_calls(node& context);
 // Gives a planner its policies: at any change of them, and at a change of the
 // configuration or of the jobs that a shard begins with.
 void set_policies(node& context, shard_id const& shard);
--- a/cell/release_shards.cpp
+++ b/cell/release_shards.cpp
@@ -16,8 +16,6 @@
 
 namespace fescuevane::cell
 {
-namespace
-{
 
 // 1. Choice of a successor
 
@@ -28,6 +26,9 @@
            host.store_ok_ && !is_unresponsive(context, host.heard_at_);
 }
 
+namespace
+{
+
 // A shard of another failure domain costs its owner about twice the processor
 // time: calls take longer, and callers of the domain are forwarded by other
 // hosts.
@@ -240,6 +241,26 @@
            (own.phase_ == owned_phase::serving && own.request_ != 0);
 }
 
+namespace
+{
+
+// A stopping host serves its shards until another host can take them over, or
+// until it has just enough time left to store its changes and the release.
+bool is_release_due(node& context, shard_id const& shard)
+{
+    if (context.leave_at_ == instant::never() ||
+        !choose_successor(context, shard).empty())
+    {
+        return true;
+    }
+    instant const latest(context.leave_at_.micros() -
+                         context.settings_.release_micros_);
+    wake_at(context, latest);
+    return latest <= context.now_;
+}
+
+} // namespace
+
 void release_shards(node& context)
 {
     if (!context.stopping_)
@@ -255,7 +276,8 @@
             drop_shard(context, shard, "stopping before it was loaded");
             continue;
         }
-        own.releasing_ = own.releasing_ || context.stopping_;
+        own.releasing_ = own.releasing_ ||
+                         (context.stopping_ && is_release_due(context, shard));
         // A release without a reply may still take effect until another write
         // changes the row, so it is repeated and never revoked.
         if (own.releasing_ && !context.store_ok_ && !context.stopping_ &&
@@ -293,11 +315,13 @@
     return waits;
 }
 
-void apply(node& context, stop_requested const& /*input*/)
+void apply(node& context, stop_requested const& input)
 {
     if (!context.stopping_)
     {
         context.stopping_ = true;
+        context.leave_at_ = input.deadline_;
+        bound_calls(context);
         log_event(context, "stopping", {});
         context.heartbeat_at_ = context.now_; // announces the stop at once
         for (host_row& host : context.hosts_)
--- a/cell/route_calls.cpp
+++ b/cell/route_calls.cpp
@@ -49,8 +49,16 @@
         return context.store_ok_ && !context.owned_.find(id)->releasing_;
     }
     host_row const* const host = context.hosts_.find(shard.owner_);
-    return shard.serving_ &&
-           (host == nullptr || (host->store_ok_ && !host->stopping_));
+    return shard.serving_ && (host == nullptr || host->store_ok_);
+}
+
+// A stopping owner serves its shard only while no other host can.
+bool is_owner_stopping(node const& context, shard_row const& shard)
+{
+    host_row const* const host = context.hosts_.find(shard.owner_);
+    return shard.owner_ == context.settings_.host_
+               ? context.stopping_
+               : host != nullptr && host->stopping_;
 }
 
 double load_of(node const& context, shard_id const& id, shard_row const& shard)
@@ -114,6 +122,7 @@
     std::set<shard_id> const deprioritized =
         list_deprioritized(context, *call.job_);
     constexpr double                  unfit_cost = 1000; // above any load
+    constexpr double                  stopping_cost = 2 * unfit_cost;
     std::map<domain_id, shard_choice> choices;
     for (std::size_t row = 0; row < context.shards_.size(); ++row)
     {
@@ -123,8 +132,10 @@
         {
             continue;
         }
-        double const load = load_of(context, id, shard) +
-                            (deprioritized.contains(id) ? unfit_cost : 0);
+        double const load =
+            load_of(context, id, shard) +
+            (deprioritized.contains(id) ? unfit_cost : 0) +
+            (is_owner_stopping(context, shard) ? stopping_cost : 0);
         shard_choice const choice{id, load, load + jitter_of(call.id_, id)};
         auto const [known, is_new] = choices.try_emplace(id.domain_, choice);
         if (!is_new && choice.jittered_load_ < known->second.jittered_load_)
@@ -360,8 +371,39 @@
     }
 }
 
+namespace
+{
+
+// A stopping process answers each call while it can still send the answer.
+instant bound_deadline(node const& context, instant deadline)
+{
+    if (context.leave_at_ == instant::never())
+    {
+        return deadline;
+    }
+    return std::min(deadline, instant(context.leave_at_.micros() -
+                                      context.settings_.answer_margin_micros_));
+}
+
+} // namespace
+
+void bound_calls(node& context)
+{
+    for (std::size_t row = 0; row < context.calls_.size(); ++row)
+    {
+        call_row&     call = context.calls_[row];
+        instant const bound = bound_deadline(context, call.deadline_);
+        if (bound < call.deadline_)
+        {
+            call.deadline_ = bound;
+            context.calls_due_.add(bound, context.calls_.key(row));
+        }
+    }
+}
+
 void open_call(node& context, std::uint64_t id, call_row call)
 {
+    call.deadline_ = bound_deadline(context, call.deadline_);
     context.calls_due_.add(call.retry_at_, id);
     context.calls_due_.add(call.deadline_, id);
     context.calls_.ensure(id) = std::move(call);
@@ -412,6 +454,25 @@
         call.request_, context.shards_.find(shard)->address_, forwarded});
 }
 
+// True when this process will have left before any host can own a shard that
+// has no owner now.
+bool is_without_owner_for_good(node const& context)
+{
+    if (!context.stopping_)
+    {
+        return false;
+    }
+    for (std::size_t row = 0; row < context.hosts_.size(); ++row)
+    {
+        if (is_eligible_successor(context, context.hosts_.key(row),
+                                  context.hosts_[row]))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
 void route_submit(node& context, std::uint64_t id)
 {
     call_row&                     call = *context.calls_.find(id);
@@ -427,7 +488,7 @@
         return;
     }
     bool const rejected = call.refusal_.retry_after_ms_ > 0;
-    if (rejected || !context.store_ok_)
+    if (rejected || !context.store_ok_ || is_without_owner_for_good(context))
     {
         fail_call(context, id);
         return;
@@ -452,6 +513,11 @@
         forward_call(context, id, *place);
         return;
     }
+    if (is_without_owner_for_good(context))
+    {
+        fail_call(context, id);
+        return;
+    }
     retry_call(context, id, call);
     wake_at(context, call.retry_at_);
 }
--- a/cell/stop_requested.hpp
+++ b/cell/stop_requested.hpp
@@ -9,7 +9,8 @@
 
 struct stop_requested
 {
-    instant const deadline_; // shards have to be handed over by then
+    // Calls have to be answered and shards handed over by then.
+    instant const deadline_ = instant::never();
 
     friend bool operator==(stop_requested const&,
                            stop_requested const&) = default;
