Wait for owners before the predecessor, and drop a shard at a higher epoch

Seen: the users' record of two runs of one task at once, on targets of one shard, ordered by edge-kicukiro-2, which had lost the store, and by edge-gasabo-1.

Cause: a new owner counted the leases on a target that it can't reach from the release of its direct predecessor. If that one had owned the shard only briefly, the owner before it may not have learned of the higher epoch and may still renew leases. And an owner ignored heartbeats in which another host reports a higher epoch of its shard, which without the store are the first sign of a takeover.

Change: the owner row says at a release whether an earlier owner may be left; then the count begins 2.2 s later. Rows without that field count as not telling. An owner drops a shard when another host reports a higher epoch. Lines of starts have the epoch and the age of the target's latest reply, and a run that an owner doesn't know is logged when it is stopped.

--- a/cell/claim_shards.cpp
+++ b/cell/claim_shards.cpp
@@ -232,7 +232,7 @@
 {
     return write_owner({context.settings_.host_, context.settings_.incarnation_,
                         context.settings_.address_, own.epoch_, released,
-                        successor});
+                        successor, own.exclusive_since_ <= context.now_});
 }
 
 } // namespace
@@ -279,6 +279,8 @@
         row.owner_ == context.settings_.host_ ||
         (predecessor != nullptr &&
          predecessor->incarnation_ > row.owner_incarnation_);
+    own.predecessor_exclusive_ =
+        row.epoch_ <= 1 || (row.released_ && row.exclusive_);
     log_event(context, "claim",
               {{"shard", write_shard_name(shard)},
                {"epoch", std::to_string(own.epoch_)},
--- a/cell/drive_planners.cpp
+++ b/cell/drive_planners.cpp
@@ -400,17 +400,31 @@
     node&           context_;
     shard_id const& shard_;
 
+    // Age of the target's latest reply, which showed that it accepts the epoch.
+    std::int64_t contact_age_ms(target_id const& target) const
+    {
+        session_row const* const session = context_.sessions_.find(target);
+        return session == nullptr
+                   ? 0
+                   : session->contact_at_.remaining_until(context_.now_) /
+                         micros_per_milli;
+    }
+
     void operator()(plan::start_run const& order) const
     {
-        log_event(context_, "start",
-                  {{"job", order.run_.stage_.job_.str()},
-                   {"step", std::to_string(order.run_.stage_.step_)},
-                   {"index", std::to_string(order.run_.index_)},
-                   {"run", std::to_string(order.run_.run_)},
-                   {"target", order.target_.str()},
-                   {"config",
-                    std::to_string(context_.config_ ? context_.config_->version_
-                                                    : 0)}});
+        log_event(
+            context_, "start",
+            {{"job", order.run_.stage_.job_.str()},
+             {"step", std::to_string(order.run_.stage_.step_)},
+             {"index", std::to_string(order.run_.index_)},
+             {"run", std::to_string(order.run_.run_)},
+             {"target", order.target_.str()},
+             {"shard", write_shard_name(shard_)},
+             {"epoch", std::to_string(context_.owned_.find(shard_)->epoch_)},
+             {"contact_ms", std::to_string(contact_age_ms(order.target_))},
+             {"config",
+              std::to_string(context_.config_ ? context_.config_->version_
+                                              : 0)}});
         queue_order(context_, shard_, order);
     }
 
--- a/cell/follow_members.cpp
+++ b/cell/follow_members.cpp
@@ -11,6 +11,7 @@
 #include "cell/cell.hpp"
 #include "cell/record_error.hpp"
 #include "cell/records.hpp"
+#include "cell/sessions.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -61,7 +62,7 @@
             continue;
         }
         own.predecessor_stopped_ = true;
-        own.exclusive_since_ = std::min(own.exclusive_since_, context.now_);
+        note_predecessor_stopped(context, own);
     }
 }
 
@@ -130,6 +131,7 @@
     shard->address_ = record.address_;
     shard->epoch_ = record.epoch_;
     shard->released_ = record.released_;
+    shard->exclusive_ = record.exclusive_;
     shard->successor_ = record.successor_;
 }
 
@@ -254,6 +256,14 @@
     }
     for (shard_load const& reported : beat.shards_)
     {
+        owned_row const* const own = context.owned_.find(reported.shard_);
+        if (own != nullptr && beat.host_ != context.settings_.host_ &&
+            reported.epoch_ > own->epoch_)
+        {
+            // Without the store this is the first sign of a takeover.
+            drop_shard(context, reported.shard_,
+                       "another host reports a higher epoch");
+        }
         if (!context.owned_.contains(reported.shard_))
         {
             apply_shard_load(context, beat, reported);
--- a/cell/list_targets.cpp
+++ b/cell/list_targets.cpp
@@ -87,6 +87,22 @@
     return ledger.found_ ? ledger.stored_.contains(id) : own.epoch_ > 1;
 }
 
+} // namespace
+
+// The predecessor may have owned the shard too briefly for the owner before it
+// to learn of that, and to stop renewing leases.
+void note_predecessor_stopped(node const& context, owned_row& own)
+{
+    instant const since =
+        own.predecessor_exclusive_
+            ? context.now_
+            : context.now_.after(context.settings_.fence_notice_micros_);
+    own.exclusive_since_ = std::min(own.exclusive_since_, since);
+}
+
+namespace
+{
+
 void open_session(node& context, target_id const& id)
 {
     discard_orders(context, id);
@@ -94,7 +110,7 @@
     owned_row&   own = *context.owned_.find(session.shard_);
     if (own.predecessor_stopped_)
     {
-        own.exclusive_since_ = std::min(own.exclusive_since_, context.now_);
+        note_predecessor_stopped(context, own);
     }
     session_row fresh;
     fresh.info_ = session.info_;
--- a/cell/owner_record.hpp
+++ b/cell/owner_record.hpp
@@ -18,6 +18,9 @@
     epoch         epoch_ = 0;
     bool          released_ = false;
     host_id       successor_;
+    // No earlier owner renews leases on targets of the shard. False in rows of
+    // earlier versions, which don't tell.
+    bool exclusive_ = false;
 
     friend bool operator==(owner_record const&, owner_record const&) = default;
 };
--- a/cell/records.cpp
+++ b/cell/records.cpp
@@ -62,9 +62,10 @@
 std::string write_owner(owner_record const& record)
 {
     return json{
-        {"host", record.host_.str()},   {"incarnation", record.incarnation_},
-        {"address", record.address_},   {"epoch", record.epoch_},
-        {"released", record.released_}, {"successor", record.successor_.str()}}
+        {"host", record.host_.str()},    {"incarnation", record.incarnation_},
+        {"address", record.address_},    {"epoch", record.epoch_},
+        {"released", record.released_},  {"successor", record.successor_.str()},
+        {"exclusive", record.exclusive_}}
         .dump();
 }
 
@@ -79,7 +80,8 @@
                              row.at("address").get<std::string>(),
                              read_monotonic(row, "epoch"),
                              row.at("released").get<bool>(),
-                             host_id(row.at("successor").get<std::string>())};
+                             host_id(row.at("successor").get<std::string>()),
+                             row.value("exclusive", false)};
                      });
 }
 
--- a/cell/sessions.hpp
+++ b/cell/sessions.hpp
@@ -18,6 +18,7 @@
                        std::string const& why);
 void reset_incarnation(session_row& session);
 void discard_orders(node& context, target_id const& id);
+void note_predecessor_stopped(node const& context, owned_row& own);
 void end_incarnation(node& context, target_id const& id,
                      std::string const& why);
 
--- a/plan/apply_events.cpp
+++ b/plan/apply_events.cpp
@@ -304,9 +304,14 @@
 // belongs to another shard.
 void reject_run(planner& context, run_seen const& input)
 {
-    if (target_row* const target = context.targets_.find(input.target_))
-    {
-        target->unknown_runs_.insert(input.run_);
+    target_row* const target = context.targets_.find(input.target_);
+    if (target != nullptr && target->unknown_runs_.insert(input.run_).second)
+    {
+        context.outbox_.push_back(
+            note{"unknown_run_stopped", input.run_, input.target_,
+                 context.stages_.contains(input.run_.stage_)
+                     ? "the task runs elsewhere or is done"
+                     : "its job has ended or belongs to another shard"});
     }
     context.outbox_.push_back(stop_run{input.run_, input.target_});
 }
--- a/tests/unit/cell_ownership_test.cpp
+++ b/tests/unit/cell_ownership_test.cpp
@@ -158,6 +158,77 @@
     }
 }
 
+// Guards against tasks that run twice: an owner takes a shard over and releases
+// it before the owner in front of it, which is cut off, has learned of that.
+// The third owner can't reach a target on which the first one renews leases.
+TEST_CASE_FIXTURE(ownership_fixture,
+                  "shard released soon after a takeover, target not reached, "
+                  "waits for the owner before")
+{
+    constexpr std::int64_t lease = 4'500'000;  // with slack
+    constexpr std::int64_t notice = 2'200'000; // of a higher epoch
+    settings_.domains_ = {domain_id("east")};
+    serve();
+    submit("aa01");
+    run(50'000);
+    REQUIRE(take<send_start>().size() == 1);
+    bool exclusive = false;
+    SUBCASE("the releasing owner was the only one left")
+    {
+        exclusive = true;
+    }
+    SUBCASE("an earlier owner may be left") {}
+    row_key const key{"member", "0", "shard/east.0"};
+    store_row(key, write_owner({host_id("host-2"), 5, "127.0.0.1:7001", 6, true,
+                                host_id("host-1"), exclusive}));
+    start(3);
+    list_target("t-1", true);
+    list_target("t-2");
+    post(target_unlisted{target_id("t-1")}); // no end is awaited from it
+    commands_.clear();
+    run(300'000);
+    REQUIRE(make_heartbeat(*node_).shards_.size() == 1);
+    auto const run_without_t1 = [this](std::int64_t micros)
+    {
+        constexpr std::int64_t step = 100'000;
+        for (std::int64_t passed = 0; passed < micros; passed += step)
+        {
+            for (hold_target const& hold : take<hold_target>())
+            {
+                hold.target_ == target_id("t-2") ? answer_hold(hold)
+                                                 : fail_hold(hold);
+            }
+            run(step);
+        }
+        return take<send_start>().size();
+    };
+    CHECK(run_without_t1(lease) == (exclusive ? 1 : 0));
+    CHECK(run_without_t1(notice) == (exclusive ? 0 : 1));
+}
+
+// Guards against two owners that both act: one that has no store learns from
+// another host that its shard was taken over, before it calls a target.
+TEST_CASE_FIXTURE(ownership_fixture,
+                  "store down, heartbeat with a higher epoch, shard is dropped")
+{
+    settings_.domains_ = {domain_id("east")};
+    serve();
+    epoch const mine = make_heartbeat(*node_).shards_.at(0).epoch_;
+    store_down_ = true;
+    heartbeat beat{.host_ = host_id("host-2"), .incarnation_ = 5};
+    beat.shards_.push_back({.shard_ = {domain_id("east"), 0}, .epoch_ = mine});
+    post(heartbeat_received{beat});
+    tick();
+    CHECK(owns_shards(*node_));
+    beat.shards_[0].epoch_ = mine + 1;
+    post(heartbeat_received{beat});
+    tick();
+    CHECK_FALSE(owns_shards(*node_));
+    take<hold_target>();
+    run(micros_per_second);
+    CHECK(take<hold_target>().empty());
+}
+
 // Guards against tasks that run twice: a target that is cut off from the store
 // is removed from the list before a takeover, and still runs its tasks.
 TEST_CASE_FIXTURE(cell_fixture,
