Keep delegates of stages that an earlier version stored task by task

Reading a stage whose tasks are all done dropped the delegates of those that were reported as done here, so the next write of the row lost them. A submission is also encoded once instead of twice. Found in a read-through.

--- a/cell/serve_calls.cpp
+++ b/cell/serve_calls.cpp
@@ -63,7 +63,8 @@
         answer_origin(context, from, refuse(context, job_outcome::unavailable));
         return;
     }
-    if (!fits_in_row(context, *call.job_))
+    std::string const spec_text = write_spec(*call.job_);
+    if (spec_text.size() > max_spec_bytes(context))
     {
         log_event(context, "job_too_large", {{"job", call.id_.str()}});
         answer_origin(context, from, refuse(context, job_outcome::unavailable));
@@ -73,7 +74,7 @@
     record = record_row{.shard_ = call.shard_,
                         .part_ = part_of(context, call.id_),
                         .job_ = call.job_,
-                        .spec_text_ = write_spec(*call.job_)};
+                        .spec_text_ = spec_text};
     add_waiting_call(context, record,
                      {from, call_kind::submit, call.deadline_});
     mark_changed(context, call.id_, true);
--- a/plan/job_flow.cpp
+++ b/plan/job_flow.cpp
@@ -264,6 +264,19 @@
                                                  }));
 }
 
+// A later owner has to end the delegates of tasks that were reported as done
+// after they were delegated.
+void keep_delegated(job_row& job, stage_key const& key, stage_row const& stage)
+{
+    job_progress progress;
+    append_stage_progress(key, stage, progress);
+    if (!progress.tasks_.empty())
+    {
+        job.closed_tasks_[{key.occurrence_, key.step_}] =
+            std::move(progress.tasks_);
+    }
+}
+
 void open_stage(planner& context, stage_key const& key)
 {
     job_row& job = *context.jobs_.find(key.job_);
@@ -276,16 +289,18 @@
     stage_row              stage;
     stage.spec_ = job.spec_;
     restore_progress(job, key, stage, tasks);
-    if (stage.done_ == spec.count_)
-    {
-        job.ended_steps_[key.step_] += key.occurrence_;
-        return;
-    }
     if (spec.gang_)
     {
         share_checkpoint(tasks);
     }
     stage.tasks_ = task_list(std::move(tasks));
+    if (stage.done_ == spec.count_)
+    {
+        // Rows of earlier versions list each task of an ended stage.
+        keep_delegated(job, key, stage);
+        job.ended_steps_[key.step_] += key.occurrence_;
+        return;
+    }
     context.stages_.ensure(key) = std::move(stage);
     job.open_stages_.emplace(key.occurrence_, key.step_);
     job.open_tasks_ += spec.count_;
@@ -374,19 +389,6 @@
     job.open_tasks_ -= job.spec_->steps_[key.step_].count_;
 }
 
-// A later owner has to end the delegates of tasks that were reported as done
-// after they were delegated.
-void keep_delegated(job_row& job, stage_key const& key, stage_row const& stage)
-{
-    job_progress progress;
-    append_stage_progress(key, stage, progress);
-    if (!progress.tasks_.empty())
-    {
-        job.closed_tasks_[{key.occurrence_, key.step_}] =
-            std::move(progress.tasks_);
-    }
-}
-
 void close_stage(planner& context, stage_key const& stage)
 {
     stage_key const key = stage; // the argument may belong to a removed row
--- a/tests/unit/plan_occurrences_test.cpp
+++ b/tests/unit/plan_occurrences_test.cpp
@@ -212,5 +212,22 @@
     CHECK(write_progress(*planner_, job_id("j-1")).tasks_.empty());
 }
 
+// The same for a stage that an earlier version stored task by task.
+TEST_CASE_FIXTURE(plan_fixture,
+                  "ended stage listed task by task, read, delegate kept")
+{
+    job_id const delegate("j-1~1");
+    add_job(
+        "j-1", {make_step(1), make_step(1, {0})},
+        {.phase_ = job_phase::running,
+         .tasks_ = {{.done_ = true, .last_run_ = 1, .delegate_ = delegate}}},
+        true);
+    tick();
+    job_progress const progress = write_progress(*planner_, job_id("j-1"));
+    CHECK(progress.ended_steps_.at(0) == index_ranges(0));
+    REQUIRE(progress.tasks_.size() == 1);
+    CHECK(progress.tasks_[0].delegate_ == delegate);
+}
+
 } // namespace
 } // namespace fescuevane::plan
