Bound what a stored row may open, accept large delegates, and mend wording

Three faults, each with a test that failed before:

- A row's entry may stand for any number of tasks, so a short row of another writer exhausted the memory of each host that loaded it.
Rows that list more than 100,000 started tasks aren't read (cell_records_test).
- A load opened all occurrences with stored progress: 499,500 starts in one tick in the new case.
It opens up to 20,000 tasks (plan_occurrences_test).
- The limit of half a row also held for delegates, whose rows repeat the payload and list their tasks. 500 tasks of a job with a payload of 20,000 bytes were refused by each shard after they had been marked as delegated.
Delegates may take seven eighths (cell_row_limits_test).

The default fields of a stored step come from the type instead of a second list, the expected reply time of the policy service has one function, and tests share the row of another host. Names: cap_call_deadlines, lacks_successor, skip_large_row. Comments with estimated sizes have measured ones (200 bytes a task, 264 a stage) or none.

--- a/cell/cell.hpp
+++ b/cell/cell.hpp
@@ -75,9 +75,9 @@
 std::uint32_t max_body_bytes(node const& context);
 
 // False when a row of the store can't hold the job and its progress: its stored
-// specification takes more than `max_spec_bytes`.
+// specification takes more than `max_spec_bytes`, in bytes.
 bool        fits_in_row(node const& context, staged_job const& job);
-std::size_t max_spec_bytes(node const& context);
+std::size_t max_spec_bytes(node const& context, staged_job const& job);
 
 std::uint32_t count_waiting(node const& context, queue_id const& queue);
 heartbeat     make_heartbeat(node const& context); // for other hosts
--- a/cell/drive_planners.cpp
+++ b/cell/drive_planners.cpp
@@ -269,15 +269,9 @@
 {
     auto const policy = plan::find_policy(*context.owned_.find(shard)->planner_,
                                           query.stage_.job_);
-    if (!policy || !policy->advice_)
-    {
-        return 0;
-    }
-    return static_cast<std::int64_t>(
-        (policy->advice_->decision_ms_ +
-         policy->advice_->per_target_ms_ *
-             static_cast<double>(query.targets_.size())) *
-        micros_per_milli);
+    return policy && policy->advice_
+               ? expect_reply_micros(*policy->advice_, query.targets_.size())
+               : 0;
 }
 
 // Time until the earlier requests of an advice proxy are answered.
--- a/cell/job_records.cpp
+++ b/cell/job_records.cpp
@@ -30,43 +30,37 @@
 // number, and tables are sized by these counts.
 constexpr std::uint32_t max_tasks = 100'000; // of one step
 constexpr std::uint32_t max_repeats = 1'000'000;
-
-// Fields with the default value are left out.
+// Tasks that a row lists as started and not done. An entry stands for any
+// number of them, so the length of the row doesn't bound them.
+constexpr std::size_t max_listed_tasks = 100'000;
+
+json write_all_fields(step_spec const& step)
+{
+    return {{"count", step.count_},
+            {"cpu", step.demand_.cpu_millis()},
+            {"memory", step.demand_.memory_mib()},
+            {"accelerators", step.demand_.accelerators()},
+            {"estimate", step.estimate_ms_},
+            {"after", step.after_},
+            {"checkpointing", step.checkpointing_},
+            {"gang", step.gang_},
+            {"same_rack", step.same_rack_},
+            {"speculative", step.speculative_},
+            {"perpetual", step.perpetual_},
+            {"filler", step.filler_},
+            {"label", step.required_label_},
+            {"near", step.near_rack_.str()},
+            {"spread", step.spread_limit_},
+            {"image", step.image_},
+            {"latency", step.latency_target_ms_},
+            {"unavailable", step.max_unavailable_}};
+}
+
+// Leaves out fields with the default value.
 json write_step(step_spec const& step)
 {
-    static json const defaults = {{"accelerators", 0},
-                                  {"estimate", 0},
-                                  {"after", json::array()},
-                                  {"checkpointing", false},
-                                  {"gang", false},
-                                  {"same_rack", false},
-                                  {"speculative", false},
-                                  {"perpetual", false},
-                                  {"filler", false},
-                                  {"label", ""},
-                                  {"near", ""},
-                                  {"spread", 0},
-                                  {"image", ""},
-                                  {"latency", 0},
-                                  {"unavailable", 0}};
-    json              row{{"count", step.count_},
-             {"cpu", step.demand_.cpu_millis()},
-             {"memory", step.demand_.memory_mib()},
-             {"accelerators", step.demand_.accelerators()},
-             {"estimate", step.estimate_ms_},
-             {"after", step.after_},
-             {"checkpointing", step.checkpointing_},
-             {"gang", step.gang_},
-             {"same_rack", step.same_rack_},
-             {"speculative", step.speculative_},
-             {"perpetual", step.perpetual_},
-             {"filler", step.filler_},
-             {"label", step.required_label_},
-             {"near", step.near_rack_.str()},
-             {"spread", step.spread_limit_},
-             {"image", step.image_},
-             {"latency", step.latency_target_ms_},
-             {"unavailable", step.max_unavailable_}};
+    static json const defaults = write_all_fields({});
+    json              row = write_all_fields(step);
     for (auto const& [name, value] : defaults.items())
     {
         if (row.at(name) == value)
@@ -92,10 +86,10 @@
     return row.contains(name) ? read_amount(row, name) : 0;
 }
 
-std::uint32_t read_count_or_0(json const& row, char const* name,
-                              std::uint32_t max)
+std::uint32_t read_count_or(json const& row, char const* name,
+                            std::uint32_t max, std::uint32_t fallback)
 {
-    return row.contains(name) ? read_count(row, name, max) : 0;
+    return row.contains(name) ? read_count(row, name, max) : fallback;
 }
 
 json write_resources(resources const& amounts)
@@ -112,10 +106,10 @@
 step_spec read_step(json const& step)
 {
     return step_spec{
-        .count_ = read_count(step, "count", max_tasks),
-        .demand_ =
-            resources(read_amount(step, "cpu"), read_amount(step, "memory"),
-                      read_amount_or_0(step, "accelerators")),
+        .count_ = read_count_or(step, "count", max_tasks, 1),
+        .demand_ = resources(read_amount_or_0(step, "cpu"),
+                             read_amount_or_0(step, "memory"),
+                             read_amount_or_0(step, "accelerators")),
         .estimate_ms_ = read_amount_or_0(step, "estimate"),
         .after_ = step.contains("after") ? read_numbers(step.at("after"))
                                          : std::vector<std::uint32_t>(),
@@ -127,10 +121,10 @@
         .filler_ = read_flag(step, "filler"),
         .required_label_ = read_text(step, "label"),
         .near_rack_ = rack_id(read_text(step, "near")),
-        .spread_limit_ = read_count_or_0(step, "spread", max_tasks),
+        .spread_limit_ = read_count_or(step, "spread", max_tasks, 0),
         .image_ = read_text(step, "image"),
         .latency_target_ms_ = read_amount_or_0(step, "latency"),
-        .max_unavailable_ = read_count_or_0(step, "unavailable", max_tasks)};
+        .max_unavailable_ = read_count_or(step, "unavailable", max_tasks, 0)};
 }
 
 // Checks the last of `steps`.
@@ -184,18 +178,20 @@
         return std::nullopt;
     }
     std::size_t const size = steps.empty() ? 0 : steps.front().count_;
-    task_alias        value{
-               .stage_ = {job_id(alias.at("job").get<std::string>()),
-                          read_number<std::uint32_t>(alias, "occurrence"),
-                          read_number<std::uint32_t>(alias, "step")},
-               .indices_ = read_numbers(alias.at("indices")),
-               .failures_ = read_counts(alias.at("failures"), size),
-               .checkpoints_ = read_texts(alias.at("checkpoints"), size),
-               .first_run_ = read_number<std::uint32_t>(alias, "first_run"),
-        // Rows written by earlier versions lack this field.
-               .gang_run_ = alias.contains("gang_run")
-                                ? read_number<std::uint32_t>(alias, "gang_run")
-                                : 0};
+    // Rows written by earlier versions lack this field.
+    std::uint32_t const gang_run =
+        alias.contains("gang_run")
+            ? read_number<std::uint32_t>(alias, "gang_run")
+            : 0;
+    task_alias value{.stage_ = {job_id(alias.at("job").get<std::string>()),
+                                read_number<std::uint32_t>(alias, "occurrence"),
+                                read_number<std::uint32_t>(alias, "step")},
+                     .indices_ = read_numbers(alias.at("indices")),
+                     .failures_ = read_counts(alias.at("failures"), size),
+                     .checkpoints_ = read_texts(alias.at("checkpoints"), size),
+                     .first_run_ =
+                         read_number<std::uint32_t>(alias, "first_run"),
+                     .gang_run_ = gang_run};
     if (steps.size() != 1 || size != value.indices_.size() ||
         value.failures_.size() != size || value.checkpoints_.size() != size)
     {
@@ -611,6 +607,10 @@
     {
         return;
     }
+    if (tasks.size() + boost::icl::cardinality(indices) > max_listed_tasks)
+    {
+        throw record_error("job: progress of too many tasks");
+    }
     for (auto const& range : indices)
     {
         for (std::uint32_t index = range.lower(); index < range.upper();
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -344,13 +344,14 @@
 void answer_lookups(node& context, record_row& record);
 void apply_answer(node& context, std::uint64_t call, job_answer const& answer);
 void open_call(node& context, std::uint64_t id, call_row call);
-// True if the host could take a shard over now. It is another one than this.
+// True if the host is another one and could take a shard over now.
 bool is_eligible_successor(node const& context, host_id const& id,
                            host_row const& host);
-// Bounds the deadlines of all calls by that of a stop.
-void bound_calls(node& context);
-// Gives a planner its policies: at any change of them, and at a change of the
-// configuration or of the jobs that a shard begins with.
+// Moves deadlines of calls that are later than the stop of this process.
+void cap_call_deadlines(node& context);
+// Sends the policies in force to the planner of a shard. `set_configuration`
+// first looks up the limits of removed organisations, which change with the
+// configuration and with the jobs that are loaded.
 void set_policies(node& context, shard_id const& shard);
 void set_configuration(node& context, shard_id const& shard);
 // Longest text of a row, in bytes before its encoding for the store.
--- a/cell/release_shards.cpp
+++ b/cell/release_shards.cpp
@@ -321,7 +321,7 @@
     {
         context.stopping_ = true;
         context.leave_at_ = input.deadline_;
-        bound_calls(context);
+        cap_call_deadlines(context);
         log_event(context, "stopping", {});
         context.heartbeat_at_ = context.now_; // announces the stop at once
         for (host_row& host : context.hosts_)
--- a/cell/route_calls.cpp
+++ b/cell/route_calls.cpp
@@ -375,7 +375,7 @@
 {
 
 // A stopping process answers each call while it can still send the answer.
-instant bound_deadline(node const& context, instant deadline)
+instant cap_deadline(node const& context, instant deadline)
 {
     if (context.leave_at_ == instant::never())
     {
@@ -387,12 +387,12 @@
 
 } // namespace
 
-void bound_calls(node& context)
+void cap_call_deadlines(node& context)
 {
     for (std::size_t row = 0; row < context.calls_.size(); ++row)
     {
         call_row&     call = context.calls_[row];
-        instant const bound = bound_deadline(context, call.deadline_);
+        instant const bound = cap_deadline(context, call.deadline_);
         if (bound < call.deadline_)
         {
             call.deadline_ = bound;
@@ -403,7 +403,7 @@
 
 void open_call(node& context, std::uint64_t id, call_row call)
 {
-    call.deadline_ = bound_deadline(context, call.deadline_);
+    call.deadline_ = cap_deadline(context, call.deadline_);
     context.calls_due_.add(call.retry_at_, id);
     context.calls_due_.add(call.deadline_, id);
     context.calls_.ensure(id) = std::move(call);
@@ -454,9 +454,9 @@
         call.request_, context.shards_.find(shard)->address_, forwarded});
 }
 
-// True when this process will have left before any host can own a shard that
-// has no owner now.
-bool is_without_owner_for_good(node const& context)
+// True when this host is stopping and knows no other one that could take over
+// a shard without an owner.
+bool lacks_successor(node const& context)
 {
     if (!context.stopping_)
     {
@@ -488,7 +488,7 @@
         return;
     }
     bool const rejected = call.refusal_.retry_after_ms_ > 0;
-    if (rejected || !context.store_ok_ || is_without_owner_for_good(context))
+    if (rejected || !context.store_ok_ || lacks_successor(context))
     {
         fail_call(context, id);
         return;
@@ -513,7 +513,7 @@
         forward_call(context, id, *place);
         return;
     }
-    if (is_without_owner_for_good(context))
+    if (lacks_successor(context))
     {
         fail_call(context, id);
         return;
--- a/cell/serve_calls.cpp
+++ b/cell/serve_calls.cpp
@@ -64,9 +64,13 @@
         return;
     }
     std::string const spec_text = write_spec(*call.job_);
-    if (spec_text.size() > max_spec_bytes(context))
+    std::size_t const limit = max_spec_bytes(context, *call.job_);
+    if (spec_text.size() > limit)
     {
-        log_event(context, "job_too_large", {{"job", call.id_.str()}});
+        log_event(context, "job_too_large",
+                  {{"job", call.id_.str()},
+                   {"bytes", std::to_string(spec_text.size())},
+                   {"limit", std::to_string(limit)}});
         answer_origin(context, from, refuse(context, job_outcome::unavailable));
         return;
     }
--- a/cell/settings.hpp
+++ b/cell/settings.hpp
@@ -65,8 +65,9 @@
     std::int64_t foreign_claim_micros_ = 1'200'000; // added in other domains
     std::int64_t isolated_micros_ = 8'000'000; // without contact to any host
     std::int64_t balance_micros_ = 1'500'000;  // between searches
-    // Time that a stopping host without a successor keeps for storing changes
-    // and releases: a few calls to a store that is slow.
+    // A stopping host without a successor releases its shards this long before
+    // it leaves: three calls with the minimum timeout, for the open write, the
+    // last changes and the release.
     std::int64_t release_micros_ = 1'500'000;
 
     // Shards of a failure domain. Half a core can keep about 60 targets
--- a/cell/write_journal.cpp
+++ b/cell/write_journal.cpp
@@ -87,12 +87,16 @@
 
 bool fits_in_row(node const& context, staged_job const& job)
 {
-    return write_spec(job).size() <= max_spec_bytes(context);
+    return write_spec(job).size() <= max_spec_bytes(context, job);
 }
 
-std::size_t max_spec_bytes(node const& context)
+std::size_t max_spec_bytes(node const& context, staged_job const& job)
 {
-    return max_row_text(context) / 2; // the other half is for the progress
+    // The rest of the row is for the progress. A delegate repeats the payload
+    // of its job and lists its tasks, which are few or a gang with one
+    // progress.
+    std::size_t const whole = max_row_text(context);
+    return job.alias_ ? whole / 8 * 7 : whole / 2;
 }
 
 namespace
@@ -170,10 +174,10 @@
     return (text.size() + 2) / 3 * 4;
 }
 
-// The store refuses the row. The other jobs of the part are still written, and
-// the job is written again when its progress changes.
-void pass_over(node& context, journal_part& part, job_id const& job,
-               std::size_t bytes)
+// Leaves out a row that the store would refuse together with all others of the
+// transaction. The job is written again when its progress changes.
+void skip_large_row(node& context, journal_part& part, job_id const& job,
+                    std::size_t bytes)
 {
     part.dirty_.erase(job);
     log_event(context, "row_too_large",
@@ -203,7 +207,7 @@
         std::size_t const size = encoded_bytes(text);
         if (size > context.settings_.row_bytes_)
         {
-            pass_over(context, part, job, size);
+            skip_large_row(context, part, job, size);
             continue;
         }
         bytes += size;
--- a/core/advice_policy.hpp
+++ b/core/advice_policy.hpp
@@ -2,6 +2,9 @@
 #ifndef FESCUEVANE_CORE_ADVICE_POLICY_HPP
 #define FESCUEVANE_CORE_ADVICE_POLICY_HPP
 
+#include "core/instant.hpp"
+
+#include <cstddef>
 #include <cstdint>
 
 namespace fescuevane
@@ -18,6 +21,16 @@
                            advice_policy const&) = default;
 };
 
+// Time in which the policy service answers a request about this many targets.
+inline std::int64_t expect_reply_micros(advice_policy const& policy,
+                                        std::size_t          targets)
+{
+    return static_cast<std::int64_t>(
+        (policy.decision_ms_ +
+         policy.per_target_ms_ * static_cast<double>(targets)) *
+        micros_per_milli);
+}
+
 } // namespace fescuevane
 
 #endif
--- a/plan/apply_events.cpp
+++ b/plan/apply_events.cpp
@@ -154,20 +154,6 @@
     return false;
 }
 
-// Opens the occurrences that a former owner of a timed job had opened.
-void open_stored(planner& context, job_added const& input)
-{
-    job_id const& id = input.job_->id_;
-    for (task_progress const& task : input.progress_.tasks_)
-    {
-        open_reported(context, {id, task.occurrence_, task.step_});
-    }
-    for (auto const& [place, tasks] : input.progress_.done_tasks_)
-    {
-        open_reported(context, {id, place.first, place.second});
-    }
-}
-
 void apply(planner& context, job_added const& input)
 {
     if (context.jobs_.contains(input.job_->id_))
@@ -207,7 +193,7 @@
     if (open && timed)
     {
         context.timed_.insert(input.job_->id_);
-        open_stored(context, input);
+        open_stored(context, input.job_->id_, input.progress_);
     }
 }
 
--- a/plan/job_flow.hpp
+++ b/plan/job_flow.hpp
@@ -75,6 +75,12 @@
 // the job has it and it isn't open. A former owner may have opened it earlier.
 void open_reported(planner& context, stage_key const& stage);
 
+// Opens occurrences of a timed job that have stored progress: a former owner
+// had opened them. Those above the bound of open tasks open later, when they
+// are due or reported.
+void open_stored(planner& context, job_id const& job,
+                 job_progress const& progress);
+
 // Marks stages of an occurrence as startable when it is due and all of their
 // predecessors have ended.
 void start_successors(planner& context, job_id const& job,
--- a/plan/job_row.hpp
+++ b/plan/job_row.hpp
@@ -29,8 +29,8 @@
     std::uint32_t next_occurrence_ = 0; // first one that isn't open yet
     std::uint64_t open_tasks_ = 0;      // tasks of its open stages
 
-    // Occurrences from `next_occurrence_` on that are open, since a target
-    // reported a run of them.
+    // Occurrences from `next_occurrence_` on that were opened because they were
+    // reported or had stored progress.
     std::set<std::uint32_t> opened_early_;
 
     // Its rows in the stage table, by occurrence and step.
@@ -45,9 +45,9 @@
     // Occurrences in which a step has ended, by step.
     std::map<std::uint32_t, index_ranges> ended_steps_;
 
-    // Progress in stages that aren't open, by occurrence and step: all stored
-    // progress of those that haven't been opened yet, and delegated tasks of
-    // ended ones.
+    // Progress in stages that aren't open, by occurrence and step: stored tasks
+    // and done tasks of those that haven't been opened yet, and delegated tasks
+    // of ended ones.
     std::map<std::pair<std::uint32_t, std::uint32_t>,
              std::vector<task_progress>>
         closed_tasks_;
--- a/plan/open_stages.cpp
+++ b/plan/open_stages.cpp
@@ -3,11 +3,13 @@
 // An open occurrence takes memory and is looked at in each tick, and a job may
 // have any number of occurrences due at once. So only as many are open as keep
 // some tasks waiting to start.
+#include "core/job_progress.hpp"
 #include "plan/job_flow.hpp"
 #include "plan/planner.hpp"
 
 #include <algorithm>
 #include <limits>
+#include <set>
 #include <vector>
 
 namespace fescuevane::plan
@@ -15,15 +17,15 @@
 namespace
 {
 
-// Waiting tasks of a job above which no further occurrence is opened. Well
-// above the number of tasks that a shard starts in one tick.
+// Waiting tasks of a job above which no further occurrence is opened. A shard
+// starts fewer tasks in one tick, so it doesn't run out of them.
 constexpr std::uint64_t max_waiting_tasks = 256;
 
-// Tasks in open stages of a job above which no further occurrence is opened:
-// about 5 MB.
+// Tasks in open stages of a job above which no further occurrence is opened. A
+// task takes 200 bytes and a stage 264, so this is 4 to 9 MB.
 constexpr std::uint64_t max_open_tasks = 20'000;
 
-// Tasks opened in one tick, of all jobs. Opening a task takes about 0.2 us.
+// Tasks opened in one tick, of all jobs.
 constexpr std::uint64_t max_opened_tasks = 2'000;
 
 // Tasks of the stage that could start now.
@@ -85,6 +87,13 @@
     return tasks;
 }
 
+// A job may have one occurrence open whatever its size.
+bool exceeds_open_tasks(job_row const& job)
+{
+    return !job.open_stages_.empty() &&
+           job.open_tasks_ + count_tasks(*job.spec_) > max_open_tasks;
+}
+
 // Opens the next occurrence, or makes one startable that was opened before it
 // was due.
 void open_next_occurrence(planner& context, job_id const& id)
@@ -128,9 +137,7 @@
                                                 micros_per_milli));
             return true;
         }
-        std::uint64_t const tasks = count_tasks(*job->spec_);
-        if (!job->open_stages_.empty() &&
-            job->open_tasks_ + tasks > max_open_tasks)
+        if (exceeds_open_tasks(*job))
         {
             return true; // goes on when stages have ended
         }
@@ -147,6 +154,7 @@
             wake_at(context, context.now_);
             return true;
         }
+        std::uint64_t const tasks = count_tasks(*job->spec_);
         budget -= std::min(budget, tasks);
         opened += tasks;
         open_next_occurrence(context, id);
@@ -155,6 +163,28 @@
 
 } // namespace
 
+void open_stored(planner& context, job_id const& id,
+                 job_progress const& progress)
+{
+    std::set<std::uint32_t> occurrences;
+    for (task_progress const& task : progress.tasks_)
+    {
+        occurrences.insert(task.occurrence_);
+    }
+    for (auto const& [place, tasks] : progress.done_tasks_)
+    {
+        occurrences.insert(place.first);
+    }
+    for (std::uint32_t const occurrence : occurrences)
+    {
+        if (exceeds_open_tasks(*context.jobs_.find(id)))
+        {
+            return;
+        }
+        open_reported(context, {id, occurrence, 0});
+    }
+}
+
 void open_stages(planner& context)
 {
     std::vector<job_id> const timed(context.timed_.begin(),
--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -169,15 +169,9 @@
 std::int64_t advice_reply_micros(planner const& context, job_row const& job)
 {
     queue_policy const* const queue = find_policy(context, *job.spec_);
-    if (queue == nullptr || !queue->advice_)
-    {
-        return 0;
-    }
-    return static_cast<std::int64_t>(
-        (queue->advice_->decision_ms_ +
-         queue->advice_->per_target_ms_ *
-             static_cast<double>(context.targets_.size())) *
-        micros_per_milli);
+    return queue != nullptr && queue->advice_
+               ? expect_reply_micros(*queue->advice_, context.targets_.size())
+               : 0;
 }
 
 // Long-running tasks that have waited this long move to another shard that has
--- a/tests/unit/cell_fixture.hpp
+++ b/tests/unit/cell_fixture.hpp
@@ -4,6 +4,7 @@
 #define FESCUEVANE_TESTS_UNIT_CELL_FIXTURE_HPP
 
 #include "cell/cell.hpp"
+#include "cell/records.hpp"
 #include "core/staged_job.hpp"
 
 #include <algorithm>
@@ -83,6 +84,15 @@
 
     void post(event input) { post_event(*node_, std::move(input)); }
 
+    // Stores the row of another host, which has sent no heartbeat yet.
+    void store_host(std::string const& name, std::string const& domain = "east")
+    {
+        row_key const key{"member", "", "host/" + name};
+        rows_[key] = {key,
+                      write_host({"127.0.0.1:7001", domain_id(domain), 1, 5}),
+                      ++revision_};
+    }
+
     void list_target(std::string const& name, bool leaving = false)
     {
         post(target_listed{{.id_ = target_id(name),
--- a/tests/unit/cell_jobs_test.cpp
+++ b/tests/unit/cell_jobs_test.cpp
@@ -706,10 +706,7 @@
                   "alone before the process leaves, stopped")
 {
     constexpr std::int64_t grace = 5 * micros_per_second;
-    rows_[{"member", "", "host/host-2"}] = {
-        {"member", "", "host/host-2"},
-        write_host({"127.0.0.1:7001", domain_id("east"), 1, 5}),
-        ++revision_};
+    store_host("host-2");
     start(1);
     serve();
     SUBCASE("another host")
--- a/tests/unit/cell_ownership_test.cpp
+++ b/tests/unit/cell_ownership_test.cpp
@@ -24,12 +24,6 @@
         rows_[key] = {key, value, ++revision_};
     }
 
-    void store_host(std::string const& name, std::string const& domain)
-    {
-        store_row({"member", "", "host/" + name},
-                  write_host({"127.0.0.1:7001", domain_id(domain), 1, 5}));
-    }
-
     void post_heartbeat(std::string const& name)
     {
         post(heartbeat_received{{.host_ = host_id(name), .incarnation_ = 5}});
--- a/tests/unit/cell_records_test.cpp
+++ b/tests/unit/cell_records_test.cpp
@@ -339,6 +339,35 @@
     }
 }
 
+// Guards against a short row that exhausts the memory of each host that loads
+// it: an entry may stand for any number of tasks.
+TEST_CASE("row of a job, entries for more tasks than a host can hold, refused")
+{
+    constexpr std::uint32_t tasks = 50'000; // of one occurrence
+    json                    row = make_grouped_job();
+    row["spec"]["repeat"] = 1'000;
+    row["spec"]["steps"][0]["count"] = tasks;
+    row["groups"] = json::array();
+    row["checkpoints"] = json::array();
+    for (std::uint32_t occurrence = 0; occurrence < 3; ++occurrence)
+    {
+        CAPTURE(occurrence);
+        row["groups"].push_back({{"o", occurrence + 2},
+                                 {"s", 0},
+                                 {"n", {0, tasks}},
+                                 {"r", 3},
+                                 {"f", {1}}});
+        if (occurrence < 2)
+        {
+            CHECK_NOTHROW(read_job(row.dump()));
+        }
+        else
+        {
+            CHECK_THROWS_AS(read_job(row.dump()), record_error);
+        }
+    }
+}
+
 // Guards against a layout that makes each host of a cell create shards until
 // its memory is exhausted.
 TEST_CASE("row of a layout, too many shards, refused")
--- a/tests/unit/cell_row_limits_test.cpp
+++ b/tests/unit/cell_row_limits_test.cpp
@@ -218,6 +218,39 @@
     }
 }
 
+// Guards against delegated tasks that no shard accepts: the row of a delegate
+// repeats the payload of its job and lists its tasks.
+TEST_CASE_FIXTURE(
+    large_rows_fixture,
+    "500 tasks of a job with a large payload, delegated, accepted")
+{
+    constexpr std::uint32_t tasks = 500;
+    task_alias              alias{.stage_ = {job_id("bb01"), 0, 0}};
+    for (std::uint32_t index = 0; index < tasks; ++index)
+    {
+        alias.indices_.push_back(index);
+        alias.failures_.push_back(index % 2);
+        alias.checkpoints_.push_back("00000bb87a21" + std::to_string(index));
+    }
+    serve();
+    post(call_opened{.call_ = ++last_call_,
+                     .kind_ = call_kind::submit,
+                     .id_ = job_id("aa01"),
+                     .job_ = std::make_shared<staged_job const>(staged_job{
+                         .id_ = job_id("aa01"),
+                         .organisation_ = organisation_id("cafe"),
+                         .queue_ = queue_id("orders"),
+                         .service_ = service_id("desk"),
+                         .payload_ = std::string(20'000, 'x'),
+                         .steps_ = {{.count_ = tasks, .demand_ = {100, 64, 0}}},
+                         .alias_ = alias}),
+                     .deadline_ = now_.after(3 * micros_per_second)});
+    run(100'000);
+    REQUIRE(find_answer(last_call_));
+    CHECK(find_answer(last_call_)->outcome_ == job_outcome::accepted);
+    CHECK(encoded_bytes(rows_.at({"job", "0", "aa01"}).value_) <= row_bytes);
+}
+
 // Guards against a job that is accepted and whose row the store refuses; its
 // shard couldn't store any other job either.
 TEST_CASE_FIXTURE(large_rows_fixture,
--- a/tests/unit/cell_stop_test.cpp
+++ b/tests/unit/cell_stop_test.cpp
@@ -19,10 +19,7 @@
 
     stop_fixture()
     {
-        rows_[{"member", "", "host/host-2"}] = {
-            {"member", "", "host/host-2"},
-            write_host({"127.0.0.1:7001", domain_id("east"), 1, 5}),
-            ++revision_};
+        store_host("host-2");
         start(1);
         serve();
     }
--- a/tests/unit/plan_occurrences_test.cpp
+++ b/tests/unit/plan_occurrences_test.cpp
@@ -174,6 +174,28 @@
     CHECK(find_phase(*planner_, job_id("j-1")) == job_phase::completed);
 }
 
+// Guards against a load that opens every occurrence with stored progress.
+TEST_CASE_FIXTURE(overdue_fixture,
+                  "progress in 500 occurrences of 1,000 tasks, read, few are "
+                  "open")
+{
+    constexpr std::uint32_t count = 500;
+    constexpr std::uint32_t width = 1'000;
+    constexpr std::size_t   most = 25'000;
+    job_progress            progress{.phase_ = job_phase::running};
+    for (std::uint32_t occurrence = 0; occurrence < count; ++occurrence)
+    {
+        progress.done_tasks_[{occurrence, 0}] += 0U;
+    }
+    post(job_added{.job_ = make_job("j-1", {make_step(width)}, count, 0),
+                   .progress_ = progress,
+                   .accepted_at_ = now_,
+                   .recovered_ = true});
+    unix_ms_ = 1000 * static_cast<std::int64_t>(count);
+    tick();
+    CHECK(list<start_run>().size() <= most);
+}
+
 // Guards against jobs that a new version of the program can't finish: earlier
 // versions stored an entry for each ended task.
 TEST_CASE_FIXTURE(overdue_fixture,
