Log since when a step has had no question to the policy service

`waiting` now says for how long no question has been asked about the step and how many questions of the shard are in flight, against their limits. `advice` says how much of its time goes beyond that of the service itself.

--- a/cell/drive_planners.cpp
+++ b/cell/drive_planners.cpp
@@ -573,15 +573,17 @@
                          plan::advice_failed{pending.question_->stage_});
         return;
     }
-    log_event(
-        context, "advice",
-        {{"job", pending.question_->stage_.job_.str()},
-         {"step", std::to_string(pending.question_->stage_.step_)},
-         {"asker", pending.proxy_.str()},
-         {"asked", std::to_string(pending.question_->targets_.size())},
-         {"good", std::to_string(input.good_.size())},
-         {"ms", std::to_string(pending.sent_.remaining_until(context.now_) /
-                               micros_per_milli)}});
+    std::int64_t const took = pending.sent_.remaining_until(context.now_);
+    log_event(context, "advice",
+              {{"job", pending.question_->stage_.job_.str()},
+               {"step", std::to_string(pending.question_->stage_.step_)},
+               {"asker", pending.proxy_.str()},
+               {"asked", std::to_string(pending.question_->targets_.size())},
+               {"good", std::to_string(input.good_.size())},
+               {"ms", std::to_string(took / micros_per_milli)},
+               {"queued_ms", std::to_string(std::max<std::int64_t>(
+                                                0, took - pending.micros_) /
+                                            micros_per_milli)}});
     plan::post_event(*own->planner_,
                      plan::advice_given{.stage_ = pending.question_->stage_,
                                         .asked_ = pending.question_->targets_,
--- a/plan/explain_waits.cpp
+++ b/plan/explain_waits.cpp
@@ -98,6 +98,33 @@
     return why;
 }
 
+// The pending advice request of a stage, or since when it has had none and how
+// many requests other stages have in flight.
+std::string describe_requests(planner const& context, stage_view const& stage)
+{
+    if (stage.row_.asked_ > 0)
+    {
+        return ", advice requested";
+    }
+    if (!needs_ticket(stage))
+    {
+        return "";
+    }
+    std::string const latest =
+        stage.row_.requested_at_ == instant()
+            ? ", no advice requested so far"
+            : ", no advice requested for " +
+                  std::to_string(
+                      stage.row_.requested_at_.remaining_until(context.now_) /
+                      micros_per_milli) +
+                  " ms";
+    return latest + " (in flight: long " +
+           std::to_string(context.long_requests_) + " of " +
+           std::to_string(context.max_long_requests_) + ", short " +
+           std::to_string(context.short_requests_) + " of " +
+           std::to_string(context.settings_.max_short_requests_) + ")";
+}
+
 // Logs tasks that can't start because an end of an earlier run may still be
 // reported. They don't count as waiting, so nothing else logs them.
 void explain_held_tasks(planner& context, stage_key const& key,
@@ -183,7 +210,7 @@
         why += job.recovered_ && (unconfirmed.runs_ || unconfirmed.ends_)
                    ? describe_unconfirmed(context)
                    : "";
-        why += stage.asked_ > 0 ? ", advice requested" : "";
+        why += describe_requests(context, view_stage(context, key));
         why += job.over_rate_ ? ", beyond the organisation's rate" : "";
         why += is_within_limit(context, job.spec_->organisation_, key,
                                step.demand_)
--- a/tests/unit/plan_advice_test.cpp
+++ b/tests/unit/plan_advice_test.cpp
@@ -97,6 +97,34 @@
     CHECK(list<advice_request>().size() == limit);
 }
 
+// Guards against logs that don't tell a stage without a request from one whose
+// reply is late.
+TEST_CASE_FIXTURE(advice_fixture,
+                  "long requests used up, stage waits, log says since when")
+{
+    for (int target = 0; target < 20; ++target)
+    {
+        set_target("t-" + std::to_string(10 + target));
+    }
+    for (int job = 0; job < 9; ++job)
+    {
+        add_check("c-" + std::to_string(job), 1);
+    }
+    tick();
+    advance(4 * micros_per_second);
+    tick();
+    int without_request = 0;
+    for (note const& one : list<note>())
+    {
+        bool const without =
+            one.why_.find("no advice requested so far "
+                          "(in flight: long 4 of 4, short 0 of 8)") !=
+            std::string::npos;
+        without_request += without ? 1 : 0;
+    }
+    CHECK(without_request == 5);
+}
+
 // Guards against tickets that expire unused and load the policy service while
 // other stages could start. It happens when each waiting stage requests tickets
 // for the same room.
