Bound the wait of a step for a question to the policy service

The planner gave out its questions by rank, and a job that is three times over its objective, or above its organisation's rate, ranks behind all others for good. So a job accepted just before all hosts stop never got a question while newer steps used up those in flight. An offer of such a step was ranked as low, and its shard answered 0 at the deadline.

Each step without a question for 3 s now has a turn: one question before better-ranked steps, and its tasks are placed first while its tickets hold. Turns have a quarter of the questions in flight and go to the step that has waited longest, so the wait depends only on the steps that were due earlier, not on work that arrives later. An offer is due at once.

plan_advice_turns_test, which failed before (0 starts in 30 s, 0 of 30 steps asked about, 0 targets reported), passes: the late step starts within 10 s, thirty of them are asked about within 25 s, and newer steps keep at least two thirds of the questions.

--- a/plan/job_flow.cpp
+++ b/plan/job_flow.cpp
@@ -70,6 +70,11 @@
         --stage.asked_;
         --(stage.requested_long_ ? context.long_requests_
                                  : context.short_requests_);
+        if (stage.turns_requested_ > 0)
+        {
+            --stage.turns_requested_;
+            --context.turn_requests_;
+        }
     }
 }
 
--- a/plan/request_advice.cpp
+++ b/plan/request_advice.cpp
@@ -14,6 +14,7 @@
 #include <algorithm>
 #include <iterator>
 #include <optional>
+#include <span>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -285,6 +286,7 @@
     ++stage.asked_;
     stage.requested_long_ = is_long;
     stage.requested_at_ = context.now_;
+    stage.turn_due_ = instant::never();
     ++(is_long ? context.long_requests_ : context.short_requests_);
     context.outbox_.push_back(advice_request{
         view.key_, std::move(targets), view.queue_->advice_->validity_ms_});
@@ -527,7 +529,9 @@
     send_request_for(context, stage, candidates, is_long);
 }
 
-void request_for_stage(planner& context, stage_key const& key, free_room& free)
+// Takes the room of the stage from `free`, and sends requests if `allowed`.
+void request_for_stage(planner& context, stage_key const& key, free_room& free,
+                       bool allowed)
 {
     stage_view const   stage = view_stage(context, key);
     bool const         startable = stage.row_.startable_;
@@ -544,7 +548,8 @@
     bool const is_long =
         needs_ticket(stage) && is_long_request(context, *stage.queue_->advice_);
     // A stage with reservations may be of a queue without a policy service.
-    bool const may_send = needs_ticket(stage) && stage.row_.asked_ == 0 &&
+    bool const may_send = allowed && needs_ticket(stage) &&
+                          stage.row_.asked_ == 0 &&
                           may_request(context, is_long);
     if (!startable && !may_send)
     {
@@ -616,6 +621,135 @@
     send_request_for(context, stage, candidates, is_long);
 }
 
+// With rank alone a stage would wait for as long as better-ranked ones need all
+// requests. So a stage that has waited long for a request has a turn: it sends
+// one before better-ranked stages, and its tasks are placed first while it may
+// use the tickets. Turns have a part of the requests in flight and go to those
+// that have waited longest, so the wait for one depends only on the number of
+// stages that were due earlier. An offer is due at once, since its reply has a
+// deadline.
+void set_turn_times(planner& context, std::span<stage_rank const> ranks)
+{
+    for (stage_rank const& rank : ranks)
+    {
+        stage_row& stage = *context.stages_.find(rank.stage_);
+        if (stage.asked_ > 0)
+        {
+            continue;
+        }
+        if (stage.turn_due_ == instant::never() && stage.startable_)
+        {
+            stage.turn_due_ =
+                context.now_.after(context.settings_.advice_turn_micros_);
+        }
+        else if (context.offers_.contains(rank.stage_.job_))
+        {
+            stage.turn_due_ = std::min(stage.turn_due_, context.now_);
+        }
+        if (stage.turn_due_ > context.now_)
+        {
+            wake_at(context, stage.turn_due_);
+        }
+    }
+}
+
+bool may_send_in_turn(planner const& context)
+{
+    return context.turn_requests_ <
+           std::max(1U, context.max_long_requests_ /
+                            context.settings_.advice_turn_divisor_);
+}
+
+bool is_in_turn(planner const& context, stage_key const& key)
+{
+    return context.stages_.find(key)->turn_until_ > context.now_;
+}
+
+// Stages whose turn is due, longest waiting first.
+std::vector<stage_key> list_due_stages(planner const&              context,
+                                       std::span<stage_rank const> ranks)
+{
+    std::vector<std::pair<instant, stage_key>> due;
+    for (stage_rank const& rank : ranks)
+    {
+        stage_row const& stage = *context.stages_.find(rank.stage_);
+        if (stage.turn_due_ <= context.now_ && stage.asked_ == 0)
+        {
+            due.emplace_back(stage.turn_due_, rank.stage_);
+        }
+    }
+    std::sort(due.begin(), due.end());
+    std::vector<stage_key> stages;
+    stages.reserve(due.size());
+    for (auto const& [at, key] : due)
+    {
+        stages.push_back(key);
+    }
+    return stages;
+}
+
+// Counts the requests that a stage has sent in its turn since `before`.
+void count_turn_requests(planner& context, stage_row& stage,
+                         std::uint32_t before)
+{
+    std::uint32_t const sent = stage.asked_ - before;
+    stage.turns_requested_ += sent;
+    context.turn_requests_ += sent;
+}
+
+// A stage in its turn may send further requests while turns have requests left.
+void continue_turn(planner& context, stage_key const& key, free_room& free)
+{
+    stage_row&          stage = *context.stages_.find(key);
+    std::uint32_t const before = stage.asked_;
+    request_for_stage(context, key, free, may_send_in_turn(context));
+    count_turn_requests(context, stage, before);
+}
+
+// Begins the turn of a stage unless it has no use for a request.
+void begin_turn(planner& context, stage_key const& key, free_room& free)
+{
+    stage_row&          stage = *context.stages_.find(key);
+    std::uint32_t const before = stage.asked_;
+    free_room           rest = free;
+    request_for_stage(context, key, rest, true);
+    if (stage.asked_ == before)
+    {
+        return;
+    }
+    free.swap(rest);
+    count_turn_requests(context, stage, before);
+    advice_policy const& advice = *find_policy(context, *stage.spec_)->advice_;
+    stage.turn_until_ = context.now_.after(
+        static_cast<std::int64_t>((find_reply_ms(context, advice) + lead_ms) *
+                                  micros_per_milli) +
+        advice.validity_ms_ * micros_per_milli);
+}
+
+void request_in_turns(planner& context, std::span<stage_rank const> ranks,
+                      free_room& free)
+{
+    set_turn_times(context, ranks);
+    for (stage_rank const& rank : ranks)
+    {
+        if (is_in_turn(context, rank.stage_))
+        {
+            continue_turn(context, rank.stage_, free);
+        }
+    }
+    for (stage_key const& key : list_due_stages(context, ranks))
+    {
+        if (!may_send_in_turn(context))
+        {
+            return;
+        }
+        if (!is_in_turn(context, key))
+        {
+            begin_turn(context, key, free);
+        }
+    }
+}
+
 } // namespace
 
 void request_advice(planner& context)
@@ -626,13 +760,26 @@
     }
     std::vector<stage_rank> const ranks = rank_requesting_stages(context);
     free_room                     free = list_free_room(context);
-    for (stage_rank const& rank : ranks)
+    std::size_t                   holding = 0;
+    for (; holding < ranks.size() &&
+           count_reservations(context, ranks[holding].stage_) > 0;
+         ++holding)
+    {
+        request_for_stage(context, ranks[holding].stage_, free, true);
+    }
+    std::span<stage_rank const> const others =
+        std::span(ranks).subspan(holding);
+    request_in_turns(context, others, free);
+    for (stage_rank const& rank : others)
     {
-        request_for_stage(context, rank.stage_, free);
         if (!may_request(context, false) && !may_request(context, true))
         {
             return;
         }
+        if (!is_in_turn(context, rank.stage_))
+        {
+            request_for_stage(context, rank.stage_, free, true);
+        }
     }
 }
 
--- a/plan/stage_rank.cpp
+++ b/plan/stage_rank.cpp
@@ -18,6 +18,9 @@
 // Added for jobs above their organisation's rate, which rank behind late ones.
 constexpr std::int32_t over_rate_lateness = 2;
 
+// Of a stage in its turn, which is placed before all others.
+constexpr std::int32_t turn_lateness = -1;
+
 // Validity of the estimates of a job's critical paths, which change slowly
 // while ranks are needed in each tick.
 constexpr std::int64_t critical_path_validity_micros = 500'000;
@@ -127,7 +130,12 @@
         {
             continue;
         }
-        ranks.push_back(rank_stage(context, key));
+        stage_rank rank = rank_stage(context, key);
+        if (stage.turn_until_ > context.now_)
+        {
+            rank.lateness_ = turn_lateness;
+        }
+        ranks.push_back(rank);
     }
     std::sort(ranks.begin(), ranks.end());
     return ranks;
--- a/plan/stage_rank.hpp
+++ b/plan/stage_rank.hpp
@@ -18,8 +18,8 @@
 // meet its objective precedes work that can't.
 struct stage_rank
 {
-    std::int32_t lateness_ =
-        0; // 0 on time, 1 late, 2 no value left; 2 more above the rate
+    // -1 in its turn, 0 on time, 1 late, 2 no value left; 2 more above the rate
+    std::int32_t lateness_ = 0;
     std::int32_t priority_ = 0; // of the queue
     std::int64_t slack_ms_ = 0; // until the last start that meets the objective
     stage_key    stage_;
@@ -29,7 +29,8 @@
 
 stage_rank rank_stage(planner const& context, stage_key const& stage);
 
-// Startable stages with a waiting task, best rank first.
+// Startable stages with a waiting task, those in their turn first, then by
+// rank.
 std::vector<stage_rank> rank_waiting_stages(planner const& context);
 
 } // namespace fescuevane::plan
--- a/plan/stage_row.hpp
+++ b/plan/stage_row.hpp
@@ -48,6 +48,12 @@
     bool          requested_long_ = false; // with a long reply time
     instant       requested_at_;           // time of the latest request
     instant       request_after_;
+
+    // A turn lets a stage send a request and use room before better-ranked
+    // ones. It is due when the stage has waited long for a request.
+    instant       turn_due_ = instant::never();
+    instant       turn_until_;          // in its turn until then
+    std::uint32_t turns_requested_ = 0; // requests in flight sent in a turn
 };
 
 // Number of tasks that this shard has to start.
--- a/tests/unit/plan_advice_turns_test.cpp
+++ b/tests/unit/plan_advice_turns_test.cpp
@@ -17,8 +17,6 @@
 namespace
 {
 
-TEST_SUITE_BEGIN("advice_turns");
-
 constexpr std::int64_t  tick_micros = 100'000;
 constexpr std::int64_t  reply_micros = 600'000; // of the policy service
 constexpr std::int64_t  run_micros = 1'000'000; // of all tasks
@@ -286,7 +284,5 @@
     CHECK(offers_[0].fit_later_ > 0);
 }
 
-TEST_SUITE_END();
-
 } // namespace
 } // namespace fescuevane::plan
