Give gangs their turns for questions in the order of their acceptance

A gang over several shards needs tickets in all of them at one moment, so all shards have to prefer the same gang. Turns of gangs go by acceptance now, and every other turn is for other steps, so that old gangs which can't start don't take all of them.

--- a/plan/request_advice.cpp
+++ b/plan/request_advice.cpp
@@ -665,27 +665,59 @@
     return context.stages_.find(key)->turn_until_ > context.now_;
 }
 
-// Stages whose turn is due, longest waiting first.
+using due_stages = std::vector<std::pair<instant, stage_key>>;
+
+// Takes stages of both lists by turns.
+std::vector<stage_key> alternate(due_stages const& first,
+                                 due_stages const& second)
+{
+    std::vector<stage_key> stages;
+    stages.reserve(first.size() + second.size());
+    for (std::size_t row = 0; row < std::max(first.size(), second.size());
+         ++row)
+    {
+        for (due_stages const* const list : {&first, &second})
+        {
+            if (row < list->size())
+            {
+                stages.push_back((*list)[row].second);
+            }
+        }
+    }
+    return stages;
+}
+
+// Stages whose turn is due, longest waiting first. Gangs are in the order in
+// which they were accepted, which is the same in all shards: a gang on several
+// shards needs tickets in all of them at the same time. Every other turn is for
+// a gang, so that old ones which can't start don't take them all.
 std::vector<stage_key> list_due_stages(planner const&              context,
                                        std::span<stage_rank const> ranks)
 {
-    std::vector<std::pair<instant, stage_key>> due;
+    due_stages gangs;
+    due_stages others;
     for (stage_rank const& rank : ranks)
     {
         stage_row const& stage = *context.stages_.find(rank.stage_);
-        if (stage.turn_due_ <= context.now_ && stage.asked_ == 0)
+        if (stage.turn_due_ > context.now_ || stage.asked_ > 0)
         {
-            due.emplace_back(stage.turn_due_, rank.stage_);
+            continue;
+        }
+        if (find_step(context, rank.stage_).gang_)
+        {
+            gangs.emplace_back(
+                context.jobs_.find(rank.stage_.job_)->accepted_at_,
+                rank.stage_);
+        }
+        else
+        {
+            others.emplace_back(stage.turn_due_, rank.stage_);
         }
     }
-    std::sort(due.begin(), due.end());
-    std::vector<stage_key> stages;
-    stages.reserve(due.size());
-    for (auto const& [at, key] : due)
-    {
-        stages.push_back(key);
-    }
-    return stages;
+    std::sort(gangs.begin(), gangs.end());
+    std::sort(others.begin(), others.end());
+    return context.gang_had_turn_ ? alternate(others, gangs)
+                                  : alternate(gangs, others);
 }
 
 // Counts the requests that a stage has sent in its turn since `before`.
@@ -719,6 +751,7 @@
     }
     free.swap(rest);
     count_turn_requests(context, stage, before);
+    context.gang_had_turn_ = find_step(context, key).gang_;
     advice_policy const& advice = *find_policy(context, *stage.spec_)->advice_;
     stage.turn_until_ = context.now_.after(
         static_cast<std::int64_t>((find_reply_ms(context, advice) + lead_ms) *
