Move the questions to the policy service out of drive_planners

Cause: choosing the host that asks, sending and the reply stood in the file that runs planners, half of them in an unnamed part of section 3.

Change: send_questions.cpp holds the choice, the table of open questions and the replies. No change of behaviour; the four tests of cell_advice_test pass as before.

--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -161,6 +161,9 @@
 std::uint32_t part_of(node const& context, job_id const& job);
 void          record_job_location(node& context, job_id const& job,
                                   shard_id const& shard);
+// Through the host that is expected to reply first.
+void send_to_advice_proxy(node& context, shard_id const& shard,
+                          plan::advice_request const& query);
 void update_store_health(node& context, store_reply const& reply, instant sent);
 
 // Handlers of events, one for each kind
--- /dev/null
+++ b/cell/send_questions.cpp
@@ -0,0 +1,227 @@
+// Purpose: sends the questions of planners to the policy service, each through
+// the host that is expected to reply first, and returns the replies.
+//
+// Index of sections
+//   1. Choice of the host
+//   2. Questions
+//   3. Replies
+#include "cell/node.hpp"
+
+#include <algorithm>
+
+namespace fescuevane::cell
+{
+
+// 1. Choice of the host
+
+namespace
+{
+
+// Expected time of the policy service for advice on a stage, without the wait
+// for earlier requests.
+std::int64_t estimate_reply_micros(node const& context, shard_id const& shard,
+                                   plan::advice_request const& query)
+{
+    auto const policy = plan::find_policy(*context.owned_.find(shard)->planner_,
+                                          query.stage_.job_);
+    return policy && policy->advice_
+               ? expect_reply_micros(*policy->advice_, query.targets_.size())
+               : 0;
+}
+
+// Time until the earlier requests of an advice proxy are answered.
+std::int64_t expect_wait(node const& context, host_id const& id)
+{
+    advice_proxy_row const* const proxy = context.askers_.find(id);
+    if (proxy == nullptr)
+    {
+        return 0;
+    }
+    // The observed lag decreases at the rate at which requests are answered.
+    std::int64_t const lag = std::max<std::int64_t>(
+        0, proxy->lag_micros_ - proxy->lag_at_.remaining_until(context.now_));
+    return std::max(context.now_.remaining_until(proxy->busy_until_), lag);
+}
+
+bool owns_shard(node const& context, host_id const& host)
+{
+    return std::any_of(context.shards_.begin(), context.shards_.end(),
+                       [&host](shard_row const& shard)
+                       {
+                           return shard.owner_ == host && !shard.released_;
+                       });
+}
+
+// Penalty on the expected reply time of a host. Long requests go to hosts that
+// own nothing, so that owners stay free for short ones: a short request behind
+// a long one is what delays urgent work. An owner without urgent work takes the
+// long requests that would wait elsewhere.
+std::int64_t find_time_penalty(node const& context, host_id const& id,
+                               bool is_long)
+{
+    settings const& values = context.settings_;
+    bool const      own = id == values.host_;
+    bool const      owner = own || owns_shard(context, id);
+    if (owner != is_long)
+    {
+        return 0;
+    }
+    advice_proxy_row const* const proxy = context.askers_.find(id);
+    // Whether other owners have urgent work isn't known here.
+    bool const urgent =
+        !own || (proxy != nullptr && proxy->urgent_until_ > context.now_);
+    return is_long && !urgent ? values.advice_idle_micros_
+                              : values.advice_long_micros_;
+}
+
+// The policy service handles the requests of one host in sequence. Of the
+// suitable hosts, the one with the earliest expected reply is chosen.
+host_id choose_advice_proxy(node const& context, std::int64_t micros,
+                            bool is_long)
+{
+    settings const& values = context.settings_;
+    host_id         best = values.host_;
+    instant         best_end =
+        context.now_.after(expect_wait(context, values.host_) + micros +
+                           find_time_penalty(context, values.host_, is_long));
+    for (std::size_t row = 0; row < context.hosts_.size(); ++row)
+    {
+        host_row const& host = context.hosts_[row];
+        host_id const&  id = context.hosts_.key(row);
+        if (id == values.host_ || !host.heard_ || host.stopping_ ||
+            is_unresponsive(context, host.heard_at_))
+        {
+            continue;
+        }
+        // Owners in the host's own domain use it, too; their requests aren't
+        // known here.
+        std::int64_t const penalty = host.domain_ == values.domain_
+                                         ? values.advice_hop_micros_
+                                         : values.advice_remote_micros_;
+        instant const      end =
+            context.now_.after(expect_wait(context, id) + micros + penalty +
+                               find_time_penalty(context, id, is_long));
+        if (end < best_end)
+        {
+            best = id;
+            best_end = end;
+        }
+    }
+    return best;
+}
+
+} // namespace
+
+// 2. Questions
+
+void send_to_advice_proxy(node& context, shard_id const& shard,
+                          plan::advice_request const& query)
+{
+    auto const job = plan::find_job(*context.owned_.find(shard)->planner_,
+                                    query.stage_.job_);
+    std::int64_t const micros = estimate_reply_micros(context, shard, query);
+    bool const        is_long = micros > context.settings_.advice_owner_micros_;
+    host_id const     proxy = choose_advice_proxy(context, micros, is_long);
+    advice_proxy_row& row = context.askers_.ensure(proxy);
+    std::uint64_t const request = next_request(context);
+    std::int64_t const  wait = expect_wait(context, proxy);
+    row.busy_until_ = std::max(row.busy_until_, context.now_).after(micros);
+    if (!is_long)
+    {
+        row.urgent_until_ =
+            context.now_.after(context.settings_.advice_urgent_micros_);
+    }
+    context.questions_.ensure(request) = {
+        shard, std::make_shared<plan::advice_request const>(query),
+        context.now_, proxy, micros};
+    context.outbox_.push_back(send_question{
+        .request_ = request,
+        .question_ = {.stage_ = job && job->alias_ ? job->alias_->stage_
+                                                   : query.stage_,
+                      .targets_ = query.targets_,
+                      .validity_ms_ = query.validity_ms_},
+        .address_ = proxy == context.settings_.host_
+                        ? std::string()
+                        : context.hosts_.find(proxy)->address_,
+        .deadline_ = context.now_.after(
+            wait + micros + context.settings_.advice_slack_micros_)});
+}
+
+// 3. Replies
+
+namespace
+{
+
+// Lag that is assumed of a host that gave no reply, in practice excluding it
+// for this long.
+constexpr std::int64_t failed_proxy_lag_micros = 3'000'000;
+
+void update_advice_proxy(node& context, advice_request_row const& pending,
+                         bool answered)
+{
+    advice_proxy_row&  proxy = context.askers_.ensure(pending.proxy_);
+    std::int64_t const took = pending.sent_.remaining_until(context.now_);
+    proxy.lag_micros_ = answered
+                            ? std::max<std::int64_t>(0, took - pending.micros_)
+                            : std::max(took, failed_proxy_lag_micros);
+    proxy.lag_at_ = context.now_;
+    if (std::none_of(context.questions_.begin(), context.questions_.end(),
+                     [&pending](advice_request_row const& other)
+                     {
+                         return other.proxy_ == pending.proxy_;
+                     }))
+    {
+        proxy.busy_until_ = context.now_;
+    }
+}
+
+} // namespace
+
+void apply(node& context, advice_reply const& input)
+{
+    advice_request_row const* const found =
+        context.questions_.find(input.request_);
+    if (found == nullptr)
+    {
+        return;
+    }
+    advice_request_row const pending = *found;
+    context.questions_.remove(input.request_);
+    update_advice_proxy(context, pending, input.answered_);
+    owned_row* const own = context.owned_.find(pending.shard_);
+    if (own == nullptr || !own->planner_)
+    {
+        return;
+    }
+    own->plan_needed_ = true;
+    if (!input.answered_)
+    {
+        log_event(context, "advice_failed",
+                  {{"job", pending.question_->stage_.job_.str()},
+                   {"asker", pending.proxy_.str()},
+                   {"error", input.error_}});
+        plan::post_event(*own->planner_,
+                         plan::advice_failed{pending.question_->stage_});
+        return;
+    }
+    std::int64_t const took = pending.sent_.remaining_until(context.now_);
+    log_event(context, "advice",
+              {{"job", pending.question_->stage_.job_.str()},
+               {"step", std::to_string(pending.question_->stage_.step_)},
+               {"asker", pending.proxy_.str()},
+               {"asked", std::to_string(pending.question_->targets_.size())},
+               {"good", std::to_string(input.good_.size())},
+               {"ms", std::to_string(took / micros_per_milli)},
+               {"queued_ms", std::to_string(std::max<std::int64_t>(
+                                                0, took - pending.micros_) /
+                                            micros_per_milli)}});
+    plan::post_event(*own->planner_,
+                     plan::advice_given{.stage_ = pending.question_->stage_,
+                                        .asked_ = pending.question_->targets_,
+                                        .good_ = input.good_,
+                                        .valid_until_ = context.now_.after(
+                                            pending.question_->validity_ms_ *
+                                            micros_per_milli)});
+}
+
+} // namespace fescuevane::cell
