Limit questions by the hosts that can ask and by the demand of all shards

Cause: the idle hosts were divided evenly among all shards. The share of a shard that asks nothing, for example of an emptied failure domain, stayed unused while steps of other shards waited for a question.

Change: each owner counts twice a second how many long questions its shards have in flight or lack, and reports it in its heartbeats. The idle hosts that answer are divided max-min fairly by these figures; what nobody wants is divided evenly. An owner that doesn't report the figure (an earlier version) counts with the even share that it uses.

--- a/cell/drive_planners.cpp
+++ b/cell/drive_planners.cpp
@@ -9,6 +9,7 @@
 
 #include "cell/record_error.hpp"
 #include "cell/records.hpp"
+#include "plan/wanted_requests.hpp"
 
 #include <algorithm>
 #include <map>
@@ -379,6 +380,8 @@
             std::vector<plan::command> orders;
             plan::run_tick(*own.planner_, context.now_, context.unix_ms_,
                            orders);
+            own.most_requests_ = std::max(
+                own.most_requests_, plan::count_long_requests(*own.planner_));
             shard_id const shard = context.owned_.key(row);
             for (plan::command const& order : orders)
             {
--- a/cell/follow_members.cpp
+++ b/cell/follow_members.cpp
@@ -195,7 +195,8 @@
              .epoch_ = own.epoch_,
              .serving_ = own.phase_ == owned_phase::serving && !own.releasing_,
              .load_ = own.planner_ ? plan::summarize_load(*own.planner_)
-                                   : plan::load_summary()});
+                                   : plan::load_summary(),
+             .wanted_requests_ = own.wanted_requests_});
     }
     return beat;
 }
@@ -226,6 +227,7 @@
     shard->suspected_at_ = instant::never();
     shard->serving_ = reported.serving_;
     shard->load_ = reported.load_;
+    shard->wanted_requests_ = reported.wanted_requests_;
 }
 
 } // namespace
--- a/cell/owned_row.hpp
+++ b/cell/owned_row.hpp
@@ -35,6 +35,8 @@
     bool                      plan_needed_ = false;
     instant                   plan_after_; // next tick of the planner
     std::uint32_t advice_limit_ = 0;       // of long requests; 0: not set yet
+    std::uint32_t most_requests_ = 0;   // long ones in flight since the count
+    std::uint32_t wanted_requests_ = 0; // long ones, at the latest count
     bool          releasing_ = false;
     bool release_unconfirmed_ = false; // without a reply, may take effect
 
--- a/cell/shard_load.hpp
+++ b/cell/shard_load.hpp
@@ -6,6 +6,9 @@
 #include "core/shard_id.hpp"
 #include "plan/load_summary.hpp"
 
+#include <cstdint>
+#include <optional>
+
 namespace fescuevane::cell
 {
 
@@ -15,6 +18,9 @@
     epoch              epoch_ = 0;
     bool               serving_ = false; // its jobs are loaded
     plan::load_summary load_;
+    // Long requests to the policy service; none: not reported, by a process of
+    // an earlier version.
+    std::optional<std::uint32_t> wanted_requests_;
 
     friend bool operator==(shard_load const&, shard_load const&) = default;
 };
--- a/cell/shard_row.hpp
+++ b/cell/shard_row.hpp
@@ -7,6 +7,7 @@
 #include "plan/load_summary.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,7 @@
     instant            confirmed_at_; // latest confirmation of ownership
     bool               serving_ = false;
     plan::load_summary load_;
+    std::optional<std::uint32_t> wanted_requests_; // see shard_load
 
     // Claims
     instant suspected_at_ = instant::never(); // owner unresponsive or lost
--- a/peer/peer_codec.cpp
+++ b/peer/peer_codec.cpp
@@ -66,6 +66,10 @@
         row.set_shard(cell::write_shard_name(shard.shard_));
         row.set_epoch(shard.epoch_);
         row.set_serving(shard.serving_);
+        if (shard.wanted_requests_)
+        {
+            row.set_wanted_requests(*shard.wanted_requests_);
+        }
         write_amounts(shard.load_.capacity_, *row.mutable_capacity());
         write_amounts(shard.load_.used_, *row.mutable_used());
         write_amounts(shard.load_.queued_, *row.mutable_queued());
@@ -103,6 +107,10 @@
         cell::shard_load shard{.shard_ = read_shard(row.shard()),
                                .epoch_ = row.epoch(),
                                .serving_ = row.serving()};
+        if (row.has_wanted_requests())
+        {
+            shard.wanted_requests_ = row.wanted_requests();
+        }
         shard.load_.capacity_ = read_amounts(row.capacity());
         shard.load_.used_ = read_amounts(row.used());
         shard.load_.queued_ = read_amounts(row.queued());
--- a/tests/unit/cell_advice_test.cpp
+++ b/tests/unit/cell_advice_test.cpp
@@ -90,43 +90,96 @@
           std::vector<std::string>{"127.0.0.1:7002", "127.0.0.1:7002"});
 }
 
-// Guards against tasks that wait for tickets beside free targets while most
-// hosts of a large cell are idle.
-TEST_CASE_FIXTURE(
-    advice_proxy_fixture,
-    "twelve idle hosts and two shards, many long requests, six are "
-    "in flight")
+// Host-3 to host-14 own nothing.
+struct idle_hosts_fixture : advice_proxy_fixture
 {
-    for (int host = 4; host <= 14; ++host)
-    {
-        std::string const name = "host-" + std::to_string(host);
-        post(member_row_changed{
-            {{"member", "", "host/" + name},
-             write_host({"127.0.0.1:" + std::to_string(7000 + host),
-                         domain_id("east"), 1, 5}),
-             ++revision_}});
-    }
-    for (char const* const target : {"t-2", "t-3", "t-4"})
+    std::optional<std::uint32_t> west_wanted_;
+
+    idle_hosts_fixture()
     {
-        list_target(target);
+        for (int host = 4; host <= 14; ++host)
+        {
+            std::string const name = "host-" + std::to_string(host);
+            post(member_row_changed{
+                {{"member", "", "host/" + name},
+                 write_host({"127.0.0.1:" + std::to_string(7000 + host),
+                             domain_id("east"), 1, 5}),
+                 ++revision_}});
+        }
+        for (char const* const target : {"t-2", "t-3", "t-4"})
+        {
+            list_target(target);
+        }
     }
-    for (int round = 0; round < 12; ++round) // longer than between two counts
+
+    // Longer than between two counts; all hosts send heartbeats.
+    void run_idle_hosts()
     {
-        for (int host = 3; host <= 14; ++host)
+        for (int round = 0; round < 12; ++round)
         {
+            for (int host = 3; host <= 14; ++host)
+            {
+                post(heartbeat_received{
+                    {.host_ = host_id("host-" + std::to_string(host)),
+                     .incarnation_ = 5}});
+            }
             post(heartbeat_received{
-                {.host_ = host_id("host-" + std::to_string(host)),
-                 .incarnation_ = 5}});
+                {.host_ = host_id("host-2"),
+                 .incarnation_ = 5,
+                 .shards_ = {{.shard_ = {domain_id("west"), 0},
+                              .epoch_ = 1,
+                              .serving_ = true,
+                              .load_ = west_,
+                              .wanted_requests_ = west_wanted_}}}});
+            run(100'000);
+            for (hold_target const& hold : take<hold_target>())
+            {
+                answer_hold(hold, running_);
+            }
         }
-        run_cell(100'000);
     }
-    take<send_question>();
-    for (int job = 0; job < 9; ++job)
+
+    std::size_t count_requests_of(int jobs)
     {
-        submit_check("aa" + std::to_string(10 + job));
+        run_idle_hosts();
+        take<send_question>();
+        for (int job = 0; job < jobs; ++job)
+        {
+            submit_check("aa" + std::to_string(10 + job));
+        }
+        run(100'000);
+        run_idle_hosts();
+        run_idle_hosts();
+        return list_advice_proxies().size();
     }
-    run(100'000);
-    CHECK(list_advice_proxies().size() == 6);
+};
+
+// Guards against tasks that wait for tickets beside free targets while most
+// hosts of a large cell are idle. The other owner is of an earlier version.
+TEST_CASE_FIXTURE(idle_hosts_fixture,
+                  "twelve idle hosts and two shards, many long requests, six "
+                  "are in flight")
+{
+    CHECK(count_requests_of(9) == 6);
+}
+
+// Guards against hosts that stay idle because they count for a shard that asks
+// nothing, for example of a failure domain without targets.
+TEST_CASE_FIXTURE(idle_hosts_fixture,
+                  "other shard wants no requests, many long requests, all idle "
+                  "hosts have one")
+{
+    west_wanted_ = 0;
+    CHECK(count_requests_of(13) == 12);
+}
+
+// Guards against a shard whose demand takes the share of another one.
+TEST_CASE_FIXTURE(idle_hosts_fixture,
+                  "other shard wants more than all, many long requests, half "
+                  "of the hosts have one")
+{
+    west_wanted_ = 100;
+    CHECK(count_requests_of(13) == 6);
 }
 
 } // namespace
--- a/tests/unit/peer_codec_test.cpp
+++ b/tests/unit/peer_codec_test.cpp
@@ -2,6 +2,7 @@
 #include "peer/peer_codec.hpp"
 
 #include "cell/call_kind.hpp"
+#include "cell/heartbeat.hpp"
 #include "cell/job_answer.hpp"
 #include "cell/job_call.hpp"
 #include "core/instant.hpp"
@@ -70,5 +71,22 @@
     CHECK(decode_answer(message).fit_free_ == 0);
 }
 
+// Guards against a demand of zero that is taken for a missing one, or the
+// reverse, which a host of an earlier version sends.
+TEST_CASE_FIXTURE(codec_fixture,
+                  "wanted requests, encoded, none differs from zero")
+{
+    for (std::optional<std::uint32_t> const wanted :
+         {std::optional<std::uint32_t>(), std::optional<std::uint32_t>(0),
+          std::optional<std::uint32_t>(7)})
+    {
+        cell::heartbeat const beat{
+            .host_ = host_id("host-1"),
+            .shards_ = {{.shard_ = {domain_id("east"), 0},
+                         .wanted_requests_ = wanted}}};
+        CHECK(decode_heartbeat(encode_heartbeat(beat)) == beat);
+    }
+}
+
 } // namespace
 } // namespace fescuevane::peer
