Deal the idle hosts of a domain to its shards for long questions

Cause: an owner knows only its own requests, and ties went to the first host of the table. So two owners queued at the same hosts while others idled.

Change: the hosts of a domain that own nothing are dealt to its shards in turn. A shard uses its own first, then those that other shards have no use for, in an order that a hash of shard and host gives, then all others.

--- a/cell/send_questions.cpp
+++ b/cell/send_questions.cpp
@@ -7,7 +7,11 @@
 //   3. Replies
 #include "cell/node.hpp"
 
+#include "cell/records.hpp"
+#include "core/hashing.hpp"
+
 #include <algorithm>
+#include <map>
 
 namespace fescuevane::cell
 {
@@ -74,33 +78,94 @@
                               : values.advice_long_micros_;
 }
 
+bool is_usable(node const& context, host_row const& host)
+{
+    return host.heard_ && !host.stopping_ &&
+           !is_unresponsive(context, host.heard_at_);
+}
+
+// The hosts that own nothing, numbered from 0 in each failure domain.
+std::map<host_id, std::uint32_t> number_idle_hosts(node const& context)
+{
+    std::map<host_id, std::uint32_t>   numbers;
+    std::map<domain_id, std::uint32_t> counts;
+    for (std::size_t row = 0; row < context.hosts_.size(); ++row)
+    {
+        host_id const& id = context.hosts_.key(row);
+        if (id != context.settings_.host_ &&
+            is_usable(context, context.hosts_[row]) && !owns_shard(context, id))
+        {
+            numbers[id] = 0;
+        }
+    }
+    for (auto& [id, number] : numbers)
+    {
+        number = counts[context.hosts_.find(id)->domain_]++;
+    }
+    return numbers;
+}
+
+// Owners don't know each other's requests. So the hosts of a domain that own
+// nothing are dealt to its shards in turn, and a shard takes those of others
+// last, in an order of its own: first the ones that the others have no use for.
+std::int64_t find_sharing_penalty(node const& context, shard_id const& shard,
+                                  host_id const& id, std::uint32_t number)
+{
+    settings const&     values = context.settings_;
+    domain_id const&    domain = context.hosts_.find(id)->domain_;
+    std::uint32_t const shards = std::max(1U, count_shards(context, domain));
+    shard_id const      dealt_to{domain, number % shards};
+    if (dealt_to == shard)
+    {
+        return values.advice_hop_micros_;
+    }
+    auto const order = static_cast<std::int64_t>(
+        compute_stable_hash(write_shard_name(shard) + '/' + id.str()) %
+        static_cast<std::uint64_t>(values.advice_remote_micros_));
+    shard_row const* const other = context.shards_.find(dealt_to);
+    bool const             spare = other == nullptr || !other->serving_ ||
+                       (other->wanted_requests_ &&
+                        number / shards >= *other->wanted_requests_);
+    return order +
+           (spare ? values.advice_hop_micros_ : values.advice_remote_micros_);
+}
+
+// Of a host other than this one.
+std::int64_t find_hop_penalty(node const& context, host_row const& host)
+{
+    return host.domain_ == context.settings_.domain_
+               ? context.settings_.advice_hop_micros_
+               : context.settings_.advice_remote_micros_;
+}
+
 // The policy service handles the requests of one host in sequence. Of the
 // suitable hosts, the one with the earliest expected reply is chosen.
-host_id choose_advice_proxy(node const& context, std::int64_t micros,
-                            bool is_long)
+host_id choose_advice_proxy(node const& context, shard_id const& shard,
+                            std::int64_t micros, bool is_long)
 {
     settings const& values = context.settings_;
     host_id         best = values.host_;
     instant         best_end =
         context.now_.after(expect_wait(context, values.host_) + micros +
                            find_time_penalty(context, values.host_, is_long));
+    auto const idle = is_long ? number_idle_hosts(context)
+                              : std::map<host_id, std::uint32_t>();
     for (std::size_t row = 0; row < context.hosts_.size(); ++row)
     {
         host_row const& host = context.hosts_[row];
         host_id const&  id = context.hosts_.key(row);
-        if (id == values.host_ || !host.heard_ || host.stopping_ ||
-            is_unresponsive(context, host.heard_at_))
+        if (id == values.host_ || !is_usable(context, host))
         {
             continue;
         }
-        // Owners in the host's own domain use it, too; their requests aren't
-        // known here.
-        std::int64_t const penalty = host.domain_ == values.domain_
-                                         ? values.advice_hop_micros_
-                                         : values.advice_remote_micros_;
-        instant const      end =
-            context.now_.after(expect_wait(context, id) + micros + penalty +
-                               find_time_penalty(context, id, is_long));
+        auto const         number = idle.find(id);
+        std::int64_t const penalty =
+            number == idle.end()
+                ? find_hop_penalty(context, host) +
+                      find_time_penalty(context, id, is_long)
+                : find_sharing_penalty(context, shard, id, number->second);
+        instant const end =
+            context.now_.after(expect_wait(context, id) + micros + penalty);
         if (end < best_end)
         {
             best = id;
@@ -120,9 +185,9 @@
     auto const job = plan::find_job(*context.owned_.find(shard)->planner_,
                                     query.stage_.job_);
     std::int64_t const micros = estimate_reply_micros(context, shard, query);
-    bool const        is_long = micros > context.settings_.advice_owner_micros_;
-    host_id const     proxy = choose_advice_proxy(context, micros, is_long);
-    advice_proxy_row& row = context.askers_.ensure(proxy);
+    bool const    is_long = micros > context.settings_.advice_owner_micros_;
+    host_id const proxy = choose_advice_proxy(context, shard, micros, is_long);
+    advice_proxy_row&   row = context.askers_.ensure(proxy);
     std::uint64_t const request = next_request(context);
     std::int64_t const  wait = expect_wait(context, proxy);
     row.busy_until_ = std::max(row.busy_until_, context.now_).after(micros);
--- a/tests/unit/cell_advice_test.cpp
+++ b/tests/unit/cell_advice_test.cpp
@@ -1,4 +1,5 @@
 // Purpose: tests of the choice of the host that queries the policy service.
+#include "cell_cluster_fixture.hpp"
 #include "cell_pair_fixture.hpp"
 
 #include <doctest/doctest.h>
@@ -182,5 +183,49 @@
     CHECK(count_requests_of(13) == 6);
 }
 
+// Two owners of shards of one failure domain, and six hosts that own nothing.
+struct two_owners_fixture : cell_cluster_fixture
+{
+    two_owners_fixture()
+    {
+        for (int host = 1; host <= 8; ++host)
+        {
+            add_host("host-" + std::to_string(host));
+        }
+        list_two_racks();
+        set_advice(advice_policy{400, 6, 2000});
+        run(5 * micros_per_second);
+    }
+
+    std::vector<std::string> list_owners()
+    {
+        std::vector<std::string> owners;
+        for (auto const& [name, address] : addresses_)
+        {
+            if (!list_served(name).empty())
+            {
+                owners.push_back(name);
+            }
+        }
+        return owners;
+    }
+};
+
+// Guards against owners that choose the same hosts while others idle: each
+// knows its own requests only.
+TEST_CASE_FIXTURE(two_owners_fixture,
+                  "owners have three long requests each, each host gets one")
+{
+    std::vector<std::string> const owners = list_owners();
+    REQUIRE(owners.size() == 2);
+    for (int job = 0; job < 6; ++job)
+    {
+        submit(owners.at(job % 2), "aa0" + std::to_string(job));
+    }
+    run(200'000);
+    CHECK(advice_due_.size() == 6);
+    CHECK(advice_busy_.size() == 6);
+}
+
 } // namespace
 } // namespace fescuevane::cell
