Measure the wait for the policy service after all hosts stopped

No measure showed it.

`scripts/bench advice` runs eight planners over a model of targets, callers and the policy service, once with turns and once by rank only as the baseline. It prints median, 99 of 100, maximum and the steps that never start, by age and width.

--- a/bench/measure.cpp
+++ b/bench/measure.cpp
@@ -16,6 +16,8 @@
         {"overload", "goodput and waiting above capacity", measure_overload},
         {"planner", "processor time of a planner's ticks, by system",
          measure_planner},
+        {"advice", "time to the first start of steps that need tickets",
+         measure_advice},
         {"memory", "memory, control cost and message sizes by entity",
          measure_memory},
         {"peers", "processor time of heartbeats and calls between hosts",
--- a/bench/measure.hpp
+++ b/bench/measure.hpp
@@ -29,6 +29,7 @@
 void measure_move(std::uint64_t seed, std::vector<figure>& output);
 void measure_overload(std::uint64_t seed, std::vector<figure>& output);
 void measure_planner(std::uint64_t seed, std::vector<figure>& output);
+void measure_advice(std::uint64_t seed, std::vector<figure>& output);
 void measure_memory(std::uint64_t seed, std::vector<figure>& output);
 void measure_peers(std::uint64_t seed, std::vector<figure>& output);
 void measure_http(std::uint64_t seed, std::vector<figure>& output);
