--- a/plan/settings.hpp
+++ b/plan/settings.hpp
@@ -19,11 +19,11 @@
     std::uint32_t max_long_requests_ = 4; // initial and minimum
     double        advice_long_ms_ = 150;  // reply time of a long request
     std::uint32_t advice_targets_ = 30;   // named in one request
-    std::int64_t  advice_retry_micros_ = 200'000;  // after a failed request
+    std::int64_t  advice_retry_micros_ = 200'000; // after a failed request
     // Wait of a stage for a request until it has a turn. Covers the objective
     // of most jobs, so that a turn rarely precedes work that is still on time.
     std::int64_t  advice_turn_micros_ = 3'000'000;
-    std::uint32_t advice_turn_divisor_ = 4; // of the requests in flight
+    std::uint32_t advice_turn_divisor_ = 4;        // of the requests in flight
     std::int64_t  advice_margin_micros_ = 150'000; // unused before expiry
 
     // Targets that fail, stall or refuse
