--- a/cell/limit_advice.cpp
+++ b/cell/limit_advice.cpp
@@ -8,11 +8,14 @@
 #include "cell/node.hpp"
 
 #include "cell/fair_shares.hpp"
+#include "cell/idle_hosts.hpp"
 #include "plan/advice_limit_changed.hpp"
 #include "plan/wanted_requests.hpp"
 
 #include <algorithm>
-#include <set>
+#include <cstdint>
+#include <optional>
+#include <vector>
 
 namespace fescuevane::cell
 {
@@ -25,34 +28,6 @@
 // a shard of about 60 targets has use for few requests.
 constexpr std::uint32_t max_long_requests = 16;
 
-bool answers(node const& context, host_id const& id)
-{
-    host_row const* const host = context.hosts_.find(id);
-    return host != nullptr && host->heard_ && !host->stopping_ &&
-           !is_unresponsive(context, host->heard_at_);
-}
-
-std::uint32_t count_idle_hosts(node const& context)
-{
-    std::set<host_id> owners;
-    for (shard_row const& shard : context.shards_)
-    {
-        if (!shard.released_)
-        {
-            owners.insert(shard.owner_);
-        }
-    }
-    std::uint32_t idle = 0;
-    for (host_id const& id : context.hosts_.keys())
-    {
-        idle += id != context.settings_.host_ && !owners.contains(id) &&
-                        answers(context, id)
-                    ? 1
-                    : 0;
-    }
-    return idle;
-}
-
 // Counts what the planners of owned shards want, and starts a new count.
 void count_wanted(node& context)
 {
@@ -76,7 +51,9 @@
     {
         return own->wanted_requests_;
     }
-    bool const asks = shard.serving_ && answers(context, shard.owner_);
+    host_row const* const owner = context.hosts_.find(shard.owner_);
+    bool const            asks =
+        shard.serving_ && owner != nullptr && is_usable(context, *owner);
     return asks ? shard.wanted_requests_ : std::optional<std::uint32_t>(0);
 }
 
@@ -84,8 +61,9 @@
 // shard wants is divided evenly, so that a new demand needn't wait for a count.
 std::vector<std::uint32_t> divide_idle_hosts(node const& context)
 {
-    std::uint32_t const idle = count_idle_hosts(context);
-    auto const          shards = static_cast<std::uint32_t>(
+    auto const idle =
+        static_cast<std::uint32_t>(list_idle_hosts(context).size());
+    auto const shards = static_cast<std::uint32_t>(
         std::max<std::size_t>(1, context.shards_.size()));
     std::vector<std::uint32_t> demands;
     std::uint32_t              reporting = 0;
--- a/cell/send_questions.cpp
+++ b/cell/send_questions.cpp
@@ -7,6 +7,7 @@
 //   3. Replies
 #include "cell/node.hpp"
 
+#include "cell/idle_hosts.hpp"
 #include "cell/records.hpp"
 #include "core/hashing.hpp"
 
@@ -47,15 +48,6 @@
     return std::max(context.now_.remaining_until(proxy->busy_until_), lag);
 }
 
-bool owns_shard(node const& context, host_id const& host)
-{
-    return std::any_of(context.shards_.begin(), context.shards_.end(),
-                       [&host](shard_row const& shard)
-                       {
-                           return shard.owner_ == host && !shard.released_;
-                       });
-}
-
 // Penalty on the expected reply time of a host. Long requests go to hosts that
 // own nothing, so that owners stay free for short ones: a short request behind
 // a long one is what delays urgent work. An owner without urgent work takes the
@@ -78,29 +70,14 @@
                               : values.advice_long_micros_;
 }
 
-bool is_usable(node const& context, host_row const& host)
-{
-    return host.heard_ && !host.stopping_ &&
-           !is_unresponsive(context, host.heard_at_);
-}
-
 // The hosts that own nothing, numbered from 0 in each failure domain.
 std::map<host_id, std::uint32_t> number_idle_hosts(node const& context)
 {
     std::map<host_id, std::uint32_t>   numbers;
     std::map<domain_id, std::uint32_t> counts;
-    for (std::size_t row = 0; row < context.hosts_.size(); ++row)
-    {
-        host_id const& id = context.hosts_.key(row);
-        if (id != context.settings_.host_ &&
-            is_usable(context, context.hosts_[row]) && !owns_shard(context, id))
-        {
-            numbers[id] = 0;
-        }
-    }
-    for (auto& [id, number] : numbers)
+    for (host_id const& id : list_idle_hosts(context))
     {
-        number = counts[context.hosts_.find(id)->domain_]++;
+        numbers[id] = counts[context.hosts_.find(id)->domain_]++;
     }
     return numbers;
 }
