Offer stages in the order in which they became due

Cause: a shard has one open round of offers. Stages without a round came before all whose next round was due, and long-running ones before all others. So a stage that no shard could run at first wasn't offered again while newer ones kept arriving, and single tasks weren't offered at all beside a few long-running ones that no shard can run. Change: stages are ordered by the time since which they wait, or at which their next round is due. Long-running ones have a lead of 8 s.

--- a/cell/delegate_tasks.cpp
+++ b/cell/delegate_tasks.cpp
@@ -296,25 +296,36 @@
 namespace
 {
 
-// Long-running tasks come first, since they must not be down. Then stages that
-// had no round yet, then those whose last round is the longest ago.
+// Long-running tasks must not be down, so they are offered as if they had
+// waited this much longer. The lead is bounded: rounds of some that no shard
+// can run would keep all other stages from being offered.
+constexpr std::int64_t long_running_lead_micros = 8'000'000;
+
+// Time from which a stage is due to be offered. Both kinds are times of the
+// past when it may be offered, so newer stages don't overtake older ones.
+instant find_offer_time(node const& context, shard_id const& shard,
+                        plan::overflow const& tasks)
+{
+    offer_round_row const* const round =
+        context.offer_rounds_.find(tasks.stage_);
+    auto const    job = plan::find_job(*context.owned_.find(shard)->planner_,
+                                       tasks.stage_.job_);
+    instant const due = round == nullptr ? tasks.since_ : round->next_at_;
+    return job->steps_.at(tasks.stage_.step_).perpetual_
+               ? due.after(-long_running_lead_micros)
+               : due;
+}
+
 std::vector<plan::overflow const*>
 order_by_priority(node const& context, shard_id const& shard,
                   std::vector<plan::overflow> const& offered)
 {
-    // Isn't long-running, earliest next round
-    using priority = std::pair<bool, instant>;
-    std::vector<std::pair<priority, plan::overflow const*>> prioritized;
+    std::vector<std::pair<instant, plan::overflow const*>> prioritized;
+    prioritized.reserve(offered.size());
     for (plan::overflow const& tasks : offered)
     {
-        offer_round_row const* const round =
-            context.offer_rounds_.find(tasks.stage_);
-        auto const job = plan::find_job(*context.owned_.find(shard)->planner_,
-                                        tasks.stage_.job_);
-        prioritized.emplace_back(
-            priority{!job->steps_.at(tasks.stage_.step_).perpetual_,
-                     round == nullptr ? instant() : round->next_at_},
-            &tasks);
+        prioritized.emplace_back(find_offer_time(context, shard, tasks),
+                                 &tasks);
     }
     std::stable_sort(prioritized.begin(), prioritized.end(),
                      [](auto const& a, auto const& b)
--- a/tests/unit/cell_delegation_test.cpp
+++ b/tests/unit/cell_delegation_test.cpp
@@ -453,18 +453,19 @@
         return found;
     }
 
-    void submit_labelled(std::string const& id)
+    void submit_labelled(std::string const& id, bool long_running = false)
     {
         post(call_opened{.call_ = ++last_call_,
                          .kind_ = call_kind::submit,
                          .id_ = job_id(id),
                          .job_ = std::make_shared<staged_job const>(
-                             make_labelled(id, std::nullopt)),
+                             make_labelled(id, std::nullopt, long_running)),
                          .deadline_ = now_.after(3 * micros_per_second)});
     }
 
     static staged_job make_labelled(std::string const&        id,
-                                    std::optional<task_alias> alias)
+                                    std::optional<task_alias> alias,
+                                    bool long_running = false)
     {
         return {.id_ = job_id(id),
                 .organisation_ = organisation_id("cafe"),
@@ -473,6 +474,7 @@
                 .payload_ = "work",
                 .steps_ = {{.count_ = 1,
                             .demand_ = {1000, 512, 0},
+                            .perpetual_ = long_running,
                             .required_label_ = "fast"}},
                 .alias_ = std::move(alias)};
     }
@@ -637,6 +639,63 @@
     CHECK(rounds <= 8);
 }
 
+// Guards against a step that isn't offered again because newer ones, whose
+// first rounds come before its second, never stop arriving.
+TEST_CASE_FIXTURE(blocked_fixture,
+                  "newer steps are offered all the time, offered again")
+{
+    submit_labelled("aa01");
+    int rounds = 0;
+    for (int round = 0; round < 300; ++round)
+    {
+        run_with_healthy_peers(100'000);
+        if (round % 10 == 9)
+        {
+            submit_labelled("bb" + std::to_string(round));
+        }
+        for (call_peer const& call : take<call_peer>())
+        {
+            bool const offer = call.call_.kind_ == call_kind::offer;
+            rounds += offer && call.call_.shard_.domain_.str() == "west" &&
+                      call.call_.id_.str().starts_with("aa01");
+            if (!offer) // offers get no reply before their deadline
+            {
+                post(peer_replied{call.request_,
+                                  {.outcome_ = job_outcome::unavailable}});
+            }
+        }
+    }
+    CHECK(rounds >= 2);
+}
+
+// Guards against the same because of long-running steps, which come first.
+TEST_CASE_FIXTURE(blocked_fixture,
+                  "long-running steps are offered all the time, offered, too")
+{
+    for (int job = 0; job < 3; ++job)
+    {
+        submit_labelled("cc0" + std::to_string(job), true);
+    }
+    submit_labelled("aa01");
+    int rounds = 0;
+    for (int round = 0; round < 300; ++round)
+    {
+        run_with_healthy_peers(100'000);
+        for (call_peer const& call : take<call_peer>())
+        {
+            bool const offer = call.call_.kind_ == call_kind::offer;
+            rounds += offer && call.call_.shard_.domain_.str() == "west" &&
+                      call.call_.id_.str().starts_with("aa01");
+            if (!offer) // offers get no reply before their deadline
+            {
+                post(peer_replied{call.request_,
+                                  {.outcome_ = job_outcome::unavailable}});
+            }
+        }
+    }
+    CHECK(rounds >= 1);
+}
+
 // Guards against tasks that stay in a withdrawn failure domain: its stages
 // moved one by one, each after a round of offers to all shards.
 TEST_CASE_FIXTURE(cell_pair_fixture,
