Give gangs the turns of gangs only, in the order of acceptance

Every other turn was a gang's, though one step in twelve is a gang. Now the turns are in the order of the wait, and those of gangs go to the gang that was accepted first.

--- a/plan/planner.hpp
+++ b/plan/planner.hpp
@@ -65,8 +65,7 @@
     bool              in_service_ = true; // of the failure domain
     std::uint32_t short_requests_ = 0; // in flight, by expected time of reply
     std::uint32_t long_requests_ = 0;
-    std::uint32_t turn_requests_ = 0;     // those sent in a stage's turn
-    bool          gang_had_turn_ = false; // the latest turn was a gang's
+    std::uint32_t turn_requests_ = 0; // those sent in a stage's turn
     std::uint32_t max_long_requests_ = settings_.max_long_requests_;
     std::vector<stage_key> holding_gangs_; // oldest first
     instant                gang_check_at_; // next selection of their targets
--- a/plan/request_advice.cpp
+++ b/plan/request_advice.cpp
@@ -665,37 +665,16 @@
     return context.stages_.find(key)->turn_until_ > context.now_;
 }
 
-using due_stages = std::vector<std::pair<instant, stage_key>>;
+using timed_stages = std::vector<std::pair<instant, stage_key>>;
 
-// Takes stages of both lists by turns.
-std::vector<stage_key> alternate(due_stages const& first,
-                                 due_stages const& second)
-{
-    std::vector<stage_key> stages;
-    stages.reserve(first.size() + second.size());
-    for (std::size_t row = 0; row < std::max(first.size(), second.size());
-         ++row)
-    {
-        for (due_stages const* const list : {&first, &second})
-        {
-            if (row < list->size())
-            {
-                stages.push_back((*list)[row].second);
-            }
-        }
-    }
-    return stages;
-}
-
-// Stages whose turn is due, longest waiting first. Gangs are in the order in
-// which they were accepted, which is the same in all shards: a gang on several
-// shards needs tickets in all of them at the same time. Every other turn is for
-// a gang, so that old ones which can't start don't take them all.
+// Stages whose turn is due, longest waiting first. Among themselves, gangs are
+// in the order in which they were accepted, which is the same in all shards: a
+// gang on several shards needs tickets in all of them at the same time.
 std::vector<stage_key> list_due_stages(planner const&              context,
                                        std::span<stage_rank const> ranks)
 {
-    due_stages gangs;
-    due_stages others;
+    timed_stages due;
+    timed_stages gangs; // by acceptance
     for (stage_rank const& rank : ranks)
     {
         stage_row const& stage = *context.stages_.find(rank.stage_);
@@ -703,21 +682,25 @@
         {
             continue;
         }
+        due.emplace_back(stage.turn_due_, rank.stage_);
         if (find_step(context, rank.stage_).gang_)
         {
             gangs.emplace_back(
                 context.jobs_.find(rank.stage_.job_)->accepted_at_,
                 rank.stage_);
         }
-        else
-        {
-            others.emplace_back(stage.turn_due_, rank.stage_);
-        }
     }
+    std::sort(due.begin(), due.end());
     std::sort(gangs.begin(), gangs.end());
-    std::sort(others.begin(), others.end());
-    return context.gang_had_turn_ ? alternate(others, gangs)
-                                  : alternate(gangs, others);
+    std::vector<stage_key> stages;
+    stages.reserve(due.size());
+    auto gang = gangs.begin();
+    for (auto const& [at, key] : due)
+    {
+        stages.push_back(find_step(context, key).gang_ ? (gang++)->second
+                                                       : key);
+    }
+    return stages;
 }
 
 // Counts the requests that a stage has sent in its turn since `before`.
@@ -751,7 +734,6 @@
     }
     free.swap(rest);
     count_turn_requests(context, stage, before);
-    context.gang_had_turn_ = find_step(context, key).gang_;
     advice_policy const& advice = *find_policy(context, *stage.spec_)->advice_;
     stage.turn_until_ = context.now_.after(
         static_cast<std::int64_t>((find_reply_ms(context, advice) + lead_ms) *
