Say in answers to offers how many targets aren't known yet

Cause: an answer to an offer has counts of tasks only.

Change: answers carry the number of targets that could hold a task and that the policy service hasn't been heard about (`unknown`), also in the log lines `offer_answered` and `offer_decided`. A host of an earlier version counts as 0. Decisions don't use it yet.

--- a/cell/job_answer.hpp
+++ b/cell/job_answer.hpp
@@ -18,10 +18,12 @@
 
     // Replies to offers: number of tasks that could start now, that could
     // start once other work has ended, and that have room now, with or without
-    // tickets.
+    // tickets. Targets that the policy service hasn't been heard about yet
+    // count in none of these, but in `unknown_`.
     std::uint32_t fit_now_ = 0;
     std::uint32_t fit_later_ = 0;
     std::uint32_t fit_free_ = 0;
+    std::uint32_t unknown_ = 0;
 
     friend bool operator==(job_answer const&, job_answer const&) = default;
 };
--- a/cell/offer_stages.cpp
+++ b/cell/offer_stages.cpp
@@ -242,7 +242,8 @@
         if (answer.outcome_ == job_outcome::known)
         {
             round->offers_.push_back({receiver->second, answer.fit_now_,
-                                      answer.fit_later_, answer.fit_free_});
+                                      answer.fit_later_, answer.fit_free_,
+                                      answer.unknown_});
         }
         round->awaiting_reply_.erase(receiver);
         wake_at(context, context.now_);
@@ -391,6 +392,17 @@
            (!round.open_ && round.forget_at_ <= context.now_);
 }
 
+// Targets of the answering shards without advice so far.
+std::uint64_t count_unknown(offer_round_row const& round)
+{
+    std::uint64_t unknown = 0;
+    for (shard_offer const& offer : round.offers_)
+    {
+        unknown += offer.unknown_;
+    }
+    return unknown;
+}
+
 void decide_round(node& context, stage_key const& stage, offer_round_row& round)
 {
     shard_id const shard = round.shard_;
@@ -422,6 +434,7 @@
          {"step", std::to_string(stage.step_)},
          {"answers", std::to_string(round.offers_.size())},
          {"unanswered", std::to_string(round.awaiting_reply_.size())},
+         {"unknown", std::to_string(count_unknown(round))},
          {"shard",
           chosen.best_ ? write_shard_name(chosen.best_->shard_) : "none"},
          {"now", std::to_string(chosen.best_ ? chosen.best_->fit_now_ : 0)},
--- a/cell/serve_offers.cpp
+++ b/cell/serve_offers.cpp
@@ -63,14 +63,16 @@
                {"shard", write_shard_name(shard)},
                {"now", std::to_string(answer.fit_now_)},
                {"later", std::to_string(answer.fit_later_)},
-               {"free", std::to_string(answer.fit_free_)}});
+               {"free", std::to_string(answer.fit_free_)},
+               {"unknown", std::to_string(answer.unknown_)}});
     for (origin const& from : list_origins(context, shard, answer.id_))
     {
         answer_offer(context, from,
                      {.outcome_ = job_outcome::known,
                       .fit_now_ = answer.fit_now_,
                       .fit_later_ = answer.fit_later_,
-                      .fit_free_ = answer.fit_free_});
+                      .fit_free_ = answer.fit_free_,
+                      .unknown_ = answer.unknown_});
     }
 }
 
--- a/peer/peer_codec.cpp
+++ b/peer/peer_codec.cpp
@@ -172,6 +172,7 @@
     message.set_fit_now(answer.fit_now_);
     message.set_fit_later(answer.fit_later_);
     message.set_fit_free(answer.fit_free_);
+    message.set_unknown(answer.unknown_);
     return message;
 }
 
@@ -189,7 +190,8 @@
             .retry_after_ms_ = message.retry_after_ms(),
             .fit_now_ = message.fit_now(),
             .fit_later_ = message.fit_later(),
-            .fit_free_ = message.fit_free()};
+            .fit_free_ = message.fit_free(),
+            .unknown_ = message.unknown()};
 }
 
 cell::v1::AdviceCall encode_question(cell::send_question const& question,
--- a/plan/answer_offer.hpp
+++ b/plan/answer_offer.hpp
@@ -15,6 +15,7 @@
     std::uint32_t const fit_now_ = 0;   // room now, and tickets where needed
     std::uint32_t const fit_later_ = 0; // room once other work has ended
     std::uint32_t const fit_free_ = 0;  // room now, with or without tickets
+    std::uint32_t const unknown_ = 0;   // targets that may be allowed, or not
 
     friend bool operator==(answer_offer const&, answer_offer const&) = default;
 };
--- a/plan/answer_offers.cpp
+++ b/plan/answer_offers.cpp
@@ -196,7 +196,8 @@
                      static_cast<std::uint32_t>(
                          within_limit ? std::min(room.now_, count) : 0),
                      static_cast<std::uint32_t>(std::min(room.later_, count)),
-                     static_cast<std::uint32_t>(std::min(free, count))});
+                     static_cast<std::uint32_t>(std::min(free, count)),
+                     static_cast<std::uint32_t>(room.unknown_)});
 }
 
 // Makes space for one more offer, if need be by removing the replied one that
@@ -242,7 +243,9 @@
     }
     if (context.jobs_.contains(job.id_) || !evict_for_offer(context))
     {
-        context.outbox_.push_back(answer_offer{job.id_});
+        context.outbox_.push_back(answer_offer{
+            .id_ = job.id_,
+            .unknown_ = static_cast<std::uint32_t>(context.targets_.size())});
         return;
     }
     context.offers_.ensure(job.id_) = {
--- a/tests/unit/peer_codec_test.cpp
+++ b/tests/unit/peer_codec_test.cpp
@@ -55,19 +55,22 @@
     CHECK_THROWS_AS(decode_call(message, now_), peer_error);
 }
 
-// Guards against free room that gets lost, or that a host of an earlier version
-// seems to have.
+// Guards against free room and unknown targets that get lost, or that a host of
+// an earlier version seems to have.
 TEST_CASE_FIXTURE(codec_fixture,
-                  "answer, free room, kept, none in old messages")
+                  "answer, free room and unknown targets, kept, none in old")
 {
     cell::job_answer const answer{.outcome_ = cell::job_outcome::known,
                                   .fit_now_ = 3,
                                   .fit_later_ = 9,
-                                  .fit_free_ = 5};
+                                  .fit_free_ = 5,
+                                  .unknown_ = 7};
     cell::v1::JobAnswer    message = encode_answer(answer);
     CHECK(decode_answer(message) == answer);
     message.clear_fit_free();
     CHECK(decode_answer(message).fit_free_ == 0);
+    message.clear_unknown();
+    CHECK(decode_answer(message).unknown_ == 0);
 }
 
 } // namespace
