Ask shards without complete answers again before a gang moves

Cause: a round of offers ends when its answers are due. An offer made again also dropped the question that was in flight.

Change: a round for a gang that no shard can start whole now, and that free room elsewhere doesn't suffice for, asks shards without an answer or with unknown targets again, at once, or after 1 s if they replied faster. It does so until 5 s after its start (`repeat_until_`): shards may be out of reach for good. The pause between rounds doesn't grow by an incomplete round. A shard keeps its question when the same offer is made again. `offer_repeated` and `repeats` in the log.

--- a/cell/offer_round_row.hpp
+++ b/cell/offer_round_row.hpp
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <vector>
 
 namespace fescuevane::cell
@@ -21,9 +22,14 @@
     instant  answer_by_;
     // By request, not replied yet
     std::map<std::uint64_t, shard_id> awaiting_reply_;
-    std::vector<shard_offer>          offers_;
-    std::uint32_t rounds_ = 0; // rounds since the stage began to wait
-    instant       next_at_;    // start of the next round
+    std::set<shard_id>       unanswered_; // asked, no reply with an answer
+    std::vector<shard_offer> offers_;
+    // Shards with incomplete answers are asked again in this interval.
+    instant       repeat_at_;
+    instant       repeat_until_;
+    std::uint32_t repeats_ = 0; // of this round
+    std::uint32_t rounds_ = 0;  // rounds since the stage began to wait
+    instant       next_at_;     // start of the next round
     instant       forget_at_;
 };
 
--- a/cell/offer_stages.cpp
+++ b/cell/offer_stages.cpp
@@ -40,6 +40,13 @@
 // A stage without a round for this long starts over with the shortest interval.
 constexpr std::int64_t forget_micros = 30'000'000;
 
+// A round asks again for a gang while answers are incomplete, once more than a
+// round takes: a shard may be out of reach for good.
+constexpr std::int64_t repeat_micros = 5'000'000;
+
+// Shards that are unavailable reply at once.
+constexpr std::int64_t repeat_interval_micros = 1'000'000;
+
 // Doubles with each round, up to a maximum.
 std::int64_t compute_round_interval(settings const& values,
                                     std::uint32_t   rounds)
@@ -111,6 +118,7 @@
 {
     std::uint64_t const request = next_request(context);
     round.awaiting_reply_.emplace(request, shard);
+    round.unanswered_.insert(shard);
     context.offer_requests_.emplace(request, stage);
     job_call const call{.kind_ = call_kind::offer,
                         .id_ = job->id_,
@@ -126,15 +134,22 @@
         call_peer{request, context.shards_.find(shard)->address_, call});
 }
 
-void begin_round(node& context, shard_id const& shard,
-                 plan::overflow const& tasks)
+std::shared_ptr<staged_job const> make_offer(node const&           context,
+                                             shard_id const&       shard,
+                                             plan::overflow const& tasks)
 {
-    plan::planner const& planner = *context.owned_.find(shard)->planner_;
-    std::shared_ptr<staged_job const> const job =
-        plan::make_delegate(planner, tasks, name_offer(tasks.stage_));
-    step_spec const&      step = job->steps_.front();
+    return plan::make_delegate(*context.owned_.find(shard)->planner_, tasks,
+                               name_offer(tasks.stage_));
+}
+
+std::vector<shard_id> list_offer_receivers(node const&           context,
+                                           shard_id const&       shard,
+                                           plan::overflow const& tasks,
+                                           staged_job const&     job)
+{
+    step_spec const&      step = job.steps_.front();
     std::vector<shard_id> receivers =
-        list_receivers(context, shard, job->service_, describe_part(step));
+        list_receivers(context, shard, job.service_, describe_part(step));
     std::erase_if(receivers,
                   [&](shard_id const& receiver)
                   {
@@ -147,6 +162,22 @@
     {
         receivers.push_back(shard);
     }
+    return receivers;
+}
+
+instant answer_deadline(node const& context)
+{
+    return context.now_.after(context.settings_.offer_micros_ +
+                              context.settings_.offer_slack_micros_);
+}
+
+void begin_round(node& context, shard_id const& shard,
+                 plan::overflow const& tasks)
+{
+    auto const                  job = make_offer(context, shard, tasks);
+    step_spec const&            step = job->steps_.front();
+    std::vector<shard_id> const receivers =
+        list_offer_receivers(context, shard, tasks, *job);
     if (receivers.empty() && waits_for_room(step, tasks))
     {
         return;
@@ -154,10 +185,12 @@
     offer_round_row& round = context.offer_rounds_.ensure(tasks.stage_);
     round.shard_ = shard;
     round.open_ = true;
+    round.unanswered_.clear();
     round.offers_.clear();
-    round.answer_by_ =
-        context.now_.after(context.settings_.offer_micros_ +
-                           context.settings_.offer_slack_micros_);
+    round.answer_by_ = answer_deadline(context);
+    round.repeats_ = 0;
+    round.repeat_at_ = context.now_.after(repeat_interval_micros);
+    round.repeat_until_ = context.now_.after(repeat_micros);
     round.forget_at_ = context.now_.after(forget_micros);
     log_event(context, "offer_round",
               {{"job", tasks.stage_.job_.str()},
@@ -173,16 +206,69 @@
     wake_at(context, context.now_);
 }
 
-void end_round(node& context, offer_round_row& round)
+void forget_requests(node& context, offer_round_row& round)
 {
     for (auto const& [request, shard] : round.awaiting_reply_)
     {
         context.offer_requests_.erase(request);
     }
     round.awaiting_reply_.clear();
+}
+
+void end_round(node& context, offer_round_row& round)
+{
+    forget_requests(context, round);
     round.open_ = false;
     round.next_at_ = context.now_.after(
-        compute_round_interval(context.settings_, round.rounds_++));
+        compute_round_interval(context.settings_, round.rounds_));
+}
+
+bool is_complete(offer_round_row const& round, shard_id const& shard)
+{
+    return !round.unanswered_.contains(shard) &&
+           std::none_of(round.offers_.begin(), round.offers_.end(),
+                        [&shard](shard_offer const& offer)
+                        {
+                            return offer.shard_ == shard && offer.unknown_ > 0;
+                        });
+}
+
+// Shards that may have more room than their answers tell. Some that were asked
+// may no longer receive tasks.
+std::vector<shard_id> list_incomplete(node const&            context,
+                                      offer_round_row const& round,
+                                      plan::overflow const&  tasks,
+                                      staged_job const&      job)
+{
+    std::vector<shard_id> shards =
+        list_offer_receivers(context, round.shard_, tasks, job);
+    std::erase_if(shards,
+                  [&round](shard_id const& shard)
+                  {
+                      return is_complete(round, shard);
+                  });
+    return shards;
+}
+
+void repeat_offers(node& context, offer_round_row& round,
+                   plan::overflow const&                    tasks,
+                   std::shared_ptr<staged_job const> const& job,
+                   std::vector<shard_id> const&             shards)
+{
+    forget_requests(context, round);
+    round.answer_by_ = answer_deadline(context);
+    round.repeat_at_ = context.now_.after(repeat_interval_micros);
+    ++round.repeats_;
+    log_event(context, "offer_repeated",
+              {{"job", tasks.stage_.job_.str()},
+               {"step", std::to_string(tasks.stage_.step_)},
+               {"repeat", std::to_string(round.repeats_)},
+               {"shards", std::to_string(shards.size())}});
+    for (shard_id const& shard : shards)
+    {
+        send_offer(context, tasks.stage_, round, shard, job);
+    }
+    wake_at(context, context.now_);
 }
 
 } // namespace
@@ -241,6 +327,12 @@
         auto const receiver = round->awaiting_reply_.find(request);
         if (answer.outcome_ == job_outcome::known)
         {
+            std::erase_if(round->offers_,
+                          [&receiver](shard_offer const& offer)
+                          {
+                              return offer.shard_ == receiver->second;
+                          });
+            round->unanswered_.erase(receiver->second);
             round->offers_.push_back({receiver->second, answer.fit_now_,
                                       answer.fit_later_, answer.fit_free_,
                                       answer.unknown_});
@@ -416,25 +508,46 @@
     if (!tasks)
     {
         end_round(context, round);
+        ++round.rounds_;
         return;
     }
     step_spec const step =
         plan::find_job(*own.planner_, stage.job_)->steps_.at(stage.step_);
     offer_choice const chosen =
         choose_offer(context, shard, step, *tasks, round);
-    if (!chosen.all_start_now_ && !round.awaiting_reply_.empty() &&
-        round.answer_by_ > context.now_)
+    bool const is_spreadable =
+        step.gang_ && sum_free(list_gang_room(context, shard, step, *tasks,
+                                              round)) >= tasks->indices_.size();
+    if (!chosen.all_start_now_ && !(is_spreadable && round.repeats_ > 0) &&
+        !round.awaiting_reply_.empty() && round.answer_by_ > context.now_)
     {
         wake_at(context, round.answer_by_);
         return;
     }
+    std::vector<shard_id> incomplete;
+    if (step.gang_ && !chosen.all_start_now_ && !is_spreadable)
+    {
+        auto const job = make_offer(context, shard, *tasks);
+        incomplete = list_incomplete(context, round, *tasks, *job);
+        if (!incomplete.empty() && round.repeat_until_ > context.now_)
+        {
+            if (round.repeat_at_ > context.now_)
+            {
+                wake_at(context, round.repeat_at_);
+                return;
+            }
+            repeat_offers(context, round, *tasks, job, incomplete);
+            return;
+        }
+    }
     log_event(
         context, "offer_decided",
         {{"job", stage.job_.str()},
          {"step", std::to_string(stage.step_)},
          {"answers", std::to_string(round.offers_.size())},
-         {"unanswered", std::to_string(round.awaiting_reply_.size())},
+         {"unanswered", std::to_string(round.unanswered_.size())},
          {"unknown", std::to_string(count_unknown(round))},
+         {"repeats", std::to_string(round.repeats_)},
          {"shard",
           chosen.best_ ? write_shard_name(chosen.best_->shard_) : "none"},
          {"now", std::to_string(chosen.best_ ? chosen.best_->fit_now_ : 0)},
@@ -443,6 +556,7 @@
     std::vector<gang_share> const shares =
         choose_shares(context, shard, step, *tasks, round, chosen);
     end_round(context, round);
+    round.rounds_ += incomplete.empty() ? 1 : 0;
     if (!context.store_ok_ || context.stopping_)
     {
         return;
--- a/plan/answer_offers.cpp
+++ b/plan/answer_offers.cpp
@@ -226,6 +226,15 @@
     return oldest.has_value();
 }
 
+// Keeps the question that may be in flight: its answer is due before that of a
+// new one.
+void repeat_offer(planner& context, offer_row& offer, instant answer_by)
+{
+    offer.answer_by_ = answer_by;
+    offer.forget_at_ = context.now_.after(offer_lifetime_micros);
+    offer.answered_ = false;
+}
+
 } // namespace
 
 void add_offer(planner& context, job_offered const& input)
@@ -239,6 +248,12 @@
     ticket_map       tickets = find_cached_advice(context, origin);
     if (auto const earlier = find_offer(context, origin))
     {
+        if (*context.jobs_.find(*earlier)->spec_ == job)
+        {
+            repeat_offer(context, *context.offers_.find(*earlier),
+                         input.answer_by_);
+            return;
+        }
         tickets = remove_offer(context, *earlier);
     }
     if (context.jobs_.contains(job.id_) || !evict_for_offer(context))
--- a/tests/unit/cell_offers_test.cpp
+++ b/tests/unit/cell_offers_test.cpp
@@ -1,10 +1,14 @@
 // Purpose: tests of which shard a step moves to if its own can't run it.
 #include "cell_offers_fixture.hpp"
 
+#include "core/hashing.hpp"
+
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 #include <algorithm>
+#include <cstdint>
 #include <ostream>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -122,6 +126,129 @@
     CHECK(invalid_tickets_ == 0);
 }
 
+// A gang of 13, submitted to a shard of the host that serves the last one.
+struct late_answers_fixture : offers_fixture
+{
+    static constexpr std::uint32_t width = 13;
+    static constexpr std::int64_t  long_ms = 30'000;
+    shard_id const                 last_{domain_id("east"), shards - 1};
+    std::string const              host_ = find_host(last_);
+    std::string const              id_ = find_id();
+
+    std::string find_host(shard_id const& shard)
+    {
+        for (auto const& [name, address] : addresses_)
+        {
+            if (owns(*find(name).node_, shard, owned_phase::serving))
+            {
+                return name;
+            }
+        }
+        return "";
+    }
+
+    // Id of a job that is sent to the host's other shard: among shards without
+    // load the hash of the id decides.
+    std::string find_id()
+    {
+        for (int number = 10;; ++number)
+        {
+            std::string const          id = "aa" + std::to_string(number);
+            std::vector<std::uint64_t> order;
+            for (std::uint32_t shard = 0; shard < last_.index_; ++shard)
+            {
+                order.push_back(compute_stable_hash(id, shard) % 1024);
+            }
+            auto const     least = std::min_element(order.begin(), order.end());
+            shard_id const home{last_.domain_, static_cast<std::uint32_t>(
+                                                   least - order.begin())};
+            if (find_host(home) == host_)
+            {
+                return id;
+            }
+        }
+    }
+
+    void submit_gang(std::uint32_t tasks)
+    {
+        submit("h-1", id_, {make_step(tasks, true)});
+    }
+
+    // Work that fills targets of the last shard.
+    void fill_last_shard(std::string const& id, std::size_t from,
+                         std::uint32_t count)
+    {
+        std::vector<target_id> const all = list_targets(last_.index_);
+        for (std::size_t index = from; index < from + count; ++index)
+        {
+            allowed_[job_id(id)].insert(all.at(index));
+        }
+        submit("h-1", id,
+               {{.count_ = count,
+                 .demand_ = {4000, 512, 0},
+                 .estimate_ms_ = long_ms}});
+    }
+
+    // Keeps all other hosts from asking the policy service.
+    void delay_other_hosts(std::int64_t micros)
+    {
+        for (auto const& [name, address] : addresses_)
+        {
+            if (name != host_)
+            {
+                advice_busy_[address] = unix_ms_ + micros / micros_per_milli;
+            }
+        }
+    }
+
+    // Time until the gang starts; 60 s if it doesn't.
+    std::int64_t measure_start(std::uint32_t tasks)
+    {
+        constexpr std::int64_t most = 60 * micros_per_second;
+        constexpr std::int64_t step = 100'000;
+        std::int64_t           passed = 0;
+        while (passed < most && count_started(id_) < tasks)
+        {
+            run_long_work(step, long_ms);
+            passed += step;
+        }
+        return passed;
+    }
+};
+
+// Guards against a gang that moves to the only shard that answers, where it
+// waits for room, because answers without advice look like no room elsewhere.
+TEST_CASE_FIXTURE(late_answers_fixture,
+                  "gang, all but one shard answer without advice, spread soon")
+{
+    fill_last_shard("cc01", 0, 4);
+    run_long_work(5 * micros_per_second, long_ms);
+    REQUIRE(count_running("cc01") == 4);
+    allow(id_, {1, 1, 1, 1, 1, 1, 1, 4});
+    delay_other_hosts(4 * micros_per_second);
+    submit_gang(width);
+    std::int64_t const micros = measure_start(width);
+    CHECK(micros <= 8 * micros_per_second);
+    CHECK(invalid_tickets_ == 0);
+}
+
+// Guards against a gang that isn't decided on while shards never answer.
+TEST_CASE_FIXTURE(late_answers_fixture,
+                  "gang, most shards never get advice, starts in the one left")
+{
+    fill_last_shard("cc01", 0, 4);
+    run_long_work(5 * micros_per_second, long_ms);
+    REQUIRE(count_running("cc01") == 4);
+    allow(id_, {1, 1, 1, 1, 1, 1, 1, 4});
+    delay_other_hosts(600 * micros_per_second);
+    submit_gang(width);
+    run_long_work(8 * micros_per_second, long_ms);
+    end_runs(run_ms);
+    std::int64_t const micros = measure_start(width);
+    CHECK(micros <= 10 * micros_per_second);
+    CHECK(invalid_tickets_ == 0);
+}
+
 // Jobs whose tasks end, with the targets that each may use in each shard.
 struct random_step
 {
--- a/tests/unit/plan_offers_test.cpp
+++ b/tests/unit/plan_offers_test.cpp
@@ -159,5 +159,28 @@
     CHECK(answers[0].unknown_ == 3);
 }
 
+// Guards against a shard that forgets the question about an offer when it is
+// asked again, and asks twice.
+TEST_CASE_FIXTURE(offers_plan_fixture,
+                  "offer made again, question in flight, its answer counts")
+{
+    offer("aa01");
+    auto const questions = tick_for_questions();
+    REQUIRE(questions.size() == 1);
+    advance(wait_micros);
+    REQUIRE(tick_for_answers().size() == 1);
+    offer("aa01");
+    CHECK(tick_for_questions().empty());
+    answer(questions[0]);
+    auto const second = tick_for_questions();
+    REQUIRE(second.size() == 1);
+    CHECK(second[0].targets_ == std::vector{target_id("t-3")});
+    advance(wait_micros);
+    auto const answers = tick_for_answers();
+    REQUIRE(answers.size() == 1);
+    CHECK(answers[0].fit_later_ == 8);
+    CHECK(answers[0].unknown_ == 1);
+}
+
 } // namespace
 } // namespace fescuevane::plan
