Divide a gang also when shards have little room to spare

Cause: a gang moved whole to a shard that could run it later, unless the shards together could run half as many tasks more.

Change: a gang moves whole only to a shard that can start all of it now, or when no division is possible.

--- a/cell/offer_stages.cpp
+++ b/cell/offer_stages.cpp
@@ -439,16 +439,6 @@
     return found;
 }
 
-// A gang that needs most of a shard's capacity rarely finds room and tickets
-// there at the same time, so it is divided among shards that could together run
-// half as many tasks more.
-constexpr std::uint64_t spare_divisor = 2;
-
-bool has_spare(std::uint64_t room, std::uint64_t count)
-{
-    return room >= count + count / spare_divisor;
-}
-
 // Division of the gang among shards. Empty: no shard, or a single one.
 std::vector<gang_share> choose_shares(node const& context, shard_id const& from,
                                       step_spec const&       step,
@@ -463,10 +453,7 @@
     auto const count = static_cast<std::uint32_t>(tasks.indices_.size());
     std::vector<shard_offer> const room =
         list_gang_room(context, from, step, tasks, round);
-    bool const goes_alone =
-        chosen.best_ && (has_spare(chosen.best_->fit_later_, count) ||
-                         !has_spare(sum_later(room), count));
-    if (sum_free(room) < count && (!tasks.blocked_ || goes_alone))
+    if (sum_free(room) < count && !tasks.blocked_)
     {
         return {};
     }
--- a/tests/unit/cell_offers_test.cpp
+++ b/tests/unit/cell_offers_test.cpp
@@ -249,6 +249,36 @@
     CHECK(invalid_tickets_ == 0);
 }
 
+// Guards against a gang that waits in one shard for work that ends late, while
+// it could run beside that work with a part in another shard.
+TEST_CASE_FIXTURE(late_answers_fixture,
+                  "gang, room in one shard later, some in another, spread")
+{
+    constexpr std::uint32_t tasks = 12;
+    constexpr std::int64_t  short_ms = 4000;
+    fill_last_shard("cc01", 0, 2);
+    fill_last_shard("cc02", 2, 2);
+    run_long_work(5 * micros_per_second, long_ms);
+    REQUIRE(count_running("cc01") + count_running("cc02") == 4);
+    lasting_.insert(job_id("cc02"));
+    allow(id_, {0, 0, 0, 0, 0, 0, 0, 4});
+    for (std::uint32_t shard = 0; shard < last_.index_; ++shard)
+    {
+        if (find_host({last_.domain_, shard}) != host_)
+        {
+            allowed_[job_id(id_)].insert(list_targets(shard).front());
+            break;
+        }
+    }
+    submit_gang(tasks);
+    run_long_work(short_ms * micros_per_milli, long_ms);
+    end_runs(short_ms);
+    REQUIRE(count_running("cc02") == 2);
+    std::int64_t const micros = measure_start(tasks);
+    CHECK(micros <= 3 * micros_per_second);
+    CHECK(invalid_tickets_ == 0);
+}
+
 // Jobs whose tasks end, with the targets that each may use in each shard.
 struct random_step
 {
