--- a/plan/answer_offers.cpp
+++ b/plan/answer_offers.cpp
@@ -196,7 +196,8 @@
                      static_cast<std::uint32_t>(
                          within_limit ? std::min(room.now_, count) : 0),
                      static_cast<std::uint32_t>(std::min(room.later_, count)),
-                     static_cast<std::uint32_t>(std::min(free, count))});
+                     static_cast<std::uint32_t>(std::min(free, count)),
+                     static_cast<std::uint32_t>(room.unknown_)});
 }
 
 // Makes space for one more offer, if need be by removing the replied one that
@@ -225,6 +226,15 @@
     return oldest.has_value();
 }
 
+// Keeps the question that may be in flight: its answer is due before that of a
+// new one.
+void repeat_offer(planner& context, offer_row& offer, instant answer_by)
+{
+    offer.answer_by_ = answer_by;
+    offer.forget_at_ = context.now_.after(offer_lifetime_micros);
+    offer.answered_ = false;
+}
+
 } // namespace
 
 void add_offer(planner& context, job_offered const& input)
@@ -238,11 +248,19 @@
     ticket_map       tickets = find_cached_advice(context, origin);
     if (auto const earlier = find_offer(context, origin))
     {
+        if (*context.jobs_.find(*earlier)->spec_ == job)
+        {
+            repeat_offer(context, *context.offers_.find(*earlier),
+                         input.answer_by_);
+            return;
+        }
         tickets = remove_offer(context, *earlier);
     }
     if (context.jobs_.contains(job.id_) || !evict_for_offer(context))
     {
-        context.outbox_.push_back(answer_offer{job.id_});
+        context.outbox_.push_back(answer_offer{
+            .id_ = job.id_,
+            .unknown_ = static_cast<std::uint32_t>(context.targets_.size())});
         return;
     }
     context.offers_.ensure(job.id_) = {
