Claim capacity for single tasks beside long-running ones

Cause: a single task within its shard's part of a limit made no claim, since other tasks end and return what they use. Long-running tasks don't: when they use the whole part, the task waits forever if the other shards have work for the rest of the limit, as only a claim makes them give it up. Change: what long-running tasks of the organisation use is summed up, and a task that doesn't fit beside it makes a claim, unless it doesn't fit in the whole limit beside it either. Measured: "long-running tasks use the part, single task, claimed" had no claim after 3.5 s before and has one now.

--- a/plan/claim_limits.cpp
+++ b/plan/claim_limits.cpp
@@ -126,8 +126,16 @@
                              : std::any_of(tasks.begin(), tasks.end(), is_long);
 }
 
-// Single tasks within the allotment need no claim: they wait for other tasks to
-// end, like those of shards without a claim.
+// What of the allotment isn't returned by tasks that end by themselves.
+resources find_lasting_use(planner const& context, organisation_id const& id)
+{
+    organisation_row const* const row = context.organisations_.find(id);
+    return row == nullptr ? resources() : row->lasting_;
+}
+
+// Single tasks within the allotment, beside its long-running tasks, need no
+// claim: they wait for other tasks to end, like those of shards without a
+// claim.
 bool exceeds_allotment(planner const& context, stage_view const& stage)
 {
     organisation_id const&        id = stage.job_.spec_->organisation_;
@@ -135,16 +143,19 @@
     resources const demand = stage.step_.demand_ * count_at_once(stage.step_);
     return stage.step_.gang_
                ? !is_within_limit(context, id, stage.key_, demand)
-               : row != nullptr && !fits_limit(demand, row->limit_);
+               : row != nullptr &&
+                     !fits_limit(row->lasting_ + demand, row->limit_);
 }
 
 bool needs_claim(planner const& context, claim_row const& claim,
                  stage_view const& stage)
 {
     std::int64_t const at_once = count_at_once(stage.step_);
+    resources const    lasting =
+        find_lasting_use(context, stage.job_.spec_->organisation_);
     return stage.row_.claim_after_ <= context.now_ &&
            waits_long(context, stage) && exceeds_allotment(context, stage) &&
-           fits_limit(stage.step_.demand_ * at_once, claim.limit_) &&
+           fits_limit(lasting + stage.step_.demand_ * at_once, claim.limit_) &&
            count_room_later(context, stage) >= at_once;
 }
 
--- a/plan/job_flow.cpp
+++ b/plan/job_flow.cpp
@@ -455,6 +455,10 @@
     }
     organisation_row& owner = context.organisations_.ensure(run.organisation_);
     owner.used_ = owner.used_ + run.demand_ * sign;
+    if (run.lasting_)
+    {
+        owner.lasting_ = owner.lasting_ + run.demand_ * sign;
+    }
 }
 
 void append_run(planner& context, run_key const& key, target_id const& target)
--- a/tests/unit/plan_claims_test.cpp
+++ b/tests/unit/plan_claims_test.cpp
@@ -92,6 +92,43 @@
     CHECK_FALSE(reported_claim().has_value());
 }
 
+// Guards against single tasks that wait forever for long-running ones to end,
+// which use the whole part, while other shards have the rest of the limit.
+TEST_CASE_FIXTURE(claims_fixture,
+                  "long-running tasks use the part, single task, claimed")
+{
+    add_job("j-1", {{.count_ = 4,
+                     .demand_ = {1000, 512, 0},
+                     .estimate_ms_ = 1000,
+                     .perpetual_ = true}});
+    run(micros_per_second);
+    REQUIRE(count_started("j-1") == 4);
+    add_job("j-2", {make_step(1)});
+    run(micros_per_second);
+    CHECK_FALSE(reported_claim().has_value());
+    run(long_wait_micros);
+    REQUIRE(reported_claim().has_value());
+    CHECK(reported_claim()->demand_ == resources(1000, 512, 0));
+    post(organisations_set{{{cafe_, 100, {5000, 0, 0}}}});
+    run(100'000);
+    CHECK(count_started("j-2") == 1);
+    CHECK_FALSE(reported_claim().has_value());
+}
+
+// Guards against claims for tasks that start anyway when others end.
+TEST_CASE_FIXTURE(claims_fixture,
+                  "long-running tasks leave room in the part, claims nothing")
+{
+    add_job("j-1", {{.count_ = 3,
+                     .demand_ = {1000, 512, 0},
+                     .estimate_ms_ = 1000,
+                     .perpetual_ = true}});
+    add_job("j-2", {make_step(2)});
+    run(2 * long_wait_micros);
+    REQUIRE(count_started("j-2") == 1);
+    CHECK_FALSE(reported_claim().has_value());
+}
+
 // Guards against shards that give up allotment for a gang that can't start
 // anyway.
 TEST_CASE_FIXTURE(claims_fixture, "gang above the whole limit, claims nothing")
