--- a/tests/unit/node_owner_test.cpp
+++ b/tests/unit/node_owner_test.cpp
@@ -117,6 +117,45 @@
     CHECK(context().task_spans_.empty());
 }
 
+// Guards against "no record" for a request that runs on a target which the new
+// owner of its shard hasn't reached yet.
+TEST_CASE_FIXTURE(node_owner_fixture,
+                  "request runs, new owner without its target, isn't unknown")
+{
+    for (char const* const target : {"t-east1", "t-east2"})
+    {
+        targets_.at(target).run_micros_ = 10 * micros_per_second;
+    }
+    submit("west1", make_request("east.0~a"));
+    run(100 * micros_per_milli);
+    REQUIRE(count_starts("east.0~a") == 1);
+    for (char const* const target : {"t-east1", "t-east2"})
+    {
+        targets_.at(target).silent_ = true;
+    }
+    std::string const former = owner_;
+    kill(former);
+    REQUIRE(run_until(
+        [this, &former]
+        {
+            owner_ = find_owner("east");
+            return !owner_.empty() && owner_ != former &&
+                   context().drivers_.index_.contains({domain_id("east"), 0});
+        },
+        5 * micros_per_second));
+    auto const call = look_up("west1", "east.0~a");
+    run(micros_per_second);
+    CHECK_FALSE(find_rejection("west1", call));
+    for (char const* const target : {"t-east1", "t-east2"})
+    {
+        targets_.at(target).silent_ = false;
+    }
+    auto const result = wait("west1", call);
+    CHECK_FALSE(find_rejection("west1", call));
+    REQUIRE(result);
+    CHECK(result->state_ != job_state::not_run);
+}
+
 // Guards against marks of jobs of shards that the process no longer owns.
 TEST_CASE_FIXTURE(node_owner_fixture,
                   "shard, released with a running job, leaves no marks")
