--- a/tests/unit/cell_offers_test.cpp
+++ b/tests/unit/cell_offers_test.cpp
@@ -153,7 +153,7 @@
     {
         for (int number = 10;; ++number)
         {
-            std::string const          id = "aa" + std::to_string(number);
+            std::string                id = "aa" + std::to_string(number);
             std::vector<std::uint64_t> order;
             for (std::uint32_t shard = 0; shard < last_.index_; ++shard)
             {
