Count the wait of moved steps from their acceptance, and skip idle turns

A step that a new owner loads, or that another shard hands over, started its wait for a turn anew: one of 40 late steps of cell_restart_load_test started between 20 and 22 s after the restart on the merged code (the bound is 20 s).

Turns begin only while a limit of questions is reached.

Also from the review: a look-up for a domain out of service is passed on at once again, the check of new demand within 100 ms is back next to the one after two counts, and some comments are clearer.

--- a/cell/delegate_tasks.cpp
+++ b/cell/delegate_tasks.cpp
@@ -301,8 +301,8 @@
 // can run would keep all other stages from being offered.
 constexpr std::int64_t long_running_lead_micros = 8'000'000;
 
-// Time from which a stage is due to be offered. Both kinds are times of the
-// past when it may be offered, so newer stages don't overtake older ones.
+// Time from which a stage has been due to be offered: the begin of its wait, or
+// the time of its next round. Newer stages don't overtake older ones.
 instant find_offer_time(node const& context, shard_id const& shard,
                         plan::overflow const& tasks)
 {
--- a/cell/offer_stages.cpp
+++ b/cell/offer_stages.cpp
@@ -40,8 +40,8 @@
 // A stage without a round for this long starts over with the shortest interval.
 constexpr std::int64_t forget_micros = 30'000'000;
 
-// A round asks again for a gang while answers are incomplete, once more than a
-// round takes: a shard may be out of reach for good.
+// A round for a gang asks again while answers are incomplete, until this long
+// after its start: a shard may be out of reach for good.
 constexpr std::int64_t repeat_micros = 5'000'000;
 
 // Shards that are unavailable reply at once.
--- a/entry/node_owner.cpp
+++ b/entry/node_owner.cpp
@@ -518,11 +518,11 @@
     {
         return;
     }
-    if (context.drivers_.complete_[*driver] == 0)
+    bool const in_service = is_in_service(context, input.shard_.domain_);
+    if (in_service && context.drivers_.complete_[*driver] == 0)
     {
         return; // may run on an unreached target; the call is passed again
     }
-    bool const in_service = is_in_service(context, input.shard_.domain_);
     answer_watcher(context, from,
                    in_service ? answer_kind::no_record : answer_kind::not_here,
                    {.key_ = input.job_});
--- a/plan/planner.hpp
+++ b/plan/planner.hpp
@@ -66,7 +66,8 @@
     std::uint32_t short_requests_ = 0; // in flight, by expected time of reply
     std::uint32_t long_requests_ = 0;
     std::uint32_t turn_requests_ = 0; // those sent in a stage's turn
-    std::uint32_t max_long_requests_ = settings_.max_long_requests_;
+    bool requests_scarce_ = false;    // limit was reached in the latest tick
+    std::uint32_t          max_long_requests_ = settings_.max_long_requests_;
     std::vector<stage_key> holding_gangs_; // oldest first
     instant                gang_check_at_; // next selection of their targets
     std::vector<room_reservation>
--- a/plan/request_advice.cpp
+++ b/plan/request_advice.cpp
@@ -43,6 +43,11 @@
                          context.settings_.max_short_requests_;
 }
 
+bool may_request_any(planner const& context)
+{
+    return may_request(context, false) || may_request(context, true);
+}
+
 bool is_long_request(planner const& context, advice_policy const& advice)
 {
     return find_reply_ms(context, advice) > context.settings_.advice_long_ms_;
@@ -621,6 +626,19 @@
     send_request_for(context, stage, candidates, is_long);
 }
 
+// Time at which the turn of a stage without a request is due. A stage that was
+// handed over or loaded by a new owner has waited before, so its wait counts
+// from its acceptance until it has sent a request here.
+instant find_turn_time(planner const& context, stage_key const& key,
+                       stage_row const& stage)
+{
+    job_row const& job = *context.jobs_.find(key.job_);
+    bool const     has_waited = (job.recovered_ || job.spec_->alias_) &&
+                            stage.requested_at_ == instant();
+    instant const since = has_waited ? job.accepted_at_ : context.now_;
+    return since.after(context.settings_.advice_turn_micros_);
+}
+
 // With rank alone a stage would wait for as long as better-ranked ones need all
 // requests. So a stage that has waited long for a request has a turn: it sends
 // one before better-ranked stages, and its tasks are placed first while it may
@@ -639,8 +657,7 @@
         }
         if (stage.turn_due_ == instant::never() && stage.startable_)
         {
-            stage.turn_due_ =
-                context.now_.after(context.settings_.advice_turn_micros_);
+            stage.turn_due_ = find_turn_time(context, rank.stage_, stage);
         }
         else if (context.offers_.contains(rank.stage_.job_))
         {
@@ -741,6 +758,8 @@
         advice.validity_ms_ * micros_per_milli);
 }
 
+// Begins the turns that are due if better-ranked stages had used up the
+// requests; otherwise rank serves all stages.
 void request_in_turns(planner& context, std::span<stage_rank const> ranks,
                       free_room& free)
 {
@@ -752,9 +771,13 @@
             continue_turn(context, rank.stage_, free);
         }
     }
+    if (!context.requests_scarce_)
+    {
+        return;
+    }
     for (stage_key const& key : list_due_stages(context, ranks))
     {
-        if (!may_send_in_turn(context))
+        if (!may_send_in_turn(context) || !may_request_any(context))
         {
             return;
         }
@@ -765,14 +788,8 @@
     }
 }
 
-} // namespace
-
-void request_advice(planner& context)
+void request_for_all(planner& context)
 {
-    if (!may_request(context, false) && !may_request(context, true))
-    {
-        return;
-    }
     std::vector<stage_rank> const ranks = rank_requesting_stages(context);
     free_room                     free = list_free_room(context);
     std::size_t                   holding = 0;
@@ -787,7 +804,7 @@
     request_in_turns(context, others, free);
     for (stage_rank const& rank : others)
     {
-        if (!may_request(context, false) && !may_request(context, true))
+        if (!may_request_any(context))
         {
             return;
         }
@@ -798,4 +815,16 @@
     }
 }
 
+} // namespace
+
+void request_advice(planner& context)
+{
+    if (may_request_any(context))
+    {
+        request_for_all(context);
+    }
+    context.requests_scarce_ =
+        !may_request(context, false) || !may_request(context, true);
+}
+
 } // namespace fescuevane::plan
--- a/plan/stage_rank.cpp
+++ b/plan/stage_rank.cpp
@@ -18,7 +18,7 @@
 // Added for jobs above their organisation's rate, which rank behind late ones.
 constexpr std::int32_t over_rate_lateness = 2;
 
-// Of a stage in its turn, which is placed before all others.
+// Lateness of a stage in its turn, which is placed before all others.
 constexpr std::int32_t turn_lateness = -1;
 
 // Validity of the estimates of a job's critical paths, which change slowly
--- a/plan/wanted_requests.cpp
+++ b/plan/wanted_requests.cpp
@@ -56,7 +56,7 @@
 std::uint32_t count_wanted_requests(planner const& context)
 {
     std::uint32_t wanted = context.long_requests_;
-    // Below the limit all stages that need a request have one.
+    // Below the limit, stages without a request don't wait for other stages.
     if (context.long_requests_ < context.max_long_requests_)
     {
         return wanted;
--- a/tests/unit/cell_advice_test.cpp
+++ b/tests/unit/cell_advice_test.cpp
@@ -164,6 +164,21 @@
     CHECK(count_requests_of(9) == 6);
 }
 
+// Guards against new demand that has to wait for the next count.
+TEST_CASE_FIXTURE(idle_hosts_fixture,
+                  "twelve idle hosts and two shards, many long requests, six "
+                  "are in flight at once")
+{
+    run_idle_hosts();
+    take<send_question>();
+    for (int job = 0; job < 9; ++job)
+    {
+        submit_check("aa" + std::to_string(10 + job));
+    }
+    run(100'000);
+    CHECK(list_advice_proxies().size() == 6);
+}
+
 // Guards against hosts that stay idle because they count for a shard that asks
 // nothing, for example of a failure domain without targets.
 TEST_CASE_FIXTURE(idle_hosts_fixture,
