Name the count of a stage's requests in a turn after what it counts

turns_requested_ counted requests, not turns, beside turns_, which counts claims. Comments of the limit and the choice of hosts, and of the bound of a turn, say what they mean in one reading.

--- a/cell/limit_advice.cpp
+++ b/cell/limit_advice.cpp
@@ -3,8 +3,8 @@
 //
 // The service handles one request of each host at a time, and hosts that own
 // nothing send the long ones. So these hosts are divided among the shards, by
-// what their owners report to want. Each owner computes the same division from
-// the heartbeats, and its result limits only the owner's shards.
+// the demand that their owners report. Each owner computes the same division
+// from the heartbeats, and its result limits only the owner's shards.
 #include "cell/node.hpp"
 
 #include "cell/fair_shares.hpp"
@@ -42,7 +42,7 @@
     }
 }
 
-// Long requests that the shard wants, none if its owner doesn't report them.
+// Long requests that the shard wants; empty if its owner doesn't report them.
 std::optional<std::uint32_t> find_wanted(node const& context, std::size_t row)
 {
     shard_row const&       shard = context.shards_[row];
--- a/cell/send_questions.cpp
+++ b/cell/send_questions.cpp
@@ -107,7 +107,7 @@
            (spare ? values.advice_hop_micros_ : values.advice_remote_micros_);
 }
 
-// Of a host other than this one.
+// Penalty of a request that another host sends.
 std::int64_t find_hop_penalty(node const& context, host_row const& host)
 {
     return host.domain_ == context.settings_.domain_
--- a/plan/job_flow.cpp
+++ b/plan/job_flow.cpp
@@ -70,9 +70,9 @@
         --stage.asked_;
         --(stage.requested_long_ ? context.long_requests_
                                  : context.short_requests_);
-        if (stage.turns_requested_ > 0)
+        if (stage.turn_requests_ > 0)
         {
-            --stage.turns_requested_;
+            --stage.turn_requests_;
             --context.turn_requests_;
         }
     }
--- a/plan/request_advice.cpp
+++ b/plan/request_advice.cpp
@@ -643,9 +643,9 @@
 // requests. So a stage that has waited long for a request has a turn: it sends
 // one before better-ranked stages, and its tasks are placed first while it may
 // use the tickets. Turns have a part of the requests in flight and go to those
-// that have waited longest, so the wait for one depends only on the number of
-// stages that were due earlier. An offer is due at once, since its reply has a
-// deadline.
+// that have waited longest, so the wait for one depends on the stages that were
+// due earlier or hold room, not on work that arrives later. An offer is due at
+// once, since its reply has a deadline.
 void set_turn_times(planner& context, std::span<stage_rank const> ranks)
 {
     for (stage_rank const& rank : ranks)
@@ -725,7 +725,7 @@
                          std::uint32_t before)
 {
     std::uint32_t const sent = stage.asked_ - before;
-    stage.turns_requested_ += sent;
+    stage.turn_requests_ += sent;
     context.turn_requests_ += sent;
 }
 
--- a/plan/stage_row.hpp
+++ b/plan/stage_row.hpp
@@ -52,8 +52,8 @@
     // A turn lets a stage send a request and use room before better-ranked
     // ones. It is due when the stage has waited long for a request.
     instant       turn_due_ = instant::never();
-    instant       turn_until_;          // in its turn until then
-    std::uint32_t turns_requested_ = 0; // requests in flight sent in a turn
+    instant       turn_until_;        // in its turn until then
+    std::uint32_t turn_requests_ = 0; // requests in flight sent in a turn
 };
 
 // Number of tasks that this shard has to start.
