Log what a new owner knows of the runs that it finds

They didn't say whether a task that starts may have run before, what the time of a lapse was computed from, what was left open at a change of owner, and how long the incarnation of a target has lasted when a new owner reaches it. Change: fields of start, claim, shard_dropped and leases_lapsed, and the line target_recovered, one for each target with runs at a change of owner.

--- a/cell/claim_shards.cpp
+++ b/cell/claim_shards.cpp
@@ -285,7 +285,9 @@
               {{"shard", write_shard_name(shard)},
                {"epoch", std::to_string(own.epoch_)},
                {"previous", row.owner_.str()},
-               {"released", row.released_ ? "true" : "false"}});
+               {"released", row.released_ ? "true" : "false"},
+               {"stopped", own.predecessor_stopped_ ? "true" : "false"},
+               {"exclusive", own.predecessor_exclusive_ ? "true" : "false"}});
     own.request_ =
         write_owner_row(context, shard, 0, request_kind::claim, false, {});
 }
@@ -528,16 +530,54 @@
 
 } // namespace
 
+namespace
+{
+
+// Runs of the shard whose stop was ordered and whose end isn't known.
+std::size_t count_open_stops(node const& context, shard_id const& shard)
+{
+    std::size_t count = 0;
+    for (session_row const& session : context.sessions_)
+    {
+        if (session.open_ && session.shard_ == shard)
+        {
+            count += static_cast<std::size_t>(
+                std::count_if(session.runs_.begin(), session.runs_.end(),
+                              [](auto const& entry)
+                              {
+                                  return entry.second.stop_wanted_;
+                              }));
+        }
+    }
+    return count;
+}
+
+// Delegations of the shard, including those whose end isn't stored.
+std::size_t count_delegations(node const& context, shard_id const& shard)
+{
+    return static_cast<std::size_t>(
+        std::count_if(context.delegations_.begin(), context.delegations_.end(),
+                      [&shard](delegation_row const& row)
+                      {
+                          return row.shard_ == shard;
+                      }));
+}
+
+} // namespace
+
 void drop_shard(node& context, shard_id const& shard, std::string const& why)
 {
     if (!context.owned_.contains(shard))
     {
         return;
     }
-    log_event(context, "shard_dropped",
-              {{"shard", write_shard_name(shard)},
-               {"epoch", std::to_string(context.owned_.find(shard)->epoch_)},
-               {"reason", why}});
+    log_event(
+        context, "shard_dropped",
+        {{"shard", write_shard_name(shard)},
+         {"epoch", std::to_string(context.owned_.find(shard)->epoch_)},
+         {"reason", why},
+         {"stops", std::to_string(count_open_stops(context, shard))},
+         {"delegations", std::to_string(count_delegations(context, shard))}});
     close_sessions(context, shard);
     abandon_requests(context, shard);
     drop_delegations(context, shard);
--- a/cell/drive_planners.cpp
+++ b/cell/drive_planners.cpp
@@ -278,6 +278,13 @@
                          micros_per_milli;
     }
 
+    char const* is_recovered(job_id const& job) const
+    {
+        return plan::is_recovered(*context_.owned_.find(shard_)->planner_, job)
+                   ? "true"
+                   : "false";
+    }
+
     void operator()(plan::start_run const& order) const
     {
         log_event(
@@ -290,6 +297,7 @@
              {"shard", write_shard_name(shard_)},
              {"epoch", std::to_string(context_.owned_.find(shard_)->epoch_)},
              {"contact_ms", std::to_string(contact_age_ms(order.target_))},
+             {"recovered", is_recovered(order.run_.stage_.job_)},
              {"config",
               std::to_string(context_.config_ ? context_.config_->version_
                                               : 0)}});
--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -159,6 +159,16 @@
     session.unread_ = session.unread_ || !lapsed.empty();
 }
 
+// What the time of the lapse was computed from.
+char const* describe_lapse_bound(session_row const& session)
+{
+    if (session.clock_ms_ != 0)
+    {
+        return "clock of the target";
+    }
+    return session.granted_before_ ? "end of former owners" : "no grant";
+}
+
 // After the lapse an unresponsive target has no runs any more, but may still
 // have unreported ends.
 void handle_lapse(node& context, target_id const& id,
@@ -187,7 +197,10 @@
              {"silent_ms",
               std::to_string(outlook.heard_at_.remaining_until(context.now_) /
                              micros_per_milli)},
-             {"held_ms", std::to_string(held / micros_per_milli)}});
+             {"held_ms", std::to_string(held / micros_per_milli)},
+             {"bound", describe_lapse_bound(session)},
+             {"clock_ms", std::to_string(session.clock_ms_)},
+             {"granted_ms", std::to_string(session.granted_ms_)}});
     }
     end_lapsed_runs(context, id, session);
     update_planner_target(context, id);
--- a/cell/read_reports.cpp
+++ b/cell/read_reports.cpp
@@ -1,5 +1,6 @@
 // Purpose: events: runs and ends that targets report.
 #include "cell/hold_timing.hpp"
+#include "cell/records.hpp"
 #include "cell/sessions.hpp"
 #include "cell/tick_observer.hpp"
 
@@ -192,6 +193,25 @@
                  context.now_.after(context.settings_.fence_notice_micros_));
 }
 
+// Runs that a former owner started may outlast its renewals on a target whose
+// incarnation has just begun, so its clock tells more than the time of contact.
+void log_first_reply(node& context, session_row const& session,
+                     hold_reply const& input)
+{
+    if (input.runs_.empty() || !session.runs_.empty())
+    {
+        return; // nothing to recover
+    }
+    log_event(
+        context, "target_recovered",
+        {{"target", input.target_.str()},
+         {"shard", write_shard_name(session.shard_)},
+         {"epoch", std::to_string(context.owned_.find(session.shard_)->epoch_)},
+         {"clock_ms", std::to_string(input.clock_ms_)},
+         {"runs", std::to_string(input.runs_.size())},
+         {"ends", std::to_string(input.ends_.size())}});
+}
+
 // Reports to the observer how late a reply is processed, before it is applied.
 void observe_hold(node const& context, session_row const& session,
                   hold_reply const& input)
@@ -286,6 +306,7 @@
     stop_late_starts(context, *session, input.target_);
     if (first)
     {
+        log_first_reply(context, *session, input);
         session->lapsed_ = false;
         session->phase_ = session_phase::attached;
         update_planner_target(context, input.target_);
--- a/plan/plan.hpp
+++ b/plan/plan.hpp
@@ -60,6 +60,8 @@
 
 // 4. Queries
 std::optional<job_phase> find_phase(planner const& context, job_id const& job);
+// True for a job that was loaded after a change of owner.
+bool is_recovered(planner const& context, job_id const& job);
 std::shared_ptr<staged_job const> find_job(planner const& context,
                                            job_id const&  job);
 job_progress write_progress(planner const& context, job_id const& job);
--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -106,6 +106,12 @@
 
 // 3. Progress
 
+bool is_recovered(planner const& context, job_id const& job)
+{
+    job_row const* const row = context.jobs_.find(job);
+    return row != nullptr && row->recovered_;
+}
+
 std::optional<job_phase> find_phase(planner const& context, job_id const& job)
 {
     job_row const* const row = context.jobs_.find(job);
