Start returned tasks only after the end of their delegate is stored

Cause: when a delegate ended without being done, its tasks could start, move or be divided again at once, while the store still said that they were elsewhere. An owner that was killed before the row was written left a run that its successor, finding the old mark, took for unknown. Change: a further delegation phase. The planner clears the mark but keeps the tasks from starting and from moving; once the store has the row without the mark, the cell releases them. The row is written at once instead of with the next batch. Done tasks wait for nothing. The test of delegated tasks that come back now also asks that they don't start before, and posts the new event. Why it works: a later owner finds either the mark, and then nothing was started here, or no mark, and then it takes over what its targets report.

--- a/cell/delegate_tasks.cpp
+++ b/cell/delegate_tasks.cpp
@@ -2,8 +2,9 @@
 //
 // The tasks become a job of their own (the delegate), which the other shard
 // accepts, stores and runs like any other. The delegation is stored with the
-// parent job before the delegate is submitted, so a change of owner at any
-// moment neither loses nor repeats tasks.
+// parent job before the delegate is submitted, and its end before the tasks may
+// start here, so a change of owner at any moment neither loses nor repeats
+// tasks.
 //
 // Index of sections
 //   1. Aliases
@@ -504,8 +505,49 @@
     row.call_ = 0;
 }
 
+// The planner has cleared the mark. Writes it soon, since the tasks wait.
+void hasten_unmarking(node& context, record_row const& record)
+{
+    journal_part const& part =
+        context.owned_.find(record.shard_)->parts_[record.part_];
+    if (part.request_ == 0 && part.flush_at_ > context.now_)
+    {
+        expedite_write(context, record);
+    }
+}
+
+// Lets the planner start the tasks of an ended delegate once no later owner
+// finds them delegated.
+void release_tasks(node& context, job_id const& id, delegation_row& row)
+{
+    owned_row* const own = context.owned_.find(row.shard_);
+    if (own == nullptr || own->plan_needed_)
+    {
+        return;
+    }
+    record_row const* const record = context.records_.find(row.stage_.job_);
+    if (record != nullptr && row.change_ == 0)
+    {
+        row.change_ = record->changed_;
+    }
+    if (record != nullptr && record->saved_ < row.change_)
+    {
+        hasten_unmarking(context, *record);
+        return;
+    }
+    plan::post_event(*own->planner_, plan::delegate_end_stored{row.stage_, id});
+    own->plan_needed_ = true;
+    wake_at(context, context.now_);
+    context.delegations_.remove(id);
+}
+
 void advance_delegation(node& context, job_id const& id, delegation_row& row)
 {
+    if (row.phase_ == delegation_phase::unmarking)
+    {
+        release_tasks(context, id, row);
+        return;
+    }
     owned_row const* const own = context.owned_.find(row.shard_);
     if (row.phase_ == delegation_phase::marking)
     {
@@ -552,16 +594,24 @@
 
 void finish_delegation(node& context, job_id const& id, job_phase phase)
 {
-    delegation_row const row = *context.delegations_.find(id);
-    context.delegations_.remove(id);
+    delegation_row&  row = *context.delegations_.find(id);
     owned_row* const own = context.owned_.find(row.shard_);
-    if (own != nullptr && own->planner_)
+    if (own == nullptr || !own->planner_)
     {
-        plan::post_event(*own->planner_,
-                         plan::delegate_ended{row.stage_, id, phase});
-        own->plan_needed_ = true;
-        wake_at(context, context.now_);
+        context.delegations_.remove(id);
+        return;
+    }
+    plan::post_event(*own->planner_,
+                     plan::delegate_ended{row.stage_, id, phase});
+    own->plan_needed_ = true;
+    wake_at(context, context.now_);
+    if (phase == job_phase::completed)
+    {
+        context.delegations_.remove(id); // no task of it starts here
+        return;
     }
+    row.phase_ = delegation_phase::unmarking;
+    row.change_ = 0;
 }
 
 // True if the job is a part of a gang that runs on several shards.
@@ -685,7 +735,9 @@
     std::vector<job_id> delegates;
     for (std::size_t row = 0; row < context.delegations_.size(); ++row)
     {
-        if (context.delegations_[row].stage_.job_ == job)
+        delegation_row const& delegation = context.delegations_[row];
+        if (delegation.stage_.job_ == job &&
+            delegation.phase_ != delegation_phase::unmarking)
         {
             delegates.push_back(context.delegations_.key(row));
         }
--- a/cell/delegation_phase.hpp
+++ b/cell/delegation_phase.hpp
@@ -12,7 +12,8 @@
     marking,    // storing the delegation mark with the parent job
     submitting, // submitting the delegate job
     running,    // accepted by the other shard
-    canceling   // the parent ended, canceling the delegate
+    canceling,  // the parent ended, canceling the delegate
+    unmarking   // the delegate has ended, storing the parent without the mark
 };
 
 } // namespace fescuevane::cell
--- a/cell/delegation_row.hpp
+++ b/cell/delegation_row.hpp
@@ -21,7 +21,7 @@
     shard_id                          target_; // shard to run them
     std::shared_ptr<staged_job const> job_;    // the delegate job
     delegation_phase                  phase_ = delegation_phase::marking;
-    std::uint64_t change_ = 0; // change of the parent that holds the mark
+    std::uint64_t change_ = 0; // change of the parent that sets or clears it
     std::uint64_t call_ = 0;   // in flight, 0: none
     instant       next_at_;    // of the next call
 };
--- a/cell/spread_gangs.cpp
+++ b/cell/spread_gangs.cpp
@@ -392,6 +392,11 @@
     phase_handlers = {&advance_placing, &advance_gathering, &advance_starting,
                       &advance_running, &advance_withdrawing};
 
+bool has_ended(delegation_row const* part)
+{
+    return part == nullptr || part->phase_ == delegation_phase::unmarking;
+}
+
 // Removes ended parts. Returns false if some have ended or are being canceled
 // with the gang's job: the others must not start.
 bool drop_ended(node& context, gang_spread_row& row)
@@ -400,13 +405,14 @@
     for (auto at = row.parts_.begin(); at != row.parts_.end();)
     {
         delegation_row const* const part = context.delegations_.find(at->first);
-        complete = complete && part != nullptr &&
-                   part->phase_ != delegation_phase::canceling;
-        if (part == nullptr)
+        bool const                  ended = has_ended(part);
+        complete =
+            complete && !ended && part->phase_ != delegation_phase::canceling;
+        if (ended)
         {
             abandon_call(context, at->second);
         }
-        at = part == nullptr ? row.parts_.erase(at) : std::next(at);
+        at = ended ? row.parts_.erase(at) : std::next(at);
     }
     return complete;
 }
--- a/plan/apply_events.cpp
+++ b/plan/apply_events.cpp
@@ -371,6 +371,11 @@
     end_delegate(context, input.stage_, input.delegate_, input.phase_);
 }
 
+void apply(planner& context, delegate_end_stored const& input)
+{
+    release_returned_tasks(context, input.stage_, input.delegate_);
+}
+
 void apply(planner& context, part_ordered const& input)
 {
     order_part(context, input);
--- a/plan/event.hpp
+++ b/plan/event.hpp
@@ -5,6 +5,7 @@
 #include "plan/advice_failed.hpp"
 #include "plan/advice_given.hpp"
 #include "plan/advice_limit_changed.hpp"
+#include "plan/delegate_end_stored.hpp"
 #include "plan/delegate_ended.hpp"
 #include "plan/domain_service_changed.hpp"
 #include "plan/job_added.hpp"
@@ -36,9 +37,9 @@
                  target_set, target_removed, domain_service_changed, job_added,
                  job_canceled, job_dropped, job_offered, run_confirmed,
                  run_refused, run_ended, run_seen, advice_given, advice_failed,
-                 tasks_delegated, delegate_ended, on_time_changed,
-                 unreported_ends_settled, part_ordered, part_withdrawn,
-                 advice_limit_changed>;
+                 tasks_delegated, delegate_ended, delegate_end_stored,
+                 on_time_changed, unreported_ends_settled, part_ordered,
+                 part_withdrawn, advice_limit_changed>;
 
 } // namespace fescuevane::plan
 
--- a/plan/job_flow.cpp
+++ b/plan/job_flow.cpp
@@ -1084,7 +1084,9 @@
             {
                 task.done_ = true;
                 ++stage->done_;
+                return;
             }
+            task.ended_delegate_ = delegate;
         });
     if (!found)
     {
@@ -1106,6 +1108,22 @@
     }
 }
 
+void release_returned_tasks(planner& context, stage_key const& key,
+                            job_id const& delegate)
+{
+    if (stage_row* const stage = context.stages_.find(key))
+    {
+        stage->tasks_.change_all(
+            [&delegate](task_cell& task)
+            {
+                if (task.ended_delegate_ == delegate)
+                {
+                    task.ended_delegate_ = job_id();
+                }
+            });
+    }
+}
+
 // 5. Estimates and target failures
 
 std::string image_of(job_row const& job, step_spec const& step)
--- a/plan/job_flow.hpp
+++ b/plan/job_flow.hpp
@@ -123,10 +123,12 @@
 void close_job(planner& context, job_id const& job, job_phase phase);
 
 // Marks tasks as delegated to another shard, and applies the end of the
-// delegate.
+// delegate. Returned tasks wait until that end is stored.
 void delegate_tasks(planner& context, tasks_delegated const& input);
 void end_delegate(planner& context, stage_key const& stage,
                   job_id const& delegate, job_phase phase);
+void release_returned_tasks(planner& context, stage_key const& stage,
+                            job_id const& delegate);
 
 // Counts a failure or a stall of a job against a target.
 void count_target_failure(planner& context, target_id const& target,
--- a/plan/task_cell.hpp
+++ b/plan/task_cell.hpp
@@ -26,6 +26,7 @@
     instant     waiting_since_; // latest end of a run, return or stage start
     job_id      delegate_;      // job that runs it on another shard
     std::uint32_t delegate_run_ = 0; // its run number in a part of a gang
+    job_id        ended_delegate_;   // latest one, until its end is stored
     std::uint32_t failures_ = 0; // before the job was delegated to this shard
     bool          held_ = false; // unreported ends may use up its attempts
 };
@@ -34,7 +35,7 @@
 inline bool is_waiting(task_cell const& task)
 {
     return !task.done_ && task.runs_ == 0 && task.delegate_.empty() &&
-           !task.held_;
+           task.ended_delegate_.empty() && !task.held_;
 }
 
 } // namespace fescuevane::plan
--- a/tests/unit/cell_delegation_test.cpp
+++ b/tests/unit/cell_delegation_test.cpp
@@ -380,6 +380,148 @@
     CHECK(count_starts(submitted_[0]) == 0);
 }
 
+// A job of east was delegated to west, which has accepted it.
+struct accepted_fixture : delegation_fixture
+{
+    std::vector<call_peer> lookups_; // of the delegate, not answered yet
+    std::string            parent_;  // the job of the delegated task
+    std::uint64_t          ends_ = 0;
+
+    accepted_fixture()
+    {
+        west_.used_ = {4000, 1024, 0};
+        report_west_load();
+        for (int job = 0; job < 5; ++job)
+        {
+            submit("aa0" + std::to_string(job)); // four of them fit
+        }
+        run_cell(200'000);
+        west_.used_ = {};
+        run_and_accept(2 * micros_per_second);
+        REQUIRE(!lookups_.empty());
+        parent_ = lookups_[0].call_.id_.str().substr(0, 4);
+        REQUIRE(stores_mark());
+    }
+
+    // West accepts what it gets and holds look-ups back.
+    void accept_calls()
+    {
+        for (call_peer const& call : take<call_peer>())
+        {
+            if (call.call_.kind_ == call_kind::lookup)
+            {
+                lookups_.push_back(call);
+                continue;
+            }
+            post(peer_replied{call.request_,
+                              {.outcome_ = job_outcome::accepted}});
+        }
+    }
+
+    void run_and_accept(std::int64_t micros)
+    {
+        constexpr std::int64_t step = 100'000;
+        for (std::int64_t passed = 0; passed < micros; passed += step)
+        {
+            run_cell(step);
+            accept_calls();
+        }
+    }
+
+    // One task of east ends, which makes room for the delegated one.
+    void make_room()
+    {
+        run_key const ended = running_.back().run_;
+        running_.pop_back();
+        run(50'000);
+        for (hold_target const& hold : take<hold_target>())
+        {
+            answer_hold(hold, running_, {{++ends_, ended, run_end::done, ""}});
+        }
+        run_and_accept(300'000);
+    }
+
+    void end_delegate(job_phase phase)
+    {
+        for (call_peer const& call : lookups_)
+        {
+            post(peer_replied{
+                call.request_,
+                {.outcome_ = job_outcome::known, .phase_ = phase}});
+        }
+        lookups_.clear();
+    }
+
+    bool runs_parent() const
+    {
+        return std::any_of(running_.begin(), running_.end(),
+                           [this](reported_run const& run)
+                           {
+                               return run.run_.stage_.job_ == job_id(parent_);
+                           });
+    }
+
+    // True when the stored row of the parent says that the task is elsewhere.
+    bool stores_mark() const
+    {
+        auto const tasks =
+            read_job(rows_.at({"job", "0", parent_}).value_).progress_.tasks_;
+        return std::any_of(tasks.begin(), tasks.end(),
+                           [](task_progress const& task)
+                           {
+                               return !task.delegate_.empty();
+                           });
+    }
+};
+
+// Guards against a task in two runs: it started here before the end of its
+// delegate was stored, and the next owner found it still delegated.
+TEST_CASE_FIXTURE(accepted_fixture,
+                  "delegate returned, store away, task waits for the store")
+{
+    make_room();
+    REQUIRE(running_.size() == 3);
+    SUBCASE("the store is down")
+    {
+        store_down_ = true;
+        end_delegate(job_phase::canceled);
+        run_and_accept(micros_per_second);
+        CHECK(stores_mark());
+        CHECK(!runs_parent());
+        store_down_ = false;
+    }
+    SUBCASE("its answer is delayed")
+    {
+        store_delayed_ = true;
+        end_delegate(job_phase::canceled);
+        run_and_accept(micros_per_second);
+        CHECK(!runs_parent());
+        deliver_store_replies();
+    }
+    run_and_accept(micros_per_second);
+    CHECK(!stores_mark());
+    CHECK(runs_parent());
+}
+
+// Guards against tasks that wait for the batch of the journal, which takes long
+// in cells with many shards.
+TEST_CASE_FIXTURE(accepted_fixture,
+                  "delegate returned, store answers, task starts at once")
+{
+    settings_.journal_micros_ = 5 * micros_per_second;
+    lookups_.clear();
+    store_host("host-2", "west");
+    start(2); // restores the delegation
+    list_target("t-1");
+    run_and_accept(2 * micros_per_second);
+    make_room();
+    REQUIRE(!runs_parent());
+    REQUIRE(!lookups_.empty());
+    end_delegate(job_phase::canceled);
+    run_and_accept(200'000);
+    CHECK(runs_parent());
+}
+
 // The node owns east, which has no target with the label. West and north
 // are owned by another host.
 struct blocked_fixture : cell_fixture
--- a/tests/unit/plan_placement_test.cpp
+++ b/tests/unit/plan_placement_test.cpp
@@ -7,6 +7,7 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <array>
 #include <cmath>
 #include <map>
 
@@ -332,10 +333,84 @@
     {
         post(delegate_ended{waiting[0].stage_, elsewhere, job_phase::canceled});
         tick();
+        CHECK(list<start_run>().empty());
+        CHECK(write_progress(*planner_, job_id("j-1")).tasks_.empty());
+        post(delegate_end_stored{waiting[0].stage_, elsewhere});
+        tick();
         CHECK(list<start_run>().size() == 2);
     }
 }
 
+// Guards against tasks in two runs: they started here or moved again before the
+// return was stored, and the next owner found them still delegated.
+TEST_CASE_FIXTURE(plan_fixture,
+                  "delegated tasks returned, end isn't stored, not moved again")
+{
+    add_job("j-1", {make_step(2)});
+    stage_key const stage{job_id("j-1"), 0, 0};
+    job_id const    elsewhere("j-1~1-1");
+    tick();
+    post(tasks_delegated{stage, {0, 1}, elsewhere});
+    tick();
+    post(delegate_ended{stage, elsewhere, job_phase::canceled});
+    tick();
+    advance(20 * micros_per_second);
+    tick();
+    CHECK(list_overflow(*planner_, now_, micros_per_second).empty());
+    CHECK(!find_waiting(*planner_, stage));
+    post(delegate_end_stored{stage, elsewhere});
+    tick();
+    CHECK(list_overflow(*planner_, now_, micros_per_second).size() == 1);
+    CHECK(find_waiting(*planner_, stage));
+}
+
+// A gang of four tasks that runs in two other shards.
+struct spread_gang_fixture : plan_fixture
+{
+    stage_key const             stage_{job_id("j-1"), 0, 0};
+    std::array<job_id, 2> const parts_ = {job_id("j-1~1-1"), job_id("j-1~1-2")};
+
+    spread_gang_fixture()
+    {
+        add_job("j-1", {{.count_ = 4,
+                         .demand_ = {1000, 512, 0},
+                         .estimate_ms_ = 1000,
+                         .gang_ = true}});
+        tick();
+        post(tasks_delegated{stage_, {0, 1}, parts_[0], 1});
+        post(tasks_delegated{stage_, {2, 3}, parts_[1], 1});
+        set_target("t-1");
+        tick();
+        REQUIRE(list<start_run>().empty());
+    }
+};
+
+// Guards against a gang in two runs: it started here before the end of each of
+// its parts was stored, and the next owner found a part still delegated.
+TEST_CASE_FIXTURE(spread_gang_fixture,
+                  "parts of a gang ended, one end isn't stored, gang waits")
+{
+    job_phase phase = job_phase::canceled;
+    SUBCASE("both returned") {}
+    SUBCASE("one failed")
+    {
+        phase = job_phase::failed;
+    }
+    post(delegate_ended{stage_, parts_[0], phase});
+    post(delegate_ended{stage_, parts_[1], job_phase::canceled});
+    tick();
+    CHECK(list<start_run>().empty());
+    CHECK(!find_waiting(*planner_, stage_));
+    post(delegate_end_stored{stage_, parts_[0]});
+    tick();
+    CHECK(list<start_run>().empty());
+    CHECK(!find_waiting(*planner_, stage_));
+    post(delegate_end_stored{stage_, parts_[1]});
+    tick();
+    REQUIRE(list<start_run>().size() == 4);
+    CHECK(list<start_run>()[0].run_.run_ == 2);
+}
+
 // Guards against an idle shard: its targets were reserved forever for a gang
 // that could not start.
 TEST_CASE_FIXTURE(plan_fixture,
