Start no task while a rejected run of it may go on

Cause: an owner that rejects a run orders its stop and keeps other work off that target, but nothing kept the task itself from starting on another target, or from moving to another shard, once it was waiting again. Change: tasks with a rejected run, found from the rows of the targets, don't start, move or return; all tasks of a gang wait for the rejected runs of any of them; a part of a gang isn't ready and doesn't end before. Tasks are compared by their original stage, since the run may be reported for an earlier delegate, or for no job. Speculative tasks don't wait. Why it works: a row of a rejected run is removed with its reported end, with the end of its target's incarnation, or with the target, and each of these wakes the planner. The tests start the task after each of them, and also where the target is silent or leaves the list. As for any other run, the wait for a silent target includes the time for its unreported ends.

--- a/plan/follow_parts.cpp
+++ b/plan/follow_parts.cpp
@@ -19,6 +19,7 @@
 #include "plan/parts.hpp"
 #include "plan/plan.hpp"
 #include "plan/planner.hpp"
+#include "plan/rejected_runs.hpp"
 #include "plan/room.hpp"
 #include "plan/room_reservations.hpp"
 #include "plan/stage_view.hpp"
@@ -119,6 +120,7 @@
                            return is_running(task) ||
                                   !task.unreported_runs_.empty();
                        }) ||
+           may_run_rejected(context, find_rejected_runs(context), key) ||
            may_be_unconfirmed(unconfirmed, *context.jobs_.find(key.job_),
                               find_step(context, key));
 }
@@ -270,6 +272,7 @@
     std::int64_t const count = stage.step_.count_;
     return is_within_limit(context, stage.job_.spec_->organisation_, key,
                            stage.step_.demand_ * count) &&
+           !may_run_rejected(context, find_rejected_runs(context), key) &&
            count_ready(context, stage) >= count;
 }
 
--- a/plan/place_tasks.cpp
+++ b/plan/place_tasks.cpp
@@ -8,6 +8,7 @@
 #include "plan/job_flow.hpp"
 #include "plan/parts.hpp"
 #include "plan/planner.hpp"
+#include "plan/rejected_runs.hpp"
 #include "plan/room.hpp"
 #include "plan/room_reservations.hpp"
 #include "plan/stage_rank.hpp"
@@ -147,14 +148,16 @@
     return true;
 }
 
-void place_single_tasks(planner& context, stage_key const& key)
+void place_single_tasks(planner& context, stage_key const& key,
+                        rejected_runs const& rejected)
 {
     auto const count =
         static_cast<std::uint32_t>(context.stages_.find(key)->tasks_.size());
     for (std::uint32_t index = 0; index < count; ++index)
     {
         task_cell const& task = context.stages_.find(key)->tasks_[index];
-        if (!is_waiting(task))
+        if (!is_waiting(task) ||
+            may_run_rejected(context, rejected, key, index))
         {
             continue;
         }
@@ -251,10 +254,12 @@
     return missing <= 0;
 }
 
-void place_gang(planner& context, stage_key const& key)
+void place_gang(planner& context, stage_key const& key,
+                rejected_runs const& rejected)
 {
     stage_row const& stage = *context.stages_.find(key);
-    if (!may_start_gang(context, stage))
+    if (!may_start_gang(context, stage) ||
+        may_run_rejected(context, rejected, key))
     {
         return;
     }
@@ -365,15 +370,16 @@
     return {cpu, memory, accelerators};
 }
 
-void place_stage(planner& context, stage_key const& key)
+void place_stage(planner& context, stage_key const& key,
+                 rejected_runs const& rejected)
 {
     if (find_step(context, key).gang_)
     {
-        place_gang(context, key);
+        place_gang(context, key, rejected);
     }
     else
     {
-        place_single_tasks(context, key);
+        place_single_tasks(context, key, rejected);
     }
 }
 
@@ -396,7 +402,8 @@
 
 void place_ranked(planner& context, std::vector<stage_rank> const& ranks)
 {
-    resources most_free = find_most_free(context);
+    rejected_runs const rejected = find_rejected_runs(context);
+    resources           most_free = find_most_free(context);
     for (stage_rank const& rank : ranks)
     {
         // Skips stages that fit on no target, so that a tick with hundreds of
@@ -406,7 +413,7 @@
             continue;
         }
         std::size_t const runs = context.runs_.size();
-        place_stage(context, rank.stage_);
+        place_stage(context, rank.stage_, rejected);
         if (context.runs_.size() != runs)
         {
             if (count_reservations(context, rank.stage_) > 0)
--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -14,6 +14,7 @@
 #include "plan/load_summary.hpp"
 #include "plan/overflow.hpp"
 #include "plan/plan.hpp"
+#include "plan/rejected_runs.hpp"
 #include "plan/room.hpp"
 #include "plan/stage_rank.hpp"
 #include "plan/stage_view.hpp"
@@ -190,9 +191,12 @@
 constexpr std::size_t max_moved_tasks = 500;
 
 // Indices of the tasks that have waited for at least `micros`.
-std::vector<std::uint32_t> list_waiting(stage_row const& stage, instant now,
+std::vector<std::uint32_t> list_waiting(planner const&       context,
+                                        rejected_runs const& rejected,
+                                        stage_key const& key, instant now,
                                         std::int64_t micros)
 {
+    stage_row const&           stage = *context.stages_.find(key);
     std::vector<std::uint32_t> indices;
     for (std::uint32_t index = 0; index < stage.tasks_.size(); ++index)
     {
@@ -200,7 +204,8 @@
         // An end that is reported later has to count on the shard that has the
         // task.
         if (is_waiting(task) && task.unreported_runs_.empty() &&
-            task.waiting_since_.after(micros) <= now)
+            task.waiting_since_.after(micros) <= now &&
+            !may_run_rejected(context, rejected, key, index))
         {
             indices.push_back(index);
         }
@@ -235,6 +240,7 @@
                                     std::int64_t micros)
 {
     unconfirmed_work const unseen = find_unconfirmed_work(context);
+    rejected_runs const    rejected = find_rejected_runs(context);
     std::vector<overflow>  found;
     for (std::size_t row = 0; row < context.stages_.size(); ++row)
     {
@@ -255,7 +261,7 @@
         // less.
         std::int64_t const wait = micros * (1 + count_handovers(key.job_));
         overflow           tasks{.stage_ = key, .demand_ = step.demand_};
-        tasks.indices_ = list_waiting(stage, now, wait);
+        tasks.indices_ = list_waiting(context, rejected, key, now, wait);
         if (tasks.indices_.empty())
         {
             continue;
@@ -265,8 +271,8 @@
         tasks.blocked_ = is_blocked(context, view_stage(context, key));
         if (!tasks.blocked_ && step.perpetual_ && !step.gang_)
         {
-            std::vector<std::uint32_t> overdue =
-                list_waiting(stage, now, long_running_move_micros);
+            std::vector<std::uint32_t> overdue = list_waiting(
+                context, rejected, key, now, long_running_move_micros);
             if (!overdue.empty())
             {
                 tasks.blocked_ = true;
@@ -280,7 +286,7 @@
         {
             tasks.indices_ = stage.asked_ > 0
                                  ? std::vector<std::uint32_t>()
-                                 : list_waiting(stage, now,
+                                 : list_waiting(context, rejected, key, now,
                                                 wait + overflow_replies *
                                                            advice_reply_micros(
                                                                context, job));
@@ -310,7 +316,8 @@
     job_row const&   job = *context.jobs_.find(key.job_);
     step_spec const& step = job.spec_->steps_[key.step_];
     overflow         tasks{.stage_ = key, .demand_ = step.demand_};
-    tasks.indices_ = list_waiting(*stage, context.now_, 0);
+    tasks.indices_ = list_waiting(context, find_rejected_runs(context), key,
+                                  context.now_, 0);
     if (tasks.indices_.empty() ||
         (step.gang_ && tasks.indices_.size() != stage->tasks_.size()) ||
         may_have_unreported_end(find_unconfirmed_work(context), job, step))
@@ -330,7 +337,8 @@
 {
     stage_row const* const stage = context.stages_.find(key);
     job_row const* const   job = context.jobs_.find(key.job_);
-    if (stage == nullptr || job->recovered_ || stage->gang_run_ != 0)
+    if (stage == nullptr || job->recovered_ || stage->gang_run_ != 0 ||
+        may_run_rejected(context, find_rejected_runs(context), key))
     {
         return false; // a former owner may have started runs
     }
--- a/tests/unit/cell_delegation_test.cpp
+++ b/tests/unit/cell_delegation_test.cpp
@@ -522,6 +522,120 @@
     CHECK(runs_parent());
 }
 
+// A new owner of east finds a run of the delegated task on t-1 and stops it.
+// t-2 is idle and has room for all work of east.
+struct rejected_run_fixture : accepted_fixture
+{
+    std::map<target_id, std::vector<reported_run>> listed_; // by target
+    std::vector<send_start>                        starts_; // of the parent
+    std::size_t                                    stops_ = 0;
+    bool                                           silent_ = false; // t-1
+    std::uint64_t                                  born_ = 7;       // of t-1
+
+    rejected_run_fixture()
+    {
+        lookups_.clear();
+        listed_[target_id("t-1")].push_back(
+            {{{job_id(parent_), 0, 0}, 0, 1001}, "", 1, 0});
+        store_host("host-2", "west");
+        start(2);
+        list_target("t-1");
+        post(target_listed{{.id_ = target_id("t-2"),
+                            .address_ = "127.0.0.1:8002",
+                            .domain_ = domain_id("east"),
+                            .service_ = service_id("desk"),
+                            .rack_ = rack_id("r-1"),
+                            .capacity_ = {16'000, 65'536, 0}}});
+        run_targets(2 * micros_per_second);
+        REQUIRE(stops_ > 0);
+        REQUIRE(!lookups_.empty());
+        listed_.at(target_id("t-1")).clear(); // doesn't list what it stops
+        end_delegate(job_phase::canceled);
+        run_targets(2 * micros_per_second);
+        REQUIRE(!stores_mark());
+    }
+
+    void answer_targets()
+    {
+        for (send_start const& start : take<send_start>())
+        {
+            post(order_reply{.request_ = start.request_,
+                             .outcome_ = target_outcome::done});
+            listed_[start.start_.target_].push_back(
+                {start.start_.run_, "", 1, 0});
+            if (start.start_.run_.stage_.job_ == job_id(parent_))
+            {
+                starts_.push_back(start);
+            }
+        }
+        for (send_stop const& stop : take<send_stop>())
+        {
+            post(order_reply{.request_ = stop.request_,
+                             .outcome_ = target_outcome::done});
+            ++stops_;
+        }
+        for (hold_target const& hold : take<hold_target>())
+        {
+            answer_target(hold);
+        }
+    }
+
+    void answer_target(hold_target const& hold)
+    {
+        bool const first = hold.target_ == target_id("t-1");
+        if (first && silent_)
+        {
+            fail_hold(hold);
+            return;
+        }
+        post(hold_reply{.request_ = hold.request_,
+                        .target_ = hold.target_,
+                        .outcome_ = target_outcome::done,
+                        .clock_ms_ = unix_ms_,
+                        .born_unix_ms_ =
+                            static_cast<std::int64_t>(first ? born_ : 7),
+                        .runs_ = listed_[hold.target_]});
+    }
+
+    void run_targets(std::int64_t micros)
+    {
+        constexpr std::int64_t step = 100'000;
+        for (std::int64_t passed = 0; passed < micros; passed += step)
+        {
+            report_west_load();
+            run(step);
+            answer_targets();
+            accept_calls();
+        }
+    }
+};
+
+// Guards against a task in two runs, of which one was rejected and is being
+// stopped, and against tasks that wait forever for the end of such a run.
+TEST_CASE_FIXTURE(rejected_run_fixture,
+                  "rejected run is being stopped, returned, starts at its end")
+{
+    CHECK(starts_.empty());
+    SUBCASE("its target is silent")
+    {
+        silent_ = true;
+        run_targets(30 * micros_per_second);
+    }
+    SUBCASE("its target restarts")
+    {
+        ++born_;
+        run_targets(micros_per_second);
+    }
+    SUBCASE("its target is silent and leaves the list")
+    {
+        silent_ = true;
+        post(target_unlisted{target_id("t-1")});
+        run_targets(30 * micros_per_second);
+    }
+    REQUIRE(starts_.size() == 1);
+    CHECK(starts_[0].start_.target_ == target_id("t-2"));
+}
+
 // The node owns east, which has no target with the label. West and north
 // are owned by another host.
 struct blocked_fixture : cell_fixture
