Cut links between hosts and to targets in the soak

Change: a relay in each link of a host to a target or to another host. The relay calls from the host's own IP, by which the stand-in of the store tells its callers apart and gives each one the addresses of its own links. The relay cuts a link in one direction or both; at the heal, held bytes go on or the connections are dropped. Faults: one link, half of the links of a host, resets and delays of all of them.

--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -2,31 +2,24 @@
 //
 // Index of sections
 //   1. Signals to hosts
-//   2. Links of hosts
-//   3. Store
-//   4. Targets
-//   5. Operator
-//   6. Table of kinds
-//   7. Systems
-#include "tests/soak/soak_run.hpp"
-
-#include "io/main_loop.hpp"
-#include "tests/stand_ins/control_error.hpp"
-#include "tests/stand_ins/relay_control.hpp"
+//   2. Store
+//   3. Targets
+//   4. Operator
+//   5. Table of kinds
+//   6. Systems
+#include "tests/soak/fault_steps.hpp"
+#include "tests/soak/link_faults.hpp"
 
 #include <nlohmann/json.hpp>
 #include <algorithm>
 #include <array>
 #include <csignal>
+#include <functional>
 #include <iostream>
 #include <optional>
 
 namespace fescuevane::soak
 {
-namespace
-{
-
-using nlohmann::json;
 
 std::size_t draw_host(soak_run& run)
 {
@@ -39,19 +32,47 @@
     return now.after(draw(run, least_ms, most_ms) * micros_per_milli);
 }
 
+bool kill_process(soak_run& run, std::size_t host, instant restart_at)
+{
+    host_row& row = run.hosts_[host];
+    if (!row.process_->is_running())
+    {
+        return false;
+    }
+    row.told_to_end_ = true;
+    row.process_->send_signal(SIGKILL);
+    row.restart_at_ = restart_at;
+    return true;
+}
+
+bool terminate_process(soak_run& run, std::size_t host, instant now)
+{
+    host_row& row = run.hosts_[host];
+    if (!row.process_->is_running() || row.told_to_end_)
+    {
+        return false;
+    }
+    constexpr std::int64_t grace_micros = 6'000'000;
+    row.told_to_end_ = true;
+    row.process_->send_signal(SIGTERM);
+    row.kill_at_ = now.after(grace_micros);
+    return true;
+}
+
+namespace
+{
+
 // 1. Signals to hosts
 
 std::optional<active_fault> kill_host(soak_run& run, instant now)
 {
-    host_row& host = run.hosts_[draw_host(run)];
-    if (!host.process_->is_running())
+    std::size_t const row = draw_host(run);
+    instant const     ends_at = draw_end(run, now, 200, 2500);
+    if (!kill_process(run, row, ends_at))
     {
         return std::nullopt;
     }
-    host.told_to_end_ = true;
-    host.process_->send_signal(SIGKILL);
-    host.restart_at_ = draw_end(run, now, 200, 2500);
-    return active_fault{.object_ = host.name_, .ends_at_ = host.restart_at_};
+    return active_fault{.object_ = run.hosts_[row].name_, .ends_at_ = ends_at};
 }
 
 std::optional<active_fault> stop_host(soak_run& run, instant now)
@@ -114,16 +135,13 @@
 
 std::optional<active_fault> terminate_host(soak_run& run, instant now)
 {
-    host_row& host = run.hosts_[draw_host(run)];
-    if (!host.process_->is_running() || host.told_to_end_)
+    std::size_t const row = draw_host(run);
+    if (!terminate_process(run, row, now))
     {
         return std::nullopt;
     }
-    constexpr std::int64_t grace_micros = 6'000'000;
     constexpr std::int64_t restart_micros = 2'500'000; // at most
-    host.told_to_end_ = true;
-    host.process_->send_signal(SIGTERM);
-    host.kill_at_ = now.after(grace_micros);
+    host_row const&        host = run.hosts_[row];
     return active_fault{.object_ = host.name_,
                         .ends_at_ = host.kill_at_.after(restart_micros)};
 }
@@ -141,68 +159,7 @@
     return active_fault{.object_ = host.name_, .ends_at_ = now};
 }
 
-// 2. Links of hosts
-
-// The relay serves its control at once, so the call may wait for the answer.
-void call_relay(soak_run& run, std::string const& host,
-                void (stand_ins::relay_control::*action)(std::string const&))
-{
-    try
-    {
-        stand_ins::relay_control control(run.layout_.relay_control());
-        (control.*action)(host);
-    }
-    catch (stand_ins::control_error const& error)
-    {
-        std::cout << error.what() << std::endl;
-    }
-}
-
-std::optional<active_fault> cut_store_link(soak_run& run, instant now)
-{
-    std::string const host = run.hosts_[draw_host(run)].name_;
-    call_relay(run, host, &stand_ins::relay_control::cut);
-    return active_fault{.object_ = host,
-                        .ends_at_ = draw_end(run, now, 500, 8000),
-                        .end_ = [&run, host]
-                        {
-                            call_relay(run, host,
-                                       &stand_ins::relay_control::heal);
-                        }};
-}
-
-std::optional<active_fault> reset_store_link(soak_run& run, instant now)
-{
-    std::string const host = run.hosts_[draw_host(run)].name_;
-    call_relay(run, host, &stand_ins::relay_control::reset);
-    return active_fault{.object_ = host, .ends_at_ = now};
-}
-
-std::optional<active_fault> delay_store_link(soak_run& run, instant now)
-{
-    std::string const host = run.hosts_[draw_host(run)].name_;
-    auto const        set = [&run, host](std::int64_t micros)
-    {
-        try
-        {
-            stand_ins::relay_control(run.layout_.relay_control())
-                .set_delay(host, micros);
-        }
-        catch (stand_ins::control_error const& error)
-        {
-            std::cout << error.what() << std::endl;
-        }
-    };
-    set(draw(run, 20, 900) * micros_per_milli);
-    return active_fault{.object_ = host,
-                        .ends_at_ = draw_end(run, now, 1000, 8000),
-                        .end_ = [set]
-                        {
-                            set(0);
-                        }};
-}
-
-// 3. Store
+// 2. Store
 
 void send_store_faults(soak_run& run, bool drop_history = false)
 {
@@ -272,25 +229,31 @@
     return active_fault{.object_ = "store", .ends_at_ = now};
 }
 
-// 4. Targets
+} // namespace
+
+// 3. Targets
 
 void switch_target(soak_run& run, std::int64_t target, char const* fault,
-                   std::int64_t micros)
+                   std::int64_t micros, bool keep_id)
 {
     post_control(run, run.layout_.target_control(), "/faults",
                  {{"target", target},
                   {"fault", fault},
                   {"ms", micros / micros_per_milli},
-                  {"keep_id", chance(run, 0.5)}},
+                  {"keep_id", keep_id}},
                  {});
 }
 
+namespace
+{
+
 std::optional<active_fault> harm_target(soak_run& run, char const* fault,
                                         instant now, instant ends_at,
                                         std::int64_t effect_micros)
 {
     auto const target = draw(run, 0, run.options_.targets_ - 1);
-    switch_target(run, target, fault, now.remaining_until(ends_at));
+    switch_target(run, target, fault, now.remaining_until(ends_at),
+                  chance(run, 0.5));
     return active_fault{.object_ = "target-" + std::to_string(target + 1),
                         .ends_at_ = ends_at.after(effect_micros)};
 }
@@ -312,7 +275,8 @@
     auto const    first = draw(run, 0, domains - 1);
     for (auto target = first; target < run.options_.targets_; target += domains)
     {
-        switch_target(run, target, "freeze", now.remaining_until(ends_at));
+        switch_target(run, target, "freeze", now.remaining_until(ends_at),
+                      chance(run, 0.5));
     }
     return active_fault{.object_ = "domain-" + std::to_string(first + 1),
                         .ends_at_ = ends_at};
@@ -330,7 +294,7 @@
     return harm_target(run, "fail", now, draw_end(run, now, 1000, 4000), 0);
 }
 
-// 5. Operator
+// 4. Operator
 
 // Changes of the operator aren't faults: bounds hold beside them.
 std::optional<active_fault> change_config(soak_run& run, instant /*now*/)
@@ -355,7 +319,7 @@
                         }};
 }
 
-// 6. Table of kinds
+// 5. Table of kinds
 
 struct fault_kind
 {
@@ -365,7 +329,7 @@
     bool const harms_; // suspends the rules with a time bound
 };
 
-constexpr std::array<fault_kind, 22> fault_kinds = {{
+constexpr std::array<fault_kind, 26> fault_kinds = {{
     {"kill_host", 3, &kill_host, true},
     {"stop_host", 3, &stop_host, true},
     {"starve_host", 5, &starve_host, true},
@@ -375,6 +339,10 @@
     {"cut_store_link", 2, &cut_store_link, true},
     {"reset_store_link", 1, &reset_store_link, true},
     {"delay_store_link", 2, &delay_store_link, true},
+    {"cut_link", 2, &cut_link, true},
+    {"cut_some_links", 2, &cut_some_links, true},
+    {"reset_links", 1, &reset_links, true},
+    {"delay_links", 1, &delay_links, true},
     {"down_store", 1, &down_store, true},
     {"silence_store", 1, &silence_store, true},
     {"lose_answers", 2, &lose_answers, true},
@@ -442,7 +410,7 @@
 
 } // namespace
 
-// 7. Systems
+// 6. Systems
 
 std::vector<std::string> list_fault_kinds()
 {
--- a/tests/soak/http_call.hpp
+++ b/tests/soak/http_call.hpp
@@ -14,6 +14,7 @@
     std::string const                        path_;
     std::map<std::string, std::string> const query_;
     std::string const                        body_;
+    std::string const                        caller_; // its IP
     std::string const instance_; // life of a target that the call is meant for
 
     // Exactly one of both is called, at once or later.
--- a/tests/soak/http_server.cpp
+++ b/tests/soak/http_server.cpp
@@ -49,6 +49,12 @@
     return values;
 }
 
+std::string read_caller(SoupServerMessage* message)
+{
+    char const* const host = soup_server_message_get_remote_host(message);
+    return host == nullptr ? "" : host;
+}
+
 } // namespace
 
 http_server::http_server(std::string const& address, handler handle)
@@ -121,6 +127,7 @@
     handle_({.path_ = path,
              .query_ = read_query(query),
              .body_ = text,
+             .caller_ = read_caller(message),
              .instance_ = instance == nullptr ? "" : instance,
              .answer_ =
                  [message](unsigned status, std::string const& answer)
--- a/tests/soak/platform_http_main.cpp
+++ b/tests/soak/platform_http_main.cpp
@@ -8,8 +8,10 @@
 #include "io/deadline_queue.hpp"
 #include "io/main_loop.hpp"
 #include "io/timer.hpp"
+#include "tests/soak/address_views.hpp"
 #include "tests/soak/http_call.hpp"
 #include "tests/soak/http_server.hpp"
+#include "tests/soak/layout.hpp"
 #include "tests/soak/row_store.hpp"
 #include "tests/soak/store_faults.hpp"
 
@@ -57,6 +59,7 @@
     void transact(http_call const& call);
     void read(http_call const& call);
     void feed(http_call const& call);
+    void reply(http_call const& call, answer const& result) const;
     void answer_feeds();
     void expire_entries();
     void control(http_call const& call);
@@ -65,6 +68,7 @@
     void take_heartbeat(json const& body);
     bool draw(double share);
 
+    std::string const              network_; // of the run
     row_store                      store_;
     store_faults                   faults_;
     std::map<std::string, instant> part_free_;     // next transaction of a part
@@ -81,7 +85,8 @@
 platform_stand_in::platform_stand_in(std::string const& address,
                                      std::string const& control,
                                      std::uint64_t      seed)
-    : random_(seed)
+    : network_(address.substr(0, address.rfind('.') + 1))
+    , random_(seed)
     , feed_timer_(
           [this]
           {
@@ -145,9 +150,24 @@
     call.answer_(404, "{}");
 }
 
+// Each host reads the addresses of its own links.
+void platform_stand_in::reply(http_call const& call, answer const& result) const
+{
+    json body = result.second;
+    if (body.contains("rows"))
+    {
+        view_rows(body.at("rows"), network_, layout::find_host(call.caller_));
+    }
+    call.answer_(result.first, body.dump());
+}
+
 void platform_stand_in::transact(http_call const& call)
 {
-    json const    body = json::parse(call.body_);
+    json body = json::parse(call.body_);
+    if (body.contains("writes"))
+    {
+        view_rows(body.at("writes"), network_, std::nullopt);
+    }
     instant const now = io::read_clock();
     instant&      free = part_free_[find_part(body)];
     if (now.remaining_until(free) > max_part_wait_micros)
@@ -170,7 +190,7 @@
                      call.drop_();
                      return;
                  }
-                 call.answer_(result.first, result.second.dump());
+                 reply(call, result);
              });
 }
 
@@ -179,8 +199,7 @@
     due_.add(io::read_clock().after(read_micros + faults_.delay_micros_),
              [this, call]
              {
-                 answer const result = read_rows(store_, call.query_);
-                 call.answer_(result.first, result.second.dump());
+                 reply(call, read_rows(store_, call.query_));
              });
 }
 
@@ -206,7 +225,7 @@
         auto const result = read_changes(store_, feed->table_, feed->after_);
         if (result)
         {
-            feed->call_.answer_(result->first, result->second.dump());
+            reply(feed->call_, *result);
         }
         else if (feed->deadline_ <= now)
         {
--- a/tests/soak/programs.cpp
+++ b/tests/soak/programs.cpp
@@ -22,12 +22,27 @@
 // Room for the jobs of the soak with about half to spare.
 constexpr resources target_capacity(8'000, 16'384, 0);
 
+} // namespace
+
 std::string find_domain(std::size_t number)
 {
     return "domain-" + std::to_string(number % domains + 1);
 }
 
-} // namespace
+std::string find_host_name(int host)
+{
+    return "host-" + std::to_string(host + 1);
+}
+
+std::string find_target_name(int target)
+{
+    return "target-" + std::to_string(target + 1);
+}
+
+std::string name_link(std::string const& caller, std::string const& callee)
+{
+    return caller + ">" + callee;
+}
 
 soak_run::soak_run(soak_options options, int run)
     : options_(std::move(options))
@@ -69,7 +84,8 @@
          << "\nfailure_domain: " << run.hosts_[host].domain_
          << "\nfailure_domains: [domain-1, domain-2, domain-3]"
          << "\nfront: " << run.layout_.front(number)
-         << "\nready: " << run.layout_.ready(number) << "\nfirst_port: 7420"
+         << "\nready: " << run.layout_.ready(number)
+         << "\nfirst_port: " << layout::peer_port
          << "\ncpu_share: 1\nstore: " << run.layout_.store_link(number)
          << "\npolicy_service: \"\"\nmachines: \"\"\nmax_lease_ms: 6000"
          << "\nearly_start_ms: 250\nremote_rack_factor: 3\nstop_grace_s: 6\n";
@@ -81,7 +97,7 @@
     for (int target = 0; target < run.options_.targets_; ++target)
     {
         auto const row = static_cast<std::size_t>(target);
-        targets.push_back({{"name", "target-" + std::to_string(target + 1)},
+        targets.push_back({{"name", find_target_name(target)},
                            {"address", run.layout_.target(target)},
                            {"domain", find_domain(row)},
                            {"rack", "rack-" + find_domain(row)},
@@ -96,12 +112,33 @@
 {
     std::ofstream file(run.options_.folder_ + "/links.yaml");
     file << "links:\n";
+    auto const write = [&](int caller, std::string const& callee,
+                           std::string const& listen,
+                           std::string const& forward)
+    {
+        std::string const name = name_link(find_host_name(caller), callee);
+        file << "  - {name: " << name << ", listen: \"" << listen
+             << "\", forward: \"" << forward << "\", group: " << name
+             << ", source: " << run.layout_.host(caller) << "}\n";
+    };
     for (int host = 0; host < run.options_.hosts_; ++host)
     {
-        std::string const name = "host-" + std::to_string(host + 1);
-        file << "  - {name: " << name << ", listen: \""
-             << run.layout_.store_link(host) << "\", forward: \""
-             << run.layout_.store() << "\", group: " << name << "}\n";
+        write(host, "store", run.layout_.store_link(host), run.layout_.store());
+        for (int other = 0; other < run.options_.hosts_; ++other)
+        {
+            std::string const address = run.layout_.peer(other);
+            if (other != host)
+            {
+                write(host, find_host_name(other),
+                      layout::link_of(host, address), address);
+            }
+        }
+        for (int target = 0; target < run.options_.targets_; ++target)
+        {
+            std::string const address = run.layout_.target(target);
+            write(host, find_target_name(target),
+                  layout::link_of(host, address), address);
+        }
     }
 }
 
@@ -137,7 +174,7 @@
     {
         auto const row = static_cast<std::size_t>(host);
         run.hosts_.emplace_back();
-        run.hosts_[row].name_ = "host-" + std::to_string(host + 1);
+        run.hosts_[row].name_ = find_host_name(host);
         run.hosts_[row].domain_ = find_domain(row);
         write_settings(run, row);
         start_host(run, row);
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -73,6 +73,12 @@
 std::int64_t draw(soak_run& run, std::int64_t least, std::int64_t most);
 bool         chance(soak_run& run, double share);
 
+// Names
+std::string find_domain(std::size_t number); // of a host or target
+std::string find_host_name(int host);
+std::string find_target_name(int target);
+std::string name_link(std::string const& caller, std::string const& callee);
+
 // Programs
 void start_programs(soak_run& run);
 void start_host(soak_run& run, std::size_t host);
--- a/tests/stand_ins/group_table.hpp
+++ b/tests/stand_ins/group_table.hpp
@@ -12,10 +12,14 @@
 namespace fescuevane::stand_ins
 {
 
+// Directions in which no byte passes, seen from the caller.
+constexpr std::uint8_t cut_outward = 1;
+constexpr std::uint8_t cut_inward = 2;
+
 struct group_table
 {
     row_index<std::string> index_;
-    column<std::uint8_t>   cut_;   // 1: no byte passes
+    column<std::uint8_t>   cut_;   // sum of the directions above
     column<std::int64_t>   delay_; // one way, microseconds
 };
 
--- a/tests/stand_ins/link.hpp
+++ b/tests/stand_ins/link.hpp
@@ -13,6 +13,8 @@
     std::string const listen_;  // IP and port
     std::string const forward_; // IP and port
     std::string const group_;   // links that are cut and delayed together
+    // IP from which the far side is called; empty: any
+    std::string const source_;
 
     friend bool operator==(link const&, link const&) = default;
 };
--- a/tests/stand_ins/link_relay.cpp
+++ b/tests/stand_ins/link_relay.cpp
@@ -169,6 +169,13 @@
 {
     GSocketClient* const client = g_socket_client_new();
     g_socket_client_set_enable_proxy(client, FALSE);
+    if (!links_[link].source_.empty())
+    {
+        GSocketAddress* const source = g_inet_socket_address_new_from_string(
+            links_[link].source_.c_str(), 0);
+        g_socket_client_set_local_address(client, source);
+        g_object_unref(source);
+    }
     auto* const state =
         new opening{this, connection,
                     [this, link, connection](GSocketConnection* far)
@@ -225,6 +232,18 @@
                   {
                       return entry.second->group() == group;
                   });
+    std::erase_if(waiting_,
+                  [this, group](waiting_connection const& waiting)
+                  {
+                      if (link_group_[waiting.first] != group)
+                      {
+                          return false;
+                      }
+                      g_io_stream_close(G_IO_STREAM(waiting.second), nullptr,
+                                        nullptr);
+                      g_object_unref(waiting.second);
+                      return true;
+                  });
 }
 
 // 3. Control
@@ -241,7 +260,19 @@
 
 void cut_group(group_table& groups, std::size_t group, std::int64_t /*amount*/)
 {
-    groups.cut_[group] = 1;
+    groups.cut_[group] = cut_outward | cut_inward;
+}
+
+void cut_group_outward(group_table& groups, std::size_t group,
+                       std::int64_t /*amount*/)
+{
+    groups.cut_[group] = cut_outward;
+}
+
+void cut_group_inward(group_table& groups, std::size_t group,
+                      std::int64_t /*amount*/)
+{
+    groups.cut_[group] = cut_inward;
 }
 
 void heal_group(group_table& groups, std::size_t group, std::int64_t /*amount*/)
@@ -259,8 +290,10 @@
 {
 }
 
-constexpr std::array<relay_command, 4> relay_commands = {{
+constexpr std::array<relay_command, 6> relay_commands = {{
     {"cut", false, &cut_group},
+    {"cut-out", false, &cut_group_outward},
+    {"cut-in", false, &cut_group_inward},
     {"heal", false, &heal_group},
     {"delay", true, &delay_group},
     {"reset", false, &keep_group},
@@ -289,18 +322,27 @@
     {
         return "error expected microseconds";
     }
-    auto const row = groups_.index_.find(group);
-    if (!row)
+    std::vector<std::size_t> rows;
+    std::istringstream       names(group);
+    while (std::getline(names, group, ','))
     {
-        return "error unknown group";
+        auto const row = groups_.index_.find(group);
+        if (!row)
+        {
+            return "error unknown group";
+        }
+        rows.push_back(*row);
     }
-    command->apply_(groups_, *row, amount);
-    if (name == "reset")
+    for (std::size_t const row : rows)
     {
-        reset_group(*row);
+        command->apply_(groups_, row, amount);
+        if (name == "reset")
+        {
+            reset_group(row);
+        }
+        update_group(row);
     }
-    update_group(*row);
-    return "ok";
+    return rows.empty() ? "error unknown group" : "ok";
 }
 
 namespace
--- a/tests/stand_ins/links_file.cpp
+++ b/tests/stand_ins/links_file.cpp
@@ -18,7 +18,8 @@
             links.push_back({.name_ = node["name"].as<std::string>(),
                              .listen_ = node["listen"].as<std::string>(),
                              .forward_ = node["forward"].as<std::string>(),
-                             .group_ = node["group"].as<std::string>()});
+                             .group_ = node["group"].as<std::string>(),
+                             .source_ = node["source"].as<std::string>("")});
         }
         return links;
     }
--- a/tests/stand_ins/relay_connection.cpp
+++ b/tests/stand_ins/relay_connection.cpp
@@ -42,8 +42,10 @@
     {
         end_pipe(failed);
     };
-    outward_ = std::make_unique<relay_pipe>(a, b, groups, group, ended);
-    inward_ = std::make_unique<relay_pipe>(b, a, groups, group, ended);
+    outward_ =
+        std::make_unique<relay_pipe>(a, b, groups, group, cut_outward, ended);
+    inward_ =
+        std::make_unique<relay_pipe>(b, a, groups, group, cut_inward, ended);
 }
 
 relay_connection::~relay_connection()
--- a/tests/stand_ins/relay_control.cpp
+++ b/tests/stand_ins/relay_control.cpp
@@ -68,6 +68,16 @@
     send_line("cut " + group);
 }
 
+void relay_control::cut_outward(std::string const& group)
+{
+    send_line("cut-out " + group);
+}
+
+void relay_control::cut_inward(std::string const& group)
+{
+    send_line("cut-in " + group);
+}
+
 void relay_control::heal(std::string const& group)
 {
     send_line("heal " + group);
--- a/tests/stand_ins/relay_pipe.cpp
+++ b/tests/stand_ins/relay_pipe.cpp
@@ -26,11 +26,13 @@
 } // namespace
 
 relay_pipe::relay_pipe(GSocket* from, GSocket* to, group_table const& groups,
-                       std::size_t group, std::function<void(bool)> ended)
+                       std::size_t group, std::uint8_t direction,
+                       std::function<void(bool)> ended)
     : from_(from)
     , to_(to)
     , groups_(groups)
     , group_(group)
+    , direction_(direction)
     , ended_(std::move(ended))
     , due_(
           [this]
@@ -43,7 +45,7 @@
 
 void relay_pipe::update()
 {
-    if (groups_.cut_[group_] != 0)
+    if ((groups_.cut_[group_] & direction_) != 0)
     {
         readable_.reset();
         writable_.reset();
--- a/tests/stand_ins/relay_pipe.hpp
+++ b/tests/stand_ins/relay_pipe.hpp
@@ -14,14 +14,16 @@
 {
 
 // Reads from one socket and writes to the other one after the group's delay.
-// While the group is cut it does neither, so that both ends see silence.
+// While the group is cut in the pipe's direction it does neither, so that the
+// reading end sees silence.
 // `ended` is called once, when the stream is over or has failed; the call may
 // destroy the pipe.
 class relay_pipe
 {
 public:
     relay_pipe(GSocket* from, GSocket* to, group_table const& groups,
-               std::size_t group, std::function<void(bool failed)> ended);
+               std::size_t group, std::uint8_t direction,
+               std::function<void(bool failed)> ended);
 
     void update(); // after a change of the group
 
@@ -35,6 +37,7 @@
     GSocket* const                         to_;
     group_table const&                     groups_;
     std::size_t const                      group_;
+    std::uint8_t const                     direction_;
     std::function<void(bool failed)> const ended_;
     delay_queue                            queue_;
     bool                                   at_end_ = false;
