Cut off failure domains in the soak, with stops and kills around the heal

Change: cut_domain cuts the hosts and targets of a domain from everything outside, the store included, in one direction or both. roll_and_cut_domain plays the series; a target may start again under its id inside the cut, a host may be paused across the heal, and all hosts may be killed 0.1 to 2 s after it and started again at different moments.

--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -329,7 +329,7 @@
     bool const harms_; // suspends the rules with a time bound
 };
 
-constexpr std::array<fault_kind, 26> fault_kinds = {{
+constexpr std::array<fault_kind, 28> fault_kinds = {{
     {"kill_host", 3, &kill_host, true},
     {"stop_host", 3, &stop_host, true},
     {"starve_host", 5, &starve_host, true},
@@ -343,6 +343,8 @@
     {"cut_some_links", 2, &cut_some_links, true},
     {"reset_links", 1, &reset_links, true},
     {"delay_links", 1, &delay_links, true},
+    {"cut_domain", 2, &cut_domain, true},
+    {"roll_and_cut_domain", 2, &roll_and_cut_domain, true},
     {"down_store", 1, &down_store, true},
     {"silence_store", 1, &silence_store, true},
     {"lose_answers", 2, &lose_answers, true},
--- a/tests/soak/link_faults.cpp
+++ b/tests/soak/link_faults.cpp
@@ -1,17 +1,23 @@
-// Purpose: faults of the links between hosts, targets and the store.
+// Purpose: faults of the links between hosts, targets and the store, and of a
+// failure domain as a whole.
 //
 // Index of sections
 //   1. Relay
 //   2. Links to the store
 //   3. Links of one host
+//   4. Failure domains
 #include "tests/soak/link_faults.hpp"
 
+#include "io/main_loop.hpp"
 #include "tests/soak/fault_steps.hpp"
 #include "tests/stand_ins/control_error.hpp"
 #include "tests/stand_ins/relay_control.hpp"
 
+#include <algorithm>
 #include <array>
+#include <csignal>
 #include <iostream>
+#include <memory>
 #include <utility>
 
 namespace fescuevane::soak
@@ -256,4 +262,217 @@
                  draw_end(run, now, 1000, 8000));
 }
 
+// 4. Failure domains
+
+namespace
+{
+
+link_cut list_border(soak_run const& run, std::string const& domain)
+{
+    link_cut cut;
+    for (host_row const& host : run.hosts_)
+    {
+        bool const is_inside = host.domain_ == domain;
+        if (is_inside)
+        {
+            add_link(cut.leaving_, host.name_, "store");
+        }
+        std::string& links = is_inside ? cut.leaving_ : cut.entering_;
+        for (host_row const& other : run.hosts_)
+        {
+            if ((other.domain_ == domain) != is_inside)
+            {
+                add_link(links, host.name_, other.name_);
+            }
+        }
+        for (int target = 0; target < run.options_.targets_; ++target)
+        {
+            if ((find_domain(static_cast<std::size_t>(target)) == domain) !=
+                is_inside)
+            {
+                add_link(links, host.name_, find_target_name(target));
+            }
+        }
+    }
+    return cut;
+}
+
+std::string draw_domain(soak_run& run)
+{
+    return find_domain(static_cast<std::size_t>(draw(run, 0, domains - 1)));
+}
+
+// The domain's targets go on, and the store doesn't hear of them.
+void begin_domain_cut(soak_run& run, std::string const& domain,
+                      cut_direction const& direction, std::int64_t micros)
+{
+    begin_cut(run, list_border(run, domain), direction);
+    for (int target = 0; target < run.options_.targets_; ++target)
+    {
+        if (find_domain(static_cast<std::size_t>(target)) == domain)
+        {
+            switch_target(run, target, "unheard", micros, true);
+        }
+    }
+}
+
+using script = std::vector<std::pair<instant, std::function<void()>>>;
+
+std::vector<std::size_t> list_hosts(soak_run const&    run,
+                                    std::string const& domain)
+{
+    std::vector<std::size_t> rows;
+    for (std::size_t row = 0; row < run.hosts_.size(); ++row)
+    {
+        if (run.hosts_[row].domain_ == domain)
+        {
+            rows.push_back(row);
+        }
+    }
+    return rows;
+}
+
+// A target starts again under its id while nobody outside reaches it.
+void restart_target_in(soak_run& run, script& steps, std::string const& domain,
+                       instant begins_at, instant heals_at)
+{
+    std::int64_t target = 0;
+    do
+    {
+        target = draw(run, 0, run.options_.targets_ - 1);
+    } while (find_domain(static_cast<std::size_t>(target)) != domain);
+    std::int64_t const at = draw(run, 0, begins_at.remaining_until(heals_at));
+    std::int64_t const micros = draw(run, 300, 2000) * micros_per_milli;
+    steps.emplace_back(begins_at.after(at),
+                       [&run, target, micros]
+                       {
+                           switch_target(run, target, "crash", micros, true);
+                       });
+}
+
+void pause_host_across(soak_run& run, script& steps, instant heals_at)
+{
+    std::size_t const host = draw_host(run);
+    auto const        send = [&run, host](int number)
+    {
+        return [&run, host, number]
+        {
+            run.hosts_[host].process_->send_signal(number);
+        };
+    };
+    steps.emplace_back(draw_end(run, heals_at, -3000, -200), send(SIGSTOP));
+    steps.emplace_back(draw_end(run, heals_at, 100, 1500), send(SIGCONT));
+}
+
+void kill_all_after(soak_run& run, script& steps, instant heals_at)
+{
+    steps.emplace_back(
+        draw_end(run, heals_at, 100, 2000),
+        [&run]
+        {
+            for (std::size_t host = 0; host < run.hosts_.size(); ++host)
+            {
+                kill_process(run, host,
+                             draw_end(run, io::read_clock(), 200, 3000));
+            }
+        });
+}
+
+} // namespace
+
+std::optional<active_fault> cut_domain(soak_run& run, instant now)
+{
+    std::string const    domain = draw_domain(run);
+    instant const        ends_at = draw_end(run, now, 1000, 9000);
+    cut_direction const& direction = draw_direction(run);
+    bool const           drops = chance(run, 0.5);
+    begin_domain_cut(run, domain, direction, now.remaining_until(ends_at));
+    return active_fault{.object_ = describe_cut(domain, direction, drops),
+                        .ends_at_ = ends_at,
+                        .end_ = [&run, domain, drops]
+                        {
+                            heal_cut(run, list_border(run, domain), drops);
+                        }};
+}
+
+std::optional<active_fault> roll_and_cut_domain(soak_run& run, instant now)
+{
+    if (std::any_of(run.faults_.begin(), run.faults_.end(),
+                    [](active_fault const& fault)
+                    {
+                        return fault.name_ == "roll_and_cut_domain";
+                    }))
+    {
+        return std::nullopt;
+    }
+    std::string const    domain = draw_domain(run);
+    cut_direction const& direction = draw_direction(run);
+    bool const           drops = chance(run, 0.5);
+    auto const           steps = std::make_shared<script>();
+    instant              cuts_at = now;
+    for (std::size_t const host : list_hosts(run, domain))
+    {
+        steps->emplace_back(cuts_at,
+                            [&run, host]
+                            {
+                                terminate_process(run, host, io::read_clock());
+                            });
+        cuts_at = draw_end(run, cuts_at, 500, 2500);
+    }
+    instant const heals_at = draw_end(run, cuts_at, 2000, 8000);
+    steps->emplace_back(
+        cuts_at,
+        [&run, domain, &direction, micros = cuts_at.remaining_until(heals_at)]
+        {
+            begin_domain_cut(run, domain, direction, micros);
+        });
+    if (chance(run, 0.5))
+    {
+        restart_target_in(run, *steps, domain, cuts_at, heals_at);
+    }
+    if (chance(run, 0.5))
+    {
+        pause_host_across(run, *steps, heals_at);
+    }
+    auto const heal = [&run, domain, drops]
+    {
+        heal_cut(run, list_border(run, domain), drops);
+    };
+    steps->emplace_back(heals_at, heal);
+    if (chance(run, 0.7))
+    {
+        kill_all_after(run, *steps, heals_at);
+    }
+    std::stable_sort(steps->begin(), steps->end(),
+                     [](auto const& a, auto const& b)
+                     {
+                         return a.first < b.first;
+                     });
+    constexpr std::int64_t rest_micros = 5'000'000; // of stops and restarts
+    return active_fault{
+        .object_ = describe_cut(domain, direction, drops),
+        .ends_at_ = steps->back().first.after(rest_micros),
+        .end_ =
+            [&run, heal]
+        {
+            heal();
+            for (host_row& host : run.hosts_)
+            {
+                host.process_->send_signal(SIGCONT);
+            }
+        },
+        .step_at_ = now,
+        .step_ = [steps, next = std::size_t{0}](instant at) mutable -> instant
+        {
+            while (next < steps->size() && (*steps)[next].first <= at)
+            {
+                std::cout << at.micros() << " roll_and_cut_domain step " << next
+                          << std::endl;
+                (*steps)[next++].second();
+            }
+            return next < steps->size() ? (*steps)[next].first
+                                        : instant::never();
+        }};
+}
+
 } // namespace fescuevane::soak
--- a/tests/soak/target_http_main.cpp
+++ b/tests/soak/target_http_main.cpp
@@ -292,7 +292,8 @@
     for (std::size_t target = 0; target < world_.targets_.size(); ++target)
     {
         target_row const& row = world_.targets_[target];
-        if (row.up_at_ <= now && row.frozen_until_ <= now)
+        if (std::max({row.up_at_, row.frozen_until_, row.unheard_until_}) <=
+            now)
         {
             targets[row.id_] = write_entry(world_.specs_[target], row);
         }
@@ -321,8 +322,9 @@
         std::string_view const name_;
         instant target_row::*const until_;
     };
-    static constexpr std::array<entry, 3> entries = {
+    static constexpr std::array<entry, 4> entries = {
         {{"freeze", &target_row::frozen_until_},
+         {"unheard", &target_row::unheard_until_},
          {"late", &target_row::late_until_},
          {"fail", &target_row::fails_until_}}};
     target_row& row = world_.targets_.at(target);
--- a/tests/soak/target_row.hpp
+++ b/tests/soak/target_row.hpp
@@ -29,10 +29,11 @@
     std::int64_t                        last_end_ = 0;
 
     // Switches
-    instant up_at_;        // down until then
-    instant frozen_until_; // calls wait until then
-    instant late_until_;   // orders are carried out late, without an answer
-    instant fails_until_;  // each run ends as failed soon after its start
+    instant up_at_;         // down until then
+    instant frozen_until_;  // calls wait until then
+    instant unheard_until_; // its reports don't reach the store
+    instant late_until_;    // orders are carried out late, without an answer
+    instant fails_until_;   // each run ends as failed soon after its start
 };
 
 } // namespace fescuevane::soak
--- a/tests/soak/target_world.cpp
+++ b/tests/soak/target_world.cpp
@@ -448,7 +448,8 @@
                             .born_at_ = up_at,
                             .born_unix_ms_ =
                         unix_ms + now.remaining_until(up_at) / micros_per_milli,
-                            .up_at_ = up_at};
+                            .up_at_ = up_at,
+                            .unheard_until_ = before.unheard_until_};
     world.targets_[target] = std::move(next);
 }
 
