Let the soak's targets differ where the protocol leaves it open

Change: the longest lease is 10 s, and longer ones are shortened; each target's clock is 0 to 2% slow; a run draws how long a stop takes (0.4 to 0.9 s at most), and whether runs that are being stopped are listed; a new fault carries orders out 2 to 12 s late, without an answer.

--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -289,6 +289,13 @@
                        latest_micros);
 }
 
+std::optional<active_fault> make_target_very_late(soak_run& run, instant now)
+{
+    constexpr std::int64_t latest_micros = 12'000'000; // of an order
+    return harm_target(run, "very_late", now, draw_end(run, now, 500, 3000),
+                       latest_micros);
+}
+
 std::optional<active_fault> make_target_fail(soak_run& run, instant now)
 {
     return harm_target(run, "fail", now, draw_end(run, now, 1000, 4000), 0);
@@ -329,7 +336,7 @@
     bool const harms_; // suspends the rules with a time bound
 };
 
-constexpr std::array<fault_kind, 28> fault_kinds = {{
+constexpr std::array<fault_kind, 29> fault_kinds = {{
     {"kill_host", 3, &kill_host, true},
     {"stop_host", 3, &stop_host, true},
     {"starve_host", 5, &starve_host, true},
@@ -355,6 +362,7 @@
     {"freeze_target", 2, &freeze_target, true},
     {"freeze_domain", 1, &freeze_domain, true},
     {"late_target", 2, &make_target_late, true},
+    {"very_late_target", 1, &make_target_very_late, true},
     {"failing_target", 1, &make_target_fail, true},
     {"change_config", 3, &change_config, false},
     {"evacuate_domain", 1, &evacuate_domain, false},
--- a/tests/soak/programs.cpp
+++ b/tests/soak/programs.cpp
@@ -87,11 +87,11 @@
          << "\nready: " << run.layout_.ready(number)
          << "\nfirst_port: " << layout::peer_port
          << "\ncpu_share: 1\nstore: " << run.layout_.store_link(number)
-         << "\npolicy_service: \"\"\nmachines: \"\"\nmax_lease_ms: 6000"
+         << "\npolicy_service: \"\"\nmachines: \"\"\nmax_lease_ms: 10000"
          << "\nearly_start_ms: 250\nremote_rack_factor: 3\nstop_grace_s: 6\n";
 }
 
-void write_targets(soak_run const& run)
+void write_targets(soak_run& run)
 {
     nlohmann::json targets = nlohmann::json::array();
     for (int target = 0; target < run.options_.targets_; ++target)
@@ -101,11 +101,19 @@
                            {"address", run.layout_.target(target)},
                            {"domain", find_domain(row)},
                            {"rack", "rack-" + find_domain(row)},
+                           {"clock_permille", draw(run, 980, 1000)},
                            {"cpu", target_capacity.cpu_millis()},
                            {"memory", target_capacity.memory_mib()}});
     }
-    std::ofstream(run.options_.folder_ + "/targets.json")
-        << nlohmann::json{{"targets", std::move(targets)}}.dump(1);
+    auto const max_stop_ms = draw(run, 400, 900);
+    bool const lists_stopping = chance(run, 0.5);
+    std::ofstream(run.options_.folder_ + "/targets.json") << nlohmann::json{
+        {"targets", std::move(targets)},
+        {"max_stop_ms", max_stop_ms},
+        {"lists_stopping", lists_stopping}}.dump(1);
+    std::cout << "targets stop within " << max_stop_ms
+              << " ms, runs that are being stopped are "
+              << (lists_stopping ? "" : "not ") << "listed" << std::endl;
 }
 
 void write_links(soak_run const& run)
--- a/tests/soak/target_http_main.cpp
+++ b/tests/soak/target_http_main.cpp
@@ -47,11 +47,9 @@
     instant const      deadline_;
 };
 
-std::vector<target_spec> read_specs(std::string const& file)
+std::vector<target_spec> read_specs(json const& content)
 {
-    std::ifstream            stream(file);
     std::vector<target_spec> specs;
-    json const               content = json::parse(stream);
     for (json const& row : content.at("targets"))
     {
         specs.push_back(
@@ -60,7 +58,8 @@
              .domain_ = row.at("domain").get<std::string>(),
              .rack_ = row.at("rack").get<std::string>(),
              .capacity_ = {row.at("cpu").get<std::int64_t>(),
-                           row.at("memory").get<std::int64_t>(), 0}});
+                           row.at("memory").get<std::int64_t>(), 0},
+             .clock_permille_ = row.at("clock_permille").get<std::int64_t>()});
     }
     return specs;
 }
@@ -69,8 +68,9 @@
 {
 public:
     target_stand_in(std::vector<target_spec> const& specs,
-                    std::string const& control, std::string store_control,
-                    std::string const& history, std::uint64_t seed);
+                    target_traits const& traits, std::string const& control,
+                    std::string store_control, std::string const& history,
+                    std::uint64_t seed);
 
 private:
     void serve(std::size_t target, http_call const& call);
@@ -95,10 +95,12 @@
 };
 
 target_stand_in::target_stand_in(std::vector<target_spec> const& specs,
+                                 target_traits const&            traits,
                                  std::string const&              control,
                                  std::string                     store_control,
                                  std::string const& history, std::uint64_t seed)
-    : world_(make_world(specs, seed, io::read_clock(), io::read_unix_ms()))
+    : world_(
+          make_world(specs, seed, io::read_clock(), io::read_unix_ms(), traits))
     , store_control_(std::move(store_control))
     , history_(history)
     , client_(1)
@@ -160,10 +162,11 @@
         hold(target, call);
         return;
     }
-    if (now < row.late_until_)
+    if (now < std::max(row.late_until_, row.very_late_until_))
     {
-        constexpr std::int64_t least_micros = 500'000;
-        constexpr std::int64_t most_micros = 4'000'000;
+        bool const         is_very_late = now < row.very_late_until_;
+        std::int64_t const least_micros = is_very_late ? 2'000'000 : 500'000;
+        std::int64_t const most_micros = is_very_late ? 12'000'000 : 4'000'000;
         due_.add(now.after(std::uniform_int_distribution<std::int64_t>(
                      least_micros, most_micros)(world_.random_)),
                  [this, target, call, life = row.life_]
@@ -322,10 +325,11 @@
         std::string_view const name_;
         instant target_row::*const until_;
     };
-    static constexpr std::array<entry, 4> entries = {
+    static constexpr std::array<entry, 5> entries = {
         {{"freeze", &target_row::frozen_until_},
          {"unheard", &target_row::unheard_until_},
          {"late", &target_row::late_until_},
+         {"very_late", &target_row::very_late_until_},
          {"fail", &target_row::fails_until_}}};
     target_row& row = world_.targets_.at(target);
     for (entry const& entry : entries)
@@ -373,9 +377,15 @@
     CLI11_PARSE(app, argc, argv);
     try
     {
-        soak::target_stand_in const stand_in(soak::read_specs(targets), control,
-                                             store, history, seed);
-        GMainLoop* const            loop = g_main_loop_new(nullptr, FALSE);
+        std::ifstream               file(targets);
+        auto const                  content = nlohmann::json::parse(file);
+        soak::target_stand_in const stand_in(
+            soak::read_specs(content),
+            {.max_stop_micros_ = content.at("max_stop_ms").get<std::int64_t>() *
+                                 micros_per_milli,
+             .lists_stopping_ = content.at("lists_stopping").get<bool>()},
+            control, store, history, seed);
+        GMainLoop* const loop = g_main_loop_new(nullptr, FALSE);
         g_unix_signal_add(SIGTERM, &soak::stop_loop, loop);
         std::cout << "serving, control on " << control << std::endl;
         g_main_loop_run(loop);
--- a/tests/soak/target_row.hpp
+++ b/tests/soak/target_row.hpp
@@ -20,6 +20,7 @@
     std::int64_t                        life_ = 0;
     instant                             born_at_;
     std::int64_t                        born_unix_ms_ = 0;
+    std::int64_t                        clock_permille_ = 980; // its speed
     std::int64_t                        fence_ = 0;
     std::int64_t                        lease_ms_ = 0; // on its own clock
     bool                                lapsed_ = true;
@@ -29,11 +30,12 @@
     std::int64_t                        last_end_ = 0;
 
     // Switches
-    instant up_at_;         // down until then
-    instant frozen_until_;  // calls wait until then
-    instant unheard_until_; // its reports don't reach the store
-    instant late_until_;    // orders are carried out late, without an answer
-    instant fails_until_;   // each run ends as failed soon after its start
+    instant up_at_;           // down until then
+    instant frozen_until_;    // calls wait until then
+    instant unheard_until_;   // its reports don't reach the store
+    instant late_until_;      // orders are carried out late, without an answer
+    instant very_late_until_; // the same, later
+    instant fails_until_;     // each run ends as failed soon after its start
 };
 
 } // namespace fescuevane::soak
--- a/tests/soak/target_spec.hpp
+++ b/tests/soak/target_spec.hpp
@@ -4,6 +4,7 @@
 
 #include "core/resources.hpp"
 
+#include <cstdint>
 #include <string>
 
 namespace fescuevane::soak
@@ -16,6 +17,8 @@
     std::string const domain_;
     std::string const rack_;
     resources const   capacity_;
+    // Speed of its clock; the least is the slowest that the platform allows.
+    std::int64_t const clock_permille_ = 980;
 
     friend bool operator==(target_spec const&, target_spec const&) = default;
 };
--- a/tests/soak/target_world.cpp
+++ b/tests/soak/target_world.cpp
@@ -24,16 +24,13 @@
 using nlohmann::json;
 
 // Bounds of the sites.
-constexpr std::int64_t max_lease_ms = 6'000;
+constexpr std::int64_t max_lease_ms = 10'000;
 constexpr std::int64_t gang_wait_micros = 3'000'000;
-constexpr std::int64_t max_stop_micros = 900'000;
 
 constexpr std::int64_t fail_micros = 50'000; // of a target that fails all
 constexpr std::size_t  max_listed = 500;
 
-// The slowest clock that the platform allows.
-constexpr std::int64_t clock_percent = 98;
-constexpr std::int64_t percent = 100;
+constexpr std::int64_t permille = 1000;
 
 } // namespace
 
@@ -41,21 +38,24 @@
 
 std::int64_t read_target_clock(target_row const& target, instant now)
 {
-    return target.born_at_.remaining_until(now) * clock_percent / percent /
-           micros_per_milli;
+    return target.born_at_.remaining_until(now) * target.clock_permille_ /
+           permille / micros_per_milli;
 }
 
 target_world make_world(std::vector<target_spec> specs, std::uint64_t seed,
-                        instant now, std::int64_t unix_ms)
+                        instant now, std::int64_t unix_ms,
+                        target_traits const& traits)
 {
-    target_world world{.specs_ = std::move(specs),
+    target_world world{.traits_ = traits,
+                       .specs_ = std::move(specs),
                        .random_ = std::mt19937_64(seed)};
     for (target_spec const& spec : world.specs_)
     {
         world.targets_.push_back({.id_ = spec.name_ + "-1",
                                   .life_ = 1,
                                   .born_at_ = now,
-                                  .born_unix_ms_ = unix_ms});
+                                  .born_unix_ms_ = unix_ms,
+                                  .clock_permille_ = spec.clock_permille_});
     }
     return world;
 }
@@ -150,7 +150,7 @@
 instant find_lapse(target_row const& target)
 {
     return target.born_at_.after((target.lease_ms_ + 1) * micros_per_milli *
-                                 percent / clock_percent);
+                                 permille / target.clock_permille_);
 }
 
 } // namespace
@@ -369,7 +369,7 @@
     {
         there->second.stopped_at_ =
             now.after(std::uniform_int_distribution<std::int64_t>(
-                0, max_stop_micros)(world.random_));
+                0, world.traits_.max_stop_micros_)(world.random_));
     }
     return {200, write_clock(row, now)};
 }
@@ -410,6 +410,11 @@
     json running = json::array();
     for (auto const& [task, run] : row.running_)
     {
+        if (run.stopped_at_ != instant::never() &&
+            !world.traits_.lists_stopping_)
+        {
+            continue;
+        }
         constexpr int all = 100;
         running.push_back({task, run.run_, "",
                            run.alone_at_ == instant::never() ? all : 0,
@@ -448,6 +453,7 @@
                             .born_at_ = up_at,
                             .born_unix_ms_ =
                         unix_ms + now.remaining_until(up_at) / micros_per_milli,
+                            .clock_permille_ = world.specs_[target].clock_permille_,
                             .up_at_ = up_at,
                             .unheard_until_ = before.unheard_until_};
     world.targets_[target] = std::move(next);
--- a/tests/soak/target_world.hpp
+++ b/tests/soak/target_world.hpp
@@ -6,6 +6,7 @@
 #include "tests/soak/run_event.hpp"
 #include "tests/soak/target_row.hpp"
 #include "tests/soak/target_spec.hpp"
+#include "tests/soak/target_traits.hpp"
 
 #include <nlohmann/json_fwd.hpp>
 #include <cstdint>
@@ -19,6 +20,7 @@
 
 struct target_world
 {
+    target_traits            traits_;
     std::vector<target_spec> specs_;
     std::vector<target_row>  targets_; // in the order of `specs_`
     std::vector<run_event>   events_;  // since the caller took them
@@ -28,7 +30,8 @@
 using reply = std::pair<unsigned, nlohmann::json>; // status and body
 
 target_world make_world(std::vector<target_spec> specs, std::uint64_t seed,
-                        instant now, std::int64_t unix_ms);
+                        instant now, std::int64_t unix_ms,
+                        target_traits const& traits = {});
 
 // Runs end, leases lapse and gangs give up by `now`.
 void    run_tick(target_world& world, instant now);
@@ -53,7 +56,7 @@
 
 nlohmann::json write_entry(target_spec const& spec, target_row const& target);
 
-// The target's clock, which loses 2%.
+// The target's clock, which may be slow.
 std::int64_t read_target_clock(target_row const& target, instant now);
 
 } // namespace fescuevane::soak
--- a/tests/unit/soak_targets_test.cpp
+++ b/tests/unit/soak_targets_test.cpp
@@ -92,6 +92,53 @@
     CHECK(hold(0, at(4090)).at("terminated").at(0).at(3) == "lapsed");
 }
 
+// Guards against bounds of leases that are judged by shorter ones.
+TEST_CASE_FIXTURE(target_world_fixture,
+                  "lease, longer than allowed, is shortened to 10 s")
+{
+    step_plan const lasting{.perpetual_ = true};
+    json            order = make_start(lasting, 0, 1);
+    order["deadlineMs"] = 60'000;
+    start_run(world_, 0, order, at(0));
+    CHECK(hold(0, at(10'200)).at("running").size() == 1);
+    CHECK(hold(0, at(10'210)).at("terminated").at(0).at(3) == "lapsed");
+}
+
+// The protocol doesn't say whether a run that is being stopped is listed.
+TEST_CASE_FIXTURE(target_world_fixture,
+                  "stop, under way, is listed or not as the traits say")
+{
+    step_plan const lasting{.perpetual_ = true};
+    for (bool const listed : {true, false})
+    {
+        target_world world =
+            make_world({{"a", "", "domain-1", "rack-1", {}}}, 1, instant(), 0,
+                       {.lists_stopping_ = listed});
+        auto const list = [&world](char const* name, instant now)
+        {
+            return take_hold(world, 0, {{"fence", 1}}, now, false)
+                ->second.at(name);
+        };
+        start_run(world, 0, make_start(lasting, 0, 1), at(0));
+        stop_run(world, 0, {{"task", "job.0.0.0"}, {"run", 1}, {"fence", 1}},
+                 at(0));
+        CHECK(list("running", at(0)).size() == (listed ? 1 : 0));
+        CHECK(list("terminated", at(0)).empty());
+        CHECK(list("terminated", at(900)).at(0).at(3) == "stopped");
+    }
+}
+
+// Guards against targets whose clocks all run alike.
+TEST_CASE_FIXTURE(target_world_fixture, "clock, of a speed, keeps it in a life")
+{
+    target_spec const exact{.name_ = "a", .clock_permille_ = 1000};
+    target_world      world = make_world({exact}, 1, instant(), 0);
+    CHECK(read_target_clock(world.targets_[0], at(10'000)) == 10'000);
+    begin_new_life(world, 0, true, at(10'000), 10'000, at(11'000));
+    CHECK(read_target_clock(world.targets_[0], at(12'000)) == 1000);
+    CHECK(world.targets_[0].fence_ == 0);
+}
+
 TEST_CASE_FIXTURE(target_world_fixture,
                   "gang, present on two targets, ends done together")
 {
