Check each pair of runs of a task in the soak, and name both owners

Change: targets record the host that ordered a start, and single_run compares all runs of a task by what the targets saw. Its message has both runs' hosts, epochs and targets, how long they overlap and how that ends.

--- a/tests/soak/run_checkers.cpp
+++ b/tests/soak/run_checkers.cpp
@@ -38,31 +38,94 @@
 
 // 1. Runs at the same time
 
-std::vector<violation> check_single_run(history const& past)
+namespace
 {
-    std::map<std::string, std::vector<run_event const*>> running; // by task
-    std::vector<violation>                               found;
+
+// A run from its start to its end by what its target saw, as rows of the
+// history; no end: it went on to the end of the history.
+struct run_span
+{
+    run_event const* const start_;
+    run_event const*       end_ = nullptr;
+};
+
+// By task, in the order of starts.
+std::map<std::string, std::vector<run_span>> list_spans(history const& past)
+{
+    std::map<std::string, std::vector<run_span>> spans;
     for (run_event const& event : past.runs_)
     {
         if (event.kind_ == run_event_kind::start)
         {
-            auto& others = running[format_task_name(event.task_)];
-            if (!others.empty())
+            spans[format_task_name(event.task_)].push_back({&event});
+        }
+        else if (event.kind_ == run_event_kind::end)
+        {
+            for (run_span& span : spans[format_task_name(event.task_)])
             {
-                found.push_back({"a task runs in two places",
-                                 {encode_run_event(*others.front()),
-                                  encode_run_event(event)}});
+                if (span.end_ == nullptr &&
+                    span.start_->target_ == event.target_ &&
+                    span.start_->run_ == event.run_)
+                {
+                    span.end_ = &event;
+                }
             }
-            others.push_back(&event);
         }
-        else if (event.kind_ == run_event_kind::end)
+    }
+    return spans;
+}
+
+std::string describe_run(run_event const& start)
+{
+    return "run " + std::to_string(start.run_) + " by " + start.host_ +
+           " with epoch " + std::to_string(start.fence_) + " on " +
+           start.target_;
+}
+
+violation describe_pair(std::string const& task, run_span const& first,
+                        run_span const& second)
+{
+    std::vector<std::string> lines;
+    for (run_event const* const event :
+         {first.start_, second.start_, first.end_, second.end_})
+    {
+        if (event != nullptr)
         {
-            std::erase_if(running[format_task_name(event.task_)],
-                          [&event](run_event const* other)
-                          {
-                              return other->target_ == event.target_ &&
-                                     other->run_ == event.run_;
-                          });
+            lines.push_back(encode_run_event(*event));
+        }
+    }
+    std::string length = "to the end";
+    if (first.end_ != nullptr)
+    {
+        bool const is_within =
+            second.end_ != nullptr && second.end_ < first.end_;
+        run_event const& end = is_within ? *second.end_ : *first.end_;
+        length = "for " + std::to_string(end.time_ - second.start_->time_) +
+                 " us, until one is " + end.reason_;
+    }
+    return {"two runs of " + task + " at once, " + length + ": " +
+                describe_run(*first.start_) + ", " +
+                describe_run(*second.start_),
+            std::move(lines)};
+}
+
+} // namespace
+
+std::vector<violation> check_single_run(history const& past)
+{
+    std::vector<violation> found;
+    for (auto const& [task, spans] : list_spans(past))
+    {
+        for (auto second = spans.begin(); second != spans.end(); ++second)
+        {
+            for (auto first = spans.begin(); first != second; ++first)
+            {
+                // Rows of the history are in the order of time.
+                if (first->end_ == nullptr || second->start_ < first->end_)
+                {
+                    found.push_back(describe_pair(task, *first, *second));
+                }
+            }
         }
     }
     return found;
--- a/tests/soak/run_event.cpp
+++ b/tests/soak/run_event.cpp
@@ -47,6 +47,7 @@
     }
     if (event.kind_ == run_event_kind::start)
     {
+        row["host"] = event.host_;
         row["organisation"] = event.organisation_;
         row["payload_job"] = event.payload_job_;
         row["cpu"] = event.demand_.cpu_millis();
@@ -66,6 +67,7 @@
             .task_ = task.empty() ? task_name{} : parse_task_name(task),
             .run_ = row.value("run", std::int64_t{0}),
             .fence_ = row.value("fence", std::int64_t{0}),
+            .host_ = row.value("host", ""),
             .reason_ = row.value("reason", ""),
             .organisation_ = row.value("organisation", ""),
             .payload_job_ = row.value("payload_job", ""),
--- a/tests/soak/run_event.hpp
+++ b/tests/soak/run_event.hpp
@@ -28,6 +28,7 @@
     task_name const      task_; // empty: the whole target
     std::int64_t const   run_ = 0;
     std::int64_t const   fence_ = 0;
+    std::string const    host_; // that ordered the start
     std::string const    reason_;
     std::string const    organisation_;
     std::string const    payload_job_; // id in the payload of the order
--- a/tests/soak/target_http_main.cpp
+++ b/tests/soak/target_http_main.cpp
@@ -15,6 +15,7 @@
 #include "io/timer.hpp"
 #include "tests/soak/http_call.hpp"
 #include "tests/soak/http_server.hpp"
+#include "tests/soak/layout.hpp"
 #include "tests/soak/target_world.hpp"
 
 #include <CLI/CLI.hpp>
@@ -194,13 +195,15 @@
         {{"/run-start", &start_run},
          {"/run-stop", &stop_run},
          {"/pace", &pace_run}}};
+    json       order = json::parse(call.body_);
+    auto const host = layout::find_host(call.caller_);
+    order["caller"] = host ? "host-" + std::to_string(*host + 1) : call.caller_;
     reply result{404, json::object()};
     for (entry const& entry : entries)
     {
         if (entry.path_ == call.path_)
         {
-            result = entry.serve_(world_, target, json::parse(call.body_),
-                                  io::read_clock());
+            result = entry.serve_(world_, target, order, io::read_clock());
         }
     }
     if (!late)
--- a/tests/soak/target_world.cpp
+++ b/tests/soak/target_world.cpp
@@ -316,6 +316,7 @@
          .task_ = name,
          .run_ = run,
          .fence_ = row.fence_,
+         .host_ = order.value("caller", ""),
          .organisation_ = plan.organisation_,
          .payload_job_ = plan.id_,
          .demand_ = step.demand_});
--- a/tests/soak/target_world.hpp
+++ b/tests/soak/target_world.hpp
@@ -37,8 +37,8 @@
 void    run_tick(target_world& world, instant now);
 instant next_deadline(target_world const& world);
 
-// Calls; `order` is the body. All throw nlohmann::json::exception for a
-// malformed one.
+// Calls; `order` is the body, with the `caller`, a host. All throw
+// nlohmann::json::exception for a malformed one.
 reply start_run(target_world& world, std::size_t target,
                 nlohmann::json const& order, instant now);
 reply stop_run(target_world& world, std::size_t target,
--- a/tests/unit/soak_fixture.hpp
+++ b/tests/unit/soak_fixture.hpp
@@ -47,6 +47,22 @@
                                .demand_ = {1000, 256, 0}});
     }
 
+    void add_start(double time, std::string const& host, std::int64_t epoch,
+                   std::string const& target, std::int64_t run)
+    {
+        past_.runs_.push_back({.time_ = micros(time),
+                               .kind_ = run_event_kind::start,
+                               .target_ = target,
+                               .domain_ = "domain-1",
+                               .task_ = {"job", 0, 0, 0},
+                               .run_ = run,
+                               .fence_ = epoch,
+                               .host_ = host,
+                               .organisation_ = "team",
+                               .payload_job_ = "job",
+                               .demand_ = {1000, 256, 0}});
+    }
+
     void add_call(double time, call_kind kind, unsigned status,
                   std::string const& state = "", bool final = false)
     {
--- a/tests/unit/soak_runs_test.cpp
+++ b/tests/unit/soak_runs_test.cpp
@@ -40,6 +40,47 @@
     CHECK(check_single_run(past_).size() == 2);
 }
 
+// Guards against a breach that can't be traced to the two owners.
+TEST_CASE_FIXTURE(soak_fixture,
+                  "single_run, runs of two owners, names owners and targets")
+{
+    add_start(1, "host-2", 3, "target-1/1", 1);
+    add_start(2, "host-1", 5, "target-2/1", 1001);
+    add_run(2.5, run_event_kind::end, 0, "lapsed", "target-1/1", 1);
+    add_run(9, run_event_kind::end, 0, "done", "target-2/1", 1001);
+    auto const found = check_single_run(past_);
+    REQUIRE(found.size() == 1);
+    CHECK(found[0].text_ ==
+          "two runs of job.0.0.0 at once, for 500000 us, until one is lapsed: "
+          "run 1 by host-2 with epoch 3 on target-1/1, "
+          "run 1001 by host-1 with epoch 5 on target-2/1");
+    CHECK(found[0].lines_.size() == 4);
+}
+
+// Guards against a checker that compares each run with the one before only.
+TEST_CASE_FIXTURE(soak_fixture,
+                  "single_run, a long run beside two short ones, rejects both")
+{
+    add_run(1, run_event_kind::start, 0);
+    add_run(2, run_event_kind::start, 0, "", "target-2", 2);
+    add_run(3, run_event_kind::end, 0, "failed", "target-2", 2);
+    add_run(4, run_event_kind::start, 0, "", "target-2", 3);
+    add_run(5, run_event_kind::end, 0, "done", "target-2", 3);
+    add_run(6, run_event_kind::end, 0, "lapsed");
+    add_run(7, run_event_kind::start, 0, "", "target-2", 4);
+    CHECK(check_single_run(past_).size() == 2);
+}
+
+// A target that starts again under its id is another one to the checker.
+TEST_CASE_FIXTURE(soak_fixture,
+                  "single_run, an end in another life of the target, rejects")
+{
+    add_run(1, run_event_kind::start, 0, "", "target-1/1");
+    add_run(2, run_event_kind::end, 0, "lapsed", "target-1/2");
+    add_run(3, run_event_kind::start, 0, "", "target-2/1", 2);
+    CHECK(check_single_run(past_).size() == 1);
+}
+
 TEST_CASE_FIXTURE(soak_fixture, "single_run, a run after a lapsed one, accepts")
 {
     add_run(1, run_event_kind::start, 0);
