--- a/tests/soak/clients.cpp
+++ b/tests/soak/clients.cpp
@@ -101,6 +101,15 @@
 
 job_kind const& draw_kind(soak_run& run)
 {
+    double const share = run.options_.lasting_share_;
+    if (share > 0 && chance(run, share))
+    {
+        return *std::find_if(job_kinds.begin(), job_kinds.end(),
+                             [](job_kind const& kind)
+                             {
+                                 return kind.lasting_;
+                             });
+    }
     constexpr std::int64_t all = 100;
     auto                   rest = draw(run, 0, all - 1);
     for (job_kind const& kind : job_kinds)
@@ -203,7 +212,9 @@
         return;
     }
     ++job.tries_;
-    if (job.tries_ >= max_tries)
+    // One that is to be cancelled may run already, without an answer, and would
+    // hold the organisation's limit for ever: it is sent until it is accepted.
+    if (job.tries_ >= max_tries && job.cancel_at_ == instant::never())
     {
         job.phase_ = job_phase::given_up;
     }
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -298,6 +298,10 @@
         ->capture_default_str();
     app.add_option("--rate", options.jobs_a_second_, "jobs a second")
         ->capture_default_str();
+    app.add_option("--lasting", options.lasting_share_,
+                   "share of jobs that last, beside the usual ones")
+        ->check(CLI::Range(0.0, 1.0))
+        ->capture_default_str();
     app.add_option("--limit", options.limit_millis_,
                    "millicores of the limited organisation")
         ->capture_default_str();
--- a/tests/soak/soak_options.hpp
+++ b/tests/soak/soak_options.hpp
@@ -16,6 +16,7 @@
     int           hosts_ = 6;
     int           targets_ = 12;
     double        jobs_a_second_ = 10;
+    double        lasting_share_ = 0;     // of jobs, beside those of the table
     std::int64_t  limit_millis_ = 12'000; // of the limited organisation
     std::vector<std::string> only_;       // kinds of faults; empty: all
     std::string              programs_;   // folder of the programs
