Wait for the layout before a located job's call is routed

A host that has just started reads from the store where a job is as soon as it has a configuration. When it didn't yet know the layout of that job's failure domain, the tick dereferenced a missing row and the process ended (SIGSEGV, has_owner in route_calls). Submissions had the same fault for a located job, in forward_call. Change: such a call waits like one whose shard has no owner. The new test crashed before the change.

--- a/cell/route_calls.cpp
+++ b/cell/route_calls.cpp
@@ -475,13 +475,19 @@
 
 void route_submit(node& context, std::uint64_t id)
 {
-    call_row&                     call = *context.calls_.find(id);
-    auto const                    place = context.job_locations_.find(call.id_);
+    call_row&  call = *context.calls_.find(id);
+    auto const place = context.job_locations_.find(call.id_);
+    bool const is_located = place != context.job_locations_.end() &&
+                            !call.tried_.contains(place->second);
+    if (is_located && context.shards_.find(place->second) == nullptr)
+    {
+        // The layout of the job's failure domain isn't known yet.
+        retry_call(context, id, call);
+        wake_at(context, call.retry_at_);
+        return;
+    }
     std::optional<shard_id> const shard =
-        place != context.job_locations_.end() &&
-                !call.tried_.contains(place->second)
-            ? place->second
-            : choose_shard(context, call);
+        is_located ? place->second : choose_shard(context, call);
     if (shard)
     {
         forward_call(context, id, *shard);
@@ -507,8 +513,9 @@
         locate_job(context, id, call);
         return;
     }
-    shard_row const& shard = *context.shards_.find(*place);
-    if (has_owner(context, *place, shard))
+    // Null while the layout of the job's failure domain isn't known.
+    shard_row const* const shard = context.shards_.find(*place);
+    if (shard != nullptr && has_owner(context, *place, *shard))
     {
         forward_call(context, id, *place);
         return;
--- a/tests/unit/cell_jobs_test.cpp
+++ b/tests/unit/cell_jobs_test.cpp
@@ -75,6 +75,34 @@
     CHECK(take<send_start>().size() == 1);
 }
 
+// Guards against a process that ends, having read where a job is before it
+// knows the shards of the job's failure domain.
+TEST_CASE_FIXTURE(cell_fixture,
+                  "process just started, job of an unknown shard, is answered")
+{
+    serve();
+    submit("aa01");
+    run(50'000);
+    for (call_kind const kind :
+         {call_kind::lookup, call_kind::submit, call_kind::cancel})
+    {
+        ++settings_.incarnation_;
+        node_ = make_node(settings_, now_);
+        post(config_changed{make_config()});
+        run(20'000);
+        std::uint64_t const located = ask(call_kind::lookup, "aa01");
+        run(20'000);
+        std::uint64_t const call =
+            kind == call_kind::submit ? submit("aa01") : ask(kind, "aa01");
+        run(4 * micros_per_second);
+        for (std::uint64_t const each : {located, call})
+        {
+            REQUIRE(find_answer(each));
+            CHECK(find_answer(each)->outcome_ == job_outcome::unavailable);
+        }
+    }
+}
+
 // One job whose task runs on the target.
 struct running_job_fixture : cell_fixture
 {
