Drain targets in the soak

Runs were stopped only when their job had ended, so no task was started again after a stop. Change: fault drain_target. The target reports `draining` and the time that is left, then leaves; a new one starts at its address.

--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -263,6 +263,11 @@
     return harm_target(run, "crash", now, draw_end(run, now, 500, 4000), 0);
 }
 
+std::optional<active_fault> drain_target(soak_run& run, instant now)
+{
+    return harm_target(run, "drain", now, draw_end(run, now, 3000, 9000), 0);
+}
+
 std::optional<active_fault> freeze_target(soak_run& run, instant now)
 {
     return harm_target(run, "freeze", now, draw_end(run, now, 500, 9000), 0);
@@ -336,7 +341,7 @@
     bool const harms_; // suspends the rules with a time bound
 };
 
-constexpr std::array<fault_kind, 29> fault_kinds = {{
+constexpr std::array<fault_kind, 30> fault_kinds = {{
     {"kill_host", 3, &kill_host, true},
     {"stop_host", 3, &stop_host, true},
     {"starve_host", 5, &starve_host, true},
@@ -359,6 +364,7 @@
     {"slow_store", 1, &slow_store, true},
     {"drop_store_history", 1, &drop_store_history, true},
     {"crash_target", 2, &crash_target, true},
+    {"drain_target", 2, &drain_target, true},
     {"freeze_target", 2, &freeze_target, true},
     {"freeze_domain", 1, &freeze_domain, true},
     {"late_target", 2, &make_target_late, true},
--- a/tests/soak/target_http_main.cpp
+++ b/tests/soak/target_http_main.cpp
@@ -301,7 +301,7 @@
         if (std::max({row.up_at_, row.frozen_until_, row.unheard_until_}) <=
             now)
         {
-            targets[row.id_] = write_entry(world_.specs_[target], row);
+            targets[row.id_] = write_entry(world_.specs_[target], row, now);
         }
     }
     client_.send({.method_ = "POST",
@@ -328,11 +328,12 @@
         std::string_view const name_;
         instant target_row::*const until_;
     };
-    static constexpr std::array<entry, 5> entries = {
+    static constexpr std::array<entry, 6> entries = {
         {{"freeze", &target_row::frozen_until_},
          {"unheard", &target_row::unheard_until_},
          {"late", &target_row::late_until_},
          {"very_late", &target_row::very_late_until_},
+         {"drain", &target_row::drains_until_},
          {"fail", &target_row::fails_until_}}};
     target_row& row = world_.targets_.at(target);
     for (entry const& entry : entries)
@@ -342,6 +343,20 @@
             row.*entry.until_ = end;
         }
     }
+    if (name == "drain")
+    {
+        constexpr std::int64_t away_micros = 1'000'000;
+        due_.add(end,
+                 [this, target, end, life = row.life_]
+                 {
+                     if (world_.targets_[target].life_ == life)
+                     {
+                         begin_new_life(world_, target, false, end,
+                                        io::read_unix_ms(),
+                                        end.after(away_micros));
+                     }
+                 });
+    }
     if (name == "crash")
     {
         begin_new_life(world_, target, body.at("keep_id").get<bool>(), now,
--- a/tests/soak/target_row.hpp
+++ b/tests/soak/target_row.hpp
@@ -35,6 +35,7 @@
     instant unheard_until_;   // its reports don't reach the store
     instant late_until_;      // orders are carried out late, without an answer
     instant very_late_until_; // the same, later
+    instant drains_until_;    // then it leaves
     instant fails_until_;     // each run ends as failed soon after its start
 };
 
--- a/tests/soak/target_world.cpp
+++ b/tests/soak/target_world.cpp
@@ -460,23 +460,30 @@
     world.targets_[target] = std::move(next);
 }
 
-json write_entry(target_spec const& spec, target_row const& target)
+json write_entry(target_spec const& spec, target_row const& target, instant now)
 {
-    return {{"service", "desk"},
-            {"addr", spec.address_},
-            {"zone", spec.domain_},
-            {"version", "1"},
-            {"slots", 8},
-            {"state", "ready"},
-            {"coldRemainingMs", 0},
-            {"seq", 1},
-            {"machine", spec.name_},
-            {"born", target.born_unix_ms_},
-            {"labels", {"standard", spec.rack_}},
-            {"capacity",
-             {{"cpu", spec.capacity_.cpu_millis()},
-              {"memMb", spec.capacity_.memory_mib()},
-              {"gpu", 0}}}};
+    bool const drains = now < target.drains_until_;
+    json       entry{{"service", "desk"},
+               {"addr", spec.address_},
+               {"zone", spec.domain_},
+               {"version", "1"},
+               {"slots", 8},
+               {"state", drains ? "draining" : "ready"},
+               {"coldRemainingMs", 0},
+               {"seq", 1},
+               {"machine", spec.name_},
+               {"born", target.born_unix_ms_},
+               {"labels", {"standard", spec.rack_}},
+               {"capacity",
+                      {{"cpu", spec.capacity_.cpu_millis()},
+                       {"memMb", spec.capacity_.memory_mib()},
+                       {"gpu", 0}}}};
+    if (drains)
+    {
+        entry["remainingMs"] =
+            now.remaining_until(target.drains_until_) / micros_per_milli;
+    }
+    return entry;
 }
 
 } // namespace fescuevane::soak
--- a/tests/soak/target_world.hpp
+++ b/tests/soak/target_world.hpp
@@ -54,7 +54,8 @@
 void begin_new_life(target_world& world, std::size_t target, bool keep_id,
                     instant now, std::int64_t unix_ms, instant up_at);
 
-nlohmann::json write_entry(target_spec const& spec, target_row const& target);
+nlohmann::json write_entry(target_spec const& spec, target_row const& target,
+                           instant now);
 
 // The target's clock, which may be slow.
 std::int64_t read_target_clock(target_row const& target, instant now);
--- a/tests/unit/soak_targets_test.cpp
+++ b/tests/unit/soak_targets_test.cpp
@@ -139,6 +139,19 @@
     CHECK(world.targets_[0].fence_ == 0);
 }
 
+// Guards against a drain that hosts don't hear of.
+TEST_CASE_FIXTURE(target_world_fixture,
+                  "entry, of a target that drains, says it")
+{
+    target_row target;
+    target.drains_until_ = at(3000);
+    json const entry = write_entry(world_.specs_[0], target, at(1000));
+    CHECK(entry.at("state") == "draining");
+    CHECK(entry.at("remainingMs") == 2000);
+    CHECK(write_entry(world_.specs_[0], target, at(3000)).at("state") ==
+          "ready");
+}
+
 TEST_CASE_FIXTURE(target_world_fixture,
                   "gang, present on two targets, ends done together")
 {
