Stick tasks on targets in the soak

Owners stop a run that makes no progress and start its task elsewhere, which the soak's targets never caused, so no task started again after a stop. Change: fault stick_domain: single tasks on the targets of a failure domain make no progress.

--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -273,18 +273,30 @@
     return harm_target(run, "freeze", now, draw_end(run, now, 500, 9000), 0);
 }
 
-// All targets of a failure domain are cut off and run on.
-std::optional<active_fault> freeze_domain(soak_run& run, instant now)
+active_fault harm_domain(soak_run& run, char const* fault, instant now,
+                         instant ends_at)
 {
-    instant const ends_at = draw_end(run, now, 1000, 9000);
-    auto const    first = draw(run, 0, domains - 1);
+    auto const first = draw(run, 0, domains - 1);
     for (auto target = first; target < run.options_.targets_; target += domains)
     {
-        switch_target(run, target, "freeze", now.remaining_until(ends_at),
+        switch_target(run, target, fault, now.remaining_until(ends_at),
                       chance(run, 0.5));
     }
-    return active_fault{.object_ = "domain-" + std::to_string(first + 1),
-                        .ends_at_ = ends_at};
+    return {.object_ = "domain-" + std::to_string(first + 1),
+            .ends_at_ = ends_at};
+}
+
+// All targets of a failure domain are cut off and run on.
+std::optional<active_fault> freeze_domain(soak_run& run, instant now)
+{
+    return harm_domain(run, "freeze", now, draw_end(run, now, 1000, 9000));
+}
+
+// Tasks on the targets make no progress, so that owners stop them and start
+// them elsewhere.
+std::optional<active_fault> stick_domain(soak_run& run, instant now)
+{
+    return harm_domain(run, "stick", now, draw_end(run, now, 2000, 6000));
 }
 
 std::optional<active_fault> make_target_late(soak_run& run, instant now)
@@ -341,7 +353,7 @@
     bool const harms_; // suspends the rules with a time bound
 };
 
-constexpr std::array<fault_kind, 30> fault_kinds = {{
+constexpr std::array<fault_kind, 31> fault_kinds = {{
     {"kill_host", 3, &kill_host, true},
     {"stop_host", 3, &stop_host, true},
     {"starve_host", 5, &starve_host, true},
@@ -367,6 +379,7 @@
     {"drain_target", 2, &drain_target, true},
     {"freeze_target", 2, &freeze_target, true},
     {"freeze_domain", 1, &freeze_domain, true},
+    {"stick_domain", 1, &stick_domain, true},
     {"late_target", 2, &make_target_late, true},
     {"very_late_target", 1, &make_target_very_late, true},
     {"failing_target", 1, &make_target_fail, true},
--- a/tests/soak/running_row.hpp
+++ b/tests/soak/running_row.hpp
@@ -16,6 +16,7 @@
     std::string  stage_; // ID.K.STEP, shared by the members of a gang
     std::int64_t run_ = 0;
     step_plan    step_;
+    bool         stuck_ = false; // makes no progress until it is stopped
     instant      done_at_ = instant::never();
     instant      stopped_at_ = instant::never(); // a stop is under way
     instant      alone_at_ = instant::never();   // waits for its gang
--- a/tests/soak/target_http_main.cpp
+++ b/tests/soak/target_http_main.cpp
@@ -343,6 +343,10 @@
             row.*entry.until_ = end;
         }
     }
+    if (name == "stick")
+    {
+        stick_runs(world_, target, end);
+    }
     if (name == "drain")
     {
         constexpr std::int64_t away_micros = 1'000'000;
--- a/tests/soak/target_row.hpp
+++ b/tests/soak/target_row.hpp
@@ -36,6 +36,7 @@
     instant late_until_;      // orders are carried out late, without an answer
     instant very_late_until_; // the same, later
     instant drains_until_;    // then it leaves
+    instant stuck_until_;     // single tasks on it make no progress
     instant fails_until_;     // each run ends as failed soon after its start
 };
 
--- a/tests/soak/target_world.cpp
+++ b/tests/soak/target_world.cpp
@@ -339,6 +339,10 @@
     {
         started.alone_at_ = now.after(gang_wait_micros);
     }
+    else if (now < row.stuck_until_)
+    {
+        started.stuck_ = true;
+    }
     else if (!step.perpetual_)
     {
         started.done_at_ = now.after(step.work_ms_ * micros_per_milli);
@@ -417,9 +421,10 @@
             continue;
         }
         constexpr int all = 100;
-        running.push_back({task, run.run_, "",
-                           run.alone_at_ == instant::never() ? all : 0,
-                           run.step_.demand_.cpu_millis()});
+        running.push_back(
+            {task, run.run_, "",
+             run.alone_at_ == instant::never() && !run.stuck_ ? all : 0,
+             run.step_.demand_.cpu_millis()});
     }
     json terminated = json::array();
     for (ended_row const& end : row.ended_)
@@ -436,6 +441,19 @@
     return reply{200, std::move(body)};
 }
 
+void stick_runs(target_world& world, std::size_t target, instant until)
+{
+    world.targets_[target].stuck_until_ = until;
+    for (auto& [task, run] : world.targets_[target].running_)
+    {
+        if (!run.step_.gang_)
+        {
+            run.stuck_ = true;
+            run.done_at_ = instant::never();
+        }
+    }
+}
+
 void begin_new_life(target_world& world, std::size_t target, bool keep_id,
                     instant now, std::int64_t unix_ms, instant up_at)
 {
--- a/tests/soak/target_world.hpp
+++ b/tests/soak/target_world.hpp
@@ -50,6 +50,9 @@
                                nlohmann::json const& order, instant now,
                                bool wait);
 
+// Single tasks that run there, or start until then, make no progress.
+void stick_runs(target_world& world, std::size_t target, instant until);
+
 // The life ends with all that it runs; a new one begins at `up_at_`.
 void begin_new_life(target_world& world, std::size_t target, bool keep_id,
                     instant now, std::int64_t unix_ms, instant up_at);
--- a/tests/unit/soak_targets_test.cpp
+++ b/tests/unit/soak_targets_test.cpp
@@ -139,6 +139,21 @@
     CHECK(world.targets_[0].fence_ == 0);
 }
 
+// Guards against a history without tasks that start again after a stop.
+TEST_CASE_FIXTURE(target_world_fixture,
+                  "stick, runs before and after it, make no progress")
+{
+    start_run(world_, 0, make_start(short_, 0, 1), at(0));
+    stick_runs(world_, 0, at(1000));
+    start_run(world_, 0, make_start(short_, 1, 1), at(100));
+    json const running = hold(0, at(3000)).at("running");
+    REQUIRE(running.size() == 2);
+    CHECK(running.at(0).at(3) == 0);
+    CHECK(running.at(1).at(3) == 0);
+    start_run(world_, 0, make_start(short_, 2, 1), at(3000));
+    CHECK(hold(0, at(3500)).at("terminated").at(0).at(3) == "done");
+}
+
 // Guards against a drain that hosts don't hear of.
 TEST_CASE_FIXTURE(target_world_fixture,
                   "entry, of a target that drains, says it")
