Hold a hand-over until the stops that were ordered are over

Cause: a stop takes up to 0.9 s on a target, and a run that is being stopped may be listed neither as running nor as ended. The owner released the shard within that time, and the next one took the task for not running. Change: a release waits while an order to stop is in flight, and until 0.9 s after a target accepted one unless the end is listed earlier, but not beyond the time at which a stopping host has to release. A releasing owner orders no stops; the next owner orders them again.

--- a/cell/release_shards.cpp
+++ b/cell/release_shards.cpp
@@ -171,6 +171,51 @@
                        });
 }
 
+// Latest time at which a stopping host releases its shards: it has just enough
+// time left to store its changes and the release.
+instant find_latest_release(node const& context)
+{
+    return context.leave_at_ == instant::never()
+               ? instant::never()
+               : instant(context.leave_at_.micros() -
+                         context.settings_.release_micros_);
+}
+
+// When all stops that the shard's targets accepted have ended. Never while an
+// order to stop is in flight.
+instant find_stops_end(node const& context, shard_id const& shard)
+{
+    instant end;
+    for (session_row const& session : context.sessions_)
+    {
+        if (!session.open_ || session.shard_ != shard)
+        {
+            continue;
+        }
+        for (auto const& [key, run] : session.runs_)
+        {
+            if (run.stop_open_)
+            {
+                return instant::never();
+            }
+            if (run.stopped_at_ != instant::never())
+            {
+                end = std::max(end, run.stopped_at_.after(
+                                        context.settings_.stop_taken_micros_));
+            }
+        }
+    }
+    return end;
+}
+
+// Until when a release waits for stops: the next owner can't tell a task whose
+// run is being stopped from one that isn't running.
+instant find_stop_wait(node const& context, shard_id const& shard)
+{
+    return std::min(find_stops_end(context, shard),
+                    find_latest_release(context));
+}
+
 // A condition that delays a release.
 struct release_wait
 {
@@ -179,7 +224,7 @@
                    owned_row const& own);
 };
 
-constexpr std::array<release_wait, 5> release_waits = {{
+constexpr std::array<release_wait, 6> release_waits = {{
     {"owner_row",
      [](node const&, shard_id const&, owned_row const& own)
      {
@@ -205,6 +250,12 @@
      {
          return !may_be_released(own) && awaits_gang_starts(context, shard);
      }},
+    {"stops",
+     [](node const& context, shard_id const& shard, owned_row const& own)
+     {
+         return !may_be_released(own) &&
+                find_stop_wait(context, shard) > context.now_;
+     }},
 }};
 
 void release_shard(node& context, shard_id const& shard, owned_row& own)
@@ -215,6 +266,11 @@
                         return wait.holds_(context, shard, own);
                     }))
     {
+        instant const stop_wait = find_stop_wait(context, shard);
+        if (stop_wait > context.now_)
+        {
+            wake_at(context, stop_wait);
+        }
         return;
     }
     host_id const successor = choose_successor(context, shard);
@@ -245,7 +301,7 @@
 {
 
 // A stopping host serves its shards until another host can take them over, or
-// until it has just enough time left to store its changes and the release.
+// until the latest release.
 bool is_release_due(node& context, shard_id const& shard)
 {
     if (context.leave_at_ == instant::never() ||
@@ -253,8 +309,7 @@
     {
         return true;
     }
-    instant const latest(context.leave_at_.micros() -
-                         context.settings_.release_micros_);
+    instant const latest = find_latest_release(context);
     wake_at(context, latest);
     return latest <= context.now_;
 }
--- a/cell/send_orders.cpp
+++ b/cell/send_orders.cpp
@@ -160,6 +160,12 @@
 
 void send_stops(node& context, target_id const& id, session_row& session)
 {
+    // A releasing owner waits until its stops are over, so it orders no more.
+    owned_row const& own = *context.owned_.find(session.shard_);
+    if (own.releasing_ || may_be_released(own))
+    {
+        return;
+    }
     for (auto& [key, run] : session.runs_)
     {
         if (!run.stop_wanted_ || run.stop_open_ ||
@@ -178,7 +184,7 @@
                 register_order(context, session, {order_kind::stop, id, key}),
             .address_ = session.info_->address_,
             .stop_ = {to_original(context, key), id},
-            .fence_ = context.owned_.find(session.shard_)->epoch_,
+            .fence_ = own.epoch_,
             .deadline_ = context.now_.after(context.settings_.order_micros_)});
     }
 }
--- a/tests/unit/cell_release_test.cpp
+++ b/tests/unit/cell_release_test.cpp
@@ -311,5 +311,133 @@
     CHECK(is_released());
 }
 
+// A run on the target whose stop was ordered, and another host that can take
+// the shard over.
+struct stop_release_fixture : release_fixture
+{
+    run_key                run_;   // it runs on the target
+    std::vector<send_stop> stops_; // without a reply so far
+
+    stop_release_fixture()
+    {
+        submit("aa01");
+        run(100'000);
+        auto const starts = take<send_start>();
+        REQUIRE(starts.size() == 1);
+        run_ = starts[0].start_.run_;
+        answer(starts[0].request_, target_outcome::done);
+        run(100'000);
+        ask(call_kind::cancel, "aa01");
+        run(100'000);
+        stops_ = take<send_stop>();
+        REQUIRE(stops_.size() == 1);
+    }
+
+    void answer(std::uint64_t request, target_outcome outcome)
+    {
+        post(order_reply{.request_ = request, .outcome_ = outcome});
+    }
+
+    // Runs while the other host sends heartbeats and the target lists no run.
+    void run_stopping(std::int64_t                     micros,
+                      std::vector<reported_end> const& ends = {})
+    {
+        constexpr std::int64_t step = 20'000;
+        for (std::int64_t passed = 0; passed < micros; passed += step)
+        {
+            report_other();
+            for (hold_target const& hold : take<hold_target>())
+            {
+                answer_hold(hold, {}, ends);
+            }
+            run(step);
+        }
+    }
+};
+
+// Guards against tasks that run twice: the next owner finds a run that is still
+// being stopped listed nowhere and starts its task again.
+TEST_CASE_FIXTURE(stop_release_fixture,
+                  "stop accepted, shard is handed over, released when the stop "
+                  "is over")
+{
+    answer(stops_[0].request_, target_outcome::done);
+    post(stop_requested{now_.after(5 * micros_per_second)});
+    run_stopping(settings_.stop_taken_micros_ - 400'000);
+    CHECK_FALSE(is_released());
+    SUBCASE("its end is listed")
+    {
+        run_stopping(160'000, {{1, run_, run_end::stopped, ""}});
+        CHECK(is_released());
+    }
+    SUBCASE("its end isn't listed in the longest time of a stop")
+    {
+        run_stopping(300'000);
+        CHECK_FALSE(is_released());
+        run_stopping(140'000);
+        CHECK(is_released());
+    }
+}
+
+// The same while the reply to the stop is in flight.
+TEST_CASE_FIXTURE(stop_release_fixture,
+                  "stop without a reply, shard is handed over, released after "
+                  "its deadline without another one")
+{
+    post(stop_requested{now_.after(5 * micros_per_second)});
+    run_stopping(settings_.order_micros_);
+    CHECK_FALSE(is_released());
+    answer(stops_[0].request_, target_outcome::unknown);
+    run_stopping(60'000);
+    CHECK(is_released());
+    CHECK(take<send_stop>().empty());
+}
+
+// Guards against a stop in progress at the release: a releasing owner orders
+// new ones.
+TEST_CASE_FIXTURE(stop_release_fixture,
+                  "shard is handed over, unknown run is listed, isn't stopped")
+{
+    answer(stops_[0].request_, target_outcome::done);
+    post(stop_requested{now_.after(5 * micros_per_second)});
+    run_stopping(100'000);
+    run_key unknown = run_;
+    unknown.stage_.job_ = job_id("aa09");
+    for (int round = 0; round < 10; ++round)
+    {
+        for (hold_target const& hold : take<hold_target>())
+        {
+            answer_hold(hold, {{unknown, "", 1, 0}});
+        }
+        report_other();
+        run(20'000);
+    }
+    CHECK_FALSE(is_released());
+    CHECK(take<send_stop>().empty());
+}
+
+// Guards against a shard that isn't released before its owner leaves.
+TEST_CASE_FIXTURE(stop_release_fixture,
+                  "stop accepted, host leaves soon, released at once")
+{
+    answer(stops_[0].request_, target_outcome::done);
+    post(stop_requested{now_.after(settings_.release_micros_)});
+    run_stopping(60'000);
+    CHECK(is_released());
+}
+
+// Guards against long stops without a reason in the log.
+TEST_CASE_FIXTURE(stop_release_fixture,
+                  "stop accepted, shard is handed over, is described as what a "
+                  "stop waits for")
+{
+    answer(stops_[0].request_, target_outcome::done);
+    post(stop_requested{now_.after(5 * micros_per_second)});
+    run_stopping(100'000);
+    auto const waits = describe_stop(*node_);
+    CHECK(std::count(waits.begin(), waits.end(),
+                     std::pair<std::string, std::string>("stops", "1")) == 1);
+}
+
 } // namespace
 } // namespace fescuevane::cell
