Let recovered tasks wait until the stops of former owners are over

What callers saw: two runs of one task at once around a change of owner. Cause: a stop takes up to 0.9 s on a target, and a run that is being stopped may be listed neither as running nor as ended. When the owner that ordered the stop was killed, lost the shard or had to release it early, the next one took the task for not running at the first reply of the target. The tests that new jobs, and tasks after a release without open stops, start at once, and those of the owner row guard the new rule. Change: from its first reply under the new epoch on a target rejects orders of former owners, also late ones. Until 0.9 s after it, recovered tasks that no target reports wait, and count against the limit of their organisation. The time is an instant of the session and of the planner's row of the target; the planner is woken then. New jobs don't wait. The owner row says at a release whether stops may be in progress (`stops_over`); without it, as in rows of earlier versions, they may. Existing tests: two asserted that a task starts within 0.1 s of a restart of the same host, which the rule contradicts, since the former process may have ordered a stop. "process killed, started again, job goes on" now asserts no start for 0.85 s and one at 0.95 s. "queue removed, next owner, task fails, started again" asserts the start and the phase 1 s after the end.

--- a/cell/claim_shards.cpp
+++ b/cell/claim_shards.cpp
@@ -227,12 +227,14 @@
 namespace
 {
 
-std::string format_owner(node const& context, owned_row const& own,
-                         bool released, host_id const& successor)
+std::string format_owner(node const& context, shard_id const& shard,
+                         owned_row const& own, bool released,
+                         host_id const& successor)
 {
     return write_owner({context.settings_.host_, context.settings_.incarnation_,
                         context.settings_.address_, own.epoch_, released,
-                        successor, own.exclusive_since_ <= context.now_});
+                        successor, own.exclusive_since_ <= context.now_,
+                        released && are_stops_over(context, shard)});
 }
 
 } // namespace
@@ -251,11 +253,12 @@
     std::uint64_t const request = next_request(context);
     context.requests_.ensure(request) = {
         .kind_ = kind, .shard_ = shard, .part_ = part, .sent_ = context.now_};
-    context.outbox_.push_back(store_transact{
-        .request_ = request,
-        .conditions_ = {{key, seen}},
-        .writes_ = {{key, format_owner(context, own, released, successor)}},
-        .deadline_ = store_deadline(context)});
+    context.outbox_.push_back(
+        store_transact{.request_ = request,
+                       .conditions_ = {{key, seen}},
+                       .writes_ = {{key, format_owner(context, shard, own,
+                                                      released, successor)}},
+                       .deadline_ = store_deadline(context)});
     return request;
 }
 
@@ -281,13 +284,15 @@
          predecessor->incarnation_ > row.owner_incarnation_);
     own.predecessor_exclusive_ =
         row.epoch_ <= 1 || (row.released_ && row.exclusive_);
+    own.predecessor_stops_over_ = row.released_ && row.stops_over_;
     log_event(context, "claim",
               {{"shard", write_shard_name(shard)},
                {"epoch", std::to_string(own.epoch_)},
                {"previous", row.owner_.str()},
                {"released", row.released_ ? "true" : "false"},
                {"stopped", own.predecessor_stopped_ ? "true" : "false"},
-               {"exclusive", own.predecessor_exclusive_ ? "true" : "false"}});
+               {"exclusive", own.predecessor_exclusive_ ? "true" : "false"},
+               {"stops_over", own.predecessor_stops_over_ ? "true" : "false"}});
     own.request_ =
         write_owner_row(context, shard, 0, request_kind::claim, false, {});
 }
--- a/cell/follow_members.cpp
+++ b/cell/follow_members.cpp
@@ -132,6 +132,7 @@
     shard->epoch_ = record.epoch_;
     shard->released_ = record.released_;
     shard->exclusive_ = record.exclusive_;
+    shard->stops_over_ = record.stops_over_;
     shard->successor_ = record.successor_;
 }
 
--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -185,6 +185,7 @@
         return;
     }
     session.lapsed_ = true;
+    session.stops_until_ = std::min(session.stops_until_, context.now_);
     if (!session.runs_.empty())
     {
         std::int64_t const held =
--- a/cell/list_targets.cpp
+++ b/cell/list_targets.cpp
@@ -58,7 +58,11 @@
                           .rack_ = session.info_->rack_,
                           .labels_ = session.info_->labels_,
                           .capacity_ = session.info_->capacity_,
-                          .phase_ = phase});
+                          .phase_ = phase,
+                          .stops_until_ =
+                              session.phase_ == session_phase::attached
+                                  ? session.stops_until_
+                                  : instant()});
 }
 
 // A reply to an order identifies only its request, so replies from earlier
@@ -119,6 +123,10 @@
     fresh.shard_ = session.shard_;
     fresh.open_ = true;
     fresh.granted_before_ = may_be_granted(own, id);
+    if (own.predecessor_stops_over_ || !fresh.granted_before_)
+    {
+        fresh.stops_until_ = instant();
+    }
     fresh.hold_at_ = context.now_;
     fresh.contact_at_ = context.now_;
     session = std::move(fresh);
@@ -147,6 +155,7 @@
     session.clock_ms_ = 0;
     session.born_unix_ms_ = 0;
     session.granted_before_ = false;
+    session.stops_until_ = instant();
     session.phase_ = session_phase::silent;
 }
 
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -239,6 +239,8 @@
 std::uint64_t write_owner_row(node& context, shard_id const& shard,
                               std::uint32_t part, request_kind kind,
                               bool released, host_id const& successor);
+// True when no stop that this or an earlier owner ordered can be in progress.
+bool are_stops_over(node const& context, shard_id const& shard);
 // True while a release may have taken effect. The next owner relies on this one
 // having stopped, so it neither renews leases nor starts work.
 bool may_be_released(owned_row const& own);
--- a/cell/owned_row.hpp
+++ b/cell/owned_row.hpp
@@ -28,6 +28,7 @@
     // It released the shard, is this host, or its host runs a new process.
     bool    predecessor_stopped_ = false;
     bool    predecessor_exclusive_ = false;      // no owner before it was left
+    bool    predecessor_stops_over_ = false;     // see owner_record
     instant exclusive_since_ = instant::never(); // no other owner renews leases
     plan::planner_ptr         planner_;
     std::vector<journal_part> parts_;
--- a/cell/owner_record.hpp
+++ b/cell/owner_record.hpp
@@ -21,6 +21,9 @@
     // No earlier owner renews leases on targets of the shard. False in rows of
     // earlier versions, which don't tell.
     bool exclusive_ = false;
+    // No stop that this or an earlier owner ordered is in progress. False in
+    // rows of earlier versions, which don't tell.
+    bool stops_over_ = false;
 
     friend bool operator==(owner_record const&, owner_record const&) = default;
 };
--- a/cell/read_reports.cpp
+++ b/cell/read_reports.cpp
@@ -308,6 +308,10 @@
     {
         log_first_reply(context, *session, input);
         session->lapsed_ = false;
+        // From now on the target rejects orders of former owners.
+        session->stops_until_ =
+            std::min(session->stops_until_,
+                     context.now_.after(values.stop_taken_micros_));
         session->phase_ = session_phase::attached;
         update_planner_target(context, input.target_);
         // The stored row may no longer name a target that was unresponsive for
--- a/cell/records.cpp
+++ b/cell/records.cpp
@@ -61,11 +61,14 @@
 
 std::string write_owner(owner_record const& record)
 {
-    return json{
-        {"host", record.host_.str()},    {"incarnation", record.incarnation_},
-        {"address", record.address_},    {"epoch", record.epoch_},
-        {"released", record.released_},  {"successor", record.successor_.str()},
-        {"exclusive", record.exclusive_}}
+    return json{{"host", record.host_.str()},
+                {"incarnation", record.incarnation_},
+                {"address", record.address_},
+                {"epoch", record.epoch_},
+                {"released", record.released_},
+                {"successor", record.successor_.str()},
+                {"exclusive", record.exclusive_},
+                {"stops_over", record.stops_over_}}
         .dump();
 }
 
@@ -81,7 +84,8 @@
                              read_monotonic(row, "epoch"),
                              row.at("released").get<bool>(),
                              host_id(row.at("successor").get<std::string>()),
-                             row.value("exclusive", false)};
+                             row.value("exclusive", false),
+                             row.value("stops_over", false)};
                      });
 }
 
--- a/cell/release_shards.cpp
+++ b/cell/release_shards.cpp
@@ -208,6 +208,15 @@
     return end;
 }
 
+// True while an order to stop the run may be executed, or is being executed.
+bool is_stop_open(node const& context, session_run const& run)
+{
+    return run.stop_sent_ &&
+           (run.stopped_at_ == instant::never() ||
+            run.stopped_at_.after(context.settings_.stop_taken_micros_) >
+                context.now_);
+}
+
 // Until when a release waits for stops: the next owner can't tell a task whose
 // run is being stopped from one that isn't running.
 instant find_stop_wait(node const& context, shard_id const& shard)
@@ -290,6 +299,22 @@
 
 } // namespace
 
+bool are_stops_over(node const& context, shard_id const& shard)
+{
+    return std::none_of(
+        context.sessions_.begin(), context.sessions_.end(),
+        [&](session_row const& session)
+        {
+            return session.open_ && session.shard_ == shard &&
+                   (session.stops_until_ > context.now_ ||
+                    std::any_of(session.runs_.begin(), session.runs_.end(),
+                                [&context](auto const& entry)
+                                {
+                                    return is_stop_open(context, entry.second);
+                                }));
+        });
+}
+
 // While the shard is being served, `request_` can only be a release.
 bool may_be_released(owned_row const& own)
 {
--- a/cell/send_orders.cpp
+++ b/cell/send_orders.cpp
@@ -178,6 +178,7 @@
             wake_at(context, run.stop_after_);
             continue;
         }
+        run.stop_sent_ = true;
         run.stop_open_ = true;
         context.outbox_.push_back(send_stop{
             .request_ =
--- a/cell/session_row.hpp
+++ b/cell/session_row.hpp
@@ -34,6 +34,9 @@
     // Contact; only while the shard is owned
     bool open_ = false;
     bool granted_before_ = true; // a former owner may have started work there
+    // Stops that former owners ordered may take until then. Never: unknown, as
+    // the target hasn't shown yet that it rejects their orders.
+    instant       stops_until_ = instant::never();
     session_phase phase_ = session_phase::attaching;
     std::int64_t  born_unix_ms_ = 0; // incarnation that was reached, 0: none
     std::int64_t  clock_ms_ = 0;     // of the target, at `clock_at_`
--- a/cell/session_run.hpp
+++ b/cell/session_run.hpp
@@ -17,7 +17,8 @@
     std::int64_t start_until_ms_ = 0; // the target rejects the start later
     bool         absent_ = false;     // not listed after `start_until_ms_`
     bool         stop_wanted_ = false;
-    bool         stop_open_ = false; // an order to stop is in flight
+    bool         stop_sent_ = false; // an order to stop may be executed
+    bool         stop_open_ = false; // such an order is in flight
     instant      stop_after_;        // next order to stop
     // Set for a start that was sent to an earlier incarnation of the target:
     // until then the present one may carry it out.
--- a/cell/shard_row.hpp
+++ b/cell/shard_row.hpp
@@ -21,11 +21,12 @@
     std::uint64_t         owner_incarnation_ = 0;
     std::string           address_;
     epoch                 epoch_ = 0;
-    bool                  released_ = false;  // handed over by its owner
-    bool                  exclusive_ = false; // see owner_record
-    host_id               successor_;         // of a released shard
-    std::vector<revision> revisions_;         // of its row in each part
-    std::vector<epoch>    epochs_;            // in the row of each part
+    bool                  released_ = false;   // handed over by its owner
+    bool                  exclusive_ = false;  // see owner_record
+    bool                  stops_over_ = false; // see owner_record
+    host_id               successor_;          // of a released shard
+    std::vector<revision> revisions_;          // of its row in each part
+    std::vector<epoch>    epochs_;             // in the row of each part
 
     // From the owner
     instant            confirmed_at_; // latest confirmation of ownership
--- a/plan/apply_events.cpp
+++ b/plan/apply_events.cpp
@@ -106,6 +106,7 @@
     row.labels_ = input.labels_;
     row.capacity_ = input.capacity_;
     row.phase_ = input.phase_;
+    row.stops_until_ = input.stops_until_;
 }
 
 void apply(planner& context, target_removed const& input)
--- a/plan/count_unseen.cpp
+++ b/plan/count_unseen.cpp
@@ -1,5 +1,6 @@
 // Purpose: system: counts unconfirmed work, which may run on targets that a new
-// owner hasn't reached yet, against the limits of organisations.
+// owner hasn't reached yet or that are stopping it, against the limits of
+// organisations.
 #include "plan/planner.hpp"
 #include "plan/task_cell.hpp"
 #include "plan/unconfirmed_work.hpp"
@@ -9,18 +10,32 @@
 namespace fescuevane::plan
 {
 
+namespace
+{
+
+bool may_run_unreported(planner const& context, target_row const& target)
+{
+    return target.phase_ == target_phase::attaching ||
+           target.stops_until_ > context.now_;
+}
+
+} // namespace
+
 unconfirmed_work find_unconfirmed_work(planner const& context)
 {
-    auto const has_phase = [&context](target_phase phase)
-    {
-        return std::any_of(context.targets_.begin(), context.targets_.end(),
-                           [phase](target_row const& target)
-                           {
-                               return target.phase_ == phase;
-                           });
-    };
-    bool const runs = has_phase(target_phase::attaching);
-    return {.runs_ = runs, .ends_ = runs || has_phase(target_phase::lapsed)};
+    bool const runs =
+        std::any_of(context.targets_.begin(), context.targets_.end(),
+                    [&context](target_row const& target)
+                    {
+                        return may_run_unreported(context, target);
+                    });
+    bool const ends =
+        std::any_of(context.targets_.begin(), context.targets_.end(),
+                    [](target_row const& target)
+                    {
+                        return target.phase_ == target_phase::lapsed;
+                    });
+    return {.runs_ = runs, .ends_ = runs || ends};
 }
 
 namespace
@@ -31,7 +46,7 @@
     resources room;
     for (target_row const& target : context.targets_)
     {
-        if (target.phase_ == target_phase::attaching)
+        if (may_run_unreported(context, target))
         {
             room = room + target.capacity_;
         }
@@ -42,9 +57,17 @@
 } // namespace
 
 // Recovered tasks that no target has reported may be running on targets that
-// aren't reached yet. They count up to the capacity of those targets.
+// aren't reached yet, or that are stopping runs. They count up to the capacity
+// of those targets.
 void count_unconfirmed(planner& context)
 {
+    for (target_row const& target : context.targets_)
+    {
+        if (target.stops_until_ > context.now_)
+        {
+            wake_at(context, target.stops_until_);
+        }
+    }
     for (organisation_row& row : context.organisations_)
     {
         row.unseen_ = resources();
--- a/plan/explain_waits.cpp
+++ b/plan/explain_waits.cpp
@@ -161,7 +161,13 @@
     };
     return ", unconfirmed targets: attaching " +
            count(target_phase::attaching) + ", lapsed " +
-           count(target_phase::lapsed);
+           count(target_phase::lapsed) + ", stopping runs " +
+           std::to_string(
+               std::count_if(context.targets_.begin(), context.targets_.end(),
+                             [&context](target_row const& target)
+                             {
+                                 return target.stops_until_ > context.now_;
+                             }));
 }
 
 } // namespace
--- a/plan/target_row.hpp
+++ b/plan/target_row.hpp
@@ -24,7 +24,8 @@
     std::vector<std::string> labels_;
     resources                capacity_;
     target_phase             phase_ = target_phase::attaching;
-    resources                used_;    // without the CPU time of fillers
+    instant                  stops_until_; // see target_set
+    resources                used_;        // without the CPU time of fillers
     resources                lasting_; // the part used by long-running tasks
     resources                held_; // reserved for tasks that wait for tickets
     std::size_t              hold_ = 0;   // row of the reservation, if any
--- a/plan/target_set.hpp
+++ b/plan/target_set.hpp
@@ -3,6 +3,7 @@
 #define FESCUEVANE_PLAN_TARGET_SET_HPP
 
 #include "core/ids.hpp"
+#include "core/instant.hpp"
 #include "core/resources.hpp"
 #include "plan/target_phase.hpp"
 
@@ -20,6 +21,9 @@
     std::vector<std::string> const labels_;
     resources const                capacity_;
     target_phase const             phase_ = target_phase::attaching;
+    // Runs that a former owner is stopping may go on there until then, without
+    // being reported.
+    instant const stops_until_;
 
     friend bool operator==(target_set const&, target_set const&) = default;
 };
--- a/tests/unit/cell_jobs_test.cpp
+++ b/tests/unit/cell_jobs_test.cpp
@@ -627,6 +627,9 @@
     SUBCASE("the target doesn't run it")
     {
         answer_hold(holds.back());
+        // The former process may have ordered a stop.
+        run(settings_.stop_taken_micros_ - 50'000);
+        CHECK(take<send_start>().empty());
         run(100'000);
         REQUIRE(take<send_start>().size() == 1);
     }
--- a/tests/unit/cell_records_test.cpp
+++ b/tests/unit/cell_records_test.cpp
@@ -195,6 +195,18 @@
     CHECK(job.spec_text_ == write_spec(*job.job_));
 }
 
+// Guards against tasks that run twice after an update: a row of an earlier
+// version doesn't say whether its owner's stops are over.
+TEST_CASE("owner row without the stops, read, they may be open")
+{
+    owner_record const record{
+        .host_ = host_id("host-1"), .epoch_ = 3, .stops_over_ = true};
+    CHECK(read_owner(write_owner(record)) == record);
+    json row = json::parse(write_owner(record));
+    row.erase("stops_over");
+    CHECK_FALSE(read_owner(row.dump()).stops_over_);
+}
+
 // Guards against parts of a gang that a later owner takes for other tasks, or
 // can't read from rows of an earlier version.
 TEST_CASE("row of a job, run of a gang's part, kept, and zero in old rows")
--- a/tests/unit/cell_release_test.cpp
+++ b/tests/unit/cell_release_test.cpp
@@ -439,5 +439,32 @@
                      std::pair<std::string, std::string>("stops", "1")) == 1);
 }
 
+// Guards against tasks that run twice, and against a needless gap: the next
+// owner relies on what the row says.
+TEST_CASE_FIXTURE(stop_release_fixture,
+                  "shard is released, row says whether stops may be open")
+{
+    bool         over = false;
+    std::int64_t left = 5 * micros_per_second;
+    SUBCASE("the stop was accepted and is over")
+    {
+        answer(stops_[0].request_, target_outcome::done);
+        over = true;
+    }
+    SUBCASE("the stop was accepted and the host had to leave")
+    {
+        answer(stops_[0].request_, target_outcome::done);
+        left = settings_.release_micros_;
+    }
+    SUBCASE("the stop got no reply")
+    {
+        answer(stops_[0].request_, target_outcome::unknown);
+    }
+    post(stop_requested{now_.after(left)});
+    run_stopping(settings_.stop_taken_micros_ + 100'000);
+    REQUIRE(is_released());
+    CHECK(read_owner(rows_.at(row_).value_).stops_over_ == over);
+}
+
 } // namespace
 } // namespace fescuevane::cell
--- a/tests/unit/cell_removed_policies_test.cpp
+++ b/tests/unit/cell_removed_policies_test.cpp
@@ -92,6 +92,8 @@
     restart_without(true, false);
     take<send_start>();
     answer_holds({}, {{1, first[0].start_.run_, run_end::failed, ""}});
+    run(settings_.stop_taken_micros_); // stops of the former owner
+    CHECK(take<send_start>().size() == 1);
     std::uint64_t const call = ask(call_kind::lookup, "aa01");
     run(50'000);
     REQUIRE(find_answer(call));
--- a/tests/unit/plan_placement_test.cpp
+++ b/tests/unit/plan_placement_test.cpp
@@ -494,6 +494,64 @@
     CHECK(list<start_run>().size() == 3);
 }
 
+// A target that was reached and may be stopping runs of a former owner for 0.9
+// s from now on, and a recovered job.
+struct former_stops_fixture : plan_fixture
+{
+    static constexpr std::int64_t stop_micros = 900'000;
+
+    former_stops_fixture()
+    {
+        post(target_set{.id_ = target_id("t-1"),
+                        .service_ = service_id("desk"),
+                        .rack_ = rack_id("rack-1"),
+                        .capacity_ = {4000, 8192, 0},
+                        .phase_ = target_phase::usable,
+                        .stops_until_ = now_.after(stop_micros)});
+    }
+};
+
+// Guards against tasks that run twice: a run that a former owner is stopping is
+// listed nowhere, and its task starts again.
+TEST_CASE_FIXTURE(former_stops_fixture,
+                  "target may be stopping runs, recovered task starts when "
+                  "they are over")
+{
+    add_job("j-1", {make_step(1)}, {}, true);
+    tick();
+    CHECK(list<start_run>().empty());
+    CHECK(next_deadline(*planner_) <= now_.after(stop_micros));
+    CHECK_FALSE(find_waiting(*planner_, {job_id("j-1"), 0, 0}));
+    now_ = now_.after(stop_micros);
+    tick();
+    CHECK(list<start_run>().size() == 1);
+}
+
+// Guards against a needless gap in the work of callers.
+TEST_CASE_FIXTURE(former_stops_fixture,
+                  "target may be stopping runs, new task starts at once")
+{
+    add_job("j-1", {make_step(1)});
+    tick();
+    CHECK(list<start_run>().size() == 1);
+}
+
+// Guards against an organisation above its limit after a change of owner: runs
+// that are being stopped were not counted.
+TEST_CASE_FIXTURE(former_stops_fixture,
+                  "target may be stopping runs, limit counts them")
+{
+    post(organisations_set{{{organisation_id("cafe"), 1, {4000, 0, 0}}}});
+    set_target("t-2");
+    add_job("j-1", {make_step(3)}, {}, true);
+    add_job("j-2", {make_step(4)});
+    tick();
+    CHECK(list<start_run>().size() == 1);
+    now_ = now_.after(stop_micros);
+    tick();
+    CHECK(list<start_run>().size() == 3);
+}
+
 // Guards against fillers that keep a task on the same target above its latency
 // bound.
 TEST_CASE_FIXTURE(plan_fixture, "filler beside a slow serving task, paced down")
