--- a/cell/send_orders.cpp
+++ b/cell/send_orders.cpp
@@ -160,6 +160,12 @@
 
 void send_stops(node& context, target_id const& id, session_row& session)
 {
+    // A releasing owner waits until its stops are over, so it orders no more.
+    owned_row const& own = *context.owned_.find(session.shard_);
+    if (own.releasing_ || may_be_released(own))
+    {
+        return;
+    }
     for (auto& [key, run] : session.runs_)
     {
         if (!run.stop_wanted_ || run.stop_open_ ||
@@ -172,13 +178,14 @@
             wake_at(context, run.stop_after_);
             continue;
         }
+        run.stop_sent_ = true;
         run.stop_open_ = true;
         context.outbox_.push_back(send_stop{
             .request_ =
                 register_order(context, session, {order_kind::stop, id, key}),
             .address_ = session.info_->address_,
             .stop_ = {to_original(context, key), id},
-            .fence_ = context.owned_.find(session.shard_)->epoch_,
+            .fence_ = own.epoch_,
             .deadline_ = context.now_.after(context.settings_.order_micros_)});
     }
 }
