Bound a former owner's leases by the age of the target's incarnation

A new owner reached a target once and lost it; the task started elsewhere after 4.4 s, while the target could run it for 10 s. Cause: a new owner counted only its own renewals. A target that restarts under its id may receive a renewal for its earlier incarnation, whose deadline is far beyond the new clock, and shortens it to the longest lease. The former owner accounts for that, its successor didn't. Before its first renewal the successor counted no lease at all. Evidence: the new test failed before with "CHECK_FALSE( run_until_start(longest_lease_micros) ) is NOT correct"; the task started 4.40 s after the only reply of the target. Change: the first reply of an incarnation to an owner with predecessors bounds their leases. The target has accepted the higher epoch, so it rejects renewals of theirs that arrive later. Those that arrived end no later than the clock plus the usual lease, or, if they were sent to an earlier incarnation, than their latest arrival plus the longest lease. An incarnation older than that arrival by the difference of these leases has the usual bound. Result: with a young incarnation the task starts 10.53 s after the reply, with an old one after 4.40 s as before. cell_tests pass.

--- a/cell/lease_clock.cpp
+++ b/cell/lease_clock.cpp
@@ -19,6 +19,16 @@
            values.clock_slack_ms_ * micros_per_milli;
 }
 
+// Latest time on the clock of an incarnation at which it may receive a renewal
+// or a start for an earlier one. Its sender learns of the restart when the hold
+// request that was open then is answered or fails.
+std::int64_t latest_arrival_ms(settings const& values)
+{
+    return values.hold_wait_ms_ +
+           (values.hold_slack_micros_ + values.late_order_micros_) /
+               micros_per_milli;
+}
+
 double elapsed_ms(instant since, instant now)
 {
     return static_cast<double>(since.remaining_until(now)) / micros_per_milli;
@@ -33,6 +43,18 @@
            static_cast<std::int64_t>(elapsed_ms(session.clock_at_, now));
 }
 
+// Latest end, on the target's clock, of the leases that former owners granted
+// on an incarnation that shows the present epoch at `clock_ms`. It shortens a
+// renewal for an earlier incarnation to the longest lease, which is more than
+// owners grant.
+std::int64_t find_former_lease_end(settings const& values,
+                                   std::int64_t    clock_ms)
+{
+    return std::max(clock_ms + values.lease_ms_,
+                    std::min(clock_ms, latest_arrival_ms(values)) +
+                        values.max_lease_ms_);
+}
+
 namespace
 {
 
--- a/cell/read_reports.cpp
+++ b/cell/read_reports.cpp
@@ -193,6 +193,20 @@
                  context.now_.after(context.settings_.fence_notice_micros_));
 }
 
+// The target has accepted this owner's epoch, so it rejects later renewals of
+// former owners.
+void bound_former_leases(node const& context, session_row& session,
+                         std::int64_t clock_ms)
+{
+    constexpr epoch first_epoch = 1; // has no former owner
+    if (context.owned_.find(session.shard_)->epoch_ > first_epoch)
+    {
+        session.granted_ms_ =
+            std::max(session.granted_ms_,
+                     find_former_lease_end(context.settings_, clock_ms));
+    }
+}
+
 // Runs that a former owner started may outlast its renewals on a target whose
 // incarnation has just begun, so its clock tells more than the time of contact.
 void log_first_reply(node& context, session_row const& session,
@@ -299,6 +313,10 @@
         replace_incarnation(context, input.target_);
     }
     bool const first = session->phase_ != session_phase::attached;
+    if (session->clock_ms_ == 0)
+    {
+        bound_former_leases(context, *session, input.clock_ms_);
+    }
     session->born_unix_ms_ = input.born_unix_ms_;
     session->clock_ms_ = input.clock_ms_;
     session->clock_at_ = context.now_;
--- a/cell/sessions.hpp
+++ b/cell/sessions.hpp
@@ -41,6 +41,8 @@
 
 // Clocks and leases
 std::int64_t target_clock(session_row const& session, instant now);
+std::int64_t find_former_lease_end(settings const& values,
+                                   std::int64_t    clock_ms);
 instant      find_lapse(node const& context, session_row const& session);
 run_outlook  find_outlook(node const& context, session_row const& session);
 bool         is_answering(session_row const& session);
