Expect late orders for 12 s

Cause: an order without a reply was expected for 10 s after its deadline, while the platform's faults delay calls by 2 to 12 s. Evidence: with a target that comes back 11.5 s after the lost start, the new test failed before with "CHECK( starts_.empty() ) is NOT correct" and "CHECK( stops_run() ) is NOT correct": the task started elsewhere at once and the next incarnation wasn't told to reject the late start. Change: late_order_micros_ is 12 s. It also bounds late renewals. Result: the test passes, cell_tests pass. Waits that end with this bound, those for starts whose stop isn't answered, take 2 s longer, and a late renewal that got no answer counts for up to 2 s longer.

--- a/cell/settings.hpp
+++ b/cell/settings.hpp
@@ -89,9 +89,9 @@
     std::int64_t order_micros_ = 500'000;         // deadline of an order
     // According to the platform's sites a stop takes at most this long.
     std::int64_t stop_taken_micros_ = 900'000;
-    // Orders without a reply may be executed seconds later: targets pause for
-    // up to 9 s in soak tests.
-    std::int64_t late_order_micros_ = 10'000'000;
+    // Orders without a reply may be executed up to 12 s later, according to the
+    // platform's faults.
+    std::int64_t late_order_micros_ = 12'000'000;
     std::int64_t unresponsive_micros_ = 2'300'000; // of targets
     // Unlisted targets may still run work: a target that is cut off from the
     // store is removed from the list after three missed heartbeats.
--- a/tests/unit/cell_lives_test.cpp
+++ b/tests/unit/cell_lives_test.cpp
@@ -193,6 +193,25 @@
     CHECK(starts_.size() == 1);
 }
 
+// Guards against a second run of a task whose start was carried out by the next
+// incarnation of its target 12 s after it was sent: the task started elsewhere
+// when that incarnation replied.
+TEST_CASE_FIXTURE(incarnations_fixture,
+                  "start without an answer, target restarted after 11.5 s, "
+                  "stopped first")
+{
+    constexpr std::int64_t down_micros = 11'500'000;
+    lose(first_);
+    reached_ = false;
+    run_targets(down_micros);
+    REQUIRE(starts_.empty());
+    takes_stops_ = false;
+    restart();
+    run_targets(300'000);
+    CHECK(starts_.empty());
+    CHECK(stops_run());
+}
+
 // Guards against work that waits although no order for it can reach the next
 // incarnation.
 TEST_CASE_FIXTURE(incarnations_fixture,
