Check in the histories of partitions that noted ends count and that work ends

Cause: the histories looked for two runs at once only; a wait that never ends, or a start after an end that was taken note of, would not show. Change: the judge of runs checks starts after noted ends and after the last allowed failure, and each accepted job has to be done, or to run if it is to last, 24 s after the faults. Targets report progress, and may hang.

--- a/tests/unit/cell_partition_fixture.hpp
+++ b/tests/unit/cell_partition_fixture.hpp
@@ -17,6 +17,7 @@
 #include "cell/records.hpp"
 #include "cell_fixture.hpp"
 #include "partition_target.hpp"
+#include "run_judge.hpp"
 
 #include <functional>
 #include <map>
@@ -59,6 +60,15 @@
         instant          exits_at_ = instant::never();
     };
 
+    static constexpr std::size_t attempts = 3; // of the configuration
+
+    struct submitted_job
+    {
+        std::string   host_;
+        std::uint64_t call_ = 0;
+        step_spec     step_;
+    };
+
     struct run_place
     {
         run_key     run_;
@@ -100,9 +110,10 @@
 
     // Ground truth
     std::map<task, std::vector<run_place>> active_;
-    std::set<task>                         noted_done_;
+    run_judge                              judge_;       // ends that were noted
+    double                                 failing_ = 0; // share of runs
     std::map<job_id, std::int64_t>         work_ms_;
-    std::set<job_id>                       jobs_;
+    std::map<job_id, submitted_job>        jobs_;
     std::vector<std::string>               violations_;
     std::size_t                            starts_ = 0;
 
@@ -152,9 +163,20 @@
         target.state_.rate_ = chance(0.5) ? 1.0 : 0.98;
         target.state_.offset_ms_ = draw(0, 500'000);
         target.state_.born_unix_ms_ = unix_ms_;
-        target.state_.ended_ = [this](run_key const& run, run_end)
+        target.state_.ended_ =
+            [this, id = target_id(name)](reported_end const& end)
+        {
+            forget_run(end.run_);
+            judge_.note_end(end.run_, id, end.end_, end.number_, unix_ms_);
+        };
+        target.state_.forgotten_ =
+            [this, id = target_id(name)](std::uint64_t number)
+        {
+            judge_.note_forgotten(id, number);
+        };
+        target.state_.lost_ = [this, id = target_id(name)]
         {
-            forget_run(run);
+            judge_.note_lapse(id);
         };
         target.listed_revision_ = ++list_revision_;
         target.reached_store_at_ = now_;
@@ -541,6 +563,7 @@
                 std::to_string(other.since_.micros() / 1000));
         }
         places.push_back({run, start.start_.target_, starter, now_});
+        judge_.note_start(run, start.start_.target_, unix_ms_);
     }
 
     std::string describe() const
@@ -622,7 +645,8 @@
                 bool              began = false;
                 order_reply const reply = target.state_.take_start(
                     start, target.state_.clock_ms(now_),
-                    work_ms_.at(start.start_.run_.stage_.job_), began);
+                    work_ms_.at(start.start_.run_.stage_.job_),
+                    chance(failing_), began);
                 if (began)
                 {
                     note_start(name, start);
@@ -871,15 +895,15 @@
     void submit(std::string const& host, std::string const& id,
                 step_spec const& step, std::int64_t work_ms)
     {
-        work_ms_[job_id(id)] = work_ms;
-        jobs_.insert(job_id(id));
         if (!hosts_.at(host).node_)
         {
             return;
         }
+        work_ms_[job_id(id)] = work_ms;
+        jobs_.emplace(job_id(id), submitted_job{host, ++last_call_, step});
         post_event(
             *hosts_.at(host).node_,
-            call_opened{.call_ = ++last_call_,
+            call_opened{.call_ = last_call_,
                         .kind_ = call_kind::submit,
                         .id_ = job_id(id),
                         .job_ = std::make_shared<staged_job const>(
@@ -892,6 +916,55 @@
                                        .accepted_unix_ms_ = unix_ms_}),
                         .deadline_ = now_.after(3 * micros_per_second)});
     }
+
+    bool is_accepted(submitted_job const& job) const
+    {
+        auto const& answers = hosts_.at(job.host_).answers_;
+        auto const  answer = answers.find(job.call_);
+        return answer != answers.end() &&
+               answer->second.outcome_ == job_outcome::accepted;
+    }
+
+    bool is_running(task const& place) const
+    {
+        auto const found = active_.find(place);
+        return found != active_.end() && !found->second.empty();
+    }
+
+    // One end of a gang stands for all of its tasks.
+    bool is_over(job_id const& id, step_spec const& step,
+                 std::uint32_t index) const
+    {
+        bool over = judge_.has_failed(id, step.gang_, attempts) ||
+                    judge_.is_done({{id, 0, 0}, index});
+        for (std::uint32_t other = 0; step.gang_ && other < step.count_;
+             ++other)
+        {
+            over = over || judge_.is_done({{id, 0, 0}, other});
+        }
+        return over;
+    }
+
+    // An accepted job with a task that isn't over, or, if it is to last, isn't
+    // running; empty when there is none.
+    std::string find_unfinished() const
+    {
+        for (auto const& [id, job] : jobs_)
+        {
+            for (std::uint32_t index = 0;
+                 is_accepted(job) && index < job.step_.count_; ++index)
+            {
+                bool const fine = job.step_.perpetual_
+                                      ? is_running({{id, 0, 0}, index})
+                                      : is_over(id, job.step_, index);
+                if (!fine)
+                {
+                    return id.str() + " index " + std::to_string(index);
+                }
+            }
+        }
+        return {};
+    }
 };
 
 } // namespace fescuevane::cell
--- a/tests/unit/cell_partition_histories_test.cpp
+++ b/tests/unit/cell_partition_histories_test.cpp
@@ -87,7 +87,7 @@
                     .estimate_ms_ = 640},
                    draw(300, 1500));
         }
-        else if (kind < 8)
+        else if (kind < 9)
         {
             submit(draw_host(), id,
                    {.count_ = count,
@@ -98,8 +98,9 @@
         }
         else
         {
+            // Few, so that all work has room in the end.
             submit(draw_host(), id,
-                   {.count_ = count,
+                   {.count_ = (count + 1) / 2,
                     .demand_ = {3100, 8800, 0},
                     .estimate_ms_ = 320,
                     .perpetual_ = true},
@@ -129,6 +130,17 @@
         draw_target().state_.late_until_ = now_.after(draw(1000, 5000) * ms);
     }
 
+    void hang_target()
+    {
+        target_id const id = draw_target().state_.info_->id_;
+        targets_.at(id).state_.hangs_ = true;
+        at(draw(2000, 8000) * ms,
+           [this, id]
+           {
+               targets_.at(id).state_.hangs_ = false;
+           });
+    }
+
     void freeze_target()
     {
         draw_target().state_.frozen_until_ = now_.after(draw(500, 6000) * ms);
@@ -250,12 +262,13 @@
 
 using fault = void (partition_history::*)();
 
-constexpr std::array<fault, 9> faults = {
+constexpr std::array<fault, 10> faults = {
     &partition_history::kill_host,
     &partition_history::pause_host,
     &partition_history::terminate_host,
     &partition_history::restart_target,
     &partition_history::delay_orders,
+    &partition_history::hang_target,
     &partition_history::freeze_target,
     &partition_history::lose_store_replies,
     &partition_history::delay_store_writes,
@@ -303,6 +316,9 @@
            });
     }
     run(36 * second);
+    // All faults are over; ends of targets that are silent are awaited for up
+    // to 8 s after their leases have lapsed.
+    run(24 * second);
 }
 
 // Guards against tasks that a new owner starts while a run that an earlier
@@ -320,6 +336,9 @@
             history.play();
             RC_LOG() << "seed of the history " << seed;
             RC_ASSERT(history.violations_ == std::vector<std::string>());
+            RC_ASSERT(history.judge_.find_excess_start(
+                          partition_history::attempts) == std::string());
+            RC_ASSERT(history.find_unfinished() == std::string());
         }));
 }
 
--- a/tests/unit/partition_target.hpp
+++ b/tests/unit/partition_target.hpp
@@ -30,9 +30,11 @@
 
     struct active_run
     {
-        std::string  starter_; // host and epoch
+        std::int64_t began_ms_ = 0;
         std::int64_t ends_ms_ = 0;
-        std::int64_t stops_ms_ = 0; // 0: not told to stop
+        bool         hangs_ = false; // makes no progress
+        std::int64_t stops_ms_ = 0;  // 0: not told to stop
+        bool         fails_ = false;
     };
 
     static constexpr std::int64_t stop_ms = 300;
@@ -44,6 +46,7 @@
     std::int64_t                         born_unix_ms_ = 0;
     bool                                 up_ = true;
     instant                              frozen_until_;
+    bool    hangs_ = false;         // so do the runs that begin
     bool    lists_stopping_ = true; // runs that are being stopped, as running
     instant late_until_;            // performs orders late, without an answer
 
@@ -55,8 +58,11 @@
     std::map<std::pair<stage_key, std::uint32_t>, std::uint32_t>
                            closed_; // highest run stopped or ended, by task
     std::vector<open_hold> holds_;
-    // Called with each run that begins or ends.
-    std::function<void(run_key const&, run_end)> ended_ = [](auto&&...) {};
+    bool                   lapsed_ = false; // the lease, since it was extended
+    // Told of each end, of ends that may be forgotten and of lapsed leases.
+    std::function<void(reported_end const&)> ended_ = [](auto&&...) {};
+    std::function<void(std::uint64_t)>       forgotten_ = [](auto&&...) {};
+    std::function<void()>                    lost_ = [] {};
 
     std::int64_t clock_ms(instant now) const
     {
@@ -76,6 +82,7 @@
     {
         lease_ms_ =
             std::max(lease_ms_, std::min(until_ms, clock_ms + max_lease_ms));
+        lapsed_ = lapsed_ && lease_ms_ < clock_ms;
     }
 
     void end(run_key const& run, run_end how)
@@ -84,7 +91,24 @@
         std::uint32_t& closed = closed_[{run.stage_, run.index_}];
         closed = std::max(closed, run.run_);
         ends_.push_back({++last_end_, run, how, ""});
-        ended_(run, how);
+        ended_(ends_.back());
+    }
+
+    // Lasting runs are at work after a short startup.
+    static std::int32_t find_percent(active_run const& run,
+                                     std::int64_t      clock_ms)
+    {
+        constexpr std::int64_t startup_ms = 320;
+        constexpr std::int64_t lasting_ms = 100'000'000;
+        constexpr std::int64_t percent = 100;
+        std::int64_t const     whole = run.ends_ms_ - run.began_ms_;
+        if (run.hangs_)
+        {
+            return 0;
+        }
+        return static_cast<std::int32_t>(
+            std::min(percent, percent * (clock_ms - run.began_ms_) /
+                                  (whole > lasting_ms ? startup_ms : whole)));
     }
 
     hold_reply make_reply(hold_target const& hold, target_outcome outcome,
@@ -95,7 +119,7 @@
         {
             if (state.stops_ms_ == 0 || lists_stopping_)
             {
-                runs.push_back({run, "", 1, 0});
+                runs.push_back({run, "", find_percent(state, clock_ms), 0});
             }
         }
         return {.request_ = hold.request_,
@@ -116,6 +140,7 @@
             return;
         }
         extend_lease(hold.lease_clock_ms_, clock_ms);
+        forgotten_(hold.forgotten_);
         std::erase_if(ends_,
                       [&hold](reported_end const& end)
                       {
@@ -125,7 +150,7 @@
     }
 
     order_reply take_start(send_start const& start, std::int64_t clock_ms,
-                           std::int64_t work_ms, bool& began)
+                           std::int64_t work_ms, bool fails, bool& began)
     {
         run_key const& run = start.start_.run_;
         began = false;
@@ -153,7 +178,11 @@
                     .outcome_ = target_outcome::refused,
                     .reason_ = plan::refusal::outdated};
         }
-        running_[run] = {.ends_ms_ = clock_ms + work_ms};
+        constexpr std::int64_t never_ms = 1'000'000'000'000;
+        running_[run] = {.began_ms_ = clock_ms,
+                         .ends_ms_ = clock_ms + (hangs_ ? never_ms : work_ms),
+                         .hangs_ = hangs_,
+                         .fails_ = fails};
         began = true;
         return {.request_ = start.request_, .outcome_ = target_outcome::done};
     }
@@ -179,6 +208,10 @@
     // Ends what is due and answers hold calls.
     void advance(std::int64_t clock_ms)
     {
+        if (clock_ms > lease_ms_ && !std::exchange(lapsed_, true))
+        {
+            lost_();
+        }
         std::map<run_key, active_run> const before = running_;
         for (auto const& [run, state] : before)
         {
@@ -192,7 +225,7 @@
             }
             else if (state.ends_ms_ <= clock_ms)
             {
-                end(run, run_end::done);
+                end(run, state.fails_ ? run_end::failed : run_end::done);
             }
         }
         std::vector<open_hold> open;
@@ -215,8 +248,9 @@
         std::map<run_key, active_run> const before = running_;
         for (auto const& [run, state] : before)
         {
-            ended_(run, run_end::lost);
+            ended_({.run_ = run, .end_ = run_end::lost});
         }
+        lost_();
         running_.clear();
         ends_.clear();
         closed_.clear();
--- a/tests/unit/run_judge.hpp
+++ b/tests/unit/run_judge.hpp
@@ -116,6 +116,20 @@
         return {};
     }
 
+    // True when a run of the task has ended as done, whether the end was stored
+    // or not.
+    bool is_done(task const& place) const
+    {
+        auto const list = tasks_.find(place);
+        return list != tasks_.end() &&
+               std::any_of(list->second.begin(), list->second.end(),
+                           [](run_observation const& entry)
+                           {
+                               return !entry.began_ &&
+                                      entry.end_ == run_end::done;
+                           });
+    }
+
     // True when some task of the job has failed `attempts` times, whether the
     // ends were stored or not. A failed run of a gang counts for the whole
     // gang.
