Renew leases only with a proof that the shard has no other owner

Cause: a new owner took one target that had accepted its epoch as a proof that the former owner learns of the epoch within 2.2 s. A former owner that is cut off from the store, from other hosts and from that target renews leases on the targets that it alone reaches without bound. Evidence: on the code before, "owner cut off with one target, task runs once" had five runs of four tasks at its end. Change: an owner renews leases and sends starts only with a proof that is at most 2.2 s old: a reply of the member feed or a write on condition of its row, or replies of more than half of the shard's targets. The age of a proof counts from the sending of the request, so a reply that waited for a paused process proves nothing. Without the store, hold calls wait 0.6 s, so that targets prove it in time. A new owner counts former leases 2.2 s after half of the targets have accepted its epoch, or 10 s after a contact with fewer. Two sets of more than half and of half of the targets share one. Leases of former owners are bounded by the incarnation's age only where a former owner may have granted any. "owner paused, target reached by it alone" passed before, too.

--- a/cell/event.hpp
+++ b/cell/event.hpp
@@ -11,6 +11,7 @@
 #include "cell/hold_reply.hpp"
 #include "cell/list_complete.hpp"
 #include "cell/member_row_changed.hpp"
+#include "cell/members_confirmed.hpp"
 #include "cell/order_reply.hpp"
 #include "cell/peer_called.hpp"
 #include "cell/peer_replied.hpp"
@@ -27,9 +28,9 @@
 using event =
     std::variant<advice_reply, call_closed, call_opened, config_changed,
                  domain_withdrawn, heartbeat_received, hold_reply,
-                 list_complete, member_row_changed, order_reply, peer_called,
-                 peer_replied, stop_requested, store_reply, target_listed,
-                 target_unlisted>;
+                 list_complete, member_row_changed, members_confirmed,
+                 order_reply, peer_called, peer_replied, stop_requested,
+                 store_reply, target_listed, target_unlisted>;
 
 } // namespace fescuevane::cell
 
--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -13,22 +13,32 @@
 namespace
 {
 
+// Renewals and starts need an ownership that can't have been passed on.
+bool may_order(node const& context, session_row const& session)
+{
+    owned_row const& own = *context.owned_.find(session.shard_);
+    return !may_be_released(own) && has_proof(context, session.shard_, own);
+}
+
 void send_hold(node& context, target_id const& id, session_row& session)
 {
     settings const& values = context.settings_;
     std::int64_t    lease = 0;
     // An unresponsive target is only queried, without a lease or a wait: a
     // renewal that it receives late would delay the end of what runs there.
-    bool const answers = is_answering(session);
-    if (session.clock_ms_ != 0 && answers &&
-        !may_be_released(*context.owned_.find(session.shard_)))
+    bool const       answers = is_answering(session);
+    owned_row const& own = *context.owned_.find(session.shard_);
+    if (session.clock_ms_ != 0 && answers && may_order(context, session))
     {
         lease = target_clock(session, context.now_) + values.lease_ms_;
         session.granted_ms_ = std::max(session.granted_ms_, lease);
     }
     bool const waits_for_end =
         answers && session.unstored_.empty() && !awaits_late_starts(session);
-    std::int64_t const wait_ms = waits_for_end ? values.hold_wait_ms_ : 0;
+    std::int64_t const wait_ms = !waits_for_end ? 0
+                                 : has_proof_of_store(context, own)
+                                     ? values.hold_wait_ms_
+                                     : values.hold_proof_wait_ms_;
     session.hold_ = next_request(context);
     session.hold_sent_ = context.now_;
     session.hold_lease_ms_ = lease;
@@ -387,14 +397,13 @@
             continue;
         }
         send_stops(context, id, *session);
-        if (!session->repeats_.empty())
+        if (!session->repeats_.empty() && may_order(context, *session))
         {
             resend_starts(context, *session);
         }
         while (session->phase_ == session_phase::attached &&
                session->open_orders_ < context.settings_.orders_open_ &&
-               !session->orders_.empty() &&
-               !may_be_released(*context.owned_.find(session->shard_)))
+               !session->orders_.empty() && may_order(context, *session))
         {
             plan::command const order = std::move(session->orders_.front());
             session->orders_.pop_front();
--- a/cell/list_targets.cpp
+++ b/cell/list_targets.cpp
@@ -93,17 +93,6 @@
 
 } // namespace
 
-// The predecessor may have owned the shard too briefly for the owner before it
-// to learn of that, and to stop renewing leases.
-void note_predecessor_stopped(node const& context, owned_row& own)
-{
-    instant const since =
-        own.predecessor_exclusive_
-            ? context.now_
-            : context.now_.after(context.settings_.fence_notice_micros_);
-    own.exclusive_since_ = std::min(own.exclusive_since_, since);
-}
-
 namespace
 {
 
@@ -123,6 +112,7 @@
     fresh.shard_ = session.shard_;
     fresh.open_ = true;
     fresh.granted_before_ = may_be_granted(own, id);
+    fresh.former_leases_ = fresh.granted_before_;
     if (own.predecessor_stops_over_ || !fresh.granted_before_)
     {
         fresh.stops_until_ = instant();
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -107,6 +107,7 @@
     // Store
     bool          store_ok_ = true;
     instant       store_replied_at_; // latest reply
+    instant       members_asked_at_; // see members_confirmed
     instant       store_lost_at_;    // when `store_ok_` became false
     std::int64_t  store_micros_ = 0; // current timeout of a call
     std::uint64_t next_change_ = 1;  // sequence of journal changes
@@ -176,6 +177,7 @@
 void apply(node& context, hold_reply const& input);
 void apply(node& context, list_complete const& input);
 void apply(node& context, member_row_changed const& input);
+void apply(node& context, members_confirmed const& input);
 void apply(node& context, order_reply const& input);
 void apply(node& context, peer_called const& input);
 void apply(node& context, peer_replied const& input);
--- a/cell/read_reports.cpp
+++ b/cell/read_reports.cpp
@@ -183,23 +183,12 @@
 namespace
 {
 
-// A target has accepted this owner's epoch, so a former owner learns of it with
-// its next call.
-void record_fence_contact(node& context, shard_id const& shard)
-{
-    owned_row& own = *context.owned_.find(shard);
-    own.exclusive_since_ =
-        std::min(own.exclusive_since_,
-                 context.now_.after(context.settings_.fence_notice_micros_));
-}
-
 // The target has accepted this owner's epoch, so it rejects later renewals of
 // former owners.
 void bound_former_leases(node const& context, session_row& session,
                          std::int64_t clock_ms)
 {
-    constexpr epoch first_epoch = 1; // has no former owner
-    if (context.owned_.find(session.shard_)->epoch_ > first_epoch)
+    if (session.former_leases_)
     {
         session.granted_ms_ =
             std::max(session.granted_ms_,
@@ -321,6 +310,7 @@
     session->clock_ms_ = input.clock_ms_;
     session->clock_at_ = context.now_;
     session->contact_at_ = context.now_;
+    session->proven_at_ = session->hold_sent_;
     stop_late_starts(context, *session, input.target_);
     if (first)
     {
@@ -338,7 +328,8 @@
         {
             note_grants_changed(context, session->shard_, true);
         }
-        record_fence_contact(context, session->shard_);
+        note_fence_contact(context, session->shard_,
+                           *context.owned_.find(session->shard_));
     }
     apply_report(context, *session, input.target_, input);
     bool const stored =
--- a/cell/record_grants.cpp
+++ b/cell/record_grants.cpp
@@ -287,6 +287,7 @@
     }
     grant_ledger& ledger = own->grants_;
     ledger.request_ = 0;
+    note_store_proof(*own, reply, request);
     if (reply.outcome_ == store_outcome::done)
     {
         ledger.revision_ = reply.revision_;
--- a/cell/session_row.hpp
+++ b/cell/session_row.hpp
@@ -34,6 +34,7 @@
     // Contact; only while the shard is owned
     bool open_ = false;
     bool granted_before_ = true; // a former owner may have started work there
+    bool former_leases_ = true;  // the same, kept across incarnations
     // Stops that former owners ordered may take until then. Never: unknown, as
     // the target hasn't shown yet that it rejects their orders.
     instant       stops_until_ = instant::never();
@@ -43,6 +44,7 @@
     instant       clock_at_;
     std::int64_t  granted_ms_ = 0; // latest end of a lease, target's clock
     instant       contact_at_;     // latest reply
+    instant       proven_at_;      // sent: latest hold that was answered
     std::uint64_t hold_ = 0;       // request in flight, 0: none
     instant       hold_sent_;
     instant       hold_at_;            // next hold request
--- a/cell/sessions.hpp
+++ b/cell/sessions.hpp
@@ -18,10 +18,19 @@
                        std::string const& why);
 void reset_incarnation(session_row& session);
 void discard_orders(node& context, target_id const& id);
-void note_predecessor_stopped(node const& context, owned_row& own);
 void end_incarnation(node& context, target_id const& id,
                      std::string const& why);
 
+// Proof of the present owner, end of former owners
+bool has_proof(node const& context, shard_id const& shard,
+               owned_row const& own);
+bool has_proof_of_store(node const& context, owned_row const& own);
+void note_store_proof(owned_row& own, store_reply const& reply,
+                      request_row const& request);
+void note_predecessor_stopped(node const& context, owned_row& own);
+void note_fence_contact(node const& context, shard_id const& shard,
+                        owned_row& own);
+
 // Starts that may still arrive
 void record_late_start(node const& context, session_row& session,
                        run_key const& run, send_start const& start);
--- a/cell/settings.hpp
+++ b/cell/settings.hpp
@@ -100,10 +100,17 @@
     // lapsed: network partitions between a target and its owner last several
     // seconds.
     std::int64_t unreported_wait_micros_ = 8'000'000;
-    // Time in which a former owner calls a reached target again and so learns
-    // of the fence: the longest wait of a hold call and the slack for its
-    // reply.
-    std::int64_t  fence_notice_micros_ = 2'200'000;
+    // Age up to which a reply of the store or of targets proves that a shard
+    // has no other owner: the longest wait of a feed or a hold call and the
+    // slack for its reply.
+    std::int64_t fence_notice_micros_ = 2'200'000;
+    // Wait of a hold call while only targets prove it, so that a proof is
+    // renewed in time.
+    std::int64_t hold_proof_wait_ms_ = 600;
+    // Former owners that most targets haven't shown the epoch count as ended
+    // after this time: partitions between a target and its owner last several
+    // seconds.
+    std::int64_t  unproven_owner_micros_ = 10'000'000;
     std::uint32_t orders_open_ = 4; // open ones to one target
     double        clock_drift_ = 0.02;
     std::int64_t  clock_slack_ms_ = 300;
--- a/cell/write_journal.cpp
+++ b/cell/write_journal.cpp
@@ -12,6 +12,7 @@
 #include "cell/node.hpp"
 #include "cell/record_error.hpp"
 #include "cell/records.hpp"
+#include "cell/sessions.hpp"
 
 #include <algorithm>
 
@@ -590,6 +591,7 @@
     }
     part.request_ = 0;
     part.flush_at_ = context.now_;
+    note_store_proof(*own, reply, request);
     switch (reply.outcome_)
     {
     case store_outcome::done:
--- a/tests/unit/cell_cluster_fixture.hpp
+++ b/tests/unit/cell_cluster_fixture.hpp
@@ -285,6 +285,7 @@
     void tick(std::string const& address, member& host)
     {
         std::vector<command> orders;
+        post_event(*host.node_, members_confirmed{now_});
         run_tick(*host.node_, now_, unix_ms_, orders);
         if (!std::exchange(host.needed_targets_, needs_targets(*host.node_)) &&
             host.needed_targets_)
--- a/tests/unit/cell_fixture.hpp
+++ b/tests/unit/cell_fixture.hpp
@@ -108,6 +108,10 @@
     void tick()
     {
         std::vector<command> orders;
+        if (!store_down_ && !store_unresponsive_)
+        {
+            post(members_confirmed{now_});
+        }
         run_tick(*node_, now_, unix_ms_, orders, observer_);
         if (!std::exchange(needed_targets_, needs_targets(*node_)) &&
             needed_targets_ && lists_targets_)
--- a/tests/unit/cell_partition_fixture.hpp
+++ b/tests/unit/cell_partition_fixture.hpp
@@ -434,6 +434,7 @@
             host.feed_at_ = now_.after(retry_micros);
             return;
         }
+        instant const asked_at = host.feed_at_;
         host.feed_at_ = now_.after(draw(1'000, lag_micros));
         bool const first = !std::exchange(host.feeds_, true);
         for (auto const* const table : {&rows_, &removed_})
@@ -447,6 +448,7 @@
             }
         }
         host.rows_seen_ = revision_;
+        post_event(*host.node_, members_confirmed{asked_at});
         bool const needed =
             std::exchange(host.needed_targets_, needs_targets(*host.node_));
         bool const wanted = host.needed_targets_ && !needed;
