Let the soak's targets report progress below 100 until a run is done

Cause: the stand-in reported 100 percent for each run at once. A run on a target that was stuck later stood still with 100 as its highest progress; the planner watches only runs below 100, so nobody stopped it. Change: the progress of a run that ends by itself follows its work.

--- a/tests/soak/target_world.cpp
+++ b/tests/soak/target_world.cpp
@@ -389,6 +389,28 @@
 
 // 5. Reports
 
+namespace
+{
+
+// Lasting runs are at work all the time; others reach 100 at their end.
+std::int64_t find_percent(running_row const& run, instant now)
+{
+    constexpr std::int64_t all = 100;
+    if (run.alone_at_ != instant::never() || run.stuck_)
+    {
+        return 0;
+    }
+    std::int64_t const work_micros = run.step_.work_ms_ * micros_per_milli;
+    if (run.done_at_ == instant::never() || work_micros <= 0)
+    {
+        return all;
+    }
+    std::int64_t const left = now.remaining_until(run.done_at_);
+    return std::clamp<std::int64_t>(all - all * left / work_micros, 0, all - 1);
+}
+
+} // namespace
+
 std::optional<reply> take_hold(target_world& world, std::size_t target,
                                json const& order, instant now, bool wait)
 {
@@ -420,11 +442,8 @@
         {
             continue;
         }
-        constexpr int all = 100;
-        running.push_back(
-            {task, run.run_, "",
-             run.alone_at_ == instant::never() && !run.stuck_ ? all : 0,
-             run.step_.demand_.cpu_millis()});
+        running.push_back({task, run.run_, "", find_percent(run, now),
+                           run.step_.demand_.cpu_millis()});
     }
     json terminated = json::array();
     for (ended_row const& end : row.ended_)
--- a/tests/unit/soak_targets_test.cpp
+++ b/tests/unit/soak_targets_test.cpp
@@ -154,6 +154,16 @@
     CHECK(hold(0, at(3500)).at("terminated").at(0).at(3) == "done");
 }
 
+// Guards against runs that stand still after they seemed to be done, which no
+// owner can tell from runs that are about to end.
+TEST_CASE_FIXTURE(target_world_fixture,
+                  "run, half of its work done, reports half of its progress")
+{
+    start_run(world_, 0, make_start(short_, 0, 1), at(0));
+    json const running = hold(0, at(short_.work_ms_ / 2)).at("running");
+    CHECK(running.at(0).at(3) == 50);
+}
+
 // Guards against a drain that hosts don't hear of.
 TEST_CASE_FIXTURE(target_world_fixture,
                   "entry, of a target that drains, says it")
