--- a/cell/lease_clock.cpp
+++ b/cell/lease_clock.cpp
@@ -60,8 +60,8 @@
 
 // When the last lease that a former owner granted on a target that wasn't
 // reached has lapsed. A former owner that is cut off keeps renewing leases
-// until a target of the shard shows it the higher epoch; so while no target can
-// be reached there is no such time.
+// while it reaches most targets of the shard; so while no target can be reached
+// there is no such time.
 instant find_unconfirmed_lapse(node const& context, session_row const& session)
 {
     instant const since = context.owned_.find(session.shard_)->exclusive_since_;
--- a/cell/prove_ownership.cpp
+++ b/cell/prove_ownership.cpp
@@ -3,7 +3,7 @@
 //
 // An owner renews leases and sends starts only with a proof that is younger
 // than `fence_notice_micros_`: a reply of the store that would have shown a
-// higher epoch, or replies of more than half of the targets with leases. A new
+// higher epoch, or replies of more than half of the shard's targets. A new
 // owner counts former leases from the time at which each former owner has lost
 // both: the store shows the claim, and half of the targets have accepted its
 // epoch.
--- a/cell/settings.hpp
+++ b/cell/settings.hpp
@@ -101,8 +101,8 @@
     // seconds.
     std::int64_t unreported_wait_micros_ = 8'000'000;
     // Age up to which a reply of the store or of targets proves that a shard
-    // has no other owner: the longest wait of a feed or a hold call and the
-    // slack for its reply.
+    // has no other owner: two rounds of the feed of members, which waits for
+    // 1 s, and the time of their replies.
     std::int64_t fence_notice_micros_ = 2'200'000;
     // Wait of a hold call while only targets prove it, so that a proof is
     // renewed in time.
