--- a/cell/delegation_phase.hpp
+++ b/cell/delegation_phase.hpp
@@ -13,7 +13,7 @@
     submitting, // submitting the delegate job
     running,    // accepted by the other shard
     canceling,  // the parent ended, canceling the delegate
-    unmarking   // the delegate has ended, storing the parent without the mark
+    unmarking   // the delegate has ended, removing the mark from the parent job
 };
 
 } // namespace fescuevane::cell
--- a/cell/owned_row.hpp
+++ b/cell/owned_row.hpp
@@ -30,7 +30,8 @@
     bool    predecessor_exclusive_ = false;      // no owner before it was left
     bool    predecessor_stops_over_ = false;     // see owner_record
     instant exclusive_since_ = instant::never(); // no other owner renews leases
-    instant proven_at_; // sent: latest write on condition of its row
+    // When the latest successful write on condition of its row was sent.
+    instant                   proven_at_;
     plan::planner_ptr         planner_;
     std::vector<journal_part> parts_;
     std::uint64_t             request_ = 0; // writes the owner row, 0: none
--- a/cell/session_row.hpp
+++ b/cell/session_row.hpp
@@ -44,7 +44,7 @@
     instant       clock_at_;
     std::int64_t  granted_ms_ = 0; // latest end of a lease, target's clock
     instant       contact_at_;     // latest reply
-    instant       proven_at_;      // sent: latest hold that was answered
+    instant       proven_at_;      // when the latest answered hold was sent
     std::uint64_t hold_ = 0;       // request in flight, 0: none
     instant       hold_sent_;
     instant       hold_at_;            // next hold request
--- a/cell/settings.hpp
+++ b/cell/settings.hpp
@@ -107,9 +107,9 @@
     // Wait of a hold call while only targets prove it, so that a proof is
     // renewed in time.
     std::int64_t hold_proof_wait_ms_ = 600;
-    // Former owners that most targets haven't shown the epoch count as ended
-    // after this time: partitions between a target and its owner last several
-    // seconds.
+    // After this time former owners count as ended even if fewer than half of
+    // the targets have accepted the new epoch: partitions between a target and
+    // its owner last several seconds.
     std::int64_t  unproven_owner_micros_ = 10'000'000;
     std::uint32_t orders_open_ = 4; // open ones to one target
     double        clock_drift_ = 0.02;
--- a/tests/unit/cell_partition_fixture.hpp
+++ b/tests/unit/cell_partition_fixture.hpp
@@ -38,7 +38,6 @@
         settings                            settings_;
         node_ptr                            node_; // null: not running
         instant                             paused_until_;
-        instant                             stop_at_ = instant::never();
         instant                             leave_at_ = instant::never();
         instant                             restart_at_ = instant::never();
         instant                             feed_at_; // next look at the store
@@ -57,7 +56,6 @@
         revision         listed_revision_ = 0;
         instant          reached_store_at_;
         instant          list_at_ = instant::never();
-        instant          exits_at_ = instant::never();
     };
 
     static constexpr std::size_t attempts = 3; // of the configuration
@@ -500,12 +498,6 @@
     {
         constexpr std::int64_t unlisted_micros = 4'500'000;
         partition_target&      state = target.state_;
-        if (target.exits_at_ <= now_ && state.up_)
-        {
-            state.crash(now_, unix_ms_);
-            state.up_ = false;
-            list(target, false);
-        }
         if (!state.up_)
         {
             return;
