--- a/review/8/case.cc
+++ b/review/8/case.cc
@@ -12,7 +12,7 @@
     record::open(argv[1]);
     temporary_folder const folder;
     bool const             trouble = is_trouble();
-    constexpr int          readers = 20;
+    constexpr int          readers = 30;
     record::line("trouble: %s", trouble ? "yes" : "no");
 
     std::vector<std::string> const zones = {"zone-a", "zone-b", "zone-c"};
