--- a/tests/soak/target_world.hpp
+++ b/tests/soak/target_world.hpp
@@ -57,8 +57,9 @@
 void begin_new_life(target_world& world, std::size_t target, bool keep_id,
                     instant now, std::int64_t unix_ms, instant up_at);
 
+// Without a time, the entry of a target that doesn't drain.
 nlohmann::json write_entry(target_spec const& spec, target_row const& target,
-                           instant now);
+                           instant now = instant::never());
 
 // The target's clock, which may be slow.
 std::int64_t read_target_clock(target_row const& target, instant now);
