Leave connections that are as old as one that went silent

Cause: a request without an answer by its deadline closed only its own connection. The next one took another idle connection of the pool, which was as silent, so that a feed could need up to 24 time-outs of 1.7 s each before it heard of a new configuration.

Change: after such a time-out, requests to the address use a new session of the library, thus new connections. Requests in flight stay on theirs and end by themselves; the old session is closed with the last of them. Requests that were still waiting for a connection, and clients with one connection to an address, change nothing. This serves all pools of io/http_client: store, orders to targets, policy service. Channels between hosts already replace a silent connection.

--- a/io/http_client.cpp
+++ b/io/http_client.cpp
@@ -7,6 +7,7 @@
 #include "io/main_loop.hpp"
 
 #include <libsoup/soup.h>
+#include <algorithm>
 #include <utility>
 
 namespace fescuevane::io
@@ -17,24 +18,33 @@
 constexpr int max_connections = 800;
 constexpr int idle_seconds = 20;
 
-// One request in flight; freed by `on_reply`.
-struct flight
-{
-    http_client::reply_function reply_;
-    std::shared_ptr<bool>       alive_;
-    SoupMessage*                message_ = nullptr;
-    GCancellable*               cancel_ = nullptr;
-    deadline_queue::entry       deadline_;
-    bool                        late_ = false; // the deadline has passed
-};
-
 deadline_queue& find_deadlines()
 {
     static deadline_queue deadlines; // of all clients of the main loop
     return deadlines;
 }
 
-void on_reply(GObject* session, GAsyncResult* result, void* data)
+void close_session(SoupSession* session)
+{
+    soup_session_abort(session);
+    g_object_unref(session);
+}
+
+} // namespace
+
+// Freed by `on_reply`.
+struct http_client::flight
+{
+    reply_function        reply_;
+    std::shared_ptr<bool> alive_;
+    SoupMessage*          message_ = nullptr;
+    GCancellable*         cancel_ = nullptr;
+    deadline_queue::entry deadline_;
+    bool                  late_ = false; // the deadline has passed
+    session_ptr           session_;
+};
+
+void http_client::on_reply(GObject* session, GAsyncResult* result, void* data)
 {
     std::unique_ptr<flight> const own(static_cast<flight*>(data));
     GError*                       error = nullptr;
@@ -61,14 +71,17 @@
     find_deadlines().remove(own->deadline_);
     g_object_unref(own->message_);
     g_object_unref(own->cancel_);
+    if (own->session_.use_count() == 1)
+    {
+        // A session can't be closed from within its own callback.
+        run_in_main_loop([last = std::move(own->session_)] {});
+    }
     if (*own->alive_)
     {
         own->reply_(response);
     }
 }
 
-} // namespace
-
 http_client::http_client(int connections)
     : connections_(connections), alive_(std::make_shared<bool>(true))
 {
@@ -77,33 +90,44 @@
 http_client::~http_client()
 {
     *alive_ = false;
-    for (SoupSession* const session : sessions_)
+    for (session_ptr const& session : sessions_)
     {
-        if (session != nullptr)
+        if (session)
         {
-            soup_session_abort(session);
-            g_object_unref(session);
+            soup_session_abort(session.get()); // ends its requests in flight
         }
     }
 }
 
 // An address always has the same session, which bounds its connections.
-SoupSession* http_client::find_session(std::string const& address)
+http_client::session_ptr& http_client::find_session(std::string const& address)
 {
-    SoupSession*& session =
+    session_ptr& session =
         sessions_.at(std::hash<std::string>{}(address) % max_sessions);
     if (session == nullptr)
     {
-        session = soup_session_new_with_options(
-            "max-conns", max_connections, "max-conns-per-host", connections_,
-            "timeout", 0, "idle-timeout", idle_seconds, "proxy-resolver",
-            nullptr, nullptr);
-        soup_session_set_proxy_resolver(session, nullptr);
-        soup_session_remove_feature_by_type(session, SOUP_TYPE_CONTENT_DECODER);
+        session.reset(soup_session_new_with_options(
+                          "max-conns", max_connections, "max-conns-per-host",
+                          connections_, "timeout", 0, "idle-timeout",
+                          idle_seconds, "proxy-resolver", nullptr, nullptr),
+                      &close_session);
+        soup_session_set_proxy_resolver(session.get(), nullptr);
+        soup_session_remove_feature_by_type(session.get(),
+                                            SOUP_TYPE_CONTENT_DECODER);
     }
     return session;
 }
 
+// A single connection to an address is closed with its request.
+void http_client::leave_session(session_ptr const& session)
+{
+    if (connections_ > 1)
+    {
+        std::replace(sessions_.begin(), sessions_.end(), session,
+                     session_ptr());
+    }
+}
+
 void http_client::send(http_request const& request, reply_function reply)
 {
     std::string const uri = "http://" + request.address_ + request.path_;
@@ -140,16 +164,24 @@
             own->message_, request.content_type_.c_str(), body);
         g_bytes_unref(body);
     }
-    own->deadline_ =
-        find_deadlines().add(request.deadline_,
-                             [own]
-                             {
-                                 own->late_ = true;
-                                 g_cancellable_cancel(own->cancel_);
-                             });
-    soup_session_send_and_read_async(find_session(request.address_),
-                                     own->message_, G_PRIORITY_DEFAULT,
-                                     own->cancel_, &on_reply, own);
+    own->session_ = find_session(request.address_);
+    own->deadline_ = find_deadlines().add(
+        request.deadline_,
+        [this, own]
+        {
+            own->late_ = true;
+            // A request that still waits for a connection tells nothing about
+            // the others.
+            if (*own->alive_ &&
+                soup_message_get_connection_id(own->message_) != 0)
+            {
+                leave_session(own->session_);
+            }
+            g_cancellable_cancel(own->cancel_);
+        });
+    soup_session_send_and_read_async(own->session_.get(), own->message_,
+                                     G_PRIORITY_DEFAULT, own->cancel_,
+                                     &on_reply, own);
 }
 
 } // namespace fescuevane::io
--- a/io/http_client.hpp
+++ b/io/http_client.hpp
@@ -14,9 +14,9 @@
 struct http_request;
 struct http_response;
 
-// Runs in the main loop. A request that isn't answered by its deadline is
-// given up with its connection, so that a silent connection is never used
-// again.
+// Runs in the main loop. A request that isn't answered by its deadline is given
+// up with its connection. The other connections to its address may have gone
+// silent at the same moment, so later requests use new ones.
 class http_client
 {
 public:
@@ -32,15 +32,23 @@
     void send(http_request const& request, reply_function reply);
 
 private:
-    // With each call, a session of the library tests all of its connections
-    // that are idle by a system call. So addresses are spread over sessions.
+    struct flight; // a request without a response
+
+    // A session of the library holds the connections to some addresses. It is
+    // closed when neither the client nor a request in flight uses it.
+    using session_ptr = std::shared_ptr<SoupSession>;
+
+    // With each call, a session tests all of its connections that are idle by a
+    // system call. So addresses are spread over sessions.
     static constexpr std::size_t max_sessions = 64;
 
-    SoupSession* find_session(std::string const& address);
+    session_ptr& find_session(std::string const& address);
+    void         leave_session(session_ptr const& session);
+    static void  on_reply(GObject* session, GAsyncResult* result, void* data);
 
-    int const                              connections_;
-    std::array<SoupSession*, max_sessions> sessions_{}; // null: not needed yet
-    std::shared_ptr<bool>                  alive_;
+    int const                             connections_;
+    std::array<session_ptr, max_sessions> sessions_; // null: not needed yet
+    std::shared_ptr<bool>                 alive_;
 };
 
 } // namespace fescuevane::io
