Start nothing on what a shard uses beyond its part of a limit

Cause: each shard compares its use with its part of the limit. The parts add up to the limit, but a lowered limit shrinks them at once and running work not, so the sum of the uses exceeds it. No shard made up for another one.

Change: heartbeats tell what a shard uses, without work that isn't confirmed, and its part at that time. The new system find_excess_uses derives from that and the limit in force what shards use beyond their parts. All others leave as much of their parts unused, at once and without the store, also for long-running tasks. They transfer unused parts to such a shard first, so that owners that start later read the division from the store. When the work ends, or the limit is raised, parts go back as before.

--- a/cell/drive_planners.cpp
+++ b/cell/drive_planners.cpp
@@ -85,7 +85,7 @@
     for (auto const& [id, limit] : own.removed_limits_)
     {
         organisations.push_back(
-            {id, 0, scale_limit(limit, find_part(context, shard, id))});
+            {id, 0, scale_limit(limit, find_usable_part(context, shard, id))});
     }
     std::vector<plan::active_limit_claim> turns;
     for (organisation_entry const& entry : context.config_->organisations_)
@@ -95,7 +95,7 @@
         organisations.push_back(
             {entry.share_.id_, entry.share_.weight_ * uneven_factor / shards,
              scale_limit(entry.share_.limit_,
-                         find_part(context, shard, entry.share_.id_))});
+                         find_usable_part(context, shard, entry.share_.id_))});
         if (!entry.share_.limit_.is_zero())
         {
             auto const turn = context.turns_.find(entry.share_.id_);
--- a/cell/follow_members.cpp
+++ b/cell/follow_members.cpp
@@ -178,6 +178,27 @@
 
 // 2. Heartbeats
 
+namespace
+{
+
+plan::load_summary summarize_load(node const& context, shard_id const& shard,
+                                  owned_row const& own)
+{
+    if (!own.planner_)
+    {
+        return {};
+    }
+    plan::load_summary load = plan::summarize_load(*own.planner_);
+    for (plan::organisation_load& entry : load.organisations_)
+    {
+        entry.part_ = static_cast<std::uint32_t>(
+            find_part(context, shard, entry.organisation_));
+    }
+    return load;
+}
+
+} // namespace
+
 heartbeat make_heartbeat(node const& context)
 {
     heartbeat beat{.host_ = context.settings_.host_,
@@ -195,8 +216,7 @@
             {.shard_ = context.owned_.key(row),
              .epoch_ = own.epoch_,
              .serving_ = own.phase_ == owned_phase::serving && !own.releasing_,
-             .load_ = own.planner_ ? plan::summarize_load(*own.planner_)
-                                   : plan::load_summary(),
+             .load_ = summarize_load(context, context.owned_.key(row), own),
              .wanted_requests_ = own.wanted_requests_});
     }
     return beat;
@@ -544,6 +564,7 @@
     {
         set_configuration(context, context.owned_.key(row));
     }
+    context.find_excess_at_ = context.now_; // a limit may have been lowered
 }
 
 void apply(node& context, domain_withdrawn const& input)
--- a/cell/move_allotments.cpp
+++ b/cell/move_allotments.cpp
@@ -208,6 +208,31 @@
     std::int64_t const lacking_; // thousandths
 };
 
+// The shard that uses most beyond its part, as the parts are stored now.
+std::optional<shard_deficit> find_largest_excess(node const&       context,
+                                                 limit_view const& view)
+{
+    organisation_id const& id = view.mine_.organisation_;
+    auto const             found = context.excess_uses_.find(id);
+    if (found == context.excess_uses_.end())
+    {
+        return std::nullopt;
+    }
+    shard_id     receiver;
+    std::int64_t largest = 0;
+    for (auto const& [shard, use] : found->second)
+    {
+        std::int64_t const excess = use - stored_part(context, shard, id);
+        if (shard != view.shard_ && excess > largest)
+        {
+            largest = excess;
+            receiver = shard;
+        }
+    }
+    return largest == 0 ? std::nullopt
+                        : std::optional(shard_deficit{receiver, largest});
+}
+
 // The shard with the largest deficit of one organisation's limit.
 std::optional<shard_deficit> find_largest_deficit(node const&       context,
                                                   limit_view const& view)
@@ -294,15 +319,23 @@
     return record;
 }
 
-// Finds the next transfer of one organisation's limit: to the shard of the
-// active claim until that has enough, else to the shard with the largest
-// deficit. Nothing if the shard has no unused part or no other shard needs one.
+// Finds the next transfer of one organisation's limit: to the shard that uses
+// most beyond its part, then to the shard of the active claim until that has
+// enough, else to the shard with the largest deficit. Nothing if the shard has
+// no unused part or no other shard needs one.
 std::optional<allotment_record> find_transfer(node const&       context,
                                               limit_view const& view)
 {
     organisation_id const& id = view.mine_.organisation_;
     std::int64_t const     unused = find_part(context, view.shard_, id) -
                                 measure_part(view.mine_.used_, view.limit_);
+    if (auto const excess = find_largest_excess(context, view))
+    {
+        std::int64_t const amount = std::min(unused, excess->lacking_);
+        return amount <= 0 ? std::nullopt
+                           : std::optional(make_transfer(
+                                 context, view, excess->shard_, amount));
+    }
     auto const active = context.turns_.find(id);
     if (active != context.turns_.end() && active->second.shard_ == view.shard_)
     {
--- a/cell/node.cpp
+++ b/cell/node.cpp
@@ -44,13 +44,14 @@
 namespace
 {
 
-constexpr std::array<system_entry, 18> list_systems = {{
+constexpr std::array<system_entry, 19> list_systems = {{
     {"apply_events", &apply_events},
     {"follow_members", &follow_members},
     {"lay_out_domains", &lay_out_domains},
     {"claim_shards", &claim_shards},
     {"load_shards", &load_shards},
     {"limit_advice", &limit_advice},
+    {"find_excess_uses", &find_excess_uses},
     {"drive_planners", &drive_planners},
     {"offer_stages", &offer_stages},
     {"delegate_tasks", &delegate_tasks},
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -88,7 +88,10 @@
     table<organisation_id, allotment_row> allotments_; // how limits are divided
     std::map<organisation_id, active_limit_claim> turns_; // active claims
     instant choose_claims_at_; // next choice of active claims
-    instant advice_limit_at_;  // next count of the hosts that may send requests
+    std::map<organisation_id, std::map<shard_id, std::int64_t>>
+            excess_uses_;     // of limits beyond the shards' parts, thousandths
+    instant find_excess_at_;  // next search for them
+    instant advice_limit_at_; // next count of the hosts that may send requests
 
     table<job_id, delegation_row>   delegations_;    // of owned jobs
     std::map<std::uint64_t, job_id> delegate_calls_; // call to delegation
@@ -130,18 +133,19 @@
 };
 
 // Systems, in order
-void apply_events(node& context);    // applies the inbox to the tables
-void follow_members(node& context);  // announces the host, sends heartbeats
-void lay_out_domains(node& context); // divides domains into shards
-void claim_shards(node& context);    // claims shards without an owner
-void load_shards(node& context);     // fences and reads claimed shards
-void limit_advice(node& context);    // limits requests of planners
-void drive_planners(node& context);  // ticks of planners and their orders
-void offer_stages(node& context);    // offers stages that their shard can't run
-void delegate_tasks(node& context);  // moves tasks without room to other shards
-void spread_gangs(node& context);    // places gangs on several shards
-void answer_parts(node& context);    // serves parts of gangs of other shards
-void record_grants(node& context);   // stores which targets hold leases
+void apply_events(node& context);     // applies the inbox to the tables
+void follow_members(node& context);   // announces the host, sends heartbeats
+void lay_out_domains(node& context);  // divides domains into shards
+void claim_shards(node& context);     // claims shards without an owner
+void load_shards(node& context);      // fences and reads claimed shards
+void limit_advice(node& context);     // limits requests of planners
+void find_excess_uses(node& context); // of limits beyond parts of shards
+void drive_planners(node& context);   // ticks of planners and their orders
+void offer_stages(node& context);   // offers stages that their shard can't run
+void delegate_tasks(node& context); // moves tasks without room to other shards
+void spread_gangs(node& context);   // places gangs on several shards
+void answer_parts(node& context);   // serves parts of gangs of other shards
+void record_grants(node& context);  // stores which targets hold leases
 void choose_active_claims(node& context); // one claim to each limit at a time
 void move_allotments(node& context);      // transfers parts of limits
 void keep_sessions(node& context);        // sends leases and orders to targets
@@ -256,6 +260,9 @@
 std::int64_t find_part(node const& context, shard_id const& shard,
                        organisation_id const& organisation);
 resources    scale_limit(resources const& limit, std::int64_t part);
+// What the shard may use: its part, less what other shards use beyond theirs.
+std::int64_t find_usable_part(node const& context, shard_id const& shard,
+                              organisation_id const& organisation);
 // The part according to the latest row.
 std::int64_t stored_part(node const& context, shard_id const& shard,
                          organisation_id const& organisation);
--- a/peer/peer_codec.cpp
+++ b/peer/peer_codec.cpp
@@ -85,6 +85,11 @@
             entry.set_organisation(load.organisation_.str());
             write_amounts(load.used_, *entry.mutable_used());
             write_amounts(load.queued_, *entry.mutable_queued());
+            entry.set_part(load.part_);
+            if (!load.unconfirmed_.is_zero())
+            {
+                write_amounts(load.unconfirmed_, *entry.mutable_unconfirmed());
+            }
             if (load.claim_)
             {
                 cell::v1::LimitClaim& claim = *entry.mutable_claim();
@@ -122,9 +127,12 @@
         for (cell::v1::OrganisationLoad const& entry : row.organisations())
         {
             shard.load_.organisations_.push_back(
-                {organisation_id(entry.organisation()),
-                 read_amounts(entry.used()), read_amounts(entry.queued()),
-                 read_claim(entry)});
+                {.organisation_ = organisation_id(entry.organisation()),
+                 .used_ = read_amounts(entry.used()),
+                 .queued_ = read_amounts(entry.queued()),
+                 .claim_ = read_claim(entry),
+                 .unconfirmed_ = read_amounts(entry.unconfirmed()),
+                 .part_ = entry.part()});
         }
         beat.shards_.push_back(std::move(shard));
     }
--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -495,8 +495,11 @@
         if (!organisation.limit_.is_zero())
         {
             sum.organisations_.push_back(
-                {id, organisation.used_ + organisation.unseen_, queued[id],
-                 find_claim(context, id)});
+                {.organisation_ = id,
+                 .used_ = organisation.used_ + organisation.unseen_,
+                 .queued_ = queued[id],
+                 .claim_ = find_claim(context, id),
+                 .unconfirmed_ = organisation.unseen_});
         }
     }
     std::map<queue_id, std::uint32_t> waiting;
--- a/tests/unit/cell_allotments_test.cpp
+++ b/tests/unit/cell_allotments_test.cpp
@@ -378,5 +378,116 @@
     CHECK(has_started(14));
 }
 
+// The organisation uses 180 cores in one domain; then its limit is lowered.
+struct lowered_limit_fixture : three_domain_fixture
+{
+    static constexpr std::uint32_t long_tasks = 10;
+    resources const                lowered_{150'000, 0, 0};
+
+    lowered_limit_fixture()
+    {
+        submit(
+            "east-1", "bb01",
+            {{.count_ = long_tasks, .demand_ = task_, .estimate_ms_ = 60'000}});
+        run(3 * micros_per_second);
+        REQUIRE(running_cpu() == long_tasks * task_.cpu_millis());
+    }
+
+    void set_limit(resources const& limit)
+    {
+        auto config = std::make_shared<cell_config>(*config_);
+        ++config->version_;
+        config->organisations_[0].share_.limit_ = limit;
+        config_ = config;
+        post_all(config_changed{config});
+    }
+
+    // Returns the submission number of the first one.
+    int submit_elsewhere()
+    {
+        int const first = submitted_;
+        submit_tasks("north-1", 3, false);
+        submit_tasks("west-1", 3, false);
+        return first;
+    }
+
+    bool have_started(int first)
+    {
+        return count_started(first) == 3 && count_started(first + 1) == 3;
+    }
+};
+
+// Guards against starts above a lowered limit: each shard kept within its part,
+// but one used several times its own.
+TEST_CASE_FIXTURE(lowered_limit_fixture,
+                  "limit lowered below the use of one shard, others start "
+                  "nothing until that ends")
+{
+    set_limit(lowered_);
+    int const first = submit_elsewhere();
+    run(8 * micros_per_second);
+    CHECK(running_cpu() == long_tasks * task_.cpu_millis());
+    // Then they get their parts back.
+    end_runs(0);
+    most_cpu_ = 0;
+    run_with_ends(3 * micros_per_second);
+    CHECK(have_started(first));
+    CHECK(most_cpu_ <= lowered_.cpu_millis());
+}
+
+// Guards against the same starts by hosts that begin to wait only with a reply
+// of the store.
+TEST_CASE_FIXTURE(lowered_limit_fixture,
+                  "limit lowered below the use of one shard, work waits "
+                  "elsewhere, nothing starts from then on")
+{
+    int const first = submit_elsewhere();
+    set_limit(lowered_);
+    run(2 * micros_per_second);
+    CHECK(count_started(first) + count_started(first + 1) == 0);
+}
+
+// Guards against starts above the limit while the shard that uses most of it
+// changes owners: the next one doesn't know at once what runs.
+TEST_CASE_FIXTURE(lowered_limit_fixture,
+                  "limit lowered, owner of the running work killed, others "
+                  "start nothing")
+{
+    set_limit(lowered_);
+    run(micros_per_second);
+    int const first = submit_elsewhere();
+    kill("east-1");
+    run(3 * micros_per_second);
+    kill("north-1");
+    run(4 * micros_per_second);
+    CHECK(count_started(first) + count_started(first + 1) == 0);
+}
+
+// Guards against work that waits although the limit allows it again.
+TEST_CASE_FIXTURE(lowered_limit_fixture,
+                  "limit lowered and raised again, others start within 2 s")
+{
+    set_limit(lowered_);
+    int const first = submit_elsewhere();
+    run(3 * micros_per_second);
+    CHECK(count_started(first) + count_started(first + 1) == 0);
+    set_limit(limit_);
+    run(2 * micros_per_second);
+    CHECK(have_started(first));
+}
+
+// Guards against a limit of which a part is of no use: the others may use what
+// the running work leaves.
+TEST_CASE_FIXTURE(lowered_limit_fixture,
+                  "limit lowered to slightly more than one shard uses, the "
+                  "rest is used")
+{
+    set_limit({240'000, 0, 0});
+    submit_elsewhere();
+    run(4 * micros_per_second);
+    CHECK(running_cpu() > 200'000);
+    CHECK(running_cpu() <= 240'000);
+}
+
 } // namespace
 } // namespace fescuevane::cell
