Count calls that a later incarnation of a target may have taken

What callers saw: long-running tasks in two runs at once, after targets had started again under their ids and were cut off soon afterwards (TWICE).

Cause: a call to a target names its incarnation by the id, which a restart keeps. A start or a renewal that was meant for the former incarnation names an end far beyond the clock of the next one, which shortens the lease to the longest that it grants (6 s and 10 s on the sites). The owner counted the lease by the former clock (1.5 to 4 s) and started the task elsewhere. A new owner that couldn't reach the target counted 4.4 s.

Change: - Replies to orders tell the target's clock. A clock that is behind the least time that the known incarnation can show reveals a restart with the first answered order. The owner then asks at once without a lease, and sends no start while the latest hold request has no reply. - A run whose start had no reply, or one that showed a restart, counts with the longest lease until the known incarnation has replied to a later call. - A new owner counts the longest lease for targets that it hasn't reached.

--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -143,16 +143,24 @@
 
 // Long-running tasks, and tasks that may have copies, have no single result
 // that an unresponsive target must report first: they start elsewhere as soon
-// as nothing can run there.
+// as nothing can run there. Runs that a later incarnation may have begun have
+// the longest lease.
 void end_lapsed_runs(node& context, target_id const& id, session_row& session)
 {
     std::vector<run_key> lapsed;
     for (auto const& [key, run] : session.runs_)
     {
-        if (!has_single_result(context, key))
+        if (has_single_result(context, key))
         {
-            lapsed.push_back(key);
+            continue;
+        }
+        instant const end = find_later_end(context.settings_, session, run);
+        if (end > context.now_)
+        {
+            wake_at(context, end);
+            continue;
         }
+        lapsed.push_back(key);
     }
     for (run_key const& key : lapsed)
     {
@@ -186,6 +194,7 @@
     session_row& session = *context.sessions_.find(id);
     if (session.lapsed_)
     {
+        end_lapsed_runs(context, id, session);
         return;
     }
     if (judge_runs(outlook, context.now_) == run_certainty::may_run)
@@ -400,7 +409,7 @@
         {
             resend_starts(context, *session);
         }
-        while (session->phase_ == session_phase::attached &&
+        while (is_answering(*session) &&
                session->open_orders_ < context.settings_.orders_open_ &&
                !session->orders_.empty() && may_order(context, *session))
         {
--- a/cell/late_starts.cpp
+++ b/cell/late_starts.cpp
@@ -1,6 +1,7 @@
 // Purpose: unanswered starts. The next incarnation of their target may carry
 // them out: its clock begins at zero, so they don't look late to it, and it
 // knows neither epochs nor stopped runs.
+#include "cell/order_reply.hpp"
 #include "cell/send_start.hpp"
 #include "cell/sessions.hpp"
 
@@ -40,11 +41,13 @@
                                                context.settings_.max_lease_ms_);
 }
 
-// The incarnation that sent the reply may have begun the run after sending it.
+// The incarnation that sent the reply may have begun the run after sending it,
+// or was the one that confirmed it.
 bool may_postdate_reply(session_row const& session, session_run const& run)
 {
     return run.confirmed_at_ != instant::never() &&
-           run.confirmed_at_ >= session.hold_sent_;
+           (run.confirmed_at_ >= session.hold_sent_ ||
+            run.confirmed_at_ <= run.reaches_later_until_);
 }
 
 void record_open_starts(node const& context, target_id const& id,
@@ -124,7 +127,8 @@
         if (may_postdate_reply(session, run))
         {
             record_late_renewal(session, run.start_until_ms_, decided_until);
-            kept.emplace(key, run);
+            kept.emplace(key, run).first->second.reaches_later_until_ =
+                instant(); // the incarnation that replied is the known one now
         }
         else if (may_still_arrive(context, session, key))
         {
@@ -180,6 +184,46 @@
     }
 }
 
+// The clock of an incarnation never goes back, and that of the next one begins
+// at zero.
+bool shows_restart(order_row const& order, order_reply const& reply)
+{
+    return reply.clock_ms_ != 0 && reply.clock_ms_ < order.least_clock_ms_;
+}
+
+// Asks at once, and without a lease, which incarnation replies. A renewal that
+// is still in flight may reach it, too.
+void doubt_incarnation(node& context, session_row& session,
+                       order_row const& order, order_reply const& reply)
+{
+    settings const& values = context.settings_;
+    instant         renewed_until = context.now_;
+    if (!session.unanswered_ && session.hold_ != 0)
+    {
+        renewed_until =
+            session.hold_sent_.after(values.hold_wait_ms_ * micros_per_milli +
+                                     values.hold_slack_micros_);
+        record_late_renewal(session, session.hold_lease_ms_, renewed_until);
+    }
+    auto const run = session.runs_.find(order.run_);
+    if (order.kind_ == order_kind::start && run != session.runs_.end())
+    {
+        run->second.reaches_later_until_ = std::max(
+            {run->second.reaches_later_until_, context.now_, renewed_until});
+    }
+    if (session.unanswered_)
+    {
+        return; // asked already
+    }
+    log_event(context, "target_restart_shown",
+              {{"target", order.target_.str()},
+               {"clock_ms", std::to_string(reply.clock_ms_)},
+               {"least_clock_ms", std::to_string(order.least_clock_ms_)}});
+    session.unanswered_ = true;
+    session.hold_ = 0;
+    session.hold_at_ = context.now_;
+}
+
 // True when the start can't begin the run any more: the target has rejected it,
 // or it would have arrived by now. A run that is being stopped may be absent
 // from a report before its end is listed.
--- a/cell/lease_clock.cpp
+++ b/cell/lease_clock.cpp
@@ -10,15 +10,22 @@
 namespace
 {
 
-// Longest time for which unconfirmed work of a former owner may go on.
-std::int64_t longest_lease_micros(settings const& values)
+// Longest time that a lease takes on a clock that may be slow.
+std::int64_t lease_micros(settings const& values, std::int64_t lease_ms)
 {
-    return static_cast<std::int64_t>(static_cast<double>(values.lease_ms_) *
+    return static_cast<std::int64_t>(static_cast<double>(lease_ms) *
                                      (1 + values.clock_drift_) *
                                      micros_per_milli) +
            values.clock_slack_ms_ * micros_per_milli;
 }
 
+// A call that was meant for an earlier incarnation names an end far beyond the
+// clock of a young one, which shortens the lease to the longest one.
+std::int64_t longest_lease_micros(settings const& values)
+{
+    return lease_micros(values, values.max_lease_ms_);
+}
+
 // Latest time on the clock of an incarnation at which it may receive a renewal
 // or a start for an earlier one. Its sender learns of the restart when the hold
 // request that was open then is answered or fails.
@@ -43,6 +50,25 @@
            static_cast<std::int64_t>(elapsed_ms(session.clock_at_, now));
 }
 
+// What the clock of the known incarnation shows at least, if it runs slow.
+std::int64_t find_least_clock(settings const&    values,
+                              session_row const& session, instant now)
+{
+    return session.clock_ms_ +
+           static_cast<std::int64_t>(elapsed_ms(session.clock_at_, now) *
+                                     (1 - values.clock_drift_));
+}
+
+// When a run has ended that a later incarnation than the known one may have
+// begun. In the past when there is none: the known one has replied since.
+instant find_later_end(settings const& values, session_row const& session,
+                       session_run const& run)
+{
+    return run.reaches_later_until_ <= session.proven_at_
+               ? instant()
+               : run.reaches_later_until_.after(longest_lease_micros(values));
+}
+
 // Latest end, on the target's clock, of the leases that former owners granted
 // on an incarnation that shows the present epoch at `clock_ms`. It shortens a
 // renewal for an earlier incarnation to the longest lease, which is more than
@@ -67,7 +93,15 @@
     instant const since = context.owned_.find(session.shard_)->exclusive_since_;
     return since == instant::never()
                ? since
-               : since.after(longest_lease_micros(context.settings_));
+               : since.after(lease_micros(context.settings_,
+                                          context.settings_.lease_ms_));
+}
+
+// The same if the former owner took a later incarnation for the one it knew.
+instant find_latest_lapse(node const& context, session_row const& session)
+{
+    instant const since = context.owned_.find(session.shard_)->exclusive_since_;
+    return since.after(longest_lease_micros(context.settings_));
 }
 
 } // namespace
@@ -101,12 +135,22 @@
     bool const    granted = session.clock_ms_ != 0 || session.granted_before_;
     bool const    left = !session.listed_ && session.info_->leaving_;
     bool const    awaited = granted && !left && lapse != instant::never();
+    bool const    unreached = session.clock_ms_ == 0 && granted && !left;
+    instant const latest =
+        unreached ? std::max(lapse, find_latest_lapse(context, session))
+                  : lapse;
+    instant settles =
+        awaited ? count_silence_from(context, lapse)
+                      .after(context.settings_.unreported_wait_micros_)
+                : lapse;
+    for (auto const& [key, run] : session.runs_)
+    {
+        settles =
+            std::max(settles, find_later_end(context.settings_, session, run));
+    }
     return {.heard_at_ = session.contact_at_,
-            .lapses_at_ = lapse,
-            .settles_at_ =
-                awaited ? count_silence_from(context, lapse)
-                              .after(context.settings_.unreported_wait_micros_)
-                        : lapse};
+            .lapses_at_ = latest,
+            .settles_at_ = std::max(settles, latest)};
 }
 
 // True when the target answered the latest hold request, as far as is known.
--- a/cell/order_reply.hpp
+++ b/cell/order_reply.hpp
@@ -17,6 +17,7 @@
     target_outcome const outcome_ = target_outcome::unknown;
     plan::refusal const  reason_ = plan::refusal::room; // when refused
     std::string const    error_;
+    std::int64_t const   clock_ms_ = 0; // of the target, 0: not told
 
     friend bool operator==(order_reply const&, order_reply const&) = default;
 };
--- a/cell/order_row.hpp
+++ b/cell/order_row.hpp
@@ -30,6 +30,8 @@
     // reply.
     std::shared_ptr<send_start const> start_;
     bool                              repeated_ = false;
+    // Least time on the clock of the incarnation that the order is meant for.
+    std::int64_t least_clock_ms_ = 0;
 };
 
 } // namespace fescuevane::cell
--- a/cell/send_orders.cpp
+++ b/cell/send_orders.cpp
@@ -97,7 +97,10 @@
                              order_row const& order)
 {
     std::uint64_t const request = next_request(context);
-    context.orders_.ensure(request) = order;
+    order_row&          row = context.orders_.ensure(request);
+    row = order;
+    row.least_clock_ms_ =
+        find_least_clock(context.settings_, session, context.now_);
     ++session.open_orders_;
     return request;
 }
@@ -116,11 +119,14 @@
         .lease_clock_ms_ = start.lease_clock_ms_,
         .deadline_ = context.now_.after(context.settings_.order_micros_)});
     context.outbox_.push_back(*sent);
-    context.orders_.ensure(sent->request_) = {.kind_ = order_kind::start,
-                                              .target_ = start.start_.target_,
-                                              .run_ = run,
-                                              .start_ = sent,
-                                              .repeated_ = repeated};
+    context.orders_.ensure(sent->request_) = {
+        .kind_ = order_kind::start,
+        .target_ = start.start_.target_,
+        .run_ = run,
+        .start_ = sent,
+        .repeated_ = repeated,
+        .least_clock_ms_ =
+            find_least_clock(context.settings_, session, context.now_)};
     ++session.open_orders_;
 }
 
@@ -260,6 +266,12 @@
     {
         record_late_start(context, session, order.run_, *order.start_);
         session.repeats_.push_back(order);
+        auto const run = session.runs_.find(order.run_);
+        if (run != session.runs_.end())
+        {
+            run->second.reaches_later_until_ = std::max(
+                run->second.reaches_later_until_, order.start_->deadline_);
+        }
     }
     else
     {
@@ -331,6 +343,10 @@
     {
         order_reply_handlers.at(static_cast<std::size_t>(order.kind_))(
             context, *session, order, input);
+        if (shows_restart(order, input))
+        {
+            doubt_incarnation(context, *session, order, input);
+        }
     }
 }
 
--- a/cell/session_run.hpp
+++ b/cell/session_run.hpp
@@ -24,6 +24,9 @@
     // until then the present one may carry it out.
     instant late_until_ = instant::never();
     bool    ended_ = false; // the planner already knows the end
+    // Until then the start, or a renewal of its lease, may have reached a later
+    // incarnation of the target than the one that is known.
+    instant reaches_later_until_;
 };
 
 } // namespace fescuevane::cell
--- a/cell/sessions.hpp
+++ b/cell/sessions.hpp
@@ -38,6 +38,10 @@
                          instant arrives_until);
 void replace_incarnation(node& context, target_id const& id);
 void stop_late_starts(node& context, session_row& session, target_id const& id);
+// A reply to an order that shows a later incarnation than the known one.
+bool shows_restart(order_row const& order, order_reply const& reply);
+void doubt_incarnation(node& context, session_row& session,
+                       order_row const& order, order_reply const& reply);
 bool is_late_start_over(node const& context, session_row const& session,
                         session_run const& run);
 bool awaits_late_starts(session_row const& session);
@@ -50,6 +54,10 @@
 
 // Clocks and leases
 std::int64_t target_clock(session_row const& session, instant now);
+std::int64_t find_least_clock(settings const&    values,
+                              session_row const& session, instant now);
+instant      find_later_end(settings const& values, session_row const& session,
+                            session_run const& run);
 std::int64_t find_former_lease_end(settings const& values,
                                    std::int64_t    clock_ms);
 instant      find_lapse(node const& context, session_row const& session);
--- a/tests/unit/cell_partition_histories_test.cpp
+++ b/tests/unit/cell_partition_histories_test.cpp
@@ -186,6 +186,59 @@
         cut_links({{host, store}, {store, host}}, draw(1000, 7000) * ms);
     }
 
+    // The targets of a domain, or some of them, start again under their ids
+    // after a short time and are cut off soon afterwards; their owner may be
+    // killed in between.
+    void recut_domain()
+    {
+        std::string const  domain(1, "abc"[draw(0, 2)]);
+        double const       share = chance(0.5) ? 1 : 0.6;
+        std::int64_t const dark = draw(400, 800) * ms;
+        std::int64_t const cut = dark + draw(200, 2500) * ms;
+        std::int64_t const length = draw(4000, 9000) * ms;
+        for (auto& [id, target] : targets_)
+        {
+            if (target.state_.info_->domain_.str() == domain && chance(share))
+            {
+                recut_target(target.state_, dark, cut, length);
+            }
+        }
+        if (chance(0.3))
+        {
+            at(draw(0, cut / ms) * ms,
+               [this]
+               {
+                   kill_host();
+               });
+        }
+    }
+
+    void recut_target(partition_target& target, std::int64_t dark,
+                      std::int64_t cut, std::int64_t length)
+    {
+        target.up_ = false;
+        target.crash(now_, unix_ms_);
+        at(dark,
+           [this, &target]
+           {
+               target.crash(now_, unix_ms_);
+               target.up_ = true;
+           });
+        at(cut,
+           [this, &target, length]
+           {
+               std::string const name = target.info_->id_.str();
+               std::vector<std::pair<endpoint, endpoint>> links = {
+                   {name, store}};
+               for (auto const& [host, row] : hosts_)
+               {
+                   links.emplace_back(host, name);
+                   links.emplace_back(name, host);
+               }
+               cut_links(links, length);
+           });
+    }
+
     // From some hosts, in one direction or both; from all of them and from the
     // store, or not.
     void cut_target()
@@ -257,7 +310,21 @@
         }
     }
 
+    void submit_jobs()
+    {
+        for (std::int64_t time = 0; time < 28 * second;
+             time += draw(80, 500) * ms)
+        {
+            at(time,
+               [this]
+               {
+                   submit_job();
+               });
+        }
+    }
+
     void play();
+    void play_recuts();
 };
 
 using fault = void (partition_history::*)();
@@ -279,14 +346,7 @@
 void partition_history::play()
 {
     run(3 * second);
-    for (std::int64_t time = 0; time < 28 * second; time += draw(80, 500) * ms)
-    {
-        at(time,
-           [this]
-           {
-               submit_job();
-           });
-    }
+    submit_jobs();
     std::int64_t const cut = draw(8000, 14'000) * ms;
     std::int64_t const length = draw(3500, 6500) * ms;
     stop_hosts_in_turn(cut - draw(0, 6500) * ms);
@@ -321,6 +381,26 @@
     run(24 * second);
 }
 
+// Orders that were meant for the former incarnation of a target may reach the
+// next one, which nobody can ask any more.
+void partition_history::play_recuts()
+{
+    keeps_cut_ = false;
+    run(3 * second);
+    submit_jobs();
+    for (std::int64_t time = draw(3000, 6000) * ms; time < 30 * second;
+         time += draw(9000, 14'000) * ms)
+    {
+        at(time,
+           [this]
+           {
+               recut_domain();
+           });
+    }
+    run(45 * second);
+    run(24 * second);
+}
+
 // Guards against tasks that a new owner starts while a run that an earlier
 // owner started or is stopping goes on.
 TEST_CASE("random history of cuts and changes of owner, no task runs twice" *
@@ -342,5 +422,26 @@
         }));
 }
 
+// Guards against tasks that start elsewhere while a run goes on that the next
+// incarnation of a target began by an order for the former one.
+TEST_CASE("random history of restarts before cuts, no task runs twice" *
+          doctest::test_suite("partition_histories"))
+{
+    CHECK(rc::check(
+        []
+        {
+            auto const        seed = *rc::gen::noShrink(rc::gen::resize(
+                       rc::kNominalSize,
+                       rc::gen::inRange<std::uint32_t>(0, 1'000'000'000)));
+            partition_history history(seed);
+            history.play_recuts();
+            RC_LOG() << "seed of the history " << seed;
+            RC_ASSERT(history.violations_ == std::vector<std::string>());
+            RC_ASSERT(history.judge_.find_excess_start(
+                          partition_history::attempts) == std::string());
+            RC_ASSERT(history.find_unfinished() == std::string());
+        }));
+}
+
 } // namespace
 } // namespace fescuevane::cell
--- a/tests/unit/partition_target.hpp
+++ b/tests/unit/partition_target.hpp
@@ -157,26 +157,30 @@
         if (!accepts(start.fence_))
         {
             return {.request_ = start.request_,
-                    .outcome_ = target_outcome::superseded};
+                    .outcome_ = target_outcome::superseded,
+                    .clock_ms_ = clock_ms};
         }
         if (clock_ms > start.lease_clock_ms_)
         {
             return {.request_ = start.request_,
                     .outcome_ = target_outcome::refused,
-                    .reason_ = plan::refusal::late};
+                    .reason_ = plan::refusal::late,
+                    .clock_ms_ = clock_ms};
         }
         extend_lease(start.lease_clock_ms_, clock_ms);
         if (running_.contains(run))
         {
             return {.request_ = start.request_,
-                    .outcome_ = target_outcome::done};
+                    .outcome_ = target_outcome::done,
+                    .clock_ms_ = clock_ms};
         }
         auto const closed = closed_.find({run.stage_, run.index_});
         if (closed != closed_.end() && closed->second >= run.run_)
         {
             return {.request_ = start.request_,
                     .outcome_ = target_outcome::refused,
-                    .reason_ = plan::refusal::outdated};
+                    .reason_ = plan::refusal::outdated,
+                    .clock_ms_ = clock_ms};
         }
         constexpr std::int64_t never_ms = 1'000'000'000'000;
         running_[run] = {.began_ms_ = clock_ms,
@@ -184,7 +188,9 @@
                          .hangs_ = hangs_,
                          .fails_ = fails};
         began = true;
-        return {.request_ = start.request_, .outcome_ = target_outcome::done};
+        return {.request_ = start.request_,
+                .outcome_ = target_outcome::done,
+                .clock_ms_ = clock_ms};
     }
 
     order_reply take_stop(send_stop const& stop, std::int64_t clock_ms)
@@ -192,7 +198,8 @@
         if (!accepts(stop.fence_))
         {
             return {.request_ = stop.request_,
-                    .outcome_ = target_outcome::superseded};
+                    .outcome_ = target_outcome::superseded,
+                    .clock_ms_ = clock_ms};
         }
         run_key const& run = stop.stop_.run_;
         auto const     active = running_.find(run);
@@ -202,7 +209,9 @@
         }
         std::uint32_t& closed = closed_[{run.stage_, run.index_}];
         closed = std::max(closed, run.run_);
-        return {.request_ = stop.request_, .outcome_ = target_outcome::done};
+        return {.request_ = stop.request_,
+                .outcome_ = target_outcome::done,
+                .clock_ms_ = clock_ms};
     }
 
     // Ends what is due and answers hold calls.
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -112,6 +112,23 @@
           cell::target_outcome::unknown);
 }
 
+// Guards against a restart that goes unnoticed: the clock of the reply shows
+// it.
+TEST_CASE("orders of a target, clock read where the reply tells it")
+{
+    CHECK(decode_order(1, {200, R"({"clockMs":800})", ""}).clock_ms_ == 800);
+    CHECK(decode_order(1, {409, R"({"clockMs":800,"reason":"late"})", ""})
+              .clock_ms_ == 800);
+    for (char const* const body : {"", "{}", "[7]", R"({"clockMs":"800"})",
+                                   R"({"clockMs":-1})", R"({"clockMs":1e30})"})
+    {
+        CAPTURE(body);
+        CHECK(decode_order(1, {200, body, ""}).clock_ms_ == 0);
+        CHECK(decode_order(1, {200, body, ""}).outcome_ ==
+              cell::target_outcome::done);
+    }
+}
+
 // Guards against a job whose open occurrence exceeds the memory of a host.
 TEST_CASE("job, more tasks than a host can hold open, refused with the limit")
 {
@@ -139,6 +156,7 @@
         "max_lease_ms: 6000\nearly_start_ms: 250\nremote_rack_factor: 3\n"
         "stop_grace_s: 6\n";
     CHECK(parse_settings(good, 5).cell_.lease_ms_ == 4000);
+    CHECK(parse_settings(good, 5).cell_.max_lease_ms_ == 6000);
     CHECK(parse_settings(good + "policy_service: '10.0.0.8:80'\n", 5)
               .policy_service_ == "10.0.0.8:80");
     CHECK(parse_settings(good, 5).cell_.row_bytes_ == 65'536);
