Give up stopped runs whose incarnation has ended

What callers saw: in random histories, a task that never runs again and keeps its room (UNFINISHED, histories 1113 and 55 of cell_partition_histories_test).

Cause: a run that the report before had confirmed was kept when its target restarted, if the next hold request went out in the same tick as that report was read. When its stop was ordered before the next report, the target listed neither the run nor an end, and end_missing_runs waited for the end without a bound, since the former incarnation had confirmed the run.

Change: a run is kept only if it was confirmed after the hold request was sent; if it was confirmed before and is still there, the reply lists it.

--- a/cell/late_starts.cpp
+++ b/cell/late_starts.cpp
@@ -42,11 +42,12 @@
 }
 
 // The incarnation that sent the reply may have begun the run after sending it,
-// or was the one that confirmed it.
+// or was the one that confirmed it. A run that was confirmed when the hold
+// request was sent is in the reply, if it is there.
 bool may_postdate_reply(session_row const& session, session_run const& run)
 {
     return run.confirmed_at_ != instant::never() &&
-           (run.confirmed_at_ >= session.hold_sent_ ||
+           (run.confirmed_at_ > session.hold_sent_ ||
             run.confirmed_at_ <= run.reaches_later_until_);
 }
 
--- a/cell/read_reports.cpp
+++ b/cell/read_reports.cpp
@@ -68,11 +68,13 @@
         bool const was_there =
             !stopping && run.confirmed_at_ < session.hold_sent_;
         // A run that was there is listed with its end, but slow targets take
-        // long to stop one. A run that never began leaves no end behind.
+        // long to stop one. A run that never began, or whose incarnation has
+        // ended, leaves no end behind.
         bool const stopped =
             run.stopped_at_ != instant::never() &&
-            run.confirmed_at_ == instant::never() &&
-            run.stopped_at_.after(context.settings_.stop_micros_) <
+            run.stopped_at_.after(run.confirmed_at_ == instant::never()
+                                      ? context.settings_.stop_micros_
+                                      : context.settings_.stop_end_micros_) <
                 session.hold_sent_;
         // The target rejects a start that arrives after this time.
         run.absent_ =
--- a/tests/unit/cell_lives_test.cpp
+++ b/tests/unit/cell_lives_test.cpp
@@ -384,5 +384,38 @@
     CHECK(starts_.size() == 1);
 }
 
+// Guards against a run that is waited for without end, and whose room is lost:
+// it was stopped after its incarnation had ended, so no end of it is listed.
+TEST_CASE_FIXTURE(incarnations_fixture,
+                  "confirmed run stopped, never listed again, given up")
+{
+    post(target_unlisted{target_id("t-2")});
+    confirm(first_);
+    running_.push_back({run_, "", 1, 0});
+    run_targets(2 * micros_per_second);
+    ask(call_kind::cancel, "aa01");
+    run_targets(20'000);
+    running_.clear();
+    run_targets(100'000);
+    REQUIRE(stops_run());
+    staged_job const job = make_job("aa02");
+    post(call_opened{.call_ = ++last_call_,
+                     .kind_ = call_kind::submit,
+                     .id_ = job.id_,
+                     .job_ = std::make_shared<staged_job const>(
+                         staged_job{.id_ = job.id_,
+                                    .organisation_ = job.organisation_,
+                                    .queue_ = job.queue_,
+                                    .service_ = job.service_,
+                                    .payload_ = job.payload_,
+                                    .steps_ = {{.demand_ = {4000, 512, 0}}},
+                                    .accepted_unix_ms_ = unix_ms_}),
+                     .deadline_ = now_.after(3 * micros_per_second)});
+    run_targets(settings_.stop_micros_);
+    CHECK(starts_.empty()); // slow targets take long to stop a run
+    run_targets(settings_.stop_end_micros_);
+    CHECK_FALSE(starts_.empty());
+}
+
 } // namespace
 } // namespace fescuevane::cell
