Report lowered limits to hosts without the store

Cause: limits came from the store only, and nothing told a host without it that its configuration is old.

Change: heartbeats tell the version of the configuration. A host that knows a later one sends its limits to a host that has lost the store, which uses the lower one of both until it has read that configuration itself. Nothing else of a configuration is passed on, since only limits bind hosts that aren't in touch with the store.

--- a/cell/choose_active_claims.cpp
+++ b/cell/choose_active_claims.cpp
@@ -147,16 +147,17 @@
 }
 
 resources find_withheld(node const& context, shard_id const& shard,
-                        organisation_share const& share)
+                        organisation_id const& organisation,
+                        resources const&       limit)
 {
-    auto const active = context.turns_.find(share.id_);
+    auto const active = context.turns_.find(organisation);
     if (active == context.turns_.end() || active->second.shard_ == shard)
     {
         return {};
     }
     std::int64_t const lacking =
-        count_lacking(context, active->second, share.id_);
-    return lacking == 0 ? resources() : scale_limit(share.limit_, lacking);
+        count_lacking(context, active->second, organisation);
+    return lacking == 0 ? resources() : scale_limit(limit, lacking);
 }
 
 } // namespace fescuevane::cell
--- a/cell/drive_planners.cpp
+++ b/cell/drive_planners.cpp
@@ -91,18 +91,19 @@
     for (organisation_entry const& entry : context.config_->organisations_)
     {
         // The callers of an organisation aren't spread evenly over the domains.
-        constexpr double uneven_factor = 1.5;
+        constexpr double       uneven_factor = 1.5;
+        organisation_id const& id = entry.share_.id_;
+        resources const&       limit = *find_limit(context, id);
         organisations.push_back(
-            {entry.share_.id_, entry.share_.weight_ * uneven_factor / shards,
-             scale_limit(entry.share_.limit_,
-                         find_usable_part(context, shard, entry.share_.id_))});
-        if (!entry.share_.limit_.is_zero())
+            {id, entry.share_.weight_ * uneven_factor / shards,
+             scale_limit(limit, find_usable_part(context, shard, id))});
+        if (!limit.is_zero())
         {
-            auto const turn = context.turns_.find(entry.share_.id_);
+            auto const turn = context.turns_.find(id);
             turns.push_back(
-                {.organisation_ = entry.share_.id_,
-                 .limit_ = entry.share_.limit_,
-                 .withheld_ = find_withheld(context, shard, entry.share_),
+                {.organisation_ = id,
+                 .limit_ = limit,
+                 .withheld_ = find_withheld(context, shard, id, limit),
                  .granted_ = turn != context.turns_.end() &&
                              turn->second.shard_ == shard});
         }
--- a/cell/follow_members.cpp
+++ b/cell/follow_members.cpp
@@ -204,7 +204,8 @@
     heartbeat beat{.host_ = context.settings_.host_,
                    .incarnation_ = context.settings_.incarnation_,
                    .store_ok_ = context.store_ok_,
-                   .stopping_ = context.stopping_};
+                   .stopping_ = context.stopping_,
+                   .config_version_ = config_version(context)};
     for (std::size_t row = 0; row < context.owned_.size(); ++row)
     {
         owned_row const& own = context.owned_[row];
@@ -253,6 +254,20 @@
 
 } // namespace
 
+namespace
+{
+
+void apply_limits(node& context)
+{
+    for (std::size_t row = 0; row < context.owned_.size(); ++row)
+    {
+        set_configuration(context, context.owned_.key(row));
+    }
+    context.find_excess_at_ = context.now_; // a limit may have been lowered
+}
+
+} // namespace
+
 void apply(node& context, heartbeat_received const& input)
 {
     heartbeat const& beat = input.beat_;
@@ -268,6 +283,7 @@
         host->heard_ = true;
         host->store_ok_ = beat.store_ok_;
         host->stopping_ = beat.stopping_;
+        host->config_version_ = beat.config_version_;
         // Hosts of the same failure domain that own nothing send heartbeats
         // only as replies and at the idle interval.
         bool const is_frequent =
@@ -277,6 +293,13 @@
                         : instant::never();
         host->next_heartbeat_at_ = context.now_.after(idle_heartbeat_micros);
     }
+    if (note_reported_limits(context, beat))
+    {
+        log_event(context, "limits_reported",
+                  {{"host", beat.host_.str()},
+                   {"version", std::to_string(beat.config_version_)}});
+        apply_limits(context);
+    }
     for (shard_load const& reported : beat.shards_)
     {
         owned_row const* const own = context.owned_.find(reported.shard_);
@@ -376,6 +399,12 @@
            (isolated || host.next_heartbeat_at_ <= context.now_);
 }
 
+// True for a host that can't read the present configuration from the store.
+bool needs_limits(host_row const& host, heartbeat const& beat)
+{
+    return !host.store_ok_ && host.config_version_ < beat.config_version_;
+}
+
 // Owners send to all hosts, and the replies show that these are alive. Hosts
 // that own nothing send to their failure domain only, and at the idle interval
 // while they receive other heartbeats. So the number of messages grows with
@@ -396,6 +425,8 @@
     {
         apply_shard_load(context, beat, own);
     }
+    heartbeat beat_with_limits = beat;
+    beat_with_limits.limits_ = list_configured_limits(context);
     bool const    owner = !beat.shards_.empty();
     bool const    isolated = has_no_contact(context);
     instant const deadline =
@@ -410,8 +441,9 @@
             host.next_heartbeat_at_ = context.now_.after(
                 owner ? unresponsive_heartbeat_micros : idle_heartbeat_micros);
             host.contact_due_ = std::min(host.contact_due_, deadline);
-            context.outbox_.push_back(
-                send_heartbeat{host.address_, beat, deadline});
+            context.outbox_.push_back(send_heartbeat{
+                host.address_,
+                needs_limits(host, beat) ? beat_with_limits : beat, deadline});
         }
     }
 }
@@ -560,11 +592,8 @@
     context.config_ = input.config_;
     log_event(context, "config_in_force",
               {{"version", std::to_string(input.config_->version_)}});
-    for (std::size_t row = 0; row < context.owned_.size(); ++row)
-    {
-        set_configuration(context, context.owned_.key(row));
-    }
-    context.find_excess_at_ = context.now_; // a limit may have been lowered
+    update_limits(context);
+    apply_limits(context);
 }
 
 void apply(node& context, domain_withdrawn const& input)
--- a/cell/heartbeat.hpp
+++ b/cell/heartbeat.hpp
@@ -4,8 +4,10 @@
 
 #include "cell/shard_load.hpp"
 #include "core/ids.hpp"
+#include "core/resources.hpp"
 
 #include <cstdint>
+#include <map>
 #include <vector>
 
 namespace fescuevane::cell
@@ -17,7 +19,10 @@
     std::uint64_t           incarnation_ = 0;
     bool                    store_ok_ = true; // the sender reaches the store
     bool                    stopping_ = false;
-    std::vector<shard_load> shards_; // owned by the sender
+    std::vector<shard_load> shards_;             // owned by the sender
+    std::uint64_t           config_version_ = 0; // in force there, 0: none
+    // Of that version. Only for a host without the store that is behind it.
+    std::map<organisation_id, resources> limits_;
 
     friend bool operator==(heartbeat const&, heartbeat const&) = default;
 };
--- a/cell/host_row.hpp
+++ b/cell/host_row.hpp
@@ -22,7 +22,8 @@
     bool          heard_ = false;
     bool          store_ok_ = true;
     bool          stopping_ = false;
-    instant       next_heartbeat_at_; // next one to it, if infrequent
+    std::uint64_t config_version_ = 0; // in its latest heartbeat, 0: none
+    instant       next_heartbeat_at_;  // next one to it, if infrequent
     instant       contact_due_ = instant::never(); // then overdue
 };
 
--- a/cell/move_allotments.cpp
+++ b/cell/move_allotments.cpp
@@ -96,18 +96,6 @@
             scale(limit.accelerators())};
 }
 
-resources const* find_limit(node const& context, organisation_id const& id)
-{
-    for (organisation_entry const& entry : context.config_->organisations_)
-    {
-        if (entry.share_.id_ == id)
-        {
-            return &entry.share_.limit_;
-        }
-    }
-    return nullptr;
-}
-
 // 2. Reading
 
 void apply_allotment_row(node& context, stored_row const& row)
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -62,6 +62,10 @@
 
     std::shared_ptr<cell_config const> config_; // null: none received yet
     std::set<domain_id>                out_;    // withdrawn by operators
+    // Of a later version than `config_`, as other hosts report.
+    std::uint64_t                        reported_version_ = 0;
+    std::map<organisation_id, resources> reported_limits_;
+    std::map<organisation_id, resources> limits_; // in force here
     std::set<domain_id> unknown_domains_; // named in rows of targets, logged
 
     table<host_id, host_row>          hosts_;
@@ -273,10 +277,16 @@
                            organisation_id const& organisation);
 // What a shard leaves unused of its part for the active claim of another one.
 resources find_withheld(node const& context, shard_id const& shard,
-                        organisation_share const& share);
-// Null: not configured.
+                        organisation_id const& organisation,
+                        resources const&       limit);
+// Limits in force. Null: not configured.
 resources const* find_limit(node const&            context,
                             organisation_id const& organisation);
+std::map<organisation_id, resources>
+     list_configured_limits(node const& context);
+void update_limits(node& context);
+// Returns false when the report has no later version.
+bool note_reported_limits(node& context, heartbeat const& beat);
 
 // Targets with leases
 void load_grants(node& context, shard_id const& shard, owned_row& own);
--- a/peer/peer_codec.cpp
+++ b/peer/peer_codec.cpp
@@ -60,6 +60,13 @@
     message.set_incarnation(beat.incarnation_);
     message.set_store_ok(beat.store_ok_);
     message.set_stopping(beat.stopping_);
+    message.set_config_version(beat.config_version_);
+    for (auto const& [organisation, limit] : beat.limits_)
+    {
+        cell::v1::OrganisationLimit& entry = *message.add_limits();
+        entry.set_organisation(organisation.str());
+        write_amounts(limit, *entry.mutable_limit());
+    }
     for (cell::shard_load const& shard : beat.shards_)
     {
         cell::v1::ShardLoad& row = *message.add_shards();
@@ -106,7 +113,13 @@
     cell::heartbeat beat{.host_ = host_id(message.host()),
                          .incarnation_ = message.incarnation(),
                          .store_ok_ = message.store_ok(),
-                         .stopping_ = message.stopping()};
+                         .stopping_ = message.stopping(),
+                         .config_version_ = message.config_version()};
+    for (cell::v1::OrganisationLimit const& entry : message.limits())
+    {
+        beat.limits_.emplace(organisation_id(entry.organisation()),
+                             read_amounts(entry.limit()));
+    }
     for (cell::v1::ShardLoad const& row : message.shards())
     {
         cell::shard_load shard{.shard_ = read_shard(row.shard()),
--- a/tests/unit/cell_pair_fixture.hpp
+++ b/tests/unit/cell_pair_fixture.hpp
@@ -6,6 +6,8 @@
 
 #include "cell/records.hpp"
 
+#include <list>
+
 namespace fescuevane::cell
 {
 
@@ -14,6 +16,7 @@
 {
     plan::load_summary        west_{.capacity_ = {4000, 8192, 0}};
     std::vector<reported_run> running_; // on the target of east
+    std::list<reported_end>   ends_;    // there
 
     cell_pair_fixture()
     {
@@ -54,7 +57,12 @@
             }
             for (hold_target const& hold : take<hold_target>())
             {
-                answer_hold(hold, running_);
+                std::erase_if(ends_,
+                              [&hold](reported_end const& end)
+                              {
+                                  return end.number_ <= hold.forgotten_;
+                              });
+                answer_hold(hold, running_, {ends_.begin(), ends_.end()});
             }
         }
     }
--- a/tests/unit/peer_codec_test.cpp
+++ b/tests/unit/peer_codec_test.cpp
@@ -91,5 +91,23 @@
     }
 }
 
+// Guards against starts above a limit: what a shard uses beyond its part, and
+// limits that a host can't read, are told by heartbeats only.
+TEST_CASE_FIXTURE(codec_fixture, "limits and uses, encoded, decoded the same")
+{
+    cell::heartbeat beat{.host_ = host_id("host-1"),
+                         .shards_ = {{.shard_ = {domain_id("east"), 0}}},
+                         .config_version_ = 7,
+                         .limits_ = {{organisation_id("cafe"), {1, 2, 3}},
+                                     {organisation_id("bar"), {}}}};
+    beat.shards_[0].load_.organisations_ = {
+        {.organisation_ = organisation_id("cafe"),
+         .used_ = {9, 8, 7},
+         .unconfirmed_ = {3, 2, 1},
+         .part_ = 250},
+        {.organisation_ = organisation_id("bar")}};
+    CHECK(decode_heartbeat(encode_heartbeat(beat)) == beat);
+}
+
 } // namespace
 } // namespace fescuevane::peer
