--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <utility>
+#include <vector>
 
 namespace fescuevane::cell
 {
@@ -115,11 +116,13 @@
 
 } // namespace
 
-// Unsent starts may go to another target at once. Other commands stay queued
-// for this one.
-void withdraw_unsent_starts(node& context, target_id const& id,
-                            session_row& session)
+namespace
 {
+
+// Other commands stay queued.
+std::vector<run_key> take_unsent_starts(session_row& session)
+{
+    std::vector<run_key>      starts;
     std::deque<plan::command> kept;
     for (plan::command& order : session.orders_)
     {
@@ -130,12 +133,36 @@
             continue;
         }
         session.runs_.erase(start->run_);
-        log_run_judged(context, id, start->run_,
-                       "its start was not sent to the target");
-        tell(context, session,
-             plan::run_ended{start->run_, id, run_end::lost, ""});
+        starts.push_back(start->run_);
     }
     session.orders_ = std::move(kept);
+    return starts;
+}
+
+// A target whose latest hold request has no reply may be another incarnation.
+// It gets no start before it has replied, and tickets don't wait that long.
+void refuse_unsent_starts(node& context, target_id const& id,
+                          session_row& session)
+{
+    for (run_key const& run : take_unsent_starts(session))
+    {
+        tell(context, session,
+             plan::run_refused{run, id, plan::refusal::unhealthy});
+    }
+}
+
+} // namespace
+
+// Unsent starts may go to another target at once.
+void withdraw_unsent_starts(node& context, target_id const& id,
+                            session_row& session)
+{
+    for (run_key const& run : take_unsent_starts(session))
+    {
+        log_run_judged(context, id, run,
+                       "its start was not sent to the target");
+        tell(context, session, plan::run_ended{run, id, run_end::lost, ""});
+    }
 }
 
 namespace
@@ -409,6 +436,10 @@
         {
             resend_starts(context, *session);
         }
+        if (session->phase_ == session_phase::attached && session->unanswered_)
+        {
+            refuse_unsent_starts(context, id, *session);
+        }
         while (is_answering(*session) &&
                session->open_orders_ < context.settings_.orders_open_ &&
                !session->orders_.empty() && may_order(context, *session))
