--- a/tests/unit/cell_fixture.hpp
+++ b/tests/unit/cell_fixture.hpp
@@ -327,6 +327,25 @@
         return last_call_;
     }
 
+    std::uint64_t submit_steps(std::string const&     id,
+                               std::vector<step_spec> steps)
+    {
+        staged_job const job = make_job(id);
+        post(call_opened{.call_ = ++last_call_,
+                         .kind_ = call_kind::submit,
+                         .id_ = job.id_,
+                         .job_ = std::make_shared<staged_job const>(staged_job{
+                             .id_ = job.id_,
+                             .organisation_ = job.organisation_,
+                             .queue_ = job.queue_,
+                             .service_ = job.service_,
+                             .payload_ = job.payload_,
+                             .steps_ = std::move(steps),
+                             .accepted_unix_ms_ = job.accepted_unix_ms_}),
+                         .deadline_ = now_.after(3 * micros_per_second)});
+        return last_call_;
+    }
+
     std::uint64_t ask(call_kind kind, std::string const& id)
     {
         post(call_opened{.call_ = ++last_call_,
--- a/tests/unit/cell_later_incarnation_test.cpp
+++ b/tests/unit/cell_later_incarnation_test.cpp
@@ -5,7 +5,6 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
-#include <memory>
 
 namespace fescuevane::cell
 {
@@ -33,20 +32,7 @@
     send_start start_task()
     {
         serve();
-        staged_job const job = make_job("aa01");
-        post(call_opened{
-            .call_ = ++last_call_,
-            .kind_ = call_kind::submit,
-            .id_ = job.id_,
-            .job_ = std::make_shared<staged_job const>(staged_job{
-                .id_ = job.id_,
-                .organisation_ = job.organisation_,
-                .queue_ = job.queue_,
-                .service_ = job.service_,
-                .payload_ = "work",
-                .steps_ = {{.demand_ = {1000, 512, 0}, .perpetual_ = true}},
-                .accepted_unix_ms_ = unix_ms_}),
-            .deadline_ = now_.after(3 * micros_per_second)});
+        submit_steps("aa01", {{.demand_ = {1000, 512, 0}, .perpetual_ = true}});
         run(50'000);
         auto const starts = take<send_start>();
         REQUIRE(starts.size() == 1);
--- a/tests/unit/cell_listed_ends_test.cpp
+++ b/tests/unit/cell_listed_ends_test.cpp
@@ -43,29 +43,12 @@
         }
     }
 
-    void submit_steps(std::string const& id, std::vector<step_spec> steps)
-    {
-        staged_job const job = make_job(id);
-        post(call_opened{.call_ = ++last_call_,
-                         .kind_ = call_kind::submit,
-                         .id_ = job.id_,
-                         .job_ = std::make_shared<staged_job const>(staged_job{
-                             .id_ = job.id_,
-                             .organisation_ = job.organisation_,
-                             .queue_ = job.queue_,
-                             .service_ = job.service_,
-                             .payload_ = job.payload_,
-                             .steps_ = std::move(steps),
-                             .accepted_unix_ms_ = job.accepted_unix_ms_}),
-                         .deadline_ = now_.after(3 * micros_per_second)});
-        run_target(200'000);
-    }
-
     void start_job(step_spec const& step)
     {
         list_target("t-1");
         run_target(micros_per_second);
         submit_steps("aa01", {step});
+        run_target(200'000);
         REQUIRE(target_.running_.size() == step.count_);
     }
 
--- a/tests/unit/cell_lives_test.cpp
+++ b/tests/unit/cell_lives_test.cpp
@@ -398,19 +398,7 @@
     running_.clear();
     run_targets(100'000);
     REQUIRE(stops_run());
-    staged_job const job = make_job("aa02");
-    post(call_opened{.call_ = ++last_call_,
-                     .kind_ = call_kind::submit,
-                     .id_ = job.id_,
-                     .job_ = std::make_shared<staged_job const>(
-                         staged_job{.id_ = job.id_,
-                                    .organisation_ = job.organisation_,
-                                    .queue_ = job.queue_,
-                                    .service_ = job.service_,
-                                    .payload_ = job.payload_,
-                                    .steps_ = {{.demand_ = {4000, 512, 0}}},
-                                    .accepted_unix_ms_ = unix_ms_}),
-                     .deadline_ = now_.after(3 * micros_per_second)});
+    submit_steps("aa02", {{.demand_ = {4000, 512, 0}}});
     run_targets(settings_.stop_micros_);
     CHECK(starts_.empty()); // slow targets take long to stop a run
     run_targets(settings_.stop_end_micros_);
--- a/tests/unit/cell_partition_histories_test.cpp
+++ b/tests/unit/cell_partition_histories_test.cpp
@@ -401,25 +401,31 @@
     run(24 * second);
 }
 
-// Guards against tasks that a new owner starts while a run that an earlier
-// owner started or is stopping goes on.
-TEST_CASE("random history of cuts and changes of owner, no task runs twice" *
-          doctest::test_suite("partition_histories"))
+// Plays random histories, each of which has to keep the rules.
+bool keeps_rules(void (partition_history::*play)())
 {
-    CHECK(rc::check(
-        []
+    return rc::check(
+        [play]
         {
             auto const        seed = *rc::gen::noShrink(rc::gen::resize(
                        rc::kNominalSize,
                        rc::gen::inRange<std::uint32_t>(0, 1'000'000'000)));
             partition_history history(seed);
-            history.play();
+            (history.*play)();
             RC_LOG() << "seed of the history " << seed;
             RC_ASSERT(history.violations_ == std::vector<std::string>());
             RC_ASSERT(history.judge_.find_excess_start(
                           partition_history::attempts) == std::string());
             RC_ASSERT(history.find_unfinished() == std::string());
-        }));
+        });
+}
+
+// Guards against tasks that a new owner starts while a run that an earlier
+// owner started or is stopping goes on.
+TEST_CASE("random history of cuts and changes of owner, no task runs twice" *
+          doctest::test_suite("partition_histories"))
+{
+    CHECK(keeps_rules(&partition_history::play));
 }
 
 // Guards against tasks that start elsewhere while a run goes on that the next
@@ -427,20 +433,7 @@
 TEST_CASE("random history of restarts before cuts, no task runs twice" *
           doctest::test_suite("partition_histories"))
 {
-    CHECK(rc::check(
-        []
-        {
-            auto const        seed = *rc::gen::noShrink(rc::gen::resize(
-                       rc::kNominalSize,
-                       rc::gen::inRange<std::uint32_t>(0, 1'000'000'000)));
-            partition_history history(seed);
-            history.play_recuts();
-            RC_LOG() << "seed of the history " << seed;
-            RC_ASSERT(history.violations_ == std::vector<std::string>());
-            RC_ASSERT(history.judge_.find_excess_start(
-                          partition_history::attempts) == std::string());
-            RC_ASSERT(history.find_unfinished() == std::string());
-        }));
+    CHECK(keeps_rules(&partition_history::play_recuts));
 }
 
 } // namespace
