Say what an unanswered target and the wait for a stopped run mean

Comments only, found on reading the change once more: a flag that has two causes since, and waits whose reason was short.

--- a/cell/lease_clock.cpp
+++ b/cell/lease_clock.cpp
@@ -135,6 +135,7 @@
     bool const    granted = session.clock_ms_ != 0 || session.granted_before_;
     bool const    left = !session.listed_ && session.info_->leaving_;
     bool const    awaited = granted && !left && lapse != instant::never();
+    // No reply has shown yet which incarnation is there.
     bool const    unreached = session.clock_ms_ == 0 && granted && !left;
     instant const latest =
         unreached ? std::max(lapse, find_latest_lapse(context, session))
--- a/cell/session_row.hpp
+++ b/cell/session_row.hpp
@@ -47,11 +47,13 @@
     instant       proven_at_;      // when the latest answered hold was sent
     std::uint64_t hold_ = 0;       // request in flight, 0: none
     instant       hold_sent_;
-    instant       hold_at_;            // next hold request
-    std::int64_t  hold_lease_ms_ = 0;  // that the latest hold requested
-    late_start    late_renewal_;       // by an unanswered hold request
-    bool          unanswered_ = false; // the latest hold request
-    bool          lapsed_ = false;     // its leases, until it responds
+    instant       hold_at_;           // next hold request
+    std::int64_t  hold_lease_ms_ = 0; // that the latest hold requested
+    late_start    late_renewal_;      // by an unanswered hold request
+    // The latest hold request has no reply, or one to an order showed a
+    // restart.
+    bool unanswered_ = false;
+    bool lapsed_ = false; // its leases, until it responds
 
     // Runs and ends
     std::map<run_key, session_run> runs_;
--- a/cell/sessions.hpp
+++ b/cell/sessions.hpp
@@ -40,6 +40,7 @@
 void stop_late_starts(node& context, session_row& session, target_id const& id);
 // A reply to an order that shows a later incarnation than the known one.
 bool shows_restart(order_row const& order, order_reply const& reply);
+// Asks the target again; until it replies it gets neither leases nor starts.
 void doubt_incarnation(node& context, session_row& session,
                        order_row const& order, order_reply const& reply);
 bool is_late_start_over(node const& context, session_row const& session,
--- a/cell/settings.hpp
+++ b/cell/settings.hpp
@@ -86,8 +86,8 @@
     std::int64_t hold_retry_micros_ = 150'000;
     std::int64_t hold_unstored_micros_ = 250'000; // while ends aren't stored
     std::int64_t stop_micros_ = 3'000'000;        // then it never started
-    std::int64_t stop_end_micros_ = 8'000'000;    // then its end isn't listed
-    std::int64_t order_micros_ = 500'000;         // deadline of an order
+    std::int64_t stop_end_micros_ = 8'000'000; // then an unlisted run has ended
+    std::int64_t order_micros_ = 500'000;      // deadline of an order
     // According to the platform's sites a stop takes at most this long.
     std::int64_t stop_taken_micros_ = 900'000;
     // Orders without a reply may be executed up to 12 s later, according to the
