Decide about new jobs from the expected starts of waiting work

A shard took in all work; what came too late waited behind the rest until it was worthless. `admit_job` walks the queue by rank, lets room come free with the expected ends of runs, and finds the place that a new job would have. It refuses a job that would have no value left when it ends, or by another level one that would be late, and lasting work without room. Nothing is refused while targets are still attaching, nor for delegated and timed jobs.

`promise_returns` tells refused callers times in the order of their refusal, those of organisations within their rate first, and no more in a second than half of the room that comes free. A kept promise precedes new jobs of its queue.

--- a/plan/apply_events.cpp
+++ b/plan/apply_events.cpp
@@ -11,6 +11,7 @@
 #include "plan/offers.hpp"
 #include "plan/parts.hpp"
 #include "plan/planner.hpp"
+#include "plan/rate_credit.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -20,11 +21,6 @@
 namespace
 {
 
-// Burst of jobs that an organisation may submit before its rate limit applies:
-// a fixed number of jobs plus this many seconds of its rate.
-constexpr double burst_seconds = 3;
-constexpr double min_burst_jobs = 3;
-
 // 1. Configuration and process
 
 void apply(planner& context, queues_set const& input)
@@ -141,12 +137,8 @@
     {
         return false;
     }
-    double const seconds =
-        static_cast<double>(row.credit_at_.remaining_until(context.now_)) /
-        micros_per_second;
+    row.credit_ = find_credit(row, context.now_);
     row.credit_at_ = context.now_;
-    row.credit_ = std::min(row.credit_ + seconds * row.weight_,
-                           min_burst_jobs + burst_seconds * row.weight_);
     if (row.credit_ < 1)
     {
         return true;
--- a/plan/plan.hpp
+++ b/plan/plan.hpp
@@ -8,6 +8,7 @@
 //   2. Input and output
 //   3. Ticks
 //   4. Queries
+//   5. Admission
 #ifndef FESCUEVANE_PLAN_PLAN_HPP
 #define FESCUEVANE_PLAN_PLAN_HPP
 
@@ -26,6 +27,7 @@
 namespace fescuevane
 {
 struct job_progress;
+struct staged_job;
 } // namespace fescuevane
 
 namespace fescuevane::plan
@@ -33,6 +35,7 @@
 
 // 1. Context
 struct planner;      // the tables of one shard, see planner.hpp
+struct admission;    // decision about a new job
 struct load_summary; // input of routing
 struct overflow;     // tasks that wait for room
 struct gang_room;    // room for a gang on this shard
@@ -108,6 +111,15 @@
 // State of a part that this shard runs of another shard's gang.
 part_state find_part(planner const& context, job_id const& part);
 
+// 5. Admission
+// Decides about a job that the planner doesn't know, and counts it as waiting
+// work if it is accepted. With `promises` a refused job is told a time at which
+// it precedes new jobs of its queue; otherwise only when room is expected.
+// Delegated and timed jobs are always accepted.
+admission admit_job(planner&                                 context,
+                    std::shared_ptr<staged_job const> const& job, instant now,
+                    bool promises);
+
 } // namespace fescuevane::plan
 
 #endif
--- a/plan/planner.hpp
+++ b/plan/planner.hpp
@@ -7,6 +7,7 @@
 #include "core/on_time_span.hpp"
 #include "core/queue_policy.hpp"
 #include "core/table.hpp"
+#include "plan/arrival_rate.hpp"
 #include "plan/claim_row.hpp"
 #include "plan/command.hpp"
 #include "plan/event.hpp"
@@ -14,10 +15,12 @@
 #include "plan/job_row.hpp"
 #include "plan/offer_row.hpp"
 #include "plan/organisation_row.hpp"
+#include "plan/promise_row.hpp"
 #include "plan/room_reservation.hpp"
 #include "plan/run_table.hpp"
 #include "plan/settings.hpp"
 #include "plan/stage_row.hpp"
+#include "plan/start_forecast.hpp"
 #include "plan/target_row.hpp"
 
 #include <deque>
@@ -52,10 +55,13 @@
     table<job_id, offer_row>                 offers_; // made by other shards
     // Advice of the policy service about steps that were offered, oldest first.
     std::map<stage_key, std::unordered_map<target_id, ticket_cell>>
-                                  advised_steps_;
-    std::deque<stage_key>         advised_order_;
-    run_table                     runs_;
-    table<std::string, image_row> images_; // run time models
+                                      advised_steps_;
+    std::deque<stage_key>             advised_order_;
+    run_table                         runs_;
+    table<std::string, image_row>     images_;   // run time models
+    table<job_id, promise_row>        promises_; // to callers of refused jobs
+    start_forecast                    forecast_; // latest one
+    table<std::int32_t, arrival_rate> arrivals_; // by priority of the queue
 
     // Due times of the next critical path estimates; entries of ended jobs stay
     // until they are due.
--- a/plan/settings.hpp
+++ b/plan/settings.hpp
@@ -2,6 +2,9 @@
 #ifndef FESCUEVANE_PLAN_SETTINGS_HPP
 #define FESCUEVANE_PLAN_SETTINGS_HPP
 
+#include "plan/admission_level.hpp"
+
+#include <cstddef>
 #include <cstdint>
 
 namespace fescuevane::plan
@@ -56,6 +59,17 @@
     // Timed jobs
     std::int64_t early_start_ms_ = 0; // ahead of the due time
 
+    // New jobs
+    admission_level admission_ = admission_level::off;
+    std::int64_t    forecast_micros_ = 100'000; // validity of a forecast
+    // Resolution of the time to come back that callers can be told.
+    std::int64_t return_step_micros_ = 1'000'000;
+    // After the promised time: clients add a pause of their own.
+    std::int64_t return_window_micros_ = 2'000'000;
+    // Later times aren't promised: forecasts don't reach that far.
+    std::int64_t max_return_micros_ = 30'000'000;
+    std::size_t  max_promises_ = 2'000;
+
     double rack_penalty_ = 2; // factor of run time away from the data
 };
 
--- a/plan/stage_rank.cpp
+++ b/plan/stage_rank.cpp
@@ -12,12 +12,6 @@
 namespace
 {
 
-// A job that ends later than this multiple of its objective has no value left.
-constexpr double zero_value_factor = 3;
-
-// Added for jobs above their organisation's rate, which rank behind late ones.
-constexpr std::int32_t over_rate_lateness = 2;
-
 // Lateness of a stage in its turn, which is placed before all others.
 constexpr std::int32_t turn_lateness = -1;
 
@@ -36,7 +30,9 @@
                        });
 }
 
-void estimate_job(planner const& context, job_row& job)
+} // namespace
+
+void estimate_critical_path(planner const& context, job_row& job)
 {
     // Steps depend only on earlier ones, so the last one is estimated first.
     std::vector<step_spec> const& steps = job.spec_->steps_;
@@ -56,8 +52,6 @@
     }
 }
 
-} // namespace
-
 void estimate_critical_paths(planner& context)
 {
     while (!context.estimates_.empty() &&
@@ -72,7 +66,7 @@
         {
             continue;
         }
-        estimate_job(context, *job);
+        estimate_critical_path(context, *job);
         job->critical_paths_until_ =
             context.now_.after(critical_path_validity_micros);
         context.estimates_.emplace(job->critical_paths_until_, id);
--- a/plan/stage_rank.hpp
+++ b/plan/stage_rank.hpp
@@ -11,8 +11,12 @@
 namespace fescuevane::plan
 {
 
+struct job_row;
 struct planner;
 
+// A job that ends later than this multiple of its objective has no value left.
+constexpr double zero_value_factor = 3;
+
 // Lower ranks are placed first. A job has its full value until its objective, a
 // part of it until three times its objective, then none; so work that can still
 // meet its objective precedes work that can't.
@@ -27,6 +31,13 @@
     friend auto operator<=>(stage_rank const&, stage_rank const&) = default;
 };
 
+// Estimates the critical paths of a job from the expected run times.
+void estimate_critical_path(planner const& context, job_row& job);
+
+// Added to the lateness of jobs above their organisation's rate, which rank
+// behind late ones.
+constexpr std::int32_t over_rate_lateness = 2;
+
 stage_rank rank_stage(planner const& context, stage_key const& stage);
 
 // Startable stages with a waiting task, those in their turn first, then by
