Refuse jobs for load at the owner, and settle the row before the answer

`job_outcome::overloaded` had readers and no writer. With the setting `admission` the owner of a shard asks `plan::admit_job` before it makes a row. A refused job is tried at one more shard, that which promises a time to come back: the highest hash of shard and id, so that every host finds it. Before 429 is sent the host reads the job's row: a stored job is accepted, an unreadable row is uncertain (504). Nothing is refused for load while the store is slow or lost to a host, since an earlier attempt may still be written.

--- a/cell/call_row.hpp
+++ b/cell/call_row.hpp
@@ -30,6 +30,11 @@
     bool       may_have_succeeded_ = false;   // an attempt got no reply
     bool       located_ = false;              // shard was read from the store
     job_answer refusal_;                      // latest one
+    // Refusal for load. It may be sent once the job's row is known to be absent
+    // from the store.
+    std::optional<job_answer> overload_;
+    bool                      second_asked_ = false; // after that refusal
+    bool                      row_absent_ = false;
 };
 
 } // namespace fescuevane::cell
--- a/cell/claim_shards.cpp
+++ b/cell/claim_shards.cpp
@@ -473,6 +473,7 @@
                     {.run_base_ = static_cast<std::uint32_t>(own.epoch_ - 1) *
                                   runs_per_epoch,
                      .early_start_ms_ = values.early_start_ms_,
+                     .admission_ = values.admission_,
                      .rack_penalty_ = values.rack_penalty_});
                 set_policies(context, shard);
             }
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -355,6 +355,14 @@
 bool end_part_call(node& context, std::uint64_t request,
                    job_answer const& answer); // false: another request
 
+// Admission
+// The shard that promises the callers of a refused job when to come back: the
+// same one for all hosts that know the same owners.
+std::optional<shard_id> find_return_shard(node const&   context,
+                                          job_id const& job);
+// The refusal of a submitted job that its shard can't serve in time.
+std::optional<job_answer> refuse_for_load(node& context, job_call const& call);
+
 // Calls
 void serve_call(node& context, origin const& from, job_call const& call);
 void answer_origin(node& context, origin const& to, job_answer const& answer);
--- a/cell/route_calls.cpp
+++ b/cell/route_calls.cpp
@@ -18,6 +18,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 
 namespace fescuevane::cell
 {
@@ -153,6 +154,34 @@
                                  : std::optional(best->second.shard_);
 }
 
+} // namespace
+
+std::optional<shard_id> find_return_shard(node const&   context,
+                                          job_id const& job)
+{
+    std::optional<shard_id> best;
+    std::uint64_t           best_hash = 0;
+    for (std::size_t row = 0; row < context.shards_.size(); ++row)
+    {
+        shard_id const& id = context.shards_.key(row);
+        if (!takes_jobs(context, id, context.shards_[row]))
+        {
+            continue;
+        }
+        std::uint64_t const hash = compute_stable_hash(
+            write_shard_name(id) + "/" + job.str(), id.index_);
+        if (!best || std::pair(hash, id) > std::pair(best_hash, *best))
+        {
+            best = id;
+            best_hash = hash;
+        }
+    }
+    return best;
+}
+
+namespace
+{
+
 // Shard of a job, or the one where it was most likely submitted.
 std::optional<shard_id> find_place(node const& context, call_row const& call)
 {
@@ -202,15 +231,15 @@
 void fail_call(node& context, std::uint64_t id)
 {
     call_row const& call = *context.calls_.find(id);
-    job_answer      answer = call.refusal_;
-    if (call.may_have_succeeded_)
+    job_answer      answer{.outcome_ = job_outcome::unavailable,
+                           .retry_after_ms_ = context.settings_.retry_after_ms_};
+    if (call.may_have_succeeded_ || (call.overload_ && !call.row_absent_))
     {
         answer = {.outcome_ = job_outcome::uncertain};
     }
-    else if (answer.outcome_ != job_outcome::overloaded)
+    else if (call.overload_)
     {
-        answer = {.outcome_ = job_outcome::unavailable,
-                  .retry_after_ms_ = context.settings_.retry_after_ms_};
+        answer = *call.overload_;
     }
     log_event(context, "call_refused",
               {{"job", call.id_.str()},
@@ -282,8 +311,16 @@
         call->tried_.insert(called_shard);
         retry_call(context, id, *call);
         break;
-    case job_outcome::unavailable:
     case job_outcome::overloaded:
+        if (!call->overload_ ||
+            find_return_shard(context, call->id_) == called_shard)
+        {
+            call->overload_ = answer;
+        }
+        call->tried_.insert(called_shard);
+        retry_call_at(context, id, *call, context.now_);
+        break;
+    case job_outcome::unavailable:
         call->refusal_ = answer;
         call->tried_.insert(called_shard);
         if (call->kind_ == call_kind::submit)
@@ -323,12 +360,25 @@
     }
     if (reply.rows_.empty())
     {
+        if (call->kind_ == call_kind::submit)
+        {
+            call->row_absent_ = true;
+            fail_call(context, request.call_);
+            return;
+        }
         finish_call(context, request.call_, {.outcome_ = job_outcome::absent});
         return;
     }
     try
     {
         job_record const record = read_job(reply.rows_.front().value_);
+        if (call->kind_ == call_kind::submit)
+        {
+            record_job_location(context, call->id_, record.shard_);
+            finish_call(context, request.call_,
+                        {.outcome_ = job_outcome::accepted});
+            return;
+        }
         if (is_final(record.progress_.phase_))
         {
             finish_call(context, request.call_,
@@ -473,6 +523,29 @@
     return true;
 }
 
+// A submission was refused for load. It is tried at one more shard, first at
+// the one that promises a time to come back. Before the refusal is sent, the
+// store is asked for the job: an earlier attempt may have stored it.
+void route_refused(node& context, std::uint64_t id)
+{
+    call_row& call = *context.calls_.find(id);
+    if (!std::exchange(call.second_asked_, true))
+    {
+        std::optional<shard_id> const promising =
+            find_return_shard(context, call.id_);
+        std::optional<shard_id> const second =
+            promising && !call.tried_.contains(*promising)
+                ? promising
+                : choose_shard(context, call);
+        if (second)
+        {
+            forward_call(context, id, *second);
+            return;
+        }
+    }
+    locate_job(context, id, call);
+}
+
 void route_submit(node& context, std::uint64_t id)
 {
     call_row&  call = *context.calls_.find(id);
@@ -486,6 +559,11 @@
         wake_at(context, call.retry_at_);
         return;
     }
+    if (call.overload_ && !is_located)
+    {
+        route_refused(context, id);
+        return;
+    }
     std::optional<shard_id> const shard =
         is_located ? place->second : choose_shard(context, call);
     if (shard)
--- a/cell/serve_calls.cpp
+++ b/cell/serve_calls.cpp
@@ -74,6 +74,11 @@
         answer_origin(context, from, refuse(context, job_outcome::unavailable));
         return;
     }
+    if (auto const refusal = refuse_for_load(context, call))
+    {
+        answer_origin(context, from, *refusal);
+        return;
+    }
     record_row& record = context.records_.ensure(call.id_);
     record = record_row{.shard_ = call.shard_,
                         .part_ = part_of(context, call.id_),
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -174,6 +174,14 @@
         CAPTURE(bad);
         CHECK_THROWS_AS(parse_settings(bad, 5), platform_error);
     }
+    CHECK(parse_settings(good, 5).cell_.plan_.admission_ ==
+          plan::admission_level::off);
+    CHECK(parse_settings(good + "admission: on\n", 5).cell_.plan_.admission_ ==
+          plan::admission_level::valuable);
+    CHECK(parse_settings(good + "admission: on_time\n", 5)
+              .cell_.plan_.admission_ == plan::admission_level::on_time);
+    CHECK_THROWS_AS(parse_settings(good + "admission: maybe\n", 5),
+                    platform_error);
     std::string alien = good;
     alien.replace(alien.find("[a, b]"), 6, "[b]");
     CHECK_THROWS_AS(parse_settings(alien, 5), platform_error);
