Let refused callers return only into the room that new work leaves

Returns were allowed half of the room that comes free and ranked like new jobs, so in a burst they took room from work that was still on time.

--- a/plan/admit_jobs.cpp
+++ b/plan/admit_jobs.cpp
@@ -19,7 +19,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
-#include <limits>
+#include <optional>
 #include <utility>
 
 namespace fescuevane::plan
@@ -228,7 +228,8 @@
             advice, std::min<std::size_t>(context.targets_.size(),
                                           context.settings_.advice_targets_))) /
         micros_per_milli;
-    return reply_ms * (1 + ahead / at_once);
+    std::uint32_t const replies = 1 + ahead / at_once;
+    return reply_ms * replies;
 }
 
 // Wait until the first tasks of the job have room and a ticket.
@@ -284,6 +285,15 @@
                : job_outlook::worthless;
 }
 
+// True if the job can end before it loses its value to a caller who first asked
+// then. It ranks by that time; a later return ranks like a new job.
+bool has_value_since(newcomer const& job, instant asked_at, instant now)
+{
+    double const passed_ms =
+        static_cast<double>(asked_at.remaining_until(now)) / micros_per_milli;
+    return passed_ms + job.path_ms_ <= zero_value_factor * job.objective_ms_;
+}
+
 instant find_return_time(planner& context, newcomer const& job, double start_ms,
                          instant now, bool promises)
 {
@@ -301,7 +311,7 @@
                            .cpu_millis_ = job.cpu_millis_,
                            .return_at_ = room_at,
                            .within_rate_ = job.within_rate_},
-                          now);
+                          find_share_left(context, job, 1, now), now);
 }
 
 admission admit_ending_job(planner&                                 context,
@@ -317,7 +327,9 @@
     {
         return {};
     }
-    bool const     returning = take_promise(context, job->id_, now).has_value();
+    std::optional<promise_row> const promise =
+        find_kept_promise(context, job->id_, now);
+    bool const     returning = promise.has_value();
     newcomer const arrived = describe(context, job, queue, now, returning);
     double const   start_ms = expect_start_ms(context, arrived, 0, now);
     admission      decision{.outlook_ =
@@ -328,8 +340,17 @@
                                  context.settings_.admission_));
     if (decision.accepted_)
     {
+        if (returning && has_value_since(arrived, promise->refused_at_, now))
+        {
+            close_promise(context, job->id_, now);
+        }
+        else
+        {
+            context.promises_.remove(job->id_);
+        }
         context.forecast_.accepted_millis_ += arrived.cpu_millis_;
-        if (decision.outlook_ == job_outlook::on_time && arrived.within_rate_)
+        if (decision.outlook_ == job_outlook::on_time && arrived.within_rate_ &&
+            !returning)
         {
             count_arrival(context, arrived, now);
         }
--- a/plan/apply_events.cpp
+++ b/plan/apply_events.cpp
@@ -11,6 +11,7 @@
 #include "plan/offers.hpp"
 #include "plan/parts.hpp"
 #include "plan/planner.hpp"
+#include "plan/promise_returns.hpp"
 #include "plan/rate_credit.hpp"
 
 #include <algorithm>
@@ -156,7 +157,8 @@
     job_row job;
     job.spec_ = input.job_;
     job.phase_ = input.progress_.phase_;
-    job.accepted_at_ = input.accepted_at_;
+    job.accepted_at_ = take_first_request(context, input.job_->id_)
+                           .value_or(input.accepted_at_);
     job.recovered_ = input.recovered_;
     job.over_rate_ = !input.recovered_ && !input.job_->alias_ &&
                      exceeds_rate(context, input.job_->organisation_);
--- a/plan/promise_row.hpp
+++ b/plan/promise_row.hpp
@@ -14,8 +14,10 @@
 {
     queue_id     queue_;
     std::int64_t cpu_millis_ = 0; // that its first tasks need
+    instant      refused_at_;     // first
     instant      return_at_;
     instant      lapses_at_;           // kept by a return before that
+    bool         kept_ = false;        // came back, and was accepted
     bool         within_rate_ = false; // of its organisation
 
     friend bool operator==(promise_row const&, promise_row const&) = default;
