Route new jobs by the expected wait

Cause: hosts compared shards by demand over capacity at the latest heartbeat. What they had sent since didn't count, and a queue of short tasks weighed as much as one of long tasks. Change: cell/route_job chooses by the wait until running tasks have freed enough room, counts what the host has sent since the heartbeat, and lets the share of jobs that leave a failure domain rise with its wait. Behind route_by_wait; absent, the ratio decides as before.

--- a/cell/follow_members.cpp
+++ b/cell/follow_members.cpp
@@ -249,6 +249,12 @@
     shard->suspected_at_ = instant::never();
     shard->serving_ = reported.serving_;
     shard->load_ = reported.load_;
+    std::erase_if(context.sent_work_,
+                  [&](sent_work const& sent)
+                  {
+                      return sent.shard_ == reported.shard_ &&
+                             sent.reported_from_ <= context.now_;
+                  });
     shard->wanted_requests_ = reported.wanted_requests_;
 }
 
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -26,6 +26,7 @@
 #include "cell/part_request.hpp"
 #include "cell/record_row.hpp"
 #include "cell/request_row.hpp"
+#include "cell/sent_work.hpp"
 #include "cell/session_row.hpp"
 #include "cell/settings.hpp"
 #include "cell/shard_row.hpp"
@@ -85,6 +86,7 @@
     std::map<std::uint64_t, std::uint64_t>
                                passed_; // forwarded: request to call
     std::vector<deferred_call> parked_;
+    std::vector<sent_work>     sent_work_;     // not in a reported load yet
     std::map<job_id, shard_id> job_locations_; // cache of the shards of jobs
     std::deque<job_id>         job_location_order_; // oldest first
     std::map<std::uint64_t, shard_id>     probes_;  // request to shard
--- a/cell/route_calls.cpp
+++ b/cell/route_calls.cpp
@@ -12,12 +12,12 @@
 
 #include "cell/record_error.hpp"
 #include "cell/records.hpp"
-#include "core/hashing.hpp"
+#include "cell/route_job.hpp"
 
 #include <algorithm>
-#include <map>
 #include <optional>
 #include <set>
+#include <vector>
 
 namespace fescuevane::cell
 {
@@ -61,19 +61,6 @@
                : host != nullptr && host->stopping_;
 }
 
-double load_of(node const& context, shard_id const& id, shard_row const& shard)
-{
-    double const capacity =
-        static_cast<double>(shard.load_.capacity_.cpu_millis());
-    double const wanted = static_cast<double>(shard.load_.used_.cpu_millis() +
-                                              shard.load_.queued_.cpu_millis());
-    // A shard that was just claimed has reported no load yet.
-    double const load = capacity > 0 ? wanted / capacity : 1;
-    return load + (id.domain_ == context.settings_.domain_
-                       ? 0
-                       : context.settings_.remote_cost_);
-}
-
 // Gangs, labels and rack affinity need targets that not every shard has.
 bool has_placement_constraint(step_spec const& step)
 {
@@ -97,33 +84,27 @@
     return deprioritized;
 }
 
-// Known loads are as old as the latest heartbeat. Without jitter, all hosts
-// send their jobs to the same shard of a domain until the next one.
-constexpr double load_jitter = 0.25;
-
-double jitter_of(job_id const& job, shard_id const& shard)
+// What this host sent to the shard since its owner's latest heartbeat.
+resources sum_sent_work(node const& context, shard_id const& shard)
 {
-    constexpr std::uint64_t steps = 1024;
-    return load_jitter *
-           static_cast<double>(compute_stable_hash(job.str(), shard.index_) %
-                               steps) /
-           steps;
+    resources sum;
+    for (sent_work const& sent : context.sent_work_)
+    {
+        if (sent.shard_ == shard)
+        {
+            sum = sum + sent.demand_;
+        }
+    }
+    return sum;
 }
 
-struct shard_choice
-{
-    shard_id shard_;
-    double   load_ = 0;
-    double   jittered_load_ = 0;
-};
-
 std::optional<shard_id> choose_shard(node const& context, call_row const& call)
 {
     std::set<shard_id> const deprioritized =
         list_deprioritized(context, *call.job_);
-    constexpr double                  unfit_cost = 1000; // above any load
-    constexpr double                  stopping_cost = 2 * unfit_cost;
-    std::map<domain_id, shard_choice> choices;
+    constexpr double          unfit_cost = 1000; // above any load
+    constexpr double          stopping_cost = 2 * unfit_cost;
+    std::vector<route_option> options;
     for (std::size_t row = 0; row < context.shards_.size(); ++row)
     {
         shard_id const&  id = context.shards_.key(row);
@@ -132,25 +113,20 @@
         {
             continue;
         }
-        double const load =
-            load_of(context, id, shard) +
-            (deprioritized.contains(id) ? unfit_cost : 0) +
-            (is_owner_stopping(context, shard) ? stopping_cost : 0);
-        shard_choice const choice{id, load, load + jitter_of(call.id_, id)};
-        auto const [known, is_new] = choices.try_emplace(id.domain_, choice);
-        if (!is_new && choice.jittered_load_ < known->second.jittered_load_)
-        {
-            known->second = choice;
-        }
-    }
-    auto const best =
-        std::min_element(choices.begin(), choices.end(),
-                         [](auto const& a, auto const& b)
-                         {
-                             return a.second.load_ < b.second.load_;
-                         });
-    return best == choices.end() ? std::nullopt
-                                 : std::optional(best->second.shard_);
+        options.push_back(
+            {.shard_ = id,
+             .remote_ = id.domain_ != context.settings_.domain_,
+             .penalty_ =
+                 (deprioritized.contains(id) ? unfit_cost : 0) +
+                 (is_owner_stopping(context, shard) ? stopping_cost : 0),
+             .demand_ = {.capacity_ = shard.load_.capacity_,
+                         .wanted_ = shard.load_.used_ + shard.load_.queued_,
+                         .sent_ = sum_sent_work(context, id),
+                         .freed_ = shard.load_.freed_a_second_}});
+    }
+    return choose_route(
+        context.settings_.route_by_wait_ ? route_by_wait : route_by_load,
+        {call.id_, sum_first_demand(*call.job_), context.settings_}, options);
 }
 
 // Shard of a job, or the one where it was most likely submitted.
@@ -259,6 +235,15 @@
         return;
     }
     shard_id const called_shard = *call->shard_;
+    if (answer.outcome_ != job_outcome::accepted)
+    {
+        std::erase_if(context.sent_work_,
+                      [&](sent_work const& sent)
+                      {
+                          return sent.job_ == call->id_ &&
+                                 sent.shard_ == called_shard;
+                      });
+    }
     switch (answer.outcome_)
     {
     case job_outcome::accepted:
@@ -430,9 +415,24 @@
 namespace
 {
 
+// Counts a submission until the owner's load includes it, or it was refused.
+void note_sent_work(node& context, call_row const& call, shard_id const& shard)
+{
+    if (!context.settings_.route_by_wait_ || call.kind_ != call_kind::submit)
+    {
+        return;
+    }
+    context.sent_work_.push_back({.shard_ = shard,
+                                  .job_ = call.id_,
+                                  .demand_ = sum_first_demand(*call.job_),
+                                  .reported_from_ = context.now_.after(
+                                      context.settings_.submit_micros_)});
+}
+
 void forward_call(node& context, std::uint64_t id, shard_id const& shard)
 {
     call_row& call = *context.calls_.find(id);
+    note_sent_work(context, call, shard);
     // An owner without a reply in this time is replaced by another one.
     constexpr std::int64_t forward_timeout_micros = 1'500'000;
     job_call const         forwarded{
--- a/cell/settings.hpp
+++ b/cell/settings.hpp
@@ -171,6 +171,15 @@
     std::int64_t retry_after_ms_ = 1000; // sent with a rejection
     double remote_cost_ = 0.25; // penalty of another domain, in shard loads
 
+    // Routing by the expected wait. A job leaves its failure domain when others
+    // are ahead by about `route_crossing_s_`, since messages about it and its
+    // data cross domains from then on.
+    bool   route_by_wait_ = false;
+    double route_crossing_s_ = 0.25;
+    // From sending a submission until the owner's load includes it: a hop and
+    // a write to the store, with its batching delay.
+    std::int64_t submit_micros_ = 120'000;
+
     plan::settings plan_;
 };
 
--- a/peer/peer_codec.cpp
+++ b/peer/peer_codec.cpp
@@ -80,6 +80,11 @@
         write_amounts(shard.load_.capacity_, *row.mutable_capacity());
         write_amounts(shard.load_.used_, *row.mutable_used());
         write_amounts(shard.load_.queued_, *row.mutable_queued());
+        if (!shard.load_.freed_a_second_.is_zero())
+        {
+            write_amounts(shard.load_.freed_a_second_,
+                          *row.mutable_freed_a_second());
+        }
         for (plan::queue_load const& queue : shard.load_.queues_)
         {
             cell::v1::QueueLoad& entry = *row.add_queues();
@@ -132,6 +137,7 @@
         shard.load_.capacity_ = read_amounts(row.capacity());
         shard.load_.used_ = read_amounts(row.used());
         shard.load_.queued_ = read_amounts(row.queued());
+        shard.load_.freed_a_second_ = read_amounts(row.freed_a_second());
         for (cell::v1::QueueLoad const& entry : row.queues())
         {
             shard.load_.queues_.push_back(
--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -458,9 +458,44 @@
 
 // 5. Load
 
+namespace
+{
+
+// What running tasks free in a second when each of them is replaced by one like
+// it. Long-running tasks don't end.
+resources sum_freed(planner const& context)
+{
+    constexpr double ms_per_second = 1000;
+    constexpr double min_run_ms = 100;
+    double           cpu = 0;
+    double           memory = 0;
+    double           accelerators = 0;
+    for (std::size_t row = 0; row < context.runs_.size(); ++row)
+    {
+        run_row const&   run = context.runs_[row];
+        stage_key const& stage = context.runs_.key(row).stage_;
+        if (run.lasting_ || !context.stages_.contains(stage))
+        {
+            continue;
+        }
+        resources const charge = charged_resources(run.demand_, run.filler_);
+        double const    runs_a_second =
+            ms_per_second / std::max(min_run_ms, expect_run_ms(context, stage));
+        cpu += static_cast<double>(charge.cpu_millis()) * runs_a_second;
+        memory += static_cast<double>(charge.memory_mib()) * runs_a_second;
+        accelerators +=
+            static_cast<double>(charge.accelerators()) * runs_a_second;
+    }
+    return {static_cast<std::int64_t>(cpu), static_cast<std::int64_t>(memory),
+            static_cast<std::int64_t>(accelerators)};
+}
+
+} // namespace
+
 load_summary summarize_load(planner const& context)
 {
     load_summary sum;
+    sum.freed_a_second_ = sum_freed(context);
     for (target_row const& target : context.targets_)
     {
         if (target.phase_ == target_phase::usable)
