Learn run times by organisation, queue and image

The run time model of an image is a mean over ended runs of one owner. It has no spread and no tail, and it is too low while a burst lasts, since the longest runs end last.

Add a model of exponentially fading sums by (organisation, queue, image) with wider keys to fall back on. It gives median, mean, 95th percentile and the weight of the samples, adds up contributions of shards, and counts running tasks as censored samples. Runs on clearly slow targets are scaled by the target's speed. It is used only with the setting run_time_model_ 'shared', which no settings key sets yet; with 'local' nothing changes.

--- a/plan/apply_events.cpp
+++ b/plan/apply_events.cpp
@@ -5,7 +5,8 @@
 //   2. Targets
 //   3. Jobs
 //   4. Runs
-//   5. Advice
+//   5. Run times of other shards and owners
+//   6. Advice
 #include "core/job_progress.hpp"
 #include "plan/job_flow.hpp"
 #include "plan/offers.hpp"
@@ -387,7 +388,19 @@
     withdraw_part(context, input);
 }
 
-// 5. Advice
+// 5. Run times of other shards and owners
+
+void apply(planner& context, run_times_restored const& input)
+{
+    restore_run_times(context.run_times_, input.rows_, context.unix_ms_);
+}
+
+void apply(planner& context, run_times_shared const& input)
+{
+    context.run_times_.others_ = input.rows_;
+}
+
+// 6. Advice
 
 void apply(planner& context, advice_given const& input)
 {
--- a/plan/event.hpp
+++ b/plan/event.hpp
@@ -22,6 +22,8 @@
 #include "plan/run_ended.hpp"
 #include "plan/run_refused.hpp"
 #include "plan/run_seen.hpp"
+#include "plan/run_times_restored.hpp"
+#include "plan/run_times_shared.hpp"
 #include "plan/target_removed.hpp"
 #include "plan/target_set.hpp"
 #include "plan/tasks_delegated.hpp"
@@ -32,14 +34,13 @@
 namespace fescuevane::plan
 {
 
-using event =
-    std::variant<queues_set, organisations_set, limit_claims_updated,
-                 target_set, target_removed, domain_service_changed, job_added,
-                 job_canceled, job_dropped, job_offered, run_confirmed,
-                 run_refused, run_ended, run_seen, advice_given, advice_failed,
-                 tasks_delegated, delegate_ended, delegate_end_stored,
-                 on_time_changed, unreported_ends_settled, part_ordered,
-                 part_withdrawn, advice_limit_changed>;
+using event = std::variant<
+    queues_set, organisations_set, limit_claims_updated, target_set,
+    target_removed, domain_service_changed, job_added, job_canceled,
+    job_dropped, job_offered, run_confirmed, run_refused, run_ended, run_seen,
+    advice_given, advice_failed, tasks_delegated, delegate_ended,
+    delegate_end_stored, on_time_changed, unreported_ends_settled, part_ordered,
+    part_withdrawn, advice_limit_changed, run_times_restored, run_times_shared>;
 
 } // namespace fescuevane::plan
 
--- a/plan/job_flow.cpp
+++ b/plan/job_flow.cpp
@@ -10,6 +10,7 @@
 
 #include "core/attempt_count.hpp"
 #include "core/job_progress.hpp"
+#include "plan/learn_run_times.hpp"
 #include "plan/parts.hpp"
 #include "plan/planner.hpp"
 #include "plan/room.hpp"
@@ -17,6 +18,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <limits>
 #include <set>
 #include <utility>
@@ -53,12 +55,6 @@
 constexpr std::array<char const*, 7> end_names = {
     "done", "failed", "stopped", "lapsed", "broken", "alone", "lost"};
 
-double declared_ms(step_spec const& step)
-{
-    return step.estimate_ms_ > 0 ? static_cast<double>(step.estimate_ms_)
-                                 : default_run_ms;
-}
-
 } // namespace
 
 // 1. Jobs and stages
@@ -844,14 +840,14 @@
 void learn_run_time(planner& context, run_key const& key, run_row const& run)
 {
     step_spec const& step = find_step(context, key.stage_);
-    bool const       whole = run.base_percent_ == 0 && !run.resumed_;
-    if (!whole || step.perpetual_ || run.filler_)
+    if (!is_sample(run) || step.perpetual_)
     {
         return;
     }
     double const ran_ms =
         static_cast<double>(run.started_at_.remaining_until(context.now_)) /
         micros_per_milli;
+    learn_from_run(context, key, run, ran_ms);
     image_row&        image = context.images_.ensure(run.image_);
     stage_row&        stage = *context.stages_.find(key.stage_);
     target_row* const target = context.targets_.find(run.target_);
@@ -863,6 +859,7 @@
     }
     stage.samples_ += 1;
     stage.ran_ms_ += (ran_ms - stage.ran_ms_) / stage.samples_;
+    stage.log_ran_ += std::log(std::max(ran_ms, 1.0));
     learn_sample(image, declared_ms(step), ran_ms);
 }
 
@@ -1126,6 +1123,17 @@
 
 // 5. Estimates and target failures
 
+double declared_ms(step_spec const& step)
+{
+    return step.estimate_ms_ > 0 ? static_cast<double>(step.estimate_ms_)
+                                 : default_run_ms;
+}
+
+bool is_sample(run_row const& run)
+{
+    return run.base_percent_ == 0 && !run.resumed_ && !run.filler_;
+}
+
 std::string image_of(job_row const& job, step_spec const& step)
 {
     return step.image_.empty() ? job.spec_->queue_.str() : step.image_;
@@ -1133,6 +1141,10 @@
 
 double expect_run_ms(planner const& context, stage_key const& key)
 {
+    if (uses_shared_run_times(context))
+    {
+        return estimate_stage(context, key).median_ms_;
+    }
     stage_row const* const stage = context.stages_.find(key);
     if (stage != nullptr && stage->samples_ > 0)
     {
@@ -1144,6 +1156,10 @@
 double expect_step_ms(planner const& context, job_row const& job,
                       std::uint32_t step)
 {
+    if (uses_shared_run_times(context))
+    {
+        return estimate_step(context, job, step).median_ms_;
+    }
     step_spec const&       spec = job.spec_->steps_[step];
     image_row const* const image = context.images_.find(image_of(job, spec));
     return image == nullptr ? declared_ms(spec)
--- a/plan/job_flow.hpp
+++ b/plan/job_flow.hpp
@@ -140,6 +140,12 @@
 double expect_step_ms(planner const& context, job_row const& job,
                       std::uint32_t step);
 
+// The declared run time of a task, or a default.
+double declared_ms(step_spec const& step);
+
+// True for runs whose whole run time is known once they have ended.
+bool is_sample(run_row const& run);
+
 // Key of the run time model of a step: its image, or its queue when it has
 // none.
 std::string image_of(job_row const& job, step_spec const& step);
--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -49,10 +49,11 @@
 
 std::span<system_entry const> list_systems()
 {
-    static constexpr std::array<system_entry, 14> systems = {{
+    static constexpr std::array<system_entry, 15> systems = {{
         {"apply_events", &apply_events},
         {"open_stages", &open_stages},
         {"count_unseen", &count_unconfirmed},
+        {"merge_learnt", &merge_learnt},
         {"estimate_chains", &estimate_critical_paths},
         {"watch_runs", &watch_runs},
         {"pace_fillers", &pace_fillers},
--- a/plan/planner.hpp
+++ b/plan/planner.hpp
@@ -16,6 +16,8 @@
 #include "plan/organisation_row.hpp"
 #include "plan/room_reservation.hpp"
 #include "plan/run_table.hpp"
+#include "plan/run_time_errors.hpp"
+#include "plan/run_times.hpp"
 #include "plan/settings.hpp"
 #include "plan/stage_row.hpp"
 #include "plan/target_row.hpp"
@@ -55,7 +57,10 @@
                                   advised_steps_;
     std::deque<stage_key>         advised_order_;
     run_table                     runs_;
-    table<std::string, image_row> images_; // run time models
+    table<std::string, image_row> images_;    // run time models
+    run_times                     run_times_; // unused with the local model
+    run_time_errors               run_time_errors_;
+    instant                       merge_at_; // next merge of run times
 
     // Due times of the next critical path estimates; entries of ended jobs stay
     // until they are due.
@@ -92,6 +97,7 @@
 void apply_events(planner& context);      // applies the inbox to the tables
 void open_stages(planner& context);       // opens due occurrences of timed jobs
 void count_unconfirmed(planner& context); // runs on targets not reached
+void merge_learnt(planner& context);      // run times of all shards
 void estimate_critical_paths(planner& context); // remaining run time of jobs
 void watch_runs(planner& context);              // stops stalled and slow runs
 void pace_fillers(planner& context);            // beside latency-bound tasks
--- a/plan/settings.hpp
+++ b/plan/settings.hpp
@@ -2,6 +2,8 @@
 #ifndef FESCUEVANE_PLAN_SETTINGS_HPP
 #define FESCUEVANE_PLAN_SETTINGS_HPP
 
+#include "plan/run_time_model.hpp"
+
 #include <cstdint>
 
 namespace fescuevane::plan
@@ -56,6 +58,8 @@
     // Timed jobs
     std::int64_t early_start_ms_ = 0; // ahead of the due time
 
+    run_time_model run_time_model_ = run_time_model::local;
+
     double rack_penalty_ = 2; // factor of run time away from the data
 };
 
--- a/plan/stage_row.hpp
+++ b/plan/stage_row.hpp
@@ -24,6 +24,7 @@
     std::uint32_t                     done_ = 0;
     double                     ran_ms_ = 0;  // mean run time of its ended tasks
     double                     samples_ = 0; // number of them
+    double                     log_ran_ = 0; // sum of ln(run time in ms)
     bool                       startable_ = false; // predecessors have ended
     std::uint32_t              gang_run_ = 0; // number of the gang's latest run
     std::vector<std::uint32_t> gang_failures_; // run numbers
