Share learnt run times between shards and keep them in the store

What a shard learns is lost at each change of its owner and unknown to the other shards.

Send rows with new samples in heartbeats to owners (ShardLoad.run_times), at most 24 every 2 s for each shard, and store one row a shard at most every 10 s and once before a release. A new owner starts with the newer of the stored row and of what the former owner reported. Loading a shard doesn't wait for the row, and a release waits for one attempt to write it. Reports that no shard can have learnt are dropped and counted. The log line run_times has the errors of the estimates. Off unless the settings key run_time_model is 'shared'.

Measured: peer_tests passes.

--- a/cell/claim_shards.cpp
+++ b/cell/claim_shards.cpp
@@ -473,6 +473,7 @@
                     {.run_base_ = static_cast<std::uint32_t>(own.epoch_ - 1) *
                                   runs_per_epoch,
                      .early_start_ms_ = values.early_start_ms_,
+                     .run_time_model_ = values.run_time_model_,
                      .rack_penalty_ = values.rack_penalty_});
                 set_policies(context, shard);
             }
@@ -483,6 +484,7 @@
         }
         load_allotments(context, shard, own);
         load_grants(context, shard, own);
+        load_run_times(context, shard, own);
         for (std::uint32_t index = 0; index < own.parts_.size(); ++index)
         {
             journal_part& part = own.parts_[index];
--- a/cell/follow_members.cpp
+++ b/cell/follow_members.cpp
@@ -313,6 +313,7 @@
         if (!context.owned_.contains(reported.shard_))
         {
             apply_shard_load(context, beat, reported);
+            apply_run_times(context, reported);
         }
     }
 }
@@ -427,6 +428,9 @@
     }
     heartbeat beat_with_limits = beat;
     beat_with_limits.limits_ = list_configured_limits(context);
+    // Only owners estimate run times, so no others receive them.
+    heartbeat beat_to_owners = beat;
+    attach_run_times(context, beat_to_owners);
     bool const    owner = !beat.shards_.empty();
     bool const    isolated = has_no_contact(context);
     instant const deadline =
@@ -443,7 +447,11 @@
             host.contact_due_ = std::min(host.contact_due_, deadline);
             context.outbox_.push_back(send_heartbeat{
                 host.address_,
-                needs_limits(host, beat) ? beat_with_limits : beat, deadline});
+                needs_limits(host, beat) ? beat_with_limits
+                : count_owned(context, context.hosts_.key(row)) > 0
+                    ? beat_to_owners
+                    : beat,
+                deadline});
         }
     }
 }
@@ -576,6 +584,12 @@
     case request_kind::record_grant:
         end_record_grant(context, request, input);
         break;
+    case request_kind::load_run_times:
+        end_load_run_times(context, request, input);
+        break;
+    case request_kind::store_run_times:
+        end_store_run_times(context, request, input);
+        break;
     case request_kind::abandoned:
         break;
     }
--- a/cell/node.cpp
+++ b/cell/node.cpp
@@ -44,7 +44,7 @@
 namespace
 {
 
-constexpr std::array<system_entry, 19> list_systems = {{
+constexpr std::array<system_entry, 20> list_systems = {{
     {"apply_events", &apply_events},
     {"follow_members", &follow_members},
     {"lay_out_domains", &lay_out_domains},
@@ -53,6 +53,7 @@
     {"limit_advice", &limit_advice},
     {"find_excess_uses", &find_excess_uses},
     {"drive_planners", &drive_planners},
+    {"share_run_times", &share_run_times},
     {"offer_stages", &offer_stages},
     {"delegate_tasks", &delegate_tasks},
     {"spread_gangs", &spread_gangs},
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -15,6 +15,7 @@
 #include "cell/due_queue.hpp"
 #include "cell/event.hpp"
 #include "cell/gang_spread_row.hpp"
+#include "cell/heard_run_times_row.hpp"
 #include "cell/host_row.hpp"
 #include "cell/job_record.hpp"
 #include "cell/layout_row.hpp"
@@ -89,6 +90,7 @@
     std::deque<job_id>         job_location_order_; // oldest first
     std::map<std::uint64_t, shard_id>     probes_;  // request to shard
     table<host_id, advice_proxy_row>      askers_;
+    table<shard_id, heard_run_times_row>  heard_run_times_; // from their owners
     table<organisation_id, allotment_row> allotments_; // how limits are divided
     std::map<organisation_id, active_limit_claim> turns_; // active claims
     instant choose_claims_at_; // next choice of active claims
@@ -145,6 +147,7 @@
 void limit_advice(node& context);     // limits requests of planners
 void find_excess_uses(node& context); // of limits beyond parts of shards
 void drive_planners(node& context);   // ticks of planners and their orders
+void share_run_times(node& context);  // passes on and stores run times
 void offer_stages(node& context);   // offers stages that their shard can't run
 void delegate_tasks(node& context); // moves tasks without room to other shards
 void spread_gangs(node& context);   // places gangs on several shards
@@ -215,6 +218,11 @@
 void end_record_grant(node& context, request_row const& request,
                       store_reply const& reply);
 
+void end_load_run_times(node& context, request_row const& request,
+                        store_reply const& reply);
+void end_store_run_times(node& context, request_row const& request,
+                         store_reply const& reply);
+
 // Time without contact counts only while this process runs on time, see
 // `on_time_span`.
 instant count_silence_from(node const& context, instant contact);
@@ -296,6 +304,14 @@
 // there.
 bool is_granted(node const& context, target_id const& target);
 
+// Run times
+void load_run_times(node& context, shard_id const& shard, owned_row& own);
+// Moves the rows of the next heartbeat into it.
+void attach_run_times(node& context, heartbeat& beat);
+void apply_run_times(node& context, shard_load const& reported);
+// True while the last write of the row before a release is missing or open.
+bool awaits_run_times(node const& context, owned_row const& own);
+
 // Sessions
 void open_sessions(node& context, shard_id const& shard);
 void close_sessions(node& context, shard_id const& shard);
--- a/cell/owned_row.hpp
+++ b/cell/owned_row.hpp
@@ -5,6 +5,7 @@
 #include "cell/grant_ledger.hpp"
 #include "cell/journal_part.hpp"
 #include "cell/owned_phase.hpp"
+#include "cell/run_time_ledger.hpp"
 #include "cell/store_transact.hpp"
 #include "core/ids.hpp"
 #include "core/instant.hpp"
@@ -43,8 +44,9 @@
     bool          releasing_ = false;
     bool release_unconfirmed_ = false; // without a reply, may take effect
 
-    grant_ledger grants_;
-    bool         targets_known_ = false; // all reached or given up
+    grant_ledger    grants_;
+    run_time_ledger run_times_;
+    bool            targets_known_ = false; // all reached or given up
 
     // Divided limits
     bool          allotments_loaded_ = false;
--- a/cell/records.cpp
+++ b/cell/records.cpp
@@ -5,7 +5,9 @@
 #include "cell/row_json.hpp"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
+#include <cmath>
 #include <system_error>
 
 namespace fescuevane::cell
@@ -179,6 +181,83 @@
                      });
 }
 
+namespace
+{
+
+// In the order of the stored array.
+constexpr std::array<double plan::run_time_sums::*, 8> run_time_members = {
+    &plan::run_time_sums::weight_,      &plan::run_time_sums::x_,
+    &plan::run_time_sums::y_,           &plan::run_time_sums::xx_,
+    &plan::run_time_sums::xy_,          &plan::run_time_sums::yy_,
+    &plan::run_time_sums::tail_weight_, &plan::run_time_sums::tail_excess_};
+
+} // namespace
+
+std::string write_run_times(std::vector<plan::run_time_row> const& rows,
+                            std::size_t                            max_bytes)
+{
+    std::vector<plan::run_time_row> newest = rows;
+    std::sort(newest.begin(), newest.end(),
+              [](plan::run_time_row const& a, plan::run_time_row const& b)
+              {
+                  return a.learnt_unix_ms_ > b.learnt_unix_ms_;
+              });
+    std::string text = R"({"rows":[)";
+    std::string separator;
+    for (plan::run_time_row const& row : newest)
+    {
+        json sums = json::array();
+        for (auto const member : run_time_members)
+        {
+            // Six decimals keep the spread, which is a difference of sums.
+            constexpr double scale = 1e6;
+            sums.push_back(std::round(row.sums_.*member * scale) / scale);
+        }
+        std::string const next =
+            separator +
+            json{{"organisation", row.key_.organisation_.str()},
+                 {"queue", row.key_.queue_.str()},
+                 {"image", row.key_.image_},
+                 {"learnt", row.learnt_unix_ms_},
+                 {"sums", sums}}
+                .dump(-1, ' ', false, json::error_handler_t::replace);
+        if (text.size() + next.size() + 2 > max_bytes)
+        {
+            break;
+        }
+        text += next;
+        separator = ",";
+    }
+    return text + "]}";
+}
+
+std::vector<plan::run_time_row> read_run_times(std::string const& text)
+{
+    return parse_row(
+        text,
+        [](json const& row)
+        {
+            std::vector<plan::run_time_row> rows;
+            for (json const& entry : row.at("rows"))
+            {
+                plan::run_time_row learnt{
+                    .key_ = {organisation_id(
+                                 entry.at("organisation").get<std::string>()),
+                             queue_id(entry.at("queue").get<std::string>()),
+                             entry.at("image").get<std::string>()},
+                    .learnt_unix_ms_ = entry.at("learnt").get<std::int64_t>()};
+                for (std::size_t index = 0; index < run_time_members.size();
+                     ++index)
+                {
+                    learnt.sums_.*run_time_members.at(index) =
+                        entry.at("sums").at(index).get<double>();
+                }
+                rows.push_back(std::move(learnt));
+            }
+            return rows;
+        });
+}
+
 std::string write_grants(granted_targets const& targets)
 {
     json rows = json::array();
--- a/cell/records.hpp
+++ b/cell/records.hpp
@@ -9,10 +9,12 @@
 #include "cell/layout_record.hpp"
 #include "cell/owner_record.hpp"
 #include "cell/row_key.hpp"
+#include "plan/run_time_row.hpp"
 
 #include <cstddef>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace fescuevane::cell
 {
@@ -32,6 +34,11 @@
 std::string     write_grants(granted_targets const& targets);
 granted_targets read_grants(std::string const& text);
 
+// Rows beyond `max_bytes` are left out, those with the oldest samples first.
+std::string write_run_times(std::vector<plan::run_time_row> const& rows,
+                            std::size_t                            max_bytes);
+std::vector<plan::run_time_row> read_run_times(std::string const& text);
+
 // The specification of a job never changes, so its encoded text is kept and
 // joined with the progress. Checkpoints that don't fit in `max_bytes` are left
 // out; nothing else is, so the text may be longer.
--- a/cell/release_shards.cpp
+++ b/cell/release_shards.cpp
@@ -233,7 +233,7 @@
                    owned_row const& own);
 };
 
-constexpr std::array<release_wait, 6> release_waits = {{
+constexpr std::array<release_wait, 7> release_waits = {{
     {"owner_row",
      [](node const&, shard_id const&, owned_row const& own)
      {
@@ -249,6 +249,11 @@
      {
          return own.grants_.request_ != 0;
      }},
+    {"run_times",
+     [](node const& context, shard_id const&, owned_row const& own)
+     {
+         return awaits_run_times(context, own);
+     }},
     {"journal",
      [](node const&, shard_id const&, owned_row const& own)
      {
@@ -280,6 +285,10 @@
         {
             wake_at(context, stop_wait);
         }
+        if (awaits_run_times(context, own) && own.run_times_.request_ == 0)
+        {
+            wake_at(context, context.now_); // the next tick writes them
+        }
         return;
     }
     host_id const successor = choose_successor(context, shard);
--- a/cell/request_row.hpp
+++ b/cell/request_row.hpp
@@ -15,19 +15,21 @@
 
 enum class request_kind : std::uint8_t
 {
-    announce,     // write the row of this host
-    claim,        // claim a shard
-    fence,        // claim it in another part of the store
-    load,         // read the jobs of a part
-    journal,      // write jobs
-    release,      // release a shard
-    locate,       // find the shard of a job
-    layout,       // write the layout of a failure domain
-    allotment,    // read how limits are divided
-    lend,         // lend parts of limits to other shards
-    load_grants,  // read the targets with leases
-    record_grant, // write the targets with leases
-    abandoned     // the shard was dropped; ignore the reply
+    announce,        // write the row of this host
+    claim,           // claim a shard
+    fence,           // claim it in another part of the store
+    load,            // read the jobs of a part
+    journal,         // write jobs
+    release,         // release a shard
+    locate,          // find the shard of a job
+    layout,          // write the layout of a failure domain
+    allotment,       // read how limits are divided
+    lend,            // lend parts of limits to other shards
+    load_grants,     // read the targets with leases
+    record_grant,    // write the targets with leases
+    load_run_times,  // read the run times that a shard learnt
+    store_run_times, // write them
+    abandoned        // the shard was dropped; ignore the reply
 };
 
 struct request_row
--- a/cell/shard_load.hpp
+++ b/cell/shard_load.hpp
@@ -5,9 +5,11 @@
 #include "core/ids.hpp"
 #include "core/shard_id.hpp"
 #include "plan/load_summary.hpp"
+#include "plan/run_time_row.hpp"
 
 #include <cstdint>
 #include <optional>
+#include <vector>
 
 namespace fescuevane::cell
 {
@@ -21,6 +23,8 @@
     // Long requests to the policy service; none: not reported, by a process of
     // an earlier version.
     std::optional<std::uint32_t> wanted_requests_;
+    // Learnt by the shard, those with new samples since the previous report.
+    std::vector<plan::run_time_row> run_times_;
 
     friend bool operator==(shard_load const&, shard_load const&) = default;
 };
--- a/peer/peer_codec.cpp
+++ b/peer/peer_codec.cpp
@@ -51,6 +51,33 @@
     }
 }
 
+void write_run_times(plan::run_time_row const& row, cell::v1::RunTimes& message)
+{
+    plan::run_time_sums const& sums = row.sums_;
+    message.set_organisation(row.key_.organisation_.str());
+    message.set_queue(row.key_.queue_.str());
+    message.set_image(row.key_.image_);
+    message.set_learnt_unix_ms(row.learnt_unix_ms_);
+    message.set_weight(static_cast<float>(sums.weight_));
+    message.set_x(static_cast<float>(sums.x_));
+    message.set_y(static_cast<float>(sums.y_));
+    message.set_xx(static_cast<float>(sums.xx_));
+    message.set_xy(static_cast<float>(sums.xy_));
+    message.set_yy(static_cast<float>(sums.yy_));
+    message.set_tail_weight(static_cast<float>(sums.tail_weight_));
+    message.set_tail_excess(static_cast<float>(sums.tail_excess_));
+}
+
+plan::run_time_row read_run_times(cell::v1::RunTimes const& message)
+{
+    return {.key_ = {organisation_id(message.organisation()),
+                     queue_id(message.queue()), message.image()},
+            .sums_ = {message.weight(), message.x(), message.y(), message.xx(),
+                      message.xy(), message.yy(), message.tail_weight(),
+                      message.tail_excess()},
+            .learnt_unix_ms_ = message.learnt_unix_ms()};
+}
+
 } // namespace
 
 cell::v1::Heartbeat encode_heartbeat(cell::heartbeat const& beat)
@@ -77,6 +104,10 @@
         {
             row.set_wanted_requests(*shard.wanted_requests_);
         }
+        for (plan::run_time_row const& learnt : shard.run_times_)
+        {
+            write_run_times(learnt, *row.add_run_times());
+        }
         write_amounts(shard.load_.capacity_, *row.mutable_capacity());
         write_amounts(shard.load_.used_, *row.mutable_used());
         write_amounts(shard.load_.queued_, *row.mutable_queued());
@@ -129,6 +160,10 @@
         {
             shard.wanted_requests_ = row.wanted_requests();
         }
+        for (cell::v1::RunTimes const& learnt : row.run_times())
+        {
+            shard.run_times_.push_back(read_run_times(learnt));
+        }
         shard.load_.capacity_ = read_amounts(row.capacity());
         shard.load_.used_ = read_amounts(row.used());
         shard.load_.queued_ = read_amounts(row.queued());
--- a/plan/learn_run_times.cpp
+++ b/plan/learn_run_times.cpp
@@ -3,6 +3,7 @@
 #include "plan/learn_run_times.hpp"
 
 #include "plan/job_flow.hpp"
+#include "plan/plan.hpp"
 #include "plan/planner.hpp"
 
 #include <algorithm>
@@ -145,4 +146,14 @@
             .samples_ = model.samples_ + stage->samples_};
 }
 
+std::vector<run_time_row> list_run_times(planner const& context)
+{
+    return list_own_run_times(context.run_times_);
+}
+
+run_time_errors sum_run_time_errors(planner const& context)
+{
+    return context.run_time_errors_;
+}
+
 } // namespace fescuevane::plan
--- a/plan/plan.hpp
+++ b/plan/plan.hpp
@@ -34,8 +34,10 @@
 // 1. Context
 struct planner;      // the tables of one shard, see planner.hpp
 struct load_summary; // input of routing
-struct overflow;     // tasks that wait for room
-struct gang_room;    // room for a gang on this shard
+struct run_time_errors;
+struct run_time_row;
+struct overflow;  // tasks that wait for room
+struct gang_room; // room for a gang on this shard
 enum class part_state : std::uint8_t;
 
 // Destroys the context. A functor, so that callers don't need the definition of
@@ -70,6 +72,9 @@
                                         job_id const&  job);
 bool has_runs(planner const& context, job_id const& job); // started, not ended
 load_summary summarize_load(planner const& context);
+// Run times that this shard learnt itself, and the errors of estimates.
+std::vector<run_time_row> list_run_times(planner const& context);
+run_time_errors           sum_run_time_errors(planner const& context);
 // Stages with tasks that have waited for room longer than `micros` plus the
 // time of several replies of the policy service. Gangs are listed as a whole.
 std::vector<overflow> list_overflow(planner const& context, instant now,
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -168,6 +168,12 @@
         CHECK_THROWS_AS(parse_settings(good + "row_bytes: " + bytes, 5),
                         platform_error);
     }
+    CHECK(parse_settings(good, 5).cell_.plan_.run_time_model_ ==
+          plan::run_time_model::local);
+    CHECK(parse_settings(good + "run_time_model: shared\n", 5)
+              .cell_.plan_.run_time_model_ == plan::run_time_model::shared);
+    CHECK_THROWS_AS(parse_settings(good + "run_time_model: best\n", 5),
+                    platform_error);
     for (char const* const bad :
          {"[1]", "{", "host: a-1", "store: nowhere", "first_port: -1"})
     {
