Accept learnt run times in the precision of their reports

Compare with a relative slack. A narrow key is used from a weight of 20 on, since the mean of fewer samples is noisier than the wider key.

--- a/plan/run_times.cpp
+++ b/plan/run_times.cpp
@@ -69,14 +69,16 @@
 constexpr double prior_x_variance = 0.2; // keeps the slope defined
 constexpr double prior_residual_variance = 0.3;
 
-// A wider key is used below this weight.
-constexpr double min_key_samples = 8;
+// A wider key is used below this weight: the mean of fewer samples with a
+// spread of 0.5 is off by more than a tenth.
+constexpr double min_key_samples = 20;
 
 constexpr double high_deviations = 1.645; // 95th percentile
 
 // Samples above this multiple of the estimate belong to the tail, unless there
 // are so many that the estimate must be wrong.
 constexpr double tail_factor = 4;
+constexpr double min_tail_samples = 8; // fewer don't tell the spread
 constexpr double max_tail_share = 0.2;
 
 struct distribution
@@ -149,7 +151,7 @@
 run_time_sums measure_sample(run_time_sums const& known, double x, double y)
 {
     double const excess = y - predict(known, x).log_median_;
-    bool const   tail = known.weight_ >= min_key_samples &&
+    bool const   tail = known.weight_ >= min_tail_samples &&
                       excess > std::log(tail_factor) &&
                       tail_share(known) < max_tail_share;
     return tail ? run_time_sums{.tail_weight_ = 1, .tail_excess_ = excess}
@@ -300,28 +302,25 @@
     {
         return false;
     }
-    // Allows for rounding.
-    constexpr double slack = 1e-6;
-    double const     least = std::log(min_run_ms) - slack;
-    double const     most = std::log(max_run_ms) + slack;
+    // Reports have single precision, so sums are compared with this relative
+    // slack.
+    constexpr double slack = 1e-5;
+    double const     least = std::log(min_run_ms) * (1 - slack);
+    double const     most = std::log(max_run_ms) * (1 + slack);
     auto const       is_mean = [&sums, least, most](double sum)
     {
-        return sum >= least * sums.weight_ - slack &&
-               sum <= most * sums.weight_ + slack;
+        return sum >= least * sums.weight_ && sum <= most * sums.weight_;
     };
     auto const is_square = [&sums, most](double sum, double square)
     {
-        return square * sums.weight_ >= sum * sum - slack * most * most *
-                                                        (1 + sums.weight_) *
-                                                        (1 + sums.weight_) &&
-               square <= most * most * sums.weight_ + slack;
+        return square * sums.weight_ >= sum * sum * (1 - slack) &&
+               square <= most * most * sums.weight_;
     };
     return is_mean(sums.x_) && is_mean(sums.y_) &&
            is_square(sums.x_, sums.xx_) && is_square(sums.y_, sums.yy_) &&
-           std::abs(sums.xy_) <=
-               std::sqrt(std::max(0.0, sums.xx_ * sums.yy_)) + slack &&
+           std::abs(sums.xy_) <= std::sqrt(sums.xx_ * sums.yy_) * (1 + slack) &&
            sums.tail_excess_ >= 0 &&
-           sums.tail_excess_ <= most * sums.tail_weight_ + slack;
+           sums.tail_excess_ <= most * sums.tail_weight_;
 }
 
 void restore_run_times(run_times&                       context,
