Tell slow runs by the spread of learnt run times

Copies of slow tasks and the search for slow runs compare with a factor of a mean, whatever the spread, and a task without siblings never gets a copy. With the shared model a copy starts above the 95th percentile of the key, also without siblings, and a run counts as slow above twice that percentile. Switched on in the deployment's settings by run_time_model: shared.

--- a/plan/place_tasks.cpp
+++ b/plan/place_tasks.cpp
@@ -6,6 +6,7 @@
 //   3. Gangs
 //   4. Speculative copies
 #include "plan/job_flow.hpp"
+#include "plan/learn_run_times.hpp"
 #include "plan/parts.hpp"
 #include "plan/planner.hpp"
 #include "plan/rejected_runs.hpp"
@@ -299,6 +300,30 @@
 
 // 4. Speculative copies
 
+// Run time in microseconds above which a task gets a copy. Infinite while slow
+// runs can't be told from long ones: until a task of the stage has ended, or
+// until enough runs of its kind have.
+double find_copy_bound(planner const& context, stage_key const& key,
+                       stage_row const& stage)
+{
+    constexpr double min_samples = 8;
+    double           bound_ms = std::numeric_limits<double>::infinity();
+    if (uses_shared_run_times(context))
+    {
+        run_time_estimate const estimate = estimate_stage(context, key);
+        if (estimate.samples_ >= min_samples)
+        {
+            bound_ms = estimate.high_ms_;
+        }
+    }
+    else if (stage.samples_ > 0)
+    {
+        bound_ms = context.settings_.copy_factor_ * expect_run_ms(context, key);
+    }
+    return std::max(bound_ms * micros_per_milli,
+                    static_cast<double>(context.settings_.copy_min_micros_));
+}
+
 // Runs of speculative tasks that take much longer than expected.
 std::vector<run_key> list_stragglers(planner const& context)
 {
@@ -315,19 +340,12 @@
             continue;
         }
         stage_row const* const stage = context.stages_.find(key.stage_);
-        // Until a task of the stage has ended, slow runs can't be told from
-        // long ones.
-        if (stage == nullptr || stage->samples_ == 0 ||
-            stage->tasks_[key.index_].runs_ != 1 ||
+        if (stage == nullptr || stage->tasks_[key.index_].runs_ != 1 ||
             stage->tasks_[key.index_].held_)
         {
             continue;
         }
-        double const expected =
-            expect_run_ms(context, key.stage_) * micros_per_milli;
-        double const bound =
-            std::max(context.settings_.copy_factor_ * expected,
-                     static_cast<double>(context.settings_.copy_min_micros_));
+        double const bound = find_copy_bound(context, key.stage_, *stage);
         if (ran > bound)
         {
             slow.push_back(key);
--- a/plan/watch_runs.cpp
+++ b/plan/watch_runs.cpp
@@ -1,6 +1,7 @@
 // Purpose: system: finds runs that make no progress or are far slower than
 // others of their image, and stops those that would end sooner elsewhere.
 #include "plan/job_flow.hpp"
+#include "plan/learn_run_times.hpp"
 #include "plan/planner.hpp"
 
 #include <algorithm>
@@ -25,6 +26,10 @@
 constexpr double slow_in_stage = 4;
 constexpr double slow_in_queue = 5;
 constexpr double restart_ms = 500;
+
+// With the shared model: multiple of the 95th percentile, which follows the
+// spread of the key. About the factors above at a spread of 0.5.
+constexpr double slow_in_model = 2;
 constexpr double min_samples = 8; // of an image's run time, to compare with
 constexpr int    min_percent = 3; // of progress, to compute a rate
 
@@ -79,6 +84,13 @@
     {
         return false;
     }
+    if (uses_shared_run_times(context))
+    {
+        run_time_estimate const estimate = estimate_stage(context, stage);
+        return estimate.samples_ >= min_samples &&
+               remaining_ms(run) >
+                   slow_in_model * estimate.high_ms_ + restart_ms;
+    }
     bool const             siblings = context.stages_.find(stage)->samples_ > 0;
     image_row const* const image = context.images_.find(run.image_);
     if (!siblings && (image == nullptr || image->samples_ < min_samples))
--- a/tests/unit/plan_run_times_test.cpp
+++ b/tests/unit/plan_run_times_test.cpp
@@ -1,4 +1,6 @@
 // Purpose: tests of the model of run times.
+#include "plan_fixture.hpp"
+
 #include "plan/run_times.hpp"
 
 #include <doctest/doctest.h>
@@ -213,6 +215,25 @@
     CHECK_FALSE(is_plausible(bad, unix_ms_));
 }
 
+// Guards against dropped reports of good peers, which have single precision: at
+// one sample the sums are on the bounds of what is consistent.
+TEST_CASE_FIXTURE(run_times_fixture,
+                  "run times, reported in single precision, row is plausible")
+{
+    for (int sample = 0; sample < 100; ++sample)
+    {
+        learn(10 + 37 * sample, 10 + 91 * sample);
+        run_time_row row = list_own_run_times(model_).front();
+        for (double run_time_sums::*const member :
+             {&run_time_sums::weight_, &run_time_sums::x_, &run_time_sums::y_,
+              &run_time_sums::xx_, &run_time_sums::xy_, &run_time_sums::yy_})
+        {
+            row.sums_.*member = static_cast<float>(row.sums_.*member);
+        }
+        CHECK(is_plausible(row, unix_ms_));
+    }
+}
+
 // Guards against a caller who names a new image in each job.
 TEST_CASE_FIXTURE(run_times_fixture,
                   "run times, many images, the table stays bounded")
@@ -244,5 +265,76 @@
     CHECK(list_own_run_times(model_).front() == newer);
 }
 
+// One task of a kind of which other shards know many runs of 2,000 ms each; it
+// declares 1,000 ms.
+struct shared_estimate_fixture : plan_fixture
+{
+    start_run run_;
+
+    shared_estimate_fixture()
+        : plan_fixture({.run_time_model_ = run_time_model::shared})
+        , run_(start_task())
+    {
+    }
+
+    start_run start_task()
+    {
+        set_target("t-1", {1000, 8192, 0});
+        set_target("t-2", {1000, 8192, 0});
+        run_times known;
+        for (int sample = 0; sample < 60; ++sample)
+        {
+            learn_run_time(
+                known,
+                {{organisation_id("cafe"), queue_id("orders"), "orders"},
+                 1000,
+                 2000},
+                unix_ms_);
+        }
+        post(run_times_shared{list_own_run_times(known)});
+        add_job("j-1", {{.demand_ = {1000, 512, 0},
+                         .estimate_ms_ = 1000,
+                         .speculative_ = true}});
+        tick();
+        auto const starts = list<start_run>();
+        REQUIRE(starts.size() == 1);
+        confirm_starts();
+        tick();
+        return starts.front();
+    }
+
+    // Lets the task run with progress reports until `ran_ms`, at a pace of
+    // `whole_ms` for all of it. True when a copy was started.
+    bool run_until(std::int64_t ran_ms, std::int64_t whole_ms)
+    {
+        bool copied = false;
+        for (std::int64_t passed = 0; passed < ran_ms; passed += 100)
+        {
+            advance(100'000);
+            post(run_seen{run_.run_, run_.target_, "",
+                          static_cast<std::int32_t>(passed * 100 / whole_ms),
+                          0});
+            tick();
+            copied = copied || !list<start_run>().empty();
+        }
+        return copied;
+    }
+};
+
+// Guards against a copy of a task that runs as long as its kind does, because
+// its declared run time is too short.
+TEST_CASE_FIXTURE(shared_estimate_fixture,
+                  "run times, task within the high quantile, no copy")
+{
+    CHECK_FALSE(run_until(2000, 2100));
+}
+
+// Guards against a straggler without siblings that never gets a copy.
+TEST_CASE_FIXTURE(shared_estimate_fixture,
+                  "run times, task beyond the high quantile, a copy starts")
+{
+    CHECK(run_until(5000, 6000));
+}
+
 } // namespace
 } // namespace fescuevane::plan
