--- a/tests/unit/peer_codec_test.cpp
+++ b/tests/unit/peer_codec_test.cpp
@@ -91,6 +91,20 @@
     }
 }
 
+// Guards against learnt run times that lose a part of their key or a sum.
+TEST_CASE_FIXTURE(codec_fixture, "run times, encoded, decoded the same")
+{
+    cell::heartbeat const beat{
+        .host_ = host_id("host-1"),
+        .shards_ = {
+            {.shard_ = {domain_id("east"), 0},
+             .run_times_ = {{.key_ = {organisation_id("cafe"),
+                                      queue_id("orders"), "image:1"},
+                             .sums_ = {1.5, 2.5, 3.5, 4.5, 5.5, 6.5, 7.5, 8.5},
+                             .learnt_unix_ms_ = 1'700'000'000'000}}}}};
+    CHECK(decode_heartbeat(encode_heartbeat(beat)) == beat);
+}
+
 // Guards against starts above a limit: what a shard uses beyond its part, and
 // limits that a host can't read, are told by heartbeats only.
 TEST_CASE_FIXTURE(codec_fixture, "limits and uses, encoded, decoded the same")
