--- a/plan/run_times.cpp
+++ b/plan/run_times.cpp
@@ -69,9 +69,9 @@
 constexpr double prior_x_variance = 0.2; // keeps the slope defined
 constexpr double prior_residual_variance = 0.3;
 
-// A wider key is used below this weight: the mean of fewer samples with a
-// spread of 0.5 is off by more than a tenth.
-constexpr double min_key_samples = 20;
+// Most weight that the samples of each wider key have beside those of the key.
+// The mean of 20 samples with a spread of 0.5 is off by about a tenth.
+constexpr double max_wider_samples = 20;
 
 constexpr double high_deviations = 1.645; // 95th percentile
 
@@ -127,21 +127,25 @@
             run_time_key{{}, key.queue_, {}}};
 }
 
+// The sums of the key, and of the other keys within each wider one up to a
+// weight, so that a key with few samples follows those.
 run_time_sums find_sums(run_times const& context, run_time_key const& key)
 {
-    run_time_sums widest;
+    run_time_sums sums;
+    run_time_sums narrower;
     for (run_time_key const& wider : list_keys(key))
     {
-        if (run_time_sums const* const sums = context.merged_.find(wider))
+        if (run_time_sums const* const all = context.merged_.find(wider))
         {
-            widest = *sums;
-            if (sums->weight_ >= min_key_samples)
-            {
-                break;
-            }
+            run_time_sums const others = *all + narrower * -1;
+            bool const          most =
+                narrower.weight_ == 0 || others.weight_ <= max_wider_samples;
+            sums =
+                sums + others * (most ? 1 : max_wider_samples / others.weight_);
+            narrower = *all;
         }
     }
-    return widest;
+    return sums;
 }
 
 // 3. Samples
