--- a/plan/learn_run_times.cpp
+++ b/plan/learn_run_times.cpp
@@ -15,7 +15,7 @@
 {
 
 // Estimates change slowly, while a merge visits all rows and runs.
-constexpr std::int64_t merge_micros = 500'000;
+constexpr std::int64_t merge_micros = 2'000'000;
 
 // Targets below this speed are slow rather than their tasks long. Higher
 // figures are within the noise of the speed, which is learnt from few runs.
