--- a/cell/claim_shards.cpp
+++ b/cell/claim_shards.cpp
@@ -474,6 +474,7 @@
                                   runs_per_epoch,
                      .early_start_ms_ = values.early_start_ms_,
                      .admission_ = values.admission_,
+                     .run_time_model_ = values.run_time_model_,
                      .rack_penalty_ = values.rack_penalty_});
                 set_policies(context, shard);
             }
@@ -484,6 +485,7 @@
         }
         load_allotments(context, shard, own);
         load_grants(context, shard, own);
+        load_run_times(context, shard, own);
         for (std::uint32_t index = 0; index < own.parts_.size(); ++index)
         {
             journal_part& part = own.parts_[index];
--- a/plan/settings.hpp
+++ b/plan/settings.hpp
@@ -3,6 +3,7 @@
 #define FESCUEVANE_PLAN_SETTINGS_HPP
 
 #include "plan/admission_level.hpp"
+#include "plan/run_time_model.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -70,6 +71,8 @@
     std::int64_t max_return_micros_ = 30'000'000;
     std::size_t  max_promises_ = 2'000;
 
+    run_time_model run_time_model_ = run_time_model::local;
+
     double rack_penalty_ = 2; // factor of run time away from the data
 };
 
