Send short questions through all hosts and hold questions back

Cause: short questions to the policy service were sent by owners only, one at a time for each host, while hosts that own nothing were idle in bursts. A long question at the service can't be overtaken by a later short one.

Change, with the settings key advice_pool: a short question goes to the host with the earliest expected reply. Heartbeats carry the wait at their sender, so owners learn of each other's questions. The host that asks holds questions back, short ones first, a long one only when no other is at the service. Without the key all is as before.

--- a/cell/advice_proxy_row.hpp
+++ b/cell/advice_proxy_row.hpp
@@ -18,6 +18,8 @@
     std::int64_t lag_micros_ = 0; // latest reply, beyond its expected time
     instant      lag_at_;         // when the lag was observed
     instant      urgent_until_;   // until then: has short requests
+    // As its latest heartbeat reports, and with what was sent to it since.
+    instant shared_busy_until_;
 };
 
 } // namespace fescuevane::cell
--- a/cell/advice_request_row.hpp
+++ b/cell/advice_request_row.hpp
@@ -20,6 +20,8 @@
     instant                                     sent_;
     host_id      proxy_;      // host that queries the service
     std::int64_t micros_ = 0; // expected service time, without queueing
+    // Expected wait for the earlier requests of the host, 0 without the pool.
+    std::int64_t wait_micros_ = 0;
 };
 
 } // namespace fescuevane::cell
--- a/cell/command.hpp
+++ b/cell/command.hpp
@@ -3,6 +3,7 @@
 #define FESCUEVANE_CELL_COMMAND_HPP
 
 #include "cell/answer_call.hpp"
+#include "cell/answer_question.hpp"
 #include "cell/call_peer.hpp"
 #include "cell/hold_target.hpp"
 #include "cell/log_line.hpp"
@@ -21,9 +22,9 @@
 {
 
 using command =
-    std::variant<answer_call, call_peer, hold_target, log_line, reply_peer,
-                 send_heartbeat, send_pace, send_question, send_start,
-                 send_stop, store_read, store_transact>;
+    std::variant<answer_call, answer_question, call_peer, hold_target, log_line,
+                 reply_peer, send_heartbeat, send_pace, send_question,
+                 send_start, send_stop, store_read, store_transact>;
 
 } // namespace fescuevane::cell
 
--- a/cell/event.hpp
+++ b/cell/event.hpp
@@ -15,6 +15,7 @@
 #include "cell/order_reply.hpp"
 #include "cell/peer_called.hpp"
 #include "cell/peer_replied.hpp"
+#include "cell/question_received.hpp"
 #include "cell/stop_requested.hpp"
 #include "cell/store_reply.hpp"
 #include "cell/target_listed.hpp"
@@ -29,8 +30,8 @@
     std::variant<advice_reply, call_closed, call_opened, config_changed,
                  domain_withdrawn, heartbeat_received, hold_reply,
                  list_complete, member_row_changed, members_confirmed,
-                 order_reply, peer_called, peer_replied, stop_requested,
-                 store_reply, target_listed, target_unlisted>;
+                 order_reply, peer_called, peer_replied, question_received,
+                 stop_requested, store_reply, target_listed, target_unlisted>;
 
 } // namespace fescuevane::cell
 
--- a/cell/follow_members.cpp
+++ b/cell/follow_members.cpp
@@ -206,6 +206,10 @@
                    .store_ok_ = context.store_ok_,
                    .stopping_ = context.stopping_,
                    .config_version_ = config_version(context)};
+    if (context.settings_.advice_pool_)
+    {
+        beat.advice_wait_micros_ = find_advice_backlog(context);
+    }
     for (std::size_t row = 0; row < context.owned_.size(); ++row)
     {
         owned_row const& own = context.owned_[row];
@@ -292,6 +296,11 @@
             is_frequent ? context.now_.after(context.settings_.suspect_micros_)
                         : instant::never();
         host->next_heartbeat_at_ = context.now_.after(idle_heartbeat_micros);
+        if (beat.advice_wait_micros_ && context.settings_.advice_pool_)
+        {
+            context.askers_.ensure(beat.host_).shared_busy_until_ =
+                context.now_.after(*beat.advice_wait_micros_);
+        }
     }
     if (note_reported_limits(context, beat))
     {
--- a/cell/heartbeat.hpp
+++ b/cell/heartbeat.hpp
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace fescuevane::cell
@@ -24,6 +25,10 @@
     // Of that version. Only for a host without the store that is behind it.
     std::map<organisation_id, resources> limits_;
 
+    // Expected time until the policy service has answered the requests of the
+    // sender; none: not reported.
+    std::optional<std::int64_t> advice_wait_micros_;
+
     friend bool operator==(heartbeat const&, heartbeat const&) = default;
 };
 
--- a/cell/node.cpp
+++ b/cell/node.cpp
@@ -44,7 +44,7 @@
 namespace
 {
 
-constexpr std::array<system_entry, 19> list_systems = {{
+constexpr std::array<system_entry, 20> list_systems = {{
     {"apply_events", &apply_events},
     {"follow_members", &follow_members},
     {"lay_out_domains", &lay_out_domains},
@@ -57,6 +57,7 @@
     {"delegate_tasks", &delegate_tasks},
     {"spread_gangs", &spread_gangs},
     {"answer_parts", &answer_parts},
+    {"ask_policy_service", &ask_policy_service},
     {"grant_turns", &choose_active_claims},
     {"move_allotments", &move_allotments},
     {"record_grants", &record_grants},
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -15,6 +15,7 @@
 #include "cell/due_queue.hpp"
 #include "cell/event.hpp"
 #include "cell/gang_spread_row.hpp"
+#include "cell/held_question_row.hpp"
 #include "cell/host_row.hpp"
 #include "cell/job_record.hpp"
 #include "cell/layout_row.hpp"
@@ -82,6 +83,8 @@
     table<std::uint64_t, order_row>   orders_;    // to targets
     table<std::uint64_t, advice_request_row>
         questions_; // to the policy service
+    table<std::uint64_t, held_question_row>
+        held_questions_; // that this host sends, with the pool only
     std::map<std::uint64_t, std::uint64_t>
                                passed_; // forwarded: request to call
     std::vector<deferred_call> parked_;
@@ -149,7 +152,8 @@
 void delegate_tasks(node& context); // moves tasks without room to other shards
 void spread_gangs(node& context);   // places gangs on several shards
 void answer_parts(node& context);   // serves parts of gangs of other shards
-void record_grants(node& context);  // stores which targets hold leases
+void ask_policy_service(node& context);   // sends the requests held here
+void record_grants(node& context);        // stores which targets hold leases
 void choose_active_claims(node& context); // one claim to each limit at a time
 void move_allotments(node& context);      // transfers parts of limits
 void keep_sessions(node& context);        // sends leases and orders to targets
@@ -173,6 +177,10 @@
 // Through the host that is expected to reply first.
 void send_to_advice_proxy(node& context, shard_id const& shard,
                           plan::advice_request const& query);
+// Holds a request until this host may send it. `call` is 0 for its own.
+void hold_question(node& context, std::uint64_t call, send_question question);
+// Expected time until all requests of this host are answered.
+std::int64_t find_advice_backlog(node const& context);
 void update_store_health(node& context, store_reply const& reply, instant sent);
 
 // Handlers of events, one for each kind
@@ -189,6 +197,7 @@
 void apply(node& context, order_reply const& input);
 void apply(node& context, peer_called const& input);
 void apply(node& context, peer_replied const& input);
+void apply(node& context, question_received const& input);
 void apply(node& context, stop_requested const& input);
 void apply(node& context, store_reply const& input);
 void apply(node& context, target_listed const& input);
--- a/cell/send_question.hpp
+++ b/cell/send_question.hpp
@@ -17,6 +17,9 @@
     plan::advice_request const question_;
     std::string const address_; // of the advice proxy, empty: this host
     instant const     deadline_;
+    // Expected time of the service, 0: unknown, from a process of an earlier
+    // version.
+    std::int64_t const service_micros_ = 0;
 
     friend bool operator==(send_question const&,
                            send_question const&) = default;
--- a/cell/send_questions.cpp
+++ b/cell/send_questions.cpp
@@ -8,6 +8,7 @@
 #include "cell/node.hpp"
 
 #include "cell/idle_hosts.hpp"
+#include "cell/order_questions.hpp"
 #include "cell/records.hpp"
 #include "core/hashing.hpp"
 
@@ -37,15 +38,20 @@
 // Time until the earlier requests of an advice proxy are answered.
 std::int64_t expect_wait(node const& context, host_id const& id)
 {
+    // Zero without the pool.
+    std::int64_t const held =
+        id == context.settings_.host_ ? find_advice_backlog(context) : 0;
     advice_proxy_row const* const proxy = context.askers_.find(id);
     if (proxy == nullptr)
     {
-        return 0;
+        return held;
     }
     // The observed lag decreases at the rate at which requests are answered.
     std::int64_t const lag = std::max<std::int64_t>(
         0, proxy->lag_micros_ - proxy->lag_at_.remaining_until(context.now_));
-    return std::max(context.now_.remaining_until(proxy->busy_until_), lag);
+    return std::max({context.now_.remaining_until(proxy->busy_until_),
+                     context.now_.remaining_until(proxy->shared_busy_until_),
+                     held, lag});
 }
 
 // Penalty on the expected reply time of a host. Long requests go to hosts that
@@ -62,6 +68,10 @@
     {
         return 0;
     }
+    if (!is_long && values.advice_pool_)
+    {
+        return values.advice_pool_micros_;
+    }
     advice_proxy_row const* const proxy = context.askers_.find(id);
     // Whether other owners have urgent work isn't known here.
     bool const urgent =
@@ -118,13 +128,16 @@
 // The policy service handles the requests of one host in sequence. Of the
 // suitable hosts, the one with the earliest expected reply is chosen.
 host_id choose_advice_proxy(node const& context, shard_id const& shard,
-                            std::int64_t micros, bool is_long)
+                            bool is_long)
 {
     settings const& values = context.settings_;
-    host_id         best = values.host_;
-    instant         best_end =
-        context.now_.after(expect_wait(context, values.host_) + micros +
-                           find_time_penalty(context, values.host_, is_long));
+    auto const      expect = [&](host_id const& id, std::int64_t penalty)
+    {
+        return asker{id, context.now_.after(expect_wait(context, id)), penalty};
+    };
+    std::vector<asker> askers;
+    askers.push_back(expect(values.host_,
+                            find_time_penalty(context, values.host_, is_long)));
     auto const idle = is_long ? number_idle_hosts(context)
                               : std::map<host_id, std::uint32_t>();
     for (std::size_t row = 0; row < context.hosts_.size(); ++row)
@@ -141,15 +154,9 @@
                 ? find_hop_penalty(context, host) +
                       find_time_penalty(context, id, is_long)
                 : find_sharing_penalty(context, shard, id, number->second);
-        instant const end =
-            context.now_.after(expect_wait(context, id) + micros + penalty);
-        if (end < best_end)
-        {
-            best = id;
-            best_end = end;
-        }
+        askers.push_back(expect(id, penalty));
     }
-    return best;
+    return choose_asker(askers).host_;
 }
 
 } // namespace
@@ -162,21 +169,27 @@
     auto const job = plan::find_job(*context.owned_.find(shard)->planner_,
                                     query.stage_.job_);
     std::int64_t const micros = estimate_reply_micros(context, shard, query);
-    bool const    is_long = micros > context.settings_.advice_owner_micros_;
-    host_id const proxy = choose_advice_proxy(context, shard, micros, is_long);
-    advice_proxy_row&   row = context.askers_.ensure(proxy);
+    bool const        is_long = micros > context.settings_.advice_owner_micros_;
+    host_id const     proxy = choose_advice_proxy(context, shard, is_long);
+    advice_proxy_row& row = context.askers_.ensure(proxy);
     std::uint64_t const request = next_request(context);
     std::int64_t const  wait = expect_wait(context, proxy);
     row.busy_until_ = std::max(row.busy_until_, context.now_).after(micros);
+    if (context.settings_.advice_pool_)
+    {
+        row.shared_busy_until_ =
+            std::max(row.shared_busy_until_, context.now_).after(micros);
+    }
     if (!is_long)
     {
         row.urgent_until_ =
             context.now_.after(context.settings_.advice_urgent_micros_);
     }
     context.questions_.ensure(request) = {
-        shard, std::make_shared<plan::advice_request const>(query),
-        context.now_, proxy, micros};
-    context.outbox_.push_back(send_question{
+        shard,        std::make_shared<plan::advice_request const>(query),
+        context.now_, proxy,
+        micros,       context.settings_.advice_pool_ ? wait : 0};
+    send_question question{
         .request_ = request,
         .question_ = {.stage_ = job && job->alias_ ? job->alias_->stage_
                                                    : query.stage_,
@@ -185,8 +198,15 @@
         .address_ = proxy == context.settings_.host_
                         ? std::string()
                         : context.hosts_.find(proxy)->address_,
-        .deadline_ = context.now_.after(
-            wait + micros + context.settings_.advice_slack_micros_)});
+        .deadline_ = context.now_.after(wait + micros +
+                                        context.settings_.advice_slack_micros_),
+        .service_micros_ = micros};
+    if (context.settings_.advice_pool_ && proxy == context.settings_.host_)
+    {
+        hold_question(context, 0, std::move(question));
+        return;
+    }
+    context.outbox_.push_back(std::move(question));
 }
 
 // 3. Replies
@@ -203,9 +223,10 @@
 {
     advice_proxy_row&  proxy = context.askers_.ensure(pending.proxy_);
     std::int64_t const took = pending.sent_.remaining_until(context.now_);
-    proxy.lag_micros_ = answered
-                            ? std::max<std::int64_t>(0, took - pending.micros_)
-                            : std::max(took, failed_proxy_lag_micros);
+    proxy.lag_micros_ =
+        answered ? std::max<std::int64_t>(0, took - pending.micros_ -
+                                                 pending.wait_micros_)
+                 : std::max(took, failed_proxy_lag_micros);
     proxy.lag_at_ = context.now_;
     if (std::none_of(context.questions_.begin(), context.questions_.end(),
                      [&pending](advice_request_row const& other)
@@ -221,6 +242,17 @@
 
 void apply(node& context, advice_reply const& input)
 {
+    if (held_question_row const* const held =
+            context.held_questions_.find(input.request_))
+    {
+        std::uint64_t const call = held->call_;
+        context.held_questions_.remove(input.request_);
+        if (call != 0)
+        {
+            context.outbox_.push_back(answer_question{call, input});
+            return;
+        }
+    }
     advice_request_row const* const found =
         context.questions_.find(input.request_);
     if (found == nullptr)
@@ -251,6 +283,9 @@
               {{"job", pending.question_->stage_.job_.str()},
                {"step", std::to_string(pending.question_->stage_.step_)},
                {"asker", pending.proxy_.str()},
+               {"sort", pending.micros_ > context.settings_.advice_owner_micros_
+                            ? "long"
+                            : "short"},
                {"asked", std::to_string(pending.question_->targets_.size())},
                {"good", std::to_string(input.good_.size())},
                {"ms", std::to_string(took / micros_per_milli)},
--- a/cell/settings.hpp
+++ b/cell/settings.hpp
@@ -125,6 +125,13 @@
     // for `advice_urgent_micros_`.
     std::int64_t advice_idle_micros_ = 300'000;
     std::int64_t advice_urgent_micros_ = 1'000'000;
+    // Short requests use the hosts that own nothing as well, and hosts hold
+    // requests back while the service is busy with others of theirs.
+    bool advice_pool_ = false;
+    // Penalty of a host that owns nothing for short requests in the pool. About
+    // the time of one short request, so that owners send them while they are
+    // free.
+    std::int64_t advice_pool_micros_ = 40'000;
     // Slack above the expected time. The service continues to process abandoned
     // requests, so an early timeout only adds load.
     std::int64_t advice_slack_micros_ = 4'000'000;
--- a/peer/peer_codec.cpp
+++ b/peer/peer_codec.cpp
@@ -11,11 +11,16 @@
 #include "cell/send_question.hpp"
 #include "peer/peer_error.hpp"
 
+#include <algorithm>
+
 namespace fescuevane::peer
 {
 namespace
 {
 
+// Above any wait of a host that works; bounds what a faulty sender can report.
+constexpr std::int64_t max_advice_wait_micros = 60'000'000;
+
 void write_amounts(resources const& from, cell::v1::Amounts& to)
 {
     to.set_cpu_millis(from.cpu_millis());
@@ -61,6 +66,10 @@
     message.set_store_ok(beat.store_ok_);
     message.set_stopping(beat.stopping_);
     message.set_config_version(beat.config_version_);
+    if (beat.advice_wait_micros_)
+    {
+        message.set_advice_wait_micros(*beat.advice_wait_micros_);
+    }
     for (auto const& [organisation, limit] : beat.limits_)
     {
         cell::v1::OrganisationLimit& entry = *message.add_limits();
@@ -115,6 +124,11 @@
                          .store_ok_ = message.store_ok(),
                          .stopping_ = message.stopping(),
                          .config_version_ = message.config_version()};
+    if (message.has_advice_wait_micros())
+    {
+        beat.advice_wait_micros_ = std::clamp<std::int64_t>(
+            message.advice_wait_micros(), 0, max_advice_wait_micros);
+    }
     for (cell::v1::OrganisationLimit const& entry : message.limits())
     {
         beat.limits_.emplace(organisation_id(entry.organisation()),
@@ -236,6 +250,7 @@
         message.add_targets(target.str());
     }
     message.set_remaining_micros(now.remaining_until(question.deadline_));
+    message.set_service_micros(question.service_micros_);
     return message;
 }
 
@@ -250,7 +265,9 @@
     return {.question_ = {.stage_ = {job_id(message.job()),
                                      message.occurrence(), message.step()},
                           .targets_ = std::move(targets)},
-            .deadline_ = now.after(message.remaining_micros())};
+            .deadline_ = now.after(message.remaining_micros()),
+            .service_micros_ = std::clamp<std::int64_t>(
+                message.service_micros(), 0, max_advice_wait_micros)};
 }
 
 cell::v1::AdviceAnswer encode_advice(cell::advice_reply const& answer)
--- /dev/null
+++ b/tests/unit/cell_advice_pool_test.cpp
@@ -0,0 +1,103 @@
+// Purpose: tests of the hosts that send short requests to the policy service
+// for owners, under a burst and when one of them dies.
+#include "cell_cluster_fixture.hpp"
+
+#include <doctest/doctest.h>
+
+namespace fescuevane::cell
+{
+namespace
+{
+
+// Two owners of shards of one failure domain, and six hosts that own nothing.
+struct advice_pool_fixture : cell_cluster_fixture
+{
+    advice_pool_fixture()
+    {
+        defaults_.advice_pool_ = true;
+        for (int host = 1; host <= 8; ++host)
+        {
+            add_host("host-" + std::to_string(host));
+        }
+        list_two_racks();
+        set_advice(advice_policy{40, 0.4, 2000});
+        run(5 * micros_per_second);
+    }
+
+    std::string find_owner()
+    {
+        for (auto const& [name, address] : addresses_)
+        {
+            if (!list_served(name).empty())
+            {
+                return name;
+            }
+        }
+        return "";
+    }
+
+    void submit_burst(std::string const& owner, int jobs)
+    {
+        for (int job = 0; job < jobs; ++job)
+        {
+            submit(owner, "aa" + std::to_string(10 + job),
+                   {{.demand_ = {400, 256, 0}, .estimate_ms_ = 1000}});
+        }
+    }
+};
+
+// Guards against urgent work that waits for the turns of its owner while other
+// hosts are idle: eight requests take 0.33 s in sequence.
+TEST_CASE_FIXTURE(advice_pool_fixture,
+                  "burst of eight short requests, idle hosts, all start in "
+                  "0.2 s")
+{
+    submit_burst(find_owner(), 8);
+    run(200'000);
+    CHECK(advice_busy_.size() >= 4);
+    CHECK(starts_.size() == 8);
+    CHECK(invalid_tickets_ == 0);
+}
+
+// Guards against tasks without a ticket for the whole deadline of a call, more
+// than 4 s, and against a wait without end.
+TEST_CASE_FIXTURE(advice_pool_fixture,
+                  "asking hosts die with requests in hand, all tasks start in "
+                  "3 s")
+{
+    std::string const owner = find_owner();
+    submit_burst(owner, 8);
+    run(30'000);
+    for (auto const& [name, address] : addresses_)
+    {
+        if (list_served(name).empty())
+        {
+            kill(name);
+        }
+    }
+    CHECK(starts_.size() < 8);
+    run(3 * micros_per_second);
+    CHECK(starts_.size() == 8);
+    CHECK(invalid_tickets_ == 0);
+}
+
+// Guards against owners that send to a host which others already use.
+TEST_CASE_FIXTURE(advice_pool_fixture,
+                  "host holds a request, its heartbeat, reports the wait")
+{
+    member& host = find("host-8");
+    CHECK(make_heartbeat(*host.node_).advice_wait_micros_ == 0);
+    passed_[++last_call_] = {addresses_.at("host-1"), 999};
+    post_event(
+        *host.node_,
+        question_received{last_call_,
+                          {.question_ = {.stage_ = {job_id("aa01"), 0, 0},
+                                         .targets_ = {target_id("t-easta")}},
+                           .deadline_ = now_.after(micros_per_second),
+                           .service_micros_ = 300'000}});
+    run(10'000);
+    CHECK(make_heartbeat(*host.node_).advice_wait_micros_ == 300'000);
+}
+
+} // namespace
+} // namespace fescuevane::cell
--- a/tests/unit/cell_cluster_fixture.hpp
+++ b/tests/unit/cell_cluster_fixture.hpp
@@ -373,8 +373,26 @@
         }
         void operator()(send_question const& question) const
         {
+            if (cluster_.defaults_.advice_pool_ && !question.address_.empty())
+            {
+                cluster_.forward_question(address_, question);
+                return;
+            }
             cluster_.query_policy(address_, question);
         }
+        void operator()(answer_question const& answer) const
+        {
+            forwarded_call const& call = cluster_.passed_.at(answer.call_);
+            member const&         other = cluster_.members_.at(call.from_);
+            if (other.node_)
+            {
+                post_event(*other.node_,
+                           advice_reply{.request_ = call.request_,
+                                        .answered_ = answer.reply_.answered_,
+                                        .good_ = answer.reply_.good_,
+                                        .error_ = answer.reply_.error_});
+            }
+        }
         template <typename Other>
         void operator()(Other const& /*order*/) const
         {
@@ -545,6 +563,22 @@
                                                   .good_ = std::move(good)}});
     }
 
+    void forward_question(std::string const&   from,
+                          send_question const& question)
+    {
+        member const& other = members_.at(question.address_);
+        if (other.node_)
+        {
+            passed_[++last_call_] = {from, question.request_};
+            post_event(*other.node_,
+                       question_received{
+                           last_call_,
+                           {.question_ = question.question_,
+                            .deadline_ = question.deadline_,
+                            .service_micros_ = question.service_micros_}});
+        }
+    }
+
     void deliver_advice()
     {
         auto const end = advice_due_.upper_bound(unix_ms_);
--- a/tests/unit/peer_codec_test.cpp
+++ b/tests/unit/peer_codec_test.cpp
@@ -91,6 +91,27 @@
     }
 }
 
+// Guards against a host that counts as free because an earlier version reports
+// no wait, and against a wait that keeps it unused for hours.
+TEST_CASE("wait for the policy service, encoded, none differs from zero and it "
+          "is bounded")
+{
+    for (std::optional<std::int64_t> const wait :
+         {std::optional<std::int64_t>(), std::optional<std::int64_t>(0),
+          std::optional<std::int64_t>(700'000)})
+    {
+        cell::heartbeat const beat{.host_ = host_id("host-1"),
+                                   .advice_wait_micros_ = wait};
+        CHECK(decode_heartbeat(encode_heartbeat(beat)) == beat);
+    }
+    cell::v1::Heartbeat message;
+    message.set_host("host-1");
+    message.set_advice_wait_micros(-5);
+    CHECK(decode_heartbeat(message).advice_wait_micros_ == 0);
+    message.set_advice_wait_micros(1LL << 60);
+    CHECK(decode_heartbeat(message).advice_wait_micros_ == 60'000'000);
+}
+
 // Guards against starts above a limit: what a shard uses beyond its part, and
 // limits that a host can't read, are told by heartbeats only.
 TEST_CASE_FIXTURE(codec_fixture, "limits and uses, encoded, decoded the same")
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -163,6 +163,11 @@
     CHECK(parse_settings(good + "row_bytes: 131072\n", 5).cell_.row_bytes_ ==
           131'072);
     CHECK(parse_settings(good + "row_bytes:\n", 5).cell_.row_bytes_ == 65'536);
+    CHECK(!parse_settings(good, 5).cell_.advice_pool_);
+    CHECK(parse_settings(good + "advice_pool: on\n", 5).cell_.advice_pool_);
+    CHECK(!parse_settings(good + "advice_pool: off\n", 5).cell_.advice_pool_);
+    CHECK_THROWS_AS(parse_settings(good + "advice_pool: maybe\n", 5),
+                    platform_error);
     for (char const* const bytes : {"0", "-1", "lots", "1e12"})
     {
         CHECK_THROWS_AS(parse_settings(good + "row_bytes: " + bytes, 5),
