--- a/tests/unit/cell_advice_pool_test.cpp
+++ b/tests/unit/cell_advice_pool_test.cpp
@@ -46,16 +46,16 @@
     }
 };
 
-// Guards against urgent work that waits for the turns of its owner while other
-// hosts are idle: eight requests take 0.33 s in sequence.
+// Guards against urgent work that waits for the turns of two owners while other
+// hosts are idle: eight requests of each take 0.33 s in sequence.
 TEST_CASE_FIXTURE(advice_pool_fixture,
-                  "burst of eight short requests, idle hosts, all start in "
+                  "burst of sixteen short requests, idle hosts, all start in "
                   "0.2 s")
 {
-    submit_burst(find_owner(), 8);
+    submit_burst(find_owner(), 16);
     run(200'000);
     CHECK(advice_busy_.size() >= 4);
-    CHECK(starts_.size() == 8);
+    CHECK(starts_.size() == 16);
     CHECK(invalid_tickets_ == 0);
 }
 
--- a/tests/unit/cell_observer_test.cpp
+++ b/tests/unit/cell_observer_test.cpp
@@ -58,7 +58,7 @@
                   "tick, observed, names each system in order")
 {
     tick();
-    REQUIRE(recorded_.systems_.size() == 19);
+    REQUIRE(recorded_.systems_.size() == 20);
     CHECK(recorded_.systems_.front() == "apply_events");
     CHECK(recorded_.systems_.back() == "release_shards");
 }
--- a/tests/unit/cell_order_questions_test.cpp
+++ b/tests/unit/cell_order_questions_test.cpp
@@ -18,7 +18,7 @@
     pooled_question const          long_sent_{true, true};
     instant const                  now_{10 * micros_per_second};
     std::vector<asker>             askers_;
-    std::vector<std::size_t> const none_;
+    std::vector<std::size_t> const none_{};
 
     std::vector<std::size_t>
     choose(std::vector<pooled_question> const& questions) const
