Test gangs of whole targets beside tasks of one accelerator

A part of a gang with free room reserves nothing while older gangs use a quarter of the shard, and tasks and fillers of one accelerator begin targets while started ones have room.

--- a/tests/unit/plan_gang_holds_test.cpp
+++ b/tests/unit/plan_gang_holds_test.cpp
@@ -435,6 +435,80 @@
     CHECK(idle_reserved_core_seconds_ < 0.25 * 8 * targets * seconds);
 }
 
+// Guards against a part of a gang that reserves nothing although its room is
+// free, since older gangs that can't start use the share that gangs may
+// reserve. On a site with accelerators parts on two whole targets waited for 12
+// s so.
+TEST_CASE_FIXTURE(gang_reservations_fixture,
+                  "older gangs wait for room, part with free room, stays ready")
+{
+    // Leaves no room for a task of a gang on the targets of the older gangs.
+    waiting_singles_ = 0;
+    single_micros_ = 60 * micros_per_second;
+    for (std::uint32_t target = allowed_targets + 1; target <= targets;
+         ++target)
+    {
+        set_target(name_target(target), {8000, 49'152, 0},
+                   target_phase::draining);
+    }
+    add_job("long", {{.count_ = allowed_targets,
+                      .demand_ = {5000, 8000, 0},
+                      .estimate_ms_ = 60'000}});
+    play(2 * tick_micros);
+    for (std::uint32_t target = allowed_targets + 1; target <= targets;
+         ++target)
+    {
+        set_target(name_target(target), {8000, 49'152, 0});
+    }
+    allow("g-1", 1);
+    allow("g-2", 1);
+    SUBCASE("one gang with more than the share")
+    {
+        add_gang("g-1");
+    }
+    SUBCASE("two gangs, the second one exceeds the share")
+    {
+        add_gang("g-1", 8);
+        play(tick_micros);
+        add_gang("g-2", 8);
+    }
+    play(5 * micros_per_second);
+    allow("p-1", 30);
+    add_part("p-1", 3);
+    play(4 * micros_per_second);
+    std::size_t ready = 0;
+    for (int round = 0; round < 20; ++round)
+    {
+        play(tick_micros);
+        ready += find_part(*planner_, job_id("p-1")) == part_state::ready;
+    }
+    CHECK(!planner_->holding_gangs_.empty());
+    CHECK(count_started("g-1") == 0);
+    CHECK(ready >= 18);
+}
+
+// Guards against a shard whose free room is all reserved for parts of gangs
+// that wait for parts elsewhere.
+TEST_CASE_FIXTURE(gang_reservations_fixture,
+                  "many parts with free room, wait, half the shard is reserved")
+{
+    waiting_singles_ = 0;
+    for (int part = 1; part <= 12; ++part)
+    {
+        std::string const id = "p-" + std::to_string(part);
+        allow(id, 1, targets);
+        add_part(id, 4);
+    }
+    play(5 * micros_per_second);
+    resources reserved;
+    for (target_row const& target : planner_->targets_)
+    {
+        reserved = reserved + target.held_;
+    }
+    CHECK(reserved.memory_mib() > 49'152 * targets / 4);
+    CHECK(reserved.memory_mib() <= 49'152 * targets / 2);
+}
+
 // Guards against long-running tasks that stay down while room is reserved for a
 // gang.
 TEST_CASE_FIXTURE(gang_reservations_fixture,
--- a/tests/unit/plan_placement_test.cpp
+++ b/tests/unit/plan_placement_test.cpp
@@ -2,11 +2,13 @@
 #include "core/job_progress.hpp"
 #include "plan/image_row.hpp"
 #include "plan/load_summary.hpp"
+#include "plan/planner.hpp"
 #include "plan_fixture.hpp"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <array>
 #include <cmath>
 #include <map>
@@ -117,6 +119,66 @@
     CHECK(list<start_run>()[0].run_.stage_.job_ == job_id("other"));
 }
 
+// Tasks of one accelerator on a site where others need whole targets.
+struct accelerator_fixture : plan_fixture
+{
+    accelerator_fixture()
+    {
+        for (char const* const name : {"t-1", "t-2", "t-3", "t-4"})
+        {
+            set_target(name, {32'000, 131'072, 8});
+        }
+    }
+
+    static step_spec make_accelerator_step(std::uint32_t count,
+                                           bool          filler = false)
+    {
+        return {.count_ = count,
+                .demand_ = {2800, 11'000, 1},
+                .estimate_ms_ = 2400,
+                .filler_ = filler};
+    }
+
+    std::size_t count_started_targets() const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(planner_->targets_.begin(), planner_->targets_.end(),
+                          [](target_row const& target)
+                          {
+                              return target.used_.accelerators() > 0;
+                          }));
+    }
+};
+
+// Guards against whole targets that never become free, because the faster of
+// them were preferred to started ones with half of their accelerators in use.
+TEST_CASE_FIXTURE(accelerator_fixture,
+                  "tasks of one accelerator, faster targets idle, fill one")
+{
+    add_job("j-1", {make_accelerator_step(4)});
+    tick();
+    REQUIRE(count_started_targets() == 1);
+    for (target_row& target : planner_->targets_)
+    {
+        target.speed_ = target.used_.accelerators() > 0 ? 1 : 1.3;
+    }
+    add_job("j-2", {make_accelerator_step(4)});
+    tick();
+    CHECK(list<start_run>().size() == 4);
+    CHECK(count_started_targets() == 1);
+}
+
+// Guards against fillers that use one accelerator of each target. Fillers leave
+// processors to others, but not the accelerators that they hold.
+TEST_CASE_FIXTURE(accelerator_fixture,
+                  "fillers of one accelerator, all targets idle, fill one")
+{
+    add_job("j-1", {make_accelerator_step(8, true)});
+    tick();
+    CHECK(list<start_run>().size() == 8);
+    CHECK(count_started_targets() == 1);
+}
+
 // Guards against a gang that is started in part.
 TEST_CASE_FIXTURE(plan_fixture, "gang, no room for all, none started")
 {
