--- a/plan/place_tasks.cpp
+++ b/plan/place_tasks.cpp
@@ -46,6 +46,26 @@
     std::optional<rack_id> rack_; // required rack, if any
 };
 
+double free_share(std::int64_t capacity, std::int64_t used)
+{
+    return static_cast<double>(capacity - used) /
+           std::max<double>(1, static_cast<double>(capacity));
+}
+
+// Free share of what is in shortest supply of the processors and, for tasks
+// that use some, the accelerators. With processors alone, tasks of one
+// accelerator start on targets that others need whole.
+double find_free_share(step_spec const& step, target_row const& target)
+{
+    double const processors =
+        free_share(target.capacity_.cpu_millis(), target.used_.cpu_millis());
+    return step.demand_.accelerators() == 0
+               ? processors
+               : std::min(processors,
+                          free_share(target.capacity_.accelerators(),
+                                     target.used_.accelerators()));
+}
+
 double cost_of(planner const& context, placement const& request,
                target_id const& id, target_row const& target)
 {
@@ -55,25 +75,26 @@
     {
         cost *= context.settings_.rack_penalty_;
     }
-    double const capacity =
-        std::max<double>(1, static_cast<double>(target.capacity_.cpu_millis()));
-    double const free = static_cast<double>(target.capacity_.cpu_millis() -
-                                            target.used_.cpu_millis()) /
-                        capacity;
-    if (request.stage_.step_.filler_)
+    step_spec const& step = request.stage_.step_;
+    if (step.filler_)
     {
-        // The opposite of packing: fillers use the capacity that is left over.
-        cost += packing_weight * (1 - free);
         cost += target.serving_ > 0 ? interference_cost : 0;
-        cost += target.fillers_;
+    }
+    else
+    {
+        cost += step.latency_target_ms_ > 0 && target.fillers_ > 0
+                    ? interference_cost
+                    : 0;
+    }
+    double const free = find_free_share(step, target);
+    if (step.filler_ && step.demand_.accelerators() == 0)
+    {
+        // The opposite of packing: fillers use the capacity that is left over.
+        cost += packing_weight * (1 - free) + target.fillers_;
     }
     else
     {
         cost += packing_weight * free;
-        cost +=
-            request.stage_.step_.latency_target_ms_ > 0 && target.fillers_ > 0
-                ? interference_cost
-                : 0;
     }
     cost += request.task_.failed_on_ == id ? failed_before_cost : 0;
     return cost;
