Test gangs that were handed over or whose parts were withdrawn

Measured: plan_tests, the 2 new cases fail (no reservation 1.1 s after the gang was added; no overflow 1 s after the parts ended).

--- a/tests/unit/plan_gang_holds_test.cpp
+++ b/tests/unit/plan_gang_holds_test.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <map>
+#include <numeric>
 #include <set>
 
 namespace fescuevane::plan
@@ -487,6 +488,24 @@
     CHECK(ready >= 18);
 }
 
+// Guards against a gang that was handed over and waits as long as a new one for
+// its reservation, while single tasks take the room that it was moved for.
+TEST_CASE_FIXTURE(gang_reservations_fixture,
+                  "gang was handed over, busy shard, reserves at once")
+{
+    allow("far~1-1", 10);
+    play(7 * micros_per_second);
+    task_alias alias{.stage_ = {job_id("far"), 0, 0}};
+    alias.indices_.resize(gang_tasks);
+    std::iota(alias.indices_.begin(), alias.indices_.end(), 0U);
+    alias.failures_.resize(gang_tasks);
+    alias.checkpoints_.resize(gang_tasks);
+    post(job_added{.job_ = make_gang("far~1-1", gang_tasks, unix_ms_, alias),
+                   .accepted_at_ = now_});
+    play(reply_micros + 5 * tick_micros);
+    CHECK(!planner_->holding_gangs_.empty());
+}
+
 // Guards against a shard whose free room is all reserved for parts of gangs
 // that wait for parts elsewhere.
 TEST_CASE_FIXTURE(gang_reservations_fixture,
--- a/tests/unit/plan_placement_test.cpp
+++ b/tests/unit/plan_placement_test.cpp
@@ -473,6 +473,35 @@
     CHECK(list<start_run>()[0].run_.run_ == 2);
 }
 
+// Guards against a gang whose parts found no room, and which isn't offered
+// again for as long as a new one. On a site with accelerators a gang of three
+// tasks waited for 3.7 s more beside free whole targets of other shards.
+TEST_CASE_FIXTURE(spread_gang_fixture,
+                  "parts of a gang withdrawn, waits again, offered at once")
+{
+    add_job("other", {make_step(4)}); // fills the target
+    tick();
+    set_queue(advice_policy{500, 5, 2000});
+    for (job_id const& part : parts_)
+    {
+        post(delegate_ended{stage_, part, job_phase::canceled});
+        post(delegate_end_stored{stage_, part});
+    }
+    tick();
+    REQUIRE(list<advice_request>().size() == 1);
+    advice_request const asked = list<advice_request>()[0];
+    post(advice_given{asked.stage_,
+                      asked.targets_,
+                      {{target_id("t-1"), "ticket"}},
+                      now_.after(2 * micros_per_second)});
+    advance(micros_per_second);
+    tick();
+    auto const waiting = list_overflow(*planner_, now_, micros_per_second);
+    REQUIRE(waiting.size() == 1);
+    CHECK(waiting[0].stage_ == stage_);
+    CHECK(!waiting[0].blocked_);
+}
+
 // Guards against an idle shard: its targets were reserved forever for a gang
 // that could not start.
 TEST_CASE_FIXTURE(plan_fixture,
