Let gangs that have waited reserve and move at once

Cause: a gang that was handed over waited for 3 s again before it reserved room in its new shard, and one whose parts were withdrawn waited for three replies of the policy service again before it was offered. Fillers with accelerators were packed on targets without free processors.

Change: both count as having waited. Fillers prefer free processors and are packed by accelerators only.

--- a/plan/hold_gangs.cpp
+++ b/plan/hold_gangs.cpp
@@ -76,10 +76,12 @@
                        });
 }
 
-// Time from which the stage may reserve room.
+// Time from which the stage may reserve room. A gang that was handed over or
+// divided has waited before.
 instant find_reservation_time(stage_row const& stage)
 {
-    if (stage.part_ != part_phase::none)
+    if (stage.part_ != part_phase::none || stage.spec_->alias_ ||
+        stage.gang_run_ != 0)
     {
         return instant();
     }
--- a/plan/place_tasks.cpp
+++ b/plan/place_tasks.cpp
@@ -52,20 +52,6 @@
            std::max<double>(1, static_cast<double>(capacity));
 }
 
-// Free share of what is in shortest supply of the processors and, for tasks
-// that use some, the accelerators. With processors alone, tasks of one
-// accelerator start on targets that others need whole.
-double find_free_share(step_spec const& step, target_row const& target)
-{
-    double const processors =
-        free_share(target.capacity_.cpu_millis(), target.used_.cpu_millis());
-    return step.demand_.accelerators() == 0
-               ? processors
-               : std::min(processors,
-                          free_share(target.capacity_.accelerators(),
-                                     target.used_.accelerators()));
-}
-
 double cost_of(planner const& context, placement const& request,
                target_id const& id, target_row const& target)
 {
@@ -86,15 +72,26 @@
                     ? interference_cost
                     : 0;
     }
-    double const free = find_free_share(step, target);
-    if (step.filler_ && step.demand_.accelerators() == 0)
+    // Processors alone would let tasks of one accelerator start on targets that
+    // others need whole.
+    bool const   uses_accelerators = step.demand_.accelerators() > 0;
+    double const processors =
+        free_share(target.capacity_.cpu_millis(), target.used_.cpu_millis());
+    double const accelerators = free_share(target.capacity_.accelerators(),
+                                           target.used_.accelerators());
+    if (!step.filler_)
     {
-        // The opposite of packing: fillers use the capacity that is left over.
-        cost += packing_weight * (1 - free) + target.fillers_;
+        cost += packing_weight * (uses_accelerators
+                                      ? std::min(processors, accelerators)
+                                      : processors);
     }
     else
     {
-        cost += packing_weight * free;
+        // The opposite of packing: fillers use the processors that are left
+        // over. They hold accelerators like other tasks.
+        cost += packing_weight * (1 - processors);
+        cost +=
+            uses_accelerators ? packing_weight * accelerators : target.fillers_;
     }
     cost += request.task_.failed_on_ == id ? failed_before_cost : 0;
     return cost;
--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -282,7 +282,8 @@
                 continue;
             }
         }
-        if (!tasks.blocked_)
+        // A gang that was divided has had these replies before.
+        if (!tasks.blocked_ && (!step.gang_ || stage.gang_run_ == 0))
         {
             tasks.indices_ = stage.asked_ > 0
                                  ? std::vector<std::uint32_t>()
