Move gangs to a shard with free room beyond its allotment

Cause: a shard where the organisation is above its allotment answers an offer with no task that could start now, however much room is free.

Change: such a gang moves to that shard, where it reserves the room, and spare allotments and its claim follow.

Measured: cell_gang_shares_test, the new case fails while the function finds no shard, and passes now.

--- a/cell/gang_shares.cpp
+++ b/cell/gang_shares.cpp
@@ -106,4 +106,28 @@
     return shares;
 }
 
+std::optional<shard_id>
+find_room_for_all(std::vector<shard_offer> const& offers, shard_id const& own,
+                  std::uint32_t count)
+{
+    shard_offer const* best = nullptr;
+    for (shard_offer const& offer : offers)
+    {
+        if (offer.fit_free_ < count)
+        {
+            continue;
+        }
+        if (offer.shard_ == own)
+        {
+            return std::nullopt;
+        }
+        if (best == nullptr || std::tuple(best->fit_later_, offer.shard_) <
+                                   std::tuple(offer.fit_later_, best->shard_))
+        {
+            best = &offer;
+        }
+    }
+    return best == nullptr ? std::nullopt : std::optional(best->shard_);
+}
+
 } // namespace fescuevane::cell
--- a/cell/gang_shares.hpp
+++ b/cell/gang_shares.hpp
@@ -3,8 +3,14 @@
 #define FESCUEVANE_CELL_GANG_SHARES_HPP
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
+namespace fescuevane
+{
+struct shard_id;
+} // namespace fescuevane
+
 namespace fescuevane::cell
 {
 
@@ -22,6 +28,13 @@
 std::uint64_t sum_free(std::vector<shard_offer> const& offers);
 std::uint64_t sum_later(std::vector<shard_offer> const& offers);
 
+// Shard with free room for all `count` tasks; none if the gang's own shard has
+// it. The organisation may be above its allotment there, which follows the
+// gang.
+std::optional<shard_id>
+find_room_for_all(std::vector<shard_offer> const& offers, shard_id const& own,
+                  std::uint32_t count);
+
 } // namespace fescuevane::cell
 
 #endif
--- a/cell/offer_stages.cpp
+++ b/cell/offer_stages.cpp
@@ -558,6 +558,16 @@
                          limit_to_offer(step, *tasks, *chosen.best_),
                          chosen.best_->shard_);
     }
+    else if (step.gang_)
+    {
+        auto const count = static_cast<std::uint32_t>(tasks->indices_.size());
+        if (auto const to = find_room_for_all(
+                list_gang_room(context, shard, step, *tasks, round), shard,
+                count))
+        {
+            begin_delegation(context, shard, own, *tasks, *to);
+        }
+    }
 }
 
 } // namespace
--- a/tests/unit/cell_gang_shares_test.cpp
+++ b/tests/unit/cell_gang_shares_test.cpp
@@ -52,6 +52,21 @@
     CHECK(divide(7) == numbers{4, 3});
 }
 
+// Guards against a gang that waits in its shard although another one has free
+// room for all of it, where the organisation is above its allotment: such a
+// shard tells that no task could start, and room for all is never divided.
+TEST_CASE_FIXTURE(shares_fixture,
+                  "gang, free room for all in another shard, moves there")
+{
+    offer(2, 4);
+    offer(3, 4);
+    offer(3, 6);
+    shard_id const own = offers_[0].shard_;
+    CHECK(find_room_for_all(offers_, own, 3) == offers_[2].shard_);
+    CHECK(find_room_for_all(offers_, own, 4) == std::nullopt);
+    CHECK(find_room_for_all(offers_, offers_[1].shard_, 3) == std::nullopt);
+}
+
 // Guards against a gang that waits in one shard while others have room for it.
 TEST_CASE_FIXTURE(shares_fixture, "gang, room is free, taken first")
 {
