Take back the larger share of reservations for gangs

Cause: with half of a shard for gangs whose room is free, and younger gangs behind one that exceeds the share, more gangs reserve room side by side and fewer start.

Change: gangs reserve up to a quarter of a shard, the oldest first, as before.

--- a/plan/hold_gangs.cpp
+++ b/plan/hold_gangs.cpp
@@ -42,10 +42,6 @@
 // gang may reserve more, since it would wait forever in a small shard.
 constexpr std::int64_t share_divisor = 4;
 
-// The same for gangs whose room is free: they need only a reply of the policy
-// service, and parts would wait for gangs that lack room.
-constexpr std::int64_t free_share_divisor = 2;
-
 // Between choices of targets, which scan all runs on the allowed targets.
 constexpr std::int64_t check_interval_micros = 100'000;
 
@@ -217,23 +213,6 @@
                         count_fitting_later(stage, target)));
 }
 
-// True when there is room for all tasks now.
-bool has_free_slots(planner const& context, stage_view const& stage)
-{
-    std::int64_t missing = stage.step_.count_;
-    for (std::size_t row = 0; row < context.targets_.size() && missing > 0;
-         ++row)
-    {
-        if (count_slots(context, stage, row) > 0)
-        {
-            missing -=
-                count_startable(context, stage, context.targets_.key(row),
-                                context.targets_[row]);
-        }
-    }
-    return missing <= 0;
-}
-
 struct run_end_time
 {
     double      rest_ms_ = 0;
@@ -439,16 +418,7 @@
     return false;
 }
 
-bool is_within_share(planner const& context, stage_view const& stage,
-                     resources const& reserved, resources const& capacity)
-{
-    return (reserved * share_divisor).fits_in(capacity) ||
-           ((reserved * free_share_divisor).fits_in(capacity) &&
-            has_free_slots(context, stage));
-}
-
 // Older gangs choose first, including room that was reserved for younger ones.
-// What exceeds the share for one of them doesn't keep younger ones from less.
 void choose_reservations(planner&                                   context,
                          std::map<stage_key, reserved_tasks> const& previous)
 {
@@ -462,9 +432,9 @@
         resources const  demand =
             required_room(stage.step_) * stage.step_.count_;
         if (!reserved.is_zero() &&
-            !is_within_share(context, stage, reserved + demand, capacity))
+            !((reserved + demand) * share_divisor).fits_in(capacity))
         {
-            continue;
+            return;
         }
         auto const              own = previous.find(key);
         std::vector<slot> const slots = choose_slots(
