Let gangs reserve half of a shard's free room

Cause: a part of a gang with free room reserves nothing and asks for no tickets while older gangs, some of them without room, use the quarter of the shard that gangs may reserve.

Change: gangs whose room is free may reserve up to half of the free room, if that is more. On a busy shard the quarter stays.

--- a/plan/hold_gangs.cpp
+++ b/plan/hold_gangs.cpp
@@ -42,6 +42,10 @@
 // gang may reserve more, since it would wait forever in a small shard.
 constexpr std::int64_t share_divisor = 4;
 
+// Gangs whose room is free may reserve up to the free room divided by this, if
+// that is more: parts would wait beside it for older gangs that lack room.
+constexpr std::int64_t free_divisor = 2;
+
 // Between choices of targets, which scan all runs on the allowed targets.
 constexpr std::int64_t check_interval_micros = 100'000;
 
@@ -213,6 +217,23 @@
                         count_fitting_later(stage, target)));
 }
 
+// True when there is room for all tasks now.
+bool has_free_slots(planner const& context, stage_view const& stage)
+{
+    std::int64_t missing = stage.step_.count_;
+    for (std::size_t row = 0; row < context.targets_.size() && missing > 0;
+         ++row)
+    {
+        if (count_slots(context, stage, row) > 0)
+        {
+            missing -=
+                count_startable(context, stage, context.targets_.key(row),
+                                context.targets_[row]);
+        }
+    }
+    return missing <= 0;
+}
+
 struct run_end_time
 {
     double      rest_ms_ = 0;
@@ -384,17 +405,32 @@
     stage.room_at_ = instant::never();
 }
 
-resources count_capacity(planner const& context)
+struct shard_room
+{
+    resources capacity_;
+    resources free_;
+};
+
+shard_room count_shard_room(planner const& context)
 {
-    resources capacity;
+    shard_room room;
     for (target_row const& target : context.targets_)
     {
         if (target.phase_ == target_phase::usable)
         {
-            capacity = capacity + target.capacity_;
+            room.capacity_ = room.capacity_ + target.capacity_;
+            room.free_ = room.free_ + target.capacity_ - target.used_;
         }
     }
-    return capacity;
+    return room;
+}
+
+bool is_within_share(planner const& context, stage_view const& stage,
+                     resources const& reserved, shard_room const& room)
+{
+    return (reserved * share_divisor).fits_in(room.capacity_) ||
+           ((reserved * free_divisor).fits_in(room.free_) &&
+            has_free_slots(context, stage));
 }
 
 // Sets or checks the expiry of the stage's reservation. False when it has
@@ -423,7 +459,7 @@
                          std::map<stage_key, reserved_tasks> const& previous)
 {
     static reserved_tasks const none;
-    resources const             capacity = count_capacity(context);
+    shard_room const            room = count_shard_room(context);
     resources                   reserved;
     for (waiting_gang const& gang : list_waiting_gangs(context))
     {
@@ -432,7 +468,7 @@
         resources const  demand =
             required_room(stage.step_) * stage.step_.count_;
         if (!reserved.is_zero() &&
-            !((reserved + demand) * share_divisor).fits_in(capacity))
+            !is_within_share(context, stage, reserved + demand, room))
         {
             return;
         }
