Don't let an oversized gang keep younger ones from reserving

Cause: a gang that exceeds the share that gangs may reserve made all younger ones wait.

Change: younger gangs within the share, or with free room, reserve. The second case of the test of parts with free room didn't exceed the share; its younger gang has 12 tasks instead of 8 now, so it fails without this change.

--- a/plan/hold_gangs.cpp
+++ b/plan/hold_gangs.cpp
@@ -455,6 +455,7 @@
 }
 
 // Older gangs choose first, including room that was reserved for younger ones.
+// One that exceeds the share doesn't keep younger ones from less.
 void choose_reservations(planner&                                   context,
                          std::map<stage_key, reserved_tasks> const& previous)
 {
@@ -470,7 +471,7 @@
         if (!reserved.is_zero() &&
             !is_within_share(context, stage, reserved + demand, room))
         {
-            return;
+            continue;
         }
         auto const              own = previous.find(key);
         std::vector<slot> const slots = choose_slots(
--- a/tests/unit/plan_gang_holds_test.cpp
+++ b/tests/unit/plan_gang_holds_test.cpp
@@ -471,7 +471,7 @@
     {
         add_gang("g-1", 8);
         play(tick_micros);
-        add_gang("g-2", 8);
+        add_gang("g-2", 12);
     }
     play(5 * micros_per_second);
     allow("p-1", 30);
