--- a/plan/place_tasks.cpp
+++ b/plan/place_tasks.cpp
@@ -47,6 +47,12 @@
     std::optional<rack_id> rack_; // required rack, if any
 };
 
+double free_share(std::int64_t capacity, std::int64_t used)
+{
+    return static_cast<double>(capacity - used) /
+           std::max<double>(1, static_cast<double>(capacity));
+}
+
 double cost_of(planner const& context, placement const& request,
                target_id const& id, target_row const& target)
 {
@@ -56,25 +62,37 @@
     {
         cost *= context.settings_.rack_penalty_;
     }
-    double const capacity =
-        std::max<double>(1, static_cast<double>(target.capacity_.cpu_millis()));
-    double const free = static_cast<double>(target.capacity_.cpu_millis() -
-                                            target.used_.cpu_millis()) /
-                        capacity;
-    if (request.stage_.step_.filler_)
+    step_spec const& step = request.stage_.step_;
+    if (step.filler_)
     {
-        // The opposite of packing: fillers use the capacity that is left over.
-        cost += packing_weight * (1 - free);
         cost += target.serving_ > 0 ? interference_cost : 0;
-        cost += target.fillers_;
     }
     else
     {
-        cost += packing_weight * free;
+        cost += step.latency_target_ms_ > 0 && target.fillers_ > 0
+                    ? interference_cost
+                    : 0;
+    }
+    // Processors alone would let tasks of one accelerator start on targets that
+    // others need whole.
+    bool const   uses_accelerators = step.demand_.accelerators() > 0;
+    double const processors =
+        free_share(target.capacity_.cpu_millis(), target.used_.cpu_millis());
+    double const accelerators = free_share(target.capacity_.accelerators(),
+                                           target.used_.accelerators());
+    if (!step.filler_)
+    {
+        cost += packing_weight * (uses_accelerators
+                                      ? std::min(processors, accelerators)
+                                      : processors);
+    }
+    else
+    {
+        // The opposite of packing: fillers use the processors that are left
+        // over. They hold accelerators like other tasks.
+        cost += packing_weight * (1 - processors);
         cost +=
-            request.stage_.step_.latency_target_ms_ > 0 && target.fillers_ > 0
-                ? interference_cost
-                : 0;
+            uses_accelerators ? packing_weight * accelerators : target.fillers_;
     }
     cost += request.task_.failed_on_ == id ? failed_before_cost : 0;
     return cost;
