Show what clients beyond the limits do to a process

Cause: clients that nobody controls ended a process, which ran out of memory.

Change: tests/doors starts `fescuevane cell` with a store stand-in, or the plain interface, and plays a small crowd of eight connections (600 idle ones) against each port. They check that the process lives, that its memory grows by no more than a quarter of the 64 MB in its settings, that it holds at most the 400 descriptors in its settings, and that an ordinary request is answered while the crowd's connections are open.

--- /dev/null
+++ b/tests/doors/doors_http_test.cpp
@@ -0,0 +1,142 @@
+// Purpose: tests of the HTTP ports beside clients that keep no limit. They
+// guard against a process that such clients end, hang, or fill.
+#include "tests/doors/doors_fixture.hpp"
+
+namespace fescuevane::doors
+{
+namespace
+{
+
+// Ports. `post_` is where a body is decoded, `ordinary` what must be answered.
+struct front
+{
+    static constexpr int         port_ = 8080;
+    static constexpr char const* get_ = "/jobs/";
+    static constexpr char const* post_ = "/jobs/crowd1";
+    static void                  start(doors_fixture& own) { own.start_cell(); }
+    static std::string           ordinary() { return make_job("/jobs/a1"); }
+};
+
+struct ready : front
+{
+    static constexpr int port_ = 8081;
+    static std::string   ordinary() { return make_get("/"); }
+};
+
+struct metrics : front
+{
+    static constexpr int port_ = 8091;
+    static std::string   ordinary() { return make_get("/"); }
+};
+
+struct plain
+{
+    static constexpr int         port_ = 8080;
+    static constexpr char const* get_ = "/healthz";
+    static constexpr char const* post_ = "/v1/jobs";
+    static void        start(doors_fixture& own) { own.start_plain(); }
+    static std::string ordinary() { return make_get("/healthz"); }
+};
+
+constexpr std::size_t block_bytes = 65'536;
+constexpr std::size_t blocks = 128; // 8 MiB a connection
+constexpr std::size_t few = 8;
+constexpr std::size_t many = 600;
+
+// The ordinary request comes while the connections of the crowd are open.
+template <typename Port>
+void play(flood const& sent)
+{
+    doors_fixture own;
+    Port::start(own);
+    own.note_start();
+    std::string const address = make_address(10, Port::port_);
+    crowd const       clients(address, sent);
+    own.check_bounds();
+    CHECK(request(address, Port::ordinary()) == 200);
+    own.check_bounds();
+}
+
+std::string const block(block_bytes, 'x');
+
+} // namespace
+} // namespace fescuevane::doors
+
+TYPE_TO_STRING_AS("front", fescuevane::doors::front);
+TYPE_TO_STRING_AS("ready", fescuevane::doors::ready);
+TYPE_TO_STRING_AS("metrics", fescuevane::doors::metrics);
+TYPE_TO_STRING_AS("plain", fescuevane::doors::plain);
+
+namespace fescuevane::doors
+{
+
+TEST_CASE_TEMPLATE("announced bodies far over the limit leave the process in "
+                   "its memory",
+                   Port, front, ready, metrics, plain)
+{
+    play<Port>(
+        {make_post(Port::post_,
+                   "Content-Length: " + std::to_string(blocks * block_bytes)),
+         block, blocks - 1, few});
+}
+
+TEST_CASE_TEMPLATE("chunked bodies far over the limit leave the process in its "
+                   "memory",
+                   Port, front, ready, metrics, plain)
+{
+    play<Port>({make_post(Port::post_, "Transfer-Encoding: chunked"),
+                "10000\r\n" + block + "\r\n", blocks, few});
+}
+
+TEST_CASE_TEMPLATE("bytewise bodies over the limit leave the process in its "
+                   "memory",
+                   Port, front, ready, metrics, plain)
+{
+    play<Port>({make_post(Port::post_, "Transfer-Encoding: chunked"),
+                "1\r\nx\r\n", 2 * max_body_bytes, few});
+}
+
+TEST_CASE_TEMPLATE("idle connections beyond the descriptors leave places for "
+                   "an ordinary request",
+                   Port, front, ready, metrics, plain)
+{
+    play<Port>({"", "", 0, many});
+}
+
+TEST_CASE_TEMPLATE("headers without end leave the process in its memory", Port,
+                   front, ready, metrics, plain)
+{
+    constexpr std::size_t lines = 8192;
+    play<Port>({"GET " + std::string(Port::get_) +
+                    " HTTP/1.1\r\nHost: desk.example\r\n",
+                "X-Filler: " + std::string(1000, 'a') + "\r\n", lines, few});
+}
+
+TEST_CASE_TEMPLATE("line of a header without end leaves the process in its "
+                   "memory",
+                   Port, front, ready, metrics, plain)
+{
+    play<Port>({"GET " + std::string(Port::get_) + " HTTP/1.1\r\nX-Filler: ",
+                block, blocks, few});
+}
+
+TEST_CASE_TEMPLATE("pipelined requests whose answers aren't read leave the "
+                   "process in its memory",
+                   Port, front, ready, metrics, plain)
+{
+    constexpr std::size_t requests = 4000;
+    play<Port>({"", make_get(Port::get_), requests, few});
+}
+
+TEST_CASE_TEMPLATE("nested body within the limit leaves the process in its "
+                   "memory",
+                   Port, front, ready, metrics, plain)
+{
+    constexpr std::size_t depth = 30'000;
+    play<Port>({"",
+                make_post_of(Port::post_,
+                             std::string(depth, '[') + std::string(depth, ']')),
+                4, few});
+}
+
+} // namespace fescuevane::doors
