Bound what clients may hold on each port

On the cell's ports the length of a body was looked at once it was in memory; the check of the size of messages between hosts was off in a cell, and 64 MiB in the plain interface.

Change: both front ends use io/http_listener, both peer ports io/bounded_sockets and the gRPC library's quota. Limits follow from the memory of the host and the descriptors of the process, new optional keys of both settings. Depth and number of JSON values are bounded before parsing. Refusals are counted by reason and logged at most once a second. The 413 and 431 of the plain interface now come before the body, with Connection: close. Its server's estimates of bandwidth are off, since they let each connection send megabytes ahead.

tests: the plain interface's file in tests/doors gets the two keys, which it refused before; crowd and bounds are unchanged. http_fixture and peer_link_test pass the new arguments.

--- a/entry/http_front.cpp
+++ b/entry/http_front.cpp
@@ -14,14 +14,14 @@
 #include "entry/http_reply.hpp"
 #include "entry/http_routes.hpp"
 #include "entry/open_call.hpp"
-#include "entry/settings_address.hpp"
+#include "io/http_limits.hpp"
+#include "io/http_refusal.hpp"
 
 #include <gio/gio.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <array>
 #include <cerrno>
+#include <stdexcept>
 #include <utility>
 
 namespace fescuevane::entry
@@ -38,29 +38,33 @@
     return instant(g_get_monotonic_time());
 }
 
-struct list_deleter
-{
-    void operator()(GSList* uris) const
-    {
-        g_slist_free_full(uris, reinterpret_cast<GDestroyNotify>(&g_uri_unref));
-    }
-};
-
 } // namespace
 
 // 1. Life
 
 http_front::http_front(settings const& values, event_sink sink,
-                       front_queries queries, span_tracer& tracer)
+                       front_queries queries, span_tracer& tracer,
+                       refusal_log log)
     : settings_(values)
     , sink_(std::move(sink))
     , queries_(std::move(queries))
     , tracer_(tracer)
-    , server_(soup_server_new("raw-paths", TRUE, nullptr))
-{
-    soup_server_add_early_handler(server_, "/", &http_front::on_early, this,
-                                  nullptr);
-    soup_server_add_handler(server_, "/", &http_front::on_call, this, nullptr);
+    , listener_(soup_server_new("raw-paths", TRUE, nullptr),
+                io::make_caller_limits(values.budget(), values.max_body_bytes_),
+                {.refused_ =
+                     [this](io::http_refusal reason)
+                 {
+                     count_refusal(reason);
+                 },
+                 .write_body_ =
+                     [](unsigned status, std::string const& reason)
+                 {
+                     return write_error(status, reason).body_;
+                 },
+                 .log_ = std::move(log)})
+{
+    soup_server_add_handler(listener_.server(), "/", &http_front::on_call, this,
+                            nullptr);
 }
 
 // Callers whose calls are still open see a closed connection and ask again.
@@ -71,71 +75,27 @@
         g_signal_handler_disconnect(calls_.message_[row].get(),
                                     calls_.finished_handler_[row]);
     }
-    soup_server_disconnect(server_);
-    g_object_unref(server_);
 }
 
 void http_front::listen()
 {
-    auto const address = split_address(settings_.http_address_);
-    if (!address)
+    try
     {
-        throw front_error("http_address: expected IP:port");
+        listener_.listen(settings_.http_address_);
     }
-    GSocketAddress* const socket_address =
-        g_inet_socket_address_new_from_string(address->first.c_str(),
-                                              address->second);
-    GError*    error = nullptr;
-    bool const bound =
-        soup_server_listen(server_, socket_address, SoupServerListenOptions(0),
-                           &error) == TRUE;
-    g_object_unref(socket_address);
-    if (!bound)
+    catch (std::runtime_error const& error)
     {
-        std::string const message = error->message;
-        g_error_free(error);
-        throw front_error(settings_.http_address_ + ": " + message);
+        throw front_error(error.what());
     }
 }
 
 std::uint16_t http_front::port() const
 {
-    std::unique_ptr<GSList, list_deleter> const uris(
-        soup_server_get_uris(server_));
-    return uris ? static_cast<std::uint16_t>(
-                      g_uri_get_port(static_cast<GUri*>(uris->data)))
-                : 0;
+    return listener_.port();
 }
 
 // 2. Arrival of messages
 
-// After the headers, before the body.
-void http_front::on_early(SoupServer* /*server*/, SoupServerMessage* message,
-                          char const* /*path*/, GHashTable* /*query*/,
-                          void* front)
-{
-    // Head and body of a reply are written apart; without this option the body
-    // waits for the caller's delayed acknowledgement of the head, about 40 ms.
-    g_socket_set_option(soup_server_message_get_socket(message), IPPROTO_TCP,
-                        TCP_NODELAY, 1, nullptr);
-    static_cast<http_front const*>(front)->check_headers(message);
-}
-
-void http_front::check_headers(SoupServerMessage* message) const
-{
-    if (count_header_bytes(message) > max_header_bytes)
-    {
-        soup_message_body_set_accumulate(
-            soup_server_message_get_request_body(message), FALSE);
-        send_reply(message,
-                   write_error(431, "headers: longer than " +
-                                        std::to_string(max_header_bytes) +
-                                        " bytes"));
-        return;
-    }
-    limit_body(message, settings_.max_body_bytes_);
-}
-
 // After the body, unless an answer was set before.
 void http_front::on_call(SoupServer* /*server*/, SoupServerMessage* message,
                          char const* /*path*/, GHashTable* /*query*/,
@@ -272,9 +232,13 @@
 source_ptr http_front::watch_socket(SoupServerMessage* message,
                                     std::uint64_t      call)
 {
+    GSocket* const socket = io::http_listener::find_socket(message);
+    if (socket == nullptr)
+    {
+        return nullptr; // closed: "finished" follows
+    }
     GSource* const source = g_socket_create_source(
-        soup_server_message_get_socket(message),
-        GIOCondition(G_IO_IN | G_IO_HUP | G_IO_ERR), nullptr);
+        socket, GIOCondition(G_IO_IN | G_IO_HUP | G_IO_ERR), nullptr);
     g_source_set_callback(source, G_SOURCE_FUNC(&http_front::on_socket),
                           new call_place{this, call}, &free_place);
     g_source_attach(source, nullptr);
--- a/entry/http_front.hpp
+++ b/entry/http_front.hpp
@@ -11,6 +11,7 @@
 #include "entry/http_reply.hpp"
 #include "entry/metrics.hpp"
 #include "entry/settings.hpp"
+#include "io/http_listener.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -34,12 +35,15 @@
 
     // An answer, or none when the call stays open for the node.
     using handled = std::optional<http_reply>;
+
+    // Called at most once a second, with the refusals since the last call.
+    using refusal_log = std::function<void(io::http_refusal, std::uint64_t)>;
     using handler = handled (http_front::*)(SoupServerMessage*,
                                             http_call const&);
 
     // `tracer` outlives the front end.
     http_front(settings const& values, event_sink sink, front_queries queries,
-               span_tracer& tracer);
+               span_tracer& tracer, refusal_log log);
     ~http_front();
     http_front(http_front const&) = delete;
     http_front& operator=(http_front const&) = delete;
@@ -48,6 +52,12 @@
     void          listen();
     std::uint16_t port() const; // bound one, also when the settings name port 0
 
+    // Counts a client that another port of the process refused.
+    void count_refusal(io::http_refusal reason)
+    {
+        ++refused_.at(static_cast<std::size_t>(reason));
+    }
+
     // Answers the call that the command names. A command for a call that is
     // no longer open changes nothing.
     void deliver(front_command const& output);
@@ -58,8 +68,6 @@
     friend struct http_routes; // table of the handlers below
 
     // Life of a message
-    static void     on_early(SoupServer* server, SoupServerMessage* message,
-                             char const* path, GHashTable* query, void* front);
     static void     on_call(SoupServer* server, SoupServerMessage* message,
                             char const* path, GHashTable* query, void* front);
     static gboolean on_deadline(void* front);
@@ -67,7 +75,6 @@
                               void* place);
     static void     on_finished(SoupServerMessage* message, void* place);
     static void     on_written(SoupServerMessage* message, void* writing);
-    void            check_headers(SoupServerMessage* message) const;
     handled         handle(SoupServerMessage* message);
     handled         dispatch(SoupServerMessage* message);
 
@@ -114,7 +121,8 @@
     event_sink const             sink_;
     front_queries const          queries_;
     span_tracer&                 tracer_;
-    SoupServer*                  server_;
+    refused_clients              refused_ = {};
+    io::http_listener            listener_;
     call_table                   calls_;
     std::uint64_t                last_call_ = 0;
     std::shared_ptr<std::size_t> writing_ = std::make_shared<std::size_t>(0);
--- a/entry/http_handlers.cpp
+++ b/entry/http_handlers.cpp
@@ -317,6 +317,7 @@
 {
     return http_reply{
         .body_ = write_counters(queries_.read_counters_()) + metrics_.write() +
+                 write_refused_clients(refused_) +
                  write_open_calls(calls_.index_.size()),
         .content_type_ = "text/plain; version=0.0.4; charset=utf-8"};
 }
--- a/entry/http_message.cpp
+++ b/entry/http_message.cpp
@@ -11,9 +11,10 @@
 #include "entry/http_error.hpp"
 #include "entry/http_json.hpp"
 #include "entry/http_reply.hpp"
+#include "io/bounded_json.hpp"
+#include "io/http_listener.hpp"
 
 #include <charconv>
-#include <cstring>
 #include <memory>
 
 namespace fescuevane::entry
@@ -21,11 +22,6 @@
 namespace
 {
 
-struct bytes_deleter
-{
-    void operator()(GBytes* bytes) const { g_bytes_unref(bytes); }
-};
-
 struct text_deleter
 {
     void operator()(char* text) const { g_free(text); }
@@ -42,20 +38,6 @@
 
 // 1. Headers
 
-std::size_t count_header_bytes(SoupServerMessage* message)
-{
-    std::size_t size = 0;
-    soup_message_headers_foreach(
-        soup_server_message_get_request_headers(message),
-        [](char const* name, char const* value, void* sum)
-        {
-            *static_cast<std::size_t*>(sum) +=
-                std::strlen(name) + std::strlen(value) + 4;
-        },
-        &size);
-    return size;
-}
-
 void check_content_type(SoupServerMessage* message)
 {
     SoupMessageHeaders* const headers =
@@ -73,67 +55,23 @@
 namespace
 {
 
-void refuse_body(SoupServerMessage* message, std::uint64_t limit)
-{
-    SoupMessageBody* const body = soup_server_message_get_request_body(message);
-    soup_message_body_truncate(body);
-    soup_message_body_set_accumulate(body, FALSE);
-    send_reply(message, write_error(413, "body: longer than " +
-                                             std::to_string(limit) + " bytes"));
-}
-
-struct body_count
-{
-    std::uint64_t const limit_;
-    std::uint64_t       size_ = 0;
-};
-
-// Counts a body of undeclared length while it arrives.
-void on_chunk(SoupServerMessage* message, GBytes* chunk, void* data)
+std::string read_body(SoupServerMessage* message)
 {
-    auto* const count = static_cast<body_count*>(data);
-    bool const  fitted = count->size_ <= count->limit_;
-    count->size_ += g_bytes_get_size(chunk);
-    if (fitted && count->size_ > count->limit_)
+    // A parsed value takes tens of bytes of memory.
+    constexpr io::json_limits limits{.max_values_ = 1'000'000};
+    std::string               text = io::http_listener::take_body(message);
+    if (!io::fits(text, limits))
     {
-        refuse_body(message, count->limit_);
+        throw http_error(400, "body: more than " +
+                                  std::to_string(limits.max_values_) +
+                                  " values, or nested deeper than " +
+                                  std::to_string(limits.max_depth_));
     }
-}
-
-void free_count(void* data, GClosure* /*closure*/)
-{
-    delete static_cast<body_count*>(data);
-}
-
-std::string read_body(SoupServerMessage* message)
-{
-    std::unique_ptr<GBytes, bytes_deleter> const bytes(
-        soup_message_body_flatten(
-            soup_server_message_get_request_body(message)));
-    gsize             size = 0;
-    void const* const data = g_bytes_get_data(bytes.get(), &size);
-    return size == 0 ? std::string()
-                     : std::string(static_cast<char const*>(data), size);
+    return text;
 }
 
 } // namespace
 
-void limit_body(SoupServerMessage* message, std::uint64_t limit)
-{
-    SoupMessageHeaders* const headers =
-        soup_server_message_get_request_headers(message);
-    goffset const declared = soup_message_headers_get_content_length(headers);
-    if (soup_message_headers_get_encoding(headers) ==
-            SOUP_ENCODING_CONTENT_LENGTH &&
-        static_cast<std::uint64_t>(declared) > limit)
-    {
-        refuse_body(message, limit);
-        return;
-    }
-    g_signal_connect_data(message, "got-chunk", G_CALLBACK(&on_chunk),
-                          new body_count{limit}, &free_count, GConnectFlags(0));
-}
-
 // 3. Query and path
 
 std::string decode_segment(std::string const& segment)
--- a/entry/http_message.hpp
+++ b/entry/http_message.hpp
@@ -13,21 +13,12 @@
 
 struct http_reply;
 
-// Headers above this give 431. Real callers send a few hundred bytes.
-constexpr std::size_t max_header_bytes = 16 * 1024;
-
-std::size_t count_header_bytes(SoupServerMessage* message);
-
 // Decodes headers, query and body. Throws http_error.
 http_call decode_call(SoupServerMessage* message, std::string const& argument);
 
 // Throws http_error 415 when a body comes with a type other than JSON.
 void check_content_type(SoupServerMessage* message);
 
-// Refuses a body above `limit` bytes with 413. What follows is read from the
-// connection, as HTTP/1.1 demands before the answer, but not kept.
-void limit_body(SoupServerMessage* message, std::uint64_t limit);
-
 void send_reply(SoupServerMessage* message, http_reply const& reply);
 
 // Decodes one segment of a path. Throws http_error when it is no valid text.
--- a/entry/metrics.cpp
+++ b/entry/metrics.cpp
@@ -194,6 +194,21 @@
     return text;
 }
 
+std::string write_refused_clients(refused_clients const& counts)
+{
+    std::string text =
+        write_head("refused_clients_total",
+                   "Clients beyond a limit of the HTTP port.", "counter");
+    for (std::size_t row = 0; row < counts.size(); ++row)
+    {
+        text += write_sample("refused_clients_total",
+                             std::string("{reason=\"") +
+                                 io::http_refusal_names.at(row) + "\"}",
+                             std::to_string(counts.at(row)));
+    }
+    return text;
+}
+
 std::string write_open_calls(std::size_t open_calls)
 {
     return write_head("open_calls", "Calls without an answer yet.", "gauge") +
--- a/entry/metrics.hpp
+++ b/entry/metrics.hpp
@@ -4,6 +4,7 @@
 
 #include "entry/call_kind.hpp"
 #include "entry/counter.hpp"
+#include "io/http_refusal.hpp"
 
 #include <array>
 #include <cstddef>
@@ -40,6 +41,9 @@
 };
 
 std::string write_counters(counter_values const& values);
+// By reason, in the order of `io::http_refusal`.
+using refused_clients = std::array<std::uint64_t, io::http_refusal_count>;
+std::string write_refused_clients(refused_clients const& counts);
 std::string write_open_calls(std::size_t open_calls); // a gauge
 
 } // namespace fescuevane::entry
--- a/entry/peer_service.cpp
+++ b/entry/peer_service.cpp
@@ -5,9 +5,11 @@
 #include "entry/event_queue.hpp"
 #include "entry/link_codec.hpp"
 #include "entry/link_error.hpp"
+#include "io/peer_limits.hpp"
 #include "wire/wire.hpp"
 
 #include <grpcpp/grpcpp.h>
+#include <algorithm>
 #include <chrono>
 
 namespace fescuevane::entry
@@ -68,22 +70,51 @@
 
 } // namespace
 
-peer_service::peer_service(std::string const&           address,
-                           std::shared_ptr<event_queue> events)
+peer_service::peer_service(std::string const&     address,
+                           io::peer_limits const& limits, int max_message_bytes,
+                           std::shared_ptr<event_queue> events,
+                           std::function<void()>        dropped)
     : events_(std::move(events))
+    , sockets_(
+          limits.max_connections_,
+          [this](int descriptor)
+          {
+              grpc::experimental::ExternalConnectionAcceptor::
+                  NewConnectionParameters connection;
+              connection.fd = descriptor;
+              acceptor_->HandleNewConnection(&connection);
+          },
+          std::move(dropped))
 {
+    try
+    {
+        sockets_.listen(address);
+    }
+    catch (std::runtime_error const& error)
+    {
+        throw link_error(error.what());
+    }
     grpc::ServerBuilder builder;
-    int                 port = 0;
-    builder.AddListeningPort(address, grpc::InsecureServerCredentials(), &port);
-    builder.SetMaxReceiveMessageSize(wire::max_message_bytes);
+    acceptor_ = builder.experimental().AddExternalConnectionAcceptor(
+        grpc::ServerBuilder::experimental_type::ExternalConnectionType::FROM_FD,
+        grpc::InsecureServerCredentials());
+    // The library's quota bounds what is read but not handled yet. It has room
+    // for two of the largest messages, since it cancels calls at its bound.
+    builder.SetResourceQuota(grpc::ResourceQuota("peers").Resize(
+        std::max(limits.max_memory_bytes_,
+                 2 * static_cast<std::size_t>(max_message_bytes))));
+    // Estimates of the bandwidth raise what each connection may send ahead to
+    // megabytes.
+    builder.AddChannelArgument(GRPC_ARG_HTTP2_BDP_PROBE, 0);
+    builder.SetMaxReceiveMessageSize(max_message_bytes);
     builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
     builder.AddChannelArgument(
         GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, min_ping_millis);
     builder.RegisterService(this);
     server_ = builder.BuildAndStart();
-    if (server_ == nullptr || port == 0)
+    if (server_ == nullptr)
     {
-        throw link_error("can't listen on peer address " + address);
+        throw link_error("can't start the server of " + address);
     }
 }
 
--- a/entry/peer_service.hpp
+++ b/entry/peer_service.hpp
@@ -2,11 +2,19 @@
 #ifndef FESCUEVANE_ENTRY_PEER_SERVICE_HPP
 #define FESCUEVANE_ENTRY_PEER_SERVICE_HPP
 
+#include "io/bounded_sockets.hpp"
 #include "peer.grpc.pb.h"
 
+#include <grpcpp/server_builder.h>
+#include <functional>
 #include <memory>
 #include <string>
 
+namespace fescuevane::io
+{
+struct peer_limits;
+} // namespace fescuevane::io
+
 namespace fescuevane::entry
 {
 
@@ -16,8 +24,9 @@
 {
 public:
     // Throws `link_error` when the address can't be listened on.
-    peer_service(std::string const&           address,
-                 std::shared_ptr<event_queue> events);
+    peer_service(std::string const& address, io::peer_limits const& limits,
+                 int max_message_bytes, std::shared_ptr<event_queue> events,
+                 std::function<void()> dropped);
     ~peer_service() override;
     peer_service(peer_service const&) = delete;
     peer_service& operator=(peer_service const&) = delete;
@@ -26,8 +35,10 @@
     Exchange(grpc::CallbackServerContext* context) override;
 
 private:
-    std::shared_ptr<event_queue> const events_;
-    std::unique_ptr<grpc::Server>      server_;
+    std::shared_ptr<event_queue> const                              events_;
+    std::unique_ptr<grpc::Server>                                   server_;
+    std::unique_ptr<grpc::experimental::ExternalConnectionAcceptor> acceptor_;
+    io::bounded_sockets                                             sockets_;
 };
 
 } // namespace fescuevane::entry
--- a/entry/process.cpp
+++ b/entry/process.cpp
@@ -17,10 +17,14 @@
 #include "entry/platform_link.hpp"
 #include "entry/target_link.hpp"
 #include "entry/tracing.hpp"
+#include "io/http_refusal.hpp"
+#include "io/peer_limits.hpp"
 #include "state/config.hpp"
 #include "state/state.hpp"
+#include "wire/bounds.hpp"
 
 #include <glib-unix.h>
+#include <algorithm>
 #include <utility>
 
 namespace fescuevane::entry
@@ -102,6 +106,15 @@
             }};
 }
 
+// A submission that is passed on is about as large as its body; the rest is for
+// heartbeats.
+int max_peer_message_bytes(settings const& values)
+{
+    constexpr std::uint64_t beat_bytes = 4 * 1024 * 1024;
+    return static_cast<int>(std::min<std::uint64_t>(
+        values.max_body_bytes_ + beat_bytes, wire::max_message_bytes));
+}
+
 event widen(front_event const& input)
 {
     return std::visit(
@@ -148,7 +161,13 @@
         values.platform_address_, values.store_timeout_micros_, events_);
     peers_ = std::make_unique<peer_link>(values, events_);
     targets_ = std::make_unique<target_link>(values.state_.host_, events_);
-    service_ = std::make_unique<peer_service>(values.peer_address_, events_);
+    service_ = std::make_unique<peer_service>(
+        values.peer_address_, io::make_peer_limits(values.budget()),
+        max_peer_message_bytes(values), events_,
+        [this]
+        {
+            front_->count_refusal(io::http_refusal::no_place);
+        });
     front_ = std::make_unique<http_front>(
         values,
         [this](front_event const& input)
@@ -156,7 +175,13 @@
             post_event(*node_, widen(input));
             g_source_set_ready_time(tick_source_, 0);
         },
-        make_queries(*node_), *traces_);
+        make_queries(*node_), *traces_,
+        [this](io::http_refusal reason, std::uint64_t count)
+        {
+            log_state_change(*log_, "clients_refused",
+                             {{"reason", io::name_of(reason)},
+                              {"count", std::to_string(count)}});
+        });
     front_->listen();
 }
 
--- a/entry/settings.hpp
+++ b/entry/settings.hpp
@@ -3,6 +3,7 @@
 #define FESCUEVANE_ENTRY_SETTINGS_HPP
 
 #include "decide/settings.hpp"
+#include "io/host_budget.hpp"
 #include "state/peer_address.hpp"
 #include "state/settings.hpp"
 
@@ -28,6 +29,10 @@
     // Bounds
     std::uint64_t max_body_bytes_ = 16 * 1024 * 1024; // of one HTTP body
     std::uint32_t max_open_calls_ = 20'000;           // more are refused
+    std::uint64_t memory_mb_ = 160;                   // of this host
+    std::uint64_t max_descriptors_ = 4100;            // of this process
+
+    io::host_budget budget() const { return {memory_mb_, max_descriptors_}; }
 
     // Intervals
     std::int64_t heartbeat_micros_ = 200'000;       // to each peer
--- a/entry/settings_table.cpp
+++ b/entry/settings_table.cpp
@@ -10,7 +10,7 @@
 
 // In the order in which the sections are printed. Numbers are in the unit that
 // the key names; intervals are written in ms and stored in microseconds.
-std::array<settings_row, 45> const settings_rows = {{
+std::array<settings_row, 47> const settings_rows = {{
     {"", "host", &state::settings::host_, 0, 0, 1, text_form::name,
      "unique name of this entry host"},
     {"", "failure_domain", &state::settings::domain_, 0, 0, 1, text_form::name,
@@ -27,6 +27,10 @@
      "of jitter in the control state"},
     {"bounds", "max_body_bytes", &settings::max_body_bytes_, 1024, 1073741824,
      1, text_form::any, "of one HTTP body"},
+    {"bounds", "memory_mb", &settings::memory_mb_, 32, 1048576, 1,
+     text_form::any, "of this host; bounds what clients may hold"},
+    {"bounds", "max_descriptors", &settings::max_descriptors_, 300, 1048576, 1,
+     text_form::any, "of this process; bounds connections"},
     {"bounds", "max_open_calls", &settings::max_open_calls_, 1, 1000000, 1,
      text_form::any, "more are refused"},
     {"intervals", "heartbeat_ms", &settings::heartbeat_micros_, 10, 60000, 1000,
--- a/peer/peer_link.cpp
+++ b/peer/peer_link.cpp
@@ -13,7 +13,9 @@
 #include "cell/job_answer.hpp"
 #include "cell/job_call.hpp"
 #include "cell/send_question.hpp"
+#include "io/bounded_sockets.hpp"
 #include "io/main_loop.hpp"
+#include "io/peer_limits.hpp"
 #include "peer/peer_codec.hpp"
 #include "peer/peer_error.hpp"
 
@@ -21,6 +23,7 @@
 #include <chrono>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <thread>
 #include <utility>
@@ -53,6 +56,10 @@
 constexpr int keepalive_timeout_ms = 1000;
 constexpr int min_ping_ms = 1000;
 
+// Heartbeats and specifications of jobs take some hundred KB at most. The
+// library's check needs its full stack in the server.
+constexpr int max_message_bytes = 4 * 1024 * 1024;
+
 // Added to the deadline of a call, so that the owner's own answer comes first.
 constexpr std::int64_t call_slack_micros = 100'000;
 
@@ -119,13 +126,15 @@
 
 struct peer_link::state
 {
-    peer_handlers                                handlers_;
-    Cell::AsyncService                           service_;
-    std::unique_ptr<grpc::ServerCompletionQueue> queue_;
-    std::unique_ptr<grpc::Server>                server_;
-    std::thread                                  thread_;
-    std::map<std::string, channel_row>           channels_; // by address
-    context_set                                  outgoing_; // open calls
+    peer_handlers                                                   handlers_;
+    Cell::AsyncService                                              service_;
+    std::unique_ptr<grpc::ServerCompletionQueue>                    queue_;
+    std::unique_ptr<grpc::Server>                                   server_;
+    std::unique_ptr<grpc::experimental::ExternalConnectionAcceptor> acceptor_;
+    std::optional<io::bounded_sockets>                              sockets_;
+    std::thread                                                     thread_;
+    std::map<std::string, channel_row> channels_; // by address
+    context_set                        outgoing_; // open calls
     std::map<std::uint64_t, std::function<void(cell::job_answer const&)>>
         open_; // calls of other hosts that wait
     std::map<std::uint64_t, std::function<void(cell::advice_reply const&)>>
@@ -444,24 +453,49 @@
 
 // 4. Link
 
-peer_link::peer_link(std::string const& address, peer_handlers handlers)
+peer_link::peer_link(std::string const& address, io::peer_limits const& limits,
+                     peer_handlers handlers)
     : state_(std::make_unique<state>())
 {
     state_->handlers_ = std::move(handlers);
+    state_->sockets_.emplace(
+        limits.max_connections_,
+        [own = state_.get()](int descriptor)
+        {
+            grpc::experimental::ExternalConnectionAcceptor::
+                NewConnectionParameters connection;
+            connection.fd = descriptor;
+            own->acceptor_->HandleNewConnection(&connection);
+        },
+        [own = state_.get()]
+        {
+            own->handlers_.dropped_();
+        });
+    try
+    {
+        state_->sockets_->listen(address);
+    }
+    catch (std::runtime_error const& error)
+    {
+        throw peer_error(error.what());
+    }
     grpc::ServerBuilder builder;
-    int                 port = 0;
-    builder.AddListeningPort(address, grpc::InsecureServerCredentials(), &port);
-    builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+    state_->acceptor_ = builder.experimental().AddExternalConnectionAcceptor(
+        grpc::ServerBuilder::experimental_type::ExternalConnectionType::FROM_FD,
+        grpc::InsecureServerCredentials());
+    // The library's quota bounds what is read but not handled yet.
+    builder.SetResourceQuota(
+        grpc::ResourceQuota("peers").Resize(limits.max_memory_bytes_));
+    builder.SetMaxReceiveMessageSize(max_message_bytes);
     builder.AddChannelArgument(
         GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, min_ping_ms);
     builder.AddChannelArgument(GRPC_ARG_HTTP2_BDP_PROBE, 0);
-    builder.AddChannelArgument(GRPC_ARG_MINIMAL_STACK, 1);
     builder.RegisterService(&state_->service_);
     state_->queue_ = builder.AddCompletionQueue();
     state_->server_ = builder.BuildAndStart();
-    if (state_->server_ == nullptr || port == 0)
+    if (state_->server_ == nullptr)
     {
-        throw peer_error("can't listen on " + address);
+        throw peer_error("can't start the server of " + address);
     }
     new incoming_beat(state_->service_, *state_->queue_, state_->handlers_);
     new incoming_call<route_traits>(state_->service_, *state_->queue_,
@@ -483,6 +517,7 @@
 peer_link::~peer_link()
 {
     *state_->alive_ = false;
+    state_->sockets_.reset();
     for (grpc::ClientContext* const open : state_->outgoing_)
     {
         open->TryCancel();
--- a/peer/peer_link.hpp
+++ b/peer/peer_link.hpp
@@ -18,6 +18,11 @@
 struct send_question;
 } // namespace fescuevane::cell
 
+namespace fescuevane::io
+{
+struct peer_limits;
+} // namespace fescuevane::io
+
 namespace fescuevane::peer
 {
 
@@ -30,6 +35,7 @@
     std::function<void(std::uint64_t, cell::job_answer const&)>    replied_;
     std::function<void(std::uint64_t, cell::send_question const&)> asked_;
     std::function<void(cell::advice_reply const&)>                 advised_;
+    std::function<void()> dropped_; // a connection, to make place for another
 };
 
 // One thread waits for the library's completions and hands them to the main
@@ -37,7 +43,8 @@
 class peer_link
 {
 public:
-    peer_link(std::string const& address, peer_handlers handlers);
+    peer_link(std::string const& address, io::peer_limits const& limits,
+              peer_handlers handlers);
     ~peer_link();
     peer_link(peer_link const&) = delete;
     peer_link& operator=(peer_link const&) = delete;
--- a/tests/doors/doors_fixture.hpp
+++ b/tests/doors/doors_fixture.hpp
@@ -119,7 +119,9 @@
             << make_address(10, 8090) << "\"\nplatform_address: \""
             << make_address(5, 8182)
             << "\"\nfailure_domains:\n  - {id: domain-1, shards: 1}\n"
-            << "bounds:\n  max_body_bytes: " << max_body_bytes << '\n';
+            << "bounds:\n  max_body_bytes: " << max_body_bytes
+            << "\n  memory_mb: " << memory_mb
+            << "\n  max_descriptors: " << max_descriptors << '\n';
         process_ = std::make_unique<running_process>(std::vector<std::string>{
             PROGRAM, "--settings", folder_ / "plain.yaml"});
         wait_for(make_address(10, 8080), make_get("/healthz"));
--- a/tests/doors/doors_http_test.cpp
+++ b/tests/doors/doors_http_test.cpp
@@ -7,33 +7,34 @@
 namespace
 {
 
-// Ports. `post_` is where a body is decoded, `ordinary` what must be answered.
+// Ports. `post_path` is where a body is decoded, `ordinary` what must be
+// answered.
 struct front
 {
-    static constexpr int         port_ = 8080;
-    static constexpr char const* get_ = "/jobs/";
-    static constexpr char const* post_ = "/jobs/crowd1";
+    static constexpr int         port = 8080;
+    static constexpr char const* get_path = "/jobs/";
+    static constexpr char const* post_path = "/jobs/crowd1";
     static void                  start(doors_fixture& own) { own.start_cell(); }
     static std::string           ordinary() { return make_job("/jobs/a1"); }
 };
 
 struct ready : front
 {
-    static constexpr int port_ = 8081;
+    static constexpr int port = 8081;
     static std::string   ordinary() { return make_get("/"); }
 };
 
 struct metrics : front
 {
-    static constexpr int port_ = 8091;
+    static constexpr int port = 8091;
     static std::string   ordinary() { return make_get("/"); }
 };
 
 struct plain
 {
-    static constexpr int         port_ = 8080;
-    static constexpr char const* get_ = "/healthz";
-    static constexpr char const* post_ = "/v1/jobs";
+    static constexpr int         port = 8080;
+    static constexpr char const* get_path = "/healthz";
+    static constexpr char const* post_path = "/v1/jobs";
     static void        start(doors_fixture& own) { own.start_plain(); }
     static std::string ordinary() { return make_get("/healthz"); }
 };
@@ -50,7 +51,7 @@
     doors_fixture own;
     Port::start(own);
     own.note_start();
-    std::string const address = make_address(10, Port::port_);
+    std::string const address = make_address(10, Port::port);
     crowd const       clients(address, sent);
     own.check_bounds();
     CHECK(request(address, Port::ordinary()) == 200);
@@ -75,7 +76,7 @@
                    Port, front, ready, metrics, plain)
 {
     play<Port>(
-        {make_post(Port::post_,
+        {make_post(Port::post_path,
                    "Content-Length: " + std::to_string(blocks * block_bytes)),
          block, blocks - 1, few});
 }
@@ -84,7 +85,7 @@
                    "memory",
                    Port, front, ready, metrics, plain)
 {
-    play<Port>({make_post(Port::post_, "Transfer-Encoding: chunked"),
+    play<Port>({make_post(Port::post_path, "Transfer-Encoding: chunked"),
                 "10000\r\n" + block + "\r\n", blocks, few});
 }
 
@@ -92,7 +93,7 @@
                    "memory",
                    Port, front, ready, metrics, plain)
 {
-    play<Port>({make_post(Port::post_, "Transfer-Encoding: chunked"),
+    play<Port>({make_post(Port::post_path, "Transfer-Encoding: chunked"),
                 "1\r\nx\r\n", 2 * max_body_bytes, few});
 }
 
@@ -107,7 +108,7 @@
                    front, ready, metrics, plain)
 {
     constexpr std::size_t lines = 8192;
-    play<Port>({"GET " + std::string(Port::get_) +
+    play<Port>({"GET " + std::string(Port::get_path) +
                     " HTTP/1.1\r\nHost: desk.example\r\n",
                 "X-Filler: " + std::string(1000, 'a') + "\r\n", lines, few});
 }
@@ -116,8 +117,9 @@
                    "memory",
                    Port, front, ready, metrics, plain)
 {
-    play<Port>({"GET " + std::string(Port::get_) + " HTTP/1.1\r\nX-Filler: ",
-                block, blocks, few});
+    play<Port>(
+        {"GET " + std::string(Port::get_path) + " HTTP/1.1\r\nX-Filler: ",
+         block, blocks, few});
 }
 
 TEST_CASE_TEMPLATE("pipelined requests whose answers aren't read leave the "
@@ -125,7 +127,7 @@
                    Port, front, ready, metrics, plain)
 {
     constexpr std::size_t requests = 4000;
-    play<Port>({"", make_get(Port::get_), requests, few});
+    play<Port>({"", make_get(Port::get_path), requests, few});
 }
 
 TEST_CASE_TEMPLATE("nested body within the limit leaves the process in its "
@@ -134,7 +136,7 @@
 {
     constexpr std::size_t depth = 30'000;
     play<Port>({"",
-                make_post_of(Port::post_,
+                make_post_of(Port::post_path,
                              std::string(depth, '[') + std::string(depth, ']')),
                 4, few});
 }
--- a/tests/unit/http_fixture.hpp
+++ b/tests/unit/http_fixture.hpp
@@ -41,7 +41,8 @@
 struct http_fixture
 {
     http_fixture()
-        : front_(make_settings(), make_sink(), make_queries(), tracer_)
+        : front_(make_settings(), make_sink(), make_queries(), tracer_,
+                 [](io::http_refusal, std::uint64_t) {})
     {
         front_.listen();
         session_ = soup_session_new_with_options("max-conns-per-host", 64,
--- a/tests/unit/peer_link_test.cpp
+++ b/tests/unit/peer_link_test.cpp
@@ -1,4 +1,5 @@
 // Purpose: tests of the link between two hosts, over the loopback interface.
+#include "io/peer_limits.hpp"
 #include "peer/peer_link.hpp"
 
 #include "cell/advice_reply.hpp"
@@ -246,7 +247,7 @@
             std::uint16_t const port = find_port();
             try
             {
-                link.emplace(name_address(port), handlers);
+                link.emplace(name_address(port), io::peer_limits(), handlers);
                 return port;
             }
             catch (peer_error const&)
