--- a/tests/doors/doors_http_test.cpp
+++ b/tests/doors/doors_http_test.cpp
@@ -113,6 +113,23 @@
     play<Port>({"", make_get(Port::get_path), 1, many});
 }
 
+TEST_CASE_TEMPLATE("closed connections, one request each, leave the process in "
+                   "its memory",
+                   Port, front, ready, metrics, plain)
+{
+    constexpr int connections = 12'000;
+    doors_fixture own;
+    Port::start(own);
+    own.note_start();
+    std::string const address = make_address(10, Port::port);
+    for (int count = 0; count < connections; ++count)
+    {
+        request(address, make_get(Port::get_path));
+    }
+    own.check_bounds();
+    CHECK(request(address, Port::ordinary()) == 200);
+}
+
 TEST_CASE_TEMPLATE("headers without end leave the process in its memory", Port,
                    front, ready, metrics, plain)
 {
