Count a lack of capacity in the expected wait

A shard without capacity of a resource (all targets lost, or just claimed) had an expected wait of 0 and attracted all jobs. If the job asks for the resource, the wait is now at least 60 s, below the cost of shards that can't run the job. Jobs that ask for no accelerators don't wait for those of others any more.

Measured: the two new tests of the expected wait fail before (0 s beside 26.6 s behind a queue; 32.8 s for accelerators) and pass.

--- a/cell/route_job.cpp
+++ b/cell/route_job.cpp
@@ -30,8 +30,14 @@
 // `route_crossing_s_` up to it and this share more.
 constexpr double first_crossing_share = 0.5;
 
+// Expected wait for a resource of which the shard has none: it lost all its
+// targets, or was just claimed. Longer than queues, and below the costs of
+// shards that can't run the job (`choose_shard`).
+constexpr double no_capacity_wait_s = 60;
+
 struct amounts
 {
+    double const asked_; // by the job
     double const wanted_;
     double const capacity_;
     double const freed_;
@@ -41,19 +47,23 @@
                                     resources const&    demand)
 {
     resources const wanted = shard.wanted_ + shard.sent_ + demand;
-    auto const      entry =
-        [](std::int64_t amount, std::int64_t capacity, std::int64_t freed)
+    // All tasks take processors and memory, so all of them wait for these; only
+    // those that ask for accelerators wait for them.
+    std::int64_t const accelerators =
+        demand.accelerators() > 0 ? wanted.accelerators() : 0;
+    auto const entry = [](std::int64_t asked, std::int64_t amount,
+                          std::int64_t capacity, std::int64_t freed)
     {
-        return amounts{static_cast<double>(amount),
+        return amounts{static_cast<double>(asked), static_cast<double>(amount),
                        static_cast<double>(capacity),
                        static_cast<double>(freed)};
     };
-    return {entry(wanted.cpu_millis(), shard.capacity_.cpu_millis(),
-                  shard.freed_.cpu_millis()),
-            entry(wanted.memory_mib(), shard.capacity_.memory_mib(),
-                  shard.freed_.memory_mib()),
-            entry(wanted.accelerators(), shard.capacity_.accelerators(),
-                  shard.freed_.accelerators())};
+    return {entry(demand.cpu_millis(), wanted.cpu_millis(),
+                  shard.capacity_.cpu_millis(), shard.freed_.cpu_millis()),
+            entry(demand.memory_mib(), wanted.memory_mib(),
+                  shard.capacity_.memory_mib(), shard.freed_.memory_mib()),
+            entry(demand.accelerators(), accelerators,
+                  shard.capacity_.accelerators(), shard.freed_.accelerators())};
 }
 
 // Between 0 and 1, the same on all hosts.
@@ -117,10 +127,15 @@
     double wait_s = 0;
     for (amounts const& at : list_amounts(shard, demand))
     {
+        if (at.capacity_ <= 0)
+        {
+            wait_s = std::max(wait_s, at.asked_ > 0 ? no_capacity_wait_s : 0);
+            continue;
+        }
         double const missing = at.wanted_ - usable_share * at.capacity_;
-        if (at.capacity_ <= 0 || missing <= 0)
+        if (missing <= 0)
         {
-            continue; // unknown, or there is room
+            continue;
         }
         double const freed =
             at.freed_ > 0 ? at.freed_ : at.capacity_ / default_turnover_s;
--- a/tests/unit/cell_routing_test.cpp
+++ b/tests/unit/cell_routing_test.cpp
@@ -193,6 +193,28 @@
           doctest::Approx(0.6));
 }
 
+// Guards against a shard without targets that attracts all jobs.
+TEST_CASE("expected wait: no capacity of a resource that the job asks for: "
+          "longer than behind a queue")
+{
+    resources const    job{20 * cores, 1000, 0};
+    shard_demand const empty{};
+    CHECK(expect_wait_s(empty, job) > expect_wait_s(make_demand(3000), job));
+    CHECK(expect_wait_s(make_demand(0), {1 * cores, 100, 1}) >=
+          expect_wait_s(empty, job));
+    CHECK(expect_wait_s(empty, {0, 0, 0}) == 0);
+}
+
+// Guards against jobs that avoid a shard for a queue that they don't join.
+TEST_CASE("expected wait: accelerators are scarce, job asks for none: none")
+{
+    shard_demand const shard{.capacity_ = {400 * cores, 400'000, 8},
+                             .wanted_ = {10 * cores, 1000, 40},
+                             .freed_ = {100 * cores, 500, 1}};
+    CHECK(expect_wait_s(shard, {20 * cores, 1000, 0}) == 0);
+    CHECK(expect_wait_s(shard, {20 * cores, 1000, 1}) > 0);
+}
+
 TEST_CASE("first demand: steps with predecessors: left out")
 {
     staged_job const job{
