Send a long question once it was held for 2 s

A long question went only with nothing else in flight, so a steady stream of short ones held it back without end. After 2 s, and 2 s after the host's latest long one, it is overdue, and no short one passes it until it is sent.

--- a/cell/ask_policy_service.cpp
+++ b/cell/ask_policy_service.cpp
@@ -23,6 +23,14 @@
            context.settings_.advice_owner_micros_;
 }
 
+bool is_overdue(node const& context, held_question_row const& held)
+{
+    return is_long(context, held) && held.ends_at_ == instant::never() &&
+           std::max(held.held_at_, context.long_sent_at_)
+                   .after(context.settings_.advice_max_hold_micros_) <=
+               context.now_;
+}
+
 void fail_question(node& context, std::uint64_t request,
                    std::string const& error)
 {
@@ -64,13 +72,18 @@
     for (std::uint64_t const request : requests)
     {
         held_question_row const& held = *context.held_questions_.find(request);
-        questions.push_back(
-            {is_long(context, held), held.ends_at_ != instant::never()});
+        questions.push_back({is_long(context, held),
+                             held.ends_at_ != instant::never(),
+                             is_overdue(context, held)});
     }
     for (std::size_t const at : choose_sendable(questions))
     {
         held_question_row& held = *context.held_questions_.find(requests[at]);
         held.ends_at_ = context.now_.after(held.question_->service_micros_);
+        if (is_long(context, held))
+        {
+            context.long_sent_at_ = context.now_;
+        }
         context.outbox_.push_back(
             send_question{.request_ = requests[at],
                           .question_ = held.question_->question_,
@@ -129,7 +142,8 @@
     std::uint64_t const request =
         call == 0 ? question.request_ : next_request(context);
     context.held_questions_.ensure(request) = {
-        call, std::make_shared<send_question const>(std::move(question))};
+        call, std::make_shared<send_question const>(std::move(question)),
+        context.now_};
 }
 
 std::int64_t find_advice_backlog(node const& context)
--- a/cell/held_question_row.hpp
+++ b/cell/held_question_row.hpp
@@ -16,6 +16,7 @@
 {
     std::uint64_t call_ = 0; // of the requesting host, 0: this host
     std::shared_ptr<send_question const> question_;
+    instant                              held_at_; // since when
     instant ends_at_ = instant::never(); // expected reply, never: not sent
 };
 
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -86,7 +86,8 @@
     table<std::uint64_t, advice_request_row>
         questions_; // to the policy service
     table<std::uint64_t, held_question_row>
-        held_questions_; // that this host sends, with the pool only
+            held_questions_; // that this host sends, with the pool only
+    instant long_sent_at_;   // the latest long one of them
     std::map<std::uint64_t, std::uint64_t>
                                passed_; // forwarded: request to call
     std::vector<deferred_call> parked_;
--- a/cell/order_questions.cpp
+++ b/cell/order_questions.cpp
@@ -44,6 +44,20 @@
     {
         return chosen;
     }
+    auto const overdue = std::find_if(questions.begin(), questions.end(),
+                                      [](pooled_question const& question)
+                                      {
+                                          return question.overdue_;
+                                      });
+    if (overdue != questions.end())
+    {
+        if (in_flight == 0)
+        {
+            chosen.push_back(
+                static_cast<std::size_t>(overdue - questions.begin()));
+        }
+        return chosen;
+    }
     for (std::size_t at = 0; at < questions.size(); ++at)
     {
         if (!questions[at].is_long_ && !questions[at].sent_ &&
--- a/cell/order_questions.hpp
+++ b/cell/order_questions.hpp
@@ -19,9 +19,10 @@
 asker const& choose_asker(std::span<asker const> askers);
 
 // Positions of the requests to send now, out of all that a host has in the
-// order of their arrival. Short requests precede long ones. A long one is sent
-// only when no other is in flight: once sent, its order can't change any more,
-// and later short requests would wait for it.
+// order of their arrival. Short requests precede long ones, except overdue
+// ones: a steady stream of short requests would hold them back without end. A
+// long one is sent only when no other is in flight: once sent, its order can't
+// change any more, and later short requests would wait for it.
 std::vector<std::size_t>
 choose_sendable(std::span<pooled_question const> questions);
 
--- a/cell/pooled_question.hpp
+++ b/cell/pooled_question.hpp
@@ -10,6 +10,7 @@
 {
     bool const is_long_ = false;
     bool const sent_ = false;
+    bool const overdue_ = false; // long, no short one is to pass it any more
 
     friend auto operator<=>(pooled_question const&,
                             pooled_question const&) = default;
--- a/cell/settings.hpp
+++ b/cell/settings.hpp
@@ -132,6 +132,9 @@
     // the time of one short request, so that owners send them while they are
     // free.
     std::int64_t advice_pool_micros_ = 40'000;
+    // A host holds a long request back for short ones up to this time, and
+    // sends at most one such request in it.
+    std::int64_t advice_max_hold_micros_ = 2'000'000;
     // Slack above the expected time. The service continues to process abandoned
     // requests, so an early timeout only adds load.
     std::int64_t advice_slack_micros_ = 4'000'000;
--- a/tests/unit/cell_advice_pool_test.cpp
+++ b/tests/unit/cell_advice_pool_test.cpp
@@ -2,6 +2,8 @@
 // for owners, under a burst and when one of them dies.
 #include "cell_cluster_fixture.hpp"
 
+#include "cell/node.hpp"
+
 #include <doctest/doctest.h>
 
 namespace fescuevane::cell
@@ -36,6 +38,19 @@
         return "";
     }
 
+    // A request of another host.
+    void hold_at(std::string const& name, std::int64_t service_micros)
+    {
+        passed_[++last_call_] = {addresses_.at("host-1"), 999};
+        post_event(*find(name).node_,
+                   question_received{
+                       last_call_,
+                       {.question_ = {.stage_ = {job_id("aa01"), 0, 0},
+                                      .targets_ = {target_id("t-easta")}},
+                        .deadline_ = now_.after(30 * micros_per_second),
+                        .service_micros_ = service_micros}});
+    }
+
     void submit_burst(std::string const& owner, int jobs)
     {
         for (int job = 0; job < jobs; ++job)
@@ -81,20 +96,34 @@
     CHECK(invalid_tickets_ == 0);
 }
 
+// Guards against a long request that a stream of short ones holds back without
+// end: one of 20 ms every 10 ms, for 4 s.
+TEST_CASE_FIXTURE(advice_pool_fixture,
+                  "short requests without a pause, long one held, it is sent "
+                  "after the longest hold")
+{
+    hold_at("host-8", 20'000);
+    hold_at("host-8", 20'000);
+    hold_at("host-8", 300'000);
+    std::int64_t const held_ms = unix_ms_;
+    node const&        host = *find("host-8").node_;
+    instant const      before = host.long_sent_at_;
+    while (host.long_sent_at_ == before && unix_ms_ < held_ms + 4000)
+    {
+        hold_at("host-8", 20'000);
+        run(10'000);
+    }
+    CHECK(unix_ms_ - held_ms >= 1990);
+    CHECK(unix_ms_ - held_ms < 2200);
+}
+
 // Guards against owners that send to a host which others already use.
 TEST_CASE_FIXTURE(advice_pool_fixture,
                   "host holds a request, its heartbeat, reports the wait")
 {
     member& host = find("host-8");
     CHECK(make_heartbeat(*host.node_).advice_wait_micros_ == 0);
-    passed_[++last_call_] = {addresses_.at("host-1"), 999};
-    post_event(
-        *host.node_,
-        question_received{last_call_,
-                          {.question_ = {.stage_ = {job_id("aa01"), 0, 0},
-                                         .targets_ = {target_id("t-easta")}},
-                           .deadline_ = now_.after(micros_per_second),
-                           .service_micros_ = 300'000}});
+    hold_at("host-8", 300'000);
     run(10'000);
     CHECK(make_heartbeat(*host.node_).advice_wait_micros_ == 300'000);
 }
--- a/tests/unit/cell_order_questions_test.cpp
+++ b/tests/unit/cell_order_questions_test.cpp
@@ -16,6 +16,7 @@
     pooled_question const          short_sent_{false, true};
     pooled_question const          long_{true, false};
     pooled_question const          long_sent_{true, true};
+    pooled_question const          long_overdue_{true, false, true};
     instant const                  now_{10 * micros_per_second};
     std::vector<asker>             askers_;
     std::vector<std::size_t> const none_{};
@@ -57,6 +58,17 @@
     CHECK(choose({long_, long_}) == std::vector<std::size_t>{0});
 }
 
+// Guards against a long request that a stream of short ones holds back without
+// end.
+TEST_CASE_FIXTURE(order_questions_fixture,
+                  "long request overdue, short ones wait, it is sent next and "
+                  "none before")
+{
+    CHECK(choose({short_sent_, short_, long_overdue_}) == none_);
+    CHECK(choose({short_, long_, long_overdue_}) ==
+          std::vector<std::size_t>{2});
+}
+
 // Guards against a service that idles during the reply to a short request.
 TEST_CASE_FIXTURE(order_questions_fixture,
                   "short request in flight, another waits, it is sent")
