End a question that the service doesn't answer

It blocked the questions of its host until the deadline of the asker, possibly tens of seconds, while the reported wait counted it as nothing.

Measured: the two new tests fail before (deadline of the asker; backlog 0 instead of 0.5 s) and pass.

--- a/cell/ask_policy_service.cpp
+++ b/cell/ask_policy_service.cpp
@@ -84,11 +84,13 @@
         {
             context.long_sent_at_ = context.now_;
         }
-        context.outbox_.push_back(
-            send_question{.request_ = requests[at],
-                          .question_ = held.question_->question_,
-                          .deadline_ = held.question_->deadline_,
-                          .service_micros_ = held.question_->service_micros_});
+        context.outbox_.push_back(send_question{
+            .request_ = requests[at],
+            .question_ = held.question_->question_,
+            .deadline_ = std::min(
+                held.question_->deadline_,
+                held.ends_at_.after(context.settings_.advice_slack_micros_)),
+            .service_micros_ = held.question_->service_micros_});
     }
 }
 
@@ -151,10 +153,14 @@
     std::int64_t micros = 0;
     for (held_question_row const& held : context.held_questions_)
     {
-        micros += held.ends_at_ == instant::never()
-                      ? held.question_->service_micros_
-                      : std::max<std::int64_t>(
-                            0, context.now_.remaining_until(held.ends_at_));
+        if (held.ends_at_ == instant::never())
+        {
+            micros += held.question_->service_micros_;
+            continue;
+        }
+        // An overdue one is expected to take as long again.
+        micros += context.now_.remaining_until(held.ends_at_) +
+                  held.ends_at_.remaining_until(context.now_);
     }
     return micros;
 }
--- a/tests/unit/cell_advice_pool_test.cpp
+++ b/tests/unit/cell_advice_pool_test.cpp
@@ -128,5 +128,46 @@
     CHECK(make_heartbeat(*host.node_).advice_wait_micros_ == 300'000);
 }
 
+// One host that asks for others, with a request of 300 ms.
+struct silent_service_fixture : cell_fixture
+{
+    silent_service_fixture()
+    {
+        settings_.advice_pool_ = true;
+        start(2);
+        run(10'000);
+        post(question_received{1,
+                               {.question_ = {.stage_ = {job_id("aa01"), 0, 0},
+                                              .targets_ = {target_id("t-1")}},
+                                .deadline_ = now_.after(60 * micros_per_second),
+                                .service_micros_ = 300'000}});
+        tick();
+    }
+};
+
+// Guards against a host that sends nothing until the deadline of a request that
+// the service doesn't answer.
+TEST_CASE_FIXTURE(silent_service_fixture,
+                  "request with a late deadline, sent, it ends with the slack "
+                  "after its expected reply")
+{
+    auto const sent = take<send_question>();
+    REQUIRE(sent.size() == 1);
+    CHECK(sent[0].deadline_ ==
+          now_.after(300'000 + settings_.advice_slack_micros_));
+}
+
+// Guards against owners that send to a host whose service doesn't answer.
+TEST_CASE_FIXTURE(silent_service_fixture,
+                  "request without a reply past its time, backlog, grows")
+{
+    advance(200'000);
+    tick();
+    CHECK(find_advice_backlog(*node_) == 100'000);
+    advance(600'000);
+    tick();
+    CHECK(find_advice_backlog(*node_) == 500'000);
+}
+
 } // namespace
 } // namespace fescuevane::cell
