Estimate the wait of hosts that report one only

What was sent since a heartbeat was added to the wait of the own host and of hosts that report none, and no heartbeat corrected it. The own host's wait is what it holds.

Measured: the new test fails before for each host that was sent a question, and passes.

--- a/cell/advice_proxy_row.hpp
+++ b/cell/advice_proxy_row.hpp
@@ -20,6 +20,7 @@
     instant      urgent_until_;   // until then: has short requests
     // As its latest heartbeat reports, and with what was sent to it since.
     instant shared_busy_until_;
+    bool    wait_reported_ = false; // by that heartbeat
 };
 
 } // namespace fescuevane::cell
--- a/cell/follow_members.cpp
+++ b/cell/follow_members.cpp
@@ -302,10 +302,12 @@
             is_frequent ? context.now_.after(context.settings_.suspect_micros_)
                         : instant::never();
         host->next_heartbeat_at_ = context.now_.after(idle_heartbeat_micros);
-        if (beat.advice_wait_micros_ && context.settings_.advice_pool_)
+        if (context.settings_.advice_pool_)
         {
-            context.askers_.ensure(beat.host_).shared_busy_until_ =
-                context.now_.after(*beat.advice_wait_micros_);
+            advice_proxy_row& proxy = context.askers_.ensure(beat.host_);
+            proxy.wait_reported_ = beat.advice_wait_micros_.has_value();
+            proxy.shared_busy_until_ =
+                context.now_.after(beat.advice_wait_micros_.value_or(0));
         }
     }
     if (note_reported_limits(context, beat))
--- a/cell/send_questions.cpp
+++ b/cell/send_questions.cpp
@@ -175,7 +175,9 @@
     std::uint64_t const request = next_request(context);
     std::int64_t const  wait = expect_wait(context, proxy);
     row.busy_until_ = std::max(row.busy_until_, context.now_).after(micros);
-    if (context.settings_.advice_pool_)
+    // Only heartbeats correct it: this host, and hosts of an earlier version or
+    // without the pool, send none with a wait.
+    if (row.wait_reported_)
     {
         row.shared_busy_until_ =
             std::max(row.shared_busy_until_, context.now_).after(micros);
--- a/tests/unit/cell_advice_pool_test.cpp
+++ b/tests/unit/cell_advice_pool_test.cpp
@@ -128,6 +128,31 @@
     CHECK(make_heartbeat(*host.node_).advice_wait_micros_ == 300'000);
 }
 
+// Guards against requests to hosts of an earlier version, and to the own one,
+// that count as busy long after they were answered: no heartbeat corrects it.
+TEST_CASE_FIXTURE(advice_pool_fixture,
+                  "burst sent to hosts whose heartbeats report no wait, wait "
+                  "isn't estimated")
+{
+    std::string const owner = find_owner();
+    node&             sender = *find(owner).node_;
+    submit_burst(owner, 16);
+    for (int round = 0; round < 20 && sender.questions_.empty(); ++round)
+    {
+        for (advice_proxy_row& proxy : sender.askers_)
+        {
+            proxy.wait_reported_ = false;
+            proxy.shared_busy_until_ = now_;
+        }
+        run(10'000);
+    }
+    CHECK_FALSE(sender.questions_.empty());
+    for (advice_proxy_row const& proxy : sender.askers_)
+    {
+        CHECK(proxy.shared_busy_until_ <= now_);
+    }
+}
+
 // One host that asks for others, with a request of 300 ms.
 struct silent_service_fixture : cell_fixture
 {
