Bound the time left to a question of another host

A faulty sender could have a question held for hours, or make its deadline overflow. It is read as 0 to 120 s.

Measured: the new test fails before and passes.

--- a/peer/peer_codec.cpp
+++ b/peer/peer_codec.cpp
@@ -306,7 +306,8 @@
     return {.question_ = {.stage_ = {job_id(message.job()),
                                      message.occurrence(), message.step()},
                           .targets_ = std::move(targets)},
-            .deadline_ = now.after(message.remaining_micros()),
+            .deadline_ = now.after(std::clamp<std::int64_t>(
+                message.remaining_micros(), 0, 2 * max_advice_wait_micros)),
             .service_micros_ = std::clamp<std::int64_t>(
                 message.service_micros(), 0, max_advice_wait_micros)};
 }
--- a/tests/unit/peer_codec_test.cpp
+++ b/tests/unit/peer_codec_test.cpp
@@ -5,6 +5,7 @@
 #include "cell/heartbeat.hpp"
 #include "cell/job_answer.hpp"
 #include "cell/job_call.hpp"
+#include "cell/send_question.hpp"
 #include "core/instant.hpp"
 #include "core/staged_job.hpp"
 #include "peer/peer_error.hpp"
@@ -126,6 +127,19 @@
     CHECK(decode_heartbeat(message).advice_wait_micros_ == 60'000'000);
 }
 
+// Guards against a question that a host holds for hours, and against an
+// overflow of its deadline.
+TEST_CASE("question, time out of range, decoded, its deadline is bounded")
+{
+    instant const        now(micros_per_second);
+    cell::v1::AdviceCall message;
+    message.set_job("aa01");
+    message.set_remaining_micros(1LL << 62);
+    CHECK(decode_question(message, now).deadline_ == now.after(120'000'000));
+    message.set_remaining_micros(-5);
+    CHECK(decode_question(message, now).deadline_ == now);
+}
+
 // Guards against starts above a limit: what a shard uses beyond its part, and
 // limits that a host can't read, are told by heartbeats only.
 TEST_CASE_FIXTURE(codec_fixture, "limits and uses, encoded, decoded the same")
