Count a job after an uncertain attempt to submit it

Its `sent_work_` row was removed although the shard may have the job, so it counted nowhere until the next heartbeat.

Measured: the new test fails before (no row) and passes.

--- a/cell/route_calls.cpp
+++ b/cell/route_calls.cpp
@@ -265,7 +265,9 @@
         return;
     }
     shard_id const called_shard = *call->shard_;
-    if (answer.outcome_ != job_outcome::accepted)
+    // After an uncertain attempt the shard may have the job.
+    if (answer.outcome_ != job_outcome::accepted &&
+        answer.outcome_ != job_outcome::uncertain)
     {
         std::erase_if(context.sent_work_,
                       [&](sent_work const& sent)
--- a/tests/unit/cell_routing_test.cpp
+++ b/tests/unit/cell_routing_test.cpp
@@ -1,4 +1,7 @@
 // Purpose: tests of the choice of a shard for new jobs.
+#include "cell_fixture.hpp"
+
+#include "cell/node.hpp"
 #include "cell/route_job.hpp"
 #include "cell/settings.hpp"
 #include "core/staged_job.hpp"
@@ -246,4 +249,49 @@
     CHECK(moved_ == 0);
 }
 
+// One host with a shard of one target that runs a task of 1000 ms.
+struct sent_work_fixture : cell_fixture
+{
+    shard_id const shard_{domain_id("east"), 0};
+
+    void run_task(bool by_wait)
+    {
+        settings_.route_by_wait_ = by_wait;
+        start(2);
+        serve();
+        submit("aa01");
+        run(100'000);
+        for (send_start const& started : take<send_start>())
+        {
+            post(order_reply{.request_ = started.request_,
+                             .outcome_ = target_outcome::done});
+        }
+        tick();
+    }
+
+    void answer(job_outcome outcome)
+    {
+        call_row& call = node_->calls_.ensure(99);
+        call = {.kind_ = call_kind::submit,
+                .id_ = job_id("bb01"),
+                .deadline_ = now_.after(micros_per_second),
+                .shard_ = shard_};
+        node_->sent_work_ = {
+            {shard_, call.id_, {1000, 512, 0}, now_.after(120'000)}};
+        apply_answer(*node_, 99, {.outcome_ = outcome});
+    }
+};
+
+// Guards against a job that an owner may have and that nobody counts until its
+// next heartbeat.
+TEST_CASE_FIXTURE(sent_work_fixture,
+                  "sent work: attempt uncertain: counted on, refused: not")
+{
+    run_task(true);
+    answer(job_outcome::uncertain);
+    CHECK(node_->sent_work_.size() == 1);
+    answer(job_outcome::unavailable);
+    CHECK(node_->sent_work_.empty());
+}
+
 } // namespace fescuevane::cell
