Compute the freed rate for heartbeats only

Each `summarize_load` visited all runs for a figure that only routing by the expected wait uses. `sum_freed` is a query of its own, called for heartbeats if `route_by_wait` is on.

Measured: the new test of a heartbeat without `route_by_wait` fails with the condition removed and passes with it. No times were measured.

--- a/cell/follow_members.cpp
+++ b/cell/follow_members.cpp
@@ -189,6 +189,10 @@
         return {};
     }
     plan::load_summary load = plan::summarize_load(*own.planner_);
+    if (context.settings_.route_by_wait_)
+    {
+        load.freed_a_second_ = plan::sum_freed(*own.planner_);
+    }
     for (plan::organisation_load& entry : load.organisations_)
     {
         entry.part_ = static_cast<std::uint32_t>(
--- a/plan/load_summary.hpp
+++ b/plan/load_summary.hpp
@@ -13,11 +13,11 @@
 
 struct load_summary
 {
-    resources capacity_;       // of usable targets
-    resources used_;           // by running tasks
-    resources queued_;         // by startable tasks
-    resources freed_a_second_; // expected, by running tasks that end
-    std::vector<queue_load>        queues_;
+    resources               capacity_;       // of usable targets
+    resources               used_;           // by running tasks
+    resources               queued_;         // by startable tasks
+    resources               freed_a_second_; // `sum_freed`; zero: not known
+    std::vector<queue_load> queues_;
     std::vector<organisation_load> organisations_; // those with a limit
 
     friend bool operator==(load_summary const&, load_summary const&) = default;
--- a/plan/plan.hpp
+++ b/plan/plan.hpp
@@ -26,6 +26,7 @@
 
 namespace fescuevane
 {
+class resources;
 struct job_progress;
 struct staged_job;
 } // namespace fescuevane
@@ -74,7 +75,10 @@
 std::optional<queue_policy> find_policy(planner const& context,
                                         job_id const&  job);
 bool has_runs(planner const& context, job_id const& job); // started, not ended
-load_summary summarize_load(planner const& context);
+load_summary summarize_load(planner const& context);      // without `sum_freed`
+// What running tasks free in a second when each of them is replaced by one like
+// it. Tasks that last don't end. Visits all runs.
+resources sum_freed(planner const& context);
 // Run times that this shard learnt itself, and the errors of estimates.
 std::vector<run_time_row> list_run_times(planner const& context);
 run_time_errors           sum_run_time_errors(planner const& context);
--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -460,11 +460,6 @@
 
 // 5. Load
 
-namespace
-{
-
-// What running tasks free in a second when each of them is replaced by one like
-// it. Long-running tasks don't end.
 resources sum_freed(planner const& context)
 {
     constexpr double ms_per_second = 1000;
@@ -492,12 +487,9 @@
             static_cast<std::int64_t>(accelerators)};
 }
 
-} // namespace
-
 load_summary summarize_load(planner const& context)
 {
     load_summary sum;
-    sum.freed_a_second_ = sum_freed(context);
     for (target_row const& target : context.targets_)
     {
         if (target.phase_ == target_phase::usable)
--- a/tests/unit/cell_routing_test.cpp
+++ b/tests/unit/cell_routing_test.cpp
@@ -294,4 +294,26 @@
     CHECK(node_->sent_work_.empty());
 }
 
+TEST_CASE_FIXTURE(
+    sent_work_fixture,
+    "heartbeat: task runs, routing by wait: reports what it frees")
+{
+    run_task(true);
+    REQUIRE(make_heartbeat(*node_).shards_.size() == 1);
+    plan::load_summary const load = make_heartbeat(*node_).shards_[0].load_;
+    CHECK(load.used_ == resources(1000, 512, 0));
+    CHECK_FALSE(load.freed_a_second_.is_zero());
+}
+
+// Guards against a visit of all runs for a figure that isn't used.
+TEST_CASE_FIXTURE(sent_work_fixture,
+                  "heartbeat: task runs, routing by load: nothing as freed")
+{
+    run_task(false);
+    REQUIRE(make_heartbeat(*node_).shards_.size() == 1);
+    plan::load_summary const load = make_heartbeat(*node_).shards_[0].load_;
+    CHECK(load.used_ == resources(1000, 512, 0));
+    CHECK(load.freed_a_second_.is_zero());
+}
+
 } // namespace fescuevane::cell
