--- a/cell/follow_members.cpp
+++ b/cell/follow_members.cpp
@@ -189,6 +189,10 @@
         return {};
     }
     plan::load_summary load = plan::summarize_load(*own.planner_);
+    if (context.settings_.route_by_wait_)
+    {
+        load.freed_a_second_ = plan::sum_freed(*own.planner_);
+    }
     for (plan::organisation_load& entry : load.organisations_)
     {
         entry.part_ = static_cast<std::uint32_t>(
@@ -302,10 +306,12 @@
             is_frequent ? context.now_.after(context.settings_.suspect_micros_)
                         : instant::never();
         host->next_heartbeat_at_ = context.now_.after(idle_heartbeat_micros);
-        if (beat.advice_wait_micros_ && context.settings_.advice_pool_)
+        if (context.settings_.advice_pool_)
         {
-            context.askers_.ensure(beat.host_).shared_busy_until_ =
-                context.now_.after(*beat.advice_wait_micros_);
+            advice_proxy_row& proxy = context.askers_.ensure(beat.host_);
+            proxy.wait_reported_ = beat.advice_wait_micros_.has_value();
+            proxy.shared_busy_until_ =
+                context.now_.after(beat.advice_wait_micros_.value_or(0));
         }
     }
     if (note_reported_limits(context, beat))
--- a/tests/unit/cell_routing_test.cpp
+++ b/tests/unit/cell_routing_test.cpp
@@ -1,4 +1,7 @@
 // Purpose: tests of the choice of a shard for new jobs.
+#include "cell_fixture.hpp"
+
+#include "cell/node.hpp"
 #include "cell/route_job.hpp"
 #include "cell/settings.hpp"
 #include "core/staged_job.hpp"
@@ -193,6 +196,28 @@
           doctest::Approx(0.6));
 }
 
+// Guards against a shard without targets that attracts all jobs.
+TEST_CASE("expected wait: no capacity of a resource that the job asks for: "
+          "longer than behind a queue")
+{
+    resources const    job{20 * cores, 1000, 0};
+    shard_demand const empty{};
+    CHECK(expect_wait_s(empty, job) > expect_wait_s(make_demand(3000), job));
+    CHECK(expect_wait_s(make_demand(0), {1 * cores, 100, 1}) >=
+          expect_wait_s(empty, job));
+    CHECK(expect_wait_s(empty, {0, 0, 0}) == 0);
+}
+
+// Guards against jobs that avoid a shard for a queue that they don't join.
+TEST_CASE("expected wait: accelerators are scarce, job asks for none: none")
+{
+    shard_demand const shard{.capacity_ = {400 * cores, 400'000, 8},
+                             .wanted_ = {10 * cores, 1000, 40},
+                             .freed_ = {100 * cores, 500, 1}};
+    CHECK(expect_wait_s(shard, {20 * cores, 1000, 0}) == 0);
+    CHECK(expect_wait_s(shard, {20 * cores, 1000, 1}) > 0);
+}
+
 TEST_CASE("first demand: steps with predecessors: left out")
 {
     staged_job const job{
@@ -224,4 +249,71 @@
     CHECK(moved_ == 0);
 }
 
+// One host with a shard of one target that runs a task of 1000 ms.
+struct sent_work_fixture : cell_fixture
+{
+    shard_id const shard_{domain_id("east"), 0};
+
+    void run_task(bool by_wait)
+    {
+        settings_.route_by_wait_ = by_wait;
+        start(2);
+        serve();
+        submit("aa01");
+        run(100'000);
+        for (send_start const& started : take<send_start>())
+        {
+            post(order_reply{.request_ = started.request_,
+                             .outcome_ = target_outcome::done});
+        }
+        tick();
+    }
+
+    void answer(job_outcome outcome)
+    {
+        call_row& call = node_->calls_.ensure(99);
+        call = {.kind_ = call_kind::submit,
+                .id_ = job_id("bb01"),
+                .deadline_ = now_.after(micros_per_second),
+                .shard_ = shard_};
+        node_->sent_work_ = {
+            {shard_, call.id_, {1000, 512, 0}, now_.after(120'000)}};
+        apply_answer(*node_, 99, {.outcome_ = outcome});
+    }
+};
+
+// Guards against a job that an owner may have and that nobody counts until its
+// next heartbeat.
+TEST_CASE_FIXTURE(sent_work_fixture,
+                  "sent work: attempt uncertain: counted on, refused: not")
+{
+    run_task(true);
+    answer(job_outcome::uncertain);
+    CHECK(node_->sent_work_.size() == 1);
+    answer(job_outcome::unavailable);
+    CHECK(node_->sent_work_.empty());
+}
+
+TEST_CASE_FIXTURE(
+    sent_work_fixture,
+    "heartbeat: task runs, routing by wait: reports what it frees")
+{
+    run_task(true);
+    REQUIRE(make_heartbeat(*node_).shards_.size() == 1);
+    plan::load_summary const load = make_heartbeat(*node_).shards_[0].load_;
+    CHECK(load.used_ == resources(1000, 512, 0));
+    CHECK_FALSE(load.freed_a_second_.is_zero());
+}
+
+// Guards against a visit of all runs for a figure that isn't used.
+TEST_CASE_FIXTURE(sent_work_fixture,
+                  "heartbeat: task runs, routing by load: nothing as freed")
+{
+    run_task(false);
+    REQUIRE(make_heartbeat(*node_).shards_.size() == 1);
+    plan::load_summary const load = make_heartbeat(*node_).shards_[0].load_;
+    CHECK(load.used_ == resources(1000, 512, 0));
+    CHECK(load.freed_a_second_.is_zero());
+}
+
 } // namespace fescuevane::cell
