Require ended runs of the key before copies and stops

Cause: with the shared model the number of samples contained tasks that still run and runs of other images. Ten tasks of a new image, declared a tenth of their run time, counted as slow and were all stopped.

Change: the number of samples of an estimate is the weight of the ended runs of just its key. A stop also needs what the local model requires: an ended task of the stage, or enough ended runs of the image on this owner. Ended tasks of a stage no longer count twice once they are merged.

Measured: the two new cases fail with the former rules, 10 of 10 tasks stopped each, and pass with these. The copies of the former rules weren't shown apart, since the stops come first.

--- a/plan/learn_run_times.cpp
+++ b/plan/learn_run_times.cpp
@@ -142,7 +142,8 @@
         std::exp(stage->log_ran_ / stage->samples_) / model.median_ms_, share);
     return {.median_ms_ = model.median_ms_ * factor,
             .high_ms_ = model.high_ms_ * factor,
-            .samples_ = model.samples_ + stage->samples_};
+            // The model has most of the stage's ended tasks too.
+            .samples_ = std::max(model.samples_, stage->samples_)};
 }
 
 std::vector<run_time_row> list_run_times(planner const& context)
--- a/plan/run_time_estimate.hpp
+++ b/plan/run_time_estimate.hpp
@@ -12,7 +12,7 @@
 {
     double median_ms_ = 0;
     double high_ms_ = 0; // 95th percentile of the tasks outside the tail
-    double samples_ = 0; // weight of the samples behind it, 0: declared only
+    double samples_ = 0; // weight of the ended runs of just this key
 
     friend auto operator<=>(run_time_estimate const&,
                             run_time_estimate const&) = default;
--- a/plan/run_times.cpp
+++ b/plan/run_times.cpp
@@ -232,9 +232,10 @@
     run_time_sums const sums = find_sums(context, key);
     distribution const  body = predict(sums, log_ms(declared_ms));
     double const        median = std::exp(body.log_median_);
+    double const* const ended = context.ended_.find(key);
     return {.median_ms_ = median,
             .high_ms_ = median * std::exp(high_deviations * body.deviation_),
-            .samples_ = sums.weight_ + sums.tail_weight_};
+            .samples_ = ended == nullptr ? 0 : *ended};
 }
 
 // 4. Merging
@@ -244,6 +245,7 @@
                      std::int64_t                        unix_ms)
 {
     table<run_time_key, run_time_sums> merged;
+    table<run_time_key, double>        ended;
     auto const                         add =
         [&merged](run_time_key const& key, run_time_sums const& more)
     {
@@ -263,9 +265,12 @@
     auto const add_row = [&](run_time_row const& row)
     {
         double const fade = fade_factor(row.learnt_unix_ms_, unix_ms);
-        if ((row.sums_.weight_ + row.sums_.tail_weight_) * fade >= min_weight)
+        double const weight =
+            (row.sums_.weight_ + row.sums_.tail_weight_) * fade;
+        if (weight >= min_weight)
         {
             add(row.key_, row.sums_ * fade);
+            ended.ensure(row.key_) += weight;
         }
     };
     std::for_each(context.own_.begin(), context.own_.end(), add_row);
@@ -277,6 +282,7 @@
                           log_ms(sample.declared_ms_), sample.ran_ms_));
     }
     context.merged_ = std::move(merged);
+    context.ended_ = std::move(ended);
 }
 
 bool is_plausible(run_time_row const& row, std::int64_t unix_ms)
--- a/plan/run_times.hpp
+++ b/plan/run_times.hpp
@@ -26,6 +26,8 @@
     std::vector<run_time_row>         others_; // one row a key and other shard
     // Sums over own, other and running samples, also of wider keys.
     table<run_time_key, run_time_sums> merged_;
+    // Weight of the ended runs in `merged_`, of keys with all members only.
+    table<run_time_key, double> ended_;
 };
 
 // Adds a finished, whole run to the shard's own rows.
--- a/plan/watch_runs.cpp
+++ b/plan/watch_runs.cpp
@@ -84,6 +84,12 @@
     {
         return false;
     }
+    bool const             siblings = context.stages_.find(stage)->samples_ > 0;
+    image_row const* const image = context.images_.find(run.image_);
+    if (!siblings && (image == nullptr || image->samples_ < min_samples))
+    {
+        return false;
+    }
     if (uses_shared_run_times(context))
     {
         run_time_estimate const estimate = estimate_stage(context, stage);
@@ -91,12 +97,6 @@
                remaining_ms(run) >
                    slow_in_model * estimate.high_ms_ + restart_ms;
     }
-    bool const             siblings = context.stages_.find(stage)->samples_ > 0;
-    image_row const* const image = context.images_.find(run.image_);
-    if (!siblings && (image == nullptr || image->samples_ < min_samples))
-    {
-        return false;
-    }
     return remaining_ms(run) >
            (siblings ? slow_in_stage : slow_in_queue) * expected_ms +
                restart_ms;
--- a/tests/unit/plan_run_times_test.cpp
+++ b/tests/unit/plan_run_times_test.cpp
@@ -359,5 +359,77 @@
     CHECK(run_until(5000, 6000));
 }
 
+// Ten tasks of a new image, whose declared run time is a tenth of the real one.
+// A copy or a stop would find room on another target.
+struct new_image_fixture : plan_fixture
+{
+    static constexpr std::int64_t real_ms = 50'000;
+
+    std::vector<start_run> runs_;
+
+    new_image_fixture()
+        : plan_fixture({.run_time_model_ = run_time_model::shared})
+    {
+        set_target("t-1", {10'000, 8192, 0});
+        set_target("t-2", {10'000, 8192, 0});
+        add_job("j-1", {{.count_ = 10,
+                         .demand_ = {1000, 512, 0},
+                         .estimate_ms_ = real_ms / 10,
+                         .speculative_ = true}});
+        tick();
+        runs_ = list<start_run>();
+        REQUIRE(runs_.size() == 10);
+        confirm_starts();
+        tick();
+    }
+
+    // Lets all tasks run with progress reports until just before their ends.
+    void check_no_stop_and_no_copy()
+    {
+        std::size_t stops = 0;
+        std::size_t copies = 0;
+        for (std::int64_t passed = 0; passed < real_ms; passed += 100)
+        {
+            advance(100'000);
+            for (start_run const& run : runs_)
+            {
+                post(run_seen{run.run_, run.target_, "",
+                              static_cast<std::int32_t>(passed * 100 / real_ms),
+                              0});
+            }
+            tick();
+            stops += list<stop_run>().size();
+            copies += list<start_run>().size();
+        }
+        CHECK(stops == 0);
+        CHECK(copies == 0);
+    }
+};
+
+// Guards against running tasks that count as proof of how long tasks of their
+// image run.
+TEST_CASE_FIXTURE(new_image_fixture, "run times, new image declared too short, "
+                                     "no stop and no copy")
+{
+    check_no_stop_and_no_copy();
+}
+
+// Guards against runs of other images that count as such a proof.
+TEST_CASE_FIXTURE(new_image_fixture,
+                  "run times, new image, its queue knows shorter ones, no stop "
+                  "and no copy")
+{
+    run_times known;
+    for (int sample = 0; sample < 60; ++sample)
+    {
+        learn_run_time(
+            known,
+            {{organisation_id("cafe"), queue_id("orders"), "short"}, 1000, 500},
+            unix_ms_);
+    }
+    post(run_times_shared{list_own_run_times(known)});
+    check_no_stop_and_no_copy();
+}
+
 } // namespace
 } // namespace fescuevane::plan
