Keep the model's estimate of open stages between merges

Cause: each estimate copied three keys and looked them up, for each run many times a tick, while the merged sums change only in a merge.

Change: a merge stores the estimate of each open stage in its row. A stage that opened since is estimated as before.

Not measured: the processor time.

--- a/plan/learn_run_times.cpp
+++ b/plan/learn_run_times.cpp
@@ -82,6 +82,12 @@
     context.merge_at_ = context.now_.after(merge_micros);
     merge_run_times(context.run_times_, list_running(context),
                     context.unix_ms_);
+    for (std::size_t row = 0; row < context.stages_.size(); ++row)
+    {
+        stage_key const& key = context.stages_.key(row);
+        context.stages_[row].model_ =
+            estimate_step(context, *context.jobs_.find(key.job_), key.step_);
+    }
 }
 
 void learn_from_run(planner& context, run_key const& key, run_row const& run,
@@ -129,9 +135,11 @@
 
 run_time_estimate estimate_stage(planner const& context, stage_key const& key)
 {
+    stage_row const* const  stage = context.stages_.find(key);
     run_time_estimate const model =
-        estimate_step(context, *context.jobs_.find(key.job_), key.step_);
-    stage_row const* const stage = context.stages_.find(key);
+        stage != nullptr && stage->model_.median_ms_ > 0
+            ? stage->model_
+            : estimate_step(context, *context.jobs_.find(key.job_), key.step_);
     if (stage == nullptr || stage->samples_ <= 0)
     {
         return model;
--- a/plan/stage_row.hpp
+++ b/plan/stage_row.hpp
@@ -6,6 +6,7 @@
 #include "core/instant.hpp"
 #include "core/staged_job.hpp"
 #include "plan/part_phase.hpp"
+#include "plan/run_time_estimate.hpp"
 #include "plan/task_list.hpp"
 #include "plan/ticket_cell.hpp"
 
@@ -25,6 +26,7 @@
     double                     ran_ms_ = 0;  // mean run time of its ended tasks
     double                     samples_ = 0; // number of them
     double                     log_ran_ = 0; // sum of ln(run time in ms)
+    run_time_estimate          model_;       // at the latest merge, 0: none
     bool                       startable_ = false; // predecessors have ended
     std::uint32_t              gang_run_ = 0; // number of the gang's latest run
     std::vector<std::uint32_t> gang_failures_; // run numbers
