Name gangs that have run before in two comments on divided gangs

Cause: a run number other than 0 is also that of a gang that has run before.

Change: comments only. A trial of a guard that lets such a gang wait for a request in flight made the case 'parts of a gang withdrawn, waits again, offered at once' fail, so it isn't kept.

--- a/plan/hold_gangs.cpp
+++ b/plan/hold_gangs.cpp
@@ -76,8 +76,8 @@
                        });
 }
 
-// Time from which the stage may reserve room. A gang that was handed over or
-// divided has waited before.
+// Time from which the stage may reserve room. A gang that was handed over, was
+// divided, or has run before has waited before.
 instant find_reservation_time(stage_row const& stage)
 {
     if (stage.part_ != part_phase::none || stage.spec_->alias_ ||
--- a/plan/planner.cpp
+++ b/plan/planner.cpp
@@ -283,7 +283,8 @@
                 continue;
             }
         }
-        // A gang that was divided has had these replies before.
+        // A gang that was divided, or has run before, has had these replies
+        // before.
         if (!tasks.blocked_ && (!step.gang_ || stage.gang_run_ == 0))
         {
             tasks.indices_ = stage.asked_ > 0
