Replace the oldest heard run times when a shard's rows are full

Cause: an owner replaces keys, which no report tells.

Change: a plausible row of a new key is kept, and the oldest one removed.

Measured: the new case fails before and passes with the change.

--- a/cell/share_run_times.cpp
+++ b/cell/share_run_times.cpp
@@ -217,17 +217,30 @@
         context.heard_run_times_.ensure(reported.shard_);
     for (plan::run_time_row const& row : reported.run_times_)
     {
-        auto const known = heard.rows_.find(row.key_);
-        bool const full = known == heard.rows_.end() &&
-                          heard.rows_.size() >= plan::max_run_time_rows;
-        if (full || !plan::is_plausible(row, context.unix_ms_))
+        if (!plan::is_plausible(row, context.unix_ms_))
         {
             ++heard.dropped_;
+            continue;
+        }
+        auto const known = heard.rows_.find(row.key_);
+        if (known == heard.rows_.end())
+        {
+            heard.rows_.emplace(row.key_, row);
+        }
+        else if (known->second.learnt_unix_ms_ < row.learnt_unix_ms_)
+        {
+            known->second = row;
         }
-        else if (known == heard.rows_.end() ||
-                 known->second.learnt_unix_ms_ < row.learnt_unix_ms_)
+        if (heard.rows_.size() > plan::max_run_time_rows)
         {
-            heard.rows_.insert_or_assign(row.key_, row);
+            // The owner has replaced keys too, which no report tells.
+            heard.rows_.erase(std::min_element(
+                heard.rows_.begin(), heard.rows_.end(),
+                [](auto const& a, auto const& b)
+                {
+                    return a.second.learnt_unix_ms_ < b.second.learnt_unix_ms_;
+                }));
+            ++heard.dropped_;
         }
     }
 }
--- a/tests/unit/cell_run_times_test.cpp
+++ b/tests/unit/cell_run_times_test.cpp
@@ -212,5 +212,37 @@
     CHECK(stored_owner("east.1").released_);
 }
 
+// Guards against a shard whose new images are refused for ever, once as many
+// keys as it may keep have been heard of.
+TEST_CASE_FIXTURE(run_times_fixture,
+                  "run times, rows of a shard are full, a new key replaces the "
+                  "oldest")
+{
+    shard_id const     other{domain_id("east"),
+                         *list_served("h-2").begin() == "east.0" ? 0U : 1U};
+    node&              host = *find("h-1").node_;
+    plan::run_time_row row{
+        .key_ = {organisation_id("cafe"), queue_id("orders"), ""},
+        .sums_ = {5, 35, 35, 245, 245, 245}};
+    auto const report = [&](std::size_t image, std::int64_t age_ms)
+    {
+        row.key_.image_ = "image-" + std::to_string(image);
+        row.learnt_unix_ms_ = unix_ms_ - age_ms;
+        apply_run_times(host, {.shard_ = other, .run_times_ = {row}});
+        return host.heard_run_times_.find(other)->rows_.contains(row.key_);
+    };
+    for (std::size_t image = 0; image < plan::max_run_time_rows; ++image)
+    {
+        REQUIRE(report(image, image == 7 ? 5000 : 1000));
+    }
+    heard_run_times_row const& heard = *host.heard_run_times_.find(other);
+    CHECK_FALSE(report(1000, 6000));        // older than all others
+    CHECK_FALSE(report(1001, -86'400'000)); // not plausible
+    CHECK(report(1002, 0));
+    CHECK(heard.rows_.size() == plan::max_run_time_rows);
+    row.key_.image_ = "image-7";
+    CHECK_FALSE(heard.rows_.contains(row.key_));
+}
+
 } // namespace
 } // namespace fescuevane::cell
