Store the latest run times also after a release was taken back

Cause: the mark of the last write stayed set, so the next release lost the samples since the latest write.

Change: the mark is reset while the shard isn't being released.

Measured: the new case fails before, 2.98 of 9.66 samples stored, and passes with the change.

--- a/cell/share_run_times.cpp
+++ b/cell/share_run_times.cpp
@@ -369,6 +369,7 @@
         }
         if (!own.releasing_)
         {
+            ledger.last_written_ = false; // a release may have been taken back
             load_run_times(context, shard, own);
         }
         bool const last = own.releasing_ && !ledger.last_written_;
--- a/tests/unit/cell_run_times_test.cpp
+++ b/tests/unit/cell_run_times_test.cpp
@@ -166,6 +166,25 @@
     CHECK(count_stored() == doctest::Approx(before).epsilon(0.001));
 }
 
+// Guards against a release that was taken back once, after which the samples
+// since the latest write are lost at the next one.
+TEST_CASE_FIXTURE(run_times_fixture,
+                  "run times, earlier release was taken back, the latest "
+                  "samples are stored at a stop")
+{
+    run_jobs(10);
+    double const before = count_learnt("h-1") + count_learnt("h-2");
+    for (run_time_ledger* const ledger : list_ledgers())
+    {
+        ledger->last_written_ = true;
+        ledger->write_at_ = now_.after(60 * micros_per_second);
+    }
+    run(200'000);
+    post_all(stop_requested{now_.after(5 * micros_per_second)});
+    run(8 * micros_per_second);
+    CHECK(count_stored() == doctest::Approx(before).epsilon(0.001));
+}
+
 // Guards against a takeover that fails because of a row which only improves
 // estimates.
 TEST_CASE_FIXTURE(run_times_fixture,
