--- a/plan/run_times.hpp
+++ b/plan/run_times.hpp
@@ -26,6 +26,8 @@
     std::vector<run_time_row>         others_; // one row a key and other shard
     // Sums over own, other and running samples, also of wider keys.
     table<run_time_key, run_time_sums> merged_;
+    // Weight of the ended runs in `merged_`, of keys with all members only.
+    table<run_time_key, double> ended_;
 };
 
 // Adds a finished, whole run to the shard's own rows.
@@ -38,8 +40,8 @@
                      std::vector<run_time_sample> const& running,
                      std::int64_t                        unix_ms);
 
-// From the narrowest key with enough samples; the declared run time if there is
-// none.
+// From the samples of the key and, up to a weight each, those of the wider
+// keys; the declared run time if there are none.
 run_time_estimate estimate_run_time(run_times const&    context,
                                     run_time_key const& key,
                                     double              declared_ms);
--- a/tests/unit/cell_run_times_test.cpp
+++ b/tests/unit/cell_run_times_test.cpp
@@ -82,6 +82,35 @@
         }
         return samples;
     }
+
+    double count_stored()
+    {
+        double samples = 0;
+        for (row_key const& key : {stored_1_, stored_2_})
+        {
+            REQUIRE(rows_.contains(key));
+            for (plan::run_time_row const& row :
+                 read_run_times(rows_.at(key).value_))
+            {
+                samples += row.sums_.weight_;
+            }
+        }
+        return samples;
+    }
+
+    // What hosts keep of the run times of their own shards.
+    std::vector<run_time_ledger*> list_ledgers()
+    {
+        std::vector<run_time_ledger*> ledgers;
+        for (char const* const name : {"h-1", "h-2"})
+        {
+            for (owned_row& own : find(name).node_->owned_)
+            {
+                ledgers.push_back(&own.run_times_);
+            }
+        }
+        return ledgers;
+    }
 };
 
 // Guards against a shard that learns only from its own runs.
@@ -134,17 +163,26 @@
     double const before = count_learnt("h-1") + count_learnt("h-2");
     post_all(stop_requested{now_.after(5 * micros_per_second)});
     run(8 * micros_per_second);
-    double stored = 0;
-    for (row_key const& key : {stored_1_, stored_2_})
+    CHECK(count_stored() == doctest::Approx(before).epsilon(0.001));
+}
+
+// Guards against a release that was taken back once, after which the samples
+// since the latest write are lost at the next one.
+TEST_CASE_FIXTURE(run_times_fixture,
+                  "run times, earlier release was taken back, the latest "
+                  "samples are stored at a stop")
+{
+    run_jobs(10);
+    double const before = count_learnt("h-1") + count_learnt("h-2");
+    for (run_time_ledger* const ledger : list_ledgers())
     {
-        REQUIRE(rows_.contains(key));
-        for (plan::run_time_row const& row :
-             read_run_times(rows_.at(key).value_))
-        {
-            stored += row.sums_.weight_;
-        }
+        ledger->last_written_ = true;
+        ledger->write_at_ = now_.after(60 * micros_per_second);
     }
-    CHECK(stored == doctest::Approx(before).epsilon(0.001));
+    run(200'000);
+    post_all(stop_requested{now_.after(5 * micros_per_second)});
+    run(8 * micros_per_second);
+    CHECK(count_stored() == doctest::Approx(before).epsilon(0.001));
 }
 
 // Guards against a takeover that fails because of a row which only improves
@@ -212,5 +250,54 @@
     CHECK(stored_owner("east.1").released_);
 }
 
+// Guards against a hand-over that ends with the process instead, because the
+// store doesn't answer the write of a row which only improves estimates.
+TEST_CASE_FIXTURE(run_times_fixture,
+                  "run times, last write isn't answered, the shards are "
+                  "released before the deadline")
+{
+    run_jobs(10);
+    for (run_time_ledger* const ledger : list_ledgers())
+    {
+        ledger->request_ = std::numeric_limits<std::uint64_t>::max();
+    }
+    post_all(stop_requested{now_.after(5 * micros_per_second)});
+    run(4'900'000);
+    CHECK(stored_owner("east.0").released_);
+    CHECK(stored_owner("east.1").released_);
+}
+
+// Guards against a shard whose new images are refused for ever, once as many
+// keys as it may keep have been heard of.
+TEST_CASE_FIXTURE(run_times_fixture,
+                  "run times, rows of a shard are full, a new key replaces the "
+                  "oldest")
+{
+    shard_id const     other{domain_id("east"),
+                         *list_served("h-2").begin() == "east.0" ? 0U : 1U};
+    node&              host = *find("h-1").node_;
+    plan::run_time_row row{
+        .key_ = {organisation_id("cafe"), queue_id("orders"), ""},
+        .sums_ = {5, 35, 35, 245, 245, 245}};
+    auto const report = [&](std::size_t image, std::int64_t age_ms)
+    {
+        row.key_.image_ = "image-" + std::to_string(image);
+        row.learnt_unix_ms_ = unix_ms_ - age_ms;
+        apply_run_times(host, {.shard_ = other, .run_times_ = {row}});
+        return host.heard_run_times_.find(other)->rows_.contains(row.key_);
+    };
+    for (std::size_t image = 0; image < plan::max_run_time_rows; ++image)
+    {
+        REQUIRE(report(image, image == 7 ? 5000 : 1000));
+    }
+    heard_run_times_row const& heard = *host.heard_run_times_.find(other);
+    CHECK_FALSE(report(1000, 6000));        // older than all others
+    CHECK_FALSE(report(1001, -86'400'000)); // not plausible
+    CHECK(report(1002, 0));
+    CHECK(heard.rows_.size() == plan::max_run_time_rows);
+    row.key_.image_ = "image-7";
+    CHECK_FALSE(heard.rows_.contains(row.key_));
+}
+
 } // namespace
 } // namespace fescuevane::cell
