Add doors tests of bodies that no handler sees

Cause: the HTTP library skips the early handler for OPTIONS *, for targets of another scheme, and for paths that it can't decode or that leave their folder. It reads and keeps their bodies all the same.

Change: chunked bodies with these targets on the four HTTP ports, with the crowd and the bounds of the chunked test. The library resolves /a/../b by itself and passes it on, so the path is encoded.

--- a/tests/doors/doors_http_test.cpp
+++ b/tests/doors/doors_http_test.cpp
@@ -60,6 +60,15 @@
 
 std::string const block(block_bytes, 'x');
 
+// Bodies of requests that the HTTP library answers itself.
+template <typename Port>
+void play_unrouted(std::string const& method_and_target)
+{
+    play<Port>({method_and_target + " HTTP/1.1\r\nHost: desk.example\r\n"
+                                    "Transfer-Encoding: chunked\r\n\r\n",
+                "10000\r\n" + block + "\r\n", blocks, few});
+}
+
 } // namespace
 } // namespace fescuevane::doors
 
@@ -89,6 +98,29 @@
                 "10000\r\n" + block + "\r\n", blocks, few});
 }
 
+TEST_CASE_TEMPLATE(
+    "asterisk as target, chunked body far over the limit, leaves "
+    "the process in its memory",
+    Port, front, ready, metrics, plain)
+{
+    play_unrouted<Port>("OPTIONS *");
+}
+
+// Written as /a/../b, the library resolves the path and passes it on.
+TEST_CASE_TEMPLATE("dotted path, chunked body far over the limit, leaves the "
+                   "process in its memory",
+                   Port, front, ready, metrics, plain)
+{
+    play_unrouted<Port>("POST /a%2f..%2fb");
+}
+
+TEST_CASE_TEMPLATE("scheme of another protocol, chunked body far over the "
+                   "limit, leaves the process in its memory",
+                   Port, front, ready, metrics, plain)
+{
+    play_unrouted<Port>("POST ftp://x/");
+}
+
 TEST_CASE_TEMPLATE("bytewise bodies over the limit leave the process in its "
                    "memory",
                    Port, front, ready, metrics, plain)
