Keep no bodies of requests that no handler sees

Cause: bodies weren't accumulated from the early handler on, which the HTTP library skips for OPTIONS *, other schemes and paths that it can't decode. Such bodies were kept without a bound.

Change: the choice is made when a request starts, before its headers.

--- a/io/http_listener.cpp
+++ b/io/http_listener.cpp
@@ -88,6 +88,8 @@
     }
 
     static void on_closed(void* place, GObject* connection);
+    static void on_started(SoupServer* server, SoupServerMessage* message,
+                           void* own);
     static void on_early(SoupServer* server, SoupServerMessage* message,
                          char const* path, GHashTable* query, void* own);
     static void on_read(SoupServer* server, SoupServerMessage* message,
@@ -300,6 +302,16 @@
     return at == nullptr ? std::nullopt : std::optional(at->id_);
 }
 
+// Before the headers. The library answers requests whose target it can't give a
+// handler without the early one, but reads their bodies, too. Its list of parts
+// takes a hundred times the size of a body that arrives byte by byte.
+void http_listener::state::on_started(SoupServer* /*server*/,
+                                      SoupServerMessage* message, void* /*own*/)
+{
+    soup_message_body_set_accumulate(
+        soup_server_message_get_request_body(message), FALSE);
+}
+
 // After the headers, before the body.
 void http_listener::state::on_early(SoupServer* /*server*/,
                                     SoupServerMessage* message,
@@ -308,10 +320,6 @@
 {
     auto&      self = *static_cast<state*>(own);
     auto const id = find_id(message);
-    // The library's list of parts takes a hundred times the size of a body that
-    // arrives byte by byte.
-    soup_message_body_set_accumulate(
-        soup_server_message_get_request_body(message), FALSE);
     auto const found = id ? self.open_.find(*id) : self.open_.end();
     if (found == self.open_.end())
     {
@@ -428,6 +436,8 @@
     : state_(std::make_shared<state>(limits, std::move(handlers)))
 {
     state_->server_ = server;
+    g_signal_connect(state_->server_, "request-started",
+                     G_CALLBACK(&state::on_started), state_.get());
     soup_server_add_early_handler(state_->server_, nullptr, &state::on_early,
                                   state_.get(), nullptr);
     g_signal_connect(state_->server_, "request-read",
