Answer 504 where memory or time for a request runs out

Cause: such a request was answered 503, which says that the job never runs, or 408. An earlier attempt with the same id may have stored the job.

Change: both are answered 504 without Retry-After, which leaves the job open and lets a client repeat the id. The plain interface names them "unknown"; its code "too_slow" had no other use. The test of the status asks for 504 instead of 408, and that no Retry-After is sent.

--- a/entry/http_json.cpp
+++ b/entry/http_json.cpp
@@ -355,13 +355,12 @@
     std::string_view const code_;
 };
 
-constexpr std::array<error_code, 12> error_codes = {{
+constexpr std::array<error_code, 11> error_codes = {{
     {400, "bad_request"},
     {401, "key_missing"},
     {403, "forbidden"},
     {404, "not_found"},
     {405, "method_not_allowed"},
-    {408, "too_slow"},
     {413, "body_too_large"},
     {415, "unsupported_media_type"},
     {422, "rejected"},
--- a/io/http_listener.cpp
+++ b/io/http_listener.cpp
@@ -37,16 +37,17 @@
 {
     unsigned    status_;
     char const* reason_;
-    char const* header_;
 };
 
-// In the order of `http_refusal`; status 0: closed without an answer.
+// In the order of `http_refusal`; status 0: closed without an answer. 504 where
+// the same request may succeed later: an earlier attempt of its id may have
+// stored the job, so it can't be told that it never runs.
 constexpr std::array<refusal_answer, http_refusal_count> refusal_answers = {{
-    {431, "Request Header Fields Too Large", ""},
-    {413, "Payload Too Large", ""},
-    {503, "Service Unavailable", "Retry-After: 1\r\n"},
-    {408, "Request Timeout", ""},
-    {0, "", ""},
+    {431, "Request Header Fields Too Large"},
+    {413, "Payload Too Large"},
+    {504, "Gateway Timeout"},
+    {504, "Gateway Timeout"},
+    {0, ""},
 }};
 
 // Of requests on closed connections; never written.
@@ -226,9 +227,9 @@
         handlers_.write_body_(answer.status_, answer.reason_);
     std::string const text =
         "HTTP/1.1 " + std::to_string(answer.status_) + " " + answer.reason_ +
-        "\r\nConnection: close\r\nContent-Type: application/json\r\n" +
-        answer.header_ + "Content-Length: " + std::to_string(body.size()) +
-        "\r\n\r\n" + body;
+        "\r\nConnection: close\r\nContent-Type: application/json\r\n"
+        "Content-Length: " +
+        std::to_string(body.size()) + "\r\n\r\n" + body;
     g_socket_send(found->second.socket_.get(), text.data(), text.size(),
                   nullptr, nullptr);
     g_socket_shutdown(found->second.socket_.get(), FALSE, TRUE, nullptr);
--- a/io/http_refusal.hpp
+++ b/io/http_refusal.hpp
@@ -13,8 +13,8 @@
 {
     headers_too_large, // 431
     body_too_large,    // 413
-    no_memory,         // 503: bodies in flight take all that they may
-    too_slow,          // 408
+    no_memory,         // 504: bodies in flight take all that they may
+    too_slow,          // 504
     no_place           // closed: places are for newer connections
 };
 
--- a/tests/unit/io_http_listener_test.cpp
+++ b/tests/unit/io_http_listener_test.cpp
@@ -195,7 +195,9 @@
     socket_ptr const idle = connect();
     socket_ptr const slow = connect();
     send(slow, "GET / HT");
-    CHECK(has(receive(slow, "closed"), "HTTP/1.1 408 "));
+    std::string const answer = receive(slow, "closed");
+    CHECK(has(answer, "HTTP/1.1 504 "));
+    CHECK(!has(answer, "Retry-After"));
     send(idle, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
     CHECK(has(receive(idle, "ok"), " 200 "));
     CHECK(refused_ == std::vector{http_refusal::too_slow});
