Derive the connections of probes, count JSON values per byte

Cause: 64 places for each probe port exceed what few descriptors leave. The count of JSON values takes a list in a list for two, so 131,072 refused a body of 262,144 bytes that is a list of empty lists. A kept connection that begins its next request was ranked by the time since its last one.

--- a/io/bounded_json.hpp
+++ b/io/bounded_json.hpp
@@ -12,9 +12,9 @@
 struct json_limits
 {
     std::size_t max_depth_ = 64;
-    // A parsed value takes tens of bytes, however short its text is. Each has
-    // at least two bytes of text, so a body of 256 KiB can't have more.
-    std::size_t max_values_ = 1 << 17;
+    // A parsed value takes tens of bytes, however short its text is. `fits`
+    // counts at most one a byte, so a body of 256 KiB can't have more.
+    std::size_t max_values_ = 1 << 18;
 
     friend auto operator<=>(json_limits const&, json_limits const&) = default;
 };
--- a/io/connection_table.cpp
+++ b/io/connection_table.cpp
@@ -66,8 +66,11 @@
     if (found != rows_.end() && found->second.phase_ == connection_phase::idle)
     {
         row own = found->second;
-        own.phase_ = received > own.received_ ? connection_phase::headers
-                                              : connection_phase::idle;
+        if (received > own.received_)
+        {
+            own.phase_ = connection_phase::headers;
+            own.since_ = now;
+        }
         own.deadline_ = now.after(limits_.read_micros_);
         change(id, own);
     }
--- a/io/http_limits.hpp
+++ b/io/http_limits.hpp
@@ -36,8 +36,9 @@
 // eighth of the memory for bodies.
 http_limits make_caller_limits(host_budget const& budget,
                                std::uint64_t      max_body_bytes);
-// Of a port for probes and scrapes, whose requests have no bodies.
-http_limits make_probe_limits();
+// Of a port for probes and scrapes, whose requests have no bodies: at most an
+// eighth of the descriptors that aren't reserved.
+http_limits make_probe_limits(host_budget const& budget);
 
 } // namespace fescuevane::io
 
