--- a/io/http_listener.cpp
+++ b/io/http_listener.cpp
@@ -37,16 +37,17 @@
 {
     unsigned    status_;
     char const* reason_;
-    char const* header_;
 };
 
-// In the order of `http_refusal`; status 0: closed without an answer.
+// In the order of `http_refusal`; status 0: closed without an answer. 504 where
+// the same request may succeed later: an earlier attempt of its id may have
+// stored the job, so it can't be told that it never runs.
 constexpr std::array<refusal_answer, http_refusal_count> refusal_answers = {{
-    {431, "Request Header Fields Too Large", ""},
-    {413, "Payload Too Large", ""},
-    {503, "Service Unavailable", "Retry-After: 1\r\n"},
-    {408, "Request Timeout", ""},
-    {0, "", ""},
+    {431, "Request Header Fields Too Large"},
+    {413, "Payload Too Large"},
+    {504, "Gateway Timeout"},
+    {504, "Gateway Timeout"},
+    {0, ""},
 }};
 
 // Of requests on closed connections; never written.
@@ -88,6 +89,8 @@
     }
 
     static void on_closed(void* place, GObject* connection);
+    static void on_started(SoupServer* server, SoupServerMessage* message,
+                           void* own);
     static void on_early(SoupServer* server, SoupServerMessage* message,
                          char const* path, GHashTable* query, void* own);
     static void on_read(SoupServer* server, SoupServerMessage* message,
@@ -224,9 +227,9 @@
         handlers_.write_body_(answer.status_, answer.reason_);
     std::string const text =
         "HTTP/1.1 " + std::to_string(answer.status_) + " " + answer.reason_ +
-        "\r\nConnection: close\r\nContent-Type: application/json\r\n" +
-        answer.header_ + "Content-Length: " + std::to_string(body.size()) +
-        "\r\n\r\n" + body;
+        "\r\nConnection: close\r\nContent-Type: application/json\r\n"
+        "Content-Length: " +
+        std::to_string(body.size()) + "\r\n\r\n" + body;
     g_socket_send(found->second.socket_.get(), text.data(), text.size(),
                   nullptr, nullptr);
     g_socket_shutdown(found->second.socket_.get(), FALSE, TRUE, nullptr);
@@ -300,6 +303,16 @@
     return at == nullptr ? std::nullopt : std::optional(at->id_);
 }
 
+// Before the headers. The library answers requests whose target it can't give a
+// handler without the early one, but reads their bodies, too. Its list of parts
+// takes a hundred times the size of a body that arrives byte by byte.
+void http_listener::state::on_started(SoupServer* /*server*/,
+                                      SoupServerMessage* message, void* /*own*/)
+{
+    soup_message_body_set_accumulate(
+        soup_server_message_get_request_body(message), FALSE);
+}
+
 // After the headers, before the body.
 void http_listener::state::on_early(SoupServer* /*server*/,
                                     SoupServerMessage* message,
@@ -308,10 +321,6 @@
 {
     auto&      self = *static_cast<state*>(own);
     auto const id = find_id(message);
-    // The library's list of parts takes a hundred times the size of a body that
-    // arrives byte by byte.
-    soup_message_body_set_accumulate(
-        soup_server_message_get_request_body(message), FALSE);
     auto const found = id ? self.open_.find(*id) : self.open_.end();
     if (found == self.open_.end())
     {
@@ -428,6 +437,8 @@
     : state_(std::make_shared<state>(limits, std::move(handlers)))
 {
     state_->server_ = server;
+    g_signal_connect(state_->server_, "request-started",
+                     G_CALLBACK(&state::on_started), state_.get());
     soup_server_add_early_handler(state_->server_, nullptr, &state::on_early,
                                   state_.get(), nullptr);
     g_signal_connect(state_->server_, "request-read",
