Close connections with their answers when the HTTP library keeps too many

It frees connections that end with an answer. Change: beyond twice the places of a port, answers carry Connection: close.

--- a/io/http_listener.cpp
+++ b/io/http_listener.cpp
@@ -50,6 +50,11 @@
     {0, ""},
 }};
 
+// The library doesn't notice that a client closed a connection which served a
+// request, and keeps it, but it frees those that end with an answer. When it
+// keeps this multiple of the places, answers close their connections.
+constexpr std::size_t kept_factor = 2;
+
 // Of requests on closed connections; never written.
 constexpr unsigned closed_status = 503;
 
@@ -74,6 +79,7 @@
 
     state(http_limits const& limits, http_listener_handlers handlers)
         : handlers_(std::move(handlers))
+        , max_kept_(kept_factor * limits.max_connections_)
         , table_(limits)
         , expiry_(
               [this]
@@ -112,6 +118,8 @@
     std::uint64_t count_received(connection_id id) const;
 
     http_listener_handlers                   handlers_;
+    std::size_t const                        max_kept_;
+    std::size_t                              kept_ = 0; // by the library
     connection_table                         table_;
     std::map<connection_id, open_connection> open_;
     SoupServer*                              server_ = nullptr;
@@ -146,6 +154,7 @@
     GSocketConnection* const connection =
         g_socket_connection_factory_create_connection(socket.get());
     open_.emplace(*id, open_connection{.socket_ = std::move(socket)});
+    ++kept_;
     g_object_weak_ref(G_OBJECT(connection), &on_closed,
                       new place{weak_from_this(), *id});
     // A client that is gone already has no remote address.
@@ -170,6 +179,7 @@
     std::unique_ptr<place> const at(static_cast<place*>(data));
     if (auto const own = at->own_.lock())
     {
+        --own->kept_;
         own->table_.remove(at->id_);
         own->open_.erase(at->id_);
         own->arm();
@@ -412,6 +422,12 @@
         self.table_.note_read(*id, read_clock());
         self.arm();
     }
+    if (self.kept_ > self.max_kept_)
+    {
+        soup_message_headers_replace(
+            soup_server_message_get_response_headers(message), "Connection",
+            "close");
+    }
 }
 
 void http_listener::state::on_over(SoupServer* /*server*/,
--- a/tests/unit/cell_admission_test.cpp
+++ b/tests/unit/cell_admission_test.cpp
@@ -53,7 +53,7 @@
     {
         for (int number = 100; number < 300; ++number)
         {
-            std::string const id = "aa" + std::to_string(number);
+            std::string id = "aa" + std::to_string(number);
             submit_order(host, id);
             work(50'000);
             auto const answer = answer_to(host, id);
