--- a/bench/measure_peers.cpp
+++ b/bench/measure_peers.cpp
@@ -9,6 +9,7 @@
 #include "cell/job_call.hpp"
 #include "cell/send_question.hpp"
 #include "io/main_loop.hpp"
+#include "io/peer_limits.hpp"
 #include "io/timer.hpp"
 #include "peer/peer_link.hpp"
 
@@ -83,7 +84,7 @@
               })
     {
         link_.emplace(
-            addresses[self],
+            addresses[self], io::peer_limits{},
             peer::peer_handlers{
                 .beat_ = [](cell::heartbeat const&) {},
                 .answer_beat_ =
