Give each run of the doors tests addresses of its own

Both runs derived the same address from their process ids. Change: addresses differ for 37,500 consecutive ids. Checks and bounds are the same.

--- a/tests/doors/doors_fixture.hpp
+++ b/tests/doors/doors_fixture.hpp
@@ -25,9 +25,16 @@
 constexpr std::size_t max_body_bytes = 65'536;
 constexpr std::size_t max_growth_kib = memory_mb * 1024 / 4;
 
+// Addresses of this process alone, so that runs side by side don't meet.
 inline std::string make_address(int last, int port)
 {
-    return "127.77." + std::to_string(1 + getpid() % 250) + "." +
+    constexpr int first_octet = 77;
+    constexpr int first_octets = 150;
+    constexpr int second_octets = 250;
+    return "127." +
+           std::to_string(first_octet +
+                          getpid() / second_octets % first_octets) +
+           "." + std::to_string(1 + getpid() % second_octets) + "." +
            std::to_string(last) + ":" + std::to_string(port);
 }
 
