Refuse submissions that arrive after their cancel was answered

A client whose submission was in the socket of a suspended process left without an answer and canceled the job at another host.

Cause: a cancel that found no row of the job was answered `absent` and left nothing behind, so the row of the late submission had no competitor. Requests whose connection is closed are not the cause: a client may leave without a close that the host sees, and its call may have been passed on.

Change: such a cancel makes the owner of one shard store the row of the job as withdrawn, on condition that there is none, before the answer. Without the store, an owner or room for such a row the cancel is refused at once. A cancel that meets a submission whose row is being written waits for it. Delegates use the same rows as before, now through store_tombstone.

The test for calls of later versions names the last kind, which is CANCEL_ABSENT now; it checks the same.

--- a/cell/call_row.hpp
+++ b/cell/call_row.hpp
@@ -29,6 +29,7 @@
     std::set<shard_id>                tried_; // gave no usable reply
     bool       may_have_succeeded_ = false;   // an attempt got no reply
     bool       located_ = false;              // shard was read from the store
+    bool       withdrawing_ = false;          // `cancel_absent` was sent
     job_answer refusal_;                      // latest one
     // Refusal for load. It may be sent once the job's row is known to be absent
     // from the store.
--- a/cell/delegate_tasks.cpp
+++ b/cell/delegate_tasks.cpp
@@ -621,27 +621,6 @@
     return spread != nullptr && spread->parts_.contains(id);
 }
 
-// No shard has accepted the delegate, but an earlier submission may still be in
-// flight or be stored late. Storing its row as canceled rejects that
-// submission.
-void store_cancel_tombstone(node& context, job_id const& id,
-                            shard_id const& shard)
-{
-    if (context.records_.contains(id))
-    {
-        return; // accepted meanwhile
-    }
-    staged_job const job{.id_ = id};
-    context.records_.ensure(id) =
-        record_row{.shard_ = shard,
-                   .part_ = part_of(context, id),
-                   .job_ = std::make_shared<staged_job const>(job),
-                   .spec_text_ = write_spec(job),
-                   .phase_ = job_phase::canceled,
-                   .canceled_ = true};
-    mark_changed(context, id, true);
-}
-
 } // namespace
 
 bool end_delegate_call(node& context, std::uint64_t call,
@@ -683,7 +662,10 @@
         // cancel finds the tombstone, or the job if that was stored first.
         if (row->phase_ == delegation_phase::canceling)
         {
-            store_cancel_tombstone(context, id, row->shard_);
+            if (!context.records_.contains(id))
+            {
+                store_tombstone(context, id, row->shard_);
+            }
         }
         else if (!row->job_ && is_part(context, id, row->stage_))
         {
--- a/cell/drive_planners.cpp
+++ b/cell/drive_planners.cpp
@@ -137,7 +137,7 @@
         own->parts_[record->part_].dirty_.erase(id);
     }
     answer_waiting(context, *record, call_kind::submit, job_outcome::accepted);
-    context.records_.remove(id);
+    remove_record(context, id);
 }
 
 void load_job(node& context, request_row const& request, stored_row const& row)
@@ -160,7 +160,12 @@
                        .spec_text_ = record.spec_text_,
                        .phase_ = record.progress_.phase_,
                        .revision_ = row.revision_,
-                       .stored_ = true};
+                       .stored_ = true,
+                       .withdrawn_ = record.progress_.withdrawn_};
+    if (known.withdrawn_)
+    {
+        own.withdrawn_.insert(record.job_->id_);
+    }
     restore_delegations(context, record);
     if (is_final(record.progress_.phase_))
     {
--- a/cell/job_outcome.hpp
+++ b/cell/job_outcome.hpp
@@ -16,7 +16,8 @@
     not_owner,   // retry at the shard's current owner
     unavailable, // nothing was done, retry later
     overloaded,  // nothing was done, no capacity
-    uncertain    // it may have been carried out
+    uncertain,   // it may have been carried out
+    withdrawn    // canceled before it was submitted, so it never runs
 };
 
 } // namespace fescuevane::cell
--- a/cell/job_records.cpp
+++ b/cell/job_records.cpp
@@ -718,13 +718,14 @@
     {
         delegates.push_back(delegate.str());
     }
-    std::string const head = std::string(job_row_prefix) +
-                             write_shard_name(shard) + R"(","phase":)" +
-                             std::to_string(static_cast<int>(progress.phase_)) +
-                             R"(,"delegates":)" + delegates.dump() +
-                             R"(,"ended":)" + write_ended(progress).dump() +
-                             R"(,"groups":)" + write_groups(progress).dump() +
-                             R"(,"spec":)" + spec_text + R"(,"checkpoints":)";
+    std::string const head =
+        std::string(job_row_prefix) + write_shard_name(shard) +
+        R"(","phase":)" + std::to_string(static_cast<int>(progress.phase_)) +
+        (progress.withdrawn_ ? R"(,"withdrawn":true)" : "") +
+        R"(,"delegates":)" + delegates.dump() + R"(,"ended":)" +
+        write_ended(progress).dump() + R"(,"groups":)" +
+        write_groups(progress).dump() + R"(,"spec":)" + spec_text +
+        R"(,"checkpoints":)";
     constexpr std::size_t end_bytes = 3; // empty list and brace
     std::size_t const     used = head.size() + end_bytes;
     return head +
@@ -766,6 +767,8 @@
                 }
             }
             record.progress_.phase_ = read_phase(row);
+            // Rows written by earlier versions lack this field.
+            record.progress_.withdrawn_ = row.value("withdrawn", false);
             for (json const& delegate : row.at("delegates"))
             {
                 record.progress_.delegates_.emplace_back(
--- a/cell/node.hpp
+++ b/cell/node.hpp
@@ -424,6 +424,11 @@
 void        answer_waiting(node& context, record_row& record, call_kind kind,
                            job_outcome outcome);
 void        keep_result(node& context, record_row& record); // until it expires
+void        remove_record(node& context, job_id const& job);
+// Stores the row of a job without one as canceled. A submission that is still
+// in flight then finds the row and is refused.
+record_row& store_tombstone(node& context, job_id const& job,
+                            shard_id const& shard);
 
 } // namespace fescuevane::cell
 
--- a/cell/owned_row.hpp
+++ b/cell/owned_row.hpp
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,9 +45,10 @@
     bool          releasing_ = false;
     bool release_unconfirmed_ = false; // without a reply, may take effect
 
-    grant_ledger    grants_;
-    run_time_ledger run_times_;
-    bool            targets_known_ = false; // all reached or given up
+    grant_ledger     grants_;
+    run_time_ledger  run_times_;
+    bool             targets_known_ = false; // all reached or given up
+    std::set<job_id> withdrawn_; // canceled before they were submitted
 
     // Divided limits
     bool          allotments_loaded_ = false;
--- a/cell/record_row.hpp
+++ b/cell/record_row.hpp
@@ -28,6 +28,7 @@
     bool          stored_ = false;    // accepted, in the store
     bool          uncertain_ = false; // an unanswered write may have stored it
     bool          canceled_ = false;  // maybe not stored yet
+    bool          withdrawn_ = false; // canceled before it was submitted
     std::uint64_t end_change_ = 0;    // sequence of the change that ended it
     std::uint64_t changed_ = 0;       // sequence of the latest change
     std::uint64_t written_ = 0;       // of the change in flight
--- a/cell/route_calls.cpp
+++ b/cell/route_calls.cpp
@@ -255,6 +255,62 @@
         .deadline_ = std::min(store_deadline(context), call.deadline_)});
 }
 
+// Counts a submission until the owner's load includes it, or it was refused.
+void note_sent_work(node& context, call_row const& call, shard_id const& shard)
+{
+    if (!context.settings_.route_by_wait_ || call.kind_ != call_kind::submit)
+    {
+        return;
+    }
+    context.sent_work_.push_back({.shard_ = shard,
+                                  .job_ = call.id_,
+                                  .demand_ = sum_first_demand(*call.job_),
+                                  .reported_from_ = context.now_.after(
+                                      context.settings_.submit_micros_)});
+}
+
+void forward_call(node& context, std::uint64_t id, shard_id const& shard,
+                  call_kind kind)
+{
+    call_row& call = *context.calls_.find(id);
+    note_sent_work(context, call, shard);
+    // An owner without a reply in this time is replaced by another one.
+    constexpr std::int64_t forward_timeout_micros = 1'500'000;
+    job_call const         forwarded{
+                .kind_ = kind,
+                .id_ = call.id_,
+                .shard_ = shard,
+                .job_ = call.job_,
+                .deadline_ = std::min(call.deadline_,
+                                      context.now_.after(forward_timeout_micros))};
+    call.shard_ = shard;
+    call.request_ = next_request(context);
+    if (context.owned_.contains(shard))
+    {
+        serve_call(context, {false, id}, forwarded);
+        return;
+    }
+    context.passed_[call.request_] = id;
+    context.outbox_.push_back(call_peer{
+        call.request_, context.shards_.find(shard)->address_, forwarded});
+}
+
+// The job was canceled before it was submitted: there is no such job, and there
+// will be none.
+void end_withdrawn_call(node& context, std::uint64_t id, call_row const& call)
+{
+    if (call.kind_ != call_kind::submit)
+    {
+        finish_call(context, id, {.outcome_ = job_outcome::absent});
+        return;
+    }
+    log_event(context, "submission_withdrawn", {{"job", call.id_.str()}});
+    finish_call(context, id,
+                {.outcome_ = job_outcome::withdrawn,
+                 .retry_after_ms_ =
+                     context.settings_.result_keep_micros_ / micros_per_milli});
+}
+
 } // namespace
 
 void apply_answer(node& context, std::uint64_t id, job_answer const& answer)
@@ -284,13 +340,16 @@
         record_job_location(context, call->id_, called_shard);
         finish_call(context, id, answer);
         break;
+    case job_outcome::withdrawn:
+        end_withdrawn_call(context, id, *call);
+        break;
     case job_outcome::absent:
         context.job_locations_.erase(call->id_);
         call->tried_.insert(called_shard);
         retry_call(context, id, *call);
-        if (call->located_)
+        if (call->located_ || !context.store_ok_)
         {
-            break; // its owner is changing
+            break; // its owner is changing, or the store can't be asked
         }
         locate_job(context, id, *call);
         break;
@@ -316,6 +375,10 @@
             // Another shard may accept it.
             retry_call_at(context, id, *call, context.now_);
         }
+        else if (call->withdrawing_)
+        {
+            fail_call(context, id); // no shard can store the cancel now
+        }
         else
         {
             retry_call(context, id, *call);
@@ -329,6 +392,37 @@
     wake_at(context, context.now_);
 }
 
+namespace
+{
+
+// The store has no row of the job. A cancel is acknowledged only once a row
+// rejects submissions that arrive later, except for that of a delegate, whose
+// shard stores such a row itself.
+void end_absent(node& context, std::uint64_t id, call_row& call)
+{
+    if (call.kind_ == call_kind::submit)
+    {
+        call.row_absent_ = true;
+        fail_call(context, id);
+        return;
+    }
+    if (call.kind_ == call_kind::lookup || context.delegate_calls_.contains(id))
+    {
+        finish_call(context, id, {.outcome_ = job_outcome::absent});
+        return;
+    }
+    std::optional<shard_id> const shard = find_return_shard(context, call.id_);
+    if (!shard)
+    {
+        fail_call(context, id);
+        return;
+    }
+    call.withdrawing_ = true;
+    forward_call(context, id, *shard, call_kind::cancel_absent);
+}
+
+} // namespace
+
 void end_locate(node& context, request_row const& request,
                 store_reply const& reply)
 {
@@ -348,18 +442,17 @@
     }
     if (reply.rows_.empty())
     {
-        if (call->kind_ == call_kind::submit)
-        {
-            call->row_absent_ = true;
-            fail_call(context, request.call_);
-            return;
-        }
-        finish_call(context, request.call_, {.outcome_ = job_outcome::absent});
+        end_absent(context, request.call_, *call);
         return;
     }
     try
     {
         job_record const record = read_job(reply.rows_.front().value_);
+        if (record.progress_.withdrawn_)
+        {
+            end_withdrawn_call(context, request.call_, *call);
+            return;
+        }
         if (call->kind_ == call_kind::submit)
         {
             record_job_location(context, call->id_, record.shard_);
@@ -378,6 +471,7 @@
         }
         record_job_location(context, call->id_, record.shard_);
         call->located_ = true;
+        call->withdrawing_ = false;
         retry_call_at(context, request.call_, *call, context.now_);
     }
     catch (record_error const& error)
@@ -468,45 +562,6 @@
 namespace
 {
 
-// Counts a submission until the owner's load includes it, or it was refused.
-void note_sent_work(node& context, call_row const& call, shard_id const& shard)
-{
-    if (!context.settings_.route_by_wait_ || call.kind_ != call_kind::submit)
-    {
-        return;
-    }
-    context.sent_work_.push_back({.shard_ = shard,
-                                  .job_ = call.id_,
-                                  .demand_ = sum_first_demand(*call.job_),
-                                  .reported_from_ = context.now_.after(
-                                      context.settings_.submit_micros_)});
-}
-
-void forward_call(node& context, std::uint64_t id, shard_id const& shard)
-{
-    call_row& call = *context.calls_.find(id);
-    note_sent_work(context, call, shard);
-    // An owner without a reply in this time is replaced by another one.
-    constexpr std::int64_t forward_timeout_micros = 1'500'000;
-    job_call const         forwarded{
-                .kind_ = call.kind_,
-                .id_ = call.id_,
-                .shard_ = shard,
-                .job_ = call.job_,
-                .deadline_ = std::min(call.deadline_,
-                                      context.now_.after(forward_timeout_micros))};
-    call.shard_ = shard;
-    call.request_ = next_request(context);
-    if (context.owned_.contains(shard))
-    {
-        serve_call(context, {false, id}, forwarded);
-        return;
-    }
-    context.passed_[call.request_] = id;
-    context.outbox_.push_back(call_peer{
-        call.request_, context.shards_.find(shard)->address_, forwarded});
-}
-
 // True when this host is stopping and knows no other one that could take over
 // a shard without an owner.
 bool lacks_successor(node const& context)
@@ -542,7 +597,7 @@
                 : choose_shard(context, call);
         if (second)
         {
-            forward_call(context, id, *second);
+            forward_call(context, id, *second, call.kind_);
             return;
         }
     }
@@ -571,7 +626,7 @@
         is_located ? place->second : choose_shard(context, call);
     if (shard)
     {
-        forward_call(context, id, *shard);
+        forward_call(context, id, *shard, call.kind_);
         return;
     }
     bool const rejected = call.refusal_.retry_after_ms_ > 0;
@@ -589,6 +644,12 @@
 {
     call_row&                     call = *context.calls_.find(id);
     std::optional<shard_id> const place = find_place(context, call);
+    if (!place && call.kind_ == call_kind::cancel && !context.store_ok_ &&
+        !context.delegate_calls_.contains(id))
+    {
+        fail_call(context, id); // neither found nor stored without the store
+        return;
+    }
     if (!place)
     {
         locate_job(context, id, call);
@@ -598,7 +659,7 @@
     shard_row const* const shard = context.shards_.find(*place);
     if (shard != nullptr && has_owner(context, *place, *shard))
     {
-        forward_call(context, id, *place);
+        forward_call(context, id, *place, call.kind_);
         return;
     }
     if (lacks_successor(context))
--- a/cell/serve_calls.cpp
+++ b/cell/serve_calls.cpp
@@ -49,7 +49,9 @@
     record_row* const known = context.records_.find(call.id_);
     if (known != nullptr && known->stored_)
     {
-        answer_origin(context, from, {.outcome_ = job_outcome::accepted});
+        answer_origin(context, from,
+                      {.outcome_ = known->withdrawn_ ? job_outcome::withdrawn
+                                                     : job_outcome::accepted});
         return;
     }
     if (known != nullptr)
@@ -154,6 +156,11 @@
         answer_origin(context, from, refuse(context, job_outcome::unavailable));
         return;
     }
+    if (record->withdrawn_)
+    {
+        answer_origin(context, from, {.outcome_ = job_outcome::withdrawn});
+        return;
+    }
     // An end that isn't stored is lost if this process and the target that
     // lists it are both lost, so it isn't reported to anyone.
     job_phase const phase = phase_of(context, *record);
@@ -189,18 +196,19 @@
         answer_origin(context, from, {.outcome_ = job_outcome::absent});
         return;
     }
-    if (!record->stored_)
-    {
-        answer_origin(context, from, refuse(context, job_outcome::unavailable));
-        return;
-    }
-    if (is_end_stored(context, *record))
+    if (record->stored_ && is_end_stored(context, *record))
     {
-        answer_origin(context, from, {.outcome_ = job_outcome::canceled});
+        answer_origin(context, from,
+                      {.outcome_ = record->withdrawn_ ? job_outcome::withdrawn
+                                                      : job_outcome::canceled});
         return;
     }
     add_waiting_call(context, *record,
                      {from, call_kind::cancel, call.deadline_});
+    if (!record->stored_)
+    {
+        return; // until its submission is stored or refused
+    }
     if (is_final(phase_of(context, *record)))
     {
         expedite_write(context, *record);
@@ -210,10 +218,39 @@
     log_event(context, "job_canceled", {{"job", call.id_.str()}});
 }
 
+// No row of the job was found, but a submission may still be in flight, or in
+// the socket of a process that is suspended. The row of a withdrawn job makes
+// that submission fail, whichever shard and owner it reaches.
+void serve_cancel_absent(node& context, origin const& from,
+                         job_call const& call)
+{
+    if (context.records_.contains(call.id_))
+    {
+        serve_cancel(context, from, call);
+        return;
+    }
+    owned_row& own = *context.owned_.find(call.shard_);
+    if (!context.store_ok_ ||
+        own.withdrawn_.size() >= context.settings_.max_withdrawn_)
+    {
+        answer_origin(context, from, refuse(context, job_outcome::unavailable));
+        return;
+    }
+    record_row& record = store_tombstone(context, call.id_, call.shard_);
+    record.withdrawn_ = true;
+    own.withdrawn_.insert(call.id_);
+    add_waiting_call(context, record,
+                     {from, call_kind::cancel, call.deadline_});
+    log_event(
+        context, "job_withdrawn",
+        {{"job", call.id_.str()}, {"shard", write_shard_name(call.shard_)}});
+}
+
 // In the order of `call_kind`.
-constexpr std::array<void (*)(node&, origin const&, job_call const&), 7>
-    call_handlers = {&serve_submit, &serve_lookup, &serve_cancel, &serve_offer,
-                     &serve_part,   &serve_part,   &serve_part};
+constexpr std::array<void (*)(node&, origin const&, job_call const&), 8>
+    call_handlers = {&serve_submit, &serve_lookup,       &serve_cancel,
+                     &serve_offer,  &serve_part,         &serve_part,
+                     &serve_part,   &serve_cancel_absent};
 
 } // namespace
 
--- a/cell/settings.hpp
+++ b/cell/settings.hpp
@@ -42,6 +42,10 @@
     std::size_t  row_bytes_ = 65'536;
     std::size_t  transaction_bytes_ = 900'000;
     std::int64_t result_keep_micros_ = 180'000'000; // of ended jobs
+    // Rows of jobs that were canceled before they were submitted, in a shard.
+    // They are kept as long as results, so cancels of 55 unknown jobs a second
+    // stay below it.
+    std::size_t max_withdrawn_ = 10'000;
     // Rows of jobs in one read of a takeover. A read without a reply is
     // repeated with half as many, and one that succeeds is followed by a read
     // of twice as many. With payloads of 4,000 bytes, 50 rows take about 1.2 s
--- a/cell/write_journal.cpp
+++ b/cell/write_journal.cpp
@@ -79,6 +79,35 @@
     context.records_due_.add(record.expires_, record.job_->id_);
 }
 
+void remove_record(node& context, job_id const& job)
+{
+    record_row const* const record = context.records_.find(job);
+    if (record == nullptr)
+    {
+        return;
+    }
+    if (owned_row* const own = context.owned_.find(record->shard_))
+    {
+        own->withdrawn_.erase(job);
+    }
+    context.records_.remove(job);
+}
+
+record_row& store_tombstone(node& context, job_id const& job,
+                            shard_id const& shard)
+{
+    staged_job const empty{.id_ = job};
+    record_row&      record = context.records_.ensure(job);
+    record = record_row{.shard_ = shard,
+                        .part_ = part_of(context, job),
+                        .job_ = std::make_shared<staged_job const>(empty),
+                        .spec_text_ = write_spec(empty),
+                        .phase_ = job_phase::canceled,
+                        .canceled_ = true};
+    mark_changed(context, job, true);
+    return record;
+}
+
 // 2. Transactions
 
 std::size_t max_row_text(node const& context)
@@ -107,7 +136,8 @@
 {
     owned_row const& own = *context.owned_.find(record.shard_);
     job_id const&    id = record.job_->id_;
-    job_progress     progress{.phase_ = record.phase_};
+    job_progress     progress{.phase_ = record.phase_,
+                              .withdrawn_ = record.withdrawn_};
     if (record.canceled_)
     {
         progress.phase_ = job_phase::canceled;
@@ -420,6 +450,15 @@
 namespace
 {
 
+bool has_waiting(record_row const& record, call_kind kind)
+{
+    return std::any_of(record.waiting_.begin(), record.waiting_.end(),
+                       [kind](waiting_call const& call)
+                       {
+                           return call.kind_ == kind;
+                       });
+}
+
 // The job is in the store, so it is accepted. One whose row is final already
 // needs no planner.
 void accept_job(node& context, record_row& record)
@@ -431,7 +470,11 @@
     {
         keep_result(context, record);
         answer_waiting(context, record, call_kind::submit,
-                       job_outcome::accepted);
+                       record.withdrawn_ ? job_outcome::withdrawn
+                                         : job_outcome::accepted);
+        answer_waiting(context, record, call_kind::cancel,
+                       record.withdrawn_ ? job_outcome::withdrawn
+                                         : job_outcome::canceled);
         return;
     }
     add_alias(context, *record.job_);
@@ -448,6 +491,12 @@
                {"queue", record.job_->queue_.str()},
                {"shard", write_shard_name(record.shard_)}});
     answer_waiting(context, record, call_kind::submit, job_outcome::accepted);
+    // Cancels that arrived while the submission was being written.
+    if (has_waiting(record, call_kind::cancel))
+    {
+        cancel_job(context, record);
+        log_event(context, "job_canceled", {{"job", record.job_->id_.str()}});
+    }
 }
 
 void apply_saved_job(node& context, journal_part& part, job_id const& job)
@@ -459,7 +508,7 @@
         plan::post_event(*own.planner_, plan::job_dropped{job});
         remove_alias(context, *record->job_);
         part.dirty_.erase(job);
-        context.records_.remove(job);
+        remove_record(context, job);
         return;
     }
     record->saved_ = record->written_;
@@ -508,7 +557,8 @@
     try
     {
         job_record const stored = read_job(row.value_);
-        if (stored.shard_ == record.shard_)
+        bool const       withdrawn = stored.progress_.withdrawn_;
+        if (stored.shard_ == record.shard_ && withdrawn == record.withdrawn_)
         {
             record.revision_ = row.revision_;
             record.saved_ = record.written_;
@@ -518,7 +568,12 @@
         }
         record_job_location(context, id, stored.shard_);
         answer_waiting(context, record, call_kind::submit,
-                       job_outcome::accepted);
+                       withdrawn ? job_outcome::withdrawn
+                                 : job_outcome::accepted);
+        // The caller's host reads the row again and sends the cancel there.
+        answer_waiting(context, record, call_kind::cancel,
+                       withdrawn ? job_outcome::withdrawn
+                                 : job_outcome::absent);
     }
     catch (record_error const& error)
     {
@@ -526,9 +581,11 @@
                   {{"key", id.str()}, {"error", error.what()}});
         answer_waiting(context, record, call_kind::submit,
                        job_outcome::uncertain);
+        answer_waiting(context, record, call_kind::cancel,
+                       job_outcome::uncertain);
     }
     part.dirty_.erase(id);
-    context.records_.remove(id);
+    remove_record(context, id);
 }
 
 revision expected_revision(node const& context, journal_part const& part,
@@ -557,8 +614,10 @@
         }
         answer_waiting(context, *record, call_kind::submit,
                        job_outcome::unavailable);
+        answer_waiting(context, *record, call_kind::cancel,
+                       job_outcome::unavailable);
         part.dirty_.erase(job);
-        context.records_.remove(job);
+        remove_record(context, job);
     }
 }
 
--- a/core/job_progress.hpp
+++ b/core/job_progress.hpp
@@ -19,7 +19,8 @@
 // and aren't delegated.
 struct job_progress
 {
-    job_phase                  phase_ = job_phase::pending;
+    job_phase phase_ = job_phase::pending;
+    bool      withdrawn_ = false; // canceled before it was submitted
     std::vector<task_progress> tasks_;
     std::vector<job_id>        delegates_; // still to be ended, of an ended job
 
--- a/peer/peer_codec.cpp
+++ b/peer/peer_codec.cpp
@@ -223,7 +223,7 @@
 
 cell::job_call decode_call(cell::v1::JobCall const& message, instant now)
 {
-    if (message.kind() < 0 || message.kind() > cell::v1::WITHDRAW_PART)
+    if (message.kind() < 0 || message.kind() > cell::v1::CANCEL_ABSENT)
     {
         throw peer_error("kind of a call: " + std::to_string(message.kind()));
     }
@@ -263,7 +263,7 @@
 cell::job_answer decode_answer(cell::v1::JobAnswer const& message)
 {
     if (message.outcome() >
-            static_cast<std::uint32_t>(cell::job_outcome::uncertain) ||
+            static_cast<std::uint32_t>(cell::job_outcome::withdrawn) ||
         message.phase() > static_cast<std::uint32_t>(job_phase::canceled))
     {
         throw peer_error("outcome of a call: " +
--- a/tests/unit/cell_cluster_fixture.hpp
+++ b/tests/unit/cell_cluster_fixture.hpp
@@ -56,6 +56,7 @@
     revision                                revision_ = 0;
     std::uint64_t                           journal_writes_ = 0;
     bool executes_stops_ = false; // targets execute stops
+    bool store_refuses_ = false;  // all calls
     int  lost_every_ = 0; // each nth call or reply between hosts; 0: none
     int  messages_ = 0;   // between hosts, without heartbeats
     std::int64_t                       tick_micros_ = 10'000;
@@ -306,11 +307,19 @@
 
         void operator()(store_transact const& write) const
         {
-            post_event(*host_.node_, cluster_.transact(write));
+            post_event(*host_.node_, cluster_.store_refuses_
+                                         ? refuse(write.request_)
+                                         : cluster_.transact(write));
         }
         void operator()(store_read const& read) const
         {
-            post_event(*host_.node_, cluster_.read_rows(read));
+            post_event(*host_.node_, cluster_.store_refuses_
+                                         ? refuse(read.request_)
+                                         : cluster_.read_rows(read));
+        }
+        static store_reply refuse(std::uint64_t request)
+        {
+            return {.request_ = request, .outcome_ = store_outcome::not_done};
         }
         void operator()(answer_call const& answer) const
         {
--- a/tests/unit/peer_codec_test.cpp
+++ b/tests/unit/peer_codec_test.cpp
@@ -53,7 +53,7 @@
                      .deadline_ = now_},
                     now_);
     message.set_kind(
-        static_cast<cell::v1::CallKind>(cell::v1::WITHDRAW_PART + 1));
+        static_cast<cell::v1::CallKind>(cell::v1::CANCEL_ABSENT + 1));
     CHECK_THROWS_AS(decode_call(message, now_), peer_error);
 }
 
