Start no work by the entry of a target's former incarnation

Cause: a hold reply with another start begins a new incarnation in the session, which kept the listed entry. The start that the entry reports was compared with nothing, so labels, service and capacity of the former incarnation decided.

Change: a target is usable only while its entry and its replies are of one incarnation; otherwise the planner sees it as silent. A side that doesn't report its start is taken as before.

--- a/cell/list_targets.cpp
+++ b/cell/list_targets.cpp
@@ -31,6 +31,16 @@
 namespace
 {
 
+// False while the listed entry is one of another incarnation than the one that
+// was reached: its labels, service and capacity may be those of another kind of
+// target. Targets that don't report their start are taken by their entry.
+bool describes_incarnation(session_row const& session)
+{
+    std::int64_t const listed = session.info_->born_unix_ms_;
+    return listed == 0 || session.born_unix_ms_ == 0 ||
+           listed == session.born_unix_ms_;
+}
+
 constexpr std::array<plan::target_phase, 3> planner_phases = {
     plan::target_phase::attaching, plan::target_phase::usable,
     plan::target_phase::silent};
@@ -52,6 +62,10 @@
     {
         phase = plan::target_phase::draining;
     }
+    if (phase == plan::target_phase::usable && !describes_incarnation(session))
+    {
+        phase = plan::target_phase::silent;
+    }
     tell(context, session,
          plan::target_set{.id_ = id,
                           .service_ = session.info_->service_,
--- a/cell/read_reports.cpp
+++ b/cell/read_reports.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace fescuevane::cell
@@ -309,7 +310,9 @@
     {
         bound_former_leases(context, *session, input.clock_ms_);
     }
-    session->born_unix_ms_ = input.born_unix_ms_;
+    bool const reports_start =
+        std::exchange(session->born_unix_ms_, input.born_unix_ms_) !=
+        input.born_unix_ms_;
     session->clock_ms_ = input.clock_ms_;
     session->clock_at_ = context.now_;
     session->contact_at_ = context.now_;
@@ -334,6 +337,10 @@
         note_fence_contact(context, session->shard_,
                            *context.owned_.find(session->shard_));
     }
+    else if (reports_start)
+    {
+        update_planner_target(context, input.target_);
+    }
     apply_report(context, *session, input.target_, input);
     bool const stored =
         session->unstored_.empty() && !awaits_late_starts(*session);
