Bound the answers that a process reads from other services

Eight targets that answer hold requests with 32 MiB took a process with 64 MB from 25 to 288 MB, announced, and to 271 MB, chunked.

Cause: the HTTP client collected the whole body of an answer, whatever its size, for the store, targets and the policy service.

Change: answers are read in blocks and given up beyond a limit for one answer and one for all that are being read; small ones are always read. A given-up answer counts as none. Its stream is closed before it is released, since a release reads the rest and blocks.

--- a/io/http_client.cpp
+++ b/io/http_client.cpp
@@ -8,15 +8,19 @@
 
 #include <libsoup/soup.h>
 #include <algorithm>
+#include <cstdint>
+#include <string>
 #include <utility>
+#include <vector>
 
 namespace fescuevane::io
 {
 namespace
 {
 
-constexpr int max_connections = 800;
-constexpr int idle_seconds = 20;
+constexpr int           max_connections = 800;
+constexpr int           idle_seconds = 20;
+constexpr std::uint64_t max_block_bytes = 16'384; // of one read
 
 deadline_queue& find_deadlines()
 {
@@ -32,43 +36,68 @@
 
 } // namespace
 
-// Freed by `on_reply`.
+// Freed by `finish`.
 struct http_client::flight
 {
-    reply_function        reply_;
-    std::shared_ptr<bool> alive_;
-    SoupMessage*          message_ = nullptr;
-    GCancellable*         cancel_ = nullptr;
-    deadline_queue::entry deadline_;
-    bool                  late_ = false; // the deadline has passed
-    session_ptr           session_;
+    reply_function               reply_;
+    std::shared_ptr<bool>        alive_;
+    answer_limits                limits_;
+    std::shared_ptr<std::size_t> held_bytes_;
+    SoupMessage*                 message_ = nullptr;
+    GCancellable*                cancel_ = nullptr;
+    GInputStream*                stream_ = nullptr; // null: no headers yet
+    deadline_queue::entry        deadline_;
+    bool                         late_ = false; // the deadline has passed
+    session_ptr                  session_;
+    std::vector<char>            block_; // read last
+    std::string                  body_;
+    std::string                  error_; // empty: none
+
+    std::size_t held_ = 0; // memory of the body, in bytes
+
+    // Memory that a body of this size takes; strings double it as they grow.
+    [[nodiscard]] std::uint64_t memory_of(std::uint64_t bytes) const
+    {
+        return bytes <= held_ ? held_
+                              : std::max<std::uint64_t>(bytes, 2 * held_);
+    }
+
+    // `bytes` is the size of the answer, which may be announced only.
+    [[nodiscard]] bool fits(std::uint64_t bytes) const
+    {
+        return bytes <= limits_.max_bytes_ &&
+               (bytes <= limits_.small_bytes_ ||
+                *held_bytes_ - held_ + memory_of(bytes) <=
+                    limits_.max_sum_bytes_);
+    }
+
+    void append(std::size_t bytes)
+    {
+        *held_bytes_ -= held_;
+        held_ = memory_of(body_.size() + bytes);
+        *held_bytes_ += held_;
+        body_.reserve(held_);
+        body_.append(block_.data(), bytes);
+    }
 };
 
-void http_client::on_reply(GObject* session, GAsyncResult* result, void* data)
+void http_client::finish(flight* own)
 {
-    std::unique_ptr<flight> const own(static_cast<flight*>(data));
-    GError*                       error = nullptr;
-    GBytes* const                 bytes = soup_session_send_and_read_finish(
-                        SOUP_SESSION(session), result, &error);
-    http_response response;
-    if (bytes == nullptr)
+    std::unique_ptr<flight> const freed(own);
+    http_response                 response;
+    if (own->error_.empty())
     {
-        response.error_ = own->late_         ? "no answer by the deadline"
-                          : error != nullptr ? error->message
-                                             : "no response";
+        response.status_ = soup_message_get_status(own->message_);
+        response.body_ = std::move(own->body_);
     }
     else
     {
-        gsize       size = 0;
-        auto* const data_of_body =
-            static_cast<char const*>(g_bytes_get_data(bytes, &size));
-        response.status_ = soup_message_get_status(own->message_);
-        response.body_.assign(data_of_body == nullptr ? "" : data_of_body,
-                              size);
-        g_bytes_unref(bytes);
+        response.error_ =
+            own->late_ ? "no answer by the deadline" : own->error_;
     }
-    g_clear_error(&error);
+    *own->held_bytes_ -= own->held_;
     find_deadlines().remove(own->deadline_);
+    g_clear_object(&own->stream_);
     g_object_unref(own->message_);
     g_object_unref(own->cancel_);
     if (own->session_.use_count() == 1)
@@ -82,8 +111,109 @@
     }
 }
 
-http_client::http_client(int connections)
-    : connections_(connections), alive_(std::make_shared<bool>(true))
+namespace
+{
+
+// Frees the error.
+std::string describe(GError* error)
+{
+    std::string text = error == nullptr ? "no response" : error->message;
+    g_clear_error(&error);
+    return text.empty() ? "no response" : text;
+}
+
+constexpr char const* too_large = "the answer is too large";
+
+} // namespace
+
+void http_client::on_headers(GObject* session, GAsyncResult* result, void* data)
+{
+    auto* const own = static_cast<flight*>(data);
+    GError*     error = nullptr;
+    own->stream_ =
+        soup_session_send_finish(SOUP_SESSION(session), result, &error);
+    if (own->stream_ == nullptr)
+    {
+        own->error_ = describe(error);
+        finish(own);
+        return;
+    }
+    SoupMessageHeaders* const headers =
+        soup_message_get_response_headers(own->message_);
+    bool const announced = soup_message_headers_get_encoding(headers) ==
+                           SOUP_ENCODING_CONTENT_LENGTH;
+    auto const bytes = static_cast<std::uint64_t>(
+        announced ? soup_message_headers_get_content_length(headers) : 0);
+    if (!own->fits(bytes))
+    {
+        own->error_ = too_large;
+        close(own);
+        return;
+    }
+    own->block_.resize(
+        announced ? std::clamp<std::uint64_t>(bytes, 1, max_block_bytes)
+                  : max_block_bytes);
+    read_more(own);
+}
+
+void http_client::read_more(flight* own)
+{
+    g_input_stream_read_async(own->stream_, own->block_.data(),
+                              own->block_.size(), G_PRIORITY_DEFAULT,
+                              own->cancel_, &on_read, own);
+}
+
+void http_client::on_read(GObject* stream, GAsyncResult* result, void* data)
+{
+    auto* const own = static_cast<flight*>(data);
+    GError*     error = nullptr;
+    auto const  size =
+        g_input_stream_read_finish(G_INPUT_STREAM(stream), result, &error);
+    auto const bytes = static_cast<std::size_t>(std::max<gssize>(size, 0));
+    if (size < 0)
+    {
+        own->error_ = describe(error);
+    }
+    else if (!own->fits(own->body_.size() + bytes))
+    {
+        own->error_ = too_large;
+    }
+    if (size <= 0 || !own->error_.empty())
+    {
+        close(own);
+        return;
+    }
+    own->append(bytes);
+    read_more(own);
+}
+
+// A stream that is released before its end reads the rest of the answer, which
+// blocks. So it is closed first; a connection whose answer wasn't read to its
+// end isn't used again.
+void http_client::close(flight* own)
+{
+    if (!own->error_.empty())
+    {
+        soup_message_headers_replace(
+            soup_message_get_response_headers(own->message_), "Connection",
+            "close");
+        g_cancellable_cancel(own->cancel_);
+    }
+    g_input_stream_close_async(own->stream_, G_PRIORITY_DEFAULT, own->cancel_,
+                               &on_closed, own);
+}
+
+void http_client::on_closed(GObject* stream, GAsyncResult* result, void* data)
+{
+    g_input_stream_close_finish(G_INPUT_STREAM(stream), result, nullptr);
+    finish(static_cast<flight*>(data));
+}
+
+http_client::http_client(int connections, answer_limits const& limits)
+    : connections_(connections)
+    , limits_(limits)
+    , held_bytes_(std::make_shared<std::size_t>(0))
+    , alive_(std::make_shared<bool>(true))
 {
 }
 
@@ -131,7 +261,10 @@
 void http_client::send(http_request const& request, reply_function reply)
 {
     std::string const uri = "http://" + request.address_ + request.path_;
-    auto*             own = new flight{std::move(reply), alive_};
+    auto*             own = new flight{.reply_ = std::move(reply),
+                                       .alive_ = alive_,
+                                       .limits_ = limits_,
+                                       .held_bytes_ = held_bytes_};
     own->message_ = soup_message_new(request.method_.c_str(), uri.c_str());
     if (own->message_ == nullptr)
     {
@@ -179,9 +312,8 @@
             }
             g_cancellable_cancel(own->cancel_);
         });
-    soup_session_send_and_read_async(own->session_.get(), own->message_,
-                                     G_PRIORITY_DEFAULT, own->cancel_,
-                                     &on_reply, own);
+    soup_session_send_async(own->session_.get(), own->message_,
+                            G_PRIORITY_DEFAULT, own->cancel_, &on_headers, own);
 }
 
 } // namespace fescuevane::io
--- a/io/http_client.hpp
+++ b/io/http_client.hpp
@@ -2,6 +2,8 @@
 #ifndef FESCUEVANE_IO_HTTP_CLIENT_HPP
 #define FESCUEVANE_IO_HTTP_CLIENT_HPP
 
+#include "io/answer_limits.hpp"
+
 #include <libsoup/soup.h>
 #include <array>
 #include <functional>
@@ -22,8 +24,10 @@
 public:
     using reply_function = std::function<void(http_response const&)>;
 
-    // `connections` bounds those to one address.
-    explicit http_client(int connections);
+    // `connections` bounds those to one address. An answer beyond the limits
+    // counts as none, and its connection is closed.
+    explicit http_client(int                  connections,
+                         answer_limits const& limits = answer_limits());
     ~http_client();
     http_client(http_client const&) = delete;
     http_client& operator=(http_client const&) = delete;
@@ -44,9 +48,18 @@
 
     session_ptr& find_session(std::string const& address);
     void         leave_session(session_ptr const& session);
-    static void  on_reply(GObject* session, GAsyncResult* result, void* data);
+    static void  on_headers(GObject* session, GAsyncResult* result, void* data);
+    static void  read_more(flight* own);
+    static void  on_read(GObject* stream, GAsyncResult* result, void* data);
+    static void  close(flight* own);
+    static void  on_closed(GObject* stream, GAsyncResult* result, void* data);
+    static void  finish(flight* own);
 
-    int const                             connections_;
+    int const           connections_;
+    answer_limits const limits_;
+    // Bytes of answers that are being read. Requests in flight outlive the
+    // client.
+    std::shared_ptr<std::size_t>          held_bytes_;
     std::array<session_ptr, max_sessions> sessions_; // null: not needed yet
     std::shared_ptr<bool>                 alive_;
 };
--- a/tests/doors/doors_fixture.hpp
+++ b/tests/doors/doors_fixture.hpp
@@ -118,6 +118,21 @@
         wait_for(make_address(10, 8080), make_job("/jobs/a0"));
     }
 
+    // Lists a target for the process of the cell.
+    static void list_target(std::string const& id, std::string const& address)
+    {
+        std::string const entry =
+            R"({\"service\":\"desk\",\"addr\":\")" + address +
+            R"(\",\"zone\":\"domain-1\",\"version\":\"1\",\"slots\":8,)"
+            R"(\"state\":\"ready\",\"coldRemainingMs\":0,\"seq\":1,)"
+            R"(\"capacity\":{\"cpu\":4000,\"memMb\":8192,\"gpu\":0},)"
+            R"(\"labels\":[\"a\",\"r-1\"],\"born\":1000})";
+        wait_for(make_address(5, 8190),
+                 make_post_of("/rows",
+                              R"({"rows":[{"table":"servers","key":")" + id +
+                                  R"(","text":")" + entry + R"("}]})"));
+    }
+
     void start_plain()
     {
         std::ofstream(folder_ / "plain.yaml")
--- a/tests/unit/io_http_client_test.cpp
+++ b/tests/unit/io_http_client_test.cpp
@@ -8,6 +8,7 @@
 #include <doctest/doctest.h>
 #include <gio/gio.h>
 #include <libsoup/soup.h>
+#include <algorithm>
 #include <set>
 #include <string>
 #include <utility>
@@ -27,15 +28,21 @@
 
     SoupServer*                     server_;
     std::string                     address_;
-    http_client                     client_{max_connections};
+    http_client                     client_;
     std::size_t                     gather_ = 1;
     std::vector<SoupServerMessage*> gathered_;
     std::set<std::uint16_t>         ports_;    // of the client, all so far
     std::set<std::uint16_t>         silenced_; // those without a reply
     bool                            silences_next_ = false; // the next one used
     std::vector<unsigned>           statuses_; // of the replies, 0: none
+    std::vector<std::size_t>        sizes_;    // of the replies
+    std::string                     answer_;   // of the server
+    bool                            chunked_ = false;
+    bool                            stalls_ = false; // no end of the answer
 
-    http_client_fixture() : server_(soup_server_new(nullptr, nullptr))
+    explicit http_client_fixture(answer_limits const& limits = answer_limits())
+        : server_(soup_server_new(nullptr, nullptr))
+        , client_(max_connections, limits)
     {
         soup_server_add_handler(server_, "/", &on_request, this, nullptr);
         REQUIRE(soup_server_listen_local(
@@ -67,6 +74,28 @@
         auto& own = *static_cast<http_client_fixture*>(data);
         own.ports_.insert(port_of(message));
         soup_server_message_set_status(message, SOUP_STATUS_OK, nullptr);
+        if (own.stalls_)
+        {
+            // One chunk, and no end.
+            SoupMessageHeaders* const headers =
+                soup_server_message_get_response_headers(message);
+            soup_message_headers_set_encoding(headers, SOUP_ENCODING_CHUNKED);
+            soup_message_body_append(
+                soup_server_message_get_response_body(message),
+                SOUP_MEMORY_COPY, own.answer_.data(), own.answer_.size());
+            return;
+        }
+        soup_server_message_set_response(message, "text/plain",
+                                         SOUP_MEMORY_COPY, own.answer_.data(),
+                                         own.answer_.size());
+        if (own.chunked_)
+        {
+            soup_message_headers_set_encoding(
+                soup_server_message_get_response_headers(message),
+                SOUP_ENCODING_CHUNKED);
+            soup_message_body_complete(
+                soup_server_message_get_response_body(message));
+        }
         soup_server_message_pause(message);
         if (std::exchange(own.silences_next_, false))
         {
@@ -98,6 +127,7 @@
                      [this](http_response const& response)
                      {
                          statuses_.push_back(response.status_);
+                         sizes_.push_back(response.body_.size());
                      });
     }
 
@@ -175,5 +205,85 @@
     CHECK(ports_.size() == 1);
 }
 
+// One answer may take 100,000 bytes, and all together 200,000.
+struct bounded_answers_fixture : http_client_fixture
+{
+    static constexpr std::size_t most = 100'000;
+
+    bounded_answers_fixture()
+        : http_client_fixture({.max_bytes_ = most,
+                               .max_sum_bytes_ = 2 * most,
+                               .small_bytes_ = 1000})
+    {
+    }
+
+    void answer_with(std::size_t bytes) { answer_.assign(bytes, 'x'); }
+};
+
+// Guards against a process that a service fills by one answer.
+TEST_CASE_FIXTURE(bounded_answers_fixture,
+                  "answer beyond the bound, announced or not, counts as none, "
+                  "the next one is read")
+{
+    SUBCASE("announced") {}
+    SUBCASE("chunked")
+    {
+        chunked_ = true;
+    }
+    answer_with(most + 1);
+    send(10 * micros_per_second);
+    run_until_replies(1);
+    CHECK(statuses_ == std::vector<unsigned>{0});
+    answer_with(most);
+    send(10 * micros_per_second);
+    run_until_replies(2);
+    CHECK(statuses_ == std::vector<unsigned>{0, 200});
+    CHECK(sizes_ == std::vector<std::size_t>{0, most});
+}
+
+// Guards against a process that stops with a service that stops in the middle
+// of its answer.
+TEST_CASE_FIXTURE(bounded_answers_fixture,
+                  "answer without its end, request ends at its deadline, the "
+                  "next one is read")
+{
+    answer_with(1000);
+    stalls_ = true;
+    send();
+    run_until_replies(1);
+    CHECK(statuses_ == std::vector<unsigned>{0});
+    stalls_ = false;
+    send(10 * micros_per_second);
+    run_until_replies(2);
+    CHECK(statuses_ == std::vector<unsigned>{0, 200});
+}
+
+// Guards against a process that many services fill together, and against
+// ordinary answers that are lost beside theirs.
+TEST_CASE_FIXTURE(bounded_answers_fixture,
+                  "answers beyond the bound on their sum, some count as none, "
+                  "later ones are read")
+{
+    answer_with(most);
+    chunked_ = true;
+    gather_ = 8;
+    for (std::size_t request = 0; request < gather_; ++request)
+    {
+        send(10 * micros_per_second);
+    }
+    run_until_replies(gather_);
+    CHECK(std::count(statuses_.begin(), statuses_.end(), 0) > 0);
+    gather_ = 1;
+    chunked_ = false;
+    for (std::size_t const bytes : {std::size_t{1000}, most})
+    {
+        answer_with(bytes);
+        send(10 * micros_per_second);
+        run_until_replies(statuses_.size() + 1);
+        CHECK(statuses_.back() == 200);
+        CHECK(sizes_.back() == bytes);
+    }
+}
+
 } // namespace
 } // namespace fescuevane::io
