Refuse messages beyond the limit before the gRPC library collects them

Cause: the library compares the length of a message with its bound once it holds all of it, and its quota asks for memory back while reads go on.

Change: the bytes of a connection pass through message_guard, which reads the length that precedes each message in the frames of HTTP/2 and ends the connection at one beyond the limit, or at a compressed one.

--- a/entry/peer_service.cpp
+++ b/entry/peer_service.cpp
@@ -5,11 +5,15 @@
 #include "entry/event_queue.hpp"
 #include "entry/link_codec.hpp"
 #include "entry/link_error.hpp"
+#include "io/guarded_connection.hpp"
 #include "io/peer_limits.hpp"
 #include "wire/wire.hpp"
 
 #include <grpcpp/grpcpp.h>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <algorithm>
+#include <array>
 #include <chrono>
 
 namespace fescuevane::entry
@@ -75,16 +79,16 @@
                            std::shared_ptr<event_queue> events,
                            std::function<void()>        dropped)
     : events_(std::move(events))
+    , max_message_bytes_(static_cast<std::size_t>(max_message_bytes))
+    , dropped_(std::move(dropped))
+    , alive_(std::make_shared<bool>(true))
     , sockets_(
           limits.max_connections_,
           [this](int descriptor)
           {
-              grpc::experimental::ExternalConnectionAcceptor::
-                  NewConnectionParameters connection;
-              connection.fd = descriptor;
-              acceptor_->HandleNewConnection(&connection);
+              add_connection(descriptor);
           },
-          std::move(dropped))
+          dropped_)
 {
     try
     {
@@ -98,8 +102,9 @@
     acceptor_ = builder.experimental().AddExternalConnectionAcceptor(
         grpc::ServerBuilder::experimental_type::ExternalConnectionType::FROM_FD,
         grpc::InsecureServerCredentials());
-    // The library's quota bounds what is read but not handled yet. It has room
-    // for two of the largest messages, since it cancels calls at its bound.
+    // The library's quota is a target for what is read but not handled yet. It
+    // has room for two of the largest messages, since it cancels calls at its
+    // bound.
     builder.SetResourceQuota(grpc::ResourceQuota("peers").Resize(
         std::max(limits.max_memory_bytes_,
                  2 * static_cast<std::size_t>(max_message_bytes))));
@@ -120,6 +125,7 @@
 
 peer_service::~peer_service()
 {
+    *alive_ = false;
     server_->Shutdown(std::chrono::system_clock::now());
 }
 
@@ -129,4 +135,40 @@
     return new stream_reader(events_);
 }
 
+// The library gets one end of a pair of sockets, and the client's bytes once
+// they are known not to begin a message beyond the limit.
+void peer_service::add_connection(int descriptor)
+{
+    std::array<int, 2> ends{};
+    if (socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0,
+                   ends.data()) != 0)
+    {
+        close(descriptor);
+        return;
+    }
+    std::uint64_t const id = ++last_connection_;
+    connections_.emplace(id, std::make_unique<io::guarded_connection>(
+                                 descriptor, ends[0], max_message_bytes_,
+                                 [this, id, alive = alive_](bool refused)
+                                 {
+                                     if (*alive)
+                                     {
+                                         end_connection(id, refused);
+                                     }
+                                 }));
+    grpc::experimental::ExternalConnectionAcceptor::NewConnectionParameters
+        connection;
+    connection.fd = ends[1];
+    acceptor_->HandleNewConnection(&connection);
+}
+
+void peer_service::end_connection(std::uint64_t id, bool refused)
+{
+    connections_.erase(id);
+    if (refused)
+    {
+        dropped_();
+    }
+}
+
 } // namespace fescuevane::entry
--- a/entry/peer_service.hpp
+++ b/entry/peer_service.hpp
@@ -6,12 +6,16 @@
 #include "peer.grpc.pb.h"
 
 #include <grpcpp/server_builder.h>
+#include <cstddef>
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
 namespace fescuevane::io
 {
+class guarded_connection;
 struct peer_limits;
 } // namespace fescuevane::io
 
@@ -35,10 +39,19 @@
     Exchange(grpc::CallbackServerContext* context) override;
 
 private:
+    void add_connection(int descriptor);
+    void end_connection(std::uint64_t id, bool refused);
+
     std::shared_ptr<event_queue> const                              events_;
     std::unique_ptr<grpc::Server>                                   server_;
     std::unique_ptr<grpc::experimental::ExternalConnectionAcceptor> acceptor_;
-    io::bounded_sockets                                             sockets_;
+    std::size_t const           max_message_bytes_;
+    std::function<void()> const dropped_;
+    std::map<std::uint64_t, std::unique_ptr<io::guarded_connection>>
+                                connections_;
+    std::uint64_t               last_connection_ = 0;
+    std::shared_ptr<bool> const alive_;
+    io::bounded_sockets         sockets_;
 };
 
 } // namespace fescuevane::entry
