Test many whole bodies within the limit at once

Sixty connections with four bodies of 60 KB each, which take many times their size once parsed, were not shown to leave a process in its memory.

--- a/tests/doors/doors_http_test.cpp
+++ b/tests/doors/doors_http_test.cpp
@@ -199,4 +199,25 @@
                 4, few});
 }
 
+// Many clients, each inside the limits, whose bodies take many times their size
+// once they are parsed.
+TEST_CASE_TEMPLATE("whole bodies within the limit, many at once, leave the "
+                   "process in its memory",
+                   Port, front, plain)
+{
+    constexpr std::size_t connections = 60;
+    constexpr std::size_t values = 30'000;
+    std::string           list;
+    for (std::size_t count = 0; count < values; ++count)
+    {
+        list += "0,";
+    }
+    play<Port>({"",
+                make_post_of(Port::post_path,
+                             R"({"taskSpec":"one","steps":[{"count":1,)"
+                             R"("cpu":500}],"unused":[)" +
+                                 list + "0]}"),
+                4, connections});
+}
+
 } // namespace fescuevane::doors
