--- a/tests/doors/doors_peer_test.cpp
+++ b/tests/doors/doors_peer_test.cpp
@@ -140,4 +140,39 @@
                 blocks, few});
 }
 
+// Each port has bounds of its own, which must fit in the memory together.
+TEST_CASE("all ports of a cell at once leave the process in its memory")
+{
+    constexpr std::size_t blocks = 128;
+    constexpr int         callers_port = 8080;
+    doors_fixture         own;
+    own.start_cell();
+    own.note_start();
+    std::string const block(65'536, 'x');
+    flood const       bodies = {
+              make_post("/jobs/crowd1", "Transfer-Encoding: chunked"),
+              "10000\r\n" + block + "\r\n", blocks, few};
+    std::vector<std::thread> senders;
+    for (std::size_t count = 0; count < few; ++count)
+    {
+        senders.emplace_back(&cell_peer::send_large);
+    }
+    for (int const port : {callers_port, 8081, 8091})
+    {
+        senders.emplace_back(
+            [port, bodies]
+            {
+                crowd const clients(make_address(10, port), bodies);
+            });
+    }
+    for (std::thread& each : senders)
+    {
+        each.join();
+    }
+    own.check_bounds();
+    CHECK(cell_peer::is_answered());
+    CHECK(request(make_address(10, callers_port), make_job("/jobs/a1")) == 200);
+    own.check_bounds();
+}
+
 } // namespace fescuevane::doors
