Ask a target that answers no start before sending it another one

Cause: the owner went on sending starts to a target that answered none. Four orders were in flight over two connections; the others waited in the HTTP client, and went out when the target was back as another incarnation, before a reply told so.

Change: after a start without a reply the owner asks at once which incarnation answers, as after a reply with a clock of the past, and sends no start before that. A start is repeated under its number once the target has replied as the same incarnation.

--- a/cell/keep_sessions.cpp
+++ b/cell/keep_sessions.cpp
@@ -279,7 +279,15 @@
             continue;
         }
         instant const due = order.start_->deadline_;
-        if (!may_resend(context, session, order))
+        // The target is asked first whether it is the same incarnation.
+        instant const asked_until =
+            due.after(context.settings_.hold_slack_micros_);
+        if (asked_until > context.now_ && !is_answering(session))
+        {
+            wake_at(context, asked_until);
+            later.push_back(order);
+        }
+        else if (!may_resend(context, session, order))
         {
             mark_start_uncertain(context, session, order,
                                  "no reply from the target");
--- a/cell/late_starts.cpp
+++ b/cell/late_starts.cpp
@@ -192,8 +192,8 @@
     return reply.clock_ms_ != 0 && reply.clock_ms_ < order.least_clock_ms_;
 }
 
-// Asks at once, and without a lease, which incarnation replies. A renewal that
-// is still in flight may reach it, too.
+// Asks at once, and without a lease, which incarnation replies, and sends no
+// start before it has. A renewal that is still in flight may reach it, too.
 void doubt_incarnation(node& context, session_row& session,
                        order_row const& order, order_reply const& reply)
 {
@@ -216,10 +216,18 @@
     {
         return; // asked already
     }
-    log_event(context, "target_restart_shown",
-              {{"target", order.target_.str()},
-               {"clock_ms", std::to_string(reply.clock_ms_)},
-               {"least_clock_ms", std::to_string(order.least_clock_ms_)}});
+    if (reply.outcome_ == target_outcome::unknown)
+    {
+        log_event(context, "order_unanswered",
+                  {{"target", order.target_.str()}, {"error", reply.error_}});
+    }
+    else
+    {
+        log_event(context, "target_restart_shown",
+                  {{"target", order.target_.str()},
+                   {"clock_ms", std::to_string(reply.clock_ms_)},
+                   {"least_clock_ms", std::to_string(order.least_clock_ms_)}});
+    }
     session.unanswered_ = true;
     session.hold_ = 0;
     session.hold_at_ = context.now_;
--- a/cell/send_orders.cpp
+++ b/cell/send_orders.cpp
@@ -343,7 +343,11 @@
     {
         order_reply_handlers.at(static_cast<std::size_t>(order.kind_))(
             context, *session, order, input);
-        if (shows_restart(order, input))
+        // A target that doesn't reply to a start may be down, and come back as
+        // another incarnation.
+        if ((order.kind_ == order_kind::start &&
+             input.outcome_ == target_outcome::unknown) ||
+            shows_restart(order, input))
         {
             doubt_incarnation(context, *session, order, input);
         }
--- a/tests/unit/cell_lives_test.cpp
+++ b/tests/unit/cell_lives_test.cpp
@@ -180,6 +180,31 @@
     }
 }
 
+// Guards against starts on a target that has just restarted: they went on while
+// it answered none, and its next incarnation, of another kind, took them.
+TEST_CASE_FIXTURE(incarnations_fixture,
+                  "start without an answer, no other start to its target until "
+                  "it has replied")
+{
+    reached_ = false;
+    lose(first_);
+    submit_steps(
+        "aa02", {{.count_ = 8, .demand_ = {100, 100, 0}, .estimate_ms_ = 100}});
+    run_targets(300'000);
+    CHECK(std::none_of(starts_.begin(), starts_.end(),
+                       [](send_start const& start)
+                       {
+                           return start.start_.target_ == target_id("t-1");
+                       }));
+    reached_ = true;
+    run_targets(300'000);
+    CHECK(std::any_of(starts_.begin(), starts_.end(),
+                      [](send_start const& start)
+                      {
+                          return start.start_.target_ == target_id("t-1");
+                      }));
+}
+
 // Guards against a task that waits for a target that answers hold requests but
 // no orders: after some time its late start can't arrive any more.
 TEST_CASE_FIXTURE(incarnations_fixture,
