--- a/cell/session_row.hpp
+++ b/cell/session_row.hpp
@@ -50,8 +50,8 @@
     instant       hold_at_;           // next hold request
     std::int64_t  hold_lease_ms_ = 0; // that the latest hold requested
     late_start    late_renewal_;      // by an unanswered hold request
-    // The latest hold request has no reply, or one to an order showed a
-    // restart.
+    // The latest hold request or start has no reply, or a reply to an order
+    // showed a restart.
     bool unanswered_ = false;
     bool lapsed_ = false; // its leases, until it responds
 
--- a/io/peer_limits.hpp
+++ b/io/peer_limits.hpp
@@ -20,8 +20,9 @@
 };
 
 // A sixteenth of the descriptors that aren't reserved, each connection taking
-// two, and an eighth of the memory. A host keeps one connection to each other
-// host, and few more while connections change.
+// two, or four behind a message guard, and an eighth of the memory. A host
+// keeps one connection to each other host, and few more while connections
+// change.
 constexpr peer_limits make_peer_limits(host_budget const& budget)
 {
     return {.max_connections_ = static_cast<std::size_t>(
